--- /dev/null
+++ b/packages/platform/include/redwinggw/platform/store.hpp
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "redwinggw/base/error.hpp"
+#include "redwinggw/base/ids.hpp"
+#include "redwinggw/base/task.hpp"
+#include "redwinggw/base/time.hpp"
+#include "redwinggw/http/address.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+/// Clients of the platform's services; docs/PLATFORM.md states the protocol.
+namespace redwinggw::platform {
+
+/// A row of the table service. Version 0: it does not exist.
+struct row {
+  std::string Key;
+  std::uint64_t Version = 0;
+  std::string Value;
+};
+
+/// Condition of a commit: the row still has this version.
+struct check {
+  std::string Key;
+  std::uint64_t Version = 0;
+};
+
+struct put {
+  std::string Key;
+  std::string Value;
+};
+
+struct commit_request {
+  std::vector<check> Checks;
+  std::vector<put> Puts;
+  std::vector<std::string> Deletes;
+};
+
+/// An entry of the platform's list of instances. The list lags.
+struct listed_instance {
+  base::instance_name Name;
+  base::zone_name Zone;
+  http::address Peers;
+  http::address Callers;
+  http::address Operators;
+  bool Leaving = false;
+};
+
+/// How to reach the platform. Used from one thread.
+struct store {
+  boost::asio::any_io_executor Executor;
+  http::address Address;
+  base::instance_name Instance;
+  base::milliseconds Timeout{1000};
+  /// Requests sent so far; for the metrics.
+  std::uint64_t Reads = 0;
+  std::uint64_t Writes = 0;
+};
+
+/// Reads rows; missing ones come back with version 0, in the order asked.
+/// Fails with errc::StoreUnreachable.
+base::task<base::result<std::vector<row>>> get(store &Store,
+                                               std::vector<std::string> Keys);
+
+/// Reads all rows whose key begins with \p Prefix, sorted by key.
+base::task<base::result<std::vector<row>>> scan(store &Store,
+                                                std::string Prefix);
+
+/// Commits atomically; answers the new versions of the rows put, in order.
+/// Fails with errc::Conflict when a check did not hold (nothing changed) and
+/// with errc::StoreUnreachable when the outcome is not known: read back.
+base::task<base::result<std::vector<std::uint64_t>>>
+commit(store &Store, commit_request Request);
+
+base::task<base::result<void>> putObject(store &Store, std::string Name,
+                                         std::string Content);
+/// Fails with errc::NotFound when there is none of that name.
+base::task<base::result<std::string>> getObject(store &Store, std::string Name);
+
+base::task<base::result<std::vector<listed_instance>>>
+listInstances(store &Store);
+
+} // namespace redwinggw::platform
--- /dev/null
+++ b/packages/redwinggwctl/src/main.cpp
@@ -0,0 +1,6 @@
+#include <iostream>
+
+int main() {
+  std::cout << "redwinggwctl " REDWINGGW_VERSION "\n";
+  return 0;
+}
