--- a/packages/data/include/redwinggw/data/group_view.hpp
+++ b/packages/data/include/redwinggw/data/group_view.hpp
@@ -17,18 +17,18 @@
   /// The last state it told, with the time before the question was sent: what
   /// it says was true at that time or later.
   std::optional<endpoint_state> State;
-  base::instant AskedAt{};
+  base::instant AskedAt;
   /// Failures since the last answer.
   unsigned Failures = 0;
   /// Time of the first of these failures.
-  base::instant FailingSince{};
+  base::instant FailingSince;
   /// It is leaving: no new work goes there.
   bool Leaving = false;
 };
 
 /// A position that the primary had reached at a time.
 struct primary_sample {
-  base::instant At{};
+  base::instant At;
   base::log_position Position = 0;
 };
 
