Serve statements: tokens, routing, queues, records, transactions

Cause: no request could be served. Ruled out: the outcome of a returning write in one round trip, because its rows would not be in the record that a repeat finds.

--- /dev/null
+++ b/packages/data/include/redwinggw/data/dispatcher.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "redwinggw/base/error.hpp"
+#include "redwinggw/base/task.hpp"
+#include "redwinggw/data/connection_pool.hpp"
+#include "redwinggw/data/fair_queue.hpp"
+#include "redwinggw/data/retry_policy.hpp"
+#include "redwinggw/data/slot_window.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <string_view>
+#include <unordered_map>
+
+/// All of one instance's work at one endpoint: the queue of waiting requests,
+/// the window of running ones, the connections and the circuit.
+namespace redwinggw::data {
+
+/// Used from one thread.
+class dispatcher {
+public:
+  dispatcher(boost::asio::any_io_executor Executor, std::string Instance,
+             control::endpoint Endpoint, std::size_t ConnectionLimit,
+             queue_settings Queue);
+  dispatcher(const dispatcher &) = delete;
+  dispatcher &operator=(const dispatcher &) = delete;
+
+  /// Waits for the turn of a request of \p Customer. Fails with
+  /// errc::Overloaded, at once when the turn would come too late.
+  base::task<base::result<void>> acquire(base::customer_name Customer,
+                                         base::instant Deadline);
+
+  /// Ends what acquire began. \p Busy is the measured slot time; without one
+  /// (the request failed) the account is left as it is.
+  void release(std::string_view Customer, base::microseconds RoundTrip,
+               std::optional<base::microseconds> Busy);
+
+  connection_pool &pool() { return Pool; }
+  circuit &circuitState() { return Circuit; }
+  std::size_t waiting() const { return Queue.Size; }
+  std::size_t running() const { return Window.Running; }
+  double windowSize() const { return Window.Size; }
+  const control::endpoint &endpoint() const { return Endpoint; }
+
+  void setConnectionLimit(std::size_t Limit);
+
+private:
+  struct waiter {
+    boost::asio::steady_timer *Timer = nullptr;
+    bool Granted = false;
+  };
+
+  void pump();
+
+  boost::asio::any_io_executor Executor;
+  control::endpoint Endpoint;
+  connection_pool Pool;
+  slot_window Window;
+  fair_queue Queue;
+  circuit Circuit;
+  std::unordered_map<std::uint64_t, waiter> Waiters;
+  std::uint64_t LastTicket = 0;
+};
+
+} // namespace redwinggw::data
--- /dev/null
+++ b/packages/data/src/caller_server.cpp
@@ -0,0 +1,209 @@
+#include "redwinggw/data/caller_server.hpp"
+
+#include "redwinggw/base/log.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace redwinggw::data {
+namespace {
+
+using base::errc;
+using base::failure;
+using base::result;
+
+constexpr base::milliseconds DrainRetryAfter{100};
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusUnavailable = 503;
+
+using path_function = base::task<result<caller_answer>> (*)(statement_core &,
+                                                            transaction_table &,
+                                                            call);
+
+base::task<result<caller_answer>>
+serveStatement(statement_core &Core, transaction_table &, call Call) {
+  if (Call.Request.Access == access_kind::Write)
+    return serveWrite(Core, std::move(Call));
+  return serveRead(Core, std::move(Call));
+}
+
+base::task<result<caller_answer>> serveEnquiry(statement_core &Core,
+                                               transaction_table &, call Call) {
+  return serveOutcome(Core, std::move(Call));
+}
+
+/// What a path needs and who serves it.
+struct path_row {
+  std::string_view Target;
+  caller_fields Needed;
+  path_function Serve;
+  /// It may go on while the instance drains.
+  bool WhileDraining;
+  /// It counts against the customer's rate.
+  bool Counted;
+};
+
+constexpr std::array Paths = std::to_array<path_row>({
+    {"/v1/statement", {true, true, false, false}, serveStatement, false, true},
+    {"/v1/begin", {true, false, false, false}, beginTransaction, false, true},
+    {"/v1/run", {false, true, true, false}, runInTransaction, true, true},
+    {"/v1/commit", {false, false, true, false}, commitTransaction, true, false},
+    {"/v1/rollback",
+     {false, false, true, false},
+     rollBackTransaction,
+     true,
+     false},
+    {"/v1/outcome", {true, false, false, true}, serveEnquiry, false, false},
+});
+
+/// Finds the customer by the key. Asked for each request, so that a withdrawal
+/// reaches connections that were opened before it.
+result<call> authenticate(const statement_core &Core,
+                          std::string_view Authorization) {
+  if (!Core.Ports.MayServe())
+    return failure(errc::StaleConfiguration, {}, DrainRetryAfter);
+  const control::configuration &Configuration = Core.Ports.Configuration();
+  const control::customer_key *Key = control::findKey(
+      Configuration, Core.Settings.FleetKey, bearerKey(Authorization));
+  if (Key == nullptr)
+    return failure(errc::UnknownKey);
+  call Call;
+  Call.Customer = Key->Customer;
+  Call.KeyId = Key->Id;
+  Call.KeyDigest = Key->Digest;
+  Call.KeyCheckedAt = Configuration.Version;
+  return Call;
+}
+
+result<void> readSession(const statement_core &Core, call &Call) {
+  const caller_request &Request = Call.Request;
+  if (!Request.HasSession) {
+    Call.SessionKind = session_kind::Missing;
+    return {};
+  }
+  if (Request.Session == "none") {
+    Call.SessionKind = session_kind::None;
+    return {};
+  }
+  const auto Session =
+      decodeToken(Core.Settings.FleetKey, Call.Customer, Request.Session);
+  Call.SessionKind = Session ? session_kind::Known : session_kind::Foreign;
+  Call.Session = Session.value_or(session_state{});
+  return {};
+}
+
+/// Fills in what the configuration says of the service and the read.
+result<void> resolveService(const statement_core &Core, call &Call) {
+  const control::configuration &Configuration = Core.Ports.Configuration();
+  const caller_request &Request = Call.Request;
+  const control::service *Service =
+      control::findService(Configuration, Request.Service);
+  if (Service == nullptr)
+    return failure(errc::NotFound, "service " + Request.Service);
+  Call.Group = Service->Group;
+  Call.MaxAge = Service->SessionMaxAge;
+  if (Request.Read.empty())
+    return {};
+  const control::declared_read *Read =
+      control::findRead(Configuration, Request.Service, Request.Read);
+  if (Read == nullptr)
+    return failure(errc::NotFound, "read " + Request.Read);
+  Call.MaxAge = Read->MaxAge;
+  return {};
+}
+
+result<call> prepare(const statement_core &Core, const path_row &Path,
+                     const http::request &Message) {
+  auto Call = authenticate(Core, Message.Authorization);
+  if (!Call)
+    return Call;
+  auto Request = parseCallerRequest(Message.Body, Path.Needed);
+  if (!Request)
+    return Request.error();
+  Call->Request = std::move(*Request);
+  Call->Deadline = base::now() + Call->Request.Deadline;
+  if (const auto Read = readSession(Core, *Call); !Read)
+    return Read.error();
+  if (Path.Needed.Service)
+    if (const auto Resolved = resolveService(Core, *Call); !Resolved)
+      return Resolved.error();
+  return Call;
+}
+
+base::task<result<caller_answer>> serve(statement_core &Core,
+                                        transaction_table &Table,
+                                        const path_row &Path,
+                                        http::request Message) {
+  if (Core.Draining && !Path.WhileDraining)
+    co_return failure(errc::Draining, Core.Settings.Instance, DrainRetryAfter);
+  auto Call = prepare(Core, Path, Message);
+  if (!Call)
+    co_return Call.error();
+  if (Path.Counted) {
+    const auto Admitted =
+        co_await Core.Ports.Admit(Call->Customer, Call->Deadline);
+    if (!Admitted)
+      co_return Admitted.error();
+    noteRequest(Core.Budget);
+  }
+  co_return co_await Path.Serve(Core, Table, std::move(*Call));
+}
+
+void count(statement_core &Core, const result<caller_answer> &Answer) {
+  ++Core.Counters.Requests;
+  const base::outcome Outcome =
+      Answer ? base::outcome::Done
+             : base::kindOf(kindOf(Answer.error())).Outcome;
+  switch (Outcome) {
+  case base::outcome::Done:
+    ++Core.Counters.Done;
+    break;
+  case base::outcome::NotRun:
+    ++Core.Counters.NotRun;
+    break;
+  case base::outcome::Unknown:
+    ++Core.Counters.Unknown;
+    break;
+  }
+}
+
+http::response health(const statement_core &Core) {
+  http::response Response;
+  const bool Serves = !Core.Draining && Core.Ports.MayServe();
+  Response.Status = Serves ? StatusOk : StatusUnavailable;
+  Response.Body = Serves ? R"({"serving":true})" : R"({"serving":false})";
+  return Response;
+}
+
+} // namespace
+
+base::task<http::response> serveCaller(statement_core &Core,
+                                       transaction_table &Table,
+                                       http::request Request) {
+  if (Request.Target == "/healthz")
+    co_return health(Core);
+  const auto *Path = std::ranges::find(Paths, std::string_view(Request.Target),
+                                       &path_row::Target);
+  if (Path == Paths.end())
+    co_return toResponse(failure(errc::NotFound, "path"));
+  result<caller_answer> Answer = failure(errc::Internal);
+  try {
+    Answer = co_await serve(Core, Table, *Path, std::move(Request));
+  } catch (const std::exception &Error) {
+    base::log(base::log_level::Error, base::log_part::Callers, Error.what());
+  }
+  count(Core, Answer);
+  if (!Answer)
+    co_return toResponse(Answer.error());
+  co_return toResponse(std::move(*Answer));
+}
+
+caller_server::caller_server(boost::asio::any_io_executor Executor,
+                             statement_core &Core, transaction_table &Table)
+    : Core(Core), Table(Table),
+      Server(std::move(Executor), {},
+             [&Core, &Table](http::connection &, http::request Request) {
+               return serveCaller(Core, Table, std::move(Request));
+             }) {}
+
+} // namespace redwinggw::data
--- /dev/null
+++ b/packages/data/src/dispatcher.cpp
@@ -0,0 +1,84 @@
+#include "redwinggw/data/dispatcher.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace redwinggw::data {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr auto Token = asio::as_tuple(asio::use_awaitable);
+
+} // namespace
+
+dispatcher::dispatcher(asio::any_io_executor Executor, std::string Instance,
+                       control::endpoint Endpoint, std::size_t ConnectionLimit,
+                       queue_settings Settings)
+    : Executor(Executor), Endpoint(Endpoint),
+      Pool(Executor, std::move(Instance), Endpoint, ConnectionLimit) {
+  Queue.Settings = Settings;
+  setConnectionLimit(ConnectionLimit);
+}
+
+base::task<base::result<void>> dispatcher::acquire(base::customer_name Customer,
+                                                   base::instant Deadline) {
+  if (Queue.Size == 0 && hasRoom(Window)) {
+    enter(Window);
+    // An account exists from the first request on, so that charge finds it.
+    Queue.Customers.try_emplace(std::move(Customer));
+    co_return base::result<void>();
+  }
+  const queue_ticket Ticket{++LastTicket, std::move(Customer), Deadline};
+  const auto Width = static_cast<std::size_t>(Window.Size);
+  const enqueue_answer Answer = enqueue(Queue, Ticket, Width, base::now());
+  if (!Answer.Queued)
+    co_return base::failure(base::errc::Overloaded, Endpoint.Name,
+                            Answer.RetryAfter);
+  asio::steady_timer Timer(Executor);
+  Timer.expires_at(
+      std::chrono::steady_clock::time_point(Deadline.time_since_epoch()));
+  Waiters[Ticket.Id] = {&Timer, false};
+  co_await Timer.async_wait(Token);
+  const bool Granted = Waiters.at(Ticket.Id).Granted;
+  Waiters.erase(Ticket.Id);
+  if (Granted)
+    co_return base::result<void>();
+  cancel(Queue, Ticket);
+  co_return base::failure(base::errc::DeadlinePassed,
+                          "waiting for " + Endpoint.Name);
+}
+
+void dispatcher::release(std::string_view Customer,
+                         base::microseconds RoundTrip,
+                         std::optional<base::microseconds> Busy) {
+  if (Busy) {
+    leave(Window, RoundTrip, *Busy, base::now());
+    charge(Queue, Customer, *Busy);
+  } else {
+    leaveUnmeasured(Window);
+  }
+  pump();
+}
+
+void dispatcher::setConnectionLimit(std::size_t Limit) {
+  Pool.setLimit(Limit);
+  Window.Limit = static_cast<double>(std::max<std::size_t>(1, Limit));
+  Window.Size = std::min(Window.Size, Window.Limit);
+}
+
+void dispatcher::pump() {
+  while (hasRoom(Window)) {
+    const std::optional<queue_ticket> Ticket = dequeue(Queue);
+    if (!Ticket)
+      return;
+    const auto Waiter = Waiters.find(Ticket->Id);
+    if (Waiter == Waiters.end())
+      continue;
+    enter(Window);
+    Waiter->second.Granted = true;
+    Waiter->second.Timer->cancel();
+  }
+}
+
+} // namespace redwinggw::data
--- /dev/null
+++ b/packages/data/src/fair_queue.cpp
@@ -0,0 +1,131 @@
+#include "redwinggw/data/fair_queue.hpp"
+
+#include <algorithm>
+
+namespace redwinggw::data {
+namespace {
+
+/// A customer may be overdrawn by so many turns at most: one very slow
+/// statement must not shut it out for long.
+constexpr int MaxOverdraft = 20;
+/// Weight of the last request in the smoothed cost is 1/CostWeight.
+constexpr int CostWeight = 8;
+constexpr base::milliseconds SmallestRetryAfter{10};
+
+bool isFull(const fair_queue &Queue, const customer_queue &Own) {
+  return Queue.Size >= Queue.Settings.Total ||
+         Own.Waiting.size() >= Queue.Settings.PerCustomer;
+}
+
+base::milliseconds retryAfter(base::microseconds Wait) {
+  return std::max(SmallestRetryAfter,
+                  std::chrono::ceil<base::milliseconds>(Wait));
+}
+
+base::microseconds queuedWork(const fair_queue &Queue) {
+  base::microseconds Work{0};
+  for (const auto &[Name, Own] : Queue.Customers)
+    Work += Own.Cost * Own.Waiting.size();
+  return Work;
+}
+
+std::optional<queue_ticket> dequeueFirst(fair_queue &Queue) {
+  if (Queue.Arrivals.empty())
+    return std::nullopt;
+  queue_ticket Ticket = Queue.Arrivals.front();
+  cancel(Queue, Ticket);
+  return Ticket;
+}
+
+void removeFromRotation(fair_queue &Queue, const base::customer_name &Name) {
+  std::erase(Queue.Rotation, Name);
+  customer_queue &Own = Queue.Customers.at(Name);
+  // Unused time does not add up while a customer has nothing to run; a debt
+  // stays, or a customer could shed it by pausing for one request.
+  Own.Deficit = std::min(Own.Deficit, base::microseconds(0));
+}
+
+} // namespace
+
+base::microseconds expectedWait(const fair_queue &Queue,
+                                std::string_view Customer, std::size_t Width) {
+  const auto Places =
+      static_cast<std::int64_t>(std::max<std::size_t>(1, Width));
+  const base::microseconds All = queuedWork(Queue) / Places;
+  if (Queue.Settings.Policy == queue_policy::Fifo)
+    return All;
+  const auto Own = Queue.Customers.find(Customer);
+  if (Own == Queue.Customers.end() || Own->second.Waiting.empty())
+    return std::min(All, Queue.Settings.Quantum *
+                             static_cast<std::int64_t>(Queue.Rotation.size()) /
+                             Places);
+  const auto Active = static_cast<std::int64_t>(Queue.Rotation.size());
+  const base::microseconds Mine =
+      Own->second.Cost * Own->second.Waiting.size() * Active / Places;
+  return std::min(All, Mine);
+}
+
+enqueue_answer enqueue(fair_queue &Queue, queue_ticket Ticket,
+                       std::size_t Width, base::instant Now) {
+  const base::microseconds Wait = expectedWait(Queue, Ticket.Customer, Width);
+  customer_queue &Own = Queue.Customers[Ticket.Customer];
+  if (isFull(Queue, Own) || Now + Wait >= Ticket.Deadline)
+    return {false, retryAfter(Wait)};
+  if (Own.Waiting.empty())
+    Queue.Rotation.push_back(Ticket.Customer);
+  Own.Waiting.push_back(Ticket);
+  if (Queue.Settings.Policy == queue_policy::Fifo)
+    Queue.Arrivals.push_back(std::move(Ticket));
+  ++Queue.Size;
+  return {true, {}};
+}
+
+std::optional<queue_ticket> dequeue(fair_queue &Queue) {
+  if (Queue.Settings.Policy == queue_policy::Fifo)
+    return dequeueFirst(Queue);
+  while (!Queue.Rotation.empty()) {
+    const base::customer_name Name = Queue.Rotation.front();
+    customer_queue &Own = Queue.Customers.at(Name);
+    if (Own.Deficit <= base::microseconds(0)) {
+      Own.Deficit += Queue.Settings.Quantum;
+      Queue.Rotation.pop_front();
+      Queue.Rotation.push_back(Name);
+      continue;
+    }
+    Own.Deficit -= Own.Cost;
+    queue_ticket Ticket = std::move(Own.Waiting.front());
+    Own.Waiting.pop_front();
+    --Queue.Size;
+    if (Own.Waiting.empty())
+      removeFromRotation(Queue, Name);
+    return Ticket;
+  }
+  return std::nullopt;
+}
+
+void cancel(fair_queue &Queue, const queue_ticket &Ticket) {
+  const auto Own = Queue.Customers.find(Ticket.Customer);
+  if (Own == Queue.Customers.end())
+    return;
+  const auto SameId = [&](const queue_ticket &Other) {
+    return Other.Id == Ticket.Id;
+  };
+  const std::size_t Taken = std::erase_if(Own->second.Waiting, SameId);
+  Queue.Size -= Taken;
+  std::erase_if(Queue.Arrivals, SameId);
+  if (Taken != 0 && Own->second.Waiting.empty())
+    removeFromRotation(Queue, Own->first);
+}
+
+void charge(fair_queue &Queue, std::string_view Customer,
+            base::microseconds Busy) {
+  const auto Found = Queue.Customers.find(Customer);
+  if (Found == Queue.Customers.end())
+    return;
+  customer_queue &Own = Found->second;
+  const base::microseconds Lowest = -Queue.Settings.Quantum * MaxOverdraft;
+  Own.Deficit = std::max(Lowest, Own.Deficit - (Busy - Own.Cost));
+  Own.Cost += (Busy - Own.Cost) / CostWeight;
+}
+
+} // namespace redwinggw::data
--- /dev/null
+++ b/packages/data/src/pinned_connection.cpp
@@ -0,0 +1,75 @@
+#include "redwinggw/data/pinned_connection.hpp"
+
+#include "redwinggw/data/statement_core.hpp"
+
+#include <algorithm>
+
+namespace redwinggw::data {
+namespace {
+
+run_result failed(base::failure Failure) {
+  run_result Result;
+  Result.Failed.Failure = std::move(Failure);
+  return Result;
+}
+
+base::task<base::result<void>> ensureConnection(pinned_connection &Pinned,
+                                                base::instant Deadline) {
+  if (Pinned.Connection)
+    co_return base::result<void>();
+  auto Taken = co_await Pinned.Target->pool().take(Deadline);
+  if (!Taken)
+    co_return Taken.error();
+  Pinned.Connection = std::move(*Taken);
+  co_return base::result<void>();
+}
+
+} // namespace
+
+base::task<run_result> runPinned(statement_core &Core,
+                                 pinned_connection &Pinned, call &Call,
+                                 run_request Request) {
+  const std::shared_ptr<dispatcher> Target = Pinned.Target;
+  const auto Turn = co_await Target->acquire(Call.Customer, Call.Deadline);
+  if (!Turn)
+    co_return failed(Turn.error());
+  if (!isKeyInForce(Core, Call)) {
+    Target->release(Call.Customer, {}, std::nullopt);
+    co_return failed(base::failure(base::errc::UnknownKey));
+  }
+  const base::instant Deadline =
+      std::min(Call.Deadline, base::now() + Core.Settings.TryTimeout);
+  const auto Ready = co_await ensureConnection(Pinned, Deadline);
+  if (!Ready) {
+    Target->release(Call.Customer, {}, std::nullopt);
+    co_return failed(Ready.error());
+  }
+  const base::instant SentAt = base::now();
+  run_result Ran = co_await run(Pinned.Connection->Client, Request,
+                                Core.Settings.Instance, Deadline);
+  const bool Answered =
+      Ran.Answer.has_value() || Ran.Failed.Refusal != refusal::None;
+  Core.Ports.NoteTraffic(Target->endpoint().Group, Target->endpoint().Name,
+                         Answered);
+  std::optional<base::microseconds> Busy;
+  if (Ran.Answer)
+    Busy = Ran.Answer->Busy;
+  Target->release(Call.Customer, base::now() - SentAt, Busy);
+  if (!Answered) {
+    unpin(Core, Pinned, false);
+    Target->pool().closeSilentSince(SentAt);
+  }
+  co_return Ran;
+}
+
+void unpin(statement_core &, pinned_connection &Pinned, bool Clean) {
+  if (!Pinned.Connection)
+    return;
+  if (Clean)
+    Pinned.Target->pool().giveBack(std::move(Pinned.Connection));
+  else
+    Pinned.Target->pool().discard(std::move(Pinned.Connection));
+  Pinned.Connection.reset();
+}
+
+} // namespace redwinggw::data
--- /dev/null
+++ b/packages/data/src/slot_window.cpp
@@ -0,0 +1,59 @@
+#include "redwinggw/data/slot_window.hpp"
+
+#include <algorithm>
+
+namespace redwinggw::data {
+namespace {
+
+constexpr double ShrinkFactor = 0.85;
+constexpr double SmallestSize = 1;
+/// Queueing below this is noise of the scheduler.
+constexpr base::microseconds Tolerance{1000};
+/// The base delay rises slowly, so that a longer path is learned in time.
+constexpr int BaseDelayRise = 64;
+
+void learnBaseDelay(slot_window &Window, base::microseconds Delay) {
+  if (Window.BaseDelay == base::microseconds(0) || Delay < Window.BaseDelay) {
+    Window.BaseDelay = Delay;
+    return;
+  }
+  Window.BaseDelay += (Delay - Window.BaseDelay) / BaseDelayRise;
+}
+
+void shrink(slot_window &Window, base::microseconds RoundTrip,
+            base::instant Now) {
+  if (Now - Window.ShrunkAt < RoundTrip)
+    return;
+  Window.ShrunkAt = Now;
+  Window.Size = std::max(SmallestSize, Window.Size * ShrinkFactor);
+}
+
+} // namespace
+
+bool hasRoom(const slot_window &Window) {
+  return Window.Running < static_cast<std::size_t>(Window.Size);
+}
+
+void enter(slot_window &Window) { ++Window.Running; }
+
+void leave(slot_window &Window, base::microseconds RoundTrip,
+           base::microseconds Busy, base::instant Now) {
+  const bool WasFull = !hasRoom(Window);
+  leaveUnmeasured(Window);
+  const base::microseconds Delay =
+      std::max(base::microseconds(0), RoundTrip - Busy);
+  const base::microseconds Queued = Delay - Window.BaseDelay;
+  const bool Queueing = Queued > Tolerance + Busy;
+  learnBaseDelay(Window, Delay);
+  if (Queueing)
+    shrink(Window, RoundTrip, Now);
+  else if (WasFull)
+    Window.Size = std::min(Window.Limit, Window.Size + 1 / Window.Size);
+}
+
+void leaveUnmeasured(slot_window &Window) {
+  if (Window.Running > 0)
+    --Window.Running;
+}
+
+} // namespace redwinggw::data
--- /dev/null
+++ b/packages/data/src/statement_core.cpp
@@ -0,0 +1,173 @@
+#include "redwinggw/data/statement_core.hpp"
+
+#include "redwinggw/base/log.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace redwinggw::data {
+namespace {
+
+namespace asio = boost::asio;
+using base::errc;
+using base::failure;
+using base::result;
+
+constexpr auto Token = asio::as_tuple(asio::use_awaitable);
+
+run_result failed(failure Failure) {
+  run_result Result;
+  Result.Failed.Failure = std::move(Failure);
+  return Result;
+}
+
+double randomUnit(statement_core &Core) {
+  return std::uniform_real_distribution<>(0, 1)(Core.Random);
+}
+
+/// Whether the endpoint said anything: then the connection is in order.
+bool hasAnswered(const run_result &Result) {
+  return Result.Answer.has_value() || Result.Failed.Refusal != refusal::None;
+}
+
+void settle(statement_core &Core, dispatcher &Target, const call &Call,
+            connection_handle Connection, const run_result &Result,
+            base::instant SentAt) {
+  const bool Answered = hasAnswered(Result);
+  Core.Ports.NoteTraffic(Target.endpoint().Group, Target.endpoint().Name,
+                         Answered);
+  if (Answered) {
+    noteSuccess(Target.circuitState());
+    Target.pool().giveBack(std::move(Connection));
+  } else {
+    noteFailure(Target.circuitState(), base::now(), randomUnit(Core));
+    Target.pool().discard(std::move(Connection));
+    Target.pool().closeSilentSince(SentAt);
+  }
+  std::optional<base::microseconds> Busy;
+  if (Result.Answer)
+    Busy = Result.Answer->Busy;
+  Target.release(Call.Customer, base::now() - SentAt, Busy);
+}
+
+std::size_t limitOf(const control::endpoint &Endpoint, std::size_t Instances) {
+  return std::max<std::size_t>(1, Endpoint.Connections /
+                                      std::max<std::size_t>(1, Instances));
+}
+
+} // namespace
+
+void applyConfiguration(statement_core &Core,
+                        const control::configuration &Configuration,
+                        std::size_t Instances) {
+  std::erase_if(Core.Dispatchers, [&](const auto &Entry) {
+    return std::ranges::find(Configuration.Endpoints,
+                             Entry.second->endpoint()) ==
+           Configuration.Endpoints.end();
+  });
+  for (const control::endpoint &Endpoint : Configuration.Endpoints) {
+    const std::size_t Limit = limitOf(Endpoint, Instances);
+    auto &Dispatcher = Core.Dispatchers[Endpoint.Name];
+    if (Dispatcher)
+      Dispatcher->setConnectionLimit(Limit);
+    else
+      Dispatcher =
+          std::make_shared<dispatcher>(Core.Executor, Core.Settings.Instance,
+                                       Endpoint, Limit, Core.Settings.Queue);
+  }
+}
+
+bool isKeyInForce(const statement_core &Core, call &Call) {
+  const control::configuration &Configuration = Core.Ports.Configuration();
+  if (Configuration.Version == Call.KeyCheckedAt)
+    return true;
+  const auto Key = std::ranges::find(Configuration.Keys, Call.KeyId,
+                                     &control::customer_key::Id);
+  if (Key == Configuration.Keys.end() || Key->Digest != Call.KeyDigest ||
+      Key->Customer != Call.Customer)
+    return false;
+  Call.KeyCheckedAt = Configuration.Version;
+  return true;
+}
+
+base::task<run_result> runAt(statement_core &Core,
+                             std::shared_ptr<dispatcher> Target, call &Call,
+                             run_request Request) {
+  const auto Turn = co_await Target->acquire(Call.Customer, Call.Deadline);
+  if (!Turn)
+    co_return failed(Turn.error());
+  if (!isKeyInForce(Core, Call)) {
+    Target->release(Call.Customer, {}, std::nullopt);
+    co_return failed(failure(errc::UnknownKey));
+  }
+  const base::instant Deadline =
+      std::min(Call.Deadline, base::now() + Core.Settings.TryTimeout);
+  auto Connection = co_await Target->pool().take(Deadline);
+  if (!Connection) {
+    if (kindOf(Connection.error()) == errc::EndpointUnreachable) {
+      noteFailure(Target->circuitState(), base::now(), randomUnit(Core));
+      Core.Ports.NoteTraffic(Call.Group, Target->endpoint().Name, false);
+    }
+    Target->release(Call.Customer, {}, std::nullopt);
+    co_return failed(Connection.error());
+  }
+  const base::instant SentAt = base::now();
+  run_result Result = co_await run((*Connection)->Client, Request,
+                                   Core.Settings.Instance, Deadline);
+  settle(Core, *Target, Call, std::move(*Connection), Result, SentAt);
+  co_return Result;
+}
+
+std::shared_ptr<dispatcher> primaryOf(const statement_core &Core,
+                                      const group_view &View) {
+  if (!View.Primary)
+    return nullptr;
+  const auto Found = Core.Dispatchers.find(*View.Primary);
+  return Found == Core.Dispatchers.end() ? nullptr : Found->second;
+}
+
+base::task<result<const group_view *>> awaitPrimary(statement_core &Core,
+                                                    const call &Call) {
+  const auto Waited =
+      co_await Core.Ports.AwaitPrimary(Call.Group, Call.Deadline);
+  if (!Waited)
+    co_return Waited.error();
+  const group_view *View = Core.Ports.View(Call.Group);
+  if (View == nullptr || !primaryOf(Core, *View))
+    co_return failure(errc::NoPrimary, "group " + Call.Group);
+  co_return View;
+}
+
+base::task<result<void>> awaitRetry(statement_core &Core, const call &Call,
+                                    unsigned Try, const failure &Last) {
+  if (!takeRetry(Core.Budget)) {
+    ++Core.Counters.RetriesRefused;
+    co_return Last;
+  }
+  const base::microseconds Pause = backoff(Try, randomUnit(Core));
+  const base::instant Until = base::now() + Pause;
+  if (Until >= Call.Deadline)
+    co_return Last;
+  ++Core.Counters.Retries;
+  asio::steady_timer Timer(Core.Executor);
+  Timer.expires_at(
+      std::chrono::steady_clock::time_point(Until.time_since_epoch()));
+  co_await Timer.async_wait(Token);
+  co_return result<void>();
+}
+
+std::string tokenAfter(const statement_core &Core, call &Call,
+                       base::term_number Term, base::log_position Position) {
+  if (Call.SessionKind == session_kind::None)
+    return {};
+  static const std::vector<history_row> NoHistory;
+  const group_view *View = Core.Ports.View(Call.Group);
+  const group_position Seen{Call.Group, Term, Position};
+  advance(Call.Session, View == nullptr ? NoHistory : View->History, Seen);
+  return encodeToken(Core.Settings.FleetKey, Call.Customer, Call.Session);
+}
+
+} // namespace redwinggw::data
--- /dev/null
+++ b/packages/data/src/write_path.cpp
@@ -0,0 +1,319 @@
+#include "redwinggw/data/statement_core.hpp"
+
+#include "redwinggw/base/time.hpp"
+#include "redwinggw/data/pinned_connection.hpp"
+
+#include <boost/json.hpp>
+
+namespace redwinggw::data {
+namespace {
+
+namespace json = boost::json;
+using base::errc;
+using base::failure;
+using base::result;
+
+/// A write on its way to a known outcome.
+struct write_attempt {
+  request_identity Identity;
+  /// Some try was sent and not answered: it may have run.
+  bool MayHaveRun = false;
+};
+
+/// What one try came to.
+struct write_step {
+  std::optional<caller_answer> Answer;
+  failure Failure;
+};
+
+std::int64_t changesOf(const json::value &Result) {
+  const json::value *Changes = Result.as_object().if_contains("changes");
+  return Changes == nullptr ? 0 : Changes->to_number<std::int64_t>();
+}
+
+write_step stopped(failure Failure) {
+  return {std::nullopt, std::move(Failure)};
+}
+
+run_request recordedRun(const call &Call, const write_attempt &Attempt,
+                        base::term_number Term) {
+  run_request Request;
+  Request.ExpectTerm = Term;
+  Request.Begin = true;
+  Request.Commit = true;
+  Request.Statements = {insertRecord(Attempt.Identity, record_state::Done),
+                        Call.Request.Statement, storeChanges(Attempt.Identity)};
+  return Request;
+}
+
+/// The table of records is made on first use of a group.
+base::task<failure> makeRecords(statement_core &Core, call &Call,
+                                std::shared_ptr<dispatcher> Target,
+                                base::term_number Term) {
+  run_request Request;
+  Request.ExpectTerm = Term;
+  Request.Statements = {createRecords()};
+  run_result Ran =
+      co_await runAt(Core, std::move(Target), Call, std::move(Request));
+  if (!Ran.Answer)
+    co_return Ran.Failed.Failure;
+  // The write that asked for the table runs after it, so that its own
+  // confirmation covers this one.
+  co_return failure(errc::EndpointRefused, "the table of records was missing");
+}
+
+/// The unique key of the record, or one of the statement's own, was taken.
+base::task<write_step> meetRecord(statement_core &Core, call &Call,
+                                  const write_attempt &Attempt,
+                                  const failure &Refused) {
+  const auto Found = co_await readRecord(Core, Call, Attempt.Identity);
+  if (!Found)
+    co_return stopped(Found.error());
+  if (!Found->Record)
+    co_return stopped(Refused);
+  auto Answer = answerOf(*Found->Record, Attempt.Identity);
+  if (!Answer)
+    co_return stopped(Answer.error());
+  Answer->Session = tokenAfter(Core, Call, Found->Term, Found->Position);
+  co_return write_step{std::move(*Answer), {}};
+}
+
+/// Waits until every promotion must find the write, then words the answer.
+base::task<write_step> confirmed(statement_core &Core, call &Call,
+                                 json::value Result, base::term_number Term,
+                                 base::log_position Position) {
+  const auto Confirmed =
+      co_await Core.Ports.Confirm(Call.Group, Term, Position, Call.Deadline);
+  if (!Confirmed)
+    co_return stopped(Confirmed.error());
+  caller_answer Answer;
+  Answer.Result = std::move(Result);
+  Answer.Session = tokenAfter(Core, Call, Term, Position);
+  Answer.ServedBy = "primary";
+  co_return write_step{std::move(Answer), {}};
+}
+
+/// A write that returns rows takes a second round trip: the rows go into its
+/// record before the commit, so that a repeat gets them too. The answer is
+/// that of a recorded run.
+base::task<run_result> runReturning(statement_core &Core, call &Call,
+                                    std::shared_ptr<dispatcher> Target,
+                                    const write_attempt &Attempt,
+                                    base::term_number Term) {
+  pinned_connection Pinned{std::move(Target), nullptr};
+  run_request First;
+  First.ExpectTerm = Term;
+  First.Begin = true;
+  First.Statements = {insertRecord(Attempt.Identity, record_state::Done),
+                      Call.Request.Statement};
+  run_result Ran = co_await runPinned(Core, Pinned, Call, std::move(First));
+  if (!Ran.Answer || Ran.Answer->Results.size() < 2) {
+    unpin(Core, Pinned, false);
+    // Nothing was committed: the connection is closed, which rolls back.
+    if (retryKindOf(Ran.Failed.Failure) == retry_kind::SameId)
+      Ran.Failed.Failure.Code = make_error_code(errc::EndpointUnreachable);
+    co_return Ran;
+  }
+  const json::value Rows = Ran.Answer->Results[1];
+  run_request Second;
+  Second.ExpectTerm = Term;
+  Second.Commit = true;
+  Second.Statements = {
+      storeResult(Attempt.Identity, changesOf(Rows), json::serialize(Rows))};
+  run_result Committed =
+      co_await runPinned(Core, Pinned, Call, std::move(Second));
+  unpin(Core, Pinned, Committed.Answer.has_value());
+  if (Committed.Answer)
+    Committed.Answer->Results = std::move(Ran.Answer->Results);
+  co_return Committed;
+}
+
+/// One recorded run of the write at \p Target.
+base::task<run_result> runRecorded(statement_core &Core, call &Call,
+                                   std::shared_ptr<dispatcher> Target,
+                                   const write_attempt &Attempt,
+                                   base::term_number Term) {
+  if (Call.Request.Returning)
+    co_return co_await runReturning(Core, Call, Target, Attempt, Term);
+  run_request Request = recordedRun(Call, Attempt, Term);
+  co_return co_await runAt(Core, Target, Call, std::move(Request));
+}
+
+base::task<write_step> tryWrite(statement_core &Core, call &Call,
+                                write_attempt &Attempt) {
+  const auto View = co_await awaitPrimary(Core, Call);
+  if (!View)
+    co_return stopped(View.error());
+  const base::term_number Term = (*View)->Term;
+  const std::shared_ptr<dispatcher> Target = primaryOf(Core, **View);
+  run_result Ran = co_await runRecorded(Core, Call, Target, Attempt, Term);
+  if (Ran.Answer && Ran.Answer->Results.size() > 1) {
+    json::value Result = std::move(Ran.Answer->Results[1]);
+    const base::log_position Position = Ran.Answer->Position;
+    write_step Step =
+        co_await confirmed(Core, Call, std::move(Result), Term, Position);
+    if (!Step.Answer)
+      Attempt.MayHaveRun = true;
+    co_return Step;
+  }
+  const failure Failure = Ran.Answer ? failure(errc::TruncatedAnswer)
+                                     : std::move(Ran.Failed.Failure);
+  if (retryKindOf(Failure) == retry_kind::SameId)
+    Attempt.MayHaveRun = true;
+  if (Ran.Failed.Refusal == refusal::UniqueKey)
+    co_return co_await meetRecord(Core, Call, Attempt, Failure);
+  if (isMissingTable(Failure))
+    co_return stopped(co_await makeRecords(Core, Call, Target, Term));
+  co_return stopped(Failure);
+}
+
+/// Cancels the request unless it has run, in one step: the record takes the
+/// unique key, so that a try which is still on its way finds it taken.
+base::task<write_step> tryOutcome(statement_core &Core, call &Call,
+                                  const write_attempt &Attempt) {
+  const auto View = co_await awaitPrimary(Core, Call);
+  if (!View)
+    co_return stopped(View.error());
+  const base::term_number Term = (*View)->Term;
+  const std::shared_ptr<dispatcher> Target = primaryOf(Core, **View);
+  run_request Request;
+  Request.ExpectTerm = Term;
+  Request.Statements = {
+      insertRecord(Attempt.Identity, record_state::Cancelled)};
+  run_result Ran = co_await runAt(Core, Target, Call, std::move(Request));
+  if (Ran.Answer) {
+    const auto Confirmed = co_await Core.Ports.Confirm(
+        Call.Group, Term, Ran.Answer->Position, Call.Deadline);
+    co_return stopped(Confirmed ? failure(errc::RequestCancelled)
+                                : Confirmed.error());
+  }
+  if (isMissingTable(Ran.Failed.Failure))
+    co_return stopped(co_await makeRecords(Core, Call, Target, Term));
+  if (Ran.Failed.Refusal != refusal::UniqueKey)
+    co_return stopped(Ran.Failed.Failure);
+  const auto Found = co_await readRecord(Core, Call, Attempt.Identity);
+  if (!Found)
+    co_return stopped(Found.error());
+  if (!Found->Record)
+    co_return stopped(failure(errc::OutcomeUnknown, "the record is gone"));
+  // An enquiry knows the id, not the body: it asks for whatever ran under it.
+  request_identity Asked = Attempt.Identity;
+  Asked.Digest = Found->Record->Digest;
+  auto Answer = answerOf(*Found->Record, Asked);
+  if (!Answer)
+    co_return stopped(Answer.error());
+  Answer->Session = tokenAfter(Core, Call, Found->Term, Found->Position);
+  co_return write_step{std::move(*Answer), {}};
+}
+
+/// Whether another try may settle the outcome. Each try carries the same
+/// record, so the request runs once however many tries arrive.
+bool mayTryAgain(const failure &Failure) {
+  return retryKindOf(Failure) != retry_kind::Never;
+}
+
+/// "Not run" is said only when no try can have run.
+failure finalFailure(const write_attempt &Attempt, const failure &Failure) {
+  const base::outcome Outcome = base::kindOf(kindOf(Failure)).Outcome;
+  if (Attempt.MayHaveRun && Outcome == base::outcome::NotRun &&
+      kindOf(Failure) != errc::RequestIdReused &&
+      kindOf(Failure) != errc::RequestCancelled)
+    return {errc::OutcomeUnknown, Failure.Detail, Failure.RetryAfter};
+  return Failure;
+}
+
+} // namespace
+
+request_identity identityOf(const call &Call) {
+  const caller_request &Request = Call.Request;
+  request_identity Identity;
+  Identity.Customer = Call.Customer;
+  Identity.Id = Request.RequestId;
+  Identity.IssuedAt = Request.IssuedAt;
+  Identity.Digest = requestDigest({Request.Service, Request.Statement.Sql,
+                                   json::serialize(Request.Statement.Params),
+                                   std::to_string(Request.IssuedAt),
+                                   Request.Returning ? "r" : ""});
+  return Identity;
+}
+
+result<caller_answer> answerOf(const request_record &Record,
+                               const request_identity &Identity) {
+  switch (judgeRepeat(Record, Identity)) {
+  case repeat_verdict::Cancelled:
+    return failure(errc::RequestCancelled);
+  case repeat_verdict::Reused:
+    return failure(errc::RequestIdReused);
+  case repeat_verdict::Done:
+    break;
+  }
+  caller_answer Answer;
+  Answer.Repeated = true;
+  Answer.ServedBy = "primary";
+  Answer.Result =
+      Record.Result.empty() ? json::object() : json::parse(Record.Result);
+  Answer.Result.as_object()["changes"] = Record.Changes;
+  return Answer;
+}
+
+base::task<result<found_record>> readRecord(statement_core &Core, call &Call,
+                                            const request_identity &Identity) {
+  const auto View = co_await awaitPrimary(Core, Call);
+  if (!View)
+    co_return View.error();
+  const base::term_number Term = (*View)->Term;
+  const std::shared_ptr<dispatcher> Target = primaryOf(Core, **View);
+  run_request Request;
+  Request.ReadOnly = true;
+  Request.ExpectTerm = Term;
+  Request.Statements = {selectRecord(Identity)};
+  run_result Ran = co_await runAt(Core, Target, Call, std::move(Request));
+  if (!Ran.Answer)
+    co_return Ran.Failed.Failure;
+  const auto Confirmed = co_await Core.Ports.Confirm(
+      Call.Group, Term, Ran.Answer->Position, Call.Deadline);
+  if (!Confirmed)
+    co_return Confirmed.error();
+  co_return found_record{recordOf(Ran.Answer->Results.at(0)), Term,
+                         Ran.Answer->Position};
+}
+
+base::task<result<caller_answer>> serveWrite(statement_core &Core, call Call) {
+  ++Core.Counters.Writes;
+  write_attempt Attempt{identityOf(Call), false};
+  const auto Aged =
+      checkAge(Attempt.Identity.IssuedAt, base::wallMilliseconds());
+  if (!Aged)
+    co_return Aged.error();
+  for (unsigned Try = 1;; ++Try) {
+    write_step Step = co_await tryWrite(Core, Call, Attempt);
+    if (Step.Answer)
+      co_return std::move(*Step.Answer);
+    if (!mayTryAgain(Step.Failure))
+      co_return finalFailure(Attempt, Step.Failure);
+    const auto Again = co_await awaitRetry(Core, Call, Try, Step.Failure);
+    if (!Again)
+      co_return finalFailure(Attempt, Again.error());
+  }
+}
+
+base::task<result<caller_answer>> serveOutcome(statement_core &Core,
+                                               call Call) {
+  write_attempt Attempt{identityOf(Call), false};
+  const auto Aged =
+      checkAge(Attempt.Identity.IssuedAt, base::wallMilliseconds());
+  if (!Aged)
+    co_return Aged.error();
+  for (unsigned Try = 1;; ++Try) {
+    write_step Step = co_await tryOutcome(Core, Call, Attempt);
+    if (Step.Answer)
+      co_return std::move(*Step.Answer);
+    if (!mayTryAgain(Step.Failure))
+      co_return Step.Failure;
+    const auto Again = co_await awaitRetry(Core, Call, Try, Step.Failure);
+    if (!Again)
+      co_return failure(errc::OutcomeUnknown, Again.error().Detail);
+  }
+}
+
+} // namespace redwinggw::data
--- /dev/null
+++ b/packages/redwinggw/src/settings.cpp
@@ -0,0 +1,289 @@
+#include "settings.hpp"
+
+#include "redwinggw/base/enum_table.hpp"
+
+#include <boost/algorithm/string/trim.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <fstream>
+#include <optional>
+#include <set>
+#include <sstream>
+
+namespace redwinggw {
+namespace {
+
+using base::enum_name;
+using base::errc;
+using base::failure;
+using base::result;
+
+constexpr std::size_t ShortestSecret = 16;
+
+constexpr std::array RateNames = std::to_array<enum_name<rate_policy>>({
+    {rate_policy::Shared, "shared"},
+    {rate_policy::Static, "static"},
+});
+
+constexpr std::array ReadNames = std::to_array<enum_name<data::read_policy>>({
+    {data::read_policy::Replicas, "replicas"},
+    {data::read_policy::Primary, "primary"},
+});
+
+constexpr std::array QueueNames = std::to_array<enum_name<data::queue_policy>>({
+    {data::queue_policy::Fair, "fair"},
+    {data::queue_policy::Fifo, "fifo"},
+});
+
+using setter = bool (*)(settings &, const std::string &);
+
+bool setName(std::string &Field, const std::string &Text) {
+  constexpr std::size_t Longest = 64;
+  const bool Plain = std::ranges::all_of(Text, [](unsigned char Character) {
+    return std::isalnum(Character) != 0 || Character == '-' ||
+           Character == '_' || Character == '.';
+  });
+  if (Text.empty() || Text.size() > Longest || !Plain)
+    return false;
+  Field = Text;
+  return true;
+}
+
+bool setAddress(http::address &Field, const std::string &Text) {
+  const auto Address = http::parseAddress(Text);
+  if (!Address)
+    return false;
+  Field = *Address;
+  return true;
+}
+
+bool setMilliseconds(base::milliseconds &Field, const std::string &Text,
+                     std::int64_t Least, std::int64_t Most) {
+  std::int64_t Value = 0;
+  const char *Last = Text.data() + Text.size();
+  const auto [End, Code] = std::from_chars(Text.data(), Last, Value);
+  if (Code != std::errc() || End != Last || Value < Least || Value > Most)
+    return false;
+  Field = base::milliseconds(Value);
+  return true;
+}
+
+bool setText(std::string &Field, const std::string &Text) {
+  Field = Text;
+  return !Text.empty();
+}
+
+template <typename Enum> bool setEnum(Enum &Field, std::optional<Enum> Value) {
+  Field = Value.value_or(Field);
+  return Value.has_value();
+}
+
+constexpr const char *NameAllowed = "1 to 64 letters, digits, '-', '_', '.'";
+constexpr const char *AddressAllowed = "IP:port";
+
+/// One key of the file.
+struct key_row {
+  std::string_view Key;
+  /// Empty: the key must be given.
+  std::string_view Default;
+  std::string_view Allowed;
+  std::string_view Meaning;
+  setter Set;
+};
+
+constexpr std::array Keys = std::to_array<key_row>({
+    {"instance.name", "", NameAllowed, "name in the platform's list",
+     [](settings &S, const std::string &T) { return setName(S.Name, T); }},
+    {"instance.zone", "", NameAllowed, "availability zone",
+     [](settings &S, const std::string &T) { return setName(S.Zone, T); }},
+    {"listen.callers", "", AddressAllowed, "where callers connect (TCP)",
+     [](settings &S, const std::string &T) {
+       return setAddress(S.Callers, T);
+     }},
+    {"listen.operators", "", AddressAllowed, "where operators connect (TCP)",
+     [](settings &S, const std::string &T) {
+       return setAddress(S.Operators, T);
+     }},
+    {"listen.peers", "", AddressAllowed, "where other instances send (UDP)",
+     [](settings &S, const std::string &T) { return setAddress(S.Peers, T); }},
+    {"platform.address", "", AddressAllowed, "the platform's services",
+     [](settings &S, const std::string &T) {
+       return setAddress(S.Platform, T);
+     }},
+    {"platform.timeout_ms", "1000", "10 to 60000",
+     "deadline of one request to the platform",
+     [](settings &S, const std::string &T) {
+       return setMilliseconds(S.PlatformTimeout, T, 10, 60000);
+     }},
+    {"fleet.key_file", "", "a file name",
+     "secret that all instances share: signs tokens and messages",
+     [](settings &S, const std::string &T) { return setText(S.KeyFile, T); }},
+    {"fleet.operator_key_file", "", "a file name", "secret that operators show",
+     [](settings &S, const std::string &T) {
+       return setText(S.OperatorKeyFile, T);
+     }},
+    {"log.level", "info", "trace, debug, info, warning, error",
+     "least level that is logged",
+     [](settings &S,
+        const std::string
+            &T) { return setEnum(S.LogLevel, base::logLevelNamed(T)); }},
+    {"log.format", "text", "text, json", "form of a line",
+     [](settings &S, const std::string &T) {
+       return setEnum(S.LogFormat, base::logFormatNamed(T));
+     }},
+    {"policy.reads", "replicas", "replicas, primary",
+     "where reads may go; primary is the baseline",
+     [](settings &S, const std::string &T) {
+       return setEnum(S.Reads, base::valueOf(ReadNames, T));
+     }},
+    {"policy.rate", "shared", "shared, static",
+     "how a customer's rate is divided; static is the baseline",
+     [](settings &S, const std::string &T) {
+       return setEnum(S.Rate, base::valueOf(RateNames, T));
+     }},
+    {"policy.queue", "fair", "fair, fifo",
+     "order of waiting requests; fifo is the baseline",
+     [](settings &S, const std::string &T) {
+       return setEnum(S.Queue, base::valueOf(QueueNames, T));
+     }},
+    {"policy.try_timeout_ms", "1000", "50 to 60000",
+     "a single try at an endpoint is given up after this time",
+     [](settings &S, const std::string &T) {
+       return setMilliseconds(S.TryTimeout, T, 50, 60000);
+     }},
+    {"policy.replica_wait_ms", "80", "0 to 1000",
+     "longest wait for a replica to reach a session's position",
+     [](settings &S, const std::string &T) {
+       return setMilliseconds(S.ReplicaWait, T, 0, 1000);
+     }},
+    {"policy.drain_ms", "10000", "0 to 600000",
+     "time that running requests get at a stop",
+     [](settings &S, const std::string &T) {
+       return setMilliseconds(S.DrainTime, T, 0, 600000);
+     }},
+});
+
+/// A line of the file that sets a key.
+struct assignment {
+  std::string Key;
+  std::string Value;
+  /// "file:line", or "option".
+  std::string Place;
+};
+
+struct parse_state {
+  std::vector<assignment> Assignments;
+  std::vector<std::string> Faults;
+};
+
+/// Splits the file into assignments. Boost.Program_options reads the same
+/// form, but does not tell the line of a value.
+void readLines(parse_state &State, const std::string &Text,
+               const std::string &Name) {
+  std::istringstream Stream(Text);
+  std::string Section;
+  std::string Line;
+  for (int Number = 1; std::getline(Stream, Line); ++Number) {
+    const std::string Place = Name + ":" + std::to_string(Number);
+    boost::algorithm::trim(Line);
+    if (Line.empty() || Line.front() == '#' || Line.front() == ';')
+      continue;
+    if (Line.front() == '[' && Line.back() == ']') {
+      Section = Line.substr(1, Line.size() - 2);
+      continue;
+    }
+    const std::size_t Equals = Line.find('=');
+    if (Equals == std::string::npos) {
+      State.Faults.push_back(Place + ": '" + Line +
+                             "' is neither [section] nor key = value");
+      continue;
+    }
+    std::string Key = Section + "." + Line.substr(0, Equals);
+    std::string Value = Line.substr(Equals + 1);
+    boost::algorithm::trim(Key);
+    boost::algorithm::trim(Value);
+    State.Assignments.push_back({Key, Value, Place});
+  }
+}
+
+void apply(parse_state &State, settings &Settings,
+           std::set<std::string_view> &Given, const assignment &Assignment) {
+  const auto *Row =
+      std::ranges::find(Keys, std::string_view(Assignment.Key), &key_row::Key);
+  if (Row == Keys.end()) {
+    State.Faults.push_back(Assignment.Place + ": unknown key '" +
+                           Assignment.Key +
+                           "'; redwinggw --help lists the keys");
+    return;
+  }
+  const bool Repeated = !Given.insert(Row->Key).second;
+  if (Repeated && Assignment.Place != "option")
+    State.Faults.push_back(Assignment.Place + ": key '" + Assignment.Key +
+                           "' is given twice; keep one");
+  if (!Row->Set(Settings, Assignment.Value))
+    State.Faults.push_back(Assignment.Place + ": '" + Assignment.Value +
+                           "' is not allowed for '" + Assignment.Key +
+                           "'; allowed: " + std::string(Row->Allowed));
+}
+
+void reportMissing(parse_state &State, const std::set<std::string_view> &Given,
+                   const std::string &Name) {
+  for (const key_row &Row : Keys)
+    if (Row.Default.empty() && !Given.contains(Row.Key))
+      State.Faults.push_back(
+          Name + ": key '" + std::string(Row.Key) +
+          "' is missing; allowed: " + std::string(Row.Allowed));
+}
+
+std::string joined(const std::vector<std::string> &Lines) {
+  std::string Text;
+  for (const std::string &Line : Lines)
+    Text += (Text.empty() ? "" : "\n") + Line;
+  return Text;
+}
+
+} // namespace
+
+result<settings> parseSettings(const std::string &Text, const std::string &Name,
+                               const std::vector<settings_override> &Set) {
+  parse_state State;
+  readLines(State, Text, Name);
+  for (const settings_override &Override : Set)
+    State.Assignments.push_back({Override.Key, Override.Value, "option"});
+  settings Settings;
+  std::set<std::string_view> Given;
+  for (const assignment &Assignment : State.Assignments)
+    apply(State, Settings, Given, Assignment);
+  reportMissing(State, Given, Name);
+  if (!State.Faults.empty())
+    return failure(errc::BadSettings, joined(State.Faults));
+  return Settings;
+}
+
+result<std::string> readSecret(const std::string &File) {
+  std::ifstream Stream(File);
+  std::ostringstream Content;
+  Content << Stream.rdbuf();
+  std::string Secret = Content.str();
+  boost::algorithm::trim(Secret);
+  if (!Stream || Secret.size() < ShortestSecret)
+    return failure(errc::BadSettings,
+                   File + " must hold a secret of at least 16 characters");
+  return Secret;
+}
+
+std::string settingsTable() {
+  std::string Text;
+  for (const key_row &Row : Keys) {
+    const std::string Default =
+        Row.Default.empty() ? "required" : std::string(Row.Default);
+    Text += "  " + std::string(Row.Key) + " (" + Default +
+            "): " + std::string(Row.Meaning) + "; " + std::string(Row.Allowed) +
+            "\n";
+  }
+  return Text;
+}
+
+} // namespace redwinggw
--- /dev/null
+++ b/packages/redwinggw/src/settings.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "redwinggw/base/error.hpp"
+#include "redwinggw/base/log.hpp"
+#include "redwinggw/base/time.hpp"
+#include "redwinggw/data/fair_queue.hpp"
+#include "redwinggw/data/routing.hpp"
+#include "redwinggw/http/address.hpp"
+
+#include <string>
+#include <vector>
+
+/// Settings of an instance: an INI file, overridden by options.
+namespace redwinggw {
+
+enum class rate_policy { Shared, Static };
+
+struct settings {
+  std::string Name;
+  std::string Zone;
+  http::address Callers;
+  http::address Operators;
+  http::address Peers;
+  http::address Platform;
+  base::milliseconds PlatformTimeout{1000};
+  std::string KeyFile;
+  std::string OperatorKeyFile;
+  base::log_level LogLevel = base::log_level::Info;
+  base::log_format LogFormat = base::log_format::Text;
+  data::read_policy Reads = data::read_policy::Replicas;
+  rate_policy Rate = rate_policy::Shared;
+  data::queue_policy Queue = data::queue_policy::Fair;
+  base::milliseconds TryTimeout{1000};
+  base::milliseconds ReplicaWait{80};
+  base::milliseconds DrainTime{10000};
+};
+
+/// A value that takes the place of one in the file: "section.key", text.
+struct settings_override {
+  std::string Key;
+  std::string Value;
+};
+
+/// Reads \p Text, the content of the file \p Name. All faults are reported at
+/// once, a line each: file, line, key, what is allowed. Fails with
+/// errc::BadSettings.
+base::result<settings> parseSettings(const std::string &Text,
+                                     const std::string &Name,
+                                     const std::vector<settings_override> &Set);
+
+/// Reads a file that holds a secret, without surrounding white space. Fails
+/// with errc::BadSettings when it is missing or shorter than 16 characters.
+base::result<std::string> readSecret(const std::string &File);
+
+/// A table of all keys for people: key, default, what is allowed, meaning.
+std::string settingsTable();
+
+} // namespace redwinggw
