--- /dev/null
+++ b/tests/standins/common/standin.cpp
@@ -0,0 +1,104 @@
+#include "standin.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+
+#include <csignal>
+#include <iostream>
+
+namespace redwinggw::standin {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+constexpr auto Token = asio::as_tuple(asio::use_awaitable);
+constexpr double MicrosecondsPerMillisecond = 1000;
+
+/// The point on Asio's clock, which counts nanoseconds: the largest instant
+/// would overflow it and lie in the past.
+std::chrono::steady_clock::time_point clockPoint(base::instant Instant) {
+  using asio_point = std::chrono::steady_clock::time_point;
+  const auto Last = std::chrono::floor<base::microseconds>(asio_point::max());
+  return asio_point(std::min(Instant, Last).time_since_epoch());
+}
+
+} // namespace
+
+http::response answer(const json::object &Body, unsigned Status) {
+  http::response Response;
+  Response.Status = Status;
+  Response.Body = json::serialize(Body);
+  return Response;
+}
+
+std::string textOf(const json::object &Object, std::string_view Name) {
+  const json::value *Value = Object.if_contains(Name);
+  if (Value == nullptr || !Value->is_string())
+    return {};
+  return std::string(Value->get_string());
+}
+
+std::uint64_t numberOf(const json::object &Object, std::string_view Name) {
+  const json::value *Value = Object.if_contains(Name);
+  if (Value == nullptr || !Value->is_number())
+    return 0;
+  return Value->to_number<std::uint64_t>();
+}
+
+bool flagOf(const json::object &Object, std::string_view Name) {
+  const json::value *Value = Object.if_contains(Name);
+  return Value != nullptr && Value->is_bool() && Value->get_bool();
+}
+
+base::microseconds timeOf(const json::object &Object, std::string_view Name) {
+  const json::value *Value = Object.if_contains(Name);
+  if (Value == nullptr || !Value->is_number())
+    return base::microseconds(0);
+  return microsecondsOf(Value->to_number<double>());
+}
+
+base::microseconds microsecondsOf(double Milliseconds) {
+  return base::microseconds(
+      static_cast<std::int64_t>(Milliseconds * MicrosecondsPerMillisecond));
+}
+
+base::task<void> wait_list::wait(base::instant Deadline) {
+  asio::steady_timer Timer(Executor, clockPoint(Deadline));
+  Timers.insert(&Timer);
+  co_await Timer.async_wait(Token);
+  Timers.erase(&Timer);
+}
+
+base::task<void> wait_list::wait() { return wait(base::instant::max()); }
+
+void wait_list::wakeAll() {
+  for (asio::steady_timer *Timer : Timers)
+    Timer->cancel();
+}
+
+base::task<void> pause(asio::any_io_executor Executor,
+                       base::microseconds Time) {
+  if (Time.count() <= 0)
+    co_return;
+  asio::steady_timer Timer(Executor, Time);
+  co_await Timer.async_wait(Token);
+}
+
+int serve(asio::io_context &Context, http::server &Server,
+          const http::address &Address) {
+  const auto Listening = Server.listen(Address);
+  if (!Listening) {
+    std::cerr << describe(Listening.error()) << "\n";
+    return 1;
+  }
+  std::cout << "listening " << toText(*Listening) << std::endl;
+  asio::signal_set Signals(Context, SIGTERM, SIGINT);
+  Signals.async_wait([&](boost::system::error_code, int) { Context.stop(); });
+  Context.run();
+  return 0;
+}
+
+} // namespace redwinggw::standin
