Add datagrams between instances, membership and currency

Instances need to know of each other without all-to-all state and must tell "the store is down for all" from "I alone am cut off".

- wire: cereal datagrams with sender, receiver, incarnation and sequence; truncated, changed, foreign, doubled and former ones are dropped.
- membership: a report counts from the sending of the heartbeat that it echoes, so late and one-way messages prove nothing.
- currency: Current by proof, Outage by a majority that knows no higher head, else Isolated.

currency_test shows for each guard (NeedMajority, HeedHigherHead, OnlyInformedCount, AgeByEcho) that without it an instance serves on after a withdrawal: it asserts the wrong answer with the guard off and the right one with it on. The shell has no test of its own yet.

--- /dev/null
+++ b/packages/control/include/redwinggw/control/membership_knowledge.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "redwinggw/control/membership.hpp"
+
+/// What heartbeats carry and what is learnt from them; parts of membership.
+namespace redwinggw::control {
+
+/// True when there are too many others to send each heartbeat to all.
+bool isGossiping(const membership &Membership);
+
+/// Another instance, chosen evenly and differently by each: in a common
+/// rotation all would ask the same one, and news would hardly spread.
+/// Precondition: there is one.
+const member &nextPeer(membership &Membership);
+
+/// The report of this instance at \p Now, without echo and digest.
+wire::peer_report localReport(const membership &Membership, base::instant Now);
+
+/// What to relay to \p Receiver: the members heard last.
+std::vector<wire::digest_entry> digestFor(const membership &Membership,
+                                          const member &Receiver,
+                                          base::instant Now);
+
+/// Takes in the report that \p Member just sent. \p MadeAt is the earliest
+/// time when it can have been made, if that is known.
+void learn(membership &Membership, member &Member,
+           std::optional<base::instant> MadeAt, base::instant Now);
+
+} // namespace redwinggw::control
--- /dev/null
+++ b/packages/control/include/redwinggw/control/peer_service.hpp
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "redwinggw/base/error.hpp"
+#include "redwinggw/base/time.hpp"
+#include "redwinggw/control/currency.hpp"
+#include "redwinggw/control/membership.hpp"
+#include "redwinggw/platform/store.hpp"
+#include "redwinggw/wire/message.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// The shell around membership and currency: the UDP socket, the clock, and
+/// the polling of the platform's list.
+namespace redwinggw::control {
+
+/// A report on a group, with who made it and the earliest time when it can
+/// have been made.
+struct received_group_report {
+  base::instance_name From;
+  base::zone_name Zone;
+  wire::group_report Report;
+  base::instant At;
+};
+
+/// Traffic since the start.
+struct peer_traffic {
+  std::uint64_t SentDatagrams = 0;
+  std::uint64_t SentBytes = 0;
+  std::uint64_t ReceivedDatagrams = 0;
+  std::uint64_t ReceivedBytes = 0;
+};
+
+/// Used from one thread. Must outlive the executor's run.
+class peer_service {
+public:
+  using report_handler = std::function<void(const member &)>;
+  using share_handler =
+      std::function<void(const wire::datagram &, const wire::share_message &)>;
+  /// Gives the value for the next datagram; takes in the one of a received.
+  struct clock_port {
+    std::function<wire::clock_value()> Stamp;
+    std::function<void(wire::clock_value)> Observe;
+  };
+
+  /// \p Store must outlive the service.
+  peer_service(boost::asio::any_io_executor Executor, peer_identity Identity,
+               http::address Listen, std::string FleetKey,
+               platform::store &Store, membership_limits Limits = {},
+               currency_limits CurrencyLimits = {});
+  peer_service(const peer_service &) = delete;
+  peer_service &operator=(const peer_service &) = delete;
+  ~peer_service();
+
+  /// Opens the socket and starts the heartbeats. Fails with errc::BadSettings
+  /// when the address cannot be bound.
+  base::result<http::address> start();
+
+  /// Tells the others that this instance leaves, and marks its heartbeats.
+  void drain();
+
+  /// Ends the heartbeats and closes the socket, so that the executor's run
+  /// can return. May be repeated.
+  void stop();
+
+  /// The hybrid logical clock to put into datagrams; zeros without one.
+  void setClock(clock_port Clock);
+
+  /// The configuration version in force here.
+  void setVersion(base::config_version Version);
+
+  /// An own read of the store that showed \p Head; see onStoreRead.
+  void noteStoreRead(base::instant Sent, base::instant Answered,
+                     base::config_version Head);
+
+  /// Any other answer of the store; see onStoreContact.
+  void noteStoreContact();
+
+  /// The own reports on groups. At most MaxGroupReports travel, suspect ones
+  /// first.
+  static constexpr std::size_t MaxGroupReports = 16;
+  void setGroupReports(std::vector<wire::group_report> Reports);
+
+  const membership &view() const;
+
+  /// What heard instances say about \p Group.
+  std::vector<received_group_report> reportsOf(std::string_view Group) const;
+
+  /// Called after each heartbeat that had an effect.
+  void onReport(report_handler Handler);
+
+  /// Sends to the instance called \p Instance; false when it is not known.
+  /// A datagram may be lost on the way.
+  bool send(std::string_view Instance, wire::share_message Message);
+  void onShareMessage(share_handler Handler);
+
+  bool hearsMajority(base::instant Now) const;
+  bool majorityKnows(base::config_version Version) const;
+
+  /// Whether this instance may serve now.
+  currency judgeCurrency(base::instant Now);
+
+  const peer_traffic &traffic() const;
+
+private:
+  struct state;
+  std::shared_ptr<state> State;
+};
+
+} // namespace redwinggw::control
--- /dev/null
+++ b/packages/control/src/peer_service.cpp
@@ -0,0 +1,284 @@
+#include "redwinggw/control/peer_service.hpp"
+
+#include "redwinggw/base/log.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace redwinggw::control {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using base::instant;
+using base::milliseconds;
+
+constexpr milliseconds ListInterval{1000};
+/// Heartbeats are due at multiples of their interval; look more often.
+constexpr milliseconds TickInterval{50};
+/// The largest payload of one UDP datagram.
+constexpr std::size_t MaxDatagram = 65507;
+constexpr std::size_t ReceiveBuffer = std::size_t{1} << 20U;
+
+/// Suspect groups first: when all do not fit, these matter to the detector.
+std::vector<wire::group_report> bounded(std::vector<wire::group_report> Reports,
+                                        std::size_t Limit) {
+  std::ranges::stable_partition(Reports, &wire::group_report::Suspect);
+  if (Reports.size() > Limit)
+    Reports.resize(Limit);
+  return Reports;
+}
+
+} // namespace
+
+struct peer_service::state : std::enable_shared_from_this<state> {
+  state(asio::any_io_executor Executor, peer_identity Identity,
+        http::address Listen, std::string FleetKey, platform::store &Store,
+        membership_limits Limits, currency_limits CurrencyLimits)
+      : Executor(Executor), Socket(Executor), TickTimer(Executor),
+        ListTimer(Executor), Listen(std::move(Listen)),
+        FleetKey(std::move(FleetKey)), Store(Store),
+        Membership(makeMembership(std::move(Identity), Limits)) {
+    Currency.Limits = CurrencyLimits;
+  }
+
+  base::result<http::address> open();
+  void transmit(peer_send Send);
+  void receive(std::string_view Bytes);
+  void close();
+
+  asio::any_io_executor Executor;
+  udp::socket Socket;
+  asio::steady_timer TickTimer;
+  asio::steady_timer ListTimer;
+  http::address Listen;
+  std::string FleetKey;
+  platform::store &Store;
+  membership Membership;
+  currency_state Currency;
+  peer_traffic Traffic;
+  report_handler Report;
+  share_handler Share;
+  clock_port Clock;
+  bool Stopped = false;
+};
+
+base::result<http::address> peer_service::state::open() {
+  boost::system::error_code Error;
+  const auto Host = asio::ip::make_address(Listen.Host, Error);
+  const udp::endpoint Endpoint(Host, Listen.Port);
+  if (!Error)
+    Socket.open(Endpoint.protocol(), Error);
+  if (!Error)
+    Socket.bind(Endpoint, Error);
+  if (Error)
+    return base::failure(base::errc::BadSettings, "[listen] peers " +
+                                                      toText(Listen) + ": " +
+                                                      Error.message());
+  // A burst of heartbeats while this process was not scheduled must fit;
+  // smaller buffers work too, so a refusal is no fault.
+  Socket.set_option(asio::socket_base::receive_buffer_size(ReceiveBuffer),
+                    Error);
+  Socket.non_blocking(true, Error);
+  Listen.Port = Socket.local_endpoint().port();
+  return Listen;
+}
+
+void peer_service::state::transmit(peer_send Send) {
+  if (Stopped)
+    return;
+  if (Clock.Stamp)
+    Send.Datagram.Clock = Clock.Stamp();
+  const std::string Bytes = wire::encode(FleetKey, Send.Datagram);
+  boost::system::error_code Error;
+  const auto Host = asio::ip::make_address(Send.To.Host, Error);
+  if (Error)
+    return;
+  // A full buffer or an unreachable host loses the datagram, as the network
+  // may; the next heartbeat or request makes up for it.
+  Socket.send_to(asio::buffer(Bytes), udp::endpoint(Host, Send.To.Port), 0,
+                 Error);
+  ++Traffic.SentDatagrams;
+  Traffic.SentBytes += Bytes.size();
+}
+
+void peer_service::state::receive(std::string_view Bytes) {
+  ++Traffic.ReceivedDatagrams;
+  Traffic.ReceivedBytes += Bytes.size();
+  const auto Datagram = wire::decode(FleetKey, Bytes);
+  if (!Datagram) {
+    ++Membership.Counters.Foreign;
+    return;
+  }
+  if (!admitDatagram(Membership, *Datagram))
+    return;
+  if (Clock.Observe)
+    Clock.Observe(Datagram->Clock);
+  if (const auto *Message = std::get_if<wire::share_message>(&Datagram->Body)) {
+    if (Share)
+      Share(*Datagram, *Message);
+    return;
+  }
+  for (peer_send &Send : onHeartbeat(Membership, *Datagram, base::now()))
+    transmit(std::move(Send));
+  const member *Member = findMember(Membership, Datagram->Sender);
+  if (Report && Member != nullptr)
+    Report(*Member);
+}
+
+void peer_service::state::close() {
+  Stopped = true;
+  boost::system::error_code Ignored;
+  Socket.close(Ignored);
+  TickTimer.cancel();
+  ListTimer.cancel();
+}
+
+namespace {
+
+base::task<void> sleepFor(asio::steady_timer &Timer, milliseconds Time) {
+  boost::system::error_code Error;
+  Timer.expires_after(Time);
+  co_await Timer.async_wait(asio::redirect_error(asio::use_awaitable, Error));
+}
+
+template <typename State> base::task<void> receiveLoop(State Self) {
+  std::vector<char> Buffer(MaxDatagram);
+  while (!Self->Stopped) {
+    boost::system::error_code Error;
+    udp::endpoint From;
+    const std::size_t Size = co_await Self->Socket.async_receive_from(
+        asio::buffer(Buffer), From,
+        asio::redirect_error(asio::use_awaitable, Error));
+    if (!Error)
+      Self->receive({Buffer.data(), Size});
+  }
+}
+
+template <typename State> base::task<void> tickLoop(State Self) {
+  while (!Self->Stopped) {
+    for (peer_send &Send : onTick(Self->Membership, base::now()))
+      Self->transmit(std::move(Send));
+    co_await sleepFor(Self->TickTimer, TickInterval);
+  }
+}
+
+/// During an outage the last list stays: nobody can have joined or left it.
+template <typename State> base::task<void> listLoop(State Self) {
+  while (!Self->Stopped) {
+    const auto Listed = co_await platform::listInstances(Self->Store);
+    if (Listed)
+      onList(Self->Membership, *Listed, base::now());
+    co_await sleepFor(Self->ListTimer, ListInterval);
+  }
+}
+
+} // namespace
+
+peer_service::peer_service(asio::any_io_executor Executor,
+                           peer_identity Identity, http::address Listen,
+                           std::string FleetKey, platform::store &Store,
+                           membership_limits Limits,
+                           currency_limits CurrencyLimits)
+    : State(std::make_shared<state>(Executor, std::move(Identity),
+                                    std::move(Listen), std::move(FleetKey),
+                                    Store, Limits, CurrencyLimits)) {}
+
+peer_service::~peer_service() { stop(); }
+
+base::result<http::address> peer_service::start() {
+  auto Address = State->open();
+  if (!Address)
+    return Address;
+  asio::co_spawn(State->Executor, receiveLoop(State), asio::detached);
+  asio::co_spawn(State->Executor, tickLoop(State), asio::detached);
+  asio::co_spawn(State->Executor, listLoop(State), asio::detached);
+  base::log(base::log_level::Info, base::log_part::Peers,
+            "Heartbeats start on " + toText(*Address) + ".");
+  return Address;
+}
+
+void peer_service::drain() {
+  for (peer_send &Send : onLeave(State->Membership, base::now()))
+    State->transmit(std::move(Send));
+}
+
+void peer_service::stop() { State->close(); }
+
+void peer_service::setClock(clock_port Clock) {
+  State->Clock = std::move(Clock);
+}
+
+void peer_service::setVersion(base::config_version Version) {
+  State->Membership.Local.Version = Version;
+}
+
+void peer_service::noteStoreRead(instant Sent, instant Answered,
+                                 base::config_version Head) {
+  onStoreRead(State->Membership, Sent, Answered, Head);
+}
+
+void peer_service::noteStoreContact() {
+  onStoreContact(State->Membership, base::now());
+}
+
+void peer_service::setGroupReports(std::vector<wire::group_report> Reports) {
+  State->Membership.Local.Groups = bounded(std::move(Reports), MaxGroupReports);
+}
+
+const membership &peer_service::view() const { return State->Membership; }
+
+std::vector<received_group_report>
+peer_service::reportsOf(std::string_view Group) const {
+  std::vector<received_group_report> Found;
+  for (const member &Member : State->Membership.Members)
+    for (const wire::group_report &Report : Member.Report.Groups)
+      if (Report.Group == Group && Member.ReportAt)
+        Found.push_back({Member.Name, Member.Zone, Report, *Member.ReportAt});
+  return Found;
+}
+
+void peer_service::onReport(report_handler Handler) {
+  State->Report = std::move(Handler);
+}
+
+bool peer_service::send(std::string_view Instance,
+                        wire::share_message Message) {
+  const member *Member = findMember(State->Membership, Instance);
+  if (Member == nullptr)
+    return false;
+  peer_send Send{Member->Address,
+                 stamp(State->Membership, Instance, base::now())};
+  Send.Datagram.Body = std::move(Message);
+  State->transmit(std::move(Send));
+  return true;
+}
+
+void peer_service::onShareMessage(share_handler Handler) {
+  State->Share = std::move(Handler);
+}
+
+bool peer_service::hearsMajority(instant Now) const {
+  return control::hearsMajority(State->Membership, Now);
+}
+
+bool peer_service::majorityKnows(base::config_version Version) const {
+  return control::majorityKnows(State->Membership, Version);
+}
+
+currency peer_service::judgeCurrency(instant Now) {
+  return judge(State->Currency, State->Membership,
+               State->Membership.Local.Version, Now);
+}
+
+const peer_traffic &peer_service::traffic() const { return State->Traffic; }
+
+} // namespace redwinggw::control
--- /dev/null
+++ b/packages/wire/include/redwinggw/wire/message.hpp
@@ -0,0 +1,130 @@
+#pragma once
+
+#include "redwinggw/base/ids.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+/// Messages between instances and their form in datagrams; docs/PEERS.md
+/// states the protocol.
+namespace redwinggw::wire {
+
+/// Age in milliseconds; NoAge stands for "never".
+using age_ms = std::uint32_t;
+constexpr age_ms NoAge = UINT32_MAX;
+
+/// A hybrid logical clock's value as it travels.
+struct clock_value {
+  std::int64_t Wall = 0;
+  std::uint32_t Count = 0;
+
+  friend auto operator<=>(const clock_value &, const clock_value &) = default;
+};
+
+/// What an instance sees of one database group.
+struct group_report {
+  base::group_name Group;
+  base::term_number Term = 0;
+  base::endpoint_name Primary;
+  /// The sender cannot work with the primary.
+  bool Suspect = false;
+
+  friend bool operator==(const group_report &, const group_report &) = default;
+};
+
+/// That the sender knows an instance to have been up \p Age ago. Travels in 6
+/// bytes.
+struct digest_entry {
+  /// hashOf its name.
+  std::uint32_t NameHash = 0;
+  /// At most MaxDigestAge.
+  std::uint16_t Age = 0;
+  /// It had read the store since its start.
+  bool Informed = false;
+  /// It knew the sender's HeadVersion.
+  bool KnowsHead = false;
+
+  friend bool operator==(const digest_entry &, const digest_entry &) = default;
+};
+
+constexpr std::uint16_t MaxDigestAge = (1U << 14U) - 1;
+
+/// A heartbeat: what an instance says of itself and relays of others.
+struct peer_report {
+  base::zone_name Zone;
+  /// Version of the configuration in force at the sender.
+  base::config_version Version = 0;
+  /// Age of the sender's own last read of the store; NoAge: none since start.
+  age_ms StoreReadAge = NoAge;
+  /// Highest version that the sender or anybody it heard saw in the store.
+  base::config_version HeadVersion = 0;
+  /// At least so long ago HeadVersion was read as the head: never too young.
+  age_ms ProofAge = NoAge;
+  /// At most so long ago somebody had an answer of the store: never too old.
+  age_ms ContactAge = NoAge;
+  /// The highest heartbeat that the sender had from the receiver.
+  std::uint64_t EchoIncarnation = 0;
+  std::uint64_t EchoSequence = 0;
+  bool Leaving = false;
+  /// The receiver shall answer at once.
+  bool WantsReply = false;
+  /// Only groups that are suspect or changed a short while ago.
+  std::vector<group_report> Groups;
+  /// Only in fleets too large for each to hear each directly.
+  std::vector<digest_entry> Digest;
+};
+
+enum class share_kind : std::uint8_t {
+  Request, ///< Tokens: wanted
+  Grant,   ///< Tokens: given; Wait: until more can be there
+  Moved,   ///< the receiver of the request gives no shares of this partition
+};
+
+/// One customer's part of a share message.
+struct share_entry {
+  base::customer_name Customer;
+  float Tokens = 0;
+  /// Microseconds until the tokens wanted will be there; 0 when given.
+  std::uint32_t WaitUs = 0;
+  /// Microseconds for which a grant counts, from the sending of the request.
+  std::uint32_t TtlUs = 0;
+};
+
+/// A request for tokens, or the answer to one, which repeats its number.
+struct share_message {
+  share_kind Kind = share_kind::Request;
+  std::uint16_t Partition = 0;
+  /// Incarnation of the requester and its unique number of this request.
+  std::uint64_t Incarnation = 0;
+  std::uint64_t Number = 0;
+  std::vector<share_entry> Entries;
+};
+
+/// What one datagram carries.
+struct datagram {
+  base::instance_name Sender;
+  base::instance_name Receiver;
+  /// Grows with each start of the sender.
+  std::uint64_t Incarnation = 0;
+  /// Grows with each datagram of one incarnation.
+  std::uint64_t Sequence = 0;
+  clock_value Clock;
+  std::variant<peer_report, share_message> Body;
+};
+
+/// A short stand-in for an instance's name. The same on every machine.
+std::uint32_t hashOf(std::string_view Name);
+
+/// The signed bytes of \p Datagram. Thread safe.
+std::string encode(std::string_view FleetKey, const datagram &Datagram);
+
+/// Reads what encode wrote. Nothing when the bytes were cut short, changed, or
+/// signed with another key. Thread safe.
+std::optional<datagram> decode(std::string_view FleetKey,
+                               std::string_view Bytes);
+
+} // namespace redwinggw::wire
--- /dev/null
+++ b/packages/wire/src/message.cpp
@@ -0,0 +1,158 @@
+#include "redwinggw/wire/message.hpp"
+
+#include "redwinggw/wire/signature.hpp"
+
+#include <cereal/archives/binary.hpp>
+
+#include <algorithm>
+#include <limits>
+#include <sstream>
+
+namespace redwinggw::wire {
+namespace {
+
+/// Bumped when the form of a datagram changes; others are dropped.
+constexpr std::uint8_t FormatVersion = 1;
+
+/// Strings and lists travel with a length of 1 or 2 bytes: cereal's own take
+/// 8, which is most of a small heartbeat.
+template <typename Archive>
+void transfer(Archive &Out, const std::string &Text) {
+  const auto Length = static_cast<std::uint8_t>(std::min<std::size_t>(
+      Text.size(), std::numeric_limits<std::uint8_t>::max()));
+  Out(Length);
+  Out(cereal::binary_data(Text.data(), Length));
+}
+
+template <typename Archive> void transfer(Archive &In, std::string &Text) {
+  std::uint8_t Length = 0;
+  In(Length);
+  Text.resize(Length);
+  In(cereal::binary_data(Text.data(), Length));
+}
+
+template <typename Archive, typename Item, typename Function>
+void transferAll(Archive &Out, const std::vector<Item> &Items,
+                 Function Transfer) {
+  const auto Length = static_cast<std::uint16_t>(Items.size());
+  Out(Length);
+  for (const Item &Each : Items)
+    Transfer(Each);
+}
+
+template <typename Archive, typename Item, typename Function>
+void transferAll(Archive &In, std::vector<Item> &Items, Function Transfer) {
+  std::uint16_t Length = 0;
+  In(Length);
+  for (std::uint16_t Index = 0; Index < Length; ++Index)
+    Transfer(Items.emplace_back());
+}
+
+template <typename Archive, typename Group>
+void transferGroup(Archive &Ar, Group &Report) {
+  transfer(Ar, Report.Group);
+  Ar(Report.Term);
+  transfer(Ar, Report.Primary);
+  Ar(Report.Suspect);
+}
+
+constexpr unsigned InformedBit = 1U << 14U;
+constexpr unsigned KnowsHeadBit = 1U << 15U;
+
+template <typename Archive>
+void transferEntry(Archive &Out, const digest_entry &Entry) {
+  const unsigned Bits = std::min(Entry.Age, MaxDigestAge) |
+                        (Entry.Informed ? InformedBit : 0) |
+                        (Entry.KnowsHead ? KnowsHeadBit : 0);
+  Out(Entry.NameHash, static_cast<std::uint16_t>(Bits));
+}
+
+template <typename Archive>
+void transferEntry(Archive &In, digest_entry &Entry) {
+  std::uint16_t Bits = 0;
+  In(Entry.NameHash, Bits);
+  Entry.Age = Bits & MaxDigestAge;
+  Entry.Informed = (Bits & InformedBit) != 0;
+  Entry.KnowsHead = (Bits & KnowsHeadBit) != 0;
+}
+
+template <typename Archive, typename Report>
+void transferReport(Archive &Ar, Report &Value) {
+  transfer(Ar, Value.Zone);
+  Ar(Value.Version, Value.StoreReadAge, Value.HeadVersion, Value.ProofAge,
+     Value.ContactAge, Value.EchoIncarnation, Value.EchoSequence, Value.Leaving,
+     Value.WantsReply);
+  transferAll(Ar, Value.Groups, [&](auto &Item) { transferGroup(Ar, Item); });
+  transferAll(Ar, Value.Digest, [&](auto &Item) { transferEntry(Ar, Item); });
+}
+
+template <typename Archive, typename Message>
+void transferShare(Archive &Ar, Message &Value) {
+  Ar(Value.Kind, Value.Partition, Value.Incarnation, Value.Number);
+  transferAll(Ar, Value.Entries, [&](auto &Item) {
+    transfer(Ar, Item.Customer);
+    Ar(Item.Tokens, Item.WaitUs, Item.TtlUs);
+  });
+}
+
+template <typename Archive, typename Datagram>
+void transferDatagram(Archive &Ar, Datagram &Value) {
+  transfer(Ar, Value.Sender);
+  transfer(Ar, Value.Receiver);
+  Ar(Value.Incarnation, Value.Sequence, Value.Clock.Wall, Value.Clock.Count);
+  if (auto *Report = std::get_if<peer_report>(&Value.Body))
+    transferReport(Ar, *Report);
+  else
+    transferShare(Ar, std::get<share_message>(Value.Body));
+}
+
+datagram readPayload(std::string_view Payload) {
+  std::istringstream Stream{std::string(Payload)};
+  cereal::BinaryInputArchive In(Stream);
+  std::uint8_t Format = 0;
+  std::uint8_t Kind = 0;
+  In(Format, Kind);
+  if (Format != FormatVersion)
+    throw cereal::Exception("format");
+  datagram Datagram;
+  if (Kind != 0)
+    Datagram.Body = share_message{};
+  transferDatagram(In, Datagram);
+  return Datagram;
+}
+
+} // namespace
+
+std::uint32_t hashOf(std::string_view Name) {
+  // FNV-1a: std::hash may differ between builds.
+  constexpr std::uint32_t Basis = 2166136261U;
+  constexpr std::uint32_t Prime = 16777619U;
+  std::uint32_t Hash = Basis;
+  std::ranges::for_each(Name, [&](char Byte) {
+    Hash = (Hash ^ static_cast<unsigned char>(Byte)) * Prime;
+  });
+  return Hash;
+}
+
+std::string encode(std::string_view FleetKey, const datagram &Datagram) {
+  std::ostringstream Stream;
+  cereal::BinaryOutputArchive Out(Stream);
+  const auto Kind = static_cast<std::uint8_t>(Datagram.Body.index());
+  Out(FormatVersion, Kind);
+  transferDatagram(Out, Datagram);
+  return sign(FleetKey, std::move(Stream).str());
+}
+
+std::optional<datagram> decode(std::string_view FleetKey,
+                               std::string_view Bytes) {
+  const auto Payload = verify(FleetKey, Bytes);
+  if (!Payload)
+    return std::nullopt;
+  try {
+    return readPayload(*Payload);
+  } catch (const cereal::Exception &) {
+    return std::nullopt;
+  }
+}
+
+} // namespace redwinggw::wire
--- /dev/null
+++ b/tests/control/currency_test.cpp
@@ -0,0 +1,190 @@
+#include "membership_fleet.hpp"
+
+#include "criterion_test.hpp"
+
+using namespace redwinggw;
+using namespace redwinggw::control;
+using namespace redwinggw::control::testing;
+
+namespace {
+
+constexpr milliseconds Settle{2000};
+constexpr milliseconds Total{2900};
+
+void storeDownForAll(fleet &Fleet) {
+  for (fleet_instance &Instance : Fleet.Instances)
+    Instance.SeesStore = false;
+}
+
+auto apart(std::size_t Alone) {
+  return [Alone](std::size_t From, std::size_t To) {
+    return From != Alone && To != Alone;
+  };
+}
+
+/// Instances below \p Border and the others do not reach each other.
+auto split(std::size_t Border) {
+  return [Border](std::size_t From, std::size_t To) {
+    return (From < Border) == (To < Border);
+  };
+}
+
+} // namespace
+
+Test(currency, an_instance_that_reads_the_store_is_current) {
+  fleet Fleet = makeFleet(5);
+  cr_assert(judgeAfter(Fleet, 0, Settle) == currency::Current);
+}
+
+Test(currency, an_instance_cut_from_the_store_only_is_current_through_a_peer) {
+  fleet Fleet = makeFleet(5);
+  run(Fleet, Settle);
+  Fleet.Instances[0].SeesStore = false;
+  cr_assert(judgeAfter(Fleet, 0, milliseconds(10000)) == currency::Current);
+}
+
+// One instance loses the store, a key is withdrawn, and the relay of the new
+// version to that instance fails. Its callers would go on with the key: it
+// learns of the new head from its peers and must stop.
+Test(currency, an_instance_behind_a_head_that_peers_saw_stops) {
+  fleet Fleet = makeFleet(5);
+  run(Fleet, Settle);
+  Fleet.Instances[0].SeesStore = false;
+  Fleet.Head = 2;
+  cr_assert(judgeAfter(Fleet, 0, Total) == currency::Isolated);
+}
+
+Test(currency, an_instance_cut_from_everything_stops) {
+  fleet Fleet = makeFleet(5);
+  run(Fleet, Settle);
+  Fleet.Instances[0].SeesStore = false;
+  Fleet.Connected = apart(0);
+  cr_assert(judgeAfter(Fleet, 0, Total) == currency::Isolated);
+}
+
+Test(currency, all_go_on_while_the_store_is_down_for_all) {
+  fleet Fleet = makeFleet(5);
+  run(Fleet, Settle);
+  storeDownForAll(Fleet);
+  cr_assert(judgeAfter(Fleet, 0, milliseconds(60000)) == currency::Outage);
+}
+
+Test(currency, the_rest_goes_on_when_an_instance_dies_during_an_outage) {
+  fleet Fleet = makeFleet(5);
+  run(Fleet, Settle);
+  storeDownForAll(Fleet);
+  run(Fleet, milliseconds(5000));
+  Fleet.Instances[4].Up = false;
+  cr_assert(judgeAfter(Fleet, 0, milliseconds(10000)) == currency::Outage);
+}
+
+// The network splits 3 to 2 and the store comes back for the side of 3 only.
+// A withdrawal is accepted there. The side of 2 hears nothing of it and must
+// have stopped; with the guard off it serves on.
+Test(currency, a_minority_stops_when_the_store_is_back_for_the_majority) {
+  for (const bool Guarded : {true, false}) {
+    currency_limits Limits;
+    Limits.NeedMajority = Guarded;
+    fleet Fleet = makeFleet(5, {}, Limits);
+    run(Fleet, Settle);
+    storeDownForAll(Fleet);
+    judgeAfter(Fleet, 4, milliseconds(5000));
+    Fleet.Connected = split(3);
+    for (std::size_t Index = 0; Index < 3; ++Index)
+      Fleet.Instances[Index].SeesStore = true;
+    Fleet.Head = 2;
+    const currency Expected = Guarded ? currency::Isolated : currency::Outage;
+    cr_assert(judgeAfter(Fleet, 4, Total) == Expected);
+    cr_assert(majorityKnows(Fleet.Instances[0].Membership, 2));
+  }
+}
+
+// The same split, but the store comes back for the side of 2. What is
+// accepted there is never confirmed, so the majority may go on.
+Test(currency, a_minority_that_sees_the_store_cannot_confirm) {
+  fleet Fleet = makeFleet(5);
+  run(Fleet, Settle);
+  storeDownForAll(Fleet);
+  Fleet.Connected = split(3);
+  Fleet.Instances[4].SeesStore = true;
+  Fleet.Head = 2;
+  cr_assert(judgeAfter(Fleet, 0, milliseconds(5000)) == currency::Outage);
+  cr_assert(!majorityKnows(Fleet.Instances[4].Membership, 2));
+}
+
+// A withdrawal is accepted and confirmed while instance 4 is cut off; then the
+// store goes down for all and 4 is back. It hears a majority and nobody reads
+// the store, yet its version was replaced: it must not take this for an
+// outage without changes.
+Test(currency, an_outage_right_after_an_acceptance_does_not_hide_it) {
+  for (const bool Guarded : {true, false}) {
+    currency_limits Limits;
+    Limits.HeedHigherHead = Guarded;
+    fleet Fleet = makeFleet(5, {}, Limits);
+    run(Fleet, Settle);
+    judgeAt(Fleet, 4);
+    Fleet.Instances[4].SeesStore = false;
+    Fleet.Connected = apart(4);
+    Fleet.Head = 2;
+    run(Fleet, milliseconds(1000));
+    cr_assert(majorityKnows(Fleet.Instances[0].Membership, 2));
+    storeDownForAll(Fleet);
+    Fleet.Connected = [](std::size_t, std::size_t) { return true; };
+    const currency Expected = Guarded ? currency::Isolated : currency::Outage;
+    cr_assert(judgeAfter(Fleet, 4, Total) == Expected);
+    cr_assert(judgeAt(Fleet, 0) == currency::Outage);
+  }
+}
+
+// Three of five know of a withdrawal; they are replaced one after another by
+// instances that start during the outage and know nothing. Instance 4 missed
+// the withdrawal. If the new ones counted as heard, it would hear a majority
+// that knows no higher head and serve on.
+Test(currency, instances_that_never_read_the_store_give_no_majority) {
+  for (const bool Guarded : {true, false}) {
+    membership_limits Limits;
+    Limits.OnlyInformedCount = Guarded;
+    fleet Fleet = makeFleet(5, Limits);
+    run(Fleet, Settle);
+    judgeAt(Fleet, 4);
+    Fleet.Instances[3].Up = false;
+    Fleet.Instances[4].SeesStore = false;
+    Fleet.Connected = apart(4);
+    Fleet.Head = 2;
+    run(Fleet, milliseconds(1000));
+    storeDownForAll(Fleet);
+    fleet Fresh = makeFleet(5, Limits);
+    for (std::size_t Index = 0; Index < 3; ++Index) {
+      Fleet.Instances[Index] = Fresh.Instances[Index];
+      Fleet.Instances[Index].Membership.Self.Incarnation = 200;
+      Fleet.Instances[Index].SeesStore = false;
+    }
+    Fleet.Connected = [](std::size_t, std::size_t) { return true; };
+    const currency Expected = Guarded ? currency::Isolated : currency::Outage;
+    cr_assert(judgeAfter(Fleet, 4, Total) == Expected);
+    cr_assert(judgeAt(Fleet, 0) == currency::Isolated);
+  }
+}
+
+// An instance is stopped by a signal for 10 s. When it wakes, the heartbeats
+// of that time wait in its socket. Taken for fresh, they show a majority and
+// a proof that are 10 s old, and a withdrawn key works again.
+Test(currency, heartbeats_that_waited_through_a_pause_prove_nothing) {
+  for (const bool Guarded : {true, false}) {
+    membership_limits Limits;
+    Limits.AgeByEcho = Guarded;
+    fleet Fleet = makeFleet(3, Limits);
+    run(Fleet, Settle);
+    std::vector<peer_send> Waiting;
+    for (const std::size_t Index : {1, 2})
+      std::ranges::copy_if(
+          onTick(Fleet.Instances[Index].Membership,
+                 Fleet.Now + milliseconds(200)),
+          std::back_inserter(Waiting),
+          [](const peer_send &Send) { return Send.Datagram.Receiver == "i0"; });
+    Fleet.Now += milliseconds(10000);
+    deliver(Fleet, Waiting);
+    const currency Expected = Guarded ? currency::Isolated : currency::Current;
+    cr_assert(judgeAt(Fleet, 0) == Expected);
+  }
+}
--- /dev/null
+++ b/tests/control/membership_test.cpp
@@ -0,0 +1,109 @@
+#include "membership_fleet.hpp"
+
+#include <algorithm>
+
+#include "criterion_test.hpp"
+
+using namespace redwinggw;
+using namespace redwinggw::control;
+using namespace redwinggw::control::testing;
+
+namespace {
+
+member_state stateSeen(const fleet &Fleet, std::size_t By, std::size_t Of) {
+  return findMember(Fleet.Instances[By].Membership, nameOf(Of))->State;
+}
+
+std::size_t heardBy(const fleet &Fleet, std::size_t By) {
+  const membership &Membership = Fleet.Instances[By].Membership;
+  return static_cast<std::size_t>(
+      std::ranges::count_if(Membership.Members, [&](const member &Member) {
+        return isHeard(Membership, Member, Fleet.Now);
+      }));
+}
+
+} // namespace
+
+Test(membership,
+     a_silent_instance_becomes_suspect_then_dead_then_is_forgotten) {
+  fleet Fleet = makeFleet(3);
+  run(Fleet, milliseconds(1000));
+  cr_assert(stateSeen(Fleet, 0, 2) == member_state::Alive);
+  Fleet.Instances[2].Up = false;
+  run(Fleet, milliseconds(1200));
+  cr_assert(stateSeen(Fleet, 0, 2) == member_state::Suspect);
+  run(Fleet, milliseconds(2000));
+  cr_assert(stateSeen(Fleet, 0, 2) == member_state::Dead);
+  cr_assert(hearsMajority(Fleet.Instances[0].Membership, Fleet.Now));
+  onList(Fleet.Instances[0].Membership, {listed(0), listed(1)}, Fleet.Now);
+  cr_assert(findMember(Fleet.Instances[0].Membership, "i2") == nullptr);
+}
+
+Test(membership, a_draining_instance_is_leaving_at_once_for_all) {
+  fleet Fleet = makeFleet(3);
+  run(Fleet, milliseconds(1000));
+  deliver(Fleet, onLeave(Fleet.Instances[2].Membership, Fleet.Now));
+  run(Fleet, milliseconds(50));
+  cr_assert(stateSeen(Fleet, 0, 2) == member_state::Leaving);
+  cr_assert(stateSeen(Fleet, 1, 2) == member_state::Leaving);
+}
+
+// One direction of a link is cut: 0 still gets the heartbeats of 1, but 1 gets
+// none of 0's. A majority counted on such a link would not know what 0 does.
+Test(membership, a_link_that_works_one_way_does_not_count_as_heard) {
+  fleet Fleet = makeFleet(2);
+  run(Fleet, milliseconds(1000));
+  Fleet.Connected = [](std::size_t From, std::size_t) { return From == 1; };
+  run(Fleet, milliseconds(2000));
+  cr_assert(heardBy(Fleet, 0) == 0);
+  cr_assert(!hearsMajority(Fleet.Instances[0].Membership, Fleet.Now));
+}
+
+// An instance starts again after its wall clock stepped back, so its
+// incarnation is lower than the last one and all drop what it sends. It would
+// stay unheard for ever.
+Test(membership, an_instance_whose_clock_stepped_back_is_heard_again) {
+  fleet Fleet = makeFleet(3);
+  run(Fleet, milliseconds(1000));
+  fleet Fresh = makeFleet(3);
+  Fleet.Instances[2] = Fresh.Instances[2];
+  Fleet.Instances[2].Membership.Self.Incarnation = 50;
+  run(Fleet, milliseconds(1500));
+  cr_assert(Fleet.Instances[2].Membership.Self.Incarnation > 100);
+  cr_assert(stateSeen(Fleet, 0, 2) == member_state::Alive);
+}
+
+Test(membership, late_doubled_and_misaddressed_datagrams_change_nothing) {
+  fleet Fleet = makeFleet(3);
+  run(Fleet, milliseconds(1000));
+  membership &Receiver = Fleet.Instances[0].Membership;
+  membership &Sender = Fleet.Instances[1].Membership;
+  const auto Old = onTick(Sender, Fleet.Now + milliseconds(200));
+  const auto New = onTick(Sender, Fleet.Now + milliseconds(400));
+  const auto &First = Old.at(0).Datagram;
+  const auto &Second = New.at(0).Datagram;
+  cr_assert(First.Receiver == "i0");
+  cr_assert(admitDatagram(Receiver, Second));
+  onHeartbeat(Receiver, Second, Fleet.Now);
+  const std::uint64_t Before = Receiver.Counters.Heartbeats;
+  cr_assert(!admitDatagram(Receiver, Second));
+  cr_assert(admitDatagram(Receiver, First));
+  onHeartbeat(Receiver, First, Fleet.Now);
+  cr_assert(!admitDatagram(Receiver, Old.at(1).Datagram));
+  cr_assert(Receiver.Counters.Heartbeats == Before);
+  cr_assert(Receiver.Counters.Doubled == 1 && Receiver.Counters.Crossed == 1);
+  cr_assert(Receiver.Counters.Misaddressed == 1);
+}
+
+// Beyond DirectLimit each instance asks one other at a time; what it does not
+// hear itself comes by relay. With 64 instances all are heard, and the death
+// of a few is noticed.
+Test(membership, a_large_fleet_hears_a_majority_by_relay) {
+  fleet Fleet = makeFleet(64);
+  run(Fleet, milliseconds(10000));
+  cr_assert(heardBy(Fleet, 0) > 50);
+  cr_assert(hearsMajority(Fleet.Instances[0].Membership, Fleet.Now));
+  Fleet.Instances[9].Up = false;
+  run(Fleet, milliseconds(9000));
+  cr_assert(stateSeen(Fleet, 0, 9) == member_state::Dead);
+}
--- /dev/null
+++ b/tests/wire/message_test.cpp
@@ -0,0 +1,108 @@
+#include "redwinggw/wire/message.hpp"
+#include "redwinggw/wire/replay_window.hpp"
+#include "redwinggw/wire/signature.hpp"
+
+#include <algorithm>
+#include <ranges>
+
+#include "criterion_test.hpp"
+
+using namespace redwinggw;
+using namespace redwinggw::wire;
+
+namespace {
+
+const std::string Key = "fleet";
+
+datagram heartbeat() {
+  datagram Datagram;
+  Datagram.Sender = "a";
+  Datagram.Receiver = "b";
+  Datagram.Incarnation = 7;
+  Datagram.Sequence = 42;
+  Datagram.Clock = {1000, 3};
+  peer_report Report;
+  Report.Zone = "z1";
+  Report.Version = 12;
+  Report.HeadVersion = 13;
+  Report.Leaving = true;
+  Report.Groups.push_back({"orders", 4, "orders-1", true});
+  Report.Digest.push_back({hashOf("c"), 900, true, false});
+  Datagram.Body = Report;
+  return Datagram;
+}
+
+} // namespace
+
+Test(message, a_heartbeat_comes_back_as_it_was_sent) {
+  const auto Read = decode(Key, encode(Key, heartbeat()));
+  cr_assert(Read.has_value());
+  cr_assert(Read->Sender == "a" && Read->Receiver == "b");
+  cr_assert(Read->Incarnation == 7 && Read->Sequence == 42);
+  cr_assert(Read->Clock == clock_value({1000, 3}));
+  const auto &Report = std::get<peer_report>(Read->Body);
+  const auto Sent = std::get<peer_report>(heartbeat().Body);
+  cr_assert(Report.Version == 12 && Report.HeadVersion == 13);
+  cr_assert(Report.StoreReadAge == NoAge && Report.Leaving);
+  cr_assert(Report.Groups == Sent.Groups && Report.Digest == Sent.Digest);
+}
+
+Test(message, a_share_message_comes_back_as_it_was_sent) {
+  datagram Datagram = heartbeat();
+  share_message Message{share_kind::Grant, 3, 7, 99, {}};
+  Message.Entries.push_back({"sweets", 2.5F, 10, 20});
+  Datagram.Body = Message;
+  const auto Read = decode(Key, encode(Key, Datagram));
+  cr_assert(Read.has_value());
+  const auto &Back = std::get<share_message>(Read->Body);
+  cr_assert(Back.Kind == share_kind::Grant && Back.Number == 99);
+  cr_assert(Back.Entries.size() == 1 && Back.Entries[0].Customer == "sweets");
+  cr_assert(Back.Entries[0].Tokens == 2.5F && Back.Entries[0].TtlUs == 20);
+}
+
+// A datagram is cut short, changed on the way, or made by somebody without the
+// fleet's key. An instance that took it in would believe a false heartbeat or
+// a false grant.
+Test(message, truncated_changed_and_foreign_datagrams_are_dropped) {
+  const std::string Bytes = encode(Key, heartbeat());
+  for (std::size_t Size = 0; Size < Bytes.size(); ++Size)
+    cr_assert(!decode(Key, std::string_view(Bytes).substr(0, Size)));
+  for (std::size_t Index = 0; Index < Bytes.size(); ++Index) {
+    std::string Changed = Bytes;
+    Changed[Index] = static_cast<char>(Changed[Index] ^ 1);
+    cr_assert(!decode(Key, Changed));
+  }
+  cr_assert(!decode("another key", Bytes));
+}
+
+// An instance of a broken release signs half a message with the right key:
+// the reader must refuse it rather than fail.
+Test(message, a_signed_payload_that_ends_early_is_dropped) {
+  const std::string Bytes = encode(Key, heartbeat());
+  const std::string Payload(verify(Key, Bytes).value_or(""));
+  for (std::size_t Size = 0; Size < Payload.size(); ++Size)
+    cr_assert(!decode(Key, sign(Key, Payload.substr(0, Size))));
+}
+
+// The network delays, crosses and doubles datagrams, and an instance starts
+// again under its name.
+Test(replay_window, each_datagram_has_its_effect_once) {
+  struct step {
+    std::uint64_t Incarnation;
+    std::uint64_t Sequence;
+    freshness Expected;
+  };
+  const std::vector<step> Steps{
+      {5, 1, freshness::Newest},    {5, 1, freshness::Doubled},
+      {5, 4, freshness::Newest},    {5, 2, freshness::Crossed},
+      {5, 2, freshness::Doubled},   {5, 4, freshness::Doubled},
+      {5, 200, freshness::Newest},  {5, 3, freshness::Doubled},
+      {5, 150, freshness::Crossed}, {5, 137, freshness::Crossed},
+      {5, 136, freshness::Doubled}, {6, 1, freshness::Newest},
+      {5, 201, freshness::Former},  {6, 1, freshness::Doubled},
+  };
+  replay_window Window;
+  cr_assert(std::ranges::all_of(Steps, [&](const step &Step) {
+    return note(Window, Step.Incarnation, Step.Sequence) == Step.Expected;
+  }));
+}
