--- /dev/null
+++ b/tests/data/fair_queue_test.cpp
@@ -0,0 +1,108 @@
+#include "redwinggw/data/fair_queue.hpp"
+
+#include <map>
+
+#include "criterion_test.hpp"
+
+using namespace redwinggw;
+using namespace redwinggw::data;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+namespace {
+
+const base::instant Start{std::chrono::seconds(100)};
+const base::instant Late = Start + std::chrono::seconds(1000);
+
+bool add(fair_queue &Queue, std::uint64_t Id, const std::string &Customer,
+         base::instant Deadline = Late) {
+  return enqueue(Queue, {Id, Customer, Deadline}, 1, Start).Queued;
+}
+
+/// Slot time that each customer got out of \p Turns turns, when a request of
+/// "slow" takes ten times as long.
+std::map<std::string, microseconds> served(fair_queue &Queue, int Turns) {
+  std::map<std::string, microseconds> Time;
+  for (int Turn = 0; Turn < Turns; ++Turn) {
+    const auto Ticket = dequeue(Queue);
+    const microseconds Busy(Ticket->Customer == "slow" ? 5000 : 500);
+    charge(Queue, Ticket->Customer, Busy);
+    Time[Ticket->Customer] += Busy;
+    add(Queue, Ticket->Id, Ticket->Customer);
+  }
+  return Time;
+}
+
+/// A flood of 1000 requests before 5 of another customer.
+fair_queue flooded(queue_policy Policy) {
+  fair_queue Queue;
+  Queue.Settings.Policy = Policy;
+  for (std::uint64_t Id = 0; Id < 1000; ++Id)
+    add(Queue, Id, "flood");
+  for (std::uint64_t Id = 1000; Id < 1005; ++Id)
+    add(Queue, Id, "calm");
+  return Queue;
+}
+
+/// How many requests are served before the calm customer's five are.
+int turnsUntilCalmIsServed(fair_queue Queue) {
+  int Left = 5;
+  int Turns = 0;
+  for (; Left > 0; ++Turns)
+    Left -= dequeue(Queue)->Customer == "calm" ? 1 : 0;
+  return Turns;
+}
+
+} // namespace
+
+// One customer sends several times its rate. Its requests fill the queue, and
+// those of the others, who did nothing wrong, wait behind them.
+Test(fair_queue, a_flood_does_not_delay_another_customer) {
+  cr_assert(turnsUntilCalmIsServed(flooded(queue_policy::Fair)) <= 15);
+  // The baseline shows that the test sees the fault.
+  cr_assert(turnsUntilCalmIsServed(flooded(queue_policy::Fifo)) == 1005);
+}
+
+// One customer's statements are ten times as slow. Counted by requests, it
+// would get ten times the slot time of the others.
+Test(fair_queue, turns_are_counted_by_slot_time) {
+  fair_queue Queue;
+  // Both always have requests waiting; one that has none gets no turn.
+  for (std::uint64_t Id = 0; Id < 20; ++Id)
+    add(Queue, Id, Id % 2 == 0 ? "slow" : "quick");
+  const auto Time = served(Queue, 5000);
+  const double Ratio = static_cast<double>(Time.at("slow").count()) /
+                       static_cast<double>(Time.at("quick").count());
+  cr_assert(Ratio > 0.9 && Ratio < 1.1);
+}
+
+Test(fair_queue, a_request_whose_turn_comes_too_late_is_refused_at_once) {
+  fair_queue Queue;
+  for (std::uint64_t Id = 0; Id < 100; ++Id)
+    add(Queue, Id, "a");
+  const auto Answer =
+      enqueue(Queue, {100, "a", Start + milliseconds(10)}, 1, Start);
+  cr_assert(!Answer.Queued);
+  cr_assert(Answer.RetryAfter >= milliseconds(10));
+}
+
+Test(fair_queue, memory_is_bounded_for_each_customer_and_in_all) {
+  fair_queue Queue;
+  Queue.Settings.PerCustomer = 3;
+  Queue.Settings.Total = 5;
+  for (std::uint64_t Id = 0; Id < 3; ++Id)
+    cr_assert(add(Queue, Id, "a"));
+  cr_assert(!add(Queue, 3, "a"));
+  cr_assert(add(Queue, 4, "b"));
+  cr_assert(add(Queue, 5, "b"));
+  cr_assert(!add(Queue, 6, "b"));
+}
+
+Test(fair_queue, a_cancelled_request_leaves_nothing_behind) {
+  fair_queue Queue;
+  add(Queue, 1, "a");
+  cancel(Queue, {1, "a", Late});
+  cancel(Queue, {1, "a", Late});
+  cr_assert(Queue.Size == 0);
+  cr_assert(!dequeue(Queue));
+}
