--- /dev/null
+++ b/packages/data/include/redwinggw/data/request_trace.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "redwinggw/data/statement_core.hpp"
+
+#include <string>
+
+/// What the time line and the metrics keep of each request.
+namespace redwinggw::data {
+
+struct request_trace {
+  /// Empty until the key was found.
+  base::customer_name Customer;
+  access_kind Access = access_kind::Read;
+  std::string RequestId;
+  base::instant ReceivedAt;
+};
+
+void noteReceived(statement_core &Core, const request_trace &Trace);
+
+/// Counts the answer and its time.
+void noteAnswered(statement_core &Core, const request_trace &Trace,
+                  const base::result<caller_answer> &Answer);
+
+} // namespace redwinggw::data
--- a/packages/data/include/redwinggw/data/statement_core.hpp
+++ b/packages/data/include/redwinggw/data/statement_core.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "redwinggw/base/error.hpp"
+#include "redwinggw/base/metrics.hpp"
 #include "redwinggw/base/task.hpp"
+#include "redwinggw/base/timeline.hpp"
 #include "redwinggw/control/configuration.hpp"
 #include "redwinggw/data/caller_message.hpp"
 #include "redwinggw/data/dispatcher.hpp"
@@ -44,8 +46,12 @@
       AwaitPrimary;
   /// Tells the failure detector how a request to an endpoint went.
   std::function<void(std::string_view Group, std::string_view Endpoint,
-                     bool Answered)>
+                     bool Answered, base::instant At)>
       NoteTraffic;
+  /// Adds an event to the time line.
+  std::function<void(base::event_kind, std::string_view Subject,
+                     std::string_view Detail, std::string_view RequestId)>
+      Record;
 };
 
 /// Counters of statements; read by the metrics.
@@ -82,6 +88,7 @@
       Dispatchers;
   retry_budget Budget;
   statement_counters Counters;
+  base::metrics Metrics;
   std::minstd_rand Random{std::random_device{}()};
   bool Draining = false;
 };
--- a/packages/data/src/caller_server.cpp
+++ b/packages/data/src/caller_server.cpp
@@ -1,6 +1,7 @@
 #include "redwinggw/data/caller_server.hpp"
 
 #include "redwinggw/base/log.hpp"
+#include "redwinggw/data/request_trace.hpp"
 
 #include <algorithm>
 #include <array>
@@ -133,12 +134,17 @@
 base::task<result<caller_answer>> serve(statement_core &Core,
                                         transaction_table &Table,
                                         const path_row &Path,
-                                        http::request Message) {
+                                        http::request Message,
+                                        request_trace &Trace) {
   if (Core.Draining && !Path.WhileDraining)
     co_return failure(errc::Draining, Core.Settings.Instance, DrainRetryAfter);
   auto Call = prepare(Core, Path, Message);
   if (!Call)
     co_return Call.error();
+  Trace.Customer = Call->Customer;
+  Trace.Access = Call->Request.Access;
+  Trace.RequestId = Call->Request.RequestId;
+  noteReceived(Core, Trace);
   if (Path.Counted) {
     const auto Admitted =
         co_await Core.Ports.Admit(Call->Customer, Call->Deadline);
@@ -149,24 +155,6 @@
   co_return co_await Path.Serve(Core, Table, std::move(*Call));
 }
 
-void count(statement_core &Core, const result<caller_answer> &Answer) {
-  ++Core.Counters.Requests;
-  const base::outcome Outcome =
-      Answer ? base::outcome::Done
-             : base::kindOf(kindOf(Answer.error())).Outcome;
-  switch (Outcome) {
-  case base::outcome::Done:
-    ++Core.Counters.Done;
-    break;
-  case base::outcome::NotRun:
-    ++Core.Counters.NotRun;
-    break;
-  case base::outcome::Unknown:
-    ++Core.Counters.Unknown;
-    break;
-  }
-}
-
 http::response health(const statement_core &Core) {
   http::response Response;
   const bool Serves = !Core.Draining && Core.Ports.MayServe();
@@ -187,12 +175,14 @@
   if (Path == Paths.end())
     co_return toResponse(failure(errc::NotFound, "path"));
   result<caller_answer> Answer = failure(errc::Internal);
+  request_trace Trace;
+  Trace.ReceivedAt = base::now();
   try {
-    Answer = co_await serve(Core, Table, *Path, std::move(Request));
+    Answer = co_await serve(Core, Table, *Path, std::move(Request), Trace);
   } catch (const std::exception &Error) {
     base::log(base::log_level::Error, base::log_part::Callers, Error.what());
   }
-  count(Core, Answer);
+  noteAnswered(Core, Trace, Answer);
   if (!Answer)
     co_return toResponse(Answer.error());
   co_return toResponse(std::move(*Answer));
--- a/packages/data/src/pinned_connection.cpp
+++ b/packages/data/src/pinned_connection.cpp
@@ -50,7 +50,7 @@
   const bool Answered =
       Ran.Answer.has_value() || Ran.Failed.Refusal != refusal::None;
   Core.Ports.NoteTraffic(Target->endpoint().Group, Target->endpoint().Name,
-                         Answered);
+                         Answered, SentAt);
   std::optional<base::microseconds> Busy;
   if (Ran.Answer)
     Busy = Ran.Answer->Busy;
--- a/packages/data/src/statement_core.cpp
+++ b/packages/data/src/statement_core.cpp
@@ -38,7 +38,7 @@
             base::instant SentAt) {
   const bool Answered = hasAnswered(Result);
   Core.Ports.NoteTraffic(Target.endpoint().Group, Target.endpoint().Name,
-                         Answered);
+                         Answered, SentAt);
   if (Answered) {
     noteSuccess(Target.circuitState());
     Target.pool().giveBack(std::move(Connection));
@@ -109,12 +109,15 @@
   if (!Connection) {
     if (kindOf(Connection.error()) == errc::EndpointUnreachable) {
       noteFailure(Target->circuitState(), base::now(), randomUnit(Core));
-      Core.Ports.NoteTraffic(Call.Group, Target->endpoint().Name, false);
+      Core.Ports.NoteTraffic(Call.Group, Target->endpoint().Name, false,
+                             base::now());
     }
     Target->release(Call.Customer, {}, std::nullopt);
     co_return failed(Connection.error());
   }
   const base::instant SentAt = base::now();
+  Core.Ports.Record(base::event_kind::RequestSent, Target->endpoint().Name, {},
+                    Call.Request.RequestId);
   run_result Result = co_await run((*Connection)->Client, Request,
                                    Core.Settings.Instance, Deadline);
   settle(Core, *Target, Call, std::move(*Connection), Result, SentAt);
--- /dev/null
+++ b/packages/redwinggw/src/instance.cpp
@@ -0,0 +1,148 @@
+#include "instance_state.hpp"
+
+#include "redwinggw/base/log.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace redwinggw {
+namespace {
+
+namespace asio = boost::asio;
+using base::event_kind;
+using base::log_level;
+using base::log_part;
+
+constexpr auto Token = asio::as_tuple(asio::use_awaitable);
+constexpr base::milliseconds HousekeepingEvery{100};
+/// The balancer and callers on kept connections learn in this time that the
+/// instance leaves.
+constexpr base::milliseconds ShortestDrain{500};
+
+base::task<void> pause(asio::any_io_executor Executor,
+                       base::milliseconds Time) {
+  asio::steady_timer Timer(Executor, Time);
+  co_await Timer.async_wait(Token);
+}
+
+/// Work that comes back every so often: currency, abandoned transactions.
+void housekeep(instance_state &State) {
+  const control::currency Before = State.Currency;
+  State.Currency = State.Peers.judgeCurrency(base::now());
+  if (State.Currency != Before) {
+    const auto Name = control::currencyName(State.Currency);
+    recordEvent(State, event_kind::ConfigurationStale, Name);
+    base::log(log_level::Info, log_part::Configuration,
+              "Currency is " + std::string(Name) + ".");
+  }
+  data::closeAbandoned(State.Statements, State.Transactions, base::now());
+}
+
+base::task<void> keepHouse(std::shared_ptr<instance_state> State) {
+  while (State->Life.state() != kernel::life_state::Stopped) {
+    housekeep(*State);
+    co_await pause(State->Context.get_executor(), HousekeepingEvery);
+  }
+}
+
+bool hasWork(const instance_state &State) {
+  return State.Callers.Server.busyConnections() != 0 ||
+         !State.Transactions.Open.empty();
+}
+
+/// Graceful shutdown: out of the balancer first, then no new work, then the
+/// running work gets its time, then everything closes.
+base::task<void> drain(std::shared_ptr<instance_state> State) {
+  const base::instant Begun = base::now();
+  State->Statements.Draining = true;
+  State->Peers.drain();
+  const auto Executor = State->Context.get_executor();
+  while (base::now() - Begun < ShortestDrain ||
+         (hasWork(*State) && base::now() - Begun < State->Settings.DrainTime))
+    co_await pause(Executor, HousekeepingEvery);
+  kernel::drainAll(State->Registry);
+  while (State->Callers.Server.busyConnections() != 0 &&
+         base::now() - Begun < State->Settings.DrainTime)
+    co_await pause(Executor, HousekeepingEvery);
+  State->Life.process(kernel::life_event::Drained);
+}
+
+void entered(instance_state &State, kernel::life_state Entered) {
+  const std::string Name(kernel::lifeStateName(Entered));
+  base::log(log_level::Info, log_part::Main, "Instance is " + Name + ".");
+  recordEvent(State, event_kind::DrainStep, Name);
+}
+
+} // namespace
+
+instance_state::instance_state(asio::io_context &Context,
+                               redwinggw::settings Given,
+                               redwinggw::secrets Known)
+    : Context(Context), Settings(std::move(Given)), Secrets(std::move(Known)),
+      Store{Context.get_executor(), Settings.Platform, Settings.Name,
+            Settings.PlatformTimeout},
+      Timeline(Settings.Name),
+      Peers(Context.get_executor(),
+            {Settings.Name, Settings.Zone,
+             static_cast<std::uint64_t>(base::wallMilliseconds())},
+            Settings.Peers, Secrets.FleetKey, Store),
+      Configuration(Context.get_executor(), Settings.Name, Store),
+      Shares(Context.get_executor(), Peers, Store,
+             {Settings.Rate == rate_policy::Static
+                  ? control::share_policy::Static
+                  : control::share_policy::Shared}),
+      Groups(Context.get_executor(), Settings.Name, Store),
+      Statements{Context.get_executor()},
+      Callers(Context.get_executor(), Statements, Transactions),
+      Operators(Context.get_executor(), Secrets.OperatorKey),
+      Life([this](kernel::life_state State) { entered(*this, State); }) {
+  Statements.Settings.Instance = Settings.Name;
+  Statements.Settings.Zone = Settings.Zone;
+  Statements.Settings.FleetKey = Secrets.FleetKey;
+  Statements.Settings.Routing.Policy = Settings.Reads;
+  Statements.Settings.Routing.ReplicaWait = Settings.ReplicaWait;
+  Statements.Settings.Queue.Policy = Settings.Queue;
+  Statements.Settings.TryTimeout = Settings.TryTimeout;
+}
+
+struct instance::state : instance_state {
+  using instance_state::instance_state;
+};
+
+instance::instance(asio::io_context &Context, settings Settings,
+                   secrets Secrets)
+    : State(std::make_shared<state>(Context, std::move(Settings),
+                                    std::move(Secrets))) {}
+
+instance::~instance() = default;
+
+base::result<void> instance::start() {
+  connectServices(*State);
+  addOperatorPages(*State, [this] { stop(); });
+  if (const auto Registered = registerServices(*State); !Registered)
+    return Registered;
+  try {
+    if (const auto Started = kernel::startAll(State->Registry); !Started)
+      return Started;
+  } catch (const std::system_error &Error) {
+    return base::failure(base::errc::BadSettings, Error.what());
+  }
+  asio::co_spawn(State->Context, keepHouse(State), asio::detached);
+  State->Life.process(kernel::life_event::Ready);
+  return {};
+}
+
+void instance::stop() {
+  if (State->Life.state() != kernel::life_state::Serving)
+    return;
+  State->Life.process(kernel::life_event::Stop);
+  asio::co_spawn(State->Context, drain(State), [this](std::exception_ptr) {
+    // Timers and sockets of services that have nothing left to tell.
+    State->Context.stop();
+  });
+}
+
+} // namespace redwinggw
--- /dev/null
+++ b/packages/redwinggw/src/wiring.cpp
@@ -0,0 +1,189 @@
+#include "instance_state.hpp"
+
+#include "redwinggw/base/log.hpp"
+
+#include <algorithm>
+#include <iterator>
+
+namespace redwinggw {
+namespace {
+
+using base::event_kind;
+
+/// A service of the registry; throws what \p Start reports as a failure.
+template <typename Object>
+kernel::service makeService(std::string Name, std::vector<std::string> Needs,
+                            Object &Served, std::function<void()> Start,
+                            std::function<void()> Drain) {
+  kernel::service Service;
+  Service.Name = std::move(Name);
+  Service.Needs = std::move(Needs);
+  Service.Start = std::move(Start);
+  Service.Drain = std::move(Drain);
+  Service.Object = &Served;
+  Service.Type = typeid(Object);
+  return Service;
+}
+
+void require(const base::result<http::address> &Listening) {
+  if (!Listening)
+    base::throw_exception_from_error(Listening.error(), {});
+}
+
+data::statement_ports portsOf(instance_state &State) {
+  data::statement_ports Ports;
+  Ports.Configuration = [&State]() -> const control::configuration & {
+    return State.Configuration.inForce();
+  };
+  Ports.MayServe = [&State] {
+    return State.Currency != control::currency::Isolated;
+  };
+  Ports.Admit = [&State](base::customer_name Customer, base::instant Deadline) {
+    return State.Shares.admit(std::move(Customer), Deadline);
+  };
+  Ports.View = [&State](std::string_view Group) {
+    return &State.Groups.view(Group);
+  };
+  Ports.Confirm = [&State](base::group_name Group, base::term_number Term,
+                           base::log_position Position,
+                           base::instant Deadline) {
+    return State.Groups.confirm(std::move(Group), Term, Position, Deadline);
+  };
+  Ports.AwaitPrimary = [&State](base::group_name Group,
+                                base::instant Deadline) {
+    return State.Groups.awaitPrimary(std::move(Group), Deadline);
+  };
+  Ports.NoteTraffic = [&State](std::string_view Group,
+                               std::string_view Endpoint, bool Answered,
+                               base::instant At) {
+    State.Groups.noteTraffic(Group, Endpoint, Answered, At);
+  };
+  Ports.Record = [&State](base::event_kind Kind, std::string_view Subject,
+                          std::string_view Detail,
+                          std::string_view RequestId) {
+    recordEvent(State, Kind, Subject, Detail, RequestId);
+  };
+  return Ports;
+}
+
+control::peer_service::clock_port clockOf(instance_state &State) {
+  control::peer_service::clock_port Clock;
+  Clock.Stamp = [&State] {
+    const auto Time = tick(State.Timeline.Clock, base::wallMilliseconds());
+    return wire::clock_value{Time.Wall, Time.Count};
+  };
+  Clock.Observe = [&State](wire::clock_value Value) {
+    merge(State.Timeline.Clock, {Value.Wall, Value.Count},
+          base::wallMilliseconds());
+  };
+  return Clock;
+}
+
+/// What the others say about the groups, in the form of the detector.
+std::vector<data::peer_report> reportsOf(const instance_state &State) {
+  std::vector<data::peer_report> Reports;
+  const base::instant Now = base::now();
+  for (const control::member &Member : State.Peers.view().Members) {
+    if (!Member.ReportAt)
+      continue;
+    data::peer_report Report;
+    Report.Instance = Member.Name;
+    Report.Age =
+        std::chrono::duration_cast<base::milliseconds>(Now - *Member.ReportAt);
+    for (const wire::group_report &Group : Member.Report.Groups)
+      if (Group.Suspect)
+        Report.Suspicions.push_back({Group.Group, Group.Term});
+    Reports.push_back(std::move(Report));
+  }
+  return Reports;
+}
+
+std::vector<wire::group_report> ownReports(const instance_state &State) {
+  std::vector<wire::group_report> Reports;
+  std::ranges::transform(State.Groups.suspicions(), std::back_inserter(Reports),
+                         [](const data::suspicion &Suspicion) {
+                           return wire::group_report{
+                               Suspicion.Group, Suspicion.Term, {}, true};
+                         });
+  return Reports;
+}
+
+} // namespace
+
+void recordEvent(instance_state &State, event_kind Kind,
+                 std::string_view Subject, std::string_view Detail,
+                 std::string_view RequestId) {
+  record(State.Timeline, base::wallMilliseconds(), Kind, Subject, Detail,
+         RequestId);
+}
+
+void applyConfiguration(instance_state &State,
+                        const control::configuration &Configuration) {
+  const std::size_t Instances =
+      std::max<std::size_t>(1, instanceCount(State.Peers.view()));
+  State.Shares.apply(Configuration);
+  State.Groups.apply(Configuration);
+  data::applyConfiguration(State.Statements, Configuration, Instances);
+  State.Peers.setVersion(Configuration.Version);
+  data::closeAbandoned(State.Statements, State.Transactions, base::now());
+  recordEvent(State, event_kind::ConfigurationInForce,
+              std::to_string(Configuration.Version));
+  base::log(base::log_level::Info, base::log_part::Configuration,
+            "Version " + std::to_string(Configuration.Version) +
+                " is in force.");
+}
+
+void connectServices(instance_state &State) {
+  State.Statements.Ports = portsOf(State);
+  State.Peers.setClock(clockOf(State));
+  State.Configuration.onChange([&State](const control::configuration &Changed) {
+    applyConfiguration(State, Changed);
+  });
+  State.Groups.setPeers([&State] { return reportsOf(State); });
+  State.Groups.onChange([&State](const base::group_name &Group) {
+    const data::group_view &View = State.Groups.view(Group);
+    recordEvent(State, event_kind::FailoverEnded, Group,
+                "term " + std::to_string(View.Term) + " " +
+                    View.Primary.value_or("no primary"));
+  });
+  State.Peers.onReport([&State](const control::member &Member) {
+    State.Configuration.noteVersionSeen(Member.Report.HeadVersion);
+    State.Peers.setGroupReports(ownReports(State));
+  });
+}
+
+base::result<void> registerServices(instance_state &State) {
+  std::vector<kernel::service> Services;
+  Services.push_back(makeService<platform::store>(
+      "platform", {}, State.Store, [] {}, [] {}));
+  Services.push_back(makeService<control::peer_service>(
+      "peers", {"platform"}, State.Peers,
+      [&State] { require(State.Peers.start()); },
+      [&State] { State.Peers.stop(); }));
+  Services.push_back(makeService<control::configuration_service>(
+      "configuration", {"platform", "peers"}, State.Configuration,
+      [&State] { State.Configuration.start(); },
+      [&State] { State.Configuration.stop(); }));
+  Services.push_back(makeService<control::share_service>(
+      "shares", {"platform", "peers"}, State.Shares,
+      [&State] { State.Shares.start(); }, [&State] { State.Shares.drain(); }));
+  Services.push_back(makeService<data::group_service>(
+      "groups", {"configuration", "peers"}, State.Groups,
+      [&State] { State.Groups.start(); }, [&State] { State.Groups.drain(); }));
+  Services.push_back(makeService<control::operator_server>(
+      "operators", {"configuration"}, State.Operators,
+      [&State] { require(State.Operators.listen(State.Settings.Operators)); },
+      [&State] { State.Operators.drain(); }));
+  Services.push_back(makeService<data::caller_server>(
+      "callers", {"groups", "shares", "configuration", "operators"},
+      State.Callers,
+      [&State] { require(State.Callers.Server.listen(State.Settings.Callers)); },
+      [&State] { State.Callers.Server.drain(); }));
+  for (kernel::service &Service : Services)
+    if (const auto Added = kernel::add(State.Registry, std::move(Service));
+        !Added)
+      return Added;
+  return {};
+}
+
+} // namespace redwinggw
