Add the endpoint's stand-in

Terms, seals and the log are free functions over a struct (replica.hpp); SQL runs on SQLite in memory with a shared cache, whose table locks make interactive transactions serializable. What waits for a lock gives up its slot and tries again on a timer, so the one thread never blocks.

Ruled out: one handle for all connections (no isolation between interactive transactions) and a blocking busy handler (stops replication and status).

--- a/tests/standins/common/standin.cpp
+++ b/tests/standins/common/standin.cpp
@@ -79,6 +79,25 @@
     Timer->cancel();
 }
 
+base::task<void> slot_queue::take() {
+  if (Free > 0) {
+    --Free;
+    co_return;
+  }
+  asio::steady_timer Timer(Executor, asio::steady_timer::time_point::max());
+  Waiting.push_back(&Timer);
+  co_await Timer.async_wait(Token);
+}
+
+void slot_queue::give() {
+  if (Waiting.empty()) {
+    ++Free;
+    return;
+  }
+  Waiting.front()->cancel();
+  Waiting.pop_front();
+}
+
 base::task<void> pause(asio::any_io_executor Executor,
                        base::microseconds Time) {
   if (Time.count() <= 0)
--- a/tests/standins/common/standin.hpp
+++ b/tests/standins/common/standin.hpp
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json/object.hpp>
 
+#include <deque>
 #include <set>
 #include <string>
 #include <string_view>
@@ -60,6 +61,23 @@
   std::set<boost::asio::steady_timer *> Timers;
 };
 
+/// A number of slots that are handed out in the order of asking.
+class slot_queue {
+public:
+  slot_queue(boost::asio::any_io_executor Executor, unsigned Slots)
+      : Executor(std::move(Executor)), Free(Slots) {}
+
+  base::task<void> take();
+
+  /// Precondition: a slot is held.
+  void give();
+
+private:
+  boost::asio::any_io_executor Executor;
+  unsigned Free;
+  std::deque<boost::asio::steady_timer *> Waiting;
+};
+
 /// Waits for \p Time; zero does not wait at all.
 base::task<void> pause(boost::asio::any_io_executor Executor,
                        base::microseconds Time);
--- /dev/null
+++ b/tests/standins/endpoint/endpoint.hpp
@@ -0,0 +1,173 @@
+#pragma once
+
+#include "common/standin.hpp"
+#include "endpoint/database.hpp"
+#include "endpoint/faults.hpp"
+#include "endpoint/replica.hpp"
+
+#include <boost/json/array.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+/// The stand-in of one endpoint: docs/ENDPOINTS.md over HTTP.
+namespace redwinggw::standin {
+
+struct endpoint_options {
+  base::endpoint_name Name;
+  base::group_name Group;
+  unsigned Slots = 5;
+  unsigned Connections = 35;
+  base::microseconds ConnectCost{0};
+  endpoint_faults Faults;
+  /// Starts as the primary of term 1, with these members and this schema.
+  bool Primary = false;
+  std::vector<data::endpoint_address> Members;
+  std::vector<data::statement> Schema;
+};
+
+class endpoint_standin;
+
+/// A transaction on one database connection, from begin to its end.
+struct open_transaction {
+  bool ReadOnly = false;
+  /// What the log gets at commit.
+  std::vector<data::statement> Writes;
+};
+
+/// What an endpoint keeps for one connection. Closing it rolls back.
+struct database_connection {
+  explicit database_connection(std::shared_ptr<endpoint_standin> Endpoint,
+                               std::uint64_t Id);
+  database_connection(const database_connection &) = delete;
+  database_connection &operator=(const database_connection &) = delete;
+  ~database_connection();
+
+  /// Shared: the server closes its connections after the endpoint's owner has
+  /// let go of it.
+  std::shared_ptr<endpoint_standin> Endpoint;
+  std::uint64_t Id;
+  /// It is counted against the limit.
+  bool Connected = false;
+  std::unique_ptr<database> Handle;
+  std::unique_ptr<open_transaction> Transaction;
+  /// The transaction was rolled back by a change of term.
+  bool Lost = false;
+};
+
+struct endpoint_counters {
+  unsigned Connections = 0;
+  unsigned MaxConnections = 0;
+  unsigned Running = 0;
+  unsigned MaxRunning = 0;
+  std::uint64_t Runs = 0;
+  std::uint64_t Statements = 0;
+};
+
+/// How far one run has come; it is taken up again after waiting for a lock.
+struct run_progress {
+  data::run_request Request;
+  /// Begin and commit are implied.
+  bool Alone = false;
+  boost::json::array Results;
+  base::microseconds Busy{0};
+  base::log_position Position = 0;
+  bool Committed = false;
+};
+
+/// Why a run ended, when it did not succeed.
+struct run_refusal {
+  std::string_view Error;
+  std::string Detail;
+};
+
+/// What one try of a run came to.
+enum class attempt { Finished, Refused, Locked };
+
+/// Used from one thread. Must be owned by a shared pointer.
+class endpoint_standin : public std::enable_shared_from_this<endpoint_standin> {
+public:
+  endpoint_standin(boost::asio::any_io_executor Executor,
+                   endpoint_options Options);
+
+  /// The handler for an http::server.
+  base::task<http::response> handle(http::connection &Connection,
+                                    http::request Request);
+
+private:
+  friend struct database_connection;
+
+  // Requests.
+  base::task<std::optional<http::response>>
+  perform(database_connection &Connection, const http::request &Request);
+  base::task<http::response> connect(database_connection &Connection);
+  base::task<http::response> status(const boost::json::object &Body);
+  http::response order(const std::string &Target,
+                       const boost::json::object &Body);
+  http::response replicate(const boost::json::object &Body);
+  http::response admin(const http::request &Request);
+  http::response dump(const boost::json::object &Body);
+  http::response withState(boost::json::object Body,
+                           unsigned Status = StatusOk) const;
+  http::response refuse(const run_refusal &Refusal) const;
+
+  // Runs.
+  base::task<http::response> run(database_connection &Connection,
+                                 data::run_request Request);
+  base::task<attempt> tryInSlot(database_connection &Connection,
+                                run_progress &Progress, run_refusal &Refusal);
+  attempt tryRun(database_connection &Connection, run_progress &Progress,
+                 run_refusal &Refusal);
+  attempt begin(database_connection &Connection, const run_progress &Progress,
+                run_refusal &Refusal);
+  attempt finish(database_connection &Connection, run_progress &Progress,
+                 run_refusal &Refusal);
+  std::optional<run_refusal> checkTerm(const data::run_request &Request,
+                                       bool ReadOnly) const;
+  static std::optional<run_refusal>
+  checkShape(const database_connection &Connection,
+             const data::run_request &Request);
+  database &handleOf(database_connection &Connection);
+  void appendEntry(std::vector<data::statement> Writes);
+
+  // Term and log.
+  void endTransactions();
+  void becomePrimary(std::vector<data::endpoint_address> Members);
+  void rebuild();
+  base::log_position applyUntil(base::log_position End);
+  base::task<void> applyLoop();
+  base::task<void> shipTo(data::endpoint_address Member, std::uint64_t Epoch);
+  base::task<bool> shipOnce(http::client &Client, data::endpoint_address Member,
+                            base::log_position &Next);
+  std::size_t shippable(base::log_position Next) const;
+  base::task<void> shipPause(base::log_position Next);
+
+  // Faults.
+  base::task<bool> letIn(database_connection &Connection, peer From);
+  base::task<bool> letOut(database_connection &Connection, peer To);
+  base::task<void> hang();
+  bool isSilent(const database_connection &Connection) const;
+  void disconnect(database_connection &Connection);
+
+  boost::asio::any_io_executor Executor;
+  endpoint_options Options;
+  endpoint_faults Faults;
+  replica Replica;
+  endpoint_counters Counters;
+  std::set<database_connection *> Connections;
+  std::uint64_t LastConnection = 0;
+  /// Number of times that the database was built; part of its name.
+  unsigned Generation = 0;
+  std::unique_ptr<database> Applier;
+  /// Each change of role starts another one; loops of older ones end.
+  std::uint64_t ShipEpoch = 0;
+  wait_list StateChanged;
+  wait_list FaultsChanged;
+  slot_queue Slots;
+};
+
+} // namespace redwinggw::standin
