Delete expired records; follow the number of instances

Cause: records of requests grew for ever, and an instance's part of the connections was fixed at start. Change: each instance cleans each group every ten minutes, spread at start; connection limits follow the platform's list.

--- a/packages/data/include/redwinggw/data/statement_core.hpp
+++ b/packages/data/include/redwinggw/data/statement_core.hpp
@@ -171,4 +171,8 @@
 base::result<caller_answer> answerOf(const request_record &Record,
                                      const request_identity &Identity);
 
+/// Deletes a bounded number of expired records at each group's primary. Any
+/// instance may do so at any time; records that still count are not touched.
+base::task<void> deleteExpiredRecords(statement_core &Core);
+
 } // namespace redwinggw::data
--- a/packages/data/src/caller_server.cpp
+++ b/packages/data/src/caller_server.cpp
@@ -131,11 +131,9 @@
   return Call;
 }
 
-base::task<result<caller_answer>> serve(statement_core &Core,
-                                        transaction_table &Table,
-                                        const path_row &Path,
-                                        http::request Message,
-                                        request_trace &Trace) {
+base::task<result<caller_answer>>
+serve(statement_core &Core, transaction_table &Table, const path_row &Path,
+      http::request Message, request_trace &Trace) {
   if (Core.Draining && !Path.WhileDraining)
     co_return failure(errc::Draining, Core.Settings.Instance, DrainRetryAfter);
   auto Call = prepare(Core, Path, Message);
--- /dev/null
+++ b/packages/data/src/record_retention.cpp
@@ -0,0 +1,42 @@
+#include "redwinggw/data/statement_core.hpp"
+
+#include "redwinggw/base/log.hpp"
+
+namespace redwinggw::data {
+namespace {
+
+/// Account under which the instance's own statements queue. The sheet allows
+/// no empty name, so no customer shares it.
+const base::customer_name OwnAccount;
+constexpr base::milliseconds CleaningDeadline{5000};
+
+base::task<void> deleteIn(statement_core &Core, base::group_name Group) {
+  const group_view *View = Core.Ports.View(Group);
+  const std::shared_ptr<dispatcher> Target =
+      View == nullptr ? nullptr : primaryOf(Core, *View);
+  if (!Target)
+    co_return;
+  call Call;
+  Call.Customer = OwnAccount;
+  Call.Group = Group;
+  Call.KeyCheckedAt = Core.Ports.Configuration().Version;
+  Call.Deadline = base::now() + CleaningDeadline;
+  run_request Request;
+  Request.ExpectTerm = View->Term;
+  Request.Statements = {deleteExpired(base::wallMilliseconds())};
+  const run_result Ran = co_await runAt(Core, Target, Call, std::move(Request));
+  if (!Ran.Answer && !isMissingTable(Ran.Failed.Failure))
+    base::log(base::log_level::Warning, base::log_part::Endpoints,
+              "Old records of group " + Group +
+                  " were not deleted: " + base::describe(Ran.Failed.Failure));
+}
+
+} // namespace
+
+base::task<void> deleteExpiredRecords(statement_core &Core) {
+  const auto Groups = control::groupsOf(Core.Ports.Configuration());
+  for (const base::group_name &Group : Groups)
+    co_await deleteIn(Core, Group);
+}
+
+} // namespace redwinggw::data
--- a/packages/redwinggw/src/collect_metrics.cpp
+++ b/packages/redwinggw/src/collect_metrics.cpp
@@ -24,8 +24,8 @@
   for (const member_state Value : {member_state::Alive, member_state::Suspect,
                                    member_state::Dead, member_state::Leaving}) {
     const auto &Members = State.Peers.view().Members;
-    const auto Count = std::ranges::count(Members, Value,
-                                          &control::member::State);
+    const auto Count =
+        std::ranges::count(Members, Value, &control::member::State);
     set(gaugeOf(Metrics, metric::Peers,
                 {std::string(control::memberStateName(Value))}),
         static_cast<double>(Count));
--- a/packages/redwinggw/src/instance.cpp
+++ b/packages/redwinggw/src/instance.cpp
@@ -18,6 +18,7 @@
 
 constexpr auto Token = asio::as_tuple(asio::use_awaitable);
 constexpr base::milliseconds HousekeepingEvery{100};
+constexpr base::milliseconds CleaningEvery{10 * 60 * 1000};
 /// The balancer and callers on kept connections learn in this time that the
 /// instance leaves.
 constexpr base::milliseconds ShortestDrain{500};
@@ -28,6 +29,17 @@
   co_await Timer.async_wait(Token);
 }
 
+/// Follows the platform's list: with more instances each opens fewer of an
+/// endpoint's connections.
+void shareConnections(instance_state &State) {
+  const std::size_t Instances = instanceCount(State.Peers.view());
+  if (Instances == State.SharedAmong)
+    return;
+  State.SharedAmong = Instances;
+  data::applyConfiguration(State.Statements, State.Configuration.inForce(),
+                           Instances);
+}
+
 /// Work that comes back every so often: currency, abandoned transactions.
 void housekeep(instance_state &State) {
   const control::currency Before = State.Currency;
@@ -39,6 +51,7 @@
               "Currency is " + std::string(Name) + ".");
   }
   data::closeAbandoned(State.Statements, State.Transactions, base::now());
+  shareConnections(State);
 }
 
 base::task<void> keepHouse(std::shared_ptr<instance_state> State) {
@@ -48,6 +61,19 @@
   }
 }
 
+base::task<void> cleanRecords(std::shared_ptr<instance_state> State) {
+  // The first pause is spread, so that instances started together do not clean
+  // together.
+  std::uniform_int_distribution<std::int64_t> Spread(0, CleaningEvery.count());
+  base::milliseconds Pause(Spread(State->Statements.Random));
+  while (State->Life.state() == kernel::life_state::Serving) {
+    co_await pause(State->Context.get_executor(), Pause);
+    Pause = CleaningEvery;
+    if (State->Currency != control::currency::Isolated)
+      co_await data::deleteExpiredRecords(State->Statements);
+  }
+}
+
 bool hasWork(const instance_state &State) {
   return State.Callers.Server.busyConnections() != 0 ||
          !State.Transactions.Open.empty();
@@ -89,7 +115,7 @@
             {Settings.Name, Settings.Zone,
              static_cast<std::uint64_t>(base::wallMilliseconds())},
             Settings.Peers, Secrets.FleetKey, Store),
-      Configuration(Context.get_executor(), Settings.Name, Store),
+      Configuration(Context.get_executor(), Store, {Secrets.FleetKey}),
       Shares(Context.get_executor(), Peers, Store,
              {Settings.Rate == rate_policy::Static
                   ? control::share_policy::Static
@@ -130,8 +156,9 @@
   } catch (const std::system_error &Error) {
     return base::failure(base::errc::BadSettings, Error.what());
   }
-  asio::co_spawn(State->Context, keepHouse(State), asio::detached);
   State->Life.process(kernel::life_event::Ready);
+  asio::co_spawn(State->Context, keepHouse(State), asio::detached);
+  asio::co_spawn(State->Context, cleanRecords(State), asio::detached);
   return {};
 }
 
--- a/packages/redwinggw/src/instance_state.hpp
+++ b/packages/redwinggw/src/instance_state.hpp
@@ -42,6 +42,8 @@
   kernel::registry Registry;
   kernel::life_cycle Life;
   control::currency Currency = control::currency::Isolated;
+  /// Instances among which the endpoints' connections are divided now.
+  std::size_t SharedAmong = 0;
 };
 
 /// Makes each service known under its name, with what it needs.
--- a/packages/redwinggw/src/main.cpp
+++ b/packages/redwinggw/src/main.cpp
@@ -31,11 +31,10 @@
 
 options::options_description describeOptions() {
   options::options_description Description("redwinggw");
-  Description.add_options()("help,h", "print this help")(
-      "version", "print the version")("config,c",
-                                      options::value<std::string>(),
-                                      "settings file (INI)")(
-      "check", "validate the settings and exit")(
+  Description.add_options()("help,h", "print this help")("version",
+                                                         "print the version")(
+      "config,c", options::value<std::string>(),
+      "settings file (INI)")("check", "validate the settings and exit")(
       "set,s", options::value<std::vector<std::string>>()->composing(),
       "section.key=value, goes before the file; may be repeated");
   return Description;
@@ -60,8 +59,7 @@
   if (Values.count("config") != 0)
     Line.Config = Values["config"].as<std::string>();
   if (Values.count("set") != 0)
-    for (const std::string &Text :
-         Values["set"].as<std::vector<std::string>>())
+    for (const std::string &Text : Values["set"].as<std::vector<std::string>>())
       Line.Set.push_back(overrideOf(Text));
   if (!Line.Help && !Line.Version && Line.Config.empty())
     throw options::error("--config FILE is missing");
@@ -89,8 +87,8 @@
 }
 
 int reportFailure(const base::failure &Failure) {
-  std::cerr << Failure.Detail << "\n" << base::describe({kindOf(Failure)})
-            << "\n";
+  std::cerr << Failure.Detail << "\n"
+            << base::describe({kindOf(Failure)}) << "\n";
   return ExitSettings;
 }
 
--- a/packages/redwinggw/src/operator_pages.cpp
+++ b/packages/redwinggw/src/operator_pages.cpp
@@ -1,5 +1,7 @@
 #include "instance_state.hpp"
 
+#include "redwinggw/control/operator_routes.hpp"
+
 #include <boost/json.hpp>
 
 #include <algorithm>
@@ -34,8 +36,7 @@
     Status["term"] = Member.State->Term;
     Status["received"] = Member.State->Received;
     Status["applied"] = Member.State->Applied;
-    if (const auto Age =
-            ageOf(View, Member.State->Applied, Member.AskedAt))
+    if (const auto Age = ageOf(View, Member.State->Applied, Member.AskedAt))
       Status["age_ms"] = static_cast<double>(Age->count()) / 1000;
   }
   const auto Found = State.Statements.Dispatchers.find(Member.Endpoint.Name);
@@ -54,8 +55,7 @@
 
 json::value groupStatus(const instance_state &State) {
   json::array Groups;
-  for (const auto &Group :
-       control::groupsOf(State.Configuration.inForce())) {
+  for (const auto &Group : control::groupsOf(State.Configuration.inForce())) {
     const data::group_view &View = State.Groups.view(Group);
     json::array Members;
     std::ranges::transform(View.Members, std::back_inserter(Members),
@@ -120,6 +120,7 @@
 
 void addOperatorPages(instance_state &State, std::function<void()> Stop) {
   control::operator_server &Server = State.Operators;
+  control::addConfigurationRoutes(Server, State.Configuration);
   Server.addStatus("instance", [&State] { return instanceStatus(State); });
   Server.addStatus("groups", [&State] { return groupStatus(State); });
   Server.addStatus("peers", [&State] { return peerStatus(State); });
@@ -127,9 +128,8 @@
   Server.addStatus("statements", [&State] { return statementStatus(State); });
   Server.addRoute("/operators/timeline",
                   [&State](json::object) { return timelinePage(State); });
-  Server.addRoute("/operators/drain", [Stop](json::object) {
-    return drainPage(Stop);
-  });
+  Server.addRoute("/operators/drain",
+                  [Stop](json::object) { return drainPage(Stop); });
   Server.setMetrics([&State] {
     collectMetrics(State);
     return base::toPrometheus(State.Statements.Metrics);
--- a/packages/redwinggw/src/wiring.cpp
+++ b/packages/redwinggw/src/wiring.cpp
@@ -59,8 +59,7 @@
     State.Groups.noteTraffic(Group, Endpoint, Answered, At);
   };
   Ports.Record = [&State](base::event_kind Kind, std::string_view Subject,
-                          std::string_view Detail,
-                          std::string_view RequestId) {
+                          std::string_view Detail, std::string_view RequestId) {
     recordEvent(State, Kind, Subject, Detail, RequestId);
   };
   return Ports;
@@ -108,6 +107,32 @@
   return Reports;
 }
 
+/// The other instances that are up, with the version at each.
+std::vector<control::instance_version>
+versionsOf(const control::peer_service &Peers) {
+  std::vector<control::instance_version> Versions;
+  for (const control::member &Member : Peers.view().Members)
+    if (Member.State == control::member_state::Alive)
+      Versions.push_back({Member.Name, Member.Report.Version});
+  return Versions;
+}
+
+control::configuration_ports configurationPorts(instance_state &State) {
+  control::peer_service &Peers = State.Peers;
+  control::configuration_ports Ports;
+  Ports.MayAccept = [&Peers] { return Peers.hearsMajority(base::now()); };
+  Ports.MajorityKnows = [&Peers](base::config_version Version) {
+    return Peers.majorityKnows(Version);
+  };
+  Ports.Others = [&Peers] { return versionsOf(Peers); };
+  Ports.NoteStoreRead = [&Peers](base::instant Sent, base::instant Answered,
+                                 base::config_version Head) {
+    Peers.noteStoreRead(Sent, Answered, Head);
+  };
+  Ports.NoteStoreContact = [&Peers] { Peers.noteStoreContact(); };
+  return Ports;
+}
+
 } // namespace
 
 void recordEvent(instance_state &State, event_kind Kind,
@@ -139,6 +164,7 @@
   State.Configuration.onChange([&State](const control::configuration &Changed) {
     applyConfiguration(State, Changed);
   });
+  State.Configuration.setPorts(configurationPorts(State));
   State.Groups.setPeers([&State] { return reportsOf(State); });
   State.Groups.onChange([&State](const base::group_name &Group) {
     const data::group_view &View = State.Groups.view(Group);
@@ -154,8 +180,8 @@
 
 base::result<void> registerServices(instance_state &State) {
   std::vector<kernel::service> Services;
-  Services.push_back(makeService<platform::store>(
-      "platform", {}, State.Store, [] {}, [] {}));
+  Services.push_back(
+      makeService<platform::store>("platform", {}, State.Store, [] {}, [] {}));
   Services.push_back(makeService<control::peer_service>(
       "peers", {"platform"}, State.Peers,
       [&State] { require(State.Peers.start()); },
@@ -177,7 +203,9 @@
   Services.push_back(makeService<data::caller_server>(
       "callers", {"groups", "shares", "configuration", "operators"},
       State.Callers,
-      [&State] { require(State.Callers.Server.listen(State.Settings.Callers)); },
+      [&State] {
+        require(State.Callers.Server.listen(State.Settings.Callers));
+      },
       [&State] { State.Callers.Server.drain(); }));
   for (kernel::service &Service : Services)
     if (const auto Added = kernel::add(State.Registry, std::move(Service));
