--- /dev/null
+++ b/tests/data/retry_policy_test.cpp
@@ -0,0 +1,55 @@
+#include "redwinggw/data/retry_policy.hpp"
+
+#include "criterion_test.hpp"
+
+using namespace redwinggw;
+using namespace redwinggw::data;
+using std::chrono::milliseconds;
+
+namespace {
+
+const base::instant Start{std::chrono::seconds(100)};
+
+} // namespace
+
+// A database comes back after an outage. Every waiting request and all its
+// repeats arrive at once and bring it down again.
+Test(retry_policy, repeats_are_a_bounded_share_of_the_requests) {
+  retry_budget Budget;
+  int Repeats = 0;
+  for (int Request = 0; Request < 1000; ++Request) {
+    noteRequest(Budget);
+    while (takeRetry(Budget))
+      ++Repeats;
+  }
+  cr_assert(Repeats <= 220);
+}
+
+Test(retry_policy, pauses_grow_are_capped_and_are_spread) {
+  cr_assert(backoff(1, 0.0) < backoff(3, 0.0));
+  cr_assert(backoff(30, 0.999) <= milliseconds(100));
+  cr_assert(backoff(3, 0.0) != backoff(3, 0.9));
+}
+
+Test(retry_policy, a_circuit_opens_after_failures_in_a_row_only) {
+  circuit Circuit;
+  for (int Failure = 0; Failure < 2; ++Failure)
+    noteFailure(Circuit, Start, 0.5);
+  cr_assert(isClosed(Circuit, Start));
+  noteFailure(Circuit, Start, 0.5);
+  cr_assert(!isClosed(Circuit, Start));
+  cr_assert(isClosed(Circuit, Start + std::chrono::seconds(2)));
+  noteSuccess(Circuit);
+  cr_assert(isClosed(Circuit, Start));
+}
+
+// A write was sent and its answer lost. Only a repeat that carries the same
+// request id may follow; treated as "not run" it could run twice.
+Test(retry_policy, an_unknown_outcome_is_repeated_under_the_same_id_only) {
+  using base::errc;
+  cr_assert(retryKindOf({errc::OutcomeUnknown}) == retry_kind::SameId);
+  cr_assert(retryKindOf({errc::TruncatedAnswer}) == retry_kind::SameId);
+  cr_assert(retryKindOf({errc::NotPrimary}) == retry_kind::Elsewhere);
+  cr_assert(retryKindOf({errc::StatementFailed}) == retry_kind::Never);
+  cr_assert(retryKindOf({errc::DeadlinePassed}) == retry_kind::Never);
+}
