--- /dev/null
+++ b/tests/data/request_record_test.cpp
@@ -0,0 +1,50 @@
+#include "redwinggw/data/request_record.hpp"
+
+#include <boost/json.hpp>
+
+#include "criterion_test.hpp"
+
+using namespace redwinggw;
+using namespace redwinggw::data;
+
+namespace {
+
+constexpr std::int64_t Now = 1'764'700'000'000;
+constexpr std::int64_t Hour = 60LL * 60 * 1000;
+
+base::errc ageErrorOf(std::int64_t IssuedAt) {
+  const auto Checked = checkAge(IssuedAt, Now);
+  return Checked ? base::errc::Ok : kindOf(Checked.error());
+}
+
+} // namespace
+
+// A caller repeats a payment after a day. The record of the first try has been
+// deleted, so the repeat would run a second time; it must be refused instead.
+Test(request_record, a_request_past_the_retention_is_refused) {
+  cr_assert(ageErrorOf(Now - 23 * Hour) == base::errc::Ok);
+  cr_assert(ageErrorOf(Now - 25 * Hour) == base::errc::RequestExpired);
+  cr_assert(ageErrorOf(Now + 1 * Hour) == base::errc::BadRequest);
+}
+
+// An instance whose clock is ahead deletes old records while one whose clock
+// is behind still accepts repeats of them.
+Test(request_record, records_outlive_the_retention_by_a_margin) {
+  const statement Delete = deleteExpired(Now);
+  const std::int64_t Oldest = Delete.Params.at(0).as_int64();
+  cr_assert(Now - Oldest > RecordRetention.count());
+}
+
+Test(request_record, parts_that_run_together_give_different_digests) {
+  cr_assert(requestDigest({"ab", "c"}) != requestDigest({"a", "bc"}));
+}
+
+Test(request_record, a_repeat_is_judged_by_state_and_digest) {
+  const request_identity Identity{"dulce", "id", Now, "digest"};
+  const request_record Done{record_state::Done, "digest", 1, ""};
+  const request_record Other{record_state::Done, "other", 1, ""};
+  const request_record Cancelled{record_state::Cancelled, "other", 0, ""};
+  cr_assert(judgeRepeat(Done, Identity) == repeat_verdict::Done);
+  cr_assert(judgeRepeat(Other, Identity) == repeat_verdict::Reused);
+  cr_assert(judgeRepeat(Cancelled, Identity) == repeat_verdict::Cancelled);
+}
