Add the scenarios and figures of tools/measure

Cause: the three measures are to be printed by one command, side by side with the baseline policies. Change: both deployments' sizes, calm and flood, skewed, failover by pause, cut and kill, probes through an instance and straight, caller connections, idle; figures with spread as table, JSON and HTML with SVG; tools/measure.

--- /dev/null
+++ b/tests/load/deployment.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "plan.hpp"
+#include "redwinggw/http/address.hpp"
+
+#include <string>
+#include <vector>
+
+/// The sizes of the two users' deployments, as the measurements run them.
+namespace redwinggw::load {
+
+struct deployment {
+  std::string Name;
+  std::size_t Zones = 0;
+  std::vector<std::string> Services;
+  unsigned Slots = 0;
+  unsigned Connections = 0;
+  std::size_t Instances = 0;
+  shape Shape = shape::Steady;
+};
+
+/// Dulciuri and Aterro, in this order.
+const std::vector<deployment> &deployments();
+
+/// "z1", "z2", ...: the zone of database or instance \p Number.
+std::string zoneOf(const deployment &Deployment, std::size_t Number);
+
+/// Eight customers, three of them large, each offering the share \p Load of
+/// its rate at the shape's peak.
+std::vector<customer_load> customersOf(const deployment &Deployment,
+                                       double Load);
+
+/// A customer without a practical limit, for the probes.
+customer_load probeCustomer();
+
+/// Declared for each service by the fleet's sheet.
+constexpr const char *DeclaredReadName = "recent";
+
+/// A database and where it listens.
+struct database_place {
+  std::string Name;
+  std::string Service;
+  http::address Address;
+};
+
+} // namespace redwinggw::load
--- a/tests/load/load_report_test.cpp
+++ b/tests/load/load_report_test.cpp
@@ -1,3 +1,4 @@
+#include "figures.hpp"
 #include "report.hpp"
 
 #include <boost/json.hpp>
@@ -129,3 +130,16 @@
   cr_assert(!Judge(row{{"s", "c1", 2}}, true));
   cr_assert(!Judge(row{{"s", "c1", 3}}, true));
 }
+
+Test(figures, repetitions_become_a_median_with_its_spread) {
+  figures Figures;
+  for (const double Value : {5.0, 1.0, 3.0, 2.0})
+    add(Figures, {"dulciuri", "calm", "p99", "fair"}, "us", Value);
+  const spread Spread = spreadOf(Figures.begin()->second);
+  cr_assert(Spread.Median == 2.5);
+  cr_assert(Spread.Least == 1);
+  cr_assert(Spread.Greatest == 5);
+  cr_assert(toTable(Figures).find("| 2.5 | 1 | 5 | us | 4 |") !=
+            std::string::npos);
+  cr_assert(toHtml(Figures).find("<svg") != std::string::npos);
+}
--- /dev/null
+++ b/tests/load/measure.cpp
@@ -0,0 +1,319 @@
+#include "scenarios.hpp"
+
+#include "fleet.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/use_future.hpp>
+#include <boost/json.hpp>
+#include <boost/program_options.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+
+/// The program of tools/measure. Exit codes: 0 every answer was right, 1 one
+/// was not or a scenario did not run, 2 the command line is wrong.
+namespace {
+
+using namespace redwinggw;
+using namespace redwinggw::load;
+namespace options = boost::program_options;
+namespace json = boost::json;
+
+/// A policy that is compared, as settings of the instances.
+struct policy {
+  std::string Name;
+  std::string Settings;
+  /// Baselines run only the scenarios that their setting bears on.
+  bool Baseline = false;
+};
+
+const std::vector<policy> &policies() {
+  static const std::vector<policy> All{
+      {"redwinggw", "", false},
+      {"reads=primary", "[policy]\nreads = primary\n", true},
+      {"rate=static", "[policy]\nrate = static\n", true},
+      {"queue=fifo", "[policy]\nqueue = fifo\n", true}};
+  return All;
+}
+
+struct measure_options {
+  bool Short = false;
+  bool Json = false;
+  std::string Deployment;
+  std::string Policy;
+  std::string Scenario;
+  std::string Out = "out";
+  std::uint64_t Repetitions = 3;
+  base::microseconds Duration{0};
+  std::size_t Connections = 0;
+};
+
+using scenario_function = std::function<base::task<void>(bench &)>;
+
+struct scenario_row {
+  std::string_view Name;
+  /// Baselines run it too.
+  bool ForBaselines;
+  /// The short form runs it.
+  bool InShort;
+  scenario_function Run;
+};
+
+const std::vector<scenario_row> &scenarios() {
+  static const std::vector<scenario_row> All{
+      {"idle", false, true, runIdle},
+      {"load", true, true, runCalmAndFlood},
+      {"skewed", true, true, runSkewed},
+      {"probes", false, true, runProbes},
+      {"pause", false, false,
+       [](bench &Bench) { return runFailover(Bench, fault_kind::Pause); }},
+      {"cut", false, true,
+       [](bench &Bench) { return runFailover(Bench, fault_kind::Cut); }},
+      {"kill", false, true,
+       [](bench &Bench) { return runFailover(Bench, fault_kind::Kill); }}};
+  return All;
+}
+
+fleet::fleet_plan planOf(const deployment &Deployment, const policy &Policy) {
+  constexpr std::size_t DatabasesAService = 3;
+  constexpr unsigned SessionMaxAgeMs = 5000;
+  fleet::fleet_plan Plan;
+  for (const std::string &Service : Deployment.Services) {
+    fleet::group_plan Group;
+    Group.Name = Service + "-db";
+    Group.Service = Service;
+    Group.SessionMaxAgeMs = SessionMaxAgeMs;
+    for (std::size_t Number = 0; Number < DatabasesAService; ++Number)
+      Group.Zones.push_back(zoneOf(Deployment, Number));
+    Plan.Groups.push_back(std::move(Group));
+  }
+  for (std::size_t Number = 0; Number < Deployment.Instances; ++Number)
+    Plan.Instances.push_back(
+        {"i" + std::to_string(Number + 1), zoneOf(Deployment, Number)});
+  auto Customers = customersOf(Deployment, 0);
+  Customers.push_back(probeCustomer());
+  for (const customer_load &Customer : Customers)
+    Plan.Customers.push_back(
+        {Customer.Name, Customer.Key, Customer.Rate, Customer.Burst});
+  Plan.Endpoints.Slots = Deployment.Slots;
+  Plan.Endpoints.Connections = Deployment.Connections;
+  Plan.MoreSettings = "[log]\nlevel = warning\n" + Policy.Settings;
+  return Plan;
+}
+
+fleet_port portOf(fleet::running_fleet &Fleet) {
+  fleet_port Port;
+  for (const auto &Instance : Fleet.instances()) {
+    Port.Callers.push_back(Instance->Callers);
+    Port.Operators.push_back(Instance->Operators);
+    Port.Instances.push_back(Instance->Process->pid());
+  }
+  for (const auto &Endpoint : Fleet.endpoints()) {
+    const std::string Service =
+        Endpoint->Group.substr(0, Endpoint->Group.rfind("-db"));
+    Port.Databases.push_back({Endpoint->Name, Service, Endpoint->Address});
+  }
+  Port.Kill = [&Fleet](const std::string &Database) {
+    Fleet.endpoint(Database).Process->signal(SIGKILL);
+  };
+  return Port;
+}
+
+/// Runs \p Task to its end on \p Context.
+template <typename Value>
+Value runTask(boost::asio::io_context &Context, base::task<Value> Task) {
+  auto Future =
+      boost::asio::co_spawn(Context, std::move(Task), boost::asio::use_future);
+  Context.restart();
+  Context.run();
+  return Future.get();
+}
+
+void restartKilled(fleet::running_fleet &Fleet) {
+  for (const auto &Endpoint : Fleet.endpoints())
+    if (!Endpoint->Process->running())
+      Fleet.restartEndpoint(Endpoint->Name);
+}
+
+/// Runs the measurements and keeps what came of them.
+class measurement {
+public:
+  explicit measurement(measure_options Options)
+      : Options(std::move(Options)), Start(base::now()) {}
+
+  void runAll() {
+    for (const policy &Policy : policies())
+      for (const deployment &Deployment : deployments())
+        if (wanted(Deployment, Policy))
+          tryFleet(Deployment, Policy);
+  }
+
+  bool isRight() const { return NotRun.empty() && !hasViolation(); }
+
+  figures Figures;
+  /// Scenarios that did not run, with the cause.
+  std::vector<std::string> NotRun;
+
+private:
+  bool wanted(const deployment &Deployment, const policy &Policy) const {
+    // The short form compares the baselines at one deployment's size only.
+    const bool Skipped = Options.Short && Policy.Baseline &&
+                         Deployment.Name != deployments().front().Name;
+    return !Skipped &&
+           (Options.Deployment.empty() ||
+            Options.Deployment == Deployment.Name) &&
+           (Options.Policy.empty() || Options.Policy == Policy.Name);
+  }
+
+  bool wanted(const scenario_row &Scenario, const policy &Policy) const {
+    if (!Options.Scenario.empty())
+      return Options.Scenario == Scenario.Name;
+    return (!Policy.Baseline || Scenario.ForBaselines) &&
+           (!Options.Short || Scenario.InShort);
+  }
+
+  bool isLate() const {
+    constexpr std::chrono::seconds ShortLimit{72};
+    return Options.Short && base::now() - Start > ShortLimit;
+  }
+
+  void tryFleet(const deployment &Deployment, const policy &Policy) {
+    const std::string Name = Deployment.Name + ", " + Policy.Name;
+    if (isLate()) {
+      NotRun.push_back(Name + ": no time left in the short form");
+      return;
+    }
+    try {
+      std::cerr << "measure: " << Name << "\n";
+      fleet::running_fleet Fleet(planOf(Deployment, Policy));
+      Fleet.start();
+      runScenarios(Fleet, Deployment, Policy);
+    } catch (const std::exception &Error) {
+      NotRun.push_back(Name + ": " + Error.what());
+    }
+  }
+
+  void runScenarios(fleet::running_fleet &Fleet, const deployment &Deployment,
+                    const policy &Policy) {
+    boost::asio::io_context Context;
+    const fleet_port Port = portOf(Fleet);
+    bench Bench{
+        Context.get_executor(), Deployment, Port, Figures, Policy.Name, 1,
+        Options.Duration};
+    if (!runTask(Context, prepareFleet(Bench)))
+      throw std::runtime_error("the fleet does not take writes");
+    if (Options.Connections > 0)
+      runTask(Context, runConnections(Bench, Options.Connections));
+    for (; Bench.Repetition <= Options.Repetitions; ++Bench.Repetition)
+      for (const scenario_row &Scenario : scenarios())
+        if (wanted(Scenario, Policy))
+          runScenario(Context, Fleet, Bench, Scenario);
+  }
+
+  void runScenario(boost::asio::io_context &Context,
+                   fleet::running_fleet &Fleet, bench &Bench,
+                   const scenario_row &Scenario) {
+    const std::string Name = Bench.Deployment.Name + ", " + Bench.Policy +
+                             ", " + std::string(Scenario.Name);
+    if (isLate()) {
+      NotRun.push_back(Name + ": no time left in the short form");
+      return;
+    }
+    std::cerr << "measure: " << Name << "\n";
+    runTask(Context, Scenario.Run(Bench));
+    restartKilled(Fleet);
+  }
+
+  bool hasViolation() const {
+    return std::ranges::any_of(Figures, [](const auto &Entry) {
+      const std::string &Measure = Entry.first.Measure;
+      return (Measure == "violations" || Measure == "sessions not checked") &&
+             spreadOf(Entry.second).Greatest > 0;
+    });
+  }
+
+  measure_options Options;
+  base::instant Start;
+};
+
+options::options_description describeOptions() {
+  options::options_description Description("measure");
+  auto Add = Description.add_options();
+  Add("help", "shows this text");
+  Add("short", "ends within 90 s: one repetition, short runs");
+  Add("json", "prints JSON instead of the table");
+  Add("deployment", options::value<std::string>()->default_value(""),
+      "dulciuri or aterro only");
+  Add("policy", options::value<std::string>()->default_value(""),
+      "redwinggw, reads=primary, rate=static or queue=fifo only");
+  Add("scenario", options::value<std::string>()->default_value(""),
+      "idle, load, skewed, probes, pause, cut or kill only");
+  Add("repetitions", options::value<std::uint64_t>()->default_value(3),
+      "times that each scenario runs");
+  Add("seconds", options::value<double>()->default_value(10),
+      "length of one load run");
+  Add("connections", options::value<std::size_t>()->default_value(0),
+      "also measures one instance with so many caller connections");
+  Add("out", options::value<std::string>()->default_value("out"),
+      "folder of the report");
+  return Description;
+}
+
+measure_options optionsOf(const options::variables_map &Values) {
+  constexpr double ShortSeconds = 3;
+  measure_options Options;
+  Options.Short = Values.contains("short");
+  Options.Json = Values.contains("json");
+  Options.Deployment = Values["deployment"].as<std::string>();
+  Options.Policy = Values["policy"].as<std::string>();
+  Options.Scenario = Values["scenario"].as<std::string>();
+  Options.Out = Values["out"].as<std::string>();
+  Options.Connections = Values["connections"].as<std::size_t>();
+  Options.Repetitions =
+      Options.Short ? 1 : Values["repetitions"].as<std::uint64_t>();
+  const double Seconds =
+      Options.Short ? ShortSeconds : Values["seconds"].as<double>();
+  Options.Duration = std::chrono::duration_cast<base::microseconds>(
+      std::chrono::duration<double>(Seconds));
+  return Options;
+}
+
+void print(const measurement &Measurement, const measure_options &Options) {
+  if (!Options.Json) {
+    std::cout << toTable(Measurement.Figures);
+    for (const std::string &Line : Measurement.NotRun)
+      std::cout << "not run: " << Line << "\n";
+    return;
+  }
+  json::value Value = toJson(Measurement.Figures);
+  Value.as_object()["not_run"] = json::value_from(Measurement.NotRun);
+  std::cout << json::serialize(Value) << "\n";
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  constexpr int ExitBadOptions = 2;
+  const auto Description = describeOptions();
+  options::variables_map Values;
+  try {
+    options::store(options::parse_command_line(Count, Arguments, Description),
+                   Values);
+  } catch (const std::exception &Error) {
+    std::cerr << Error.what() << "\n" << Description;
+    return ExitBadOptions;
+  }
+  if (Values.contains("help")) {
+    std::cout << Description;
+    return 0;
+  }
+  const measure_options Options = optionsOf(Values);
+  measurement Measurement(Options);
+  Measurement.runAll();
+  print(Measurement, Options);
+  std::ofstream(Options.Out + "/measure.html") << toHtml(Measurement.Figures);
+  return Measurement.isRight() ? 0 : 1;
+}
