--- a/tests/load/cost_scenarios.cpp
+++ b/tests/load/cost_scenarios.cpp
@@ -167,6 +167,7 @@
 base::task<void> runIdle(bench &Bench) {
   recorder Recorder{Bench, "idle", {}};
   std::vector<running_cost> Before;
+  Before.reserve(Bench.Fleet.Instances.size());
   for (std::size_t Place = 0; Place < Bench.Fleet.Instances.size(); ++Place)
     Before.push_back(co_await costNow(Bench, Place));
   co_await pause(Bench.Executor, Bench.Duration);
