Share rate and burst over the fleet by expiring grants

A customer's rate and burst are a bound over all instances, and requests inside them must not be refused wherever they arrive.

- Customers are hashed into partitions; each has a lease in the table service, whose holder keeps a bucket per customer and grants tokens that lapse a Ttl after the request was sent.
- Ruled out: to lower the bucket's burst by rate x Ttl.
Instead a grant counts as outstanding until it is dead, and the bucket fills only while tokens and outstanding grants are below the burst: the whole burst stays usable.
- The holder of a lease goes on past its end while a majority is heard and nobody knows of a later answer of the store; a taker makes a majority know first.

The shell share_service has no test of its own yet.

--- /dev/null
+++ b/packages/control/include/redwinggw/control/share_giver.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "redwinggw/base/ids.hpp"
+#include "redwinggw/base/time.hpp"
+#include "redwinggw/control/share_bucket.hpp"
+#include "redwinggw/control/share_lease.hpp"
+#include "redwinggw/wire/message.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string_view>
+#include <vector>
+
+/// The budgets of the customers whose partitions this instance holds.
+namespace redwinggw::control {
+
+using share_plans = std::map<base::customer_name, share_plan, std::less<>>;
+
+/// Not thread safe.
+struct share_giver {
+  share_limits Limits;
+  std::uint16_t Partitions = 1;
+  std::map<base::customer_name, share_bucket, std::less<>> Buckets;
+  /// Tokens given since the start.
+  double Given = 0;
+};
+
+/// The partition of \p Customer; the same in all instances.
+std::uint16_t partitionOf(std::string_view Customer, std::uint16_t Partitions);
+
+/// Begins to give for \p Partition. Buckets start from \p Start, which the
+/// former giver left; without a level they are empty, since what a giver that
+/// died had given is not known: all its grants are dead by now, and what it
+/// could still have given until now is more than an empty bucket.
+void startPartition(share_giver &Giver, const share_plans &Plans,
+                    std::uint16_t Partition,
+                    const std::vector<saved_level> &Start, base::instant Now);
+
+/// Forgets the buckets of \p Partition.
+void dropPartition(share_giver &Giver, std::uint16_t Partition);
+
+/// What the buckets of \p Partition hold, for the next giver.
+std::vector<saved_level> levelsOf(share_giver &Giver, std::uint16_t Partition,
+                                  base::instant Now);
+
+/// Changes rates and bursts. \p Holds tells which partitions are held here.
+void applyGiverPlans(share_giver &Giver, const share_plans &Plans,
+                     const std::function<bool(std::uint16_t)> &Holds,
+                     base::instant Now);
+
+/// Answers a request. Precondition: the lease of its partition allows it now.
+wire::share_message grant(share_giver &Giver,
+                          const wire::share_message &Request,
+                          base::instant Now);
+
+/// An answer of \p Kind to \p Request, without entries.
+wire::share_message answerTo(const wire::share_message &Request,
+                             wire::share_kind Kind);
+
+} // namespace redwinggw::control
--- /dev/null
+++ b/packages/control/include/redwinggw/control/share_node.hpp
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "redwinggw/control/configuration.hpp"
+#include "redwinggw/control/membership.hpp"
+#include "redwinggw/control/share_giver.hpp"
+#include "redwinggw/control/share_holder.hpp"
+#include "redwinggw/control/share_lease.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// All decisions on shares in one instance: holder, giver and leases together.
+/// share_service.hpp is the shell.
+namespace redwinggw::control {
+
+struct share_settings {
+  std::uint16_t Partitions = 16;
+  share_limits Shares;
+  holder_limits Holder;
+  lease_limits Lease;
+  base::microseconds ReadEvery{500'000};
+};
+
+struct share_send {
+  base::instance_name To;
+  wire::share_message Message;
+};
+
+/// What the shell does next.
+struct share_actions {
+  std::vector<share_send> Sends;
+  std::vector<share_verdict> Verdicts;
+  /// Read all rows `share/` and hand them to onRows.
+  bool Read = false;
+  /// Commit this; then call onCommitAnswer.
+  std::optional<platform::commit_request> Commit;
+};
+
+/// Not thread safe.
+struct share_node {
+  share_settings Settings;
+  base::instance_name Self;
+  std::uint64_t Incarnation = 0;
+  bool Draining = false;
+  share_plans Plans;
+  share_holder Holder;
+  std::vector<share_lease> Leases;
+  share_giver Giver;
+  /// Who said to give a partition, and until when that is believed.
+  struct giver_hint {
+    base::instance_name Giver;
+    base::instant Until;
+  };
+  std::map<std::uint16_t, giver_hint> Hints;
+  /// Partitions in the commit under way, in its order.
+  std::vector<std::uint16_t> Committing;
+  std::uint64_t LastId = 0;
+  bool Reading = false;
+  base::instant NextReadAt;
+};
+
+share_node makeShareNode(const base::instance_name &Self,
+                         std::uint64_t Incarnation, share_settings Settings);
+
+/// The rates and bursts in force.
+void applyPlans(share_node &Node, const std::vector<customer> &Customers,
+                base::instant Now);
+
+/// The instance that should give \p Partition, by rendezvous hashing over the
+/// live instances that see the store, or over all live ones when none does.
+base::instance_name preferredGiver(const share_node &Node,
+                                   const membership &Membership,
+                                   std::uint16_t Partition, base::instant Now);
+
+/// Leases, asking ahead, and requests whose time is over. Call every few
+/// milliseconds while requests wait, else each 50 ms.
+share_actions onShareTick(share_node &Node, const membership &Membership,
+                          base::instant Now);
+
+/// The requests due for tokens only; call after waitForToken.
+share_actions askForTokens(share_node &Node, const membership &Membership,
+                           base::instant Now);
+
+/// Takes in a share message from \p From.
+share_actions onShareMessage(share_node &Node, const membership &Membership,
+                             const base::instance_name &From,
+                             const wire::share_message &Message,
+                             base::instant Now);
+
+/// The rows read, or nothing when the store did not answer.
+void onRows(share_node &Node,
+            const std::optional<std::vector<platform::row>> &Rows,
+            base::instant Now);
+
+/// The versions that a commit gave, or nothing when it failed.
+void onCommitAnswer(share_node &Node,
+                    const std::optional<std::vector<std::uint64_t>> &Versions,
+                    base::instant Now);
+
+} // namespace redwinggw::control
--- /dev/null
+++ b/packages/control/src/share_giver.cpp
@@ -0,0 +1,130 @@
+#include "redwinggw/control/share_giver.hpp"
+
+#include <algorithm>
+
+namespace redwinggw::control {
+namespace {
+
+using base::instant;
+
+share_bucket emptyBucket(const share_plan &Plan, instant Now) {
+  share_bucket Bucket;
+  Bucket.Plan = Plan;
+  Bucket.FilledAt = Now;
+  return Bucket;
+}
+
+/// The bucket of a customer that is new while its lease is held here. It may
+/// have been removed and added again, with grants still alive, so the whole
+/// burst counts as outstanding at first.
+share_bucket newBucket(const share_giver &Giver, const share_plan &Plan,
+                       instant Now) {
+  share_bucket Bucket = emptyBucket(Plan, Now);
+  Bucket.Outstanding.push_back({Now + Giver.Limits.MaxTtl, Plan.Burst});
+  return Bucket;
+}
+
+share_bucket bucketFrom(const share_giver &Giver, const saved_level &Level,
+                        const share_plan &Plan, instant Now) {
+  share_bucket Bucket = emptyBucket(Plan, Now);
+  Bucket.Tokens = Level.Tokens;
+  if (Level.Outstanding > 0)
+    Bucket.Outstanding.push_back(
+        {Now + Giver.Limits.MaxTtl, Level.Outstanding});
+  setPlan(Bucket, Plan, Now, Giver.Limits);
+  return Bucket;
+}
+
+wire::share_entry giveEntry(share_giver &Giver, share_bucket &Bucket,
+                            const wire::share_entry &Wanted, instant Now) {
+  wire::share_entry Entry;
+  Entry.Customer = Wanted.Customer;
+  Entry.Tokens =
+      static_cast<float>(give(Bucket, Wanted.Tokens, Now, Giver.Limits));
+  Entry.TtlUs = static_cast<std::uint32_t>(Bucket.Plan.Ttl.count());
+  if (Entry.Tokens < Wanted.Tokens)
+    Entry.WaitUs = static_cast<std::uint32_t>(
+        std::max<std::int64_t>(1, timeToToken(Bucket, Now).count()));
+  Giver.Given += Entry.Tokens;
+  return Entry;
+}
+
+} // namespace
+
+std::uint16_t partitionOf(std::string_view Customer, std::uint16_t Partitions) {
+  return static_cast<std::uint16_t>(wire::hashOf(Customer) % Partitions);
+}
+
+void startPartition(share_giver &Giver, const share_plans &Plans,
+                    std::uint16_t Partition,
+                    const std::vector<saved_level> &Start, instant Now) {
+  dropPartition(Giver, Partition);
+  for (const auto &[Customer, Plan] : Plans) {
+    if (partitionOf(Customer, Giver.Partitions) != Partition)
+      continue;
+    const auto Level =
+        std::ranges::find(Start, Customer, &saved_level::Customer);
+    Giver.Buckets[Customer] = Level == Start.end()
+                                  ? emptyBucket(Plan, Now)
+                                  : bucketFrom(Giver, *Level, Plan, Now);
+  }
+}
+
+void dropPartition(share_giver &Giver, std::uint16_t Partition) {
+  std::erase_if(Giver.Buckets, [&](const auto &Entry) {
+    return partitionOf(Entry.first, Giver.Partitions) == Partition;
+  });
+}
+
+std::vector<saved_level> levelsOf(share_giver &Giver, std::uint16_t Partition,
+                                  instant Now) {
+  std::vector<saved_level> Levels;
+  for (auto &[Customer, Bucket] : Giver.Buckets) {
+    if (partitionOf(Customer, Giver.Partitions) != Partition)
+      continue;
+    advance(Bucket, Now, Giver.Limits);
+    Levels.push_back({Customer, Bucket.Tokens, outstandingTokens(Bucket)});
+  }
+  return Levels;
+}
+
+void applyGiverPlans(share_giver &Giver, const share_plans &Plans,
+                     const std::function<bool(std::uint16_t)> &Holds,
+                     instant Now) {
+  std::erase_if(Giver.Buckets, [&](const auto &Entry) {
+    return !Plans.contains(Entry.first);
+  });
+  for (const auto &[Customer, Plan] : Plans) {
+    const auto Found = Giver.Buckets.find(Customer);
+    if (Found != Giver.Buckets.end())
+      setPlan(Found->second, Plan, Now, Giver.Limits);
+    else if (Holds(partitionOf(Customer, Giver.Partitions)))
+      Giver.Buckets[Customer] = newBucket(Giver, Plan, Now);
+  }
+}
+
+wire::share_message grant(share_giver &Giver,
+                          const wire::share_message &Request, instant Now) {
+  wire::share_message Answer = answerTo(Request, wire::share_kind::Grant);
+  for (const wire::share_entry &Wanted : Request.Entries) {
+    const auto Found = Giver.Buckets.find(Wanted.Customer);
+    const bool Here =
+        Found != Giver.Buckets.end() &&
+        partitionOf(Wanted.Customer, Giver.Partitions) == Request.Partition;
+    if (Here)
+      Answer.Entries.push_back(giveEntry(Giver, Found->second, Wanted, Now));
+  }
+  return Answer;
+}
+
+wire::share_message answerTo(const wire::share_message &Request,
+                             wire::share_kind Kind) {
+  wire::share_message Answer;
+  Answer.Kind = Kind;
+  Answer.Partition = Request.Partition;
+  Answer.Incarnation = Request.Incarnation;
+  Answer.Number = Request.Number;
+  return Answer;
+}
+
+} // namespace redwinggw::control
--- /dev/null
+++ b/packages/control/src/share_holder.cpp
@@ -0,0 +1,234 @@
+#include "redwinggw/control/share_holder.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <iterator>
+#include <numeric>
+
+namespace redwinggw::control {
+namespace {
+
+using base::instant;
+using base::microseconds;
+
+/// After "none yet" never ask again sooner.
+constexpr microseconds MinAskInterval{2'000};
+constexpr double MicrosecondsPerSecond = 1e6;
+/// Customers with less demand than this are passed over, so that thousands of
+/// idle ones cost little.
+constexpr double LeastDemand = 0.01;
+
+double inSeconds(microseconds Time) {
+  return static_cast<double>(Time.count()) / MicrosecondsPerSecond;
+}
+
+void dropLapsed(share_holder &Holder, share_account &Account, instant Now) {
+  if (!Holder.Shares.HeedExpiry)
+    return;
+  std::erase_if(Account.Held, [&](const held_tokens &Held) {
+    const bool Lapsed = Held.Until <= Now;
+    Holder.Counters.Lapsed += Lapsed ? Held.Count : 0;
+    return Lapsed;
+  });
+}
+
+/// Spends a token that has not lapsed; the one that lapses first.
+bool spend(share_holder &Holder, share_account &Account, instant Now) {
+  dropLapsed(Holder, Account, Now);
+  const auto First =
+      std::ranges::min_element(Account.Held, {}, &held_tokens::Until);
+  if (First == Account.Held.end())
+    return false;
+  First->Count -= 1;
+  if (First->Count < 1)
+    Account.Held.erase(First);
+  ++Holder.Counters.Spent;
+  return true;
+}
+
+double heldTokens(const share_account &Account) {
+  return std::accumulate(
+      Account.Held.begin(), Account.Held.end(), 0.0,
+      [](double Sum, const held_tokens &Held) { return Sum + Held.Count; });
+}
+
+void decayDemand(const share_holder &Holder, share_account &Account,
+                 instant Now) {
+  const double Windows =
+      inSeconds(Now - Account.DemandAt) / inSeconds(Holder.Limits.DemandWindow);
+  Account.Demand *= std::exp(-Windows);
+  Account.DemandAt = Now;
+}
+
+/// Tokens to ask for: for those who wait, and for the demand expected until
+/// an answer to a later request can be here. Less than a whole expected
+/// request is not asked for: it would mostly lapse.
+double wantedTokens(share_holder &Holder, share_account &Account, instant Now) {
+  const bool Idle = Account.Waiters.empty() && Account.Held.empty() &&
+                    Account.Demand < LeastDemand;
+  if (Idle || Now < Account.NextAskAt)
+    return 0;
+  dropLapsed(Holder, Account, Now);
+  decayDemand(Holder, Account, Now);
+  const double Expected =
+      std::floor(Account.Demand * inSeconds(Holder.Limits.Horizon) /
+                 inSeconds(Holder.Limits.DemandWindow));
+  const auto Waiting = static_cast<double>(Account.Waiters.size());
+  const double Held = heldTokens(Account);
+  const bool Low = Held < Expected / 2;
+  if (Waiting == 0 && !Low)
+    return 0;
+  return Waiting + std::max(0.0, Expected - Held);
+}
+
+bool isAsked(const share_holder &Holder, std::uint16_t Partition, instant Now) {
+  return std::ranges::any_of(
+      Holder.Requests, [&](const share_request &Request) {
+        return Request.Partition == Partition &&
+               Now - Request.SentAt < Holder.Limits.ResendAfter;
+      });
+}
+
+std::vector<share_verdict> serveWaiters(share_holder &Holder,
+                                        share_account &Account, instant Now) {
+  std::vector<share_verdict> Verdicts;
+  while (!Account.Waiters.empty() && spend(Holder, Account, Now)) {
+    Verdicts.push_back({Account.Waiters.front().Ticket, true, false, {}});
+    Account.Waiters.pop_front();
+  }
+  return Verdicts;
+}
+
+void noteNothingLeft(share_account &Account, microseconds Wait, instant Now) {
+  Account.NextAskAt = Now + std::max(Wait, MinAskInterval);
+  std::ranges::for_each(Account.Waiters, [&](share_waiter &Waiter) {
+    Waiter.RefusedAt = Waiter.RefusedAt.value_or(Now);
+  });
+}
+
+/// Those who cannot get a token within the patience at the full rate are
+/// refused at once: a flood must not wait in memory.
+bool isTooFarBack(const share_holder &Holder, const share_account &Account,
+                  std::size_t Index) {
+  const double Patience = inSeconds(Holder.Limits.Patience);
+  return static_cast<double>(Index) > Account.Plan.Rate * Patience + 1;
+}
+
+bool isOver(const share_holder &Holder, const share_account &Account,
+            const share_waiter &Waiter, std::size_t Index, instant Now) {
+  if (Waiter.Deadline <= Now)
+    return true;
+  if (!Waiter.RefusedAt)
+    return false;
+  return isTooFarBack(Holder, Account, Index) ||
+         Now - *Waiter.RefusedAt >= Holder.Limits.Patience;
+}
+
+} // namespace
+
+bool takeToken(share_holder &Holder, std::string_view Customer, instant Now) {
+  const auto Found = Holder.Accounts.find(Customer);
+  if (Found == Holder.Accounts.end())
+    return false;
+  share_account &Account = Found->second;
+  decayDemand(Holder, Account, Now);
+  if (!Account.Waiters.empty() || !spend(Holder, Account, Now))
+    return false;
+  Account.Demand += 1;
+  return true;
+}
+
+std::uint64_t waitForToken(share_holder &Holder, std::string_view Customer,
+                           instant Now, instant Deadline) {
+  share_account &Account = Holder.Accounts.find(Customer)->second;
+  decayDemand(Holder, Account, Now);
+  Account.Demand += 1;
+  share_waiter &Waiter = Account.Waiters.emplace_back();
+  Waiter.Ticket = ++Holder.LastTicket;
+  Waiter.Deadline = Deadline;
+  return Waiter.Ticket;
+}
+
+std::vector<wire::share_message> dueRequests(share_holder &Holder,
+                                             instant Now) {
+  std::map<std::uint16_t, wire::share_message> ByPartition;
+  for (auto &[Name, Account] : Holder.Accounts) {
+    if (isAsked(Holder, Account.Partition, Now))
+      continue;
+    const double Wanted = wantedTokens(Holder, Account, Now);
+    if (Wanted < 1)
+      continue;
+    wire::share_entry Entry;
+    Entry.Customer = Name;
+    Entry.Tokens = static_cast<float>(Wanted);
+    ByPartition[Account.Partition].Entries.push_back(std::move(Entry));
+  }
+  std::vector<wire::share_message> Messages;
+  for (auto &[Partition, Message] : ByPartition) {
+    Message.Partition = Partition;
+    Message.Number = ++Holder.LastNumber;
+    Holder.Requests.push_back({Message.Number, Partition, Now});
+    Messages.push_back(std::move(Message));
+  }
+  return Messages;
+}
+
+std::vector<share_verdict>
+onGrant(share_holder &Holder, const wire::share_message &Grant, instant Now) {
+  const auto Request =
+      std::ranges::find(Holder.Requests, Grant.Number, &share_request::Number);
+  const bool Asked = Request != Holder.Requests.end();
+  if (!Asked && Holder.Shares.MatchNumbers) {
+    ++Holder.Counters.UnaskedGrants;
+    return {};
+  }
+  const instant SentAt = Asked ? Request->SentAt : Now;
+  if (Asked)
+    Holder.Requests.erase(Request);
+  std::vector<share_verdict> Verdicts;
+  for (const wire::share_entry &Entry : Grant.Entries) {
+    const auto Found = Holder.Accounts.find(Entry.Customer);
+    if (Found == Holder.Accounts.end())
+      continue;
+    share_account &Account = Found->second;
+    if (Entry.Tokens >= 1)
+      Account.Held.push_back({SentAt + microseconds(Entry.TtlUs),
+                              static_cast<double>(Entry.Tokens)});
+    std::ranges::move(serveWaiters(Holder, Account, Now),
+                      std::back_inserter(Verdicts));
+    if (Entry.WaitUs > 0)
+      noteNothingLeft(Account, microseconds(Entry.WaitUs), Now);
+  }
+  return Verdicts;
+}
+
+bool dropRequest(share_holder &Holder, const wire::share_message &Answer) {
+  return std::erase_if(Holder.Requests, [&](const share_request &Request) {
+           return Request.Number == Answer.Number;
+         }) > 0;
+}
+
+std::vector<share_verdict> dueVerdicts(share_holder &Holder, instant Now) {
+  // An answer that comes later than the longest Ttl brings dead tokens only.
+  std::erase_if(Holder.Requests, [&](const share_request &Request) {
+    return Now - Request.SentAt > Holder.Shares.MaxTtl;
+  });
+  std::vector<share_verdict> Verdicts;
+  for (auto &[Name, Account] : Holder.Accounts) {
+    std::size_t Index = 0;
+    std::erase_if(Account.Waiters, [&](const share_waiter &Waiter) {
+      if (!isOver(Holder, Account, Waiter, Index++, Now))
+        return false;
+      const bool Unanswered = !Waiter.RefusedAt;
+      const auto Wait =
+          std::max<microseconds>(Account.NextAskAt - Now, MinAskInterval);
+      Verdicts.push_back({Waiter.Ticket, false, Unanswered, Wait});
+      ++Holder.Counters.Refused;
+      Holder.Counters.RefusedUnanswered += Unanswered ? 1 : 0;
+      return true;
+    });
+  }
+  return Verdicts;
+}
+
+} // namespace redwinggw::control
--- /dev/null
+++ b/packages/control/src/share_lease.cpp
@@ -0,0 +1,224 @@
+#include "redwinggw/control/share_lease.hpp"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace redwinggw::control {
+namespace {
+
+namespace json = boost::json;
+using base::instant;
+using base::microseconds;
+
+/// Commits that are remembered for reading back.
+constexpr std::size_t MaxTried = 16;
+
+json::value toJson(const saved_level &Level) {
+  return {{"customer", Level.Customer},
+          {"tokens", Level.Tokens},
+          {"outstanding", Level.Outstanding}};
+}
+
+saved_level levelOf(const json::value &Value) {
+  return {std::string(Value.at("customer").as_string()),
+          Value.at("tokens").to_number<double>(),
+          Value.at("outstanding").to_number<double>()};
+}
+
+lease_change holdNothing(share_lease &Lease) {
+  const bool Held = std::exchange(Lease.Holding, false);
+  return Held ? lease_change::Lost : lease_change::None;
+}
+
+/// The row in the store is the one of \p Commit.
+lease_change adopt(share_lease &Lease, const lease_commit &Commit,
+                   const lease_limits &Limits, instant Now) {
+  if (Commit.Row.Released) {
+    Lease.Releasing.reset();
+    return holdNothing(Lease);
+  }
+  if (Lease.Releasing)
+    return lease_change::None;
+  const bool Held = std::exchange(Lease.Holding, true);
+  Lease.Start = Commit.Start;
+  const instant From = Limits.CountFromSending ? Commit.SentAt : Now;
+  Lease.ValidUntil = From + Limits.Length;
+  return Held ? lease_change::None : lease_change::Taken;
+}
+
+void observe(share_lease &Lease, std::uint64_t Version, lease_row Row,
+             instant Now) {
+  Lease.Known = true;
+  Lease.Version = Version;
+  Lease.Row = std::move(Row);
+  Lease.ObservedAt = Now;
+  Lease.TakeAt.reset();
+}
+
+/// Whether the holder's time is over for sure; see the head of the header.
+bool mayTake(share_lease &Lease, const membership &Membership,
+             const lease_limits &Limits, instant Now) {
+  if (Lease.Version == 0 || Lease.Row.Released || !Limits.TakerWaits)
+    return true;
+  const instant Ended = Lease.ObservedAt + Limits.Length + Limits.Margin;
+  if (Now < Ended)
+    return false;
+  // Twice DirectLimit: the holder's list may lag behind ours.
+  const bool MayBeExtended =
+      Membership.Members.size() <= 2 * Membership.Limits.DirectLimit;
+  if (!Lease.TakeAt &&
+      (!MayBeExtended || majorityKnowsContact(Membership, Ended)))
+    Lease.TakeAt =
+        Now +
+        (MayBeExtended ? Membership.Limits.HearBound : base::milliseconds(0)) +
+        Limits.Ttl + Limits.Margin;
+  return Lease.TakeAt && Now >= *Lease.TakeAt;
+}
+
+bool isRenewalDue(const share_lease &Lease, const lease_limits &Limits,
+                  instant Now) {
+  const instant RenewedAt = Lease.ValidUntil - Limits.Length;
+  return Now - RenewedAt >= Limits.RenewEvery;
+}
+
+} // namespace
+
+std::string toText(const lease_row &Row) {
+  json::array Levels;
+  std::ranges::transform(Row.Levels, std::back_inserter(Levels), toJson);
+  return json::serialize(json::object{{"holder", Row.Holder},
+                                      {"id", Row.Id},
+                                      {"released", Row.Released},
+                                      {"levels", std::move(Levels)}});
+}
+
+std::optional<lease_row> parseLeaseRow(std::string_view Text) {
+  try {
+    const json::value Value = json::parse(Text);
+    lease_row Row;
+    Row.Holder = Value.at("holder").as_string();
+    Row.Id = Value.at("id").as_string();
+    Row.Released = Value.at("released").as_bool();
+    std::ranges::transform(Value.at("levels").as_array(),
+                           std::back_inserter(Row.Levels), levelOf);
+    return Row;
+  } catch (const std::exception &) {
+    return std::nullopt;
+  }
+}
+
+std::string leaseKey(std::uint16_t Partition) {
+  return "share/" + std::to_string(Partition);
+}
+
+void setPreferred(share_lease &Lease, const base::instance_name &Preferred,
+                  instant Now) {
+  if (Lease.Preferred == Preferred)
+    return;
+  Lease.Preferred = Preferred;
+  Lease.PreferredSince = Now;
+}
+
+bool shouldMove(const share_lease &Lease, const base::instance_name &Self,
+                const lease_limits &Limits, instant Now) {
+  return Lease.Preferred != Self &&
+         Now - Lease.PreferredSince >= Limits.MoveAfter;
+}
+
+void release(share_lease &Lease, std::vector<saved_level> Levels) {
+  Lease.Holding = false;
+  Lease.Releasing = std::move(Levels);
+}
+
+std::optional<lease_row> dueCommit(share_lease &Lease,
+                                   const membership &Membership,
+                                   const lease_limits &Limits, bool Draining,
+                                   std::string Id, instant Now) {
+  const base::instance_name &Self = Membership.Self.Name;
+  if (Lease.Pending || !Lease.Known || Now < Lease.RetryAt)
+    return std::nullopt;
+  lease_commit Commit;
+  Commit.Row.Holder = Self;
+  Commit.Row.Id = std::move(Id);
+  Commit.SentAt = Now;
+  if (Lease.Releasing) {
+    Commit.Row.Released = true;
+    Commit.Row.Levels = *Lease.Releasing;
+  } else if (Lease.Holding) {
+    if (!isRenewalDue(Lease, Limits, Now))
+      return std::nullopt;
+  } else {
+    if (Draining || Lease.Preferred != Self ||
+        !mayTake(Lease, Membership, Limits, Now))
+      return std::nullopt;
+    Commit.Takes = true;
+    Commit.Start = Lease.Row.Levels;
+  }
+  Lease.Pending = Commit;
+  return Commit.Row;
+}
+
+lease_change onCommitted(share_lease &Lease, std::uint64_t Version,
+                         const lease_limits &Limits, instant Now) {
+  const auto Commit = std::exchange(Lease.Pending, std::nullopt);
+  if (!Commit)
+    return lease_change::None;
+  observe(Lease, Version, Commit->Row, Now);
+  Lease.Tried.clear();
+  return adopt(Lease, *Commit, Limits, Now);
+}
+
+void onCommitFailed(share_lease &Lease, const lease_limits &Limits,
+                    instant Now) {
+  const auto Commit = std::exchange(Lease.Pending, std::nullopt);
+  if (!Commit)
+    return;
+  Lease.RetryAt = Now + Limits.RetryEvery;
+  Lease.Tried.push_back(*Commit);
+  if (Lease.Tried.size() > MaxTried)
+    Lease.Tried.erase(Lease.Tried.begin());
+}
+
+lease_change onRow(share_lease &Lease, const platform::row &Row,
+                   const lease_limits &Limits, instant Now) {
+  if (Lease.Known && Row.Version <= Lease.Version)
+    return lease_change::None;
+  observe(Lease, Row.Version, parseLeaseRow(Row.Value).value_or(lease_row{}),
+          Now);
+  // The read may have overtaken the answer to the commit under way.
+  std::vector<lease_commit> Ours = Lease.Tried;
+  if (Lease.Pending)
+    Ours.push_back(*Lease.Pending);
+  const auto Found = std::ranges::find(
+      Ours, Lease.Row.Id, [](const lease_commit &Each) { return Each.Row.Id; });
+  if (Found != Ours.end())
+    return adopt(Lease, *Found, Limits, Now);
+  Lease.Releasing.reset();
+  return holdNothing(Lease);
+}
+
+bool mayGive(const share_lease &Lease, const membership &Membership,
+             const lease_limits &Limits, instant Now) {
+  if (!Lease.Holding)
+    return false;
+  if (Now < Lease.ValidUntil || !Limits.HolderHeedsEnd)
+    return true;
+  const bool Majority =
+      !Limits.ExtensionNeedsMajority || hearsMajority(Membership, Now);
+  const auto Contact = Membership.Store.ContactAt;
+  const bool NoContact =
+      !Limits.ExtensionHeedsContact || !Contact || *Contact <= Lease.ValidUntil;
+  return Membership.Members.size() <= Membership.Limits.DirectLimit &&
+         Majority && NoContact;
+}
+
+bool needsRow(const share_lease &Lease, const base::instance_name &Self) {
+  if (!Lease.Known || !Lease.Tried.empty())
+    return true;
+  return !Lease.Holding && Lease.Preferred == Self;
+}
+
+} // namespace redwinggw::control
--- a/packages/wire/include/redwinggw/wire/message.hpp
+++ b/packages/wire/include/redwinggw/wire/message.hpp
@@ -80,7 +80,7 @@
 
 enum class share_kind : std::uint8_t {
   Request, ///< Tokens: wanted
-  Grant,   ///< Tokens: given; Wait: until more can be there
+  Grant,   ///< Tokens: given
   Moved,   ///< the receiver of the request gives no shares of this partition
 };
 
@@ -88,7 +88,7 @@
 struct share_entry {
   base::customer_name Customer;
   float Tokens = 0;
-  /// Microseconds until the tokens wanted will be there; 0 when given.
+  /// Microseconds until a token can be there; 0 when all wanted are given.
   std::uint32_t WaitUs = 0;
   /// Microseconds for which a grant counts, from the sending of the request.
   std::uint32_t TtlUs = 0;
@@ -101,6 +101,8 @@
   /// Incarnation of the requester and its unique number of this request.
   std::uint64_t Incarnation = 0;
   std::uint64_t Number = 0;
+  /// Moved: who gives them, if the sender knows.
+  base::instance_name Giver;
   std::vector<share_entry> Entries;
 };
 
--- a/packages/wire/src/message.cpp
+++ b/packages/wire/src/message.cpp
@@ -89,6 +89,7 @@
 template <typename Archive, typename Message>
 void transferShare(Archive &Ar, Message &Value) {
   Ar(Value.Kind, Value.Partition, Value.Incarnation, Value.Number);
+  transfer(Ar, Value.Giver);
   transferAll(Ar, Value.Entries, [&](auto &Item) {
     transfer(Ar, Item.Customer);
     Ar(Item.Tokens, Item.WaitUs, Item.TtlUs);
--- a/tests/wire/message_test.cpp
+++ b/tests/wire/message_test.cpp
@@ -49,13 +49,14 @@
 
 Test(message, a_share_message_comes_back_as_it_was_sent) {
   datagram Datagram = heartbeat();
-  share_message Message{share_kind::Grant, 3, 7, 99, {}};
+  share_message Message{share_kind::Grant, 3, 7, 99, "c", {}};
   Message.Entries.push_back({"sweets", 2.5F, 10, 20});
   Datagram.Body = Message;
   const auto Read = decode(Key, encode(Key, Datagram));
   cr_assert(Read.has_value());
   const auto &Back = std::get<share_message>(Read->Body);
-  cr_assert(Back.Kind == share_kind::Grant && Back.Number == 99);
+  cr_assert(Back.Kind == share_kind::Grant && Back.Number == 99 &&
+            Back.Giver == "c");
   cr_assert(Back.Entries.size() == 1 && Back.Entries[0].Customer == "sweets");
   cr_assert(Back.Entries[0].Tokens == 2.5F && Back.Entries[0].TtlUs == 20);
 }
