--- /dev/null
+++ b/tests/data/caller_message_test.cpp
@@ -0,0 +1,64 @@
+#include "redwinggw/data/caller_message.hpp"
+
+#include <boost/json.hpp>
+
+#include "criterion_test.hpp"
+
+using namespace redwinggw;
+using namespace redwinggw::data;
+
+namespace {
+
+constexpr caller_fields Statement{true, true, false, false};
+
+/// The detail of the refusal, empty when the body is accepted.
+std::string faultOf(const std::string &Body) {
+  const auto Request = parseCallerRequest(Body, Statement);
+  return Request ? "" : Request.error().Detail;
+}
+
+std::string bodyWithSql(const std::string &Sql) {
+  return boost::json::serialize(
+      boost::json::object{{"service", "orders"}, {"sql", Sql}});
+}
+
+} // namespace
+
+Test(caller_message, a_read_needs_a_service_and_a_statement) {
+  cr_assert(faultOf(R"({"service":"orders","sql":"select 1"})").empty());
+  cr_assert(faultOf(R"({"sql":"select 1"})").find("service") !=
+            std::string::npos);
+  cr_assert(faultOf("nonsense").find("JSON") != std::string::npos);
+  cr_assert(faultOf(R"({"service":"orders","sql":"select 1","deadline_ms":0})")
+                .find("deadline_ms") != std::string::npos);
+}
+
+Test(caller_message, a_write_must_name_its_request) {
+  const std::string Write =
+      R"({"service":"o","sql":"delete from t","access":"write")";
+  cr_assert(faultOf(Write + "}").find("request_id") != std::string::npos);
+  cr_assert(faultOf(Write + R"(,"request_id":"1","issued_at":1764700000000})")
+                .empty());
+}
+
+// A statement that ends the transaction would separate the effect from the
+// record that keeps it from running twice.
+Test(caller_message, transaction_control_hidden_in_a_statement_is_refused) {
+  for (const char *Sql :
+       {"commit", " COMMIT", "-- x\ncommit", "/* x */ ;rollback", "Begin",
+        "pragma query_only=0", "select * from REDWINGGW_request", "", " -- "})
+    cr_assert(!faultOf(bodyWithSql(Sql)).empty());
+  cr_assert(faultOf(bodyWithSql("select 'commit'")).empty());
+  cr_assert(faultOf(bodyWithSql("insert into beginnings values(1)")).empty());
+}
+
+Test(caller_message, a_refusal_says_whether_it_ran_and_when_to_come_back) {
+  using std::chrono::milliseconds;
+  const base::failure Failure(base::errc::OverRate, "", milliseconds(1200));
+  const http::response Response = toResponse(Failure);
+  cr_assert(Response.Status == 429);
+  cr_assert(Response.RetryAfter == 2);
+  const auto Body = boost::json::parse(Response.Body).as_object();
+  cr_assert(Body.at("outcome").as_string() == "not_run");
+  cr_assert(Body.at("retry_after_ms").as_int64() == 1200);
+}
