Add the fleet of real processes for tests and the demo

Tests of the whole path, the demo and the measurements all need stand-ins and instances as processes, with settings, secrets, a sheet and clean ends. redwinggw_fleet starts them on free loopback ports, asks over HTTP, sets faults, and compares what background callers were told with the rows kept.

--- /dev/null
+++ b/tests/support/background_writer.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "ask.hpp"
+#include "fleet.hpp"
+
+#include <atomic>
+#include <cstdint>
+#include <string>
+#include <thread>
+#include <vector>
+
+/// Callers that write all the time while a test breaks things.
+namespace redwinggw::fleet {
+
+/// What a caller was told in the end about the write that it marked.
+struct write_record {
+  std::int64_t Mark = 0;
+  std::string Outcome;
+};
+
+/// One caller on a thread of its own. Each write puts one row with a mark that
+/// no other write has into table bag, which has no key on it: a write that ran
+/// twice leaves two rows. A write that is not done is repeated, through the
+/// next instance, with the same request id.
+class background_writer {
+public:
+  /// Writes through \p Instances by turns with marks from \p FirstMark on.
+  background_writer(caller Caller, std::vector<http::address> Instances,
+                    std::int64_t FirstMark);
+  background_writer(const background_writer &) = delete;
+  background_writer &operator=(const background_writer &) = delete;
+  ~background_writer();
+
+  /// Number of writes acknowledged so far. Thread safe.
+  std::size_t done() const { return Done; }
+
+  /// Ends the thread and returns all records. Called once.
+  std::vector<write_record> stop();
+
+private:
+  void run();
+  std::string writeOnce(std::int64_t Mark);
+
+  caller Caller;
+  std::vector<http::address> Instances;
+  std::int64_t NextMark;
+  std::vector<write_record> Records;
+  std::atomic<std::size_t> Done{0};
+  std::atomic<bool> Stopping{false};
+  std::thread Thread;
+};
+
+/// Compares what callers were told with the rows of \p Endpoint. Returns a
+/// line for each lie: lost, doubled, or kept although "not run".
+std::vector<std::string> lies(running_fleet &Fleet, std::string_view Endpoint,
+                              const std::vector<write_record> &Records);
+
+} // namespace redwinggw::fleet
