Decide how configurations are accepted and come into force

One conditional commit puts the head row and the row of the new version; the row carries the submission's random id and the sheet's digest. Decisions are sans-I/O: planSubmission, resolveLostAnswer, the run of one submission, and applyVersion with keys that are being withdrawn kept out of force.

Ruled out: the digest alone to resolve a lost answer of a key change (two changes may be alike); the head row alone (it has moved on when two more changes were accepted). History is kept for 500 versions.

findKey searches an index by digest and compares the one match in constant time; without an index it compares with all keys as before. operator== of configuration leaves the index out, as it follows from the keys.

Without the store's condition the race test reports wrong ends; it keeps that as its own check.

--- /dev/null
+++ b/packages/control/include/redwinggw/control/config_rows.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "redwinggw/base/error.hpp"
+#include "redwinggw/control/configuration.hpp"
+#include "redwinggw/platform/store.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+/// The configuration as rows of the platform's table service: one head row
+/// that names the version in force, and one row a version with its sheet.
+namespace redwinggw::control {
+
+inline constexpr const char *HeadKey = "config/head";
+
+/// Versions whose sheets stay in the store. An older submission whose answer
+/// was lost can no longer be told apart.
+inline constexpr base::config_version HistoryKept = 500;
+
+/// "config/sheet/" and the version, so that scans sort by version.
+std::string sheetKey(base::config_version Version);
+
+/// The head row. Version 0: no sheet was accepted yet.
+struct config_head {
+  base::config_version Version = 0;
+  /// Id of the submission that made it.
+  std::string Submission;
+  /// Version of the table's row, for the condition of the next commit.
+  std::uint64_t RowVersion = 0;
+};
+
+/// One accepted sheet.
+struct accepted_sheet {
+  base::config_version Version = 0;
+  std::string Submission;
+  /// Digest of Text, which is as renderSheet writes it.
+  std::string Digest;
+  std::string Text;
+  /// Wall clock of acceptance in milliseconds, for people.
+  std::int64_t AcceptedAt = 0;
+};
+
+std::string encode(const config_head &Head);
+std::string encode(const accepted_sheet &Sheet);
+
+/// Both fail with errc::BadMessage when the value is not what encode writes,
+/// or when the text does not have its digest.
+base::result<config_head> headOf(const platform::row &Row);
+base::result<std::optional<accepted_sheet>> sheetOf(const platform::row &Row);
+
+/// The configuration that \p Sheet put in force; its version is that of the
+/// acceptance. Fails with errc::BadSheet.
+base::result<configuration> configurationOf(const accepted_sheet &Sheet);
+
+} // namespace redwinggw::control
--- a/packages/control/include/redwinggw/control/configuration.hpp
+++ b/packages/control/include/redwinggw/control/configuration.hpp
@@ -4,6 +4,7 @@
 #include "redwinggw/base/time.hpp"
 #include "redwinggw/http/address.hpp"
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -65,7 +66,8 @@
   friend bool operator==(const endpoint &, const endpoint &) = default;
 };
 
-/// Each list is sorted by its Name or Id, and each of these is unique.
+/// Each list is sorted by its Name or Id, and each of these is unique, but for
+/// reads: they are unique by name within their service.
 struct configuration {
   base::config_version Version = 0;
   std::vector<customer> Customers;
@@ -73,11 +75,22 @@
   std::vector<service> Services;
   std::vector<declared_read> Reads;
   std::vector<endpoint> Endpoints;
-
-  friend bool operator==(const configuration &,
-                         const configuration &) = default;
+  /// Places in Keys in the order of their digests; see indexKeys.
+  std::vector<std::uint32_t> KeysByDigest;
+
+  /// Compares what the sheet says; the index follows from it.
+  friend bool operator==(const configuration &Left,
+                         const configuration &Right) {
+    return Left.Version == Right.Version && Left.Customers == Right.Customers &&
+           Left.Keys == Right.Keys && Left.Services == Right.Services &&
+           Left.Reads == Right.Reads && Left.Endpoints == Right.Endpoints;
+  }
 };
 
+/// Builds KeysByDigest. To be called after each change of Keys; until then
+/// findKey may miss keys, but never finds one that is not in Keys.
+void indexKeys(configuration &Configuration);
+
 /// Look-ups by name; null when there is none. The pointer lives as long as
 /// \p Configuration is unchanged. Thread safe on a constant configuration.
 const customer *findCustomer(const configuration &Configuration,
@@ -87,8 +100,10 @@
 const declared_read *findRead(const configuration &Configuration,
                               std::string_view Service, std::string_view Name);
 
-/// The customer whose key \p Key is in force, null when there is none. Takes
-/// the same time for each key of the right length, known or not.
+/// The customer whose key \p Key is in force, null when there is none. Without
+/// an index it compares with all keys. Its time tells nothing of use about a
+/// key: the search goes by the keyed digest, which a caller cannot steer
+/// without the fleet's key, and the last comparison takes constant time.
 const customer_key *findKey(const configuration &Configuration,
                             std::string_view FleetKey, std::string_view Key);
 
--- /dev/null
+++ b/packages/control/src/config_changes.cpp
@@ -0,0 +1,101 @@
+#include "redwinggw/control/config_changes.hpp"
+
+#include "redwinggw/base/enum_table.hpp"
+
+#include <array>
+#include <functional>
+#include <map>
+
+namespace redwinggw::control {
+namespace {
+
+using base::enum_name;
+
+constexpr std::array PartNames = std::to_array<enum_name<config_part>>({
+    {config_part::Customer, "customer"},
+    {config_part::Key, "key"},
+    {config_part::Service, "service"},
+    {config_part::Read, "read"},
+    {config_part::Endpoint, "endpoint"},
+});
+
+constexpr std::array ChangeNames = std::to_array<enum_name<change_kind>>({
+    {change_kind::Added, "added"},
+    {change_kind::Removed, "removed"},
+    {change_kind::Changed, "changed"},
+});
+
+template <typename Row, typename Projection>
+std::map<std::string, const Row *> byName(const std::vector<Row> &Rows,
+                                          Projection NameOf) {
+  std::map<std::string, const Row *> Named;
+  for (const Row &Each : Rows)
+    Named.emplace(std::invoke(NameOf, Each), &Each);
+  return Named;
+}
+
+template <typename Row, typename Projection>
+void addChanges(const std::vector<Row> &Old, const std::vector<Row> &New,
+                Projection NameOf, config_part Part,
+                std::vector<config_change> &Changes) {
+  const auto Before = byName(Old, NameOf);
+  const auto After = byName(New, NameOf);
+  for (const auto &[Name, Each] : Before) {
+    const auto Found = After.find(Name);
+    if (Found == After.end())
+      Changes.push_back({Part, Name, change_kind::Removed});
+    else if (*Found->second != *Each)
+      Changes.push_back({Part, Name, change_kind::Changed});
+  }
+  for (const auto &[Name, Each] : After)
+    if (!Before.contains(Name))
+      Changes.push_back({Part, Name, change_kind::Added});
+}
+
+std::string nameOfRead(const declared_read &Read) {
+  return Read.Service + "/" + Read.Name;
+}
+
+} // namespace
+
+std::vector<config_change> changesBetween(const configuration &Old,
+                                          const configuration &New) {
+  std::vector<config_change> Changes;
+  addChanges(Old.Customers, New.Customers, &customer::Name,
+             config_part::Customer, Changes);
+  addChanges(Old.Keys, New.Keys, &customer_key::Id, config_part::Key, Changes);
+  addChanges(Old.Services, New.Services, &service::Name, config_part::Service,
+             Changes);
+  addChanges(Old.Reads, New.Reads, nameOfRead, config_part::Read, Changes);
+  addChanges(Old.Endpoints, New.Endpoints, &endpoint::Name,
+             config_part::Endpoint, Changes);
+  return Changes;
+}
+
+std::string_view partName(config_part Part) {
+  return base::nameOf(PartNames, Part);
+}
+
+std::string_view changeName(change_kind Kind) {
+  return base::nameOf(ChangeNames, Kind);
+}
+
+std::string describe(const std::vector<config_change> &Changes,
+                     std::size_t Most) {
+  if (Changes.empty())
+    return "nothing";
+  std::string Text;
+  for (std::size_t Index = 0; Index < std::min(Most, Changes.size()); ++Index) {
+    const config_change &Change = Changes[Index];
+    Text.append(Text.empty() ? "" : ", ");
+    Text.append(partName(Change.Part)).append(" ").append(Change.Name);
+    Text.append(" ").append(changeName(Change.Kind));
+  }
+  if (Changes.size() > Most)
+    Text.append(" and ")
+        .append(std::to_string(Changes.size() - Most))
+        .append(" more");
+  return Text;
+}
+
+} // namespace redwinggw::control
--- a/packages/control/src/configuration.cpp
+++ b/packages/control/src/configuration.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <numeric>
 
 namespace redwinggw::control {
 namespace {
@@ -17,6 +18,15 @@
   return &*Found;
 }
 
+const customer_key *findUnindexed(const std::vector<customer_key> &Keys,
+                                  std::string_view Digest) {
+  const customer_key *Found = nullptr;
+  for (const customer_key &Row : Keys)
+    if (base::equalInConstantTime(Row.Digest, Digest))
+      Found = &Row;
+  return Found;
+}
+
 } // namespace
 
 const customer *findCustomer(const configuration &Configuration,
@@ -38,14 +48,32 @@
   return Found == Configuration.Reads.end() ? nullptr : &*Found;
 }
 
+void indexKeys(configuration &Configuration) {
+  const std::vector<customer_key> &Keys = Configuration.Keys;
+  std::vector<std::uint32_t> &Index = Configuration.KeysByDigest;
+  Index.resize(Keys.size());
+  std::iota(Index.begin(), Index.end(), 0U);
+  std::ranges::sort(Index, {}, [&](std::uint32_t Place) -> std::string_view {
+    return Keys[Place].Digest;
+  });
+}
+
 const customer_key *findKey(const configuration &Configuration,
                             std::string_view FleetKey, std::string_view Key) {
   const std::string Digest = base::toHex(base::keyedDigest(FleetKey, Key));
-  const customer_key *Found = nullptr;
-  for (const customer_key &Row : Configuration.Keys)
-    if (base::equalInConstantTime(Row.Digest, Digest))
-      Found = &Row;
-  return Found;
+  const std::vector<customer_key> &Keys = Configuration.Keys;
+  const std::vector<std::uint32_t> &Index = Configuration.KeysByDigest;
+  if (Index.size() != Keys.size())
+    return findUnindexed(Keys, Digest);
+  const auto Found =
+      std::ranges::lower_bound(Index, std::string_view(Digest), {},
+                               [&](std::uint32_t Place) -> std::string_view {
+                                 return Keys[Place].Digest;
+                               });
+  if (Found == Index.end())
+    return nullptr;
+  const customer_key &Nearest = Keys[*Found];
+  return base::equalInConstantTime(Nearest.Digest, Digest) ? &Nearest : nullptr;
 }
 
 std::vector<base::group_name> groupsOf(const configuration &Configuration) {
--- a/packages/control/src/sheet.cpp
+++ b/packages/control/src/sheet.cpp
@@ -99,6 +99,7 @@
     return std::pair(Read.Name, Read.Service);
   });
   std::ranges::sort(Configuration.Endpoints, {}, &endpoint::Name);
+  indexKeys(Configuration);
   return Configuration;
 }
 
--- /dev/null
+++ b/tests/control/config_submission_test.cpp
@@ -0,0 +1,292 @@
+#include "redwinggw/control/config_submission.hpp"
+
+#include "redwinggw/control/sheet.hpp"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "criterion_test.hpp"
+
+using namespace redwinggw;
+using namespace redwinggw::control;
+
+namespace {
+
+/// The table service, in memory.
+struct table {
+  std::map<std::string, platform::row> Rows;
+  std::uint64_t LastVersion = 0;
+  /// Off, it commits whatever its conditions: the guard that the race test
+  /// shows to be needed.
+  bool ChecksConditions = true;
+};
+
+bool commitTo(table &Table, const platform::commit_request &Request) {
+  const bool Holds =
+      std::ranges::all_of(Request.Checks, [&](const platform::check &Check) {
+        const auto Found = Table.Rows.find(Check.Key);
+        return Check.Version ==
+               (Found == Table.Rows.end() ? 0 : Found->second.Version);
+      });
+  if (!Holds && Table.ChecksConditions)
+    return false;
+  for (const platform::put &Put : Request.Puts)
+    Table.Rows[Put.Key] = {Put.Key, ++Table.LastVersion, Put.Value};
+  for (const std::string &Key : Request.Deletes)
+    Table.Rows.erase(Key);
+  return true;
+}
+
+config_state stateFor(table &Table, const submission &Submission) {
+  config_state State;
+  State.Head = headOf(Table.Rows[HeadKey]).value();
+  for (const auto Version : sheetsToRead(Submission, State.Head))
+    if (auto Sheet = sheetOf(Table.Rows[sheetKey(Version)]).value())
+      State.Sheets.push_back(std::move(*Sheet));
+  return State;
+}
+
+configuration withCustomers(base::config_version MadeFrom,
+                            const std::vector<std::string> &Names) {
+  configuration Configuration;
+  Configuration.Version = MadeFrom;
+  for (const std::string &Name : Names)
+    Configuration.Customers.push_back({Name, 1, 1});
+  return Configuration;
+}
+
+/// Runs a request whose commits are answered at once.
+submission_action finish(table &Table, submission &Submission) {
+  while (true) {
+    auto Action = onState(Submission, stateFor(Table, Submission), 0);
+    const auto *Commit = std::get_if<config_commit>(&Action);
+    if (Commit == nullptr)
+      return Action;
+    const bool Took = commitTo(Table, Commit->Request);
+    Action = onCommitAnswer(Submission, Took ? commit_answer::Accepted
+                                             : commit_answer::Conflict);
+    if (!std::holds_alternative<read_config>(Action))
+      return Action;
+  }
+}
+
+submission_action submitSheet(table &Table, const configuration &Sheet,
+                              const std::string &Id) {
+  submission Submission(Sheet, Id);
+  return finish(Table, Submission);
+}
+
+/// What may happen to one commit on its way.
+enum class fate { Answered, AnswerLost, RequestLost, Late };
+
+/// One operator in the race.
+struct racer {
+  submission Submission;
+  submission_action Next = read_config{};
+  /// A commit that is still on its way.
+  std::optional<platform::commit_request> InFlight;
+  unsigned Faults = 1;
+
+  explicit racer(config_request Request, std::string Id)
+      : Submission(std::move(Request), std::move(Id)) {}
+};
+
+/// Everything about a race; copied at each branch of the search.
+struct race {
+  table Table;
+  std::vector<racer> Racers;
+  unsigned Accepts = 0;
+};
+
+bool isOver(const racer &Racer) {
+  return std::holds_alternative<config_accepted>(Racer.Next) ||
+         std::holds_alternative<config_refused>(Racer.Next);
+}
+
+void deliver(race &Race, racer &Racer) {
+  const auto Request = std::exchange(Racer.InFlight, std::nullopt);
+  Race.Accepts += Request && commitTo(Race.Table, *Request) ? 1 : 0;
+}
+
+/// One step of \p Racer; a commit meets \p Fate.
+void step(race &Race, racer &Racer, fate Fate) {
+  const auto *Commit = std::get_if<config_commit>(&Racer.Next);
+  if (Commit == nullptr) {
+    Racer.Next =
+        onState(Racer.Submission, stateFor(Race.Table, Racer.Submission), 0);
+    return;
+  }
+  const platform::commit_request Request = Commit->Request;
+  auto Answer = commit_answer::Unknown;
+  if (Fate == fate::Late)
+    Racer.InFlight = Request;
+  if (Fate == fate::Answered || Fate == fate::AnswerLost) {
+    const bool Took = commitTo(Race.Table, Request);
+    Race.Accepts += Took ? 1 : 0;
+    if (Fate == fate::Answered)
+      Answer = Took ? commit_answer::Accepted : commit_answer::Conflict;
+  }
+  Racer.Next = onCommitAnswer(Racer.Submission, Answer);
+}
+
+/// Calls \p Check at the end of each run that can follow from \p Race.
+template <typename Callback> void explore(const race &Race, Callback Check) {
+  bool Ended = true;
+  for (std::size_t Index = 0; Index < Race.Racers.size(); ++Index) {
+    const racer &Racer = Race.Racers[Index];
+    if (Racer.InFlight) {
+      race Next = Race;
+      deliver(Next, Next.Racers[Index]);
+      explore(Next, Check);
+      Ended = false;
+    }
+    if (isOver(Racer))
+      continue;
+    Ended = false;
+    const bool Commits = std::holds_alternative<config_commit>(Racer.Next);
+    for (const fate Fate :
+         {fate::Answered, fate::AnswerLost, fate::RequestLost, fate::Late}) {
+      const bool Faulty = Fate != fate::Answered;
+      if (Faulty && (!Commits || Racer.Faults == 0))
+        continue;
+      race Next = Race;
+      Next.Racers[Index].Faults -= Faulty ? 1 : 0;
+      step(Next, Next.Racers[Index], Fate);
+      explore(Next, Check);
+    }
+  }
+  if (Ended)
+    Check(Race);
+}
+
+bool hasCustomer(table &Table, const std::string &Name) {
+  submission Reader(configuration{}, "reader");
+  const config_state State = stateFor(Table, Reader);
+  const auto Head = std::ranges::find(State.Sheets, State.Head.Version,
+                                      &accepted_sheet::Version);
+  return findCustomer(configurationOf(*Head).value(), Name) != nullptr;
+}
+
+bool hasKey(table &Table, const std::string &Id) {
+  submission Reader(configuration{}, "reader");
+  const config_state State = stateFor(Table, Reader);
+  const auto Head = std::ranges::find(State.Sheets, State.Head.Version,
+                                      &accepted_sheet::Version);
+  const configuration InForce = configurationOf(*Head).value();
+  return std::ranges::find(InForce.Keys, Id, &customer_key::Id) !=
+         InForce.Keys.end();
+}
+
+/// Ends of a race of two sheets made from one version that are not right.
+unsigned wrongEnds(bool ChecksConditions, unsigned &Ends) {
+  race Race;
+  submitSheet(Race.Table, withCustomers(0, {"a"}), "first");
+  Race.Table.ChecksConditions = ChecksConditions;
+  Race.Racers.emplace_back(withCustomers(1, {"a", "b"}), "left");
+  Race.Racers.emplace_back(withCustomers(1, {"a", "c"}), "right");
+  unsigned Wrong = 0;
+  explore(Race, [&](race End) {
+    ++Ends;
+    const auto Accepted =
+        std::ranges::count_if(End.Racers, [](const racer &Racer) {
+          return std::holds_alternative<config_accepted>(Racer.Next);
+        });
+    const bool Left =
+        std::holds_alternative<config_accepted>(End.Racers.front().Next);
+    const bool Right = Accepted == 1 && End.Accepts == 1 &&
+                       hasCustomer(End.Table, Left ? "b" : "c") &&
+                       !hasCustomer(End.Table, Left ? "c" : "b");
+    Wrong += Right ? 0 : 1;
+  });
+  return Wrong;
+}
+
+} // namespace
+
+// Two operators submit sheets made from the same version. Both see "accepted",
+// but one sheet is gone. Both read the head before either wrote, and answers
+// get lost on the way, so one repeats a commit that has taken effect.
+Test(config_submission, of_two_racing_sheets_one_wins_whatever_is_lost) {
+  unsigned Ends = 0;
+  cr_assert(wrongEnds(true, Ends) == 0);
+  cr_assert(Ends > 1000);
+  cr_assert(wrongEnds(false, Ends) > 0);
+}
+
+// An operator withdraws a key while another gives one. The withdrawal is
+// reported accepted, yet the key works: the gift was built on what was in
+// force before and put the key back.
+Test(config_submission, racing_key_changes_both_take_effect) {
+  race Race;
+  submitSheet(Race.Table, withCustomers(0, {"a"}), "first");
+  submission Gift(key_gift{{"old", "a", std::string(64, '1')}}, "gift");
+  finish(Race.Table, Gift);
+  Race.Racers.emplace_back(key_withdrawal{"old"}, "withdrawal");
+  Race.Racers.emplace_back(key_gift{{"new", "a", std::string(64, '2')}},
+                           "second gift");
+  explore(Race, [](race End) {
+    cr_assert(End.Accepts == 2);
+    cr_assert(!hasKey(End.Table, "old"));
+    cr_assert(hasKey(End.Table, "new"));
+  });
+}
+
+// The answer to a submission was lost and somebody else has changed more since.
+// The operator submits the same sheet again and must not be told that it lost.
+Test(config_submission, a_repeated_sheet_is_recognised_after_later_changes) {
+  table Table;
+  submitSheet(Table, withCustomers(0, {"a"}), "first");
+  submitSheet(Table, withCustomers(1, {"a", "b"}), "second");
+  const auto Action = submitSheet(Table, withCustomers(0, {"a"}), "again");
+  const auto *Accepted = std::get_if<config_accepted>(&Action);
+  cr_assert(Accepted != nullptr);
+  cr_assert(Accepted->Version == 1);
+  cr_assert(Accepted->Already);
+}
+
+Test(config_submission, a_refusal_names_what_changed_since) {
+  table Table;
+  submitSheet(Table, withCustomers(0, {"a", "b"}), "first");
+  submitSheet(Table, withCustomers(1, {"b", "c"}), "second");
+  const auto Action = submitSheet(Table, withCustomers(1, {"b"}), "late");
+  const auto *Refused = std::get_if<config_refused>(&Action);
+  cr_assert(Refused != nullptr);
+  cr_assert(kindOf(Refused->Failure) == base::errc::Conflict);
+  const std::vector<config_change> Expected{
+      {config_part::Customer, "a", change_kind::Removed},
+      {config_part::Customer, "c", change_kind::Added}};
+  cr_assert(Refused->Since == Expected);
+  cr_assert(Refused->Failure.Detail.find("customer a removed") !=
+            std::string::npos);
+}
+
+Test(config_submission, requests_about_unknown_things_are_refused) {
+  table Table;
+  submitSheet(Table, withCustomers(0, {"a"}), "first");
+  const std::vector<std::pair<config_request, base::errc>> Cases{
+      {withCustomers(9, {"a"}), base::errc::BadSheet},
+      {key_gift{{"k", "nobody", std::string(64, '1')}}, base::errc::NotFound},
+      {key_withdrawal{"k"}, base::errc::NotFound},
+  };
+  for (const auto &[Request, Kind] : Cases) {
+    submission Submission(Request, "id");
+    const auto Action = finish(Table, Submission);
+    cr_assert(kindOf(std::get<config_refused>(Action).Failure) == Kind);
+  }
+}
+
+Test(config_submission, giving_up_says_whether_anything_may_have_changed) {
+  table Table;
+  submission Submission(withCustomers(0, {"a"}), "id");
+  cr_assert(kindOf(onGivenUp(Submission)) == base::errc::StoreUnreachable);
+  onState(Submission, stateFor(Table, Submission), 0);
+  cr_assert(kindOf(onGivenUp(Submission)) == base::errc::OutcomeUnknown);
+}
+
+Test(config_submission, old_sheets_leave_the_store) {
+  table Table;
+  for (base::config_version Version = 0; Version < HistoryKept + 2; ++Version)
+    submitSheet(Table, withCustomers(Version, {"a"}), std::to_string(Version));
+  cr_assert(Table.Rows.size() == HistoryKept + 1);
+}
