--- /dev/null
+++ b/tests/data/slot_window_test.cpp
@@ -0,0 +1,48 @@
+#include "redwinggw/data/slot_window.hpp"
+
+#include "criterion_test.hpp"
+
+using namespace redwinggw;
+using namespace redwinggw::data;
+using std::chrono::microseconds;
+
+namespace {
+
+const base::instant Start{std::chrono::seconds(100)};
+
+/// Runs full rounds in which the endpoint queues for \p Queued a request.
+void runRounds(slot_window &Window, microseconds Queued, int Rounds,
+               base::instant &Now) {
+  constexpr microseconds Busy{500};
+  constexpr microseconds Network{200};
+  for (int Round = 0; Round < Rounds; ++Round) {
+    while (hasRoom(Window))
+      enter(Window);
+    const microseconds RoundTrip = Busy + Network + Queued;
+    Now += RoundTrip;
+    leave(Window, RoundTrip, Busy, Now);
+  }
+}
+
+} // namespace
+
+Test(slot_window, it_grows_to_the_limit_while_nothing_queues) {
+  slot_window Window;
+  Window.Limit = 8;
+  base::instant Now = Start;
+  runRounds(Window, microseconds(0), 100, Now);
+  cr_assert(Window.Size == 8);
+}
+
+// All instances together send more than a database has slots. Requests wait
+// there, where no instance can tell one customer from another.
+Test(slot_window, it_shrinks_while_requests_queue_in_the_database) {
+  slot_window Window;
+  Window.Limit = 8;
+  base::instant Now = Start;
+  runRounds(Window, microseconds(0), 100, Now);
+  runRounds(Window, microseconds(20000), 30, Now);
+  cr_assert(Window.Size < 2);
+  runRounds(Window, microseconds(0), 100, Now);
+  cr_assert(Window.Size == 8);
+}
