--- a/tests/support/child_process.hpp
+++ b/tests/support/child_process.hpp
@@ -36,6 +36,9 @@
 
   bool running();
 
+  /// Its process id, also after its end.
+  pid_t pid() const { return Pid; }
+
   /// What it has printed so far.
   std::string output() const;
 
