Order failovers and prove them by a fault matrix

Nobody else orders a promotion, so a group whose primary failed stayed without writes for good.

failover.hpp claims a term by a conditional commit on the row group/NAME, seals a majority of the members, promotes the most advanced of them, makes the others follow and records it; the steps are a Boost.MSM machine over free functions. A lost answer of the store is resolved by reading back the order's own id. An order that another instance left unfinished is taken over with a higher term after a bound. A returning primary is made to follow.

Ruled out: waiting out a lease before promoting (the pause of a holder has no bound), and trusting the old primary's longer log when both replicas are sealed (cut off again, it would be chosen again).

tests/matrix runs these decisions in virtual time against endpoints that follow docs/ENDPOINTS.md and judges what callers saw. The shell has not yet run against real processes.

--- a/packages/data/include/redwinggw/data/group_service.hpp
+++ b/packages/data/include/redwinggw/data/group_service.hpp
@@ -7,6 +7,7 @@
 #include "redwinggw/control/configuration.hpp"
 #include "redwinggw/data/confirm.hpp"
 #include "redwinggw/data/detector.hpp"
+#include "redwinggw/data/failover.hpp"
 #include "redwinggw/data/group_view.hpp"
 #include "redwinggw/platform/store.hpp"
 
@@ -30,7 +31,10 @@
   base::milliseconds WaitAtReplica{250};
   /// Pause before a question that the last answer makes look hopeless.
   base::milliseconds Pace{10};
+  /// Orders start after a random part of this, so that instances do not race.
+  base::milliseconds Jitter{100};
   detector_parameters Detector;
+  failover_parameters Failover;
 };
 
 /// What stands behind the service; shared with its coroutines.
--- a/packages/data/src/group_state.hpp
+++ b/packages/data/src/group_state.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "redwinggw/data/failover.hpp"
 #include "redwinggw/data/group_service.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 
 #include <map>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <utility>
@@ -26,6 +28,12 @@
   group_view View;
   confirm_state Confirm;
   detector_state Detector;
+  row_watch Watch;
+  /// An order of this instance runs or is being prepared.
+  bool Ordering = false;
+  base::instant ReconciledAt;
+  /// Last line about a store that is down.
+  base::instant StoreLineAt;
   /// Requests that wait for a confirmation, by the id of their waiter.
   std::map<std::uint64_t, std::shared_ptr<waiting>> Confirming;
   /// Requests that wait for a primary.
@@ -44,6 +52,8 @@
   std::map<base::group_name, watched_group, std::less<>> Groups;
   std::vector<std::function<void(const base::group_name &)>> Hooks;
   std::function<std::vector<peer_report>()> Peers;
+  /// Source of the jitter.
+  std::mt19937 Random{std::random_device{}()};
   bool Started = false;
   bool Draining = false;
 };
--- /dev/null
+++ b/tests/matrix/endpoint_model.cpp
@@ -0,0 +1,120 @@
+#include "models.hpp"
+
+#include <algorithm>
+
+namespace redwinggw::matrix {
+namespace {
+
+using data::endpoint_role;
+
+bool isLower(const endpoint_model &Endpoint, base::term_number Term,
+             const std::string &Order) {
+  const auto &State = Endpoint.State;
+  return Term < State.Term || (Term == State.Term && Order != State.Order);
+}
+
+void enter(endpoint_model &Endpoint, base::term_number Term,
+           const std::string &Order, endpoint_role Role) {
+  Endpoint.State.Term = Term;
+  Endpoint.State.Order = Order;
+  Endpoint.State.Role = Role;
+}
+
+bool runsOn(const endpoint_model &Endpoint, base::term_number Expected) {
+  return Endpoint.State.Role == endpoint_role::Primary &&
+         Endpoint.State.Term == Expected;
+}
+
+void takeLog(endpoint_model &Replica, const endpoint_model &Primary) {
+  auto &State = Replica.State;
+  if (State.Role != endpoint_role::Replica || State.Term != Primary.State.Term)
+    return;
+  const bool SameHistory = State.History == Primary.State.History;
+  if (SameHistory && Replica.Log.size() >= Primary.Log.size())
+    return;
+  Replica.Log = Primary.Log;
+  State.History = Primary.State.History;
+  State.Received = State.Applied = Primary.State.Received;
+}
+
+} // namespace
+
+run_reply serveWrite(endpoint_model &Endpoint, base::term_number Expected,
+                     write_id Write) {
+  run_reply Reply;
+  if (runsOn(Endpoint, Expected)) {
+    Reply.Ran = true;
+    // The unique key of the write's id: a repeat finds the first run.
+    const bool Known =
+        std::ranges::find(Endpoint.Log, Write, &log_entry::Write) !=
+        Endpoint.Log.end();
+    if (!Known)
+      Endpoint.Log.push_back({Endpoint.State.Term, Write});
+    Endpoint.State.Received = Endpoint.State.Applied = Endpoint.Log.size();
+    const auto Found =
+        std::ranges::find(Endpoint.Log, Write, &log_entry::Write);
+    Reply.Position = 1 + (Found - Endpoint.Log.begin());
+  }
+  Reply.State = Endpoint.State;
+  return Reply;
+}
+
+run_reply serveRead(endpoint_model &Endpoint, base::term_number Expected) {
+  run_reply Reply;
+  Reply.Ran = runsOn(Endpoint, Expected);
+  Reply.Position = Endpoint.Log.size();
+  Reply.Log = Endpoint.Log;
+  Reply.State = Endpoint.State;
+  return Reply;
+}
+
+bool serveSeal(endpoint_model &Endpoint, base::term_number Term,
+               const std::string &Order) {
+  if (isLower(Endpoint, Term, Order))
+    return false;
+  if (Term > Endpoint.State.Term)
+    enter(Endpoint, Term, Order, endpoint_role::Sealed);
+  return true;
+}
+
+bool servePromote(world &World, endpoint_model &Endpoint,
+                  const data::promote_member &Request) {
+  if (isLower(Endpoint, Request.Term, Request.Order))
+    return false;
+  if (runsOn(Endpoint, Request.Term))
+    return true;
+  enter(Endpoint, Request.Term, Request.Order, endpoint_role::Primary);
+  Endpoint.State.History.push_back({Request.Term, Endpoint.Log.size()});
+  Endpoint.Members.clear();
+  for (const data::endpoint_address &Other : Request.Others)
+    Endpoint.Members.push_back(Other.Name);
+  const auto [Known, New] =
+      World.History.Primaries.emplace(Request.Term, Endpoint.State.Name);
+  if (!New && Known->second != Endpoint.State.Name)
+    World.History.Broken.insert("one primary a term");
+  return true;
+}
+
+bool serveFollow(endpoint_model &Endpoint, base::term_number Term,
+                 const std::string &Order) {
+  if (isLower(Endpoint, Term, Order))
+    return false;
+  if (!runsOn(Endpoint, Term))
+    enter(Endpoint, Term, Order, endpoint_role::Replica);
+  return true;
+}
+
+void shipLog(world &World, const node &Name, const node &Member) {
+  const endpoint_model &Endpoint = World.Endpoints.at(Name);
+  const bool Ships =
+      Endpoint.State.Role == endpoint_role::Primary &&
+      std::ranges::find(Endpoint.Members, Member) != Endpoint.Members.end();
+  if (Ships)
+    World.Net.send(Name, Member, [&World, Member, Sent = Endpoint] {
+      takeLog(World.Endpoints.at(Member), Sent);
+    });
+  World.Net.after(World.ShipEvery.at(Member), Name,
+                  [&World, Name, Member] { shipLog(World, Name, Member); });
+}
+
+} // namespace redwinggw::matrix
--- /dev/null
+++ b/tests/matrix/registry.cpp
@@ -0,0 +1,7 @@
+#include "registry.hpp"
+
+namespace redwinggw::matrix {
+
+std::vector<scenario> scenarios() { return {failoverScenario()}; }
+
+} // namespace redwinggw::matrix
--- /dev/null
+++ b/tests/matrix/registry.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "redwinggw/base/enum_table.hpp"
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <set>
+#include <string>
+#include <vector>
+
+/// The fault matrix: faults by steps by promises. A scenario registers a
+/// function that strikes one fault at one step and tells which promises broke.
+namespace redwinggw::matrix {
+
+enum class fault {
+  KillInstance,
+  PauseInstance,
+  CutInstance,
+  KillEndpoint,
+  PauseEndpoint,
+  CutOneWay,
+  CutBothWays,
+  SilentConnections,
+  Slow,
+  StoreOutage,
+  StoreSlow,
+  AnswerLost,
+  Doubled,
+  Crossed,
+  ClockStep,
+  TwoAtOnce,
+};
+
+constexpr std::array FaultNames = std::to_array<base::enum_name<fault>>({
+    {fault::KillInstance, "kill instance"},
+    {fault::PauseInstance, "pause and wake instance"},
+    {fault::CutInstance, "cut off instance"},
+    {fault::KillEndpoint, "kill endpoint"},
+    {fault::PauseEndpoint, "pause and wake endpoint"},
+    {fault::CutOneWay, "cut endpoint one way"},
+    {fault::CutBothWays, "cut endpoint both ways"},
+    {fault::SilentConnections, "silent connections"},
+    {fault::Slow, "late messages"},
+    {fault::StoreOutage, "store outage"},
+    {fault::StoreSlow, "store slow"},
+    {fault::AnswerLost, "answer lost after effect"},
+    {fault::Doubled, "doubled messages"},
+    {fault::Crossed, "crossed messages"},
+    {fault::ClockStep, "clock step"},
+    {fault::TwoAtOnce, "two at once"},
+});
+
+/// What one run of one cell showed.
+struct cell_run {
+  /// The step was reached, so that the fault struck.
+  bool Struck = false;
+  /// Names of the promises that broke.
+  std::set<std::string> Broken;
+  /// Digest of what callers saw; equal for equal runs.
+  std::uint64_t Digest = 0;
+};
+
+/// A part of the system under faults. Add one to scenarios() to extend the
+/// table, for example with sessions, at most once, rate or keys.
+struct scenario {
+  std::string Name;
+  std::vector<std::string> Steps;
+  std::vector<std::string> Promises;
+  /// Faults that the scenario cannot strike; their cells are not covered.
+  std::set<fault> NotCovered;
+  std::function<cell_run(fault, std::size_t Step, std::uint64_t Seed)> Run;
+};
+
+/// The scenarios by name, in the order of the table.
+std::vector<scenario> scenarios();
+
+/// Failover with all guards, and with one guard switched off by its name.
+scenario failoverScenario();
+std::vector<scenario> mutatedFailoverScenarios();
+
+} // namespace redwinggw::matrix
