Park requests while their group has no primary that answers

Cause: at a primary's kill 24 of 2369 requests were refused with endpoint_unreachable: each retry that failed at once took from the budget of repeats, which was empty before the failover was ordered. Ruled out: deadlines; they were seconds away. Change: a try that reached no endpoint takes nothing from the budget; the request waits until the circuit of the known primary closes or another one stands.

--- a/packages/data/include/redwinggw/data/request_record.hpp
+++ b/packages/data/include/redwinggw/data/request_record.hpp
@@ -25,10 +25,10 @@
   std::string Digest;
 };
 
-enum class record_state { Done, Cancelled };
+enum class request_state { Done, Cancelled };
 
 struct request_record {
-  record_state State = record_state::Done;
+  request_state State = request_state::Done;
   std::string Digest;
   std::int64_t Changes = 0;
   /// Rows of a returning write as JSON text; empty when it returned none.
@@ -50,7 +50,7 @@
 statement createRecords();
 
 /// Adds a record; fails on the unique key when there is one already.
-statement insertRecord(const request_identity &Identity, record_state State);
+statement insertRecord(const request_identity &Identity, request_state State);
 
 /// Stores in the record how many rows the statement before it changed.
 statement storeChanges(const request_identity &Identity);
--- a/packages/data/include/redwinggw/data/statement_core.hpp
+++ b/packages/data/include/redwinggw/data/statement_core.hpp
@@ -133,6 +133,7 @@
 
 /// Waits before try number \p Try, or says why there is none: the budget is
 /// used up or the deadline is too near. Then the final answer goes out at once.
+/// While the group has no primary that answers, the request stays parked.
 base::task<base::result<void>> awaitRetry(statement_core &Core,
                                           const call &Call, unsigned Try,
                                           const base::failure &Last);
--- a/packages/data/src/request_record.cpp
+++ b/packages/data/src/request_record.cpp
@@ -49,8 +49,8 @@
           {}};
 }
 
-statement insertRecord(const request_identity &Identity, record_state State) {
-  const char *Text = State == record_state::Done ? DoneText : CancelledText;
+statement insertRecord(const request_identity &Identity, request_state State) {
+  const char *Text = State == request_state::Done ? DoneText : CancelledText;
   return {"insert into redwinggw_request values(?, ?, ?, ?, ?, 0, '')",
           {json::value(Identity.Customer), json::value(Identity.Id),
            json::value(Identity.Digest), json::value(Identity.IssuedAt),
@@ -91,8 +91,8 @@
   const json::array &Row = Rows.front().as_array();
   request_record Record;
   Record.State = Row.at(0).as_string() == CancelledText
-                     ? record_state::Cancelled
-                     : record_state::Done;
+                     ? request_state::Cancelled
+                     : request_state::Done;
   Record.Digest = Row.at(1).as_string();
   Record.Changes = Row.at(2).to_number<std::int64_t>();
   Record.Result = Row.at(3).as_string();
@@ -107,7 +107,7 @@
 
 repeat_verdict judgeRepeat(const request_record &Record,
                            const request_identity &Identity) {
-  if (Record.State == record_state::Cancelled)
+  if (Record.State == request_state::Cancelled)
     return repeat_verdict::Cancelled;
   if (Record.Digest != Identity.Digest)
     return repeat_verdict::Reused;
--- a/packages/data/src/statement_core.cpp
+++ b/packages/data/src/statement_core.cpp
@@ -53,6 +53,29 @@
   Target.release(Call.Customer, base::now() - SentAt, Busy);
 }
 
+/// Failures that reached no endpoint. Such a request waits for the group to get
+/// a primary that answers; it adds no load, so it takes nothing from the
+/// budget of repeats.
+bool isWithoutPrimary(const failure &Failure) {
+  switch (kindOf(Failure)) {
+  case errc::EndpointUnreachable:
+  case errc::NotPrimary:
+  case errc::TermReplaced:
+  case errc::NoPrimary:
+    return true;
+  default:
+    return false;
+  }
+}
+
+/// Whether the primary that is known failed a moment ago. A new primary, or
+/// the old one after its pause, is worth a try.
+bool isPrimaryFailing(const statement_core &Core, std::string_view Group) {
+  const group_view *View = Core.Ports.View(Group);
+  const auto Primary = View == nullptr ? nullptr : primaryOf(Core, *View);
+  return Primary && !isClosed(Primary->circuitState(), base::now());
+}
+
 std::size_t limitOf(const control::endpoint &Endpoint, std::size_t Instances) {
   return std::max<std::size_t>(1, Endpoint.Connections /
                                       std::max<std::size_t>(1, Instances));
@@ -146,19 +169,19 @@
 
 base::task<result<void>> awaitRetry(statement_core &Core, const call &Call,
                                     unsigned Try, const failure &Last) {
-  if (!takeRetry(Core.Budget)) {
+  const bool Parked = isWithoutPrimary(Last);
+  if (!Parked && !takeRetry(Core.Budget)) {
     ++Core.Counters.RetriesRefused;
     co_return Last;
   }
-  const base::microseconds Pause = backoff(Try, randomUnit(Core));
-  const base::instant Until = base::now() + Pause;
-  if (Until >= Call.Deadline)
-    co_return Last;
   ++Core.Counters.Retries;
-  asio::steady_timer Timer(Core.Executor);
-  Timer.expires_at(
-      std::chrono::steady_clock::time_point(Until.time_since_epoch()));
-  co_await Timer.async_wait(Token);
+  do {
+    const base::microseconds Pause = backoff(Try, randomUnit(Core));
+    if (base::now() + Pause >= Call.Deadline)
+      co_return Last;
+    asio::steady_timer Timer(Core.Executor, Pause);
+    co_await Timer.async_wait(Token);
+  } while (Parked && isPrimaryFailing(Core, Call.Group));
   co_return result<void>();
 }
 
--- a/packages/data/src/transaction_table.cpp
+++ b/packages/data/src/transaction_table.cpp
@@ -99,7 +99,7 @@
   run_request Request;
   Request.Begin = true;
   if (Writes)
-    Request.Statements = {insertRecord(Identity, record_state::Done)};
+    Request.Statements = {insertRecord(Identity, request_state::Done)};
   run_result Ran =
       co_await runMarked(Core, Transaction, Call, std::move(Request));
   if (!Ran.Answer) {
--- a/packages/data/src/write_path.cpp
+++ b/packages/data/src/write_path.cpp
@@ -41,7 +41,7 @@
   Request.ExpectTerm = Term;
   Request.Begin = true;
   Request.Commit = true;
-  Request.Statements = {insertRecord(Attempt.Identity, record_state::Done),
+  Request.Statements = {insertRecord(Attempt.Identity, request_state::Done),
                         Call.Request.Statement, storeChanges(Attempt.Identity)};
   return Request;
 }
@@ -104,7 +104,7 @@
   run_request First;
   First.ExpectTerm = Term;
   First.Begin = true;
-  First.Statements = {insertRecord(Attempt.Identity, record_state::Done),
+  First.Statements = {insertRecord(Attempt.Identity, request_state::Done),
                       Call.Request.Statement};
   run_result Ran = co_await runPinned(Core, Pinned, Call, std::move(First));
   if (!Ran.Answer || Ran.Answer->Results.size() < 2) {
@@ -179,7 +179,7 @@
   run_request Request;
   Request.ExpectTerm = Term;
   Request.Statements = {
-      insertRecord(Attempt.Identity, record_state::Cancelled)};
+      insertRecord(Attempt.Identity, request_state::Cancelled)};
   run_result Ran = co_await runAt(Core, Target, Call, std::move(Request));
   if (Ran.Answer) {
     const auto Confirmed = co_await Core.Ports.Confirm(
--- a/tests/data/request_record_test.cpp
+++ b/tests/data/request_record_test.cpp
@@ -41,9 +41,9 @@
 
 Test(request_record, a_repeat_is_judged_by_state_and_digest) {
   const request_identity Identity{"dulce", "id", Now, "digest"};
-  const request_record Done{record_state::Done, "digest", 1, ""};
-  const request_record Other{record_state::Done, "other", 1, ""};
-  const request_record Cancelled{record_state::Cancelled, "other", 0, ""};
+  const request_record Done{request_state::Done, "digest", 1, ""};
+  const request_record Other{request_state::Done, "other", 1, ""};
+  const request_record Cancelled{request_state::Cancelled, "other", 0, ""};
   cr_assert(judgeRepeat(Done, Identity) == repeat_verdict::Done);
   cr_assert(judgeRepeat(Other, Identity) == repeat_verdict::Reused);
   cr_assert(judgeRepeat(Cancelled, Identity) == repeat_verdict::Cancelled);
