Split the load driver and measure into smaller modules

Change: answer_fields, driver_requests, measured_fleet; no change of behaviour. Unit tests of tests/load pass as before.

--- a/tests/load/caller.cpp
+++ b/tests/load/caller.cpp
@@ -1,5 +1,7 @@
 #include "caller.hpp"
 
+#include "answer_fields.hpp"
+
 #include <boost/json.hpp>
 
 #include <algorithm>
@@ -13,12 +15,6 @@
 constexpr std::array<std::string_view, 3> ElsewhereErrors{
     "endpoint_unreachable", "draining", "stale_configuration"};
 
-std::string textAt(const json::object &Object, std::string_view Key) {
-  const json::value *Value = Object.if_contains(Key);
-  return Value && Value->is_string() ? std::string(Value->get_string())
-                                     : std::string();
-}
-
 base::outcome outcomeNamed(std::string_view Name) {
   if (Name == base::outcomeName(base::outcome::Done))
     return base::outcome::Done;
--- a/tests/load/driver.cpp
+++ b/tests/load/driver.cpp
@@ -1,5 +1,7 @@
 #include "driver.hpp"
 
+#include "answer_fields.hpp"
+
 #include "redwinggw/base/ids.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -18,7 +20,6 @@
 namespace json = boost::json;
 using base::instant;
 using base::milliseconds;
-using base::outcome;
 
 constexpr auto Token = asio::as_tuple(asio::use_awaitable);
 constexpr milliseconds RepeatPause{100};
@@ -29,11 +30,6 @@
 constexpr const char *CreateSql =
     "create table if not exists load_counter(session text primary key, "
     "customer text, n integer)";
-constexpr const char *AddSql =
-    "insert into load_counter(session, customer, n) values(?, ?, 1) "
-    "on conflict(session) do update set n = n + 1";
-constexpr const char *ReadSql =
-    "select session, customer, n from load_counter where session = ?";
 constexpr const char *ReadAllSql =
     "select session, customer, n from load_counter where session like ?";
 
@@ -41,31 +37,6 @@
   return std::chrono::steady_clock::time_point(Instant.time_since_epoch());
 }
 
-std::vector<counter_row> rowsOf(const json::object &Body) {
-  std::vector<counter_row> Rows;
-  const json::value *Value = Body.if_contains("rows");
-  if (!Value || !Value->is_array())
-    return Rows;
-  for (const json::value &Cell : Value->get_array()) {
-    const json::array &Row = Cell.as_array();
-    Rows.push_back({json::value_to<std::string>(Row.at(0)),
-                    json::value_to<std::string>(Row.at(1)),
-                    Row.at(2).to_number<std::uint64_t>()});
-  }
-  return Rows;
-}
-
-std::string textAt(const json::object &Object, std::string_view Key) {
-  const json::value *Value = Object.if_contains(Key);
-  return Value && Value->is_string() ? std::string(Value->get_string())
-                                     : std::string();
-}
-
-void nameRequest(json::object &Body) {
-  Body["request_id"] = base::randomId();
-  Body["issued_at"] = base::wallMilliseconds();
-}
-
 } // namespace
 
 driver::driver(asio::any_io_executor Executor, load_plan Plan,
@@ -130,153 +101,6 @@
   co_return Answer;
 }
 
-void driver::check(const session &Session, const caller_answer &Answer) {
-  const auto Rows = rowsOf(Answer.Body);
-  std::optional<counter_row> Row;
-  if (!Rows.empty())
-    Row = Rows.front();
-  const std::string &Customer = Plan.Customers[Session.Customer].Name;
-  const auto Found = checkRow(Session, Customer, Row, false);
-  if (Found)
-    note(*Found);
-}
-
-base::task<void> driver::performRead(session &Session, request_record &Record) {
-  json::object Body = bodyFor(Session, "read");
-  const bool Declared = Record.Arrival.Kind == request_kind::DeclaredRead;
-  if (Declared) {
-    Body["read"] = Plan.DeclaredRead;
-    Body["session"] = "none";
-  }
-  Record.ReplicaAllowed = Declared || !Session.Token.empty();
-  Body["sql"] = ReadSql;
-  Body["params"] = json::array{Session.Id};
-  const caller_answer Answer =
-      co_await tryInstances(Session, "/v1/statement", std::move(Body));
-  Record.Outcome = Answer.Outcome;
-  Record.Error = Answer.Error;
-  Record.ServedBy = textAt(Answer.Body, "served_by");
-  if (!Answer.isDone() || Declared)
-    co_return;
-  check(Session, Answer);
-  if (Session.Unresolved == 0)
-    Session.Token = textAt(Answer.Body, "session");
-}
-
-/// Finds out what became of a write whose answer was lost.
-base::task<caller_answer> driver::resolve(session &Session,
-                                          request_record &Record,
-                                          std::string Target,
-                                          json::object Body) {
-  const instant Until = base::now() + Options.GiveUp;
-  Body.erase("session");
-  json::object Enquiry;
-  Enquiry["service"] = Body["service"];
-  Enquiry["request_id"] = Body["request_id"];
-  Enquiry["issued_at"] = Body["issued_at"];
-  // A transaction cannot be repeated blindly: it is only asked after.
-  const bool Repeatable = Target == "/v1/statement";
-  caller_answer Answer;
-  while (base::now() < Until) {
-    co_await pause(RepeatPause);
-    ++Record.Repeats;
-    if (Repeatable)
-      Answer = co_await tryInstances(Session, Target, Body);
-    else
-      Answer = co_await tryInstances(Session, "/v1/outcome", Enquiry);
-    if (Answer.isDone() || Answer.Error == "request_cancelled")
-      co_return Answer;
-  }
-  Answer = co_await tryInstances(Session, "/v1/outcome", Enquiry);
-  if (!Answer.isDone() && Answer.Error != "request_cancelled")
-    Answer.Outcome = outcome::Unknown;
-  co_return Answer;
-}
-
-void driver::settleWrite(session &Session, const caller_answer &Answer) {
-  if (Answer.isDone()) {
-    ++Session.Acknowledged;
-    if (OnWrite)
-      OnWrite(Session.Service, base::now());
-    if (Session.Unresolved == 0)
-      Session.Token = textAt(Answer.Body, "session");
-  }
-  if (Answer.Outcome != outcome::Unknown)
-    return;
-  ++Session.Unresolved;
-  Session.Token.clear();
-}
-
-base::task<void> driver::performWrite(session &Session,
-                                      request_record &Record) {
-  json::object Body = bodyFor(Session, "write");
-  nameRequest(Body);
-  Body["sql"] = AddSql;
-  Body["params"] =
-      json::array{Session.Id, Plan.Customers[Session.Customer].Name};
-  caller_answer Answer = co_await tryInstances(Session, "/v1/statement", Body);
-  if (Answer.Outcome == outcome::Unknown)
-    Answer = co_await resolve(Session, Record, "/v1/statement", Body);
-  Record.Outcome = Answer.Outcome;
-  Record.Error = Answer.Error;
-  settleWrite(Session, Answer);
-}
-
-base::task<void> driver::performTransaction(session &Session,
-                                            request_record &Record) {
-  json::object Begin = bodyFor(Session, "write");
-  nameRequest(Begin);
-  std::size_t Instance = nextInstance(Session);
-  const auto Deadline = [this] {
-    return base::now() + Options.Deadline + Grace;
-  };
-  caller_answer Answer;
-  for (std::size_t Try = 0; Try < Caller.instances(); ++Try, ++Instance) {
-    Answer = co_await Caller.post(Instance, "/v1/begin", keyOf(Session), Begin,
-                                  Deadline());
-    if (!mayGoElsewhere(Answer))
-      break;
-  }
-  Record.Outcome = Answer.Outcome;
-  Record.Error = Answer.Error;
-  // Whatever happens before the commit is sent leaves nothing.
-  if (!Answer.isDone()) {
-    Record.Outcome = outcome::NotRun;
-    co_return;
-  }
-  json::object Run;
-  Run["transaction"] = textAt(Answer.Body, "transaction");
-  json::object Add = Run;
-  Add["sql"] = AddSql;
-  Add["params"] =
-      json::array{Session.Id, Plan.Customers[Session.Customer].Name};
-  Answer = co_await Caller.post(Instance, "/v1/run", keyOf(Session), Add,
-                                Deadline());
-  json::object Read = Run;
-  Read["sql"] = ReadSql;
-  Read["params"] = json::array{Session.Id};
-  if (Answer.isDone())
-    Answer = co_await Caller.post(Instance, "/v1/run", keyOf(Session), Read,
-                                  Deadline());
-  if (!Answer.isDone()) {
-    Record.Outcome = outcome::NotRun;
-    Record.Error = Answer.Error;
-    co_await Caller.post(Instance, "/v1/rollback", keyOf(Session), Run,
-                         Deadline());
-    co_return;
-  }
-  session InTransaction = Session;
-  ++InTransaction.Acknowledged;
-  check(InTransaction, Answer);
-  Answer = co_await Caller.post(Instance, "/v1/commit", keyOf(Session), Run,
-                                Deadline());
-  if (Answer.Outcome == outcome::Unknown)
-    Answer = co_await resolve(Session, Record, "/v1/begin", Begin);
-  Record.Outcome = Answer.Outcome;
-  Record.Error = Answer.Error;
-  settleWrite(Session, Answer);
-}
-
 base::task<void> driver::perform(arrival Arrival, instant Start) {
   session &Session = checkOut(Arrival);
   request_record Record;
