Let statements of open transactions go ahead of the queue

Cause: writes of a group stood still for 1 to 3 s while the database was idle. A pinned transaction held a lock; writes waiting for it filled the window; the transaction's next statement queued behind them until tries timed out after 1 s, which also opened circuits and used up connections (connection_limit). Ruled out: the failover (the stall came without a kill too), the detector (0.7 s from kill to order), the connection limit of the database (17 of 35 in use). Change: runs on a connection that is held already take no turn; pinned connections leave the window; the last connection is not used as a spare. dispatcher_test fails without acquireAhead and passes with it.

--- a/packages/data/include/redwinggw/data/dispatcher.hpp
+++ b/packages/data/include/redwinggw/data/dispatcher.hpp
@@ -32,8 +32,20 @@
   base::task<base::result<void>> acquire(base::customer_name Customer,
                                          base::instant Deadline);
 
-  /// Ends what acquire began. \p Busy is the measured slot time; without one
-  /// (the request failed) the account is left as it is.
+  /// Counts a request as running at once, without a turn. For statements of a
+  /// transaction that is open already: it may hold locks for which the running
+  /// requests wait, so behind them it would never get its turn.
+  void acquireAhead(base::customer_name Customer);
+
+  /// A transaction began (+1) or ceased (-1) to keep a connection. The window
+  /// counts only on the others.
+  void notePinned(int Change);
+
+  /// Whether one more transaction may keep a connection.
+  bool mayPin() const;
+
+  /// Ends what acquire or acquireAhead began. \p Busy is the measured slot
+  /// time; without one (the request failed) the account is left as it is.
   void release(std::string_view Customer, base::microseconds RoundTrip,
                std::optional<base::microseconds> Busy);
 
@@ -42,6 +54,7 @@
   std::size_t waiting() const { return Queue.Size; }
   std::size_t running() const { return Window.Running; }
   double windowSize() const { return Window.Size; }
+  double windowLimit() const { return Window.Limit; }
   const control::endpoint &endpoint() const { return Endpoint; }
 
   void setConnectionLimit(std::size_t Limit);
@@ -53,6 +66,7 @@
   };
 
   void pump();
+  void limitWindow();
 
   boost::asio::any_io_executor Executor;
   control::endpoint Endpoint;
@@ -62,6 +76,8 @@
   circuit Circuit;
   std::unordered_map<std::uint64_t, waiter> Waiters;
   std::uint64_t LastTicket = 0;
+  std::size_t Limit = 1;
+  std::size_t Pinned = 0;
 };
 
 } // namespace redwinggw::data
--- a/packages/data/src/connection_pool.cpp
+++ b/packages/data/src/connection_pool.cpp
@@ -59,8 +59,9 @@
       Idle.push_back(std::move(*Connection));
   }
 
+  /// The last connection is left to those who need one now.
   void keepSpare() {
-    if (!Idle.empty() || OpeningSpare || !mayOpen())
+    if (!Idle.empty() || OpeningSpare || Open + 1 >= Limit || Closed)
       return;
     asio::co_spawn(Executor, openSpare(), asio::detached);
   }
--- a/packages/data/src/dispatcher.cpp
+++ b/packages/data/src/dispatcher.cpp
@@ -61,9 +61,29 @@
   pump();
 }
 
-void dispatcher::setConnectionLimit(std::size_t Limit) {
-  Pool.setLimit(Limit);
-  Window.Limit = static_cast<double>(std::max<std::size_t>(1, Limit));
+void dispatcher::acquireAhead(base::customer_name Customer) {
+  enter(Window);
+  Queue.Customers.try_emplace(std::move(Customer));
+}
+
+void dispatcher::notePinned(int Change) {
+  Pinned += Change;
+  limitWindow();
+}
+
+bool dispatcher::mayPin() const {
+  return Pinned < std::max<std::size_t>(1, Limit / 2);
+}
+
+void dispatcher::setConnectionLimit(std::size_t Connections) {
+  Limit = Connections;
+  Pool.setLimit(Connections);
+  limitWindow();
+}
+
+void dispatcher::limitWindow() {
+  const std::size_t Free = Limit > Pinned ? Limit - Pinned : 1;
+  Window.Limit = static_cast<double>(std::max<std::size_t>(1, Free));
   Window.Size = std::min(Window.Size, Window.Limit);
 }
 
--- a/packages/data/src/pinned_connection.cpp
+++ b/packages/data/src/pinned_connection.cpp
@@ -7,6 +7,8 @@
 namespace redwinggw::data {
 namespace {
 
+constexpr base::milliseconds PinRetryAfter{100};
+
 run_result failed(base::failure Failure) {
   run_result Result;
   Result.Failed.Failure = std::move(Failure);
@@ -21,16 +23,33 @@
   if (!Taken)
     co_return Taken.error();
   Pinned.Connection = std::move(*Taken);
+  Pinned.Target->notePinned(1);
   co_return base::result<void>();
 }
 
+/// The first run waits in the queue as any request does. Later ones go ahead:
+/// the requests that run may be waiting for this transaction's locks.
+base::task<base::result<void>> takeTurn(const pinned_connection &Pinned,
+                                        const call &Call) {
+  dispatcher &Target = *Pinned.Target;
+  if (Pinned.Connection) {
+    Target.acquireAhead(Call.Customer);
+    co_return base::result<void>();
+  }
+  if (!Target.mayPin())
+    co_return base::failure(base::errc::Overloaded,
+                            "open transactions at " + Target.endpoint().Name,
+                            PinRetryAfter);
+  co_return co_await Target.acquire(Call.Customer, Call.Deadline);
+}
+
 } // namespace
 
 base::task<run_result> runPinned(statement_core &Core,
                                  pinned_connection &Pinned, call &Call,
                                  run_request Request) {
   const std::shared_ptr<dispatcher> Target = Pinned.Target;
-  const auto Turn = co_await Target->acquire(Call.Customer, Call.Deadline);
+  const auto Turn = co_await takeTurn(Pinned, Call);
   if (!Turn)
     co_return failed(Turn.error());
   if (!isKeyInForce(Core, Call)) {
@@ -70,6 +89,7 @@
   else
     Pinned.Target->pool().discard(std::move(Pinned.Connection));
   Pinned.Connection.reset();
+  Pinned.Target->notePinned(-1);
 }
 
 } // namespace redwinggw::data
--- /dev/null
+++ b/tests/data/dispatcher_test.cpp
@@ -0,0 +1,67 @@
+#include "redwinggw/data/dispatcher.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "criterion_test.hpp"
+
+using namespace redwinggw;
+using namespace redwinggw::data;
+namespace asio = boost::asio;
+
+namespace {
+
+const control::endpoint Endpoint{"e1", "g", {"127.0.0.1", 1}, "a", 5, 4};
+constexpr std::chrono::minutes Patience{1};
+
+base::task<void> takeTurn(dispatcher &Dispatcher, int &Turns) {
+  const auto Turn =
+      co_await Dispatcher.acquire("dulce", base::now() + Patience);
+  Turns += Turn.has_value() ? 1 : 0;
+}
+
+/// Lets all that can run do so, without waiting for timers.
+void settle(asio::io_context &Context) {
+  Context.restart();
+  Context.poll();
+}
+
+} // namespace
+
+// All writes of a group stand still for a second at a time although the
+// database does nothing. One transaction holds a lock in the database; writes
+// that wait for the lock fill the window; the transaction's own next statement
+// queues behind them, so nobody moves until the tries time out.
+Test(dispatcher, a_statement_of_an_open_transaction_does_not_queue) {
+  asio::io_context Context;
+  dispatcher Dispatcher(Context.get_executor(), "i1", Endpoint, 4, {});
+  int Turns = 0;
+  for (int Write = 0; Write < 3; ++Write)
+    asio::co_spawn(Context, takeTurn(Dispatcher, Turns), asio::detached);
+  settle(Context);
+  cr_assert(Turns == 1);
+  cr_assert(Dispatcher.waiting() == 2);
+  Dispatcher.acquireAhead("dulce");
+  cr_assert(Dispatcher.running() == 2);
+  Dispatcher.release("dulce", {}, std::nullopt);
+  settle(Context);
+  cr_assert(Turns == 1);
+  Dispatcher.release("dulce", {}, std::nullopt);
+  settle(Context);
+  cr_assert(Turns == 2);
+  Dispatcher.release("dulce", {}, std::nullopt);
+  settle(Context);
+}
+
+// Requests are refused for lack of connections while turns are granted: open
+// transactions hold connections that the window still counts on.
+Test(dispatcher, pinned_connections_leave_the_window) {
+  asio::io_context Context;
+  dispatcher Dispatcher(Context.get_executor(), "i1", Endpoint, 4, {});
+  const double Free = Dispatcher.windowLimit();
+  Dispatcher.notePinned(1);
+  cr_assert(Dispatcher.windowLimit() == Free - 1);
+  Dispatcher.notePinned(-1);
+  cr_assert(Dispatcher.windowLimit() == Free);
+}
