--- a/packages/control/include/redwinggw/control/operator_routes.hpp
+++ b/packages/control/include/redwinggw/control/operator_routes.hpp
@@ -13,4 +13,9 @@
 void addConfigurationRoutes(operator_server &Server,
                             configuration_service &Service);
 
+/// Adds /operators/instances: the platform's list with the operators'
+/// addresses, so that redwinggwctl finds all instances. \p Store must outlive
+/// the run of the server.
+void addInstancesRoute(operator_server &Server, platform::store &Store);
+
 } // namespace redwinggw::control
--- a/packages/control/src/operator_routes.cpp
+++ b/packages/control/src/operator_routes.cpp
@@ -190,6 +190,20 @@
   co_return bodyOf(*Withdrawn);
 }
 
+answer showInstances(platform::store &Store) {
+  const auto Listed = co_await platform::listInstances(Store);
+  if (!Listed)
+    co_return Listed.error();
+  json::array Instances;
+  for (const platform::listed_instance &Instance : *Listed)
+    Instances.push_back(
+        json::object{{"name", Instance.Name},
+                     {"zone", Instance.Zone},
+                     {"operators", http::toText(Instance.Operators)},
+                     {"state", Instance.Leaving ? "leaving" : "live"}});
+  co_return json::object{{"instances", std::move(Instances)}};
+}
+
 json::value statusOf(const configuration_service &Service) {
   const configuration &Configuration = Service.inForce();
   json::object Status{{"read", Service.hasConfiguration()},
@@ -225,4 +239,9 @@
   Server.addStatus("configuration", [&Service] { return statusOf(Service); });
 }
 
+void addInstancesRoute(operator_server &Server, platform::store &Store) {
+  Server.addRoute("/operators/instances",
+                  [&Store](json::object) { return showInstances(Store); });
+}
+
 } // namespace redwinggw::control
--- a/packages/control/src/operator_server.cpp
+++ b/packages/control/src/operator_server.cpp
@@ -95,7 +95,12 @@
     co_return Body.error();
   // A copy: the route may be replaced while it runs.
   const route Run = Route->second;
-  co_return co_await Run(std::move(*Body));
+  try {
+    co_return co_await Run(std::move(*Body));
+  } catch (const std::exception &Error) {
+    // Guards against a fault of one page that would end the whole process.
+    co_return failure(errc::Internal, Error.what());
+  }
 }
 
 task<http::response> operator_server::answer(http::request Request) {
