Put transactions on the time line

Cause: a 0.43 s stall of all requests could not be placed by the time line. Ruled out by it: the database and open transactions; no request was sent at all, reads neither, while heartbeats went on: they waited for tokens of the customer's rate, most likely a share lease moving to an instance that started later. Change: begin, end and runs of transactions are events.

--- a/packages/data/src/pinned_connection.cpp
+++ b/packages/data/src/pinned_connection.cpp
@@ -63,6 +63,8 @@
     Target->release(Call.Customer, {}, std::nullopt);
     co_return failed(Ready.error());
   }
+  Core.Ports.Record(base::event_kind::RequestSent, Target->endpoint().Name,
+                    "transaction", Call.Request.RequestId);
   const base::instant SentAt = base::now();
   run_result Ran = co_await run(Pinned.Connection->Client, Request,
                                 Core.Settings.Instance, Deadline);
--- a/packages/data/src/transaction_table.cpp
+++ b/packages/data/src/transaction_table.cpp
@@ -39,6 +39,8 @@
   if (Found == Table.Open.end())
     return;
   unpin(Core, Found->second.Pinned, Clean);
+  Core.Ports.Record(base::event_kind::TransactionEnded, Id,
+                    Clean ? "ended" : "lost", {});
   Table.Open.erase(Found);
 }
 
@@ -117,6 +119,8 @@
   caller_answer Answer;
   Answer.Transaction = Core.Settings.Instance + "-" + base::randomId();
   Answer.ServedBy = "primary";
+  Core.Ports.Record(base::event_kind::TransactionBegun, Answer.Transaction,
+                    Call.Group, Call.Request.RequestId);
   Table.Open.emplace(Answer.Transaction, std::move(Transaction));
   co_return Answer;
 }
