Confirm the term beside the read; writes need no current term

Cause: a read on the primary asked for its confirmation only after its answer, one round trip more; writes asked for the term to be current although a majority that holds the position in its term is all they need. Change: the read and the question run side by side; writes wait for Held only.

--- a/packages/data/include/redwinggw/data/statement_core.hpp
+++ b/packages/data/include/redwinggw/data/statement_core.hpp
@@ -6,6 +6,7 @@
 #include "redwinggw/base/timeline.hpp"
 #include "redwinggw/control/configuration.hpp"
 #include "redwinggw/data/caller_message.hpp"
+#include "redwinggw/data/confirm.hpp"
 #include "redwinggw/data/dispatcher.hpp"
 #include "redwinggw/data/group_view.hpp"
 #include "redwinggw/data/request_record.hpp"
@@ -39,7 +40,8 @@
   std::function<const group_view *(std::string_view)> View;
   /// Waits until a majority holds a position in a term.
   std::function<base::task<base::result<void>>(
-      base::group_name, base::term_number, base::log_position, base::instant)>
+      base::group_name, base::term_number, base::log_position, base::instant,
+      confirm_kind)>
       Confirm;
   /// Waits until the group has a primary.
   std::function<base::task<base::result<void>>(base::group_name, base::instant)>
--- a/packages/data/src/read_path.cpp
+++ b/packages/data/src/read_path.cpp
@@ -1,6 +1,7 @@
 #include "redwinggw/data/statement_core.hpp"
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -11,6 +12,7 @@
 namespace {
 
 namespace asio = boost::asio;
+using namespace asio::experimental::awaitable_operators;
 using base::errc;
 using base::failure;
 using base::result;
@@ -120,12 +122,18 @@
   const std::shared_ptr<dispatcher> Target = primaryOf(Core, **View);
   run_request Request = runOf(Call);
   Request.ExpectTerm = Term;
-  run_result Ran = co_await runAt(Core, Target, Call, std::move(Request));
+  // Both begin after the request arrived, so that they may run side by side.
+  auto [Ran, Current] =
+      co_await (runAt(Core, Target, Call, std::move(Request)) &&
+                Core.Ports.Confirm(Call.Group, Term, 0, Call.Deadline,
+                                   confirm_kind::HeldAndCurrent));
   if (!Ran.Answer)
     co_return Ran.Failed.Failure;
+  if (!Current)
+    co_return Current.error();
   const base::log_position Position = Ran.Answer->Position;
-  const auto Confirmed =
-      co_await Core.Ports.Confirm(Call.Group, Term, Position, Call.Deadline);
+  const auto Confirmed = co_await Core.Ports.Confirm(
+      Call.Group, Term, Position, Call.Deadline, confirm_kind::Held);
   if (!Confirmed)
     co_return Confirmed.error();
   std::string Session = tokenAfter(Core, Call, Term, Position);
--- a/packages/data/src/write_path.cpp
+++ b/packages/data/src/write_path.cpp
@@ -82,8 +82,8 @@
 base::task<write_step> confirmed(statement_core &Core, call &Call,
                                  json::value Result, base::term_number Term,
                                  base::log_position Position) {
-  const auto Confirmed =
-      co_await Core.Ports.Confirm(Call.Group, Term, Position, Call.Deadline);
+  const auto Confirmed = co_await Core.Ports.Confirm(
+      Call.Group, Term, Position, Call.Deadline, confirm_kind::Held);
   if (!Confirmed)
     co_return stopped(Confirmed.error());
   caller_answer Answer;
@@ -182,8 +182,9 @@
       insertRecord(Attempt.Identity, request_state::Cancelled)};
   run_result Ran = co_await runAt(Core, Target, Call, std::move(Request));
   if (Ran.Answer) {
-    const auto Confirmed = co_await Core.Ports.Confirm(
-        Call.Group, Term, Ran.Answer->Position, Call.Deadline);
+    const auto Confirmed =
+        co_await Core.Ports.Confirm(Call.Group, Term, Ran.Answer->Position,
+                                    Call.Deadline, confirm_kind::Held);
     co_return stopped(Confirmed ? failure(errc::RequestCancelled)
                                 : Confirmed.error());
   }
@@ -270,8 +271,9 @@
   run_result Ran = co_await runAt(Core, Target, Call, std::move(Request));
   if (!Ran.Answer)
     co_return Ran.Failed.Failure;
-  const auto Confirmed = co_await Core.Ports.Confirm(
-      Call.Group, Term, Ran.Answer->Position, Call.Deadline);
+  const auto Confirmed =
+      co_await Core.Ports.Confirm(Call.Group, Term, Ran.Answer->Position,
+                                  Call.Deadline, confirm_kind::HeldAndCurrent);
   if (!Confirmed)
     co_return Confirmed.error();
   co_return found_record{recordOf(Ran.Answer->Results.at(0)), Term,
--- a/packages/redwinggw/src/wiring.cpp
+++ b/packages/redwinggw/src/wiring.cpp
@@ -45,9 +45,10 @@
     return &State.Groups.view(Group);
   };
   Ports.Confirm = [&State](base::group_name Group, base::term_number Term,
-                           base::log_position Position,
-                           base::instant Deadline) {
-    return State.Groups.confirm(std::move(Group), Term, Position, Deadline);
+                           base::log_position Position, base::instant Deadline,
+                           data::confirm_kind Kind) {
+    return State.Groups.confirm(std::move(Group), Term, Position, Deadline,
+                                Kind);
   };
   Ports.AwaitPrimary = [&State](base::group_name Group,
                                 base::instant Deadline) {
