--- a/packages/control/include/redwinggw/control/share_holder.hpp
+++ b/packages/control/include/redwinggw/control/share_holder.hpp
@@ -9,6 +9,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string_view>
 #include <vector>
 
@@ -18,13 +19,18 @@
 struct holder_limits {
   /// Demand is averaged over this time and asked for ahead for that one.
   base::microseconds DemandWindow{100'000};
-  base::microseconds Horizon{40'000};
+  /// At most half a Ttl, or the tokens would lapse.
+  base::microseconds Horizon{125'000};
   /// An unanswered request is taken for lost.
   base::microseconds ResendAfter{40'000};
   /// A request goes on waiting for so long after the giver had no token. The
   /// outstanding grants keep the giver's bucket behind that of a single
   /// process by at most a Ttl, so a request inside the rate finds its token.
   base::microseconds Patience{500'000};
+  /// A giver that did not answer for so long has left a backlog of requests
+  /// that may be inside the rate: these wait up to their deadline.
+  base::microseconds Silence{200'000};
+  std::size_t MaxWaiters = 10'000;
 };
 
 /// Tokens that may be spent until they lapse.
@@ -51,6 +57,10 @@
   base::instant DemandAt;
   /// The giver had nothing: ask again then.
   base::instant NextAskAt;
+  /// The first request since the giver's last answer.
+  std::optional<base::instant> UnansweredSince;
+  /// Until then requests are refused at their deadline only.
+  base::instant PatientUntil;
 };
 
 /// A request to a giver that may still be answered.
@@ -83,6 +93,9 @@
   holder_limits Limits;
   share_limits Shares;
   std::map<base::customer_name, share_account, std::less<>> Accounts;
+  /// Customers with demand, tokens or requests that wait; the others cost
+  /// nothing.
+  std::set<base::customer_name, std::less<>> Active;
   std::vector<share_request> Requests;
   std::uint64_t LastNumber = 0;
   std::uint64_t LastTicket = 0;
--- a/packages/control/include/redwinggw/control/share_lease.hpp
+++ b/packages/control/include/redwinggw/control/share_lease.hpp
@@ -102,6 +102,8 @@
   /// The levels to start from, after lease_change::Taken.
   std::vector<saved_level> Start;
   base::instance_name Preferred;
+  /// The next in line watches the row too, so that it can take over sooner.
+  base::instance_name Standby;
   base::instant PreferredSince;
 };
 
--- a/packages/control/include/redwinggw/control/share_node.hpp
+++ b/packages/control/include/redwinggw/control/share_node.hpp
@@ -23,6 +23,7 @@
   holder_limits Holder;
   lease_limits Lease;
   base::microseconds ReadEvery{500'000};
+  base::microseconds LeaseEvery{50'000};
 };
 
 struct share_send {
@@ -61,6 +62,7 @@
   std::uint64_t LastId = 0;
   bool Reading = false;
   base::instant NextReadAt;
+  base::instant NextLeaseAt;
 };
 
 share_node makeShareNode(const base::instance_name &Self,
@@ -70,12 +72,6 @@
 void applyPlans(share_node &Node, const std::vector<customer> &Customers,
                 base::instant Now);
 
-/// The instance that should give \p Partition, by rendezvous hashing over the
-/// live instances that see the store, or over all live ones when none does.
-base::instance_name preferredGiver(const share_node &Node,
-                                   const membership &Membership,
-                                   std::uint16_t Partition, base::instant Now);
-
 /// Leases, asking ahead, and requests whose time is over. Call every few
 /// milliseconds while requests wait, else each 50 ms.
 share_actions onShareTick(share_node &Node, const membership &Membership,
--- a/packages/control/src/share_holder.cpp
+++ b/packages/control/src/share_holder.cpp
@@ -14,8 +14,7 @@
 /// After "none yet" never ask again sooner.
 constexpr microseconds MinAskInterval{2'000};
 constexpr double MicrosecondsPerSecond = 1e6;
-/// Customers with less demand than this are passed over, so that thousands of
-/// idle ones cost little.
+/// Customers with less demand than this are idle.
 constexpr double LeastDemand = 0.01;
 
 double inSeconds(microseconds Time) {
@@ -60,19 +59,23 @@
   Account.DemandAt = Now;
 }
 
+bool isIdle(const share_account &Account) {
+  return Account.Waiters.empty() && Account.Held.empty() &&
+         Account.Demand < LeastDemand;
+}
+
 /// Tokens to ask for: for those who wait, and for the demand expected until
 /// an answer to a later request can be here. Less than a whole expected
 /// request is not asked for: it would mostly lapse.
 double wantedTokens(share_holder &Holder, share_account &Account, instant Now) {
-  const bool Idle = Account.Waiters.empty() && Account.Held.empty() &&
-                    Account.Demand < LeastDemand;
-  if (Idle || Now < Account.NextAskAt)
+  if (Now < Account.NextAskAt)
     return 0;
   dropLapsed(Holder, Account, Now);
   decayDemand(Holder, Account, Now);
-  const double Expected =
-      std::floor(Account.Demand * inSeconds(Holder.Limits.Horizon) /
-                 inSeconds(Holder.Limits.DemandWindow));
+  const microseconds Horizon =
+      std::min(Holder.Limits.Horizon, Account.Plan.Ttl / 2);
+  const double Expected = std::floor(Account.Demand * inSeconds(Horizon) /
+                                     inSeconds(Holder.Limits.DemandWindow));
   const auto Waiting = static_cast<double>(Account.Waiters.size());
   const double Held = heldTokens(Account);
   const bool Low = Held < Expected / 2;
@@ -99,6 +102,16 @@
   return Verdicts;
 }
 
+/// The giver answered again. After a silence there is a backlog, which takes
+/// about as long again to work off.
+void noteAnswer(const share_holder &Holder, share_account &Account,
+                instant Now) {
+  const auto Silence = Now - Account.UnansweredSince.value_or(Now);
+  Account.UnansweredSince.reset();
+  if (Silence >= Holder.Limits.Silence)
+    Account.PatientUntil = Now + 2 * Silence;
+}
+
 void noteNothingLeft(share_account &Account, microseconds Wait, instant Now) {
   Account.NextAskAt = Now + std::max(Wait, MinAskInterval);
   std::ranges::for_each(Account.Waiters, [&](share_waiter &Waiter) {
@@ -118,7 +131,9 @@
             const share_waiter &Waiter, std::size_t Index, instant Now) {
   if (Waiter.Deadline <= Now)
     return true;
-  if (!Waiter.RefusedAt)
+  if (Index >= Holder.Limits.MaxWaiters)
+    return true;
+  if (!Waiter.RefusedAt || Now < Account.PatientUntil)
     return false;
   return isTooFarBack(Holder, Account, Index) ||
          Now - *Waiter.RefusedAt >= Holder.Limits.Patience;
@@ -135,6 +150,7 @@
   if (!Account.Waiters.empty() || !spend(Holder, Account, Now))
     return false;
   Account.Demand += 1;
+  Holder.Active.emplace(Customer);
   return true;
 }
 
@@ -146,13 +162,15 @@
   share_waiter &Waiter = Account.Waiters.emplace_back();
   Waiter.Ticket = ++Holder.LastTicket;
   Waiter.Deadline = Deadline;
+  Holder.Active.emplace(Customer);
   return Waiter.Ticket;
 }
 
 std::vector<wire::share_message> dueRequests(share_holder &Holder,
                                              instant Now) {
   std::map<std::uint16_t, wire::share_message> ByPartition;
-  for (auto &[Name, Account] : Holder.Accounts) {
+  for (const base::customer_name &Name : Holder.Active) {
+    share_account &Account = Holder.Accounts[Name];
     if (isAsked(Holder, Account.Partition, Now))
       continue;
     const double Wanted = wantedTokens(Holder, Account, Now);
@@ -162,6 +180,7 @@
     Entry.Customer = Name;
     Entry.Tokens = static_cast<float>(Wanted);
     ByPartition[Account.Partition].Entries.push_back(std::move(Entry));
+    Account.UnansweredSince = Account.UnansweredSince.value_or(Now);
   }
   std::vector<wire::share_message> Messages;
   for (auto &[Partition, Message] : ByPartition) {
@@ -191,6 +210,7 @@
     if (Found == Holder.Accounts.end())
       continue;
     share_account &Account = Found->second;
+    noteAnswer(Holder, Account, Now);
     if (Entry.Tokens >= 1)
       Account.Held.push_back({SentAt + microseconds(Entry.TtlUs),
                               static_cast<double>(Entry.Tokens)});
@@ -214,7 +234,8 @@
     return Now - Request.SentAt > Holder.Shares.MaxTtl;
   });
   std::vector<share_verdict> Verdicts;
-  for (auto &[Name, Account] : Holder.Accounts) {
+  for (const base::customer_name &Name : Holder.Active) {
+    share_account &Account = Holder.Accounts[Name];
     std::size_t Index = 0;
     std::erase_if(Account.Waiters, [&](const share_waiter &Waiter) {
       if (!isOver(Holder, Account, Waiter, Index++, Now))
@@ -228,6 +249,11 @@
       return true;
     });
   }
+  std::erase_if(Holder.Active, [&](const base::customer_name &Name) {
+    share_account &Account = Holder.Accounts[Name];
+    decayDemand(Holder, Account, Now);
+    return isIdle(Account);
+  });
   return Verdicts;
 }
 
--- a/packages/control/src/share_lease.cpp
+++ b/packages/control/src/share_lease.cpp
@@ -218,7 +218,7 @@
 bool needsRow(const share_lease &Lease, const base::instance_name &Self) {
   if (!Lease.Known || !Lease.Tried.empty())
     return true;
-  return !Lease.Holding && Lease.Preferred == Self;
+  return !Lease.Holding && (Lease.Preferred == Self || Lease.Standby == Self);
 }
 
 } // namespace redwinggw::control
--- a/packages/control/src/share_node.cpp
+++ b/packages/control/src/share_node.cpp
@@ -21,38 +21,64 @@
              SeesStoreWithin;
 }
 
-std::vector<base::instance_name>
-candidates(const share_node &Node, const membership &Membership, instant Now) {
-  std::vector<base::instance_name> Live;
-  std::vector<base::instance_name> Seeing;
+/// An instance that could give, with the hash of its name.
+struct candidate {
+  const base::instance_name *Name = nullptr;
+  std::uint32_t Hash = 0;
+};
+
+/// The live instances that see the store, or all live ones when none does.
+std::vector<candidate> candidates(const share_node &Node,
+                                  const membership &Membership, instant Now) {
+  std::vector<candidate> Live;
+  std::vector<candidate> Seeing;
   for (const member &Member : Membership.Members) {
     if (Member.State != member_state::Alive &&
         Member.State != member_state::Suspect)
       continue;
-    Live.push_back(Member.Name);
+    Live.push_back({&Member.Name, wire::hashOf(Member.Name)});
     if (seesStore(Member, Now))
-      Seeing.push_back(Member.Name);
+      Seeing.push_back(Live.back());
   }
   if (!Node.Draining) {
-    Live.push_back(Node.Self);
+    Live.push_back({&Node.Self, wire::hashOf(Node.Self)});
     const auto ReadAt = Membership.Store.ReadAt;
     if (ReadAt && Now - *ReadAt <= SeesStoreWithin)
-      Seeing.push_back(Node.Self);
+      Seeing.push_back(Live.back());
   }
   return Seeing.empty() ? Live : Seeing;
 }
 
-std::uint32_t rendezvousScore(const base::instance_name &Instance,
+std::uint32_t rendezvousScore(const candidate &Candidate,
                               std::uint16_t Partition) {
-  std::string Text = std::to_string(Partition);
-  Text += '/';
-  Text += Instance;
-  // Names that differ in the last letter only differ in the low bits: mix.
   constexpr std::uint32_t Odd = 0x9e3779b1U;
-  const std::uint32_t Hash = wire::hashOf(Text) * Odd;
+  const std::uint32_t Hash = (Candidate.Hash + Partition * Odd) * Odd;
   return (Hash ^ (Hash >> 15U)) * Odd;
 }
 
+/// Who should give a partition, and who if that one fails: the best two by
+/// rendezvous hashing, so that a change of one instance moves only its part.
+struct ranking {
+  base::instance_name First;
+  base::instance_name Second;
+};
+
+ranking rank(std::vector<candidate> &Candidates, std::uint16_t Partition) {
+  const std::size_t Count = std::min<std::size_t>(2, Candidates.size());
+  std::ranges::partial_sort(
+      Candidates, Candidates.begin() + static_cast<std::ptrdiff_t>(Count),
+      std::greater{}, [&](const candidate &Candidate) {
+        return std::pair(rendezvousScore(Candidate, Partition),
+                         std::string_view(*Candidate.Name));
+      });
+  ranking Ranking;
+  if (Count > 0)
+    Ranking.First = *Candidates[0].Name;
+  if (Count > 1)
+    Ranking.Second = *Candidates[1].Name;
+  return Ranking;
+}
+
 void onChange(share_node &Node, const share_lease &Lease, lease_change Change,
               instant Now) {
   if (Change == lease_change::Taken)
@@ -63,9 +89,11 @@
 
 void stepLeases(share_node &Node, const membership &Membership, instant Now) {
   const lease_limits &Limits = Node.Settings.Lease;
+  auto Candidates = candidates(Node, Membership, Now);
   for (share_lease &Lease : Node.Leases) {
-    setPreferred(Lease, preferredGiver(Node, Membership, Lease.Partition, Now),
-                 Now);
+    ranking Ranking = rank(Candidates, Lease.Partition);
+    setPreferred(Lease, Ranking.First, Now);
+    Lease.Standby = std::move(Ranking.Second);
     const bool Moves =
         Node.Draining || shouldMove(Lease, Node.Self, Limits, Now);
     if (!Lease.Holding || !Moves)
@@ -106,10 +134,13 @@
          });
 }
 
-wire::share_message moved(const share_lease &Lease,
-                          const wire::share_message &Request) {
+/// Names the holder only while the row is watched: it changes with each
+/// renewal, so an old one may name an instance that is long gone.
+wire::share_message moved(const share_node &Node, const share_lease &Lease,
+                          const wire::share_message &Request, instant Now) {
   wire::share_message Answer = answerTo(Request, wire::share_kind::Moved);
-  if (Lease.Known && !Lease.Row.Released)
+  const bool Fresh = Now - Lease.ObservedAt <= Node.Settings.Lease.Length;
+  if (Lease.Known && Fresh && !Lease.Row.Released)
     Answer.Giver = Lease.Row.Holder;
   return Answer;
 }
@@ -119,7 +150,7 @@
   const share_lease &Lease = Node.Leases[Request.Partition];
   return mayGive(Lease, Membership, Node.Settings.Lease, Now)
              ? grant(Node.Giver, Request, Now)
-             : moved(Lease, Request);
+             : moved(Node, Lease, Request, Now);
 }
 
 base::instance_name giverOf(const share_node &Node, std::uint16_t Partition,
@@ -187,18 +218,9 @@
   std::erase_if(Node.Holder.Accounts, [&](const auto &Entry) {
     return IsGone(Entry) && Entry.second.Waiters.empty();
   });
-}
-
-base::instance_name preferredGiver(const share_node &Node,
-                                   const membership &Membership,
-                                   std::uint16_t Partition, instant Now) {
-  const auto Candidates = candidates(Node, Membership, Now);
-  if (Candidates.empty())
-    return {};
-  return *std::ranges::max_element(
-      Candidates, {}, [&](const base::instance_name &Name) {
-        return std::pair(rendezvousScore(Name, Partition), Name);
-      });
+  std::erase_if(Node.Holder.Active, [&](const base::customer_name &Name) {
+    return !Node.Holder.Accounts.contains(Name);
+  });
 }
 
 share_actions askForTokens(share_node &Node, const membership &Membership,
@@ -217,10 +239,13 @@
 
 share_actions onShareTick(share_node &Node, const membership &Membership,
                           instant Now) {
-  stepLeases(Node, Membership, Now);
   share_actions Actions = askForTokens(Node, Membership, Now);
   std::ranges::move(dueVerdicts(Node.Holder, Now),
                     std::back_inserter(Actions.Verdicts));
+  if (Now < Node.NextLeaseAt)
+    return Actions;
+  Node.NextLeaseAt = Now + Node.Settings.LeaseEvery;
+  stepLeases(Node, Membership, Now);
   Actions.Commit = collectCommit(Node, Membership, Now);
   Actions.Read = isReadDue(Node, Now);
   if (Actions.Read) {
--- /dev/null
+++ b/tests/bench/peers_bench.cpp
@@ -0,0 +1,337 @@
+// Cost of membership and shares a node: bytes, datagrams and processor time
+// against the number of instances, customers and requests. The decisions and
+// the serialisation run for real; time is passed in, so that a run takes only
+// as long as its work. With --udp a few sizes run over real sockets as well.
+
+#include "redwinggw/control/peer_service.hpp"
+#include "redwinggw/control/share_node.hpp"
+#include "redwinggw/http/server.hpp"
+
+#include "platform/platform.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <cstdio>
+#include <ctime>
+#include <deque>
+#include <iterator>
+#include <memory>
+#include <random>
+#include <ranges>
+#include <string_view>
+
+using namespace redwinggw;
+using namespace redwinggw::control;
+using base::instant;
+using base::microseconds;
+using base::milliseconds;
+
+namespace {
+
+const std::string Key = "a fleet key of usual length";
+/// IP and UDP headers.
+constexpr std::size_t HeaderBytes = 28;
+
+double cpuSeconds() {
+  return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
+}
+
+struct traffic {
+  double Datagrams = 0;
+  double Bytes = 0;
+};
+
+struct bench_node {
+  membership Membership;
+  share_node Shares;
+};
+
+struct bench_fleet {
+  std::vector<bench_node> Nodes;
+  instant Now{milliseconds(100'000)};
+  traffic Traffic;
+  std::uint64_t Spent = 0;
+  std::uint64_t Waited = 0;
+  std::map<std::string, platform::row> Table;
+  std::uint64_t Version = 0;
+};
+
+std::string nodeName(std::size_t Index) {
+  std::string Name = "instance-";
+  Name += std::to_string(Index);
+  return Name;
+}
+
+std::size_t nodeIndex(const std::string &Name) {
+  return std::stoul(Name.substr(Name.find('-') + 1));
+}
+
+bench_fleet makeFleet(std::size_t Count) {
+  bench_fleet Fleet;
+  std::vector<platform::listed_instance> List(Count);
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    List[Index].Name = nodeName(Index);
+    List[Index].Zone = "zone-a";
+  }
+  for (const platform::listed_instance &Self : List) {
+    bench_node &Node = Fleet.Nodes.emplace_back();
+    Node.Membership = makeMembership({Self.Name, Self.Zone, 1});
+    onList(Node.Membership, List, Fleet.Now);
+    Node.Shares = makeShareNode(Self.Name, 1, {});
+  }
+  return Fleet;
+}
+
+void carryOut(bench_fleet &Fleet, std::size_t Index, share_actions Actions);
+
+/// Serialises, checks and hands over a datagram.
+void deliver(bench_fleet &Fleet, const wire::datagram &Sent) {
+  const std::string Bytes = wire::encode(Key, Sent);
+  Fleet.Traffic.Datagrams += 1;
+  Fleet.Traffic.Bytes += static_cast<double>(Bytes.size() + HeaderBytes);
+  const auto Datagram = wire::decode(Key, Bytes);
+  const std::size_t To = nodeIndex(Sent.Receiver);
+  bench_node &Node = Fleet.Nodes[To];
+  if (!Datagram || !admitDatagram(Node.Membership, *Datagram))
+    return;
+  if (const auto *Share = std::get_if<wire::share_message>(&Datagram->Body)) {
+    carryOut(Fleet, To,
+             onShareMessage(Node.Shares, Node.Membership, Datagram->Sender,
+                            *Share, Fleet.Now));
+    return;
+  }
+  for (const peer_send &Send :
+       onHeartbeat(Node.Membership, *Datagram, Fleet.Now))
+    deliver(Fleet, Send.Datagram);
+}
+
+void commitNow(bench_fleet &Fleet, std::size_t Index,
+               const platform::commit_request &Request) {
+  std::vector<std::uint64_t> Versions;
+  std::ranges::transform(Request.Puts, std::back_inserter(Versions),
+                         [&](const platform::put &Put) {
+                           Fleet.Table[Put.Key] = {Put.Key, ++Fleet.Version,
+                                                   Put.Value};
+                           return Fleet.Version;
+                         });
+  onCommitAnswer(Fleet.Nodes[Index].Shares, Versions, Fleet.Now);
+}
+
+void carryOut(bench_fleet &Fleet, std::size_t Index, share_actions Actions) {
+  bench_node &Node = Fleet.Nodes[Index];
+  Fleet.Spent += static_cast<std::uint64_t>(
+      std::ranges::count_if(Actions.Verdicts, &share_verdict::Admitted));
+  if (Actions.Commit)
+    commitNow(Fleet, Index, *Actions.Commit);
+  if (Actions.Read) {
+    std::vector<platform::row> Rows;
+    std::ranges::copy(std::views::values(Fleet.Table),
+                      std::back_inserter(Rows));
+    onRows(Node.Shares, Rows, Fleet.Now);
+  }
+  for (share_send &Send : Actions.Sends) {
+    wire::datagram Datagram = stamp(Node.Membership, Send.To, Fleet.Now);
+    Datagram.Body = std::move(Send.Message);
+    deliver(Fleet, Datagram);
+  }
+}
+
+void heartbeats(bench_fleet &Fleet) {
+  for (bench_node &Node : Fleet.Nodes) {
+    onStoreRead(Node.Membership, Fleet.Now, Fleet.Now, 1);
+    for (const peer_send &Send : onTick(Node.Membership, Fleet.Now))
+      deliver(Fleet, Send.Datagram);
+  }
+}
+
+double heardPart(const bench_fleet &Fleet) {
+  const membership &View = Fleet.Nodes.front().Membership;
+  const auto Heard =
+      std::ranges::count_if(View.Members, [&](const member &Member) {
+        return isHeard(View, Member, Fleet.Now);
+      });
+  return static_cast<double>(Heard) / static_cast<double>(View.Members.size());
+}
+
+void benchMembership(std::size_t Count) {
+  constexpr milliseconds Step{50};
+  constexpr milliseconds WarmUp{5000};
+  constexpr milliseconds Time{10000};
+  bench_fleet Fleet = makeFleet(Count);
+  const instant Start = Fleet.Now + WarmUp;
+  for (; Fleet.Now < Start; Fleet.Now += Step)
+    heartbeats(Fleet);
+  Fleet.Traffic = {};
+  const double Before = cpuSeconds();
+  for (; Fleet.Now < Start + Time; Fleet.Now += Step)
+    heartbeats(Fleet);
+  const double Seconds = std::chrono::duration<double>(Time).count();
+  const double NodeSeconds = Seconds * static_cast<double>(Count);
+  std::printf("%9zu %12.1f %12.0f %14.3f %10.2f\n", Count,
+              Fleet.Traffic.Datagrams / NodeSeconds,
+              Fleet.Traffic.Bytes / NodeSeconds,
+              100 * (cpuSeconds() - Before) / NodeSeconds, heardPart(Fleet));
+}
+
+struct share_load {
+  std::size_t Instances = 8;
+  std::size_t Customers = 8;
+  double RequestsPerSecond = 1000;
+};
+
+void requestAt(bench_fleet &Fleet, std::size_t Index,
+               const std::string &Customer) {
+  bench_node &Node = Fleet.Nodes[Index];
+  if (takeToken(Node.Shares.Holder, Customer, Fleet.Now)) {
+    ++Fleet.Spent;
+    return;
+  }
+  ++Fleet.Waited;
+  waitForToken(Node.Shares.Holder, Customer, Fleet.Now,
+               Fleet.Now + milliseconds(1000));
+  carryOut(Fleet, Index, askForTokens(Node.Shares, Node.Membership, Fleet.Now));
+}
+
+void benchShares(const share_load &Load) {
+  constexpr milliseconds Step{1};
+  constexpr int ShareTick = 5;
+  constexpr int HeartbeatTick = 50;
+  constexpr int WarmUp = 5000;
+  constexpr int Steps = 5000;
+  bench_fleet Fleet = makeFleet(Load.Instances);
+  std::vector<customer> Customers(Load.Customers);
+  const double Rate =
+      2 * Load.RequestsPerSecond / static_cast<double>(Load.Customers);
+  for (std::size_t Index = 0; Index < Customers.size(); ++Index) {
+    Customers[Index].Name = "customer-" + std::to_string(Index);
+    Customers[Index].Rate = Rate;
+    Customers[Index].Burst = std::max(10.0, Rate);
+  }
+  std::ranges::for_each(Fleet.Nodes, [&](bench_node &Node) {
+    applyPlans(Node.Shares, Customers, Fleet.Now);
+  });
+  std::mt19937 Random(1);
+  std::poisson_distribution<> Arrivals(Load.RequestsPerSecond / 1000);
+  double Before = 0;
+  traffic Heartbeats;
+  for (int At = 0; At < WarmUp + Steps; ++At, Fleet.Now += Step) {
+    if (At == WarmUp) {
+      Fleet.Traffic = {};
+      Fleet.Spent = Fleet.Waited = 0;
+      Before = cpuSeconds();
+    }
+    if (At % HeartbeatTick == 0) {
+      const traffic Sent = Fleet.Traffic;
+      heartbeats(Fleet);
+      Fleet.Traffic = Sent;
+    }
+    if (At % ShareTick == 0)
+      for (std::size_t Index = 0; Index < Fleet.Nodes.size(); ++Index)
+        carryOut(Fleet, Index,
+                 onShareTick(Fleet.Nodes[Index].Shares,
+                             Fleet.Nodes[Index].Membership, Fleet.Now));
+    for (int Count = Arrivals(Random); Count > 0; --Count)
+      requestAt(Fleet, Random() % Load.Instances,
+                Customers[Random() % Load.Customers].Name);
+  }
+  const double NodeSeconds = 5.0 * static_cast<double>(Load.Instances);
+  std::printf("%9zu %9zu %10.0f %12.1f %12.0f %14.3f %10.3f\n", Load.Instances,
+              Load.Customers, Load.RequestsPerSecond,
+              Fleet.Traffic.Datagrams / NodeSeconds,
+              Fleet.Traffic.Bytes / NodeSeconds,
+              100 * (cpuSeconds() - Before) / NodeSeconds,
+              static_cast<double>(Fleet.Waited) /
+                  static_cast<double>(std::max<std::uint64_t>(1, Fleet.Spent)));
+}
+
+base::task<void> tell(standin::platform_standin &Platform,
+                      http::request Request) {
+  co_await Platform.handle(std::move(Request));
+}
+
+http::request enlisting(const std::string &Name, const http::address &Peers) {
+  http::request Request;
+  Request.Target = "/admin/instance";
+  Request.Body =
+      boost::json::serialize(boost::json::object{{"name", Name},
+                                                 {"zone", "zone-a"},
+                                                 {"peers", toText(Peers)},
+                                                 {"callers", "127.0.0.1:1"},
+                                                 {"operators", "127.0.0.1:1"},
+                                                 {"state", "live"}});
+  return Request;
+}
+
+/// Real sockets, all instances on one thread; the processor time holds the
+/// polling of the list and the stand-in's part of it too.
+void benchUdp(std::size_t Count) {
+  constexpr milliseconds WarmUp{3000};
+  constexpr milliseconds Time{5000};
+  boost::asio::io_context Context;
+  const auto Executor = Context.get_executor();
+  standin::platform_standin Platform(Executor, milliseconds(0));
+  http::server Server(Executor, {},
+                      [&](http::connection &, http::request Request) {
+                        return Platform.handle(std::move(Request));
+                      });
+  const http::address AnyPort{"127.0.0.1", 0};
+  const http::address Address = Server.listen(AnyPort).value();
+  std::deque<platform::store> Stores;
+  std::vector<std::unique_ptr<peer_service>> Peers;
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    const std::string Name = nodeName(Index);
+    Stores.push_back({Executor, Address, Name});
+    Peers.push_back(std::make_unique<peer_service>(
+        Executor, peer_identity{Name, "zone-a", 1}, AnyPort, Key,
+        Stores.back()));
+    const http::address Bound = Peers.back()->start().value();
+    boost::asio::co_spawn(Executor, tell(Platform, enlisting(Name, Bound)),
+                          boost::asio::detached);
+  }
+  Context.run_for(WarmUp);
+  const peer_traffic Start = Peers.front()->traffic();
+  const double Before = cpuSeconds();
+  Context.run_for(Time);
+  const double Seconds = std::chrono::duration<double>(Time).count();
+  const peer_traffic End = Peers.front()->traffic();
+  const auto Datagrams =
+      static_cast<double>(End.SentDatagrams - Start.SentDatagrams);
+  const auto Bytes = static_cast<double>(End.SentBytes - Start.SentBytes) +
+                     Datagrams * static_cast<double>(HeaderBytes);
+  std::printf("%9zu %12.1f %12.0f %14.3f\n", Count, Datagrams / Seconds,
+              Bytes / Seconds,
+              100 * (cpuSeconds() - Before) / Seconds /
+                  static_cast<double>(Count));
+  std::ranges::for_each(Peers, [](const auto &Each) { Each->stop(); });
+  Server.drain();
+  Context.run_for(milliseconds(100));
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  std::puts("membership, sent a node (bytes with IP and UDP headers)");
+  std::puts("instances  datagrams/s      bytes/s  % of one core  heard part");
+  for (const std::size_t Size : {2, 4, 8, 16, 17, 32, 64, 128, 256, 790})
+    benchMembership(Size);
+  std::puts("\nshares, sent a node, without heartbeats");
+  std::puts("instances customers requests/s  datagrams/s      bytes/s  % of "
+            "one core  waited/spent");
+  for (const double Requests : {100, 1000, 10000})
+    benchShares({8, 8, Requests});
+  for (const std::size_t Customers : {100, 1000, 10000})
+    benchShares({8, Customers, 1000});
+  for (const std::size_t Instances : {2, 4, 16, 32})
+    benchShares({Instances, 8, 1000});
+  if (Count < 2 || std::string_view(Arguments[1]) != "--udp")
+    return 0;
+  std::puts("\nmembership over real sockets, with polling of the list");
+  std::puts("instances  datagrams/s      bytes/s  % of one core");
+  for (const std::size_t Size : {2, 4, 8, 16, 32})
+    benchUdp(Size);
+  return 0;
+}
