Bound how long a run of a transaction waits for its customer's rate

Ruled out: not counting runs at all; a transaction would be a way round the rate. Change: a run waits 50 ms at most for its token; without one its transaction is rolled back and refused with over_rate, which is true.

--- a/packages/data/include/redwinggw/data/transaction_table.hpp
+++ b/packages/data/include/redwinggw/data/transaction_table.hpp
@@ -47,6 +47,10 @@
 base::task<base::result<caller_answer>>
 rollBackTransaction(statement_core &Core, transaction_table &Table, call Call);
 
+/// Rolls back the transaction of \p Call, if it is its customer's own and idle.
+void abandonTransaction(statement_core &Core, transaction_table &Table,
+                        const call &Call);
+
 /// Rolls back, by closing their connections, the transactions that are idle
 /// for too long and those whose key is not in force any more.
 void closeAbandoned(statement_core &Core, transaction_table &Table,
--- a/packages/data/src/caller_server.cpp
+++ b/packages/data/src/caller_server.cpp
@@ -33,6 +33,19 @@
   return serveOutcome(Core, std::move(Call));
 }
 
+/// How a path counts against the customer's rate.
+enum class counting {
+  Free,
+  /// It may wait for the rate until its deadline.
+  Waits,
+  /// It belongs to an open transaction, whose locks others wait for: without a
+  /// token in a moment the transaction is rolled back.
+  Brief,
+};
+
+/// Time for a token that is within the rate to come from its giver.
+constexpr base::milliseconds BriefWait{50};
+
 /// What a path needs and who serves it.
 struct path_row {
   std::string_view Target;
@@ -40,21 +53,40 @@
   path_function Serve;
   /// It may go on while the instance drains.
   bool WhileDraining;
-  /// It counts against the customer's rate.
-  bool Counted;
+  counting Counted;
 };
 
 constexpr std::array Paths = std::to_array<path_row>({
-    {"/v1/statement", {true, true, false, false}, serveStatement, false, true},
-    {"/v1/begin", {true, false, false, false}, beginTransaction, false, true},
-    {"/v1/run", {false, true, true, false}, runInTransaction, true, true},
-    {"/v1/commit", {false, false, true, false}, commitTransaction, true, false},
+    {"/v1/statement",
+     {true, true, false, false},
+     serveStatement,
+     false,
+     counting::Waits},
+    {"/v1/begin",
+     {true, false, false, false},
+     beginTransaction,
+     false,
+     counting::Waits},
+    {"/v1/run",
+     {false, true, true, false},
+     runInTransaction,
+     true,
+     counting::Brief},
+    {"/v1/commit",
+     {false, false, true, false},
+     commitTransaction,
+     true,
+     counting::Free},
     {"/v1/rollback",
      {false, false, true, false},
      rollBackTransaction,
      true,
-     false},
-    {"/v1/outcome", {true, false, false, true}, serveEnquiry, false, false},
+     counting::Free},
+    {"/v1/outcome",
+     {true, false, false, true},
+     serveEnquiry,
+     false,
+     counting::Free},
 });
 
 /// Finds the customer by the key. Asked for each request, so that a withdrawal
@@ -131,6 +163,19 @@
   return Call;
 }
 
+base::task<result<void>> admit(statement_core &Core, counting Counting,
+                               const call &Call) {
+  if (Counting == counting::Free)
+    co_return result<void>();
+  base::instant Deadline = Call.Deadline;
+  if (Counting == counting::Brief)
+    Deadline = std::min(Deadline, base::now() + BriefWait);
+  const auto Admitted = co_await Core.Ports.Admit(Call.Customer, Deadline);
+  if (Admitted)
+    noteRequest(Core.Budget);
+  co_return Admitted;
+}
+
 base::task<result<caller_answer>>
 serve(statement_core &Core, transaction_table &Table, const path_row &Path,
       http::request Message, request_trace &Trace) {
@@ -143,12 +188,11 @@
   Trace.Access = Call->Request.Access;
   Trace.RequestId = Call->Request.RequestId;
   noteReceived(Core, Trace);
-  if (Path.Counted) {
-    const auto Admitted =
-        co_await Core.Ports.Admit(Call->Customer, Call->Deadline);
-    if (!Admitted)
-      co_return Admitted.error();
-    noteRequest(Core.Budget);
+  const auto Admitted = co_await admit(Core, Path.Counted, *Call);
+  if (!Admitted) {
+    if (Path.Counted == counting::Brief)
+      abandonTransaction(Core, Table, *Call);
+    co_return Admitted.error();
   }
   co_return co_await Path.Serve(Core, Table, std::move(*Call));
 }
--- a/packages/data/src/transaction_table.cpp
+++ b/packages/data/src/transaction_table.cpp
@@ -187,6 +187,12 @@
   co_return caller_answer{};
 }
 
+void abandonTransaction(statement_core &Core, transaction_table &Table,
+                        const call &Call) {
+  if (findOwn(Table, Call))
+    close(Core, Table, Call.Request.Transaction, false);
+}
+
 void closeAbandoned(statement_core &Core, transaction_table &Table,
                     base::instant Now) {
   const control::configuration &Configuration = Core.Ports.Configuration();
