--- a/packages/control/src/sheet_cells.cpp
+++ b/packages/control/src/sheet_cells.cpp
@@ -21,8 +21,14 @@
   return Byte < FirstPrintable || Byte == Delete;
 }
 
+bool isAscii(char Letter) {
+  return static_cast<unsigned char>(Letter) <= Delete;
+}
+
 /// Names go into JSON, which must be UTF-8; Boost.JSON's parser checks it.
 bool isUtf8(const std::string &Text) {
+  if (std::ranges::all_of(Text, isAscii))
+    return true;
   boost::system::error_code Error;
   boost::json::parse(boost::json::serialize(boost::json::string(Text)), Error);
   return !Error;
--- a/packages/control/src/sheet_csv.cpp
+++ b/packages/control/src/sheet_csv.cpp
@@ -24,9 +24,10 @@
 }
 
 std::string plainCell(csv_reader &Reader, std::vector<sheet_fault> &Faults) {
-  std::size_t Length = 0;
-  while (!atLineEnd(Reader.Rest.substr(Length)) && Reader.Rest[Length] != ',')
-    ++Length;
+  std::size_t Length =
+      std::min(Reader.Rest.find_first_of(",\n"), Reader.Rest.size());
+  if (Length > 0 && Reader.Rest.substr(Length - 1).starts_with("\r\n"))
+    --Length;
   std::string Cell(Reader.Rest.substr(0, Length));
   Reader.Rest.remove_prefix(Length);
   if (Cell.find('"') != std::string::npos)
