--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -155,7 +155,10 @@
 
 void running_fleet::startInstance(const std::string &Name) {
   running_instance &Instance = instance(Name);
-  const std::string File = writeFile(Name + ".ini", settingsOf(Instance));
+  const shared_settings Shared{Platform, KeyFile, OperatorKeyFile,
+                               Plan.MoreSettings};
+  const std::string File =
+      writeFile(Name + ".ini", settingsOf(Instance, Shared));
   const command_line Command{REDWINGGW, {"--config", File}};
   Instance.Process =
       std::make_unique<child_process>(Command, fileName(Name + ".log"));
@@ -166,7 +169,8 @@
 }
 
 void running_fleet::submitSheet(unsigned BaseVersion) {
-  const std::string File = writeFile("sheet.csv", sheet(BaseVersion));
+  const std::string File =
+      writeFile("sheet.csv", sheetOf(Plan, Endpoints, FleetKey, BaseVersion));
   tool_result Submitted;
   const bool Accepted = eventually(
       [&] {
@@ -305,21 +309,6 @@
   return fileName(Name);
 }
 
-std::string running_fleet::settingsOf(const running_instance &Instance) const {
-  return "[instance]\nname = " + Instance.Plan.Name +
-         "\nzone = " + Instance.Plan.Zone +
-         "\n[listen]\ncallers = " + toText(Instance.Callers) +
-         "\noperators = " + toText(Instance.Operators) +
-         "\npeers = " + toText(Instance.Peers) +
-         "\n[platform]\naddress = " + toText(Platform) +
-         "\n[fleet]\nkey_file = " + KeyFile +
-         "\noperator_key_file = " + OperatorKeyFile + "\n" + Plan.MoreSettings;
-}
-
-std::string running_fleet::sheet(unsigned BaseVersion) const {
-  return sheetOf(Plan, Endpoints, FleetKey, BaseVersion);
-}
-
 void running_fleet::fail(const std::string &What) const {
   throw std::runtime_error(What + "\n" + logs());
 }
--- a/tests/support/fleet.hpp
+++ b/tests/support/fleet.hpp
@@ -153,8 +153,6 @@
   void startEndpoint(running_endpoint &Endpoint, bool Primary);
   std::string writeFile(const std::string &Name, const std::string &Content);
   std::string fileName(const std::string &Name) const;
-  std::string settingsOf(const running_instance &Instance) const;
-  std::string sheet(unsigned BaseVersion) const;
   const http::address &addressOf(std::string_view Name);
   [[noreturn]] void fail(const std::string &What) const;
 
--- a/tests/support/fleet_files.cpp
+++ b/tests/support/fleet_files.cpp
@@ -17,6 +17,18 @@
 
 } // namespace
 
+std::string settingsOf(const running_instance &Instance,
+                       const shared_settings &Shared) {
+  return "[instance]\nname = " + Instance.Plan.Name +
+         "\nzone = " + Instance.Plan.Zone +
+         "\n[listen]\ncallers = " + toText(Instance.Callers) +
+         "\noperators = " + toText(Instance.Operators) +
+         "\npeers = " + toText(Instance.Peers) +
+         "\n[platform]\naddress = " + toText(Shared.Platform) +
+         "\n[fleet]\nkey_file = " + Shared.KeyFile +
+         "\noperator_key_file = " + Shared.OperatorKeyFile + "\n" + Shared.More;
+}
+
 std::string
 sheetOf(const fleet_plan &Plan,
         const std::vector<std::unique_ptr<running_endpoint>> &Endpoints,
--- a/tests/support/fleet_files.hpp
+++ b/tests/support/fleet_files.hpp
@@ -9,6 +9,19 @@
 
 namespace redwinggw::fleet {
 
+/// What the settings of all instances have in common.
+struct shared_settings {
+  http::address Platform;
+  std::string KeyFile;
+  std::string OperatorKeyFile;
+  /// INI text that is added.
+  std::string More;
+};
+
+/// The settings file of \p Instance. Thread safe.
+std::string settingsOf(const running_instance &Instance,
+                       const shared_settings &Shared);
+
 /// The sheet (docs/SHEET.md) that declares \p Plan. Thread safe.
 std::string
 sheetOf(const fleet_plan &Plan,
