--- a/packages/base/include/redwinggw/base/metrics.hpp
+++ b/packages/base/include/redwinggw/base/metrics.hpp
@@ -35,7 +35,7 @@
   ConfigurationVersion,
   ConfigurationAgeSeconds,
   ShareTokens,
-  SharePeersTotal,
+  ShareTokensTotal,
   Peers,
   PeerBytesTotal,
   StoreReadsTotal,
--- a/packages/base/src/metrics_table.cpp
+++ b/packages/base/src/metrics_table.cpp
@@ -71,7 +71,7 @@
     {ShareTokens, Gauge, "redwinggw_share_tokens", "requests", "customer",
      "The part of the customer's budget that this instance holds now.",
      "Zero while the customer is inside its rate: check the peers."},
-    {SharePeersTotal, Counter, "redwinggw_share_tokens_total", "requests",
+    {ShareTokensTotal, Counter, "redwinggw_share_tokens_total", "requests",
      "customer,step", "Budget given, taken, spent, returned and refused.",
      "Refused inside the rate: check peers and the holder's failovers."},
     {Peers, Gauge, "redwinggw_peers", "instances", "state",
@@ -139,8 +139,8 @@
       "# Metrics\n\n"
       "Each instance serves these at `GET /metrics` of its operators' address, "
       "in the\ntext format of Prometheus. Durations lie on a logarithmic axis "
-      "from 10 us to\n60 s. This page is the output of `metricsPage()`; a test "
-      "compares the two.\n\n"
+      "from 10 us to\n60 s. The program `metrics_page` prints this page from "
+      "the table in\n`metrics_table.cpp`; a test compares the two.\n\n"
       "| metric | kind | unit | labels | meaning | when it is off |\n"
       "|---|---|---|---|---|---|\n";
   for (const metric_row &Row : Table) {
--- /dev/null
+++ b/tests/base/metrics_page.cpp
@@ -0,0 +1,9 @@
+#include "redwinggw/base/metrics.hpp"
+
+#include <iostream>
+
+/// Prints docs/METRICS.md from the table of metrics.
+int main() {
+  std::cout << redwinggw::base::metricsPage();
+  return 0;
+}
