--- a/packages/data/include/redwinggw/data/statement_core.hpp
+++ b/packages/data/include/redwinggw/data/statement_core.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "redwinggw/base/error.hpp"
+#include "redwinggw/base/metrics.hpp"
 #include "redwinggw/base/task.hpp"
+#include "redwinggw/base/timeline.hpp"
 #include "redwinggw/control/configuration.hpp"
 #include "redwinggw/data/caller_message.hpp"
 #include "redwinggw/data/dispatcher.hpp"
@@ -44,8 +46,12 @@
       AwaitPrimary;
   /// Tells the failure detector how a request to an endpoint went.
   std::function<void(std::string_view Group, std::string_view Endpoint,
-                     bool Answered)>
+                     bool Answered, base::instant At)>
       NoteTraffic;
+  /// Adds an event to the time line.
+  std::function<void(base::event_kind, std::string_view Subject,
+                     std::string_view Detail, std::string_view RequestId)>
+      Record;
 };
 
 /// Counters of statements; read by the metrics.
@@ -82,6 +88,7 @@
       Dispatchers;
   retry_budget Budget;
   statement_counters Counters;
+  base::metrics Metrics;
   std::minstd_rand Random{std::random_device{}()};
   bool Draining = false;
 };
@@ -126,6 +133,7 @@
 
 /// Waits before try number \p Try, or says why there is none: the budget is
 /// used up or the deadline is too near. Then the final answer goes out at once.
+/// While the group has no primary that answers, the request stays parked.
 base::task<base::result<void>> awaitRetry(statement_core &Core,
                                           const call &Call, unsigned Try,
                                           const base::failure &Last);
@@ -164,4 +172,8 @@
 base::result<caller_answer> answerOf(const request_record &Record,
                                      const request_identity &Identity);
 
+/// Deletes a bounded number of expired records at each group's primary. Any
+/// instance may do so at any time; records that still count are not touched.
+base::task<void> deleteExpiredRecords(statement_core &Core);
+
 } // namespace redwinggw::data
