Measure after all connections are open, and a cold first read

Cause: the CPU a statement with many connections held the cost of opening them. Change: the probe calls back when its connections are open; scenario cold.

--- a/tests/load/cost_scenarios.cpp
+++ b/tests/load/cost_scenarios.cpp
@@ -1,3 +1,4 @@
+#include "caller.hpp"
 #include "probe.hpp"
 #include "process_cost.hpp"
 #include "recorder.hpp"
@@ -6,6 +7,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
 
 #include <algorithm>
 #include <sstream>
@@ -87,7 +89,8 @@
   probe_options Through = throughInstance(Bench);
   Through.Connections = BusyConnections;
   const probe_report Direct = co_await probe(Bench.Executor, Straight);
-  const double Before = cpuOf(Bench, 0);
+  double Before = 0;
+  Through.OnStart = [&Before, &Bench] { Before = cpuOf(Bench, 0); };
   const probe_report Proxied = co_await probe(Bench.Executor, Through);
   const double Cpu = cpuOf(Bench, 0) - Before;
   noteFailures(Recorder, Direct);
@@ -143,19 +146,21 @@
 }
 
 base::task<void> runConnections(bench &Bench, std::size_t Connections) {
-  constexpr double Rate = 1000;
+  constexpr double Rate = 4000;
   recorder Recorder{Bench, std::to_string(Connections) + " connections", {}};
   probe_options Options = throughInstance(Bench);
   Options.Connections = Connections;
   Options.Rate = Rate;
   Options.Duration = Bench.Duration;
-  const double Before = cpuOf(Bench, 0);
+  double Before = 0;
+  Options.OnStart = [&Before, &Bench] { Before = cpuOf(Bench, 0); };
   const probe_report Report = co_await probe(Bench.Executor, Options);
+  const double Cpu = cpuOf(Bench, 0) - Before;
   const auto Cost = costOf(Bench.Fleet.Instances.front());
   noteFailures(Recorder, Report);
-  Recorder.note("instance's CPU a statement", "us",
-                shareOf((cpuOf(Bench, 0) - Before) * MicrosecondsASecond,
-                        static_cast<double>(Report.Done)));
+  Recorder.note(
+      "instance's CPU a statement", "us",
+      shareOf(Cpu * MicrosecondsASecond, static_cast<double>(Report.Done)));
   Recorder.note("statements done", "statements",
                 static_cast<double>(Report.Done));
   Recorder.note("p50", "us", medianOf(Report));
@@ -164,6 +169,28 @@
                   Cost->MemoryBytes / Megabyte);
 }
 
+base::task<void> runCold(bench &Bench) {
+  constexpr std::chrono::seconds Quiet{3};
+  constexpr std::chrono::seconds Patience{5};
+  recorder Recorder{Bench, "after a quiet time", {}};
+  co_await pause(Bench.Executor, Quiet);
+  caller Caller(Bench.Executor, Bench.Fleet.Callers);
+  const customer_load Customer = customersOf(Bench.Deployment, 0).back();
+  boost::json::object Body;
+  Body["service"] = Bench.Deployment.Services.front();
+  Body["sql"] = "select 1";
+  Body["session"] = "none";
+  Body["read"] = DeclaredReadName;
+  for (std::size_t Place = 0; Place < Caller.instances(); ++Place) {
+    const base::instant Start = base::now();
+    const caller_answer Answer = co_await Caller.post(
+        Place, "/v1/statement", Customer.Key, Body, Start + Patience);
+    Recorder.note(Answer.isDone() ? "first read at an instance"
+                                  : "first read refused: " + Answer.Error,
+                  "us", static_cast<double>((base::now() - Start).count()));
+  }
+}
+
 base::task<void> runIdle(bench &Bench) {
   recorder Recorder{Bench, "idle", {}};
   std::vector<running_cost> Before;
--- a/tests/load/measure.cpp
+++ b/tests/load/measure.cpp
@@ -45,6 +45,7 @@
 const std::vector<scenario_row> &scenarios() {
   static const std::vector<scenario_row> All{
       {"idle", false, true, runIdle},
+      {"cold", false, true, runCold},
       {"load", true, true, runCalmAndFlood},
       {"skewed", true, true, runSkewed},
       {"probes", false, true, runProbes},
@@ -179,7 +180,7 @@
   Add("policy", options::value<std::string>()->default_value(""),
       "redwinggw, reads=primary, rate=static or queue=fifo only");
   Add("scenario", options::value<std::string>()->default_value(""),
-      "idle, load, skewed, probes, pause, cut or kill only");
+      "idle, cold, load, skewed, probes, pause, cut or kill only");
   Add("repetitions", options::value<std::uint64_t>()->default_value(3),
       "times that each scenario runs");
   Add("seconds", options::value<double>()->default_value(10),
--- a/tests/load/probe.cpp
+++ b/tests/load/probe.cpp
@@ -116,7 +116,9 @@
 base::task<probe_report> probe(asio::any_io_executor Executor,
                                probe_options Options) {
   // Connections open before the start, so that the connect cost stays out.
-  constexpr base::milliseconds Lead{200};
+  constexpr base::milliseconds Least{200};
+  constexpr base::microseconds EachConnection{150};
+  const base::microseconds Lead = Least + EachConnection * Options.Connections;
   probe_state State;
   State.Options = Options;
   State.Start = base::now() + Lead;
@@ -125,6 +127,11 @@
     asio::co_spawn(Executor, runConnection(Executor, State, Number),
                    asio::detached);
   asio::steady_timer Timer(Executor);
+  Timer.expires_at(
+      std::chrono::steady_clock::time_point(State.Start.time_since_epoch()));
+  co_await Timer.async_wait(Token);
+  if (State.Options.OnStart)
+    State.Options.OnStart();
   while (State.Running > 0) {
     Timer.expires_after(base::milliseconds(1));
     co_await Timer.async_wait(Token);
--- a/tests/load/probe.hpp
+++ b/tests/load/probe.hpp
@@ -7,6 +7,7 @@
 #include <boost/asio/any_io_executor.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <string>
 
 /// Sends one small read over and over, through an instance or straight to an
@@ -25,6 +26,8 @@
   std::string Service;
   std::string Key;
   std::string Read;
+  /// Called when all connections are open and before the first request.
+  std::function<void()> OnStart;
 };
 
 struct probe_report {
--- a/tests/load/scenarios.hpp
+++ b/tests/load/scenarios.hpp
@@ -60,6 +60,9 @@
 /// CPU for a statement and memory with many caller connections.
 base::task<void> runConnections(bench &Bench, std::size_t Connections);
 
+/// The first read of a customer at each instance after a quiet time.
+base::task<void> runCold(bench &Bench);
+
 /// CPU, memory and bytes of each instance without load.
 base::task<void> runIdle(bench &Bench);
 
