Do not claim over a failover that this instance has not seen yet

Two instances that suspected the same primary promoted one after the other: the second read the row when the first was done, and a done row let it claim at once. The new primary was stopped as soon as it began (seen with three instances and real processes: terms 3, 4 and 5 within 100 ms). A row of a higher term than the view's now makes an instance wait, done or not.

A member that came back empty, in the first term, was taken for a late answer for good, so nobody told it whom to follow and its group stayed at two copies. A lower term counts after a failure in between.

--- a/packages/data/include/redwinggw/data/group_view.hpp
+++ b/packages/data/include/redwinggw/data/group_view.hpp
@@ -46,7 +46,8 @@
 };
 
 /// Takes in what a member told. States of lower terms than the member told
-/// before are late answers and change nothing.
+/// before are late answers and change nothing, unless a failure in between
+/// shows that the member came back without its state.
 void observe(group_view &View, const endpoint_state &State,
              base::instant AskedAt);
 
--- a/packages/data/src/failover.cpp
+++ b/packages/data/src/failover.cpp
@@ -155,12 +155,15 @@
               const failover_parameters &Parameters, base::instant Now) {
   if (Watch.Version != Row.Version || Watch.FirstSeen == base::instant())
     Watch = {Row.Version, Now};
-  if (!Row.Record || Row.Record->State == record_state::Done)
+  if (!Row.Record)
     return true;
+  // A higher term than the view's, also when it is done, means that the
+  // suspicion is about a primary that was already replaced: a claim on top
+  // would stop the new primary as soon as it began.
   const bool SameTerm = Row.Record->Term == View.Term;
-  const bool Finished =
+  const bool Settled =
       Row.Record->Term < View.Term || (SameTerm && View.Primary);
-  if (Finished)
+  if (Settled)
     return true;
   const base::instant Since = SameTerm && NoPrimarySince
                                   ? std::min(Watch.FirstSeen, *NoPrimarySince)
--- a/packages/data/src/group_view.cpp
+++ b/packages/data/src/group_view.cpp
@@ -29,6 +29,15 @@
   View.Samples.clear();
 }
 
+/// Whether a lower term than the member told before is no late answer but that
+/// of a member that came back without its state. Ignored, it would be left
+/// without a primary to follow for good. A restart closes its connections, so
+/// a failure lies between the two answers.
+bool hasRestarted(const member_view &Member, base::instant AskedAt) {
+  return Member.Failures > 0 && AskedAt > Member.FailingSince &&
+         AskedAt > Member.AskedAt;
+}
+
 } // namespace
 
 void observe(group_view &View, const endpoint_state &State,
@@ -36,7 +45,8 @@
   member_view *Member = findMember(View, State.Name);
   if (Member == nullptr)
     return;
-  if (Member->State && Member->State->Term > State.Term)
+  if (Member->State && Member->State->Term > State.Term &&
+      !hasRestarted(*Member, AskedAt))
     return;
   const bool Late = Member->State && Member->AskedAt > AskedAt;
   if (!Late) {
--- /dev/null
+++ b/tests/bench/failover_load.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "redwinggw/control/configuration.hpp"
+#include "redwinggw/data/group_service.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// Several group services on one executor, each with a writer, against a group
+/// of real processes.
+namespace redwinggw::bench {
+
+struct acknowledged {
+  std::int64_t Id = 0;
+  base::term_number Term = 0;
+  base::instant At;
+};
+
+/// What one instance last heard of another.
+struct heard {
+  base::instant At;
+  std::vector<data::suspicion> Suspicions;
+};
+
+/// A database connection and where it leads.
+struct link {
+  http::client Client;
+  base::endpoint_name Endpoint;
+};
+
+struct instance {
+  base::instance_name Name;
+  platform::store Store;
+  std::unique_ptr<data::group_service> Groups;
+  heard Report;
+  std::vector<link> Idle;
+  /// Why the last failed write failed.
+  std::string LastFailure;
+  std::map<base::endpoint_name, unsigned> Open;
+};
+
+struct load {
+  boost::asio::any_io_executor Executor;
+  base::group_name Group;
+  std::vector<std::unique_ptr<instance>> Instances;
+  std::vector<acknowledged> Writes;
+  std::int64_t LastId = 0;
+  bool Stopping = false;
+};
+
+/// Starts \p Count instances and their writers. \p Load must outlive the
+/// executor's run.
+void startLoad(load &Load, std::size_t Count, http::address Platform,
+               const control::configuration &Configuration);
+
+/// The time between the last acknowledgement of a term up to \p Term and the
+/// first of a later one; nothing when there is no later one yet.
+std::optional<base::microseconds> gapAfter(const load &Load,
+                                           base::term_number Term);
+
+} // namespace redwinggw::bench
--- a/tests/data/failover_test.cpp
+++ b/tests/data/failover_test.cpp
@@ -131,13 +131,17 @@
     bool May;
   };
   const std::vector<row> Rows{
-      {record(2, "x", record_state::Done), milliseconds(0), true},
+      {record(1, "x", record_state::Done), milliseconds(0), true},
+      // Another instance was faster, and this one has not seen it yet.
+      {record(2, "x", record_state::Done), milliseconds(0), false},
+      {record(2, "x", record_state::Done), milliseconds(1000), true},
       {record(2, "x", record_state::Ordering), milliseconds(999), false},
       {record(2, "x", record_state::Ordering), milliseconds(1000), true},
       {record(0, "x", record_state::Ordering), milliseconds(0), true},
   };
   group_view View;
   View.Term = 1;
+  View.Primary = "p";
   for (const row &Row : Rows) {
     row_watch Watch{3, Start};
     cr_assert(mayClaim(Watch, {3, Row.Record}, View, {}, {},
