--- a/packages/data/include/redwinggw/data/detector.hpp
+++ b/packages/data/include/redwinggw/data/detector.hpp
@@ -20,7 +20,7 @@
   unsigned FailuresNeeded = 2;
   /// No primary in the highest term for so long: whoever made that term is
   /// taken to have died midway.
-  base::milliseconds UnfinishedFor{1500};
+  base::milliseconds UnfinishedFor{1000};
   /// The primary is ahead of its replicas and none of them advanced for so
   /// long: it is cut off from them.
   base::milliseconds StalledFor{800};
