--- a/packages/data/include/redwinggw/data/request_record.hpp
+++ b/packages/data/include/redwinggw/data/request_record.hpp
@@ -21,7 +21,8 @@
   std::string Id;
   /// Wall clock of the first try, milliseconds, given by the caller.
   std::int64_t IssuedAt = 0;
-  /// Digest of all that makes the request what it is.
+  /// Digest of all that makes the request what it is; empty in an enquiry,
+  /// which matches every body.
   std::string Digest;
 };
 
--- a/packages/data/src/request_record.cpp
+++ b/packages/data/src/request_record.cpp
@@ -109,7 +109,7 @@
                            const request_identity &Identity) {
   if (Record.State == request_state::Cancelled)
     return repeat_verdict::Cancelled;
-  if (Record.Digest != Identity.Digest)
+  if (!Identity.Digest.empty() && Record.Digest != Identity.Digest)
     return repeat_verdict::Reused;
   return repeat_verdict::Done;
 }
--- a/packages/data/src/routing.cpp
+++ b/packages/data/src/routing.cpp
@@ -14,6 +14,7 @@
 /// Added to an estimated catch-up time, for the ship time and jitter.
 constexpr base::milliseconds CatchUpMargin{5};
 
+/// A replica that may serve, with the state that shows it.
 struct candidate {
   const member_view *Member = nullptr;
   base::microseconds Wait{0};
@@ -32,21 +33,21 @@
 }
 
 bool isServingReplica(const group_view &View, const member_view &Member,
-                      base::instant Now) {
-  return Member.State && Member.State->Role == endpoint_role::Replica &&
-         Member.State->Term == View.Term && !Member.Leaving &&
-         Now - Member.AskedAt < StateBound;
+                      const endpoint_state &State, base::instant Now) {
+  return State.Role == endpoint_role::Replica && State.Term == View.Term &&
+         !Member.Leaving && Now - Member.AskedAt < StateBound;
 }
 
 /// Time until the replica is expected to hold \p Position: the primary reached
 /// it some time ago, and the replica trails by the age of what it shows.
 std::optional<base::microseconds> catchUpTime(const group_view &View,
                                               const member_view &Member,
+                                              base::log_position Applied,
                                               const group_position &Position,
                                               base::instant Now) {
-  if (Member.State->Applied >= Position.Position)
+  if (Applied >= Position.Position)
     return base::microseconds(0);
-  const auto Lag = ageOf(View, Member.State->Applied, Member.AskedAt);
+  const auto Lag = ageOf(View, Applied, Member.AskedAt);
   if (!Lag)
     return std::nullopt;
   const auto Reached = std::ranges::lower_bound(View.Samples, Position.Position,
@@ -55,19 +56,18 @@
   return std::max(base::microseconds(0), *Lag + CatchUpMargin - (Now - Since));
 }
 
-std::optional<base::microseconds> waitFor(const group_view &View,
-                                          const member_view &Member,
-                                          const read_request &Read,
-                                          const routing_settings &Settings,
-                                          base::instant Now) {
-  const auto Age = ageOf(View, Member.State->Applied, Now);
+std::optional<base::microseconds>
+waitFor(const group_view &View, const member_view &Member,
+        base::log_position Applied, const read_request &Read,
+        const routing_settings &Settings, base::instant Now) {
+  const auto Age = ageOf(View, Applied, Now);
   const bool YoungEnough =
       Settings.MutateIgnoreAge || (Age && *Age <= Read.MaxAge);
   if (!YoungEnough)
     return std::nullopt;
   if (!Read.Position || Settings.MutateIgnoreSession)
     return base::microseconds(0);
-  const auto Wait = catchUpTime(View, Member, *Read.Position, Now);
+  const auto Wait = catchUpTime(View, Member, Applied, *Read.Position, Now);
   if (!Wait || *Wait > Settings.ReplicaWait)
     return std::nullopt;
   return Wait;
@@ -97,9 +97,11 @@
   std::vector<candidate> Candidates;
   for (const member_view &Member : View.Members) {
     const endpoint_load *Load = loadOf(Loads, Member.Endpoint.Name);
-    if (!isServingReplica(View, Member, Now) || (Load != nullptr && Load->Open))
+    if (!Member.State || (Load != nullptr && Load->Open) ||
+        !isServingReplica(View, Member, *Member.State, Now))
       continue;
-    if (const auto Wait = waitFor(View, Member, Read, Settings, Now))
+    if (const auto Wait =
+            waitFor(View, Member, Member.State->Applied, Read, Settings, Now))
       Candidates.push_back({&Member, *Wait, Member.Endpoint.Zone != Zone,
                             Load == nullptr ? 0 : Load->Pending});
   }
--- a/packages/data/src/write_path.cpp
+++ b/packages/data/src/write_path.cpp
@@ -62,16 +62,18 @@
   co_return failure(errc::EndpointRefused, "the table of records was missing");
 }
 
-/// The unique key of the record, or one of the statement's own, was taken.
+/// The unique key of the record, or one of the statement's own, was taken:
+/// answers with what the record says, or with \p Missing when there is none.
 base::task<write_step> meetRecord(statement_core &Core, call &Call,
                                   const write_attempt &Attempt,
-                                  const failure &Refused) {
+                                  failure Missing) {
   const auto Found = co_await readRecord(Core, Call, Attempt.Identity);
   if (!Found)
     co_return stopped(Found.error());
-  if (!Found->Record)
-    co_return stopped(Refused);
-  auto Answer = answerOf(*Found->Record, Attempt.Identity);
+  const std::optional<request_record> &Record = Found->Record;
+  if (!Record)
+    co_return stopped(std::move(Missing));
+  auto Answer = answerOf(*Record, Attempt.Identity);
   if (!Answer)
     co_return stopped(Answer.error());
   Answer->Session = tokenAfter(Core, Call, Found->Term, Found->Position);
@@ -192,19 +194,8 @@
     co_return stopped(co_await makeRecords(Core, Call, Target, Term));
   if (Ran.Failed.Refusal != refusal::UniqueKey)
     co_return stopped(Ran.Failed.Failure);
-  const auto Found = co_await readRecord(Core, Call, Attempt.Identity);
-  if (!Found)
-    co_return stopped(Found.error());
-  if (!Found->Record)
-    co_return stopped(failure(errc::OutcomeUnknown, "the record is gone"));
-  // An enquiry knows the id, not the body: it asks for whatever ran under it.
-  request_identity Asked = Attempt.Identity;
-  Asked.Digest = Found->Record->Digest;
-  auto Answer = answerOf(*Found->Record, Asked);
-  if (!Answer)
-    co_return stopped(Answer.error());
-  Answer->Session = tokenAfter(Core, Call, Found->Term, Found->Position);
-  co_return write_step{std::move(*Answer), {}};
+  failure Gone(errc::OutcomeUnknown, "the record is gone");
+  co_return co_await meetRecord(Core, Call, Attempt, std::move(Gone));
 }
 
 /// Whether another try may settle the outcome. Each try carries the same
@@ -302,6 +293,8 @@
 base::task<result<caller_answer>> serveOutcome(statement_core &Core,
                                                call Call) {
   write_attempt Attempt{identityOf(Call), false};
+  // An enquiry names the id, not the body: it asks for whatever ran under it.
+  Attempt.Identity.Digest.clear();
   const auto Aged =
       checkAge(Attempt.Identity.IssuedAt, base::wallMilliseconds());
   if (!Aged)
--- a/packages/redwinggw/src/settings.cpp
+++ b/packages/redwinggw/src/settings.cpp
@@ -200,7 +200,8 @@
                              "' is neither [section] nor key = value");
       continue;
     }
-    std::string Key = Section + "." + Line.substr(0, Equals);
+    std::string Key = Section;
+    Key.append(".").append(Line, 0, Equals);
     std::string Value = Line.substr(Equals + 1);
     boost::algorithm::trim(Key);
     boost::algorithm::trim(Value);
--- a/tests/data/fair_queue_test.cpp
+++ b/tests/data/fair_queue_test.cpp
@@ -19,16 +19,21 @@
   return enqueue(Queue, {Id, Customer, Deadline}, 1, Start).Queued;
 }
 
+/// Takes out the next request. Precondition: one waits.
+queue_ticket next(fair_queue &Queue) {
+  return dequeue(Queue).value_or(queue_ticket());
+}
+
 /// Slot time that each customer got out of \p Turns turns, when a request of
 /// "slow" takes ten times as long.
 std::map<std::string, microseconds> served(fair_queue &Queue, int Turns) {
   std::map<std::string, microseconds> Time;
   for (int Turn = 0; Turn < Turns; ++Turn) {
-    const auto Ticket = dequeue(Queue);
-    const microseconds Busy(Ticket->Customer == "slow" ? 5000 : 500);
-    charge(Queue, Ticket->Customer, Busy);
-    Time[Ticket->Customer] += Busy;
-    add(Queue, Ticket->Id, Ticket->Customer);
+    const queue_ticket Ticket = next(Queue);
+    const microseconds Busy(Ticket.Customer == "slow" ? 5000 : 500);
+    charge(Queue, Ticket.Customer, Busy);
+    Time[Ticket.Customer] += Busy;
+    add(Queue, Ticket.Id, Ticket.Customer);
   }
   return Time;
 }
@@ -49,7 +54,7 @@
   int Left = 5;
   int Turns = 0;
   for (; Left > 0; ++Turns)
-    Left -= dequeue(Queue)->Customer == "calm" ? 1 : 0;
+    Left -= next(Queue).Customer == "calm" ? 1 : 0;
   return Turns;
 }
 
--- a/tests/data/request_record_test.cpp
+++ b/tests/data/request_record_test.cpp
@@ -46,5 +46,7 @@
   const request_record Cancelled{request_state::Cancelled, "other", 0, ""};
   cr_assert(judgeRepeat(Done, Identity) == repeat_verdict::Done);
   cr_assert(judgeRepeat(Other, Identity) == repeat_verdict::Reused);
+  const request_identity Enquiry{"dulce", "id", Now, ""};
+  cr_assert(judgeRepeat(Other, Enquiry) == repeat_verdict::Done);
   cr_assert(judgeRepeat(Cancelled, Identity) == repeat_verdict::Cancelled);
 }
--- a/tests/data/routing_test.cpp
+++ b/tests/data/routing_test.cpp
@@ -82,7 +82,7 @@
 
 Test(routing, a_token_of_a_lost_branch_reads_the_primary) {
   read_request Read = sessionRead(90);
-  Read.Position->Term = 7;
+  Read.Position = group_position{"orders", 7, 90};
   cr_assert(routed(Read).Reason == route_reason::LostBranch);
 }
 
