Name unreachable instances as such, and let the tool find all of them

The new kind instance_unreachable says what it is and what to do. Unknown outcomes of operators' changes name what to do about each of them. Tables print 400 instead of Boost.JSON's 4E2. The instance now serves /operators/instances (one line in operator_pages.cpp).

--- a/packages/base/include/redwinggw/base/error.hpp
+++ b/packages/base/include/redwinggw/base/error.hpp
@@ -34,6 +34,7 @@
   StaleConfiguration,
   Conflict,
   StoreUnreachable,
+  InstanceUnreachable,
   EndpointUnreachable,
   EndpointRefused,
   ConnectionLimit,
--- a/packages/control/src/config_submission.cpp
+++ b/packages/control/src/config_submission.cpp
@@ -213,9 +213,13 @@
 failure onGivenUp(const submission &Submission) {
   if (!Submission.Sent)
     return {errc::StoreUnreachable, "nothing was changed"};
+  const std::string Again =
+      std::holds_alternative<configuration>(Submission.Request)
+          ? "submit the same sheet again, it is recognised"
+          : "withdraw the key, which does no harm twice";
   return {errc::OutcomeUnknown,
           "it may have become version " +
-              std::to_string(Submission.Sent->Sheet.Version)};
+              std::to_string(Submission.Sent->Sheet.Version) + "; " + Again};
 }
 
 } // namespace redwinggw::control
--- a/packages/redwinggw/src/operator_pages.cpp
+++ b/packages/redwinggw/src/operator_pages.cpp
@@ -121,6 +121,7 @@
 void addOperatorPages(instance_state &State, std::function<void()> Stop) {
   control::operator_server &Server = State.Operators;
   control::addConfigurationRoutes(Server, State.Configuration);
+  control::addInstancesRoute(Server, State.Store);
   Server.addStatus("instance", [&State] { return instanceStatus(State); });
   Server.addStatus("groups", [&State] { return groupStatus(State); });
   Server.addStatus("peers", [&State] { return peerStatus(State); });
--- a/packages/redwinggwctl/src/tool.cpp
+++ b/packages/redwinggwctl/src/tool.cpp
@@ -21,7 +21,7 @@
 
 constexpr std::array ExitCodes = std::to_array<exit_row>({
     {errc::BadSettings, exit_code::Usage},
-    {errc::EndpointUnreachable, exit_code::Unreachable},
+    {errc::InstanceUnreachable, exit_code::Unreachable},
     {errc::StoreUnreachable, exit_code::Unreachable},
     {errc::OutcomeUnknown, exit_code::OutcomeUnknown},
     {errc::TruncatedAnswer, exit_code::OutcomeUnknown},
--- a/packages/redwinggwctl/src/tool_asking.cpp
+++ b/packages/redwinggwctl/src/tool_asking.cpp
@@ -49,7 +49,7 @@
 /// True when the request had no effect and another instance may take it.
 bool mayAskNext(const failure &Failure, effect Effect) {
   switch (kindOf(Failure)) {
-  case errc::EndpointUnreachable:
+  case errc::InstanceUnreachable:
   case errc::Draining:
   case errc::StaleConfiguration:
     return true;
@@ -63,6 +63,13 @@
   }
 }
 
+/// The client's failure in the operators' words.
+failure instanceFailure(const failure &Failure) {
+  if (kindOf(Failure) == errc::EndpointUnreachable)
+    return {errc::InstanceUnreachable, Failure.Detail};
+  return Failure;
+}
+
 failure noAddress() {
   return {errc::BadSettings,
           "no instance is named; give --operators or --config"};
@@ -112,9 +119,7 @@
   const auto Response = Asker.Exchange(Address, Request);
   if (Response)
     return bodyOf(*Response);
-  failure Failure = Response.error();
-  Failure.Detail = "instance at " + toText(Address) + " " + Failure.Detail;
-  return Failure;
+  return instanceFailure(Response.error());
 }
 
 result<json::object> ask(const asker &Asker, const std::string &Path,
@@ -144,7 +149,8 @@
     const auto Response = Asker.Exchange(Address, Request);
     if (Response && Response->Status == StatusOk)
       return Response->Body;
-    Answer = Response ? bodyOf(*Response).error() : Response.error();
+    Answer = Response ? bodyOf(*Response).error()
+                      : instanceFailure(Response.error());
   }
   return Answer;
 }
--- a/packages/redwinggwctl/src/tool_tables.cpp
+++ b/packages/redwinggwctl/src/tool_tables.cpp
@@ -5,15 +5,25 @@
 #include <algorithm>
 #include <iomanip>
 #include <ostream>
+#include <sstream>
 
 namespace redwinggw::ctl {
 namespace {
 
 namespace json = boost::json;
 
+/// Enough for rates up to 10,000,000 with three decimals.
+constexpr int NumberDigits = 10;
+
 std::string textOf(const json::value &Value) {
   if (Value.is_string())
     return std::string(Value.get_string());
+  if (Value.is_double()) {
+    // Boost.JSON writes 400.0 as 4E2.
+    std::ostringstream Number;
+    Number << std::setprecision(NumberDigits) << Value.get_double();
+    return Number.str();
+  }
   if (!Value.is_array())
     return json::serialize(Value);
   std::string Text;
--- a/tests/control/operator_tool_test.cpp
+++ b/tests/control/operator_tool_test.cpp
@@ -104,7 +104,9 @@
 }
 
 struct failure_row {
+  /// What the exchange ends in, and what the tool makes of it.
   errc Kind;
+  errc Reported;
   exit_code Code;
   /// Instances that a change is sent to, of two.
   unsigned Asked;
@@ -149,12 +151,17 @@
 // next instance would give a second key that nobody knows of.
 Test(operator_tool, failures_have_their_exit_code_and_changes_go_out_once) {
   const std::vector<failure_row> Cases{
-      {errc::EndpointUnreachable, exit_code::Unreachable, 2},
-      {errc::OutcomeUnknown, exit_code::OutcomeUnknown, 1},
-      {errc::TruncatedAnswer, exit_code::OutcomeUnknown, 1},
-      {errc::StaleConfiguration, exit_code::Refused, 2},
-      {errc::Conflict, exit_code::Refused, 1},
-      {errc::StoreUnreachable, exit_code::Unreachable, 1},
+      {errc::EndpointUnreachable, errc::InstanceUnreachable,
+       exit_code::Unreachable, 2},
+      {errc::OutcomeUnknown, errc::OutcomeUnknown, exit_code::OutcomeUnknown,
+       1},
+      {errc::TruncatedAnswer, errc::TruncatedAnswer, exit_code::OutcomeUnknown,
+       1},
+      {errc::StaleConfiguration, errc::StaleConfiguration, exit_code::Refused,
+       2},
+      {errc::Conflict, errc::Conflict, exit_code::Refused, 1},
+      {errc::StoreUnreachable, errc::StoreUnreachable, exit_code::Unreachable,
+       1},
   };
   for (const failure_row &Case : Cases) {
     unsigned Asked = 0;
@@ -167,7 +174,7 @@
         {"key", "give", "a", "--operators", "127.0.0.1:1,127.0.0.1:2"});
     cr_assert(Run.Code == Case.Code);
     cr_assert(Asked == Case.Asked);
-    cr_assert(has(Run.Err, base::kindOf(Case.Kind).Remedy));
+    cr_assert(has(Run.Err, base::kindOf(Case.Reported).Remedy));
   }
 }
 
@@ -229,7 +236,8 @@
   const std::string Id = wordAfter(Given.Out, "Key id: ");
   cr_assert(works(*Fleet.Left, Key));
   cr_assert(has(Fleet.run({"customer", "show", "a"}).Out, Id));
-  cr_assert(has(Fleet.run({"customer", "list"}).Out, Id));
+  cr_assert(
+      has(Fleet.run({"customer", "list"}).Out, "a     10    5      " + Id));
   cr_assert(has(Fleet.run({"sheet", "show"}).Out, Id));
   cr_assert(Fleet.run({"key", "withdraw", Id}).Code == exit_code::Ok);
   cr_assert(!works(*Fleet.Left, Key));
