Say what the count of instances covers and print times for people

The answer to a change counts the instances that are heard; in a run with one of three stopped it said 'in force at 2 of 2 instances'. sheet history prints the time of acceptance as a time.

--- a/packages/redwinggwctl/src/sheet_commands.cpp
+++ b/packages/redwinggwctl/src/sheet_commands.cpp
@@ -6,8 +6,11 @@
 #include <boost/json.hpp>
 
 #include <charconv>
+#include <ctime>
+#include <iomanip>
 #include <iterator>
 #include <ostream>
+#include <sstream>
 
 namespace redwinggw::ctl {
 namespace {
@@ -68,7 +71,8 @@
                                             : "Accepted as")
               << " version " << numberIn(Answer, "version") << "; in force at "
               << numberIn(Answer, "in_force_at") << " of "
-              << numberIn(Answer, "instances") << " instances.\n";
+              << numberIn(Answer, "instances")
+              << " instances that are heard.\n";
   if (!flagIn(Answer, "confirmed"))
     Context.Err << "A majority of the instances has not told yet that it knows "
                    "this version; look at `redwinggwctl status` until all have "
@@ -92,6 +96,17 @@
   return Body;
 }
 
+/// "2026-12-03 00:05:45 UTC".
+std::string timeText(std::int64_t WallMilliseconds) {
+  constexpr std::int64_t PerSecond = 1000;
+  const auto Seconds = static_cast<std::time_t>(WallMilliseconds / PerSecond);
+  std::tm Parts{};
+  gmtime_r(&Seconds, &Parts);
+  std::ostringstream Text;
+  Text << std::put_time(&Parts, "%F %T UTC");
+  return Text.str();
+}
+
 } // namespace
 
 exit_code checkSheet(command_context &Context) {
@@ -160,8 +175,13 @@
       ask(Context.Asker, "/operators/sheet/history", *Body, effect::ReadOnly);
   if (!Answer)
     return report(Context, Answer.error());
-  if (!printedAsJson(Context, *Answer))
-    printObject(Context.Out, *Answer);
+  if (printedAsJson(Context, *Answer))
+    return exit_code::Ok;
+  json::array Versions = Answer->at("versions").as_array();
+  for (json::value &Version : Versions)
+    Version.as_object()["accepted_at"] =
+        timeText(Version.at("accepted_at").as_int64());
+  printRows(Context.Out, Versions);
   return exit_code::Ok;
 }
 
