--- a/tests/load/measure.cpp
+++ b/tests/load/measure.cpp
@@ -29,8 +29,13 @@
   std::uint64_t Repetitions = 3;
   base::microseconds Duration{0};
   std::size_t Connections = 0;
+  /// Zero: as many as the deployment has.
+  std::size_t Instances = 0;
 };
 
+/// What the short form runs also for the baselines and the second deployment.
+constexpr std::string_view ShortScenario = "load";
+
 using scenario_function = std::function<base::task<void>(bench &)>;
 
 struct scenario_row {
@@ -98,11 +103,16 @@
            (Options.Policy.empty() || Options.Policy == Policy.Name);
   }
 
-  bool wanted(const scenario_row &Scenario, const policy &Policy) const {
+  bool wanted(const scenario_row &Scenario, const deployment &Deployment,
+              const policy &Policy) const {
     if (!Options.Scenario.empty())
       return Options.Scenario == Scenario.Name;
-    return (!Policy.Baseline || Scenario.ForBaselines) &&
-           (!Options.Short || Scenario.InShort);
+    if (Policy.Baseline && !Scenario.ForBaselines)
+      return false;
+    // The short form runs the whole set at the first deployment's size only.
+    const bool Whole = Deployment.Name == deployments().front().Name;
+    return !Options.Short || (Whole && !Policy.Baseline && Scenario.InShort) ||
+           Scenario.Name == ShortScenario;
   }
 
   bool isLate() const {
@@ -110,7 +120,9 @@
     return Options.Short && base::now() - Start > ShortLimit;
   }
 
-  void tryFleet(const deployment &Deployment, const policy &Policy) {
+  void tryFleet(deployment Deployment, const policy &Policy) {
+    if (Options.Instances > 0)
+      Deployment.Instances = Options.Instances;
     const std::string Name = Deployment.Name + ", " + Policy.Name;
     if (isLate()) {
       NotRun.push_back(Name + ": no time left in the short form");
@@ -139,7 +151,7 @@
       runTask(Context, runConnections(Bench, Options.Connections));
     for (; Bench.Repetition <= Options.Repetitions; ++Bench.Repetition)
       for (const scenario_row &Scenario : scenarios())
-        if (wanted(Scenario, Policy))
+        if (wanted(Scenario, Deployment, Policy))
           runScenario(Context, Fleet, Bench, Scenario);
   }
 
@@ -173,7 +185,9 @@
   options::options_description Description("measure");
   auto Add = Description.add_options();
   Add("help", "shows this text");
-  Add("short", "ends within 90 s: one repetition, short runs");
+  Add("short",
+      "ends within 90 s: one short repetition; all scenarios for dulciuri, "
+      "load for aterro and for the baselines");
   Add("json", "prints JSON instead of the table");
   Add("deployment", options::value<std::string>()->default_value(""),
       "dulciuri or aterro only");
@@ -187,6 +201,8 @@
       "length of one load run");
   Add("connections", options::value<std::size_t>()->default_value(0),
       "also measures one instance with so many caller connections");
+  Add("instances", options::value<std::size_t>()->default_value(0),
+      "number of instances instead of the deployment's");
   Add("out", options::value<std::string>()->default_value("out"),
       "folder of the report");
   return Description;
@@ -202,6 +218,7 @@
   Options.Scenario = Values["scenario"].as<std::string>();
   Options.Out = Values["out"].as<std::string>();
   Options.Connections = Values["connections"].as<std::size_t>();
+  Options.Instances = Values["instances"].as<std::size_t>();
   Options.Repetitions =
       Options.Short ? 1 : Values["repetitions"].as<std::uint64_t>();
   const double Seconds =
