--- a/packages/data/src/transaction_table.cpp
+++ b/packages/data/src/transaction_table.cpp
@@ -162,8 +162,8 @@
   if (!Ran.Answer)
     co_return Ran.Failed.Failure;
   const base::log_position Position = Ran.Answer->Position;
-  const auto Confirmed =
-      co_await Core.Ports.Confirm(Call.Group, Term, Position, Call.Deadline);
+  const auto Confirmed = co_await Core.Ports.Confirm(
+      Call.Group, Term, Position, Call.Deadline, confirm_kind::Held);
   if (!Confirmed)
     co_return failure(errc::OutcomeUnknown, Confirmed.error().Detail);
   caller_answer Answer;
@@ -187,6 +187,12 @@
   co_return caller_answer{};
 }
 
+void abandonTransaction(statement_core &Core, transaction_table &Table,
+                        const call &Call) {
+  if (findOwn(Table, Call))
+    close(Core, Table, Call.Request.Transaction, false);
+}
+
 void closeAbandoned(statement_core &Core, transaction_table &Table,
                     base::instant Now) {
   const control::configuration &Configuration = Core.Ports.Configuration();
