Let news of the store's answers go two hops and no further

Now heartbeats carry the age of the sender's own last answer and of the last one that it heard of from those that had it; nothing goes further, so nothing goes round. A taker counts an instance as told when that echoes a heartbeat sent after the taker's own answer.

--- a/packages/control/include/redwinggw/control/membership.hpp
+++ b/packages/control/include/redwinggw/control/membership.hpp
@@ -80,16 +80,14 @@
   base::config_version HeadVersion = 0;
   /// At this time or later HeadVersion was the head.
   std::optional<base::instant> ProofAt;
-  /// No answer of the store that we know of came later than this.
-  std::optional<base::instant> ContactAt;
-  /// Whose answer it was, and its number there.
-  std::uint32_t ContactOrigin = 0;
-  std::uint64_t ContactNumber = 0;
-  /// The highest number known of each origin. An answer of the store is taken
-  /// in once: as the time on its way adds to its age's error, one that went
-  /// round among the instances would look younger with each hop, and a share
-  /// giver would take a long outage for its end.
-  std::map<std::uint32_t, std::uint64_t> Contacts;
+  /// The last answer of the store: to us; to one that told us so itself; and
+  /// to one that told one that told us. Never too early. It goes no further:
+  /// the time on the way adds to the error, and news that went round among
+  /// the instances would look younger with each hop, so that a share giver
+  /// would take a long outage for its end.
+  std::optional<base::instant> OwnContactAt;
+  std::optional<base::instant> HeardContactAt;
+  std::optional<base::instant> RelayedContactAt;
   /// Our own last read was sent then.
   std::optional<base::instant> ReadAt;
 };
@@ -197,8 +195,11 @@
 /// since before it.
 bool majorityKnows(const membership &Membership, base::config_version Version);
 
-/// True when more than half of the instances said that they know of an answer
-/// of the store at \p Since (our clock) or later.
-bool majorityKnowsContact(const membership &Membership, base::instant Since);
+/// No answer of the store that we know of came later than this.
+std::optional<base::instant> lastContact(const store_knowledge &Store);
+
+/// True when more than half of the instances got a heartbeat that we sent at
+/// \p Since or later.
+bool majorityGot(const membership &Membership, base::instant Since);
 
 } // namespace redwinggw::control
--- a/packages/control/include/redwinggw/control/share_lease.hpp
+++ b/packages/control/include/redwinggw/control/share_lease.hpp
@@ -21,12 +21,14 @@
 /// Store outage: the holder cannot renew, and must not stop. It goes on past
 /// its lease while it hears a majority of the instances and none of them
 /// knows of an answer that the store gave anybody after the lease's end. A
-/// taker sees the store, tells so, and waits until a majority said that it
-/// knows of an answer from after the lease's end, then HearBound and a Ttl
-/// more. The two majorities share an instance; after HearBound the holder has
-/// its word or does not hear it, and stops. Fleets above DirectLimit do without
-/// this rule, since there reports of a majority take too long: the holder stops
-/// at the lease's end.
+/// taker that had such an answer says so in its heartbeats, waits until a
+/// majority echoed one of these, then HearBound and a Ttl more. The two
+/// majorities share an instance; what that one says afterwards names the
+/// answer. After HearBound the holder has its word or does not hear it, and
+/// stops. An instance that starts again in between counts for the holder only
+/// once it read the store itself, which is a later answer. Fleets above
+/// DirectLimit do without this rule, since there an echo of a majority takes
+/// too long: the holder stops at the lease's end.
 namespace redwinggw::control {
 
 struct lease_limits {
@@ -90,6 +92,9 @@
   lease_row Row;
   /// When the row was first seen with this version.
   base::instant ObservedAt;
+  /// Since then our heartbeats say that the store answered us after the end
+  /// of the holder's lease.
+  std::optional<base::instant> ToldSince;
   /// Since then it may be taken.
   std::optional<base::instant> TakeAt;
   bool Holding = false;
--- a/packages/control/src/membership_knowledge.cpp
+++ b/packages/control/src/membership_knowledge.cpp
@@ -32,21 +32,11 @@
   Value = std::max(Value.value_or(Candidate), Candidate);
 }
 
-constexpr std::size_t MaxOrigins = 4096;
-
-void learnContact(store_knowledge &Store, std::uint32_t Origin,
-                  std::uint64_t Number, instant At) {
-  if (Store.Contacts.size() > MaxOrigins)
-    Store.Contacts.clear();
-  std::uint64_t &Known = Store.Contacts[Origin];
-  if (Number <= Known)
-    return;
-  Known = Number;
-  if (Store.ContactAt.value_or(instant::min()) >= At)
-    return;
-  Store.ContactAt = At;
-  Store.ContactOrigin = Origin;
-  Store.ContactNumber = Number;
+/// The time of an answer of the store that is \p Age old now, or \p Known.
+void learnContact(std::optional<instant> &Known, wire::age_ms Age,
+                  instant Now) {
+  if (Age != wire::NoAge)
+    raise(Known, Now - milliseconds(Age));
 }
 
 void learnHead(store_knowledge &Store, base::config_version Head,
@@ -121,9 +111,8 @@
   Report.StoreReadAge = ageAtMost(Store.ReadAt, Now);
   Report.HeadVersion = Store.HeadVersion;
   Report.ProofAge = ageAtMost(Store.ProofAt, Now);
-  Report.ContactAge = ageAtLeast(Store.ContactAt, Now);
-  Report.ContactOrigin = Store.ContactOrigin;
-  Report.ContactNumber = Store.ContactNumber;
+  Report.OwnContactAge = ageAtLeast(Store.OwnContactAt, Now);
+  Report.HeardContactAge = ageAtLeast(Store.HeardContactAt, Now);
   return Report;
 }
 
@@ -169,13 +158,13 @@
            std::optional<instant> MadeAt, instant Now) {
   const wire::peer_report &Report = Member.Report;
   Member.KnownHead = std::max(Member.KnownHead, Report.HeadVersion);
-  if (Report.ContactAge != wire::NoAge)
-    learnContact(Membership.Store, Report.ContactOrigin, Report.ContactNumber,
-                 Now - milliseconds(Report.ContactAge));
+  store_knowledge &Store = Membership.Store;
+  learnContact(Store.HeardContactAt, Report.OwnContactAge, Now);
+  learnContact(Store.RelayedContactAt, Report.HeardContactAge, Now);
   std::optional<instant> ProofAt;
   if (MadeAt && Report.ProofAge != wire::NoAge)
     ProofAt = *MadeAt - milliseconds(Report.ProofAge);
-  learnHead(Membership.Store, Report.HeadVersion, ProofAt);
+  learnHead(Store, Report.HeadVersion, ProofAt);
   if (!MadeAt)
     return;
   Member.ReportAt = MadeAt;
@@ -192,11 +181,7 @@
 }
 
 void onStoreContact(membership &Membership, instant Answered) {
-  const std::uint32_t Self = wire::hashOf(Membership.Self.Name);
-  // Counts from the incarnation, so that a new one's numbers are higher.
-  const std::uint64_t Last =
-      std::max(Membership.Store.Contacts[Self], Membership.Self.Incarnation);
-  learnContact(Membership.Store, Self, Last + 1, Answered);
+  raise(Membership.Store.OwnContactAt, Answered);
 }
 
 bool isHeard(const membership &Membership, const member &Member, instant Now) {
@@ -231,17 +216,19 @@
          isMajority(Membership, static_cast<std::size_t>(Knowing) + Self);
 }
 
-bool majorityKnowsContact(const membership &Membership, instant Since) {
-  const auto Knowing =
+std::optional<instant> lastContact(const store_knowledge &Store) {
+  // Nothing is less than any time.
+  return std::max(
+      {Store.OwnContactAt, Store.HeardContactAt, Store.RelayedContactAt});
+}
+
+bool majorityGot(const membership &Membership, instant Since) {
+  const auto Got =
       std::ranges::count_if(Membership.Members, [&](const member &Member) {
-        const wire::age_ms Age = Member.Report.ContactAge;
-        return Member.ReportAt && Age != wire::NoAge &&
-               *Member.ReportAt - milliseconds(Age) >= Since;
+        return Member.ReportAt && *Member.ReportAt >= Since;
       });
-  const auto Own = Membership.Store.ContactAt;
-  const std::size_t Self = Own && *Own >= Since ? 1 : 0;
   return Membership.ListKnown &&
-         isMajority(Membership, static_cast<std::size_t>(Knowing) + Self);
+         isMajority(Membership, static_cast<std::size_t>(Got) + 1);
 }
 
 } // namespace redwinggw::control
--- a/packages/control/src/share_lease.cpp
+++ b/packages/control/src/share_lease.cpp
@@ -57,6 +57,7 @@
   Lease.Row = std::move(Row);
   Lease.ObservedAt = Now;
   Lease.TakeAt.reset();
+  Lease.ToldSince.reset();
 }
 
 /// Whether the holder's time is over for sure; see the head of the header.
@@ -70,8 +71,12 @@
   // Twice DirectLimit: the holder's list may lag behind ours.
   const bool MayBeExtended =
       Membership.Members.size() <= 2 * Membership.Limits.DirectLimit;
-  if (!Lease.TakeAt &&
-      (!MayBeExtended || majorityKnowsContact(Membership, Ended)))
+  const auto Contact = Membership.Store.OwnContactAt;
+  if (!Lease.ToldSince && Contact && *Contact >= Ended)
+    Lease.ToldSince = Now;
+  const bool Told =
+      Lease.ToldSince && majorityGot(Membership, *Lease.ToldSince);
+  if (!Lease.TakeAt && (!MayBeExtended || Told))
     Lease.TakeAt =
         Now +
         (MayBeExtended ? Membership.Limits.HearBound : base::milliseconds(0)) +
@@ -211,7 +216,7 @@
     return true;
   const bool Majority =
       !Limits.ExtensionNeedsMajority || hearsMajority(Membership, Now);
-  const auto Contact = Membership.Store.ContactAt;
+  const auto Contact = lastContact(Membership.Store);
   const bool NoContact =
       !Limits.ExtensionHeedsContact || !Contact || *Contact <= Lease.ValidUntil;
   return Membership.Members.size() <= Membership.Limits.DirectLimit &&
--- a/packages/wire/include/redwinggw/wire/message.hpp
+++ b/packages/wire/include/redwinggw/wire/message.hpp
@@ -66,11 +66,10 @@
   base::config_version HeadVersion = 0;
   /// At least so long ago HeadVersion was read as the head: never too young.
   age_ms ProofAge = NoAge;
-  /// At most so long ago somebody had an answer of the store: never too old.
-  age_ms ContactAge = NoAge;
-  /// Whose answer that was (hashOf its name), and its number there.
-  std::uint32_t ContactOrigin = 0;
-  std::uint64_t ContactNumber = 0;
+  /// At most so long ago the sender itself had an answer of the store, and one
+  /// of those that told it so themselves: never too old.
+  age_ms OwnContactAge = NoAge;
+  age_ms HeardContactAge = NoAge;
   /// The highest heartbeat that the sender had from the receiver.
   std::uint64_t EchoIncarnation = 0;
   std::uint64_t EchoSequence = 0;
--- a/packages/wire/src/message.cpp
+++ b/packages/wire/src/message.cpp
@@ -77,9 +77,8 @@
 void transferReport(Archive &Ar, Report &Value) {
   transfer(Ar, Value.Zone);
   Ar(Value.Version, Value.StoreReadAge, Value.HeadVersion, Value.ProofAge,
-     Value.ContactAge, Value.ContactOrigin, Value.ContactNumber,
-     Value.EchoIncarnation, Value.EchoSequence, Value.Leaving,
-     Value.WantsReply);
+     Value.OwnContactAge, Value.HeardContactAge, Value.EchoIncarnation,
+     Value.EchoSequence, Value.Leaving, Value.WantsReply);
   transferAll(Ar, Value.Groups, [&](auto &Item) { transferGroup(Ar, Item); });
   transferMap(Ar, Value.Heard);
 }
--- a/tests/control/share_test.cpp
+++ b/tests/control/share_test.cpp
@@ -340,7 +340,7 @@
   constexpr milliseconds OnItsWay{100};
   for (std::size_t Index = 0; Index < Count; ++Index) {
     const fleet_node &Node = Fleet.Nodes[Index];
-    const auto ContactAt = Node.Membership.Store.ContactAt;
+    const auto ContactAt = lastContact(Node.Membership.Store);
     cr_assert(ContactAt.value_or(Fleet.Now) - Node.Offset <= Down + OnItsWay);
   }
 }
