--- a/packages/data/include/redwinggw/data/statement_core.hpp
+++ b/packages/data/include/redwinggw/data/statement_core.hpp
@@ -1,9 +1,12 @@
 #pragma once
 
 #include "redwinggw/base/error.hpp"
+#include "redwinggw/base/metrics.hpp"
 #include "redwinggw/base/task.hpp"
+#include "redwinggw/base/timeline.hpp"
 #include "redwinggw/control/configuration.hpp"
 #include "redwinggw/data/caller_message.hpp"
+#include "redwinggw/data/confirm.hpp"
 #include "redwinggw/data/dispatcher.hpp"
 #include "redwinggw/data/group_view.hpp"
 #include "redwinggw/data/request_record.hpp"
@@ -37,15 +40,20 @@
   std::function<const group_view *(std::string_view)> View;
   /// Waits until a majority holds a position in a term.
   std::function<base::task<base::result<void>>(
-      base::group_name, base::term_number, base::log_position, base::instant)>
+      base::group_name, base::term_number, base::log_position, base::instant,
+      confirm_kind)>
       Confirm;
   /// Waits until the group has a primary.
   std::function<base::task<base::result<void>>(base::group_name, base::instant)>
       AwaitPrimary;
   /// Tells the failure detector how a request to an endpoint went.
   std::function<void(std::string_view Group, std::string_view Endpoint,
-                     bool Answered)>
+                     bool Answered, base::instant At)>
       NoteTraffic;
+  /// Adds an event to the time line.
+  std::function<void(base::event_kind, std::string_view Subject,
+                     std::string_view Detail, std::string_view RequestId)>
+      Record;
 };
 
 /// Counters of statements; read by the metrics.
@@ -82,6 +90,7 @@
       Dispatchers;
   retry_budget Budget;
   statement_counters Counters;
+  base::metrics Metrics;
   std::minstd_rand Random{std::random_device{}()};
   bool Draining = false;
 };
@@ -126,6 +135,7 @@
 
 /// Waits before try number \p Try, or says why there is none: the budget is
 /// used up or the deadline is too near. Then the final answer goes out at once.
+/// While the group has no primary that answers, the request stays parked.
 base::task<base::result<void>> awaitRetry(statement_core &Core,
                                           const call &Call, unsigned Try,
                                           const base::failure &Last);
@@ -164,4 +174,8 @@
 base::result<caller_answer> answerOf(const request_record &Record,
                                      const request_identity &Identity);
 
+/// Deletes a bounded number of expired records at each group's primary. Any
+/// instance may do so at any time; records that still count are not touched.
+base::task<void> deleteExpiredRecords(statement_core &Core);
+
 } // namespace redwinggw::data
--- a/packages/data/src/caller_server.cpp
+++ b/packages/data/src/caller_server.cpp
@@ -1,6 +1,7 @@
 #include "redwinggw/data/caller_server.hpp"
 
 #include "redwinggw/base/log.hpp"
+#include "redwinggw/data/request_trace.hpp"
 
 #include <algorithm>
 #include <array>
@@ -32,6 +33,19 @@
   return serveOutcome(Core, std::move(Call));
 }
 
+/// How a path counts against the customer's rate.
+enum class counting {
+  Free,
+  /// It may wait for the rate until its deadline.
+  Waits,
+  /// It belongs to an open transaction, whose locks others wait for: without a
+  /// token in a moment the transaction is rolled back.
+  Brief,
+};
+
+/// Time for a token that is within the rate to come from its giver.
+constexpr base::milliseconds BriefWait{50};
+
 /// What a path needs and who serves it.
 struct path_row {
   std::string_view Target;
@@ -39,21 +53,40 @@
   path_function Serve;
   /// It may go on while the instance drains.
   bool WhileDraining;
-  /// It counts against the customer's rate.
-  bool Counted;
+  counting Counted;
 };
 
 constexpr std::array Paths = std::to_array<path_row>({
-    {"/v1/statement", {true, true, false, false}, serveStatement, false, true},
-    {"/v1/begin", {true, false, false, false}, beginTransaction, false, true},
-    {"/v1/run", {false, true, true, false}, runInTransaction, true, true},
-    {"/v1/commit", {false, false, true, false}, commitTransaction, true, false},
+    {"/v1/statement",
+     {true, true, false, false},
+     serveStatement,
+     false,
+     counting::Waits},
+    {"/v1/begin",
+     {true, false, false, false},
+     beginTransaction,
+     false,
+     counting::Waits},
+    {"/v1/run",
+     {false, true, true, false},
+     runInTransaction,
+     true,
+     counting::Brief},
+    {"/v1/commit",
+     {false, false, true, false},
+     commitTransaction,
+     true,
+     counting::Free},
     {"/v1/rollback",
      {false, false, true, false},
      rollBackTransaction,
      true,
-     false},
-    {"/v1/outcome", {true, false, false, true}, serveEnquiry, false, false},
+     counting::Free},
+    {"/v1/outcome",
+     {true, false, false, true},
+     serveEnquiry,
+     false,
+     counting::Free},
 });
 
 /// Finds the customer by the key. Asked for each request, so that a withdrawal
@@ -130,43 +163,40 @@
   return Call;
 }
 
-base::task<result<caller_answer>> serve(statement_core &Core,
-                                        transaction_table &Table,
-                                        const path_row &Path,
-                                        http::request Message) {
+base::task<result<void>> admit(statement_core &Core, counting Counting,
+                               const call &Call) {
+  if (Counting == counting::Free)
+    co_return result<void>();
+  base::instant Deadline = Call.Deadline;
+  if (Counting == counting::Brief)
+    Deadline = std::min(Deadline, base::now() + BriefWait);
+  const auto Admitted = co_await Core.Ports.Admit(Call.Customer, Deadline);
+  if (Admitted)
+    noteRequest(Core.Budget);
+  co_return Admitted;
+}
+
+base::task<result<caller_answer>>
+serve(statement_core &Core, transaction_table &Table, const path_row &Path,
+      http::request Message, request_trace &Trace) {
   if (Core.Draining && !Path.WhileDraining)
     co_return failure(errc::Draining, Core.Settings.Instance, DrainRetryAfter);
   auto Call = prepare(Core, Path, Message);
   if (!Call)
     co_return Call.error();
-  if (Path.Counted) {
-    const auto Admitted =
-        co_await Core.Ports.Admit(Call->Customer, Call->Deadline);
-    if (!Admitted)
-      co_return Admitted.error();
-    noteRequest(Core.Budget);
+  Trace.Customer = Call->Customer;
+  Trace.Access = Call->Request.Access;
+  Trace.RequestId = Call->Request.RequestId;
+  noteReceived(Core, Trace);
+  const auto Admitted = co_await admit(Core, Path.Counted, *Call);
+  if (!Admitted) {
+    if (Path.Counted == counting::Brief)
+      abandonTransaction(Core, Table, *Call);
+    co_return Admitted.error();
   }
   co_return co_await Path.Serve(Core, Table, std::move(*Call));
 }
 
-void count(statement_core &Core, const result<caller_answer> &Answer) {
-  ++Core.Counters.Requests;
-  const base::outcome Outcome =
-      Answer ? base::outcome::Done
-             : base::kindOf(kindOf(Answer.error())).Outcome;
-  switch (Outcome) {
-  case base::outcome::Done:
-    ++Core.Counters.Done;
-    break;
-  case base::outcome::NotRun:
-    ++Core.Counters.NotRun;
-    break;
-  case base::outcome::Unknown:
-    ++Core.Counters.Unknown;
-    break;
-  }
-}
-
 http::response health(const statement_core &Core) {
   http::response Response;
   const bool Serves = !Core.Draining && Core.Ports.MayServe();
@@ -187,12 +217,14 @@
   if (Path == Paths.end())
     co_return toResponse(failure(errc::NotFound, "path"));
   result<caller_answer> Answer = failure(errc::Internal);
+  request_trace Trace;
+  Trace.ReceivedAt = base::now();
   try {
-    Answer = co_await serve(Core, Table, *Path, std::move(Request));
+    Answer = co_await serve(Core, Table, *Path, std::move(Request), Trace);
   } catch (const std::exception &Error) {
     base::log(base::log_level::Error, base::log_part::Callers, Error.what());
   }
-  count(Core, Answer);
+  noteAnswered(Core, Trace, Answer);
   if (!Answer)
     co_return toResponse(Answer.error());
   co_return toResponse(std::move(*Answer));
