Let a request wait for the last connection of the limit

The window let in as many requests as there are connections, while the spare was being opened with one of them. Ruled out: the database's own limit; it was not reached. Change: take waits for a connection to come back or for room to open one. connection_pool_test fails before and passes after.

--- a/packages/data/include/redwinggw/data/connection_pool.hpp
+++ b/packages/data/include/redwinggw/data/connection_pool.hpp
@@ -38,8 +38,9 @@
   connection_pool &operator=(const connection_pool &) = delete;
   ~connection_pool();
 
-  /// An idle connection, or a new one while the limit allows. Fails with
-  /// errc::ConnectionLimit or errc::EndpointUnreachable; nothing has run.
+  /// An idle connection, or a new one while the limit allows; waits for one
+  /// otherwise. Fails with errc::ConnectionLimit or errc::EndpointUnreachable;
+  /// nothing has run.
   base::task<base::result<connection_handle>> take(base::instant Deadline);
 
   /// Takes a connection back. Precondition: the endpoint confirmed that no
--- a/packages/data/src/connection_pool.cpp
+++ b/packages/data/src/connection_pool.cpp
@@ -2,8 +2,11 @@
 
 #include "redwinggw/data/endpoint.hpp"
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 
@@ -15,6 +18,7 @@
 using base::failure;
 using base::result;
 
+constexpr auto Token = asio::as_tuple(asio::use_awaitable);
 constexpr base::milliseconds SpareDeadline{2000};
 
 } // namespace
@@ -35,6 +39,7 @@
         Connection->Client, Endpoint.Address, Instance, Deadline);
     if (!Connected) {
       --Open;
+      wakeOne();
       const bool Refused = kindOf(Connected.error()) == errc::ConnectionLimit;
       co_return failure(Refused ? errc::ConnectionLimit
                                 : errc::EndpointUnreachable,
@@ -51,12 +56,15 @@
     OpeningSpare = true;
     auto Connection = co_await open(base::now() + SpareDeadline);
     OpeningSpare = false;
-    if (!Connection)
+    if (!Connection) {
+      wakeOne();
       co_return;
+    }
     if (Closed)
       --Open;
     else
       Idle.push_back(std::move(*Connection));
+    wakeOne();
   }
 
   /// The last connection is left to those who need one now.
@@ -66,6 +74,23 @@
     asio::co_spawn(Executor, openSpare(), asio::detached);
   }
 
+  /// Waits until a connection may be idle or another one may be opened.
+  base::task<bool> awaitRoom(base::instant Deadline) {
+    const auto Self = shared_from_this();
+    asio::steady_timer Timer(Executor);
+    Timer.expires_at(
+        std::chrono::steady_clock::time_point(Deadline.time_since_epoch()));
+    Waiting.push_back(&Timer);
+    co_await Timer.async_wait(Token);
+    std::erase(Waiting, &Timer);
+    co_return base::now() < Deadline;
+  }
+
+  void wakeOne() {
+    if (!Waiting.empty())
+      Waiting.front()->cancel();
+  }
+
   asio::any_io_executor Executor;
   std::string Instance;
   control::endpoint Endpoint;
@@ -74,6 +99,7 @@
   bool OpeningSpare = false;
   bool Closed = false;
   std::vector<connection_handle> Idle;
+  std::vector<asio::steady_timer *> Waiting;
 };
 
 connection_pool::connection_pool(asio::any_io_executor Executor,
@@ -90,15 +116,16 @@
 base::task<result<connection_handle>>
 connection_pool::take(base::instant Deadline) {
   const auto Pool = State;
-  if (!Pool->Idle.empty()) {
-    connection_handle Connection = std::move(Pool->Idle.back());
-    Pool->Idle.pop_back();
-    Pool->keepSpare();
-    co_return std::move(Connection);
-  }
-  if (!Pool->mayOpen())
-    co_return failure(errc::ConnectionLimit, Pool->Endpoint.Name);
-  co_return co_await Pool->open(Deadline);
+  // The spare that is being opened may be the last one of the limit.
+  while (Pool->Idle.empty() && !Pool->mayOpen())
+    if (Pool->Closed || !co_await Pool->awaitRoom(Deadline))
+      co_return failure(errc::ConnectionLimit, Pool->Endpoint.Name);
+  if (Pool->Idle.empty())
+    co_return co_await Pool->open(Deadline);
+  connection_handle Connection = std::move(Pool->Idle.back());
+  Pool->Idle.pop_back();
+  Pool->keepSpare();
+  co_return std::move(Connection);
 }
 
 void connection_pool::giveBack(connection_handle Connection) {
@@ -109,11 +136,13 @@
   }
   Connection->AnsweredAt = base::now();
   State->Idle.push_back(std::move(Connection));
+  State->wakeOne();
 }
 
 void connection_pool::discard(connection_handle Connection) {
   Connection->Client.close();
   --State->Open;
+  State->wakeOne();
 }
 
 void connection_pool::closeSilentSince(base::instant Since) {
@@ -122,6 +151,7 @@
         return Connection->AnsweredAt < Since;
       });
   State->Open -= Closed;
+  State->wakeOne();
 }
 
 void connection_pool::closeIdle() {
