Split the test of shares into bound and floor

share_test took 162.6 s of the 300 s allowed under the thread sanitizer, which a busy machine could exceed.

--- a/tests/control/share_fleet.hpp
+++ b/tests/control/share_fleet.hpp
@@ -343,6 +343,20 @@
   return Made;
 }
 
+/// Chooses any node, for runLoad.
+inline auto anyNode(share_fleet &Fleet) {
+  return [&Fleet] { return Fleet.Random() % Fleet.Nodes.size(); };
+}
+
+/// The giver begins to drain and says that it leaves.
+inline void giverIsDrained(share_fleet &Fleet) {
+  fleet_node &Giver = Fleet.Nodes[giverIndex(Fleet)];
+  Giver.Shares.Draining = true;
+  for (const peer_send &Send :
+       onLeave(Giver.Membership, clockOf(Fleet, giverIndex(Fleet))))
+    transmit(Fleet, Send.Datagram);
+}
+
 /// By how many tokens the worst window is above Burst + Rate * length; scans
 /// every window that begins and ends with a spending.
 inline double worstExcess(const std::vector<spending> &History, double Rate,
