--- a/packages/data/src/transaction_table.cpp
+++ b/packages/data/src/transaction_table.cpp
@@ -39,6 +39,8 @@
   if (Found == Table.Open.end())
     return;
   unpin(Core, Found->second.Pinned, Clean);
+  Core.Ports.Record(base::event_kind::TransactionEnded, Id,
+                    Clean ? "ended" : "lost", {});
   Table.Open.erase(Found);
 }
 
@@ -99,7 +101,7 @@
   run_request Request;
   Request.Begin = true;
   if (Writes)
-    Request.Statements = {insertRecord(Identity, record_state::Done)};
+    Request.Statements = {insertRecord(Identity, request_state::Done)};
   run_result Ran =
       co_await runMarked(Core, Transaction, Call, std::move(Request));
   if (!Ran.Answer) {
@@ -117,6 +119,8 @@
   caller_answer Answer;
   Answer.Transaction = Core.Settings.Instance + "-" + base::randomId();
   Answer.ServedBy = "primary";
+  Core.Ports.Record(base::event_kind::TransactionBegun, Answer.Transaction,
+                    Call.Group, Call.Request.RequestId);
   Table.Open.emplace(Answer.Transaction, std::move(Transaction));
   co_return Answer;
 }
@@ -158,8 +162,8 @@
   if (!Ran.Answer)
     co_return Ran.Failed.Failure;
   const base::log_position Position = Ran.Answer->Position;
-  const auto Confirmed =
-      co_await Core.Ports.Confirm(Call.Group, Term, Position, Call.Deadline);
+  const auto Confirmed = co_await Core.Ports.Confirm(
+      Call.Group, Term, Position, Call.Deadline, confirm_kind::Held);
   if (!Confirmed)
     co_return failure(errc::OutcomeUnknown, Confirmed.error().Detail);
   caller_answer Answer;
@@ -183,6 +187,12 @@
   co_return caller_answer{};
 }
 
+void abandonTransaction(statement_core &Core, transaction_table &Table,
+                        const call &Call) {
+  if (findOwn(Table, Call))
+    close(Core, Table, Call.Request.Transaction, false);
+}
+
 void closeAbandoned(statement_core &Core, transaction_table &Table,
                     base::instant Now) {
   const control::configuration &Configuration = Core.Ports.Configuration();
