Withdraw keys from waiting requests by change, not by version; stop in order

Cause: a withdrawal whose outcome is unknown takes the key out of force under the version in force, and requests that waited were checked by version only. At a stop the peers' socket closed while leases were not given back yet. Ruled out: checking every waiting request against all keys; a counter of changes tells when that is needed. Change: requests remember the change they were checked after; a stop first hands over the leases and finishes the work, then closes the services.

--- a/packages/data/include/redwinggw/data/statement_core.hpp
+++ b/packages/data/include/redwinggw/data/statement_core.hpp
@@ -93,6 +93,9 @@
   base::metrics Metrics;
   std::minstd_rand Random{std::random_device{}()};
   bool Draining = false;
+  /// Changes of the configuration so far. Versions do not do: a withdrawal of
+  /// unknown outcome takes a key out of force under the same version.
+  std::uint64_t ConfigurationChanges = 0;
 };
 
 /// One request of a caller on its way.
@@ -100,8 +103,9 @@
   base::customer_name Customer;
   std::string KeyId;
   std::string KeyDigest;
-  /// Configuration version at which the key was last found in force.
-  base::config_version KeyCheckedAt = 0;
+  /// Number of the change of the configuration after which the key was last
+  /// found in force; 0: not yet.
+  std::uint64_t KeyCheckedAt = 0;
   caller_request Request;
   base::group_name Group;
   base::milliseconds MaxAge{0};
--- a/packages/data/src/caller_server.cpp
+++ b/packages/data/src/caller_server.cpp
@@ -104,7 +104,7 @@
   Call.Customer = Key->Customer;
   Call.KeyId = Key->Id;
   Call.KeyDigest = Key->Digest;
-  Call.KeyCheckedAt = Configuration.Version;
+  Call.KeyCheckedAt = Core.ConfigurationChanges;
   return Call;
 }
 
--- a/packages/data/src/record_retention.cpp
+++ b/packages/data/src/record_retention.cpp
@@ -19,7 +19,7 @@
   call Call;
   Call.Customer = OwnAccount;
   Call.Group = Group;
-  Call.KeyCheckedAt = Core.Ports.Configuration().Version;
+  Call.KeyCheckedAt = Core.ConfigurationChanges;
   Call.Deadline = base::now() + CleaningDeadline;
   run_request Request;
   Request.ExpectTerm = View->Term;
--- a/packages/data/src/statement_core.cpp
+++ b/packages/data/src/statement_core.cpp
@@ -86,6 +86,7 @@
 void applyConfiguration(statement_core &Core,
                         const control::configuration &Configuration,
                         std::size_t Instances) {
+  ++Core.ConfigurationChanges;
   std::erase_if(Core.Dispatchers, [&](const auto &Entry) {
     return std::ranges::find(Configuration.Endpoints,
                              Entry.second->endpoint()) ==
@@ -105,14 +106,14 @@
 
 bool isKeyInForce(const statement_core &Core, call &Call) {
   const control::configuration &Configuration = Core.Ports.Configuration();
-  if (Configuration.Version == Call.KeyCheckedAt)
+  if (Core.ConfigurationChanges == Call.KeyCheckedAt)
     return true;
   const auto Key = std::ranges::find(Configuration.Keys, Call.KeyId,
                                      &control::customer_key::Id);
   if (Key == Configuration.Keys.end() || Key->Digest != Call.KeyDigest ||
       Key->Customer != Call.Customer)
     return false;
-  Call.KeyCheckedAt = Configuration.Version;
+  Call.KeyCheckedAt = Core.ConfigurationChanges;
   return true;
 }
 
--- a/packages/redwinggw/src/instance.cpp
+++ b/packages/redwinggw/src/instance.cpp
@@ -79,20 +79,27 @@
          !State.Transactions.Open.empty();
 }
 
-/// Graceful shutdown: out of the balancer first, then no new work, then the
-/// running work gets its time, then everything closes.
+bool mayStop(const instance_state &State, base::microseconds Waited) {
+  if (Waited < ShortestDrain)
+    return false;
+  const bool Idle = !hasWork(State) && State.Shares.status().Leases == 0;
+  return Idle || Waited >= State.Settings.DrainTime;
+}
+
+/// Graceful shutdown: out of the balancer first, then no new work; the running
+/// work gets its time while leases go to the next givers; then all closes.
+/// The peers' socket closes last: requests that wait for tokens, and the
+/// hand-over of the leases, go through it.
 base::task<void> drain(std::shared_ptr<instance_state> State) {
   const base::instant Begun = base::now();
   State->Statements.Draining = true;
   State->Peers.drain();
+  State->Groups.drain();
+  State->Shares.drain();
   const auto Executor = State->Context.get_executor();
-  while (base::now() - Begun < ShortestDrain ||
-         (hasWork(*State) && base::now() - Begun < State->Settings.DrainTime))
+  while (!mayStop(*State, base::now() - Begun))
     co_await pause(Executor, HousekeepingEvery);
   kernel::drainAll(State->Registry);
-  while (State->Callers.Server.busyConnections() != 0 &&
-         base::now() - Begun < State->Settings.DrainTime)
-    co_await pause(Executor, HousekeepingEvery);
   State->Life.process(kernel::life_event::Drained);
 }
 
--- a/packages/redwinggw/src/wiring.cpp
+++ b/packages/redwinggw/src/wiring.cpp
@@ -193,10 +193,10 @@
       [&State] { State.Configuration.stop(); }));
   Services.push_back(makeService<control::share_service>(
       "shares", {"platform", "peers"}, State.Shares,
-      [&State] { State.Shares.start(); }, [&State] { State.Shares.drain(); }));
+      [&State] { State.Shares.start(); }, [&State] { State.Shares.stop(); }));
   Services.push_back(makeService<data::group_service>(
       "groups", {"configuration", "peers"}, State.Groups,
-      [&State] { State.Groups.start(); }, [&State] { State.Groups.drain(); }));
+      [&State] { State.Groups.start(); }, [] {}));
   Services.push_back(makeService<control::operator_server>(
       "operators", {"configuration"}, State.Operators,
       [&State] { require(State.Operators.listen(State.Settings.Operators)); },
--- /dev/null
+++ b/tests/data/statement_core_test.cpp
@@ -0,0 +1,70 @@
+#include "redwinggw/data/statement_core.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include "criterion_test.hpp"
+
+using namespace redwinggw;
+using namespace redwinggw::data;
+
+namespace {
+
+struct core_fixture {
+  boost::asio::io_context Context;
+  control::configuration Configuration;
+  statement_core Core{Context.get_executor()};
+
+  core_fixture() {
+    Configuration.Version = 7;
+    Configuration.Keys = {{"k1", "dulce", "digest"}};
+    Core.Ports.Configuration = [this]() -> const control::configuration & {
+      return Configuration;
+    };
+    applyConfiguration(Core, Configuration, 1);
+  }
+};
+
+call queuedCall() {
+  call Call;
+  Call.Customer = "dulce";
+  Call.KeyId = "k1";
+  Call.KeyDigest = "digest";
+  return Call;
+}
+
+} // namespace
+
+// A key is withdrawn while its requests wait in a queue. The operator was told
+// that it is out of force; the waiting requests run all the same, because they
+// were checked when they arrived.
+Test(statement_core, a_withdrawal_reaches_requests_that_wait) {
+  core_fixture Fixture;
+  call Call = queuedCall();
+  cr_assert(isKeyInForce(Fixture.Core, Call));
+  Fixture.Configuration.Version = 8;
+  Fixture.Configuration.Keys.clear();
+  applyConfiguration(Fixture.Core, Fixture.Configuration, 1);
+  cr_assert(!isKeyInForce(Fixture.Core, Call));
+}
+
+// The same, but the store did not answer the withdrawal. The instance takes
+// the key out of force at once, under the version it has.
+Test(statement_core, a_withdrawal_of_unknown_outcome_reaches_them_too) {
+  core_fixture Fixture;
+  call Call = queuedCall();
+  cr_assert(isKeyInForce(Fixture.Core, Call));
+  Fixture.Configuration.Keys.clear();
+  applyConfiguration(Fixture.Core, Fixture.Configuration, 1);
+  cr_assert(!isKeyInForce(Fixture.Core, Call));
+}
+
+// An id of a key is given again, to another customer. A request that waits
+// under the old key must not run for the new customer, or at all.
+Test(statement_core, a_key_given_anew_is_another_key) {
+  core_fixture Fixture;
+  call Call = queuedCall();
+  cr_assert(isKeyInForce(Fixture.Core, Call));
+  Fixture.Configuration.Keys = {{"k1", "amar", "another"}};
+  applyConfiguration(Fixture.Core, Fixture.Configuration, 1);
+  cr_assert(!isKeyInForce(Fixture.Core, Call));
+}
