Learn positions from every answer; take what connection is free first

Cause: routing knew positions from polls each 100 ms only, so that 3.5% of the reads allowed at replicas waited for a replica, or fell back to the primary, for want of a finer estimate. A request that opened a connection waited for it even when another one came back earlier. Ruled out for the slower 99th percentile of writes that came with it: the opening of connections; the second change did not move it. No single write took over 10 ms by the time line: the driver counts from intended starts, and a session's write waits for its read before, which now waits for its replica. Change: the state in each answer goes to the group's view; a pool has one way to open and gives its waiters whatever comes first.

--- a/packages/data/include/redwinggw/data/statement_core.hpp
+++ b/packages/data/include/redwinggw/data/statement_core.hpp
@@ -50,6 +50,11 @@
   std::function<void(std::string_view Group, std::string_view Endpoint,
                      bool Answered, base::instant At)>
       NoteTraffic;
+  /// Tells what came with an answer to a request sent at that time. Answers
+  /// come far more often than polls, so that positions and ages are finer.
+  std::function<void(std::string_view Group, const endpoint_state &State,
+                     base::instant AskedAt)>
+      NoteState;
   /// Adds an event to the time line.
   std::function<void(base::event_kind, std::string_view Subject,
                      std::string_view Detail, std::string_view RequestId)>
--- a/packages/data/src/connection_pool.cpp
+++ b/packages/data/src/connection_pool.cpp
@@ -19,7 +19,7 @@
 using base::result;
 
 constexpr auto Token = asio::as_tuple(asio::use_awaitable);
-constexpr base::milliseconds SpareDeadline{2000};
+constexpr base::milliseconds OpenDeadline{2000};
 
 } // namespace
 
@@ -31,15 +31,12 @@
 
   bool mayOpen() const { return Open < Limit && !Closed; }
 
-  base::task<result<connection_handle>> open(base::instant Deadline) {
-    const auto Self = shared_from_this();
-    ++Open;
+  base::task<result<connection_handle>> connect() {
     auto Connection = std::make_unique<database_connection>(Executor);
-    const auto Connected = co_await connectEndpoint(
-        Connection->Client, Endpoint.Address, Instance, Deadline);
+    const auto Connected =
+        co_await connectEndpoint(Connection->Client, Endpoint.Address, Instance,
+                                 base::now() + OpenDeadline);
     if (!Connected) {
-      --Open;
-      wakeOne();
       const bool Refused = kindOf(Connected.error()) == errc::ConnectionLimit;
       co_return failure(Refused ? errc::ConnectionLimit
                                 : errc::EndpointUnreachable,
@@ -50,56 +47,73 @@
     co_return std::move(Connection);
   }
 
-  /// Opens one connection ahead of need: a new one costs many times a request.
-  base::task<void> openSpare() {
+  /// Opens one more connection, for whoever waits longest.
+  base::task<void> openOne() {
     const auto Self = shared_from_this();
-    OpeningSpare = true;
-    auto Connection = co_await open(base::now() + SpareDeadline);
-    OpeningSpare = false;
-    if (!Connection) {
-      wakeOne();
-      co_return;
-    }
-    if (Closed)
-      --Open;
-    else
+    ++Open;
+    ++Opening;
+    auto Connection = co_await connect();
+    --Opening;
+    if (Connection && !Closed)
       Idle.push_back(std::move(*Connection));
-    wakeOne();
+    else
+      --Open;
+    wakeOne(Connection ? failure() : Connection.error());
   }
 
+  void startOpening() { asio::co_spawn(Executor, openOne(), asio::detached); }
+
+  /// Opens one connection ahead of need: a new one costs many times a request.
   /// The last connection is left to those who need one now.
   void keepSpare() {
-    if (!Idle.empty() || OpeningSpare || Open + 1 >= Limit || Closed)
-      return;
-    asio::co_spawn(Executor, openSpare(), asio::detached);
+    if (Idle.empty() && Opening == 0 && Open + 1 < Limit && !Closed)
+      startOpening();
   }
 
-  /// Waits until a connection may be idle or another one may be opened.
-  base::task<bool> awaitRoom(base::instant Deadline) {
+  /// Waits until something about the connections changed. Fails when opening
+  /// one failed, and at \p Deadline.
+  base::task<result<void>> awaitChange(base::instant Deadline) {
     const auto Self = shared_from_this();
-    asio::steady_timer Timer(Executor);
-    Timer.expires_at(
+    waiter Waiter{asio::steady_timer(Executor), {}};
+    Waiter.Timer.expires_at(
         std::chrono::steady_clock::time_point(Deadline.time_since_epoch()));
-    Waiting.push_back(&Timer);
-    co_await Timer.async_wait(Token);
-    std::erase(Waiting, &Timer);
-    co_return base::now() < Deadline;
+    Waiting.push_back(&Waiter);
+    co_await Waiter.Timer.async_wait(Token);
+    std::erase(Waiting, &Waiter);
+    if (Waiter.Failure.Code)
+      co_return Waiter.Failure;
+    if (base::now() < Deadline)
+      co_return result<void>();
+    co_return failure(Opening > 0 ? errc::EndpointUnreachable
+                                  : errc::ConnectionLimit,
+                      Endpoint.Name);
   }
 
-  void wakeOne() {
-    if (!Waiting.empty())
-      Waiting.front()->cancel();
+  void wakeOne(const failure &Failure = {}) {
+    if (Waiting.empty())
+      return;
+    waiter *Waiter = Waiting.front();
+    Waiting.erase(Waiting.begin());
+    Waiter->Failure = Failure;
+    Waiter->Timer.cancel();
   }
 
+  struct waiter {
+    asio::steady_timer Timer;
+    /// Why no connection could be opened; no error: look again.
+    failure Failure;
+  };
+
   asio::any_io_executor Executor;
   std::string Instance;
   control::endpoint Endpoint;
   std::size_t Limit;
   std::size_t Open = 0;
-  bool OpeningSpare = false;
+  /// Connections being opened; they count in Open.
+  std::size_t Opening = 0;
   bool Closed = false;
   std::vector<connection_handle> Idle;
-  std::vector<asio::steady_timer *> Waiting;
+  std::vector<waiter *> Waiting;
 };
 
 connection_pool::connection_pool(asio::any_io_executor Executor,
@@ -116,12 +130,15 @@
 base::task<result<connection_handle>>
 connection_pool::take(base::instant Deadline) {
   const auto Pool = State;
-  // The spare that is being opened may be the last one of the limit.
-  while (Pool->Idle.empty() && !Pool->mayOpen())
-    if (Pool->Closed || !co_await Pool->awaitRoom(Deadline))
+  // A connection that comes back before the new one is open is taken instead.
+  while (Pool->Idle.empty()) {
+    if (Pool->Closed)
       co_return failure(errc::ConnectionLimit, Pool->Endpoint.Name);
-  if (Pool->Idle.empty())
-    co_return co_await Pool->open(Deadline);
+    if (Pool->mayOpen() && Pool->Opening <= Pool->Waiting.size())
+      Pool->startOpening();
+    if (const auto Changed = co_await Pool->awaitChange(Deadline); !Changed)
+      co_return Changed.error();
+  }
   connection_handle Connection = std::move(Pool->Idle.back());
   Pool->Idle.pop_back();
   Pool->keepSpare();
--- a/packages/data/src/statement_core.cpp
+++ b/packages/data/src/statement_core.cpp
@@ -37,6 +37,8 @@
             connection_handle Connection, const run_result &Result,
             base::instant SentAt) {
   const bool Answered = hasAnswered(Result);
+  if (Result.Answer)
+    Core.Ports.NoteState(Target.endpoint().Group, Result.Answer->State, SentAt);
   Core.Ports.NoteTraffic(Target.endpoint().Group, Target.endpoint().Name,
                          Answered, SentAt);
   if (Answered) {
--- a/packages/redwinggw/src/wiring.cpp
+++ b/packages/redwinggw/src/wiring.cpp
@@ -59,6 +59,11 @@
                                base::instant At) {
     State.Groups.noteTraffic(Group, Endpoint, Answered, At);
   };
+  Ports.NoteState = [&State](std::string_view Group,
+                             const data::endpoint_state &Told,
+                             base::instant AskedAt) {
+    State.Groups.noteState(Group, Told, AskedAt);
+  };
   Ports.Record = [&State](base::event_kind Kind, std::string_view Subject,
                           std::string_view Detail, std::string_view RequestId) {
     recordEvent(State, Kind, Subject, Detail, RequestId);
