Keep giving rate shares when the store goes down before a lease moves

Cause: with a platform outage within seconds of the start, requests were refused with over_rate until its end. An instance that starts later is preferred for half of the leases; their holder stopped giving and could not commit the release. Where it still held them, the preferred instance asked itself: it named the row's holder only for 2 s after its last reading of the row. Ruled out: the currency rule (both were at outage, serving), the extension of the lease past its end (the leases not about to move went on). Change: a lease moves only right after a renewal that took effect; the last known holder is named as long as it is alive. Also: an instance without a sheet answers /healthz with 503.

--- a/packages/control/include/redwinggw/control/share_lease.hpp
+++ b/packages/control/include/redwinggw/control/share_lease.hpp
@@ -42,6 +42,10 @@
   /// Another instance must be the preferred giver for so long before the
   /// lease is handed over.
   base::microseconds MoveAfter{3'000'000};
+  /// A lease is handed over only so soon after a renewal was sent that took
+  /// effect: the holder stops giving before it releases, and when the store
+  /// has gone down nobody could take over.
+  base::microseconds MoveWithin{150'000};
   /// Switched off by tests only.
   bool TakerWaits = true;
   bool HolderHeedsEnd = true;
--- a/packages/control/src/share_lease.cpp
+++ b/packages/control/src/share_lease.cpp
@@ -130,8 +130,10 @@
 
 bool shouldMove(const share_lease &Lease, const base::instance_name &Self,
                 const lease_limits &Limits, instant Now) {
+  const instant RenewedAt = Lease.ValidUntil - Limits.Length;
   return Lease.Preferred != Self &&
-         Now - Lease.PreferredSince >= Limits.MoveAfter;
+         Now - Lease.PreferredSince >= Limits.MoveAfter &&
+         Now - RenewedAt <= Limits.MoveWithin;
 }
 
 void release(share_lease &Lease, std::vector<saved_level> Levels) {
--- a/packages/control/src/share_node.cpp
+++ b/packages/control/src/share_node.cpp
@@ -135,13 +135,22 @@
          });
 }
 
-/// Names the holder only while the row is watched: it changes with each
-/// renewal, so an old one may name an instance that is long gone.
-wire::share_message moved(const share_node &Node, const share_lease &Lease,
+bool isAlive(const membership &Membership, std::string_view Name) {
+  const member *Member = findMember(Membership, Name);
+  return Member != nullptr && Member->State == member_state::Alive;
+}
+
+/// Names the holder while the row is watched: it changes with each renewal, so
+/// an old one may name an instance that is long gone. In a store outage nobody
+/// can watch it, and nobody can take the lease either: then the holder of the
+/// last row that was seen is the one to ask, if it is alive.
+wire::share_message moved(const share_node &Node, const membership &Membership,
+                          const share_lease &Lease,
                           const wire::share_message &Request, instant Now) {
   wire::share_message Answer = answerTo(Request, wire::share_kind::Moved);
   const bool Fresh = Now - Lease.ObservedAt <= Node.Settings.Lease.Length;
-  if (Lease.Known && Fresh && !Lease.Row.Released)
+  const bool Askable = Fresh || isAlive(Membership, Lease.Row.Holder);
+  if (Lease.Known && Askable && !Lease.Row.Released)
     Answer.Giver = Lease.Row.Holder;
   return Answer;
 }
@@ -151,7 +160,7 @@
   const share_lease &Lease = Node.Leases[Request.Partition];
   return mayGive(Lease, Membership, Node.Settings.Lease, Now)
              ? grant(Node.Giver, Request, Now)
-             : moved(Node, Lease, Request, Now);
+             : moved(Node, Membership, Lease, Request, Now);
 }
 
 base::instance_name giverOf(const share_node &Node, std::uint16_t Partition,
--- a/packages/redwinggw/src/settings.cpp
+++ b/packages/redwinggw/src/settings.cpp
@@ -178,6 +178,10 @@
   std::vector<std::string> Faults;
 };
 
+std::string notASetting(const std::string &Place, const std::string &Line) {
+  return Place + ": '" + Line + "' is neither [section] nor key = value";
+}
+
 /// Splits the file into assignments. Boost.Program_options reads the same
 /// form, but does not tell the line of a value.
 void readLines(parse_state &State, const std::string &Text,
@@ -196,8 +200,7 @@
     }
     const std::size_t Equals = Line.find('=');
     if (Equals == std::string::npos) {
-      State.Faults.push_back(Place + ": '" + Line +
-                             "' is neither [section] nor key = value");
+      State.Faults.push_back(notASetting(Place, Line));
       continue;
     }
     std::string Key = Section;
--- a/packages/redwinggw/src/wiring.cpp
+++ b/packages/redwinggw/src/wiring.cpp
@@ -36,7 +36,9 @@
     return State.Configuration.inForce();
   };
   Ports.MayServe = [&State] {
-    return State.Currency != control::currency::Isolated;
+    // Without a sheet there is nobody to serve.
+    return State.Currency != control::currency::Isolated &&
+           State.Configuration.inForce().Version > 0;
   };
   Ports.Admit = [&State](base::customer_name Customer, base::instant Deadline) {
     return State.Shares.admit(std::move(Customer), Deadline);
--- a/tests/control/share_floor_test.cpp
+++ b/tests/control/share_floor_test.cpp
@@ -1,5 +1,6 @@
 #include "share_fleet.hpp"
 
+#include <algorithm>
 #include <iostream>
 
 #include "criterion_test.hpp"
@@ -110,3 +111,26 @@
     cr_assert(ContactAt.value_or(Fleet.Now) - Node.Offset <= Down + OnItsWay);
   }
 }
+
+// The platform goes down seconds after an instance came back. The lease is
+// about to move to that instance: its holder stops giving, the release never
+// reaches the store, and nobody gives until the store is back. Or the holder
+// keeps it, but the instance to which it would have moved, and all who ask
+// that one, no longer learn who holds it.
+Test(share_floor, a_lease_about_to_move_is_given_from_while_the_store_is_down) {
+  share_fleet Fleet = makeShareFleet(Count, 7, Rate, RoomyBurst);
+  runLoad(Fleet, Start, Rate / 2, anyNode(Fleet));
+  fleet_node &Preferred = Fleet.Nodes[giverIndex(Fleet)];
+  Preferred.SeesStore = false;
+  runLoad(Fleet, milliseconds(10000), Rate / 2, anyNode(Fleet));
+  cr_assert(std::ranges::any_of(Fleet.Nodes, [&](const fleet_node &Node) {
+    return &Node != &Preferred && Node.Shares.Leases[0].Holding;
+  }));
+  Preferred.SeesStore = true;
+  runLoad(Fleet, milliseconds(1500), Rate / 2, anyNode(Fleet));
+  Fleet.StoreUp = false;
+  Fleet.Refused = 0;
+  runLoad(Fleet, milliseconds(20000), Rate / 2, anyNode(Fleet));
+  std::cerr << "about to move: " << Fleet.Refused << " refused\n";
+  cr_assert(Fleet.Refused == 0);
+}
