--- a/tests/load/deployment.cpp
+++ b/tests/load/deployment.cpp
@@ -1,5 +1,7 @@
 #include "deployment.hpp"
 
+#include <algorithm>
+
 namespace redwinggw::load {
 namespace {
 
@@ -29,6 +31,14 @@
   return All;
 }
 
+std::vector<std::string> numberedServices(std::size_t Count) {
+  std::vector<std::string> Services(Count);
+  std::ranges::generate(Services, [Number = 0]() mutable {
+    return "s" + std::to_string(++Number);
+  });
+  return Services;
+}
+
 std::string zoneOf(const deployment &Deployment, std::size_t Number) {
   return "z" + std::to_string(1 + Number % Deployment.Zones);
 }
--- a/tests/load/deployment.hpp
+++ b/tests/load/deployment.hpp
@@ -22,6 +22,9 @@
 /// Dulciuri and Aterro, in this order.
 const std::vector<deployment> &deployments();
 
+/// "s1", "s2", ...: names of \p Count services.
+std::vector<std::string> numberedServices(std::size_t Count);
+
 /// "z1", "z2", ...: the zone of database or instance \p Number.
 std::string zoneOf(const deployment &Deployment, std::size_t Number);
 
--- a/tests/load/measure.cpp
+++ b/tests/load/measure.cpp
@@ -31,6 +31,7 @@
   std::size_t Connections = 0;
   /// Zero: as many as the deployment has.
   std::size_t Instances = 0;
+  std::size_t Services = 0;
 };
 
 /// What the short form runs also for the baselines and the second deployment.
@@ -123,6 +124,8 @@
   void tryFleet(deployment Deployment, const policy &Policy) {
     if (Options.Instances > 0)
       Deployment.Instances = Options.Instances;
+    if (Options.Services > 0)
+      Deployment.Services = numberedServices(Options.Services);
     const std::string Name = Deployment.Name + ", " + Policy.Name;
     if (isLate()) {
       NotRun.push_back(Name + ": no time left in the short form");
@@ -203,6 +206,8 @@
       "also measures one instance with so many caller connections");
   Add("instances", options::value<std::size_t>()->default_value(0),
       "number of instances instead of the deployment's");
+  Add("services", options::value<std::size_t>()->default_value(0),
+      "number of services, of three databases each, instead of three");
   Add("out", options::value<std::string>()->default_value("out"),
       "folder of the report");
   return Description;
@@ -219,6 +224,7 @@
   Options.Out = Values["out"].as<std::string>();
   Options.Connections = Values["connections"].as<std::size_t>();
   Options.Instances = Values["instances"].as<std::size_t>();
+  Options.Services = Values["services"].as<std::size_t>();
   Options.Repetitions =
       Options.Short ? 1 : Values["repetitions"].as<std::uint64_t>();
   const double Seconds =
