Say once how process tests wait for writes

Change: they stand with the background writer; the early outage is a second test of platform_outage_test, as strict as before.

--- a/tests/process/failover_process_test.cpp
+++ b/tests/process/failover_process_test.cpp
@@ -15,7 +15,6 @@
 
 namespace {
 
-constexpr std::size_t WritesBetween = 20;
 constexpr const char *Group = "orders-db";
 constexpr const char *FirstPrimary = "orders-db-1";
 
@@ -26,16 +25,6 @@
 }
 
 /// Waits until the callers were told "done" for more writes.
-void waitForWrites(running_fleet &Fleet, background_writer &Writer) {
-  const std::size_t Enough = Writer.done() + WritesBetween;
-  const bool Resumed = eventually([&] { return Writer.done() >= Enough; });
-  if (!Resumed) {
-    Writer.stop();
-    std::cerr << Writer.refusals() << Fleet.logs();
-  }
-  cr_assert(Resumed);
-}
-
 void waitForAnotherPrimary(running_fleet &Fleet) {
   const bool Replaced = eventually([&] {
     const auto *Primary = Fleet.primaryOf(Group);
@@ -59,12 +48,12 @@
   constexpr std::int64_t OtherMarks = 1'000'000;
   background_writer Other(caller(customerKey("aterro"), "orders"), Instances,
                           OtherMarks);
-  waitForWrites(Fleet, Writer);
+  cr_assert(writesGoOn(Fleet, Writer));
   Break(Fleet);
   waitForAnotherPrimary(Fleet);
-  waitForWrites(Fleet, Writer);
+  cr_assert(writesGoOn(Fleet, Writer));
   Heal(Fleet);
-  waitForWrites(Fleet, Writer);
+  cr_assert(writesGoOn(Fleet, Writer));
   auto Records = Writer.stop();
   std::ranges::copy(Other.stop(), std::back_inserter(Records));
   const auto *Primary = Fleet.primaryOf(Group);
--- a/tests/process/instance_life_test.cpp
+++ b/tests/process/instance_life_test.cpp
@@ -15,25 +15,6 @@
 
 constexpr const char *Primary = "orders-db-1";
 
-std::vector<redwinggw::http::address> callersOf(running_fleet &Fleet) {
-  std::vector<redwinggw::http::address> Addresses;
-  for (const auto &Instance : Fleet.instances())
-    Addresses.push_back(Instance->Callers);
-  return Addresses;
-}
-
-/// Waits for more acknowledged writes, and shows the logs when none come.
-void waitForWrites(running_fleet &Fleet, background_writer &Writer) {
-  constexpr std::size_t Enough = 50;
-  const std::size_t Wanted = Writer.done() + Enough;
-  const bool Came = eventually([&] { return Writer.done() >= Wanted; });
-  if (!Came) {
-    Writer.stop();
-    std::cerr << Writer.refusals() << Fleet.logs();
-  }
-  cr_assert(Came);
-}
-
 } // namespace
 
 // An instance is replaced as planned while a clerk's statement runs. The clerk
@@ -69,10 +50,10 @@
   running_fleet Fleet(smallPlan());
   Fleet.start();
   background_writer Writer(caller(customerKey("dulciuri"), "orders"),
-                           callersOf(Fleet), 1);
-  waitForWrites(Fleet, Writer);
+                           callerAddresses(Fleet), 1);
+  cr_assert(writesGoOn(Fleet, Writer));
   Fleet.setFault(Primary, {{"kind", "silent"}});
-  waitForWrites(Fleet, Writer);
+  cr_assert(writesGoOn(Fleet, Writer));
   const auto Records = Writer.stop();
   const auto *Now = Fleet.primaryOf("orders-db");
   cr_assert(Now != nullptr);
--- a/tests/process/platform_outage_test.cpp
+++ b/tests/process/platform_outage_test.cpp
@@ -13,41 +13,34 @@
 
 constexpr const char *Primary = "orders-db-1";
 
-std::vector<redwinggw::http::address> callersOf(running_fleet &Fleet) {
-  std::vector<redwinggw::http::address> Addresses;
-  for (const auto &Instance : Fleet.instances())
-    Addresses.push_back(Instance->Callers);
-  return Addresses;
-}
-
-/// Waits for more acknowledged writes, and shows the logs when none come.
-void waitForWrites(running_fleet &Fleet, background_writer &Writer,
-                   std::size_t Enough = 50) {
-  const std::size_t Wanted = Writer.done() + Enough;
-  const bool Came = eventually([&] { return Writer.done() >= Wanted; });
-  if (!Came) {
-    Writer.stop();
-    std::cerr << Writer.refusals() << Fleet.logs();
-  }
-  cr_assert(Came);
-}
-
-} // namespace
-
-// The platform's services go down for everybody some seconds after the start,
-// when the givers of the rate shares have settled. Callers notice nothing. An
-// outage in the first seconds is another case, which fails today.
-Test(platform_outage, traffic_goes_on_while_the_platform_is_down) {
+/// Writes before, during and after an outage of all of the platform's
+/// services; \p Before: how many writes come first.
+void writeThroughAnOutage(std::size_t Before) {
   running_fleet Fleet(smallPlan());
   Fleet.start();
   background_writer Writer(caller(customerKey("dulciuri"), "orders"),
-                           callersOf(Fleet), 1);
-  constexpr std::size_t Settled = 500;
-  waitForWrites(Fleet, Writer, Settled);
+                           callerAddresses(Fleet), 1);
+  cr_assert(writesGoOn(Fleet, Writer, Before));
   Fleet.setFault("platform", {{"kind", "outage"}});
   for (int Round = 0; Round < 5; ++Round)
-    waitForWrites(Fleet, Writer);
+    cr_assert(writesGoOn(Fleet, Writer));
   Fleet.setFault("platform", {{"kind", "none"}});
-  waitForWrites(Fleet, Writer);
+  cr_assert(writesGoOn(Fleet, Writer));
   cr_assert(lies(Fleet, Primary, Writer.stop()).empty());
 }
+
+} // namespace
+
+// The platform's services go down for everybody some seconds after the start,
+// when the givers of the rate shares have settled. Callers notice nothing.
+Test(platform_outage, traffic_goes_on_while_the_platform_is_down) {
+  constexpr std::size_t Settled = 500;
+  writeThroughAnOutage(Settled);
+}
+
+// The same right after the start. After some two seconds every request was
+// refused with over_rate: leases of rate shares were about to move to the
+// instance that had started last, and nobody gave until the store was back.
+Test(platform_outage, traffic_goes_on_when_it_goes_down_right_after_the_start) {
+  writeThroughAnOutage(0);
+}
--- a/tests/support/background_writer.cpp
+++ b/tests/support/background_writer.cpp
@@ -3,6 +3,7 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <iostream>
 #include <map>
 
 namespace redwinggw::fleet {
@@ -70,6 +71,24 @@
   return outcomeOf(Reply);
 }
 
+std::vector<http::address> callerAddresses(running_fleet &Fleet) {
+  std::vector<http::address> Addresses;
+  for (const auto &Instance : Fleet.instances())
+    Addresses.push_back(Instance->Callers);
+  return Addresses;
+}
+
+bool writesGoOn(running_fleet &Fleet, background_writer &Writer,
+                std::size_t Enough) {
+  const std::size_t Wanted = Writer.done() + Enough;
+  const bool Came = eventually([&] { return Writer.done() >= Wanted; });
+  if (Came)
+    return true;
+  Writer.stop();
+  std::cerr << Writer.refusals() << Fleet.logs();
+  return false;
+}
+
 std::vector<std::string> lies(running_fleet &Fleet, std::string_view Endpoint,
                               const std::vector<write_record> &Records) {
   std::map<std::int64_t, std::int64_t> Rows;
--- a/tests/support/background_writer.hpp
+++ b/tests/support/background_writer.hpp
@@ -60,6 +60,14 @@
   std::thread Thread;
 };
 
+/// Where the callers of all instances connect.
+std::vector<http::address> callerAddresses(running_fleet &Fleet);
+
+/// Waits, with a generous bound, for \p Enough more acknowledged writes. When
+/// they do not come, stops the writer and prints why, with the logs.
+bool writesGoOn(running_fleet &Fleet, background_writer &Writer,
+                std::size_t Enough = 50);
+
 /// Compares what callers were told with the rows of \p Endpoint. Returns a
 /// line for each lie: lost, doubled, kept although "not run", or missed by a
 /// read of its own session.
