--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -101,6 +101,8 @@
 void client::close() {
   State->Open = false;
   State->Stream.close();
+  // What is left of an answer must not be read as the next one's beginning.
+  State->Buffer.clear();
 }
 
 bool client::isOpen() const { return State->Open; }
