Judge the configuration's currency at each request and before each run

Cause: a process that wakes from a pause reads its open connections before its timers run, so that it served a request under a key that had been withdrawn meanwhile, by a currency judged before the pause (every 100 ms). Change: currency is judged when a request comes and again before it runs; suspicions of primaries go into the heartbeats each 100 ms too.

--- a/packages/data/include/redwinggw/data/statement_core.hpp
+++ b/packages/data/include/redwinggw/data/statement_core.hpp
@@ -129,6 +129,11 @@
 /// each wait: a withdrawal must reach requests that queue already.
 bool isKeyInForce(const statement_core &Core, call &Call);
 
+/// Whether \p Call may still run: this instance's configuration is current and
+/// the key is in force in it. Asked right before each run: the process may have
+/// been paused, and the key withdrawn, while the request waited.
+base::result<void> mayStillRun(const statement_core &Core, call &Call);
+
 /// Runs \p Request at \p Target in its turn, on a connection of its own.
 base::task<run_result> runAt(statement_core &Core,
                              std::shared_ptr<dispatcher> Target, call &Call,
--- a/packages/data/src/pinned_connection.cpp
+++ b/packages/data/src/pinned_connection.cpp
@@ -52,9 +52,9 @@
   const auto Turn = co_await takeTurn(Pinned, Call);
   if (!Turn)
     co_return failed(Turn.error());
-  if (!isKeyInForce(Core, Call)) {
+  if (const auto May = mayStillRun(Core, Call); !May) {
     Target->release(Call.Customer, {}, std::nullopt);
-    co_return failed(base::failure(base::errc::UnknownKey));
+    co_return failed(May.error());
   }
   const base::instant Deadline =
       std::min(Call.Deadline, base::now() + Core.Settings.TryTimeout);
--- a/packages/data/src/statement_core.cpp
+++ b/packages/data/src/statement_core.cpp
@@ -119,15 +119,23 @@
   return true;
 }
 
+result<void> mayStillRun(const statement_core &Core, call &Call) {
+  if (!Core.Ports.MayServe())
+    return failure(errc::StaleConfiguration, Core.Settings.Instance);
+  if (!isKeyInForce(Core, Call))
+    return failure(errc::UnknownKey);
+  return {};
+}
+
 base::task<run_result> runAt(statement_core &Core,
                              std::shared_ptr<dispatcher> Target, call &Call,
                              run_request Request) {
   const auto Turn = co_await Target->acquire(Call.Customer, Call.Deadline);
   if (!Turn)
     co_return failed(Turn.error());
-  if (!isKeyInForce(Core, Call)) {
+  if (const auto May = mayStillRun(Core, Call); !May) {
     Target->release(Call.Customer, {}, std::nullopt);
-    co_return failed(failure(errc::UnknownKey));
+    co_return failed(May.error());
   }
   const base::instant Deadline =
       std::min(Call.Deadline, base::now() + Core.Settings.TryTimeout);
--- a/packages/redwinggw/src/instance.cpp
+++ b/packages/redwinggw/src/instance.cpp
@@ -42,16 +42,11 @@
 
 /// Work that comes back every so often: currency, abandoned transactions.
 void housekeep(instance_state &State) {
-  const control::currency Before = State.Currency;
-  State.Currency = State.Peers.judgeCurrency(base::now());
-  if (State.Currency != Before) {
-    const auto Name = control::currencyName(State.Currency);
-    recordEvent(State, event_kind::ConfigurationStale, Name);
-    base::log(log_level::Info, log_part::Configuration,
-              "Currency is " + std::string(Name) + ".");
-  }
+  judgeCurrency(State);
   data::closeAbandoned(State.Statements, State.Transactions, base::now());
   shareConnections(State);
+  // A suspicion begins by the passing of time, without any event.
+  tellSuspicions(State);
 }
 
 base::task<void> keepHouse(std::shared_ptr<instance_state> State) {
--- a/packages/redwinggw/src/instance_state.hpp
+++ b/packages/redwinggw/src/instance_state.hpp
@@ -58,6 +58,12 @@
 /// Copies the counters of the services into the metrics.
 void collectMetrics(instance_state &State);
 
+/// Whether the configuration may be served, as of now.
+control::currency judgeCurrency(instance_state &State);
+
+/// Puts the groups suspected here into the next heartbeats.
+void tellSuspicions(instance_state &State);
+
 /// Takes in a configuration that came into force.
 void applyConfiguration(instance_state &State,
                         const control::configuration &Configuration);
--- a/packages/redwinggw/src/wiring.cpp
+++ b/packages/redwinggw/src/wiring.cpp
@@ -36,8 +36,10 @@
     return State.Configuration.inForce();
   };
   Ports.MayServe = [&State] {
+    // Judged for each request: a process that was paused may answer callers
+    // before its own timers run, with keys that were withdrawn meanwhile.
     // Without a sheet there is nobody to serve.
-    return State.Currency != control::currency::Isolated &&
+    return judgeCurrency(State) != control::currency::Isolated &&
            State.Configuration.inForce().Version > 0;
   };
   Ports.Admit = [&State](base::customer_name Customer, base::instant Deadline) {
@@ -166,6 +168,22 @@
                 " is in force.");
 }
 
+control::currency judgeCurrency(instance_state &State) {
+  const control::currency Before = State.Currency;
+  State.Currency = State.Peers.judgeCurrency(base::now());
+  if (State.Currency == Before)
+    return State.Currency;
+  const std::string Name(control::currencyName(State.Currency));
+  recordEvent(State, event_kind::ConfigurationStale, Name);
+  base::log(base::log_level::Info, base::log_part::Configuration,
+            "Currency is " + Name + ".");
+  return State.Currency;
+}
+
+void tellSuspicions(instance_state &State) {
+  State.Peers.setGroupReports(ownReports(State));
+}
+
 void connectServices(instance_state &State) {
   State.Statements.Ports = portsOf(State);
   State.Peers.setClock(clockOf(State));
@@ -182,7 +200,7 @@
   });
   State.Peers.onReport([&State](const control::member &Member) {
     State.Configuration.noteVersionSeen(Member.Report.HeadVersion);
-    State.Peers.setGroupReports(ownReports(State));
+    tellSuspicions(State);
   });
 }
 
--- a/tests/data/statement_core_test.cpp
+++ b/tests/data/statement_core_test.cpp
@@ -12,6 +12,7 @@
 struct core_fixture {
   boost::asio::io_context Context;
   control::configuration Configuration;
+  bool Current = true;
   statement_core Core{Context.get_executor()};
 
   core_fixture() {
@@ -20,6 +21,7 @@
     Core.Ports.Configuration = [this]() -> const control::configuration & {
       return Configuration;
     };
+    Core.Ports.MayServe = [this] { return Current; };
     applyConfiguration(Core, Configuration, 1);
   }
 };
@@ -68,3 +70,15 @@
   applyConfiguration(Fixture.Core, Fixture.Configuration, 1);
   cr_assert(!isKeyInForce(Fixture.Core, Call));
 }
+
+// The process was paused while a request waited in a queue. Its key may have
+// been withdrawn meanwhile; the configuration in memory cannot tell.
+Test(statement_core, a_request_that_waited_through_a_pause_does_not_run) {
+  core_fixture Fixture;
+  call Call = queuedCall();
+  cr_assert(mayStillRun(Fixture.Core, Call).has_value());
+  Fixture.Current = false;
+  const auto May = mayStillRun(Fixture.Core, Call);
+  cr_assert(May.has_error());
+  cr_assert(kindOf(May.error()) == base::errc::StaleConfiguration);
+}
