--- a/packages/data/include/redwinggw/data/group_view.hpp
+++ b/packages/data/include/redwinggw/data/group_view.hpp
@@ -22,9 +22,6 @@
   unsigned Failures = 0;
   /// Time of the first of these failures.
   base::instant FailingSince;
-  /// Estimate of how far it trails the primary: the least of the bounds seen
-  /// lately, as each bound is too large by the time between two samples.
-  std::optional<base::microseconds> Lag;
   /// It is leaving: no new work goes there.
   bool Leaving = false;
 };
--- a/packages/data/src/group_view.cpp
+++ b/packages/data/src/group_view.cpp
@@ -22,28 +22,11 @@
     View.Samples.pop_front();
 }
 
-/// A smaller bound is taken at once, larger ones count slowly. A replica that
-/// has all there is shows nothing: it may lag behind the next write.
-void estimateLag(const group_view &View, member_view &Member,
-                 const endpoint_state &State) {
-  constexpr int Weight = 16;
-  if (State.Role != endpoint_role::Replica || View.Samples.empty() ||
-      State.Applied >= View.Samples.back().Position)
-    return;
-  const auto Bound = ageOf(View, State.Applied, Member.AskedAt);
-  if (!Bound)
-    return;
-  const base::microseconds Known = Member.Lag.value_or(*Bound);
-  Member.Lag = std::min(*Bound, Known + (*Bound - Known) / Weight);
-}
-
 void enterTerm(group_view &View, base::term_number Term) {
   View.Term = Term;
   View.Primary.reset();
   // Positions of the old branch say nothing of the new one.
   View.Samples.clear();
-  for (member_view &Member : View.Members)
-    Member.Lag.reset();
 }
 
 /// Whether a lower term than the member told before is no late answer but that
@@ -73,8 +56,6 @@
   }
   if (State.Term > View.Term)
     enterTerm(View, State.Term);
-  if (!Late)
-    estimateLag(View, *Member, State);
   if (State.Role != endpoint_role::Primary || State.Term != View.Term)
     return;
   View.Primary = State.Name;
--- a/packages/data/src/routing.cpp
+++ b/packages/data/src/routing.cpp
@@ -47,8 +47,7 @@
                                               base::instant Now) {
   if (Applied >= Position.Position)
     return base::microseconds(0);
-  const auto Lag =
-      Member.Lag ? Member.Lag : ageOf(View, Applied, Member.AskedAt);
+  const auto Lag = ageOf(View, Applied, Member.AskedAt);
   if (!Lag)
     return std::nullopt;
   const auto Reached = std::ranges::lower_bound(View.Samples, Position.Position,
