--- a/tests/control/sheet_test.cpp
+++ b/tests/control/sheet_test.cpp
@@ -94,7 +94,7 @@
       {replaced(Good, "sheet,7,,,,,,,,,\n", ""), 0, ""},
       {Good + "sheet,7\n", 8, "kind"},
       {replaced(Good, "sheet,7", "sheet,seven"), 2, "name"},
-      {Good + "tenant,x\n", 8, "kind"},
+      {Good + "guest,x\n", 8, "kind"},
       {Good + "customer,x,,,,0,1\n", 8, "rate"},
       {Good + "customer,x,,,,1e999,1\n", 8, "rate"},
       {Good + "customer,x,,,,nan,1\n", 8, "rate"},
