--- a/packages/data/src/caller_server.cpp
+++ b/packages/data/src/caller_server.cpp
@@ -50,43 +50,37 @@
 struct path_row {
   std::string_view Target;
   caller_fields Needed;
-  path_function Serve;
+  path_function Serve = nullptr;
   /// It may go on while the instance drains.
-  bool WhileDraining;
-  counting Counted;
+  bool WhileDraining = false;
+  counting Counted = counting::Free;
 };
 
 constexpr std::array Paths = std::to_array<path_row>({
-    {"/v1/statement",
-     {true, true, false, false},
-     serveStatement,
-     false,
-     counting::Waits},
-    {"/v1/begin",
-     {true, false, false, false},
-     beginTransaction,
-     false,
-     counting::Waits},
-    {"/v1/run",
-     {false, true, true, false},
-     runInTransaction,
-     true,
-     counting::Brief},
-    {"/v1/commit",
-     {false, false, true, false},
-     commitTransaction,
-     true,
-     counting::Free},
-    {"/v1/rollback",
-     {false, false, true, false},
-     rollBackTransaction,
-     true,
-     counting::Free},
-    {"/v1/outcome",
-     {true, false, false, true},
-     serveEnquiry,
-     false,
-     counting::Free},
+    {.Target = "/v1/statement",
+     .Needed = {.Service = true, .Sql = true},
+     .Serve = serveStatement,
+     .Counted = counting::Waits},
+    {.Target = "/v1/begin",
+     .Needed = {.Service = true},
+     .Serve = beginTransaction,
+     .Counted = counting::Waits},
+    {.Target = "/v1/run",
+     .Needed = {.Sql = true, .Transaction = true},
+     .Serve = runInTransaction,
+     .WhileDraining = true,
+     .Counted = counting::Brief},
+    {.Target = "/v1/commit",
+     .Needed = {.Transaction = true},
+     .Serve = commitTransaction,
+     .WhileDraining = true},
+    {.Target = "/v1/rollback",
+     .Needed = {.Transaction = true},
+     .Serve = rollBackTransaction,
+     .WhileDraining = true},
+    {.Target = "/v1/outcome",
+     .Needed = {.Service = true, .RequestId = true},
+     .Serve = serveEnquiry},
 });
 
 /// Finds the customer by the key. Asked for each request, so that a withdrawal
@@ -108,21 +102,20 @@
   return Call;
 }
 
-result<void> readSession(const statement_core &Core, call &Call) {
+void readSession(const statement_core &Core, call &Call) {
   const caller_request &Request = Call.Request;
   if (!Request.HasSession) {
     Call.SessionKind = session_kind::Missing;
-    return {};
+    return;
   }
   if (Request.Session == "none") {
     Call.SessionKind = session_kind::None;
-    return {};
+    return;
   }
   const auto Session =
       decodeToken(Core.Settings.FleetKey, Call.Customer, Request.Session);
   Call.SessionKind = Session ? session_kind::Known : session_kind::Foreign;
   Call.Session = Session.value_or(session_state{});
-  return {};
 }
 
 /// Fills in what the configuration says of the service and the read.
@@ -155,8 +148,7 @@
     return Request.error();
   Call->Request = std::move(*Request);
   Call->Deadline = base::now() + Call->Request.Deadline;
-  if (const auto Read = readSession(Core, *Call); !Read)
-    return Read.error();
+  readSession(Core, *Call);
   if (Path.Needed.Service)
     if (const auto Resolved = resolveService(Core, *Call); !Resolved)
       return Resolved.error();
