Close the connection when a handler throws

Cause: an exception of a handler ended the connection's coroutine without closing it: its caller waited until its deadline, and it stayed counted. Change: the server logs the fault and closes. Figures: server_test's new story failed before (10 s, until the deadline), passes after (0.1 s).

--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -2,6 +2,8 @@
 
 #include "fields.hpp"
 
+#include "redwinggw/base/log.hpp"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -82,7 +84,15 @@
 
   base::task<void> serve(std::shared_ptr<session> Session) {
     const auto Self = shared_from_this();
-    while (co_await serveOne(*Session)) {
+    try {
+      while (co_await serveOne(*Session)) {
+      }
+    } catch (const std::exception &Fault) {
+      // Nobody else would: the connection would stay open and counted, and its
+      // caller would wait until its deadline.
+      Busy -= Session->Busy ? 1 : 0;
+      base::log(base::log_level::Error, base::log_part::Main,
+                std::string("A request failed unexpectedly: ") + Fault.what());
     }
     Session->Stream.close();
     Sessions.erase(Session->Connection.Id);
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -14,6 +14,8 @@
 constexpr std::chrono::seconds Patience{10};
 
 base::task<http::response> echo(http::connection &, http::request Request) {
+  if (Request.Target == "/throw")
+    throw std::runtime_error("a fault of the handler");
   co_return http::response{Request.Target == "/close" ? 0U : 200U,
                            Request.Body};
 }
@@ -55,3 +57,13 @@
   cr_assert(Answer.has_error());
   cr_assert(kindOf(Answer.error()) == base::errc::OutcomeUnknown);
 }
+
+// A handler meets a fault of its own and throws. The caller waits for nothing
+// until its deadline, and the connection stays open and counted for ever; after
+// as many faults as there are connections nobody gets in any more.
+Test(server, a_handler_that_throws_closes_its_connection) {
+  const auto Answer = exchangeWithEcho("/throw", "x");
+  cr_assert(Answer.has_error());
+  cr_assert(kindOf(Answer.error()) == base::errc::OutcomeUnknown);
+  cr_assert(Answer.error().Detail.find("timeout") == std::string::npos);
+}
