Let no child of a test inherit the test's sockets

Cause of the stalls of failover_bench: a database that was restarted mid-run inherited the bench's client sockets to the other databases. When the bench closed them the child kept them open, so the other end never saw the close and counted the connections for ever, up to its limit of 35 (ss showed one socket held by two endpoint processes, 50 to 60 in CLOSE-WAIT). Ruled out: the stand-in's slots and waits, exceptions of handlers, the pools. Change: children start with descriptors above 2 closed. Conclusion: a fault of the test support, not of the product.

--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -45,6 +45,10 @@
   posix_spawn_file_actions_addopen(&Files, STDOUT_FILENO, Log.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, LogMode);
   posix_spawn_file_actions_adddup2(&Files, STDOUT_FILENO, STDERR_FILENO);
+  // A child that inherits the parent's sockets keeps them open when the parent
+  // closes them: the other end waits for ever, and counts a connection that
+  // nobody has.
+  posix_spawn_file_actions_addclosefrom_np(&Files, STDERR_FILENO + 1);
   pid_t Pid = 0;
   const int Code =
       posix_spawn(&Pid, Guard, &Files, nullptr, Pointers.data(), environ);
