--- a/packages/base/src/time.cpp
+++ b/packages/base/src/time.cpp
@@ -1,10 +1,24 @@
 #include "redwinggw/base/time.hpp"
 
+#include <algorithm>
+#include <ctime>
+
 namespace redwinggw::base {
 
 instant now() {
-  return std::chrono::time_point_cast<microseconds>(
-      std::chrono::steady_clock::now());
+  timespec Time{};
+  ::clock_gettime(CLOCK_BOOTTIME, &Time);
+  const auto SinceBoot = std::chrono::seconds(Time.tv_sec) +
+                         std::chrono::nanoseconds(Time.tv_nsec);
+  return instant(std::chrono::duration_cast<microseconds>(SinceBoot));
+}
+
+std::chrono::steady_clock::time_point timerPoint(instant Instant) {
+  // Instants far in the future stand for "never" and must not overflow.
+  constexpr std::chrono::hours Longest{24 * 365};
+  const microseconds Left =
+      std::clamp<microseconds>(Instant - now(), -Longest, Longest);
+  return std::chrono::steady_clock::now() + Left;
 }
 
 std::int64_t wallMilliseconds() {
--- a/packages/control/include/redwinggw/control/config_rows.hpp
+++ b/packages/control/include/redwinggw/control/config_rows.hpp
@@ -2,7 +2,7 @@
 
 #include "redwinggw/base/error.hpp"
 #include "redwinggw/control/configuration.hpp"
-#include "redwinggw/platform/store.hpp"
+#include "redwinggw/storage/store.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -46,8 +46,8 @@
 
 /// Both fail with errc::BadMessage when the value is not what encode writes,
 /// or when the text does not have its digest.
-base::result<config_head> headOf(const platform::row &Row);
-base::result<std::optional<accepted_sheet>> sheetOf(const platform::row &Row);
+base::result<config_head> headOf(const storage::row &Row);
+base::result<std::optional<accepted_sheet>> sheetOf(const storage::row &Row);
 
 /// The configuration that \p Sheet put in force; its version is that of the
 /// acceptance. Fails with errc::BadSheet.
--- a/packages/control/include/redwinggw/control/config_submission.hpp
+++ b/packages/control/include/redwinggw/control/config_submission.hpp
@@ -41,7 +41,7 @@
 /// A commit that makes \p Sheet the next version.
 struct config_commit {
   accepted_sheet Sheet;
-  platform::commit_request Request;
+  storage::commit_request Request;
 };
 
 struct config_accepted {
--- a/packages/control/include/redwinggw/control/configuration_service.hpp
+++ b/packages/control/include/redwinggw/control/configuration_service.hpp
@@ -3,7 +3,7 @@
 #include "redwinggw/base/task.hpp"
 #include "redwinggw/control/config_rows.hpp"
 #include "redwinggw/control/configuration.hpp"
-#include "redwinggw/platform/store.hpp"
+#include "redwinggw/storage/store.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 
@@ -78,7 +78,7 @@
 class configuration_service {
 public:
   configuration_service(boost::asio::any_io_executor Executor,
-                        platform::store &Store, config_options Options);
+                        storage::store &Store, config_options Options);
   configuration_service(const configuration_service &) = delete;
   configuration_service &operator=(const configuration_service &) = delete;
   ~configuration_service();
--- a/packages/control/include/redwinggw/control/membership.hpp
+++ b/packages/control/include/redwinggw/control/membership.hpp
@@ -2,7 +2,7 @@
 
 #include "redwinggw/base/ids.hpp"
 #include "redwinggw/base/time.hpp"
-#include "redwinggw/platform/store.hpp"
+#include "redwinggw/storage/store.hpp"
 #include "redwinggw/wire/message.hpp"
 #include "redwinggw/wire/replay_window.hpp"
 
@@ -142,7 +142,7 @@
 /// Takes in the platform's list: new ones are suspect until heard, removed
 /// ones are forgotten.
 void onList(membership &Membership,
-            const std::vector<platform::listed_instance> &Listed,
+            const std::vector<storage::listed_instance> &Listed,
             base::instant Now);
 
 /// Recognises late, crossed, doubled and misaddressed datagrams. True when
--- a/packages/control/include/redwinggw/control/operator_routes.hpp
+++ b/packages/control/include/redwinggw/control/operator_routes.hpp
@@ -16,6 +16,6 @@
 /// Adds /operators/instances: the platform's list with the operators'
 /// addresses, so that redwinggwctl finds all instances. \p Store must outlive
 /// the run of the server.
-void addInstancesRoute(operator_server &Server, platform::store &Store);
+void addInstancesRoute(operator_server &Server, storage::store &Store);
 
 } // namespace redwinggw::control
--- a/packages/control/include/redwinggw/control/peer_service.hpp
+++ b/packages/control/include/redwinggw/control/peer_service.hpp
@@ -4,7 +4,7 @@
 #include "redwinggw/base/time.hpp"
 #include "redwinggw/control/currency.hpp"
 #include "redwinggw/control/membership.hpp"
-#include "redwinggw/platform/store.hpp"
+#include "redwinggw/storage/store.hpp"
 #include "redwinggw/wire/message.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -52,7 +52,7 @@
   /// \p Store must outlive the service.
   peer_service(boost::asio::any_io_executor Executor, peer_identity Identity,
                http::address Listen, std::string FleetKey,
-               platform::store &Store, membership_limits Limits = {},
+               storage::store &Store, membership_limits Limits = {},
                currency_limits CurrencyLimits = {});
   peer_service(const peer_service &) = delete;
   peer_service &operator=(const peer_service &) = delete;
@@ -72,6 +72,10 @@
   /// The hybrid logical clock to put into datagrams; zeros without one.
   void setClock(clock_port Clock);
 
+  /// Takes in a list of all instances that the owner has read. Only where the
+  /// store has no list of its own to poll.
+  void setList(const std::vector<storage::listed_instance> &Listed);
+
   /// The configuration version in force here.
   void setVersion(base::config_version Version);
 
--- a/packages/control/include/redwinggw/control/share_lease.hpp
+++ b/packages/control/include/redwinggw/control/share_lease.hpp
@@ -3,7 +3,7 @@
 #include "redwinggw/base/ids.hpp"
 #include "redwinggw/base/time.hpp"
 #include "redwinggw/control/membership.hpp"
-#include "redwinggw/platform/store.hpp"
+#include "redwinggw/storage/store.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -151,7 +151,7 @@
                     base::instant Now);
 
 /// Takes in a row as read. An older version than known changes nothing.
-lease_change onRow(share_lease &Lease, const platform::row &Row,
+lease_change onRow(share_lease &Lease, const storage::row &Row,
                    const lease_limits &Limits, base::instant Now);
 
 /// True when this instance may give at \p Now. Check it for each grant.
--- a/packages/control/include/redwinggw/control/share_node.hpp
+++ b/packages/control/include/redwinggw/control/share_node.hpp
@@ -38,7 +38,7 @@
   /// Read all rows `share/` and hand them to onRows.
   bool Read = false;
   /// Commit this; then call onCommitAnswer.
-  std::optional<platform::commit_request> Commit;
+  std::optional<storage::commit_request> Commit;
 };
 
 /// Not thread safe.
@@ -89,7 +89,7 @@
 
 /// The rows read, or nothing when the store did not answer.
 void onRows(share_node &Node,
-            const std::optional<std::vector<platform::row>> &Rows,
+            const std::optional<std::vector<storage::row>> &Rows,
             base::instant Now);
 
 /// The versions that a commit gave, or nothing when it failed.
--- a/packages/control/include/redwinggw/control/share_service.hpp
+++ b/packages/control/include/redwinggw/control/share_service.hpp
@@ -5,7 +5,7 @@
 #include "redwinggw/base/time.hpp"
 #include "redwinggw/control/configuration.hpp"
 #include "redwinggw/control/peer_service.hpp"
-#include "redwinggw/platform/store.hpp"
+#include "redwinggw/storage/store.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 
@@ -47,7 +47,7 @@
 public:
   /// \p Peers and \p Store must outlive the service.
   share_service(boost::asio::any_io_executor Executor, peer_service &Peers,
-                platform::store &Store, share_options Options = {});
+                storage::store &Store, share_options Options = {});
   share_service(const share_service &) = delete;
   share_service &operator=(const share_service &) = delete;
   ~share_service();
--- a/packages/control/src/config_changing.cpp
+++ b/packages/control/src/config_changing.cpp
@@ -41,9 +41,9 @@
     if (base::now() >= Deadline || Stopped)
       co_return config_refused{onGivenUp(Submission), {}};
     if (const auto *Commit = std::get_if<config_commit>(&Action)) {
-      platform::commit_request Request = Commit->Request;
+      storage::commit_request Request = Commit->Request;
       const auto Committed =
-          co_await platform::commit(Store, std::move(Request));
+          co_await storage::commit(Store, std::move(Request));
       Action = onCommitAnswer(Submission, answerOf(Committed));
       // Random, so that operators who race each other do not keep meeting.
       if (!isEnd(Action))
--- a/packages/control/src/config_reading.cpp
+++ b/packages/control/src/config_reading.cpp
@@ -23,7 +23,7 @@
 task<result<config_head>> configuration_service::state::readHead() {
   const base::instant Sent = base::now();
   std::vector<std::string> Keys{HeadKey};
-  const auto Rows = co_await platform::get(Store, std::move(Keys));
+  const auto Rows = co_await storage::get(Store, std::move(Keys));
   noteReading(Rows.has_value());
   if (!Rows)
     co_return Rows.error();
@@ -46,12 +46,12 @@
   std::vector<accepted_sheet> Sheets;
   if (Keys.empty())
     co_return Sheets;
-  const auto Rows = co_await platform::get(Store, std::move(Keys));
+  const auto Rows = co_await storage::get(Store, std::move(Keys));
   if (!Rows)
     co_return Rows.error();
   if (Ports.NoteStoreContact)
     Ports.NoteStoreContact();
-  for (const platform::row &Row : *Rows) {
+  for (const storage::row &Row : *Rows) {
     auto Sheet = control::sheetOf(Row);
     if (!Sheet)
       co_return Sheet.error();
--- a/packages/control/src/config_rows.cpp
+++ b/packages/control/src/config_rows.cpp
@@ -16,7 +16,7 @@
 constexpr std::size_t VersionDigits = 12;
 
 template <typename Value, typename Read>
-result<Value> readRow(const platform::row &Row, Read ReadValue) {
+result<Value> readRow(const storage::row &Row, Read ReadValue) {
   try {
     return Value(ReadValue(json::parse(Row.Value)));
   } catch (const std::exception &Error) {
@@ -52,7 +52,7 @@
   return json::serialize(Value);
 }
 
-result<config_head> headOf(const platform::row &Row) {
+result<config_head> headOf(const storage::row &Row) {
   if (Row.Version == 0)
     return config_head{};
   return readRow<config_head>(Row, [&](const json::value &Value) {
@@ -61,7 +61,7 @@
   });
 }
 
-result<std::optional<accepted_sheet>> sheetOf(const platform::row &Row) {
+result<std::optional<accepted_sheet>> sheetOf(const storage::row &Row) {
   if (Row.Version == 0)
     return std::optional<accepted_sheet>();
   auto Sheet = readRow<accepted_sheet>(Row, [&](const json::value &Value) {
--- a/packages/control/src/config_state.hpp
+++ b/packages/control/src/config_state.hpp
@@ -13,7 +13,7 @@
 namespace redwinggw::control {
 
 struct configuration_service::state : std::enable_shared_from_this<state> {
-  state(boost::asio::any_io_executor Executor, platform::store &Store,
+  state(boost::asio::any_io_executor Executor, storage::store &Store,
         config_options Options)
       : Executor(std::move(Executor)), Store(Store),
         Options(std::move(Options)), Timer(this->Executor) {}
@@ -47,7 +47,7 @@
   base::milliseconds randomPause();
 
   boost::asio::any_io_executor Executor;
-  platform::store &Store;
+  storage::store &Store;
   config_options Options;
   configuration_ports Ports;
   boost::asio::steady_timer Timer;
--- a/packages/control/src/configuration_service.cpp
+++ b/packages/control/src/configuration_service.cpp
@@ -33,7 +33,7 @@
 } // namespace
 
 configuration_service::configuration_service(
-    boost::asio::any_io_executor Executor, platform::store &Store,
+    boost::asio::any_io_executor Executor, storage::store &Store,
     config_options Options)
     : State(std::make_shared<state>(std::move(Executor), Store,
                                     std::move(Options))) {}
--- a/packages/control/src/membership.cpp
+++ b/packages/control/src/membership.cpp
@@ -103,9 +103,9 @@
 }
 
 void onList(membership &Membership,
-            const std::vector<platform::listed_instance> &Listed, instant Now) {
+            const std::vector<storage::listed_instance> &Listed, instant Now) {
   std::vector<member> Members;
-  for (const platform::listed_instance &Instance : Listed) {
+  for (const storage::listed_instance &Instance : Listed) {
     if (Instance.Name == Membership.Self.Name)
       continue;
     member *Known = findMutable(Membership, Instance.Name);
--- a/packages/control/src/operator_routes.cpp
+++ b/packages/control/src/operator_routes.cpp
@@ -190,12 +190,12 @@
   co_return bodyOf(*Withdrawn);
 }
 
-answer showInstances(platform::store &Store) {
-  const auto Listed = co_await platform::listInstances(Store);
+answer showInstances(storage::store &Store) {
+  const auto Listed = co_await storage::listInstances(Store);
   if (!Listed)
     co_return Listed.error();
   json::array Instances;
-  for (const platform::listed_instance &Instance : *Listed)
+  for (const storage::listed_instance &Instance : *Listed)
     Instances.push_back(
         json::object{{"name", Instance.Name},
                      {"zone", Instance.Zone},
@@ -239,7 +239,7 @@
   Server.addStatus("configuration", [&Service] { return statusOf(Service); });
 }
 
-void addInstancesRoute(operator_server &Server, platform::store &Store) {
+void addInstancesRoute(operator_server &Server, storage::store &Store) {
   Server.addRoute("/operators/instances",
                   [&Store](json::object) { return showInstances(Store); });
 }
--- a/packages/control/src/peer_service.cpp
+++ b/packages/control/src/peer_service.cpp
@@ -40,7 +40,7 @@
 
 struct peer_service::state : std::enable_shared_from_this<state> {
   state(asio::any_io_executor Executor, peer_identity Identity,
-        http::address Listen, std::string FleetKey, platform::store &Store,
+        http::address Listen, std::string FleetKey, storage::store &Store,
         membership_limits Limits, currency_limits CurrencyLimits)
       : Executor(Executor), Socket(Executor), TickTimer(Executor),
         ListTimer(Executor), Listen(std::move(Listen)),
@@ -60,7 +60,7 @@
   asio::steady_timer ListTimer;
   http::address Listen;
   std::string FleetKey;
-  platform::store &Store;
+  storage::store &Store;
   membership Membership;
   currency_state Currency;
   peer_traffic Traffic;
@@ -173,7 +173,7 @@
 /// During an outage the last list stays: nobody can have joined or left it.
 template <typename State> base::task<void> listLoop(State Self) {
   while (!Self->Stopped) {
-    const auto Listed = co_await platform::listInstances(Self->Store);
+    const auto Listed = co_await storage::listInstances(Self->Store);
     if (Listed)
       onList(Self->Membership, *Listed, base::now());
     co_await sleepFor(Self->ListTimer, listInterval(Self->Membership));
@@ -184,7 +184,7 @@
 
 peer_service::peer_service(asio::any_io_executor Executor,
                            peer_identity Identity, http::address Listen,
-                           std::string FleetKey, platform::store &Store,
+                           std::string FleetKey, storage::store &Store,
                            membership_limits Limits,
                            currency_limits CurrencyLimits)
     : State(std::make_shared<state>(Executor, std::move(Identity),
@@ -199,7 +199,8 @@
     return Address;
   asio::co_spawn(State->Executor, receiveLoop(State), asio::detached);
   asio::co_spawn(State->Executor, tickLoop(State), asio::detached);
-  asio::co_spawn(State->Executor, listLoop(State), asio::detached);
+  if (State->Store.Driver->ListInstances != nullptr)
+    asio::co_spawn(State->Executor, listLoop(State), asio::detached);
   base::log(base::log_level::Info, base::log_part::Peers,
             "Heartbeats start on " + toText(*Address) + ".");
   return Address;
@@ -216,6 +217,11 @@
   State->Clock = std::move(Clock);
 }
 
+void peer_service::setList(
+    const std::vector<storage::listed_instance> &Listed) {
+  onList(State->Membership, Listed, base::now());
+}
+
 void peer_service::setVersion(base::config_version Version) {
   State->Membership.Local.Version = Version;
 }
--- a/packages/control/src/share_lease.cpp
+++ b/packages/control/src/share_lease.cpp
@@ -192,7 +192,7 @@
     Lease.Tried.erase(Lease.Tried.begin());
 }
 
-lease_change onRow(share_lease &Lease, const platform::row &Row,
+lease_change onRow(share_lease &Lease, const storage::row &Row,
                    const lease_limits &Limits, instant Now) {
   if (Lease.Known && Row.Version <= Lease.Version)
     return lease_change::None;
--- a/packages/control/src/share_node.cpp
+++ b/packages/control/src/share_node.cpp
@@ -106,11 +106,11 @@
 
 /// One commit for all rows that are due. One at a time, so that answers are
 /// not mixed up.
-std::optional<platform::commit_request>
+std::optional<storage::commit_request>
 collectCommit(share_node &Node, const membership &Membership, instant Now) {
   if (!Node.Committing.empty())
     return std::nullopt;
-  platform::commit_request Request;
+  storage::commit_request Request;
   for (share_lease &Lease : Node.Leases) {
     const std::string Id = Node.Self + ":" + std::to_string(Node.Incarnation) +
                            ":" + std::to_string(++Node.LastId);
@@ -314,16 +314,15 @@
 }
 
 void onRows(share_node &Node,
-            const std::optional<std::vector<platform::row>> &Rows,
-            instant Now) {
+            const std::optional<std::vector<storage::row>> &Rows, instant Now) {
   Node.Reading = false;
   if (!Rows)
     return;
   for (share_lease &Lease : Node.Leases) {
     const std::string Key = leaseKey(Lease.Partition);
-    const auto Found = std::ranges::find(*Rows, Key, &platform::row::Key);
-    const platform::row Row =
-        Found == Rows->end() ? platform::row{Key, 0, {}} : *Found;
+    const auto Found = std::ranges::find(*Rows, Key, &storage::row::Key);
+    const storage::row Row =
+        Found == Rows->end() ? storage::row{Key, 0, {}} : *Found;
     onChange(Node, Lease, onRow(Lease, Row, Node.Settings.Lease, Now), Now);
   }
 }
--- a/packages/control/src/share_service.cpp
+++ b/packages/control/src/share_service.cpp
@@ -46,7 +46,7 @@
 
 struct share_service::state : std::enable_shared_from_this<state> {
   state(asio::any_io_executor Executor, peer_service &Peers,
-        platform::store &Store, share_options Options)
+        storage::store &Store, share_options Options)
       : Executor(Executor), Timer(Executor), Peers(Peers), Store(Store),
         Options(Options) {
     const peer_identity &Self = Peers.view().Self;
@@ -64,7 +64,7 @@
   asio::any_io_executor Executor;
   asio::steady_timer Timer;
   peer_service &Peers;
-  platform::store &Store;
+  storage::store &Store;
   share_options Options;
   share_node Node;
   /// Baseline: the nth part of each customer's budget.
@@ -78,9 +78,9 @@
 namespace {
 
 template <typename State>
-base::task<void> commitLeases(State Self, platform::commit_request Request) {
+base::task<void> commitLeases(State Self, storage::commit_request Request) {
   const auto Versions =
-      co_await platform::commit(Self->Store, std::move(Request));
+      co_await storage::commit(Self->Store, std::move(Request));
   if (Self->Stopped)
     co_return;
   std::optional<std::vector<std::uint64_t>> Answer;
@@ -92,10 +92,10 @@
 }
 
 template <typename State> base::task<void> readLeases(State Self) {
-  const auto Rows = co_await platform::scan(Self->Store, "share/");
+  const auto Rows = co_await storage::scan(Self->Store, "share/");
   if (Self->Stopped)
     co_return;
-  std::optional<std::vector<platform::row>> Answer;
+  std::optional<std::vector<storage::row>> Answer;
   if (Rows) {
     Answer = *Rows;
     Self->Peers.noteStoreContact();
@@ -165,7 +165,7 @@
 }
 
 share_service::share_service(asio::any_io_executor Executor,
-                             peer_service &Peers, platform::store &Store,
+                             peer_service &Peers, storage::store &Store,
                              share_options Options)
     : State(std::make_shared<state>(Executor, Peers, Store, Options)) {}
 
--- a/packages/data/include/redwinggw/data/group_service.hpp
+++ b/packages/data/include/redwinggw/data/group_service.hpp
@@ -9,7 +9,7 @@
 #include "redwinggw/data/detector.hpp"
 #include "redwinggw/data/failover.hpp"
 #include "redwinggw/data/group_view.hpp"
-#include "redwinggw/platform/store.hpp"
+#include "redwinggw/storage/store.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 
@@ -46,7 +46,7 @@
 public:
   /// \p Store must outlive the service.
   group_service(boost::asio::any_io_executor Executor,
-                base::instance_name Instance, platform::store &Store,
+                base::instance_name Instance, storage::store &Store,
                 group_options Options = {});
   group_service(const group_service &) = delete;
   group_service &operator=(const group_service &) = delete;
--- a/packages/data/src/connection_pool.cpp
+++ b/packages/data/src/connection_pool.cpp
@@ -75,8 +75,7 @@
   base::task<result<void>> awaitChange(base::instant Deadline) {
     const auto Self = shared_from_this();
     waiter Waiter{asio::steady_timer(Executor), {}};
-    Waiter.Timer.expires_at(
-        std::chrono::steady_clock::time_point(Deadline.time_since_epoch()));
+    Waiter.Timer.expires_at(base::timerPoint(Deadline));
     Waiting.push_back(&Waiter);
     co_await Waiter.Timer.async_wait(Token);
     std::erase(Waiting, &Waiter);
--- a/packages/data/src/dispatcher.cpp
+++ b/packages/data/src/dispatcher.cpp
@@ -36,8 +36,7 @@
     co_return base::failure(base::errc::Overloaded, Endpoint.Name,
                             Answer.RetryAfter);
   asio::steady_timer Timer(Executor);
-  Timer.expires_at(
-      std::chrono::steady_clock::time_point(Deadline.time_since_epoch()));
+  Timer.expires_at(base::timerPoint(Deadline));
   Waiters[Ticket.Id] = {&Timer, false};
   co_await Timer.async_wait(Token);
   const bool Granted = Waiters.at(Ticket.Id).Granted;
--- a/packages/data/src/group_failover.cpp
+++ b/packages/data/src/group_failover.cpp
@@ -51,19 +51,19 @@
 
 base::task<void> carryOut(order_pointer Order, commit_row Command) {
   const std::string Key = recordKey(Order->Group);
-  platform::commit_request Request;
+  storage::commit_request Request;
   if (Command.Version)
     Request.Checks.push_back({Key, *Command.Version});
   Request.Puts.push_back({Key, toText(Command.Record)});
   const auto Done =
-      co_await platform::commit(*Order->State->Store, std::move(Request));
+      co_await storage::commit(*Order->State->Store, std::move(Request));
   process(Order, committed(Done));
 }
 
 base::task<std::optional<versioned_record>> readRecord(state_pointer State,
                                                        base::group_name Group) {
   std::vector<std::string> Keys{recordKey(Group)};
-  const auto Rows = co_await platform::get(*State->Store, std::move(Keys));
+  const auto Rows = co_await storage::get(*State->Store, std::move(Keys));
   if (!Rows || Rows->empty())
     co_return std::nullopt;
   versioned_record Row;
--- a/packages/data/src/group_poll.cpp
+++ b/packages/data/src/group_poll.cpp
@@ -93,8 +93,7 @@
 base::task<std::optional<base::result<void>>>
 waitFor(std::shared_ptr<waiting> Waiting, base::instant Deadline) {
   if (!Waiting->Outcome) {
-    Waiting->Timer.expires_at(
-        std::chrono::steady_clock::time_point(Deadline.time_since_epoch()));
+    Waiting->Timer.expires_at(base::timerPoint(Deadline));
     co_await Waiting->Timer.async_wait(Token);
   }
   co_return Waiting->Outcome;
--- a/packages/data/src/group_service.cpp
+++ b/packages/data/src/group_service.cpp
@@ -55,7 +55,7 @@
 
 group_service::group_service(asio::any_io_executor Executor,
                              base::instance_name Instance,
-                             platform::store &Store, group_options Options)
+                             storage::store &Store, group_options Options)
     : State(std::make_shared<group_service_state>()) {
   State->Executor = std::move(Executor);
   State->Instance = std::move(Instance);
--- a/packages/data/src/group_state.hpp
+++ b/packages/data/src/group_state.hpp
@@ -47,7 +47,7 @@
 struct group_service_state {
   boost::asio::any_io_executor Executor;
   base::instance_name Instance;
-  platform::store *Store = nullptr;
+  storage::store *Store = nullptr;
   group_options Options;
   std::map<base::group_name, watched_group, std::less<>> Groups;
   std::vector<std::function<void(const base::group_name &)>> Hooks;
--- a/packages/http/include/redwinggw/http/message.hpp
+++ b/packages/http/include/redwinggw/http/message.hpp
@@ -6,6 +6,11 @@
 /// Requests and responses of HTTP/1.1 as the rest of the system sees them.
 namespace redwinggw::http {
 
+struct header {
+  std::string Name;
+  std::string Value;
+};
+
 struct request {
   std::string Method = "POST";
   std::string Target = "/";
@@ -14,6 +19,8 @@
   /// Name of the sending process; set by redwinggw's own programs.
   std::string From;
   std::string Body;
+  /// Further headers to send; received ones are not kept.
+  std::vector<header> Headers = {};
 };
 
 /// \p Status 0 closes the connection without an answer.
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -19,10 +19,6 @@
 constexpr auto Token = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t AnswerLimit = std::size_t{64} * 1024 * 1024;
 
-std::chrono::steady_clock::time_point clockPoint(base::instant Instant) {
-  return std::chrono::steady_clock::time_point(Instant.time_since_epoch());
-}
-
 beast::http::request<beast::http::string_body> messageOf(const request &From) {
   beast::http::request<beast::http::string_body> Message;
   Message.version(HttpVersion);
@@ -33,6 +29,10 @@
     Message.set(beast::http::field::authorization, From.Authorization);
   if (!From.From.empty())
     Message.set(FromField, From.From);
+  for (const header &Header : From.Headers)
+    Message.set(Header.Name, Header.Value);
+  if (!From.Body.empty())
+    Message.set(beast::http::field::content_type, "application/json");
   Message.body() = From.Body;
   Message.prepare_payload();
   return Message;
@@ -56,7 +56,7 @@
 
 base::task<base::result<void>> client::connect(const address &Address,
                                                base::instant Deadline) {
-  State->Stream.expires_at(clockPoint(Deadline));
+  State->Stream.expires_at(base::timerPoint(Deadline));
   const asio::ip::tcp::endpoint Endpoint(asio::ip::make_address(Address.Host),
                                          Address.Port);
   const auto [Error] = co_await State->Stream.async_connect(Endpoint, Token);
@@ -70,7 +70,7 @@
 
 base::task<base::result<response>> client::exchange(const request &Request,
                                                     base::instant Deadline) {
-  State->Stream.expires_at(clockPoint(Deadline));
+  State->Stream.expires_at(base::timerPoint(Deadline));
   const auto Message = messageOf(Request);
   const auto [WriteError, Sent] =
       co_await beast::http::async_write(State->Stream, Message, Token);
--- a/packages/redwinggw/src/instance_state.hpp
+++ b/packages/redwinggw/src/instance_state.hpp
@@ -13,7 +13,7 @@
 #include "redwinggw/data/transaction_table.hpp"
 #include "redwinggw/kernel/life_cycle.hpp"
 #include "redwinggw/kernel/registry.hpp"
-#include "redwinggw/platform/store.hpp"
+#include "redwinggw/storage/store.hpp"
 
 #include <boost/asio/io_context.hpp>
 
@@ -29,7 +29,7 @@
   boost::asio::io_context &Context;
   settings Settings;
   secrets Secrets;
-  platform::store Store;
+  storage::store Store;
   base::timeline Timeline;
   control::peer_service Peers;
   control::configuration_service Configuration;
--- a/packages/redwinggw/src/main.cpp
+++ b/packages/redwinggw/src/main.cpp
@@ -1,4 +1,5 @@
 #include "instance.hpp"
+#include "native_instance.hpp"
 #include "settings.hpp"
 
 #include "redwinggw/base/log.hpp"
@@ -108,6 +109,39 @@
   return ExitOk;
 }
 
+/// Reads the settings again at each SIGHUP; faulty ones change nothing.
+void reloadOnSignal(boost::asio::signal_set &Signals, native_instance &Instance,
+                    const command_line &Line) {
+  Signals.async_wait([&](boost::system::error_code Error, int) {
+    if (Error)
+      return;
+    if (auto Settings = readSettings(Line))
+      Instance.reload(std::move(*Settings));
+    else
+      base::log(base::log_level::Error, base::log_part::Main,
+                describe(Settings.error()));
+    reloadOnSignal(Signals, Instance, Line);
+  });
+}
+
+int runNative(settings Settings, const command_line &Line) {
+  base::startLog(Settings.LogLevel, Settings.LogFormat, Settings.Name);
+  boost::asio::io_context Context(1);
+  native_instance Instance(Context, std::move(Settings));
+  boost::asio::signal_set Stops(Context, SIGTERM, SIGINT);
+  Stops.async_wait([&](boost::system::error_code Error, int) {
+    if (!Error)
+      Instance.stop();
+  });
+  boost::asio::signal_set Reloads(Context, SIGHUP);
+  reloadOnSignal(Reloads, Instance, Line);
+  if (const auto Started = Instance.start(); !Started)
+    return reportFailure(Started.error());
+  Context.run();
+  base::log(base::log_level::Info, base::log_part::Main, "Stopped.");
+  return ExitOk;
+}
+
 int runCommand(const command_line &Line) {
   if (Line.Help) {
     std::cout << describeOptions() << "\nKeys of the settings file:\n"
@@ -121,6 +155,12 @@
   auto Settings = readSettings(Line);
   if (!Settings)
     return reportFailure(Settings.error());
+  if (Settings->Kind == platform_kind::Native && !Line.Check)
+    return runNative(std::move(*Settings), Line);
+  if (Settings->Kind == platform_kind::Native) {
+    std::cout << "the settings are valid\n";
+    return ExitOk;
+  }
   auto Secrets = readSecrets(*Settings);
   if (!Secrets)
     return reportFailure(Secrets.error());
--- /dev/null
+++ b/packages/redwinggw/src/native_following.cpp
@@ -0,0 +1,252 @@
+#include "native_state.hpp"
+
+#include "platform/decoding.hpp"
+
+#include "redwinggw/base/log.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+
+#include <algorithm>
+
+/// What an instance reads from the platform's store: the other instances, the
+/// configuration, the endpoints.
+namespace redwinggw {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using base::log_level;
+using base::log_part;
+using base::milliseconds;
+
+constexpr std::string_view SecretKey = "fleet/secret";
+constexpr std::string_view InstancePrefix = "instance/";
+
+/// One reading a second of each table: a leaving endpoint must be out of use
+/// within seven seconds, and a new one should be in use at about the time at
+/// which the old one leaves.
+constexpr milliseconds ReadEvery{1000};
+constexpr milliseconds ReadTimeout{1000};
+/// After a failed call. Together the instances stay far below the store's
+/// rates also when it turns all away.
+constexpr milliseconds RetryAfter{250};
+/// A watch is renewed after this time: one whose connection was lost track of
+/// is noticed by then, well within the time for a configuration to apply.
+constexpr milliseconds WatchTime{1500};
+constexpr milliseconds WatchSlack{700};
+
+std::string instanceKey(std::string_view Name) {
+  return std::string(InstancePrefix).append(Name);
+}
+
+std::string instanceText(const native_state &State) {
+  return json::serialize(json::object{{"zone", State.Settings.Zone},
+                                      {"peers", toText(State.Settings.Peers)}});
+}
+
+/// Nothing for a row that is not an instance's.
+std::optional<storage::listed_instance>
+instanceOf(const platform::table_row &Row) {
+  if (!Row.Key.starts_with(InstancePrefix))
+    return std::nullopt;
+  try {
+    const json::value Value = json::parse(Row.Value);
+    storage::listed_instance Instance;
+    Instance.Name = Row.Key.substr(InstancePrefix.size());
+    Instance.Zone = Value.at("zone").as_string();
+    Instance.Peers = http::parseAddress(Value.at("peers").as_string()).value();
+    return Instance;
+  } catch (const std::exception &Fault) {
+    base::log(log_level::Warning, log_part::Peers,
+              "Row " + Row.Key + " cannot be read: " + Fault.what());
+    return std::nullopt;
+  }
+}
+
+/// The fleet's secret, made by the first instance that finds none. Nothing
+/// when the store did not answer.
+base::task<std::optional<std::string>> fleetSecret(native_state &State) {
+  std::vector<std::string> Keys(1, std::string(SecretKey));
+  const auto Rows = co_await storage::get(State.Store, std::move(Keys));
+  if (!Rows)
+    co_return std::nullopt;
+  if (Rows->front().Version != 0)
+    co_return Rows->front().Value;
+  std::string Secret = base::randomId();
+  storage::commit_request Request;
+  Request.Checks.push_back({std::string(SecretKey), 0});
+  Request.Puts.push_back({std::string(SecretKey), Secret});
+  const auto Made = co_await storage::commit(State.Store, std::move(Request));
+  // After a lost answer the row tells whose secret it is.
+  if (!Made)
+    co_return std::nullopt;
+  co_return Secret;
+}
+
+base::task<bool> registerInstance(native_state &State) {
+  storage::commit_request Request;
+  Request.Puts.push_back(
+      {instanceKey(State.Settings.Name), instanceText(State)});
+  co_return (co_await storage::commit(State.Store, std::move(Request)))
+      .has_value();
+}
+
+void startPeers(native_state &State, const std::string &Secret) {
+  const control::peer_identity Identity{
+      State.Settings.Name, State.Settings.Zone,
+      static_cast<std::uint64_t>(base::wallMilliseconds())};
+  State.Peers = std::make_unique<control::peer_service>(
+      State.Context.get_executor(), Identity, State.Settings.Peers, Secret,
+      State.Store);
+  if (const auto Started = State.Peers->start(); !Started)
+    base::log(log_level::Error, log_part::Peers, describe(Started.error()));
+  State.Shares = std::make_unique<control::share_service>(
+      State.Context.get_executor(), *State.Peers, State.Store);
+  if (State.Routes) {
+    control::configuration Plans;
+    Plans.Customers = State.Routes->Customers;
+    State.Shares->apply(Plans);
+  }
+  State.Shares->start();
+}
+
+/// Takes in the system's own rows. True when this instance's row is among
+/// them.
+bool takeFleet(native_state &State, const platform::table_rows &Rows) {
+  std::vector<storage::listed_instance> Listed;
+  for (const platform::table_row &Row : Rows.Rows)
+    if (auto Instance = instanceOf(Row))
+      Listed.push_back(std::move(*Instance));
+  State.Peers->setList(Listed);
+  return std::ranges::find(Listed, State.Settings.Name,
+                           &storage::listed_instance::Name) != Listed.end();
+}
+
+void takeConfiguration(native_state &State, const platform::table_rows &Rows) {
+  const auto Row =
+      std::ranges::find(Rows.Rows, "config", &platform::table_row::Key);
+  if (Row == Rows.Rows.end() || Row->Removed || Row->Version <= State.RoutesRow)
+    return;
+  auto Table = platform::readConfiguration(Row->Value);
+  if (!Table) {
+    base::log(log_level::Error, log_part::Configuration,
+              describe(Table.error()));
+    return;
+  }
+  State.RoutesRow = Row->Version;
+  if (State.Routes && Table->Version <= State.Routes->Version)
+    return;
+  State.Routes = std::make_shared<session::route_table>(std::move(*Table));
+  if (State.Shares) {
+    control::configuration Plans;
+    Plans.Customers = State.Routes->Customers;
+    State.Shares->apply(Plans);
+  }
+  State.SharedAmong = 0;
+  divideConnections(State);
+  base::log(log_level::Info, log_part::Configuration,
+            "Version " + std::to_string(State.Routes->Version) +
+                " is in force.");
+}
+
+base::task<base::result<platform::table_rows>>
+nextConfiguration(native_state &State, std::optional<std::uint64_t> After) {
+  const base::instant Now = base::now();
+  if (!After)
+    co_return co_await platform::readTable(State.Reader, "op",
+                                           Now + ReadTimeout);
+  co_return co_await platform::awaitChanges(
+      State.Reader, "op", *After, WatchTime, Now + WatchTime + WatchSlack);
+}
+
+void takeEndpoints(native_state &State, const platform::table_rows &Rows) {
+  std::vector<session::endpoint_entry> Entries;
+  for (const platform::table_row &Row : Rows.Rows)
+    if (auto Entry = platform::readEntry(Row.Key, Row.Value))
+      Entries.push_back(std::move(*Entry));
+  const auto Changes = applyList(State.Endpoints, Entries, base::now());
+  State.ListRead = true;
+  for (const base::endpoint_name &Name : Changes.Started)
+    base::log(log_level::Info, log_part::Endpoints,
+              "Endpoint " + Name + " is listed.");
+  for (const base::endpoint_name &Name : Changes.Gone)
+    base::log(log_level::Info, log_part::Endpoints,
+              "Endpoint " + Name + " is gone.");
+  if (!Changes.Started.empty())
+    State.SharedAmong = 0;
+  divideConnections(State);
+}
+
+} // namespace
+
+base::task<void> pauseAbout(native_state &State, milliseconds Time) {
+  constexpr int Spread = 10;
+  std::uniform_int_distribution<std::int64_t> Offset(-Time.count() / Spread,
+                                                     Time.count() / Spread);
+  asio::steady_timer Timer(State.Context,
+                           Time + milliseconds(Offset(State.Random)));
+  co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+base::task<void> joinFleet(native_ptr State) {
+  while (!State->Draining) {
+    const auto Secret = co_await fleetSecret(*State);
+    bool Registered = false;
+    if (Secret)
+      Registered = co_await registerInstance(*State);
+    if (Registered) {
+      startPeers(*State, *Secret);
+      base::log(log_level::Info, log_part::Peers, "Joined the fleet.");
+      co_await followFleet(State);
+      co_return;
+    }
+    co_await pauseAbout(*State, RetryAfter);
+  }
+}
+
+base::task<void> followFleet(native_ptr State) {
+  while (!State->Draining) {
+    const base::instant Sent = base::now();
+    const auto Rows = co_await platform::readTable(
+        State->Reader, std::string(platform::OwnTable), Sent + ReadTimeout);
+    ++State->Store.Reads;
+    if (Rows) {
+      const bool Listed = takeFleet(*State, *Rows);
+      State->Peers->noteStoreRead(Sent, base::now(), 0);
+      if (!Listed)
+        co_await registerInstance(*State);
+    }
+    co_await pauseAbout(*State, ReadEvery);
+  }
+}
+
+base::task<void> followConfiguration(native_ptr State) {
+  std::optional<std::uint64_t> After;
+  while (!State->Draining) {
+    const auto Rows = co_await nextConfiguration(*State, After);
+    ++State->Store.Reads;
+    if (Rows) {
+      takeConfiguration(*State, *Rows);
+      After = Rows->Version;
+      continue;
+    }
+    if (kindOf(Rows.error()) == base::errc::Conflict)
+      After.reset();
+    co_await pauseAbout(*State, RetryAfter);
+  }
+}
+
+base::task<void> followEndpoints(native_ptr State) {
+  while (!State->Draining) {
+    const auto Rows = co_await platform::readTable(State->Reader, "servers",
+                                                   base::now() + ReadTimeout);
+    ++State->Store.Reads;
+    if (Rows)
+      takeEndpoints(*State, *Rows);
+    co_await pauseAbout(*State, Rows ? ReadEvery : RetryAfter);
+  }
+}
+
+} // namespace redwinggw
--- /dev/null
+++ b/packages/redwinggw/src/native_instance.cpp
@@ -0,0 +1,176 @@
+#include "native_state.hpp"
+
+#include "platform/database_link.hpp"
+
+#include "redwinggw/base/log.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+namespace redwinggw {
+namespace {
+
+namespace asio = boost::asio;
+using base::log_level;
+using base::log_part;
+using base::milliseconds;
+
+constexpr milliseconds HousekeepingEvery{200};
+
+void entered(kernel::life_state State) {
+  base::log(log_level::Info, log_part::Main,
+            "Instance is " + std::string(kernel::lifeStateName(State)) + ".");
+}
+
+base::task<http::response> answerReadiness(const native_state &State) {
+  http::response Response;
+  constexpr unsigned Unavailable = 503;
+  if (!isReady(State))
+    Response.Status = Unavailable;
+  Response.ContentType = "text/plain";
+  Response.Body = isReady(State) ? "ready\n" : "not ready\n";
+  co_return Response;
+}
+
+base::task<http::response> answerMetrics(native_state &State) {
+  http::response Response;
+  observeProcess(State.Core.Metrics);
+  Response.ContentType = "text/plain";
+  Response.Body = toPrometheus(State.Core.Metrics);
+  co_return Response;
+}
+
+base::task<void> drainNative(native_ptr State) {
+  State->Callers.stopAccepting();
+  while (State->Callers.open() > 0) {
+    State->Callers.closeIdle(State->Callers.open());
+    co_await pauseAbout(*State, milliseconds(100));
+  }
+  State->Life.process(kernel::life_event::Drained);
+  State->Context.stop();
+}
+
+} // namespace
+
+native_state::native_state(asio::io_context &Context, redwinggw::settings Given)
+    : Context(Context), Settings(std::move(Given)),
+      Store{Context.get_executor(), Settings.Platform, Settings.Name,
+            Settings.PlatformTimeout},
+      Reader(Context.get_executor(), Settings.Platform),
+      Endpoints(Context.get_executor(), Settings.Zone, {}), Core(Endpoints),
+      Callers(Context.get_executor(), Core),
+      Readiness(Context.get_executor(), {},
+                [this](http::connection &, http::request) {
+                  return answerReadiness(*this);
+                }),
+      Metrics(Context.get_executor(), {},
+              [this](http::connection &, http::request) {
+                return answerMetrics(*this);
+              }),
+      Life(entered), Random(std::random_device()()) {
+  Endpoints.Factory =
+      platform::databaseLinks(Context.get_executor(), Endpoints.Watch);
+  platform::useRows(Store, Settings.Platform);
+  Core.Ports = nativePorts(*this);
+}
+
+bool isReady(const native_state &State) {
+  return State.Routes && State.ListRead && State.Shares && !State.Draining;
+}
+
+session::core_ports nativePorts(native_state &State) {
+  session::core_ports Ports;
+  Ports.Routes = [&State] { return State.Routes; };
+  Ports.TryAdmit = [&State](std::string_view Customer) {
+    return State.Shares->tryTake(Customer);
+  };
+  Ports.Admit = [&State](base::customer_name Customer, base::instant Deadline) {
+    return State.Shares->admit(std::move(Customer), Deadline);
+  };
+  Ports.Right =
+      [&State](
+          std::string_view Service) -> std::optional<session::primary_right> {
+    for (const session::endpoint_entry *Entry :
+         endpointsOf(State.Endpoints.Directory, Service))
+      if (Entry->Role == session::endpoint_role::Primary)
+        return session::primary_right{std::string(Service), Entry->Name, 0};
+    return std::nullopt;
+  };
+  Ports.StillHolds = [](const session::primary_right &) { return true; };
+  Ports.PrimaryExpected = [](std::string_view) {
+    return std::optional<milliseconds>();
+  };
+  Ports.NoteTrouble = [](std::string_view) {};
+  return Ports;
+}
+
+void divideConnections(native_state &State) {
+  if (!State.Routes)
+    return;
+  const std::size_t Instances =
+      State.Peers ? std::max<std::size_t>(1, instanceCount(State.Peers->view()))
+                  : 1;
+  if (Instances == State.SharedAmong)
+    return;
+  State.SharedAmong = Instances;
+  for (auto &[Name, Pool] : State.Endpoints.Pools) {
+    const auto Service = State.Routes->Services.find(Pool->entry().Service);
+    if (Service == State.Routes->Services.end())
+      continue;
+    session::pool_limits Limits;
+    Limits.Connections =
+        std::max<std::size_t>(1, Service->second.Connections / Instances);
+    Pool->setLimits(Limits);
+  }
+}
+
+base::task<void> keepNativeHouse(native_ptr State) {
+  while (true) {
+    State->Callers.endAbandoned();
+    for (auto &[Name, Pool] : State->Endpoints.Pools)
+      Pool->closeUnused(base::now());
+    co_await pauseAbout(*State, HousekeepingEvery);
+  }
+}
+
+native_instance::native_instance(asio::io_context &Context, settings Settings)
+    : State(std::make_shared<native_state>(Context, std::move(Settings))) {}
+
+native_instance::~native_instance() = default;
+
+base::result<void> native_instance::start() {
+  if (const auto Listening = State->Readiness.listen(State->Settings.Readiness);
+      !Listening)
+    return Listening.error();
+  if (const auto Listening = State->Metrics.listen(State->Settings.Metrics);
+      !Listening)
+    return Listening.error();
+  if (const auto Listening = State->Callers.listen(State->Settings.Callers);
+      !Listening)
+    return Listening.error();
+  const auto Executor = State->Context.get_executor();
+  asio::co_spawn(Executor, joinFleet(State), asio::detached);
+  asio::co_spawn(Executor, followConfiguration(State), asio::detached);
+  asio::co_spawn(Executor, followEndpoints(State), asio::detached);
+  asio::co_spawn(Executor, keepNativeHouse(State), asio::detached);
+  State->Life.process(kernel::life_event::Ready);
+  return {};
+}
+
+void native_instance::stop() {
+  if (State->Draining)
+    return;
+  State->Draining = true;
+  State->Core.Draining = true;
+  State->Life.process(kernel::life_event::Stop);
+  asio::co_spawn(State->Context, drainNative(State), asio::detached);
+}
+
+void native_instance::reload(settings Settings) {
+  State->Settings = std::move(Settings);
+  base::log(log_level::Info, log_part::Main, "The settings were read again.");
+}
+
+} // namespace redwinggw
--- /dev/null
+++ b/packages/redwinggw/src/native_instance.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "settings.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+
+/// An entry instance on the users' platform.
+namespace redwinggw {
+
+struct native_state;
+
+/// Used from one thread; \p Context must be run after start.
+class native_instance {
+public:
+  native_instance(boost::asio::io_context &Context, settings Settings);
+  native_instance(const native_instance &) = delete;
+  native_instance &operator=(const native_instance &) = delete;
+  ~native_instance();
+
+  /// Opens the addresses and begins to join the fleet. Fails with
+  /// errc::BadSettings when an address cannot be used.
+  base::result<void> start();
+
+  /// Begins the graceful shutdown; the context's run returns when it is over.
+  void stop();
+
+  /// Takes in settings that were changed while running.
+  void reload(settings Settings);
+
+private:
+  std::shared_ptr<native_state> State;
+};
+
+} // namespace redwinggw
--- a/packages/redwinggw/src/settings.cpp
+++ b/packages/redwinggw/src/settings.cpp
@@ -37,6 +37,11 @@
     {data::queue_policy::Fifo, "fifo"},
 });
 
+constexpr std::array KindNames = std::to_array<enum_name<platform_kind>>({
+    {platform_kind::Own, "own"},
+    {platform_kind::Native, "native"},
+});
+
 using setter = bool (*)(settings &, const std::string &);
 
 bool setName(std::string &Field, const std::string &Text) {
@@ -83,6 +88,9 @@
 constexpr const char *NameAllowed = "1 to 64 letters, digits, '-', '_', '.'";
 constexpr const char *AddressAllowed = "IP:port";
 
+/// For which kind of platform a key without a default must be given.
+enum class needed { Always, Own, Native };
+
 /// One key of the file.
 struct key_row {
   std::string_view Key;
@@ -91,6 +99,7 @@
   std::string_view Allowed;
   std::string_view Meaning;
   setter Set;
+  needed Needed = needed::Always;
 };
 
 constexpr std::array Keys = std::to_array<key_row>({
@@ -105,7 +114,27 @@
     {"listen.operators", "", AddressAllowed, "where operators connect (TCP)",
      [](settings &S, const std::string &T) {
        return setAddress(S.Operators, T);
+     },
+     needed::Own},
+    {"listen.readiness", "", AddressAllowed,
+     "where the balancer asks whether to send callers (TCP)",
+     [](settings &S, const std::string &T) {
+       return setAddress(S.Readiness, T);
+     },
+     needed::Native},
+    {"listen.metrics", "", AddressAllowed, "where metrics are read (TCP)",
+     [](settings &S, const std::string &T) { return setAddress(S.Metrics, T); },
+     needed::Native},
+    {"platform.kind", "own", "own, native",
+     "which protocols callers, endpoints and the platform speak",
+     [](settings &S, const std::string &T) {
+       return setEnum(S.Kind, base::valueOf(KindNames, T));
      }},
+    {"platform.promotions", "", AddressAllowed, "where promotions are ordered",
+     [](settings &S, const std::string &T) {
+       return setAddress(S.Promotions, T);
+     },
+     needed::Native},
     {"listen.peers", "", AddressAllowed, "where other instances send (UDP)",
      [](settings &S, const std::string &T) { return setAddress(S.Peers, T); }},
     {"platform.address", "", AddressAllowed, "the platform's services",
@@ -119,11 +148,13 @@
      }},
     {"fleet.key_file", "", "a file name",
      "secret that all instances share: signs tokens and messages",
-     [](settings &S, const std::string &T) { return setText(S.KeyFile, T); }},
+     [](settings &S, const std::string &T) { return setText(S.KeyFile, T); },
+     needed::Own},
     {"fleet.operator_key_file", "", "a file name", "secret that operators show",
      [](settings &S, const std::string &T) {
        return setText(S.OperatorKeyFile, T);
-     }},
+     },
+     needed::Own},
     {"log.level", "info", "trace, debug, info, warning, error",
      "least level that is logged",
      [](settings &S,
@@ -232,10 +263,18 @@
                            "'; allowed: " + std::string(Row->Allowed));
 }
 
+bool isNeeded(const key_row &Row, platform_kind Kind) {
+  if (!Row.Default.empty())
+    return false;
+  const needed OfKind =
+      Kind == platform_kind::Own ? needed::Own : needed::Native;
+  return Row.Needed == needed::Always || Row.Needed == OfKind;
+}
+
 void reportMissing(parse_state &State, const std::set<std::string_view> &Given,
-                   const std::string &Name) {
+                   const std::string &Name, platform_kind Kind) {
   for (const key_row &Row : Keys)
-    if (Row.Default.empty() && !Given.contains(Row.Key))
+    if (isNeeded(Row, Kind) && !Given.contains(Row.Key))
       State.Faults.push_back(
           Name + ": key '" + std::string(Row.Key) +
           "' is missing; allowed: " + std::string(Row.Allowed));
@@ -260,7 +299,7 @@
   std::set<std::string_view> Given;
   for (const assignment &Assignment : State.Assignments)
     apply(State, Settings, Given, Assignment);
-  reportMissing(State, Given, Name);
+  reportMissing(State, Given, Name, Settings.Kind);
   if (!State.Faults.empty())
     return failure(errc::BadSettings, joined(State.Faults));
   return Settings;
--- a/packages/redwinggw/src/settings.hpp
+++ b/packages/redwinggw/src/settings.hpp
@@ -15,6 +15,15 @@
 
 enum class rate_policy { Shared, Static };
 
+/// What the instance runs on: which protocols callers, endpoints and the
+/// platform speak.
+enum class platform_kind {
+  /// Those of this project; docs/PLATFORM.md, docs/CALLERS.md.
+  Own,
+  /// Those of the users' machines; docs/PLATFORM-ADAPTER.md.
+  Native,
+};
+
 struct settings {
   std::string Name;
   std::string Zone;
@@ -22,6 +31,12 @@
   http::address Operators;
   http::address Peers;
   http::address Platform;
+  platform_kind Kind = platform_kind::Own;
+  /// Native only: where the balancer asks whether to send callers here, where
+  /// metrics are read, and where promotions are ordered.
+  http::address Readiness;
+  http::address Metrics;
+  http::address Promotions;
   base::milliseconds PlatformTimeout{1000};
   std::string KeyFile;
   std::string OperatorKeyFile;
--- a/packages/redwinggw/src/wiring.cpp
+++ b/packages/redwinggw/src/wiring.cpp
@@ -207,7 +207,7 @@
 base::result<void> registerServices(instance_state &State) {
   std::vector<kernel::service> Services;
   Services.push_back(
-      makeService<platform::store>("platform", {}, State.Store, [] {}, [] {}));
+      makeService<storage::store>("platform", {}, State.Store, [] {}, [] {}));
   Services.push_back(makeService<control::peer_service>(
       "peers", {"platform"}, State.Peers,
       [&State] { require(State.Peers.start()); },
--- /dev/null
+++ b/packages/session/include/redwinggw/session/deadline_watch.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "redwinggw/base/time.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+/// Deadlines of many short operations behind one timer.
+namespace redwinggw::session {
+
+/// Used from one thread. A timer of its own for each statement would cost a
+/// system call to arm and one to disarm; here the timer runs at a fixed pace
+/// while anything is watched and not at all otherwise.
+class deadline_watch {
+public:
+  using id = std::uint64_t;
+
+  /// Deadlines are met up to \p Pace late.
+  explicit deadline_watch(boost::asio::any_io_executor Executor,
+                          base::milliseconds Pace = DefaultPace);
+  deadline_watch(const deadline_watch &) = delete;
+  deadline_watch &operator=(const deadline_watch &) = delete;
+  ~deadline_watch();
+
+  /// Calls \p Expired once after \p Deadline unless it is dropped before.
+  id add(base::instant Deadline, std::function<void()> Expired);
+  void drop(id Id);
+
+  /// Well under the tenth of a second in which callers notice a delay, and
+  /// coarse enough to cost 0.02% of a core while statements run.
+  static constexpr base::milliseconds DefaultPace{20};
+
+private:
+  struct state;
+  std::shared_ptr<state> State;
+};
+
+} // namespace redwinggw::session
--- /dev/null
+++ b/packages/session/include/redwinggw/session/directory.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "redwinggw/base/ids.hpp"
+#include "redwinggw/base/time.hpp"
+#include "redwinggw/http/address.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// The endpoints that have registered themselves. Decisions without I/O.
+namespace redwinggw::session {
+
+enum class endpoint_role { Primary, Replica };
+
+/// What an endpoint says of itself.
+struct endpoint_entry {
+  base::endpoint_name Name;
+  base::service_name Service;
+  http::address Address;
+  base::zone_name Zone;
+  unsigned Slots = 0;
+  endpoint_role Role = endpoint_role::Replica;
+  /// It leaves soon and takes no new work.
+  bool Draining = false;
+  /// Unix milliseconds of its start: another value under the same name is
+  /// another process, which knows nothing of before.
+  std::int64_t StartedAt = 0;
+
+  friend bool operator==(const endpoint_entry &,
+                         const endpoint_entry &) = default;
+};
+
+struct known_endpoint {
+  endpoint_entry Entry;
+};
+
+struct directory_limits {
+  /// Entries that lapsed while the list could not be read are back within two
+  /// seconds of its return; one that is missing after that is gone.
+  base::milliseconds ReturnTime{2200};
+  /// Readings further apart than this mean that the list was not to be had.
+  base::milliseconds OutageAfter{2500};
+};
+
+/// Not thread safe.
+struct directory {
+  directory_limits Limits;
+  std::map<base::endpoint_name, known_endpoint, std::less<>> Endpoints;
+  std::optional<base::instant> ReadAt;
+  /// When the list could be read again after an outage.
+  std::optional<base::instant> ReturnedAt;
+};
+
+/// What a reading of the list changed.
+struct directory_changes {
+  /// New endpoints, and known ones that were started again.
+  std::vector<base::endpoint_name> Started;
+  std::vector<base::endpoint_name> Gone;
+  /// Known ones that changed in another way.
+  std::vector<base::endpoint_name> Changed;
+};
+
+/// Takes in a whole reading of the list.
+directory_changes onList(directory &Directory,
+                         const std::vector<endpoint_entry> &Entries,
+                         base::instant Now);
+
+/// The endpoints of \p Service, sorted by name.
+std::vector<const endpoint_entry *> endpointsOf(const directory &Directory,
+                                                std::string_view Service);
+
+const endpoint_entry *findEndpoint(const directory &Directory,
+                                   std::string_view Name);
+
+} // namespace redwinggw::session
--- /dev/null
+++ b/packages/session/include/redwinggw/session/endpoint_link.hpp
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "redwinggw/base/task.hpp"
+#include "redwinggw/base/time.hpp"
+#include "redwinggw/session/directory.hpp"
+#include "redwinggw/session/statement.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+/// The port to a database: one connection, bound to one customer.
+namespace redwinggw::session {
+
+/// How an exchange with an endpoint ended.
+enum class exchange_outcome {
+  /// The endpoint answered in full; the answer may be an error.
+  Answered,
+  /// Nothing was sent.
+  NotSent,
+  /// It was sent, and the connection broke before the whole answer was there.
+  Broken,
+  /// It was sent, and no whole answer came in time.
+  TimedOut,
+};
+
+struct exchange {
+  exchange_outcome Outcome = exchange_outcome::NotSent;
+  answer Answer;
+  base::instant SentAt;
+};
+
+/// Replication state that an endpoint reports on request.
+struct endpoint_status {
+  endpoint_role Role = endpoint_role::Replica;
+  base::term_number Term = 0;
+  /// The last log entry received.
+  log_point Received;
+  /// Term for which receiving is stopped; 0: it is not stopped.
+  base::term_number PausedFor = 0;
+  base::milliseconds Lag{0};
+  unsigned Connections = 0;
+};
+
+enum class status_command { Ask, Pause, Resume, Demote };
+
+struct status_exchange {
+  exchange_outcome Outcome = exchange_outcome::NotSent;
+  std::optional<answer_error> Error;
+  std::optional<endpoint_status> Status;
+};
+
+/// One connection. Used from one thread, one exchange at a time; closed by
+/// its destructor and after every outcome but Answered.
+class endpoint_link {
+public:
+  endpoint_link() = default;
+  endpoint_link(const endpoint_link &) = delete;
+  endpoint_link &operator=(const endpoint_link &) = delete;
+  virtual ~endpoint_link() = default;
+
+  /// Connects for \p Customer. The endpoint refuses (Misrouted) when it is
+  /// not the one that \p Entry names.
+  virtual base::task<exchange> open(const endpoint_entry &Entry,
+                                    std::string_view Customer,
+                                    base::instant Deadline) = 0;
+
+  /// Runs \p Text under the caller's \p Id, or as the system's own statement
+  /// when \p Id is empty. With \p After the endpoint refuses (Lagging) unless
+  /// its log holds that point.
+  virtual base::task<exchange> run(std::string_view Id, std::string_view Text,
+                                   std::optional<log_point> After,
+                                   base::instant Deadline) = 0;
+
+  /// \p Term is used by Pause and Demote.
+  virtual base::task<status_exchange> command(status_command Command,
+                                              base::term_number Term,
+                                              base::instant Deadline) = 0;
+
+  /// False when the other end has closed or sent something unasked.
+  virtual bool isUsable() = 0;
+
+  /// \name Texts of the system's own statements
+  /// @{
+  virtual std::string beginText(bool ReadOnly) const = 0;
+  virtual std::string rollbackText() const = 0;
+  virtual std::string resetText() const = 0;
+  virtual std::string setText(std::string_view Name,
+                              std::string_view Value) const = 0;
+  virtual std::string prepareText(std::string_view Name,
+                                  std::string_view Operand) const = 0;
+  virtual std::string executeText(std::string_view Name,
+                                  std::string_view Operand) const = 0;
+  /// @}
+};
+
+/// Makes a closed link.
+using link_factory = std::function<std::unique_ptr<endpoint_link>()>;
+
+} // namespace redwinggw::session
--- /dev/null
+++ b/packages/session/include/redwinggw/session/endpoint_pool.hpp
@@ -0,0 +1,143 @@
+#pragma once
+
+#include "redwinggw/base/task.hpp"
+#include "redwinggw/data/fair_queue.hpp"
+#include "redwinggw/session/deadline_watch.hpp"
+#include "redwinggw/session/endpoint_link.hpp"
+#include "redwinggw/session/session_values.hpp"
+
+#include <deque>
+#include <list>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+/// The connections of one instance to one endpoint.
+namespace redwinggw::session {
+
+/// A link with what is set up on it.
+struct pooled_link {
+  std::unique_ptr<endpoint_link> Link;
+  base::customer_name Customer;
+  /// Session values in force on it; nothing when they are not known.
+  std::optional<session_values> Values;
+  /// Statements prepared on it, by their operand.
+  prepared_names Prepared;
+  base::instant UsedAt;
+};
+
+using link_handle = std::unique_ptr<pooled_link>;
+
+/// Why an endpoint could not give a connection.
+enum class acquire_failure {
+  /// It cannot be reached.
+  Unreachable,
+  /// It is another endpoint than expected.
+  Misrouted,
+  /// All connections are in use, here or by others.
+  Exhausted,
+};
+
+/// A connection, or why there is none.
+struct acquired {
+  link_handle Link;
+  acquire_failure Failure = acquire_failure::Unreachable;
+};
+
+/// How the endpoint has answered lately; read by routing.
+struct endpoint_health {
+  unsigned Failures = 0;
+  std::optional<base::instant> FailingSince;
+  base::instant LastFailure;
+  base::instant LastSuccess;
+  /// Smoothed time of a statement, in milliseconds.
+  double Latency = 0;
+  /// It trailed a required position at this time.
+  std::optional<base::instant> TrailedAt;
+};
+
+struct pool_limits {
+  /// Connections that this instance may open.
+  std::size_t Connections = 4;
+  /// A connection is set up within one round trip and the endpoint's set-up
+  /// time; far above both, and short enough to try another endpoint.
+  base::milliseconds ConnectTimeout{700};
+  /// Idle connections are closed after this time, so that other customers
+  /// and instances can use the endpoint's connections.
+  base::milliseconds IdleTime{8000};
+};
+
+/// Used from one thread. Must outlive the coroutines that use it.
+class endpoint_pool {
+public:
+  endpoint_pool(boost::asio::any_io_executor Executor, deadline_watch &Watch,
+                link_factory Factory, endpoint_entry Entry);
+  endpoint_pool(const endpoint_pool &) = delete;
+  endpoint_pool &operator=(const endpoint_pool &) = delete;
+  ~endpoint_pool();
+
+  /// A connection of \p Customer, preferably one that carries \p Values;
+  /// waits for one when all are in use. Nothing has run when it fails.
+  base::task<acquired> acquire(base::customer_name Customer,
+                               const session_values &Values,
+                               base::instant Deadline);
+
+  /// Takes a connection back. Precondition: no transaction is open on it.
+  void giveBack(link_handle Link);
+
+  /// Closes a connection whose state is not known.
+  void discard(link_handle Link);
+
+  /// Closes all idle connections. When one exchange got no answer, the
+  /// network may have lost track of all the older connections while new ones
+  /// work; each would cost one more statement its time.
+  void closeIdle();
+
+  /// Closes connections that nobody used for a while.
+  void closeUnused(base::instant Now);
+
+  void noteSuccess(base::instant SentAt, base::instant Now);
+  void noteFailure(base::instant Now);
+
+  void setEntry(endpoint_entry Entry) { this->Entry = std::move(Entry); }
+  void setLimits(pool_limits Limits);
+
+  const endpoint_entry &entry() const { return Entry; }
+  const endpoint_health &health() const { return Health; }
+  endpoint_health &health() { return Health; }
+  std::size_t open() const { return Open; }
+  std::size_t idle() const { return Idle.size(); }
+  std::size_t waiting() const { return Queue.Size; }
+  bool hasIdle(std::string_view Customer) const;
+  /// All connections are open and in use.
+  bool isExhausted() const {
+    return Idle.empty() && Open >= Limits.Connections;
+  }
+  std::uint64_t connects() const { return Connects; }
+
+private:
+  link_handle takeIdle(std::string_view Customer, const session_values &Values);
+  bool evictOne();
+  void wakeNext();
+  base::task<acquired> connect(base::customer_name Customer,
+                               base::instant Deadline);
+  base::task<bool> waitForTurn(const base::customer_name &Customer,
+                               base::instant Deadline);
+
+  struct waiter;
+
+  boost::asio::any_io_executor Executor;
+  deadline_watch &Watch;
+  link_factory Factory;
+  endpoint_entry Entry;
+  pool_limits Limits;
+  endpoint_health Health;
+  std::list<link_handle> Idle;
+  std::size_t Open = 0;
+  data::fair_queue Queue;
+  std::unordered_map<std::uint64_t, waiter *> Waiters;
+  std::uint64_t LastTicket = 0;
+  std::uint64_t Connects = 0;
+};
+
+} // namespace redwinggw::session
--- /dev/null
+++ b/packages/session/include/redwinggw/session/endpoint_set.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "redwinggw/session/endpoint_choice.hpp"
+#include "redwinggw/session/endpoint_pool.hpp"
+#include "redwinggw/session/freshness.hpp"
+#include "redwinggw/session/primary_right.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+/// All endpoints that this instance works with: the directory, a pool of
+/// connections for each, and the samples of each service's log.
+namespace redwinggw::session {
+
+using pool_ptr = std::shared_ptr<endpoint_pool>;
+
+/// Used from one thread.
+struct endpoint_set {
+  endpoint_set(boost::asio::any_io_executor Executor, base::zone_name Zone,
+               link_factory Factory);
+
+  boost::asio::any_io_executor Executor;
+  base::zone_name Zone;
+  link_factory Factory;
+  deadline_watch Watch;
+  directory Directory;
+  std::map<base::endpoint_name, pool_ptr, std::less<>> Pools;
+  std::map<base::service_name, freshness, std::less<>> Samples;
+  choice_limits Choice;
+};
+
+/// Takes in a reading of the list: pools of endpoints that are gone or were
+/// started again are closed.
+directory_changes applyList(endpoint_set &Set,
+                            const std::vector<endpoint_entry> &Entries,
+                            base::instant Now);
+
+/// The pool of \p Endpoint, null when it is not listed.
+pool_ptr poolOf(endpoint_set &Set, std::string_view Endpoint);
+
+/// Endpoints of \p Service that may serve a read, best first: replicas, and
+/// the primary when \p Right allows. Draining ones only where no other is.
+std::vector<choice_candidate> readCandidates(endpoint_set &Set,
+                                             std::string_view Service,
+                                             std::string_view Customer,
+                                             const primary_right *Right,
+                                             base::instant Now);
+
+/// Adds what a primary's answer shows about its log.
+void notePoint(endpoint_set &Set, const primary_right &Right,
+               base::instant SentAt, log_point Point);
+
+} // namespace redwinggw::session
--- /dev/null
+++ b/packages/session/include/redwinggw/session/freshness.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "redwinggw/base/time.hpp"
+#include "redwinggw/session/log_point.hpp"
+
+#include <deque>
+#include <optional>
+
+/// Which position a read must have seen, from what primaries answered.
+namespace redwinggw::session {
+
+/// A primary's position in an answer to a statement that was sent at SentAt:
+/// it covers every commit acknowledged before that moment.
+struct freshness_sample {
+  base::instant SentAt;
+  log_point Point;
+};
+
+struct freshness_limits {
+  /// Samples older than the largest staleness bound are of no use.
+  base::milliseconds KeepFor{10'000};
+  /// Closer samples are merged; this bounds their number.
+  base::milliseconds Spacing{25};
+};
+
+/// The samples of one service, oldest first. Not thread safe.
+struct freshness {
+  freshness_limits Limits;
+  std::deque<freshness_sample> Samples;
+};
+
+/// Adds a sample. Precondition: the primary was the valid one both when the
+/// statement was sent and when its answer came.
+void addSample(freshness &Freshness, freshness_sample Sample,
+               base::instant Now);
+
+/// The least position that covers all commits acknowledged \p Staleness before
+/// \p Now. Nothing when no sample is young enough: then only the primary can
+/// serve.
+std::optional<log_point> requiredPoint(const freshness &Freshness,
+                                       base::milliseconds Staleness,
+                                       base::instant Now);
+
+/// Forgets everything: the primary was replaced or cannot be trusted.
+void clearSamples(freshness &Freshness);
+
+} // namespace redwinggw::session
--- /dev/null
+++ b/packages/session/include/redwinggw/session/route_table.hpp
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "redwinggw/base/ids.hpp"
+#include "redwinggw/base/time.hpp"
+#include "redwinggw/control/configuration.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+/// The configuration in force: which databases callers may name, how their
+/// statements are served, and whose keys are valid.
+namespace redwinggw::session {
+
+enum class consistency {
+  /// Every read sees every acknowledged commit.
+  Primary,
+  /// Reads may miss commits younger than the bound.
+  BoundedStaleness,
+  /// The same, but a session sees its own commits at once.
+  ReadYourWrites,
+};
+
+struct route {
+  std::string Name;
+  base::service_name Service;
+  consistency Consistency = consistency::Primary;
+  /// Longest time of a single statement.
+  base::milliseconds Timeout{1000};
+  /// Latency that the callers of a whole operation aim at.
+  base::milliseconds TargetLatency{400};
+  /// Age of data that reads accept; used unless Consistency is Primary.
+  base::milliseconds MaxStaleness{0};
+  /// 0 is the most important.
+  unsigned Priority = 0;
+  /// Anybody may use it, without a key.
+  bool Public = false;
+
+  friend bool operator==(const route &, const route &) = default;
+};
+
+struct service_limits {
+  base::service_name Name;
+  /// Connections that each endpoint accepts from all instances together.
+  unsigned Connections = 0;
+  /// Replicas that hold a commit before it is acknowledged.
+  unsigned SynchronousReplicas = 0;
+};
+
+/// Lets maps be searched by std::string_view.
+struct text_hash {
+  using is_transparent = void;
+  std::size_t operator()(std::string_view Text) const {
+    return std::hash<std::string_view>()(Text);
+  }
+};
+template <typename Value>
+using text_map =
+    std::unordered_map<std::string, Value, text_hash, std::equal_to<>>;
+
+struct route_table {
+  base::config_version Version = 0;
+  /// By the name of the database that callers ask for.
+  text_map<route> Routes;
+  text_map<service_limits> Services;
+  std::vector<control::customer> Customers;
+  /// Customer by key. Keys are looked up here and stored nowhere else.
+  text_map<base::customer_name> Keys;
+  /// An open transaction without a statement for so long may be ended.
+  base::milliseconds TransactionIdle{3000};
+};
+
+using route_table_ptr = std::shared_ptr<const route_table>;
+
+/// Null when there is none of that name. Thread safe.
+const route *findRoute(const route_table &Table, std::string_view Database);
+
+/// The customer whose key it is, null when the key is not in force.
+const base::customer_name *findCustomer(const route_table &Table,
+                                        std::string_view Key);
+
+} // namespace redwinggw::session
--- /dev/null
+++ b/packages/session/include/redwinggw/session/session.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "redwinggw/session/endpoint_set.hpp"
+#include "redwinggw/session/route_table.hpp"
+#include "redwinggw/session/statement.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+/// A caller's session: one connection and what was set up on it.
+namespace redwinggw::session {
+
+/// A transaction that a caller has begun.
+struct open_transaction {
+  /// The route as it was when the transaction began; changes apply to the
+  /// next one.
+  route Route;
+  bool ReadOnly = false;
+  /// It failed and can only be ended.
+  bool Failed = false;
+  base::instant UsedAt;
+  /// The endpoint's connection, from the first statement on.
+  link_handle Link;
+  pool_ptr Pool;
+  /// Set when it runs on the primary.
+  std::optional<primary_right> Right;
+};
+
+struct session {
+  std::uint64_t Number = 0;
+  /// Name of the database that the caller asked for.
+  std::string Database;
+  std::string Key;
+  base::customer_name Customer;
+  session_values Values;
+  std::map<std::string, prepared_statement, std::less<>> Prepared;
+  /// Position after the session's last commit, for one service at a time.
+  base::service_name CommitService;
+  std::optional<log_point> LastCommit;
+  std::optional<open_transaction> Transaction;
+  /// A statement of this session is being worked on.
+  bool Busy = false;
+};
+
+/// What callers are told their session is in.
+transaction_state stateOf(const session &Session);
+
+} // namespace redwinggw::session
--- /dev/null
+++ b/packages/session/include/redwinggw/session/session_core.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "redwinggw/base/error.hpp"
+#include "redwinggw/base/metrics.hpp"
+#include "redwinggw/base/task.hpp"
+#include "redwinggw/session/session.hpp"
+
+#include <functional>
+#include <string_view>
+
+/// Serves the statements of callers' sessions: authorizes, admits, routes,
+/// repeats what may be repeated, and answers truthfully.
+namespace redwinggw::session {
+
+/// What the core asks of the rest of the process.
+struct core_ports {
+  std::function<route_table_ptr()> Routes;
+  /// Takes one operation of the customer's rate if it is here; never waits.
+  std::function<bool(std::string_view Customer)> TryAdmit;
+  /// The same, waiting for it until the deadline at most.
+  std::function<base::task<base::result<void>>(base::customer_name,
+                                               base::instant Deadline)>
+      Admit;
+  /// The right to use the service's primary, if this instance has it now.
+  std::function<std::optional<primary_right>(std::string_view Service)> Right;
+  /// Whether the right has held ever since it was given.
+  std::function<bool(const primary_right &)> StillHolds;
+  /// Time until the service should have a primary again; nothing when that is
+  /// not known.
+  std::function<std::optional<base::milliseconds>(std::string_view Service)>
+      PrimaryExpected;
+  /// A statement met an endpoint that is not the primary any more, or did not
+  /// answer.
+  std::function<void(std::string_view Endpoint)> NoteTrouble;
+};
+
+/// Limits on work for one statement.
+struct core_limits {
+  /// Tries of one statement. Three endpoints a service, and one more try for a
+  /// connection that had been closed unnoticed.
+  unsigned MaxTries = 5;
+  /// A read that had no answer for this part of its time is tried elsewhere.
+  double FirstTryShare = 0.6;
+  /// Part of the aimed latency for which a statement waits for something that
+  /// is not known to come.
+  double PatienceShare = 0.25;
+};
+
+/// Used from one thread. \p Set outlives the core.
+struct session_core {
+  explicit session_core(endpoint_set &Set) : Set(Set) {}
+
+  endpoint_set &Set;
+  core_ports Ports;
+  core_limits Limits;
+  base::metrics Metrics;
+  /// The instance leaves: sessions end as soon as they are idle.
+  bool Draining = false;
+};
+
+/// Authenticates a new session. Fails with NoDatabase or Denied.
+std::optional<answer_error> openSession(session_core &Core, session &Session);
+
+/// Serves one statement. Precondition: no other statement of the session is
+/// being served.
+base::task<answer> serve(session_core &Core, session &Session,
+                         statement Statement, base::instant Arrived);
+
+/// Rolls back and lets go of the session's transaction, if it has one.
+base::task<void> endSession(session &Session);
+
+/// Whether the transaction has been idle for longer than the configuration
+/// allows.
+bool isAbandoned(const session_core &Core, const session &Session,
+                 base::instant Now);
+
+/// Rolls back an abandoned transaction; its next statement is answered with
+/// Aborted.
+base::task<void> abandonTransaction(session &Session);
+
+} // namespace redwinggw::session
--- /dev/null
+++ b/packages/session/include/redwinggw/session/statement.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "redwinggw/base/enum_table.hpp"
+#include "redwinggw/session/log_point.hpp"
+
+#include <array>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// Statements of callers, and the answers to them, after decoding.
+namespace redwinggw::session {
+
+enum class statement_kind {
+  Begin,
+  BeginRead,
+  Commit,
+  Rollback,
+  Read,
+  Write,
+  Set,
+  Prepare,
+  Execute,
+  Deallocate,
+  Malformed,
+};
+
+/// A statement, checked for form only.
+struct statement {
+  /// The caller's id of the statement; goes to the endpoint unchanged.
+  std::string Id;
+  statement_kind Kind = statement_kind::Malformed;
+  /// As the caller sent it. Reads, writes and commits go on unchanged.
+  std::string Text;
+  /// Name of a session value or of a prepared statement.
+  std::string Name;
+  /// Set: the value. Prepare: what to run. Execute: the arguments.
+  std::string Operand;
+  /// Prepare: whether the prepared statement writes.
+  bool Writes = false;
+};
+
+/// Error codes towards callers. Up to TooMany each promises that nothing of
+/// the attempt is kept, so that the caller may repeat it.
+enum class answer_code {
+  Busy,
+  Aborted,
+  Lagging,
+  ReadOnly,
+  Misrouted,
+  TooMany,
+  InDoubt,
+  Timeout,
+  Failed,
+  Unknown,
+  Malformed,
+  Denied,
+  NoDatabase,
+  TooLarge,
+};
+
+/// What a connection is in, as its other end is told.
+enum class transaction_state { Idle, Open, Failed };
+
+/// An error with the reason in words. Keys and data never stand in it.
+struct answer_error {
+  answer_code Code = answer_code::Failed;
+  std::string Reason;
+};
+
+/// The answer to one statement.
+struct answer {
+  std::optional<answer_error> Error;
+  std::vector<std::string> Rows;
+  /// The endpoint's proof of execution; empty for what was answered here.
+  std::string Signature;
+  transaction_state State = transaction_state::Idle;
+  /// The endpoint's position after the statement, when it told one.
+  std::optional<log_point> Point;
+};
+
+/// The name of \p Code in logs. Thread safe.
+std::string_view answerCodeName(answer_code Code);
+
+/// Whether \p Code promises that nothing of the attempt is kept.
+constexpr bool isPromise(answer_code Code) {
+  return Code <= answer_code::TooMany;
+}
+
+} // namespace redwinggw::session
--- /dev/null
+++ b/packages/session/src/core_parts.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "leased_link.hpp"
+
+#include "redwinggw/session/session_core.hpp"
+
+/// What the parts of the session core share.
+namespace redwinggw::session {
+
+/// A statement on its way, with what was decided about it.
+struct request {
+  const statement &Statement;
+  const route &Route;
+  base::instant Arrived;
+  base::instant Deadline;
+  /// What is run: for prepared statements the operand it was prepared with.
+  const prepared_statement *Prepared = nullptr;
+  bool Writes = false;
+  unsigned Tries = 0;
+  /// Endpoints that did not serve it.
+  std::vector<base::endpoint_name> Tried;
+  /// Why the last try did not serve it; for logs and refusals.
+  std::string LastTrouble;
+};
+
+/// An endpoint's connection to run on, and what it is trusted for.
+struct placement {
+  leased_link Link;
+  /// Set when the endpoint is used as the primary.
+  std::optional<primary_right> Right;
+  /// The point that the endpoint must have.
+  std::optional<log_point> After;
+  /// Its answer is waited for until then.
+  base::instant TryDeadline;
+};
+
+/// Finds an endpoint and a connection for \p Request, waiting where that can
+/// help. \p NeedsPrimary: writes and transactions that may write.
+base::task<std::optional<placement>> place(session_core &Core, session &Session,
+                                           request &Request, bool NeedsPrimary);
+
+/// Runs the statement on the placement's connection, set up for the session.
+base::task<exchange> runOn(session_core &Core, session &Session,
+                           request &Request, placement &Placement);
+
+/// Takes in what an exchange tells about the endpoint, and a commit's
+/// position. Closes or gives back the connection unless \p Keep.
+void settle(session_core &Core, session &Session, const request &Request,
+            placement &Placement, const exchange &Exchange, bool Keep);
+
+/// The answer when no endpoint could serve the statement.
+answer refusal(const session_core &Core, const request &Request);
+
+base::task<answer> serveSingle(session_core &Core, session &Session,
+                               request &Request);
+base::task<answer> serveInTransaction(session_core &Core, session &Session,
+                                      request &Request);
+base::task<answer> serveCommit(session_core &Core, session &Session,
+                               request &Request);
+base::task<void> rollback(session &Session);
+
+answer makeError(answer_code Code, std::string Reason);
+
+} // namespace redwinggw::session
--- /dev/null
+++ b/packages/session/src/directory.cpp
@@ -0,0 +1,72 @@
+#include "redwinggw/session/directory.hpp"
+
+#include <algorithm>
+
+namespace redwinggw::session {
+namespace {
+
+/// Whether the list has been readable for long enough that a missing entry
+/// means a missing endpoint.
+bool isTrusted(const directory &Directory, base::instant Now) {
+  return !Directory.ReturnedAt ||
+         Now - *Directory.ReturnedAt > Directory.Limits.ReturnTime;
+}
+
+void noteReading(directory &Directory, base::instant Now) {
+  const bool WasAway = Directory.ReadAt &&
+                       Now - *Directory.ReadAt > Directory.Limits.OutageAfter;
+  if (WasAway)
+    Directory.ReturnedAt = Now;
+  Directory.ReadAt = Now;
+}
+
+void takeEntry(directory &Directory, const endpoint_entry &Entry,
+               directory_changes &Changes) {
+  const auto [At, New] =
+      Directory.Endpoints.try_emplace(Entry.Name, known_endpoint{Entry});
+  known_endpoint &Known = At->second;
+  if (New || Known.Entry.StartedAt != Entry.StartedAt)
+    Changes.Started.push_back(Entry.Name);
+  else if (Known.Entry != Entry)
+    Changes.Changed.push_back(Entry.Name);
+  Known.Entry = Entry;
+}
+
+} // namespace
+
+directory_changes onList(directory &Directory,
+                         const std::vector<endpoint_entry> &Entries,
+                         base::instant Now) {
+  noteReading(Directory, Now);
+  directory_changes Changes;
+  for (const endpoint_entry &Entry : Entries)
+    takeEntry(Directory, Entry, Changes);
+  const bool Trusted = isTrusted(Directory, Now);
+  std::erase_if(Directory.Endpoints, [&](const auto &Item) {
+    const bool Listed =
+        std::ranges::find(Entries, Item.first, &endpoint_entry::Name) !=
+        Entries.end();
+    const bool Gone = !Listed && Trusted;
+    if (Gone)
+      Changes.Gone.push_back(Item.first);
+    return Gone;
+  });
+  return Changes;
+}
+
+std::vector<const endpoint_entry *> endpointsOf(const directory &Directory,
+                                                std::string_view Service) {
+  std::vector<const endpoint_entry *> Found;
+  for (const auto &[Name, Known] : Directory.Endpoints)
+    if (Known.Entry.Service == Service)
+      Found.push_back(&Known.Entry);
+  return Found;
+}
+
+const endpoint_entry *findEndpoint(const directory &Directory,
+                                   std::string_view Name) {
+  const auto Found = Directory.Endpoints.find(Name);
+  return Found == Directory.Endpoints.end() ? nullptr : &Found->second.Entry;
+}
+
+} // namespace redwinggw::session
--- /dev/null
+++ b/packages/session/src/endpoint_choice.cpp
@@ -0,0 +1,48 @@
+#include "redwinggw/session/endpoint_choice.hpp"
+
+#include <algorithm>
+
+namespace redwinggw::session {
+namespace {
+
+bool isPaused(const choice_candidate &Candidate, const choice_limits &Limits,
+              base::instant Now) {
+  if (Candidate.Failures == 0)
+    return false;
+  constexpr unsigned MostDoublings = 5;
+  const unsigned Doublings = std::min(Candidate.Failures - 1, MostDoublings);
+  const auto Pause =
+      std::min(Limits.FailurePause * (1U << Doublings), Limits.LongestPause);
+  return Now - Candidate.LastFailure < Pause;
+}
+
+} // namespace
+
+double expectedMs(const choice_candidate &Candidate,
+                  const choice_limits &Limits, base::instant Now) {
+  const double Statement =
+      Candidate.LatencyMs == 0 ? Limits.UnknownLatencyMs : Candidate.LatencyMs;
+  const double Queued =
+      static_cast<double>(Candidate.Load) / std::max(1U, Candidate.Slots);
+  double Expected = Statement * (1 + Queued);
+  Expected += Candidate.HasIdle ? 0 : Limits.ConnectMs;
+  Expected += Candidate.Exhausted ? Statement : 0;
+  Expected += Candidate.SameZone ? 0 : Limits.OtherZoneMs;
+  Expected += Candidate.IsPrimary ? Limits.PrimaryMs : 0;
+  const bool Trailed =
+      Candidate.TrailedAt && Now - *Candidate.TrailedAt < Limits.TrailTime;
+  return Trailed ? Expected + Limits.PrimaryMs : Expected;
+}
+
+std::vector<choice_candidate> rank(std::vector<choice_candidate> Candidates,
+                                   const choice_limits &Limits,
+                                   base::instant Now) {
+  const auto Key = [&](const choice_candidate &Candidate) {
+    const bool Last = Candidate.Draining || isPaused(Candidate, Limits, Now);
+    return std::pair(Last, expectedMs(Candidate, Limits, Now));
+  };
+  std::ranges::sort(Candidates, std::less{}, Key);
+  return Candidates;
+}
+
+} // namespace redwinggw::session
--- /dev/null
+++ b/packages/session/src/endpoint_set.cpp
@@ -0,0 +1,83 @@
+#include "redwinggw/session/endpoint_set.hpp"
+
+#include <algorithm>
+
+namespace redwinggw::session {
+namespace {
+
+choice_candidate candidateOf(const endpoint_pool &Pool,
+                             std::string_view Customer, std::string_view Zone,
+                             bool IsPrimary) {
+  const endpoint_entry &Entry = Pool.entry();
+  const endpoint_health &Health = Pool.health();
+  choice_candidate Candidate;
+  Candidate.Name = Entry.Name;
+  Candidate.IsPrimary = IsPrimary;
+  Candidate.SameZone = Entry.Zone == Zone;
+  Candidate.Draining = Entry.Draining;
+  Candidate.HasIdle = Pool.hasIdle(Customer);
+  Candidate.Exhausted = Pool.isExhausted();
+  Candidate.Load = Pool.open() - Pool.idle() + Pool.waiting();
+  Candidate.Slots = Entry.Slots;
+  Candidate.LatencyMs = Health.Latency;
+  Candidate.Failures = Health.Failures;
+  Candidate.LastFailure = Health.LastFailure;
+  Candidate.TrailedAt = Health.TrailedAt;
+  return Candidate;
+}
+
+void openPool(endpoint_set &Set, const base::endpoint_name &Name) {
+  const endpoint_entry *Entry = findEndpoint(Set.Directory, Name);
+  // A former pool lives on while statements use its connections.
+  Set.Pools[Name] = std::make_shared<endpoint_pool>(Set.Executor, Set.Watch,
+                                                    Set.Factory, *Entry);
+}
+
+} // namespace
+
+endpoint_set::endpoint_set(boost::asio::any_io_executor Executor,
+                           base::zone_name Zone, link_factory Factory)
+    : Executor(Executor), Zone(std::move(Zone)), Factory(std::move(Factory)),
+      Watch(Executor) {}
+
+directory_changes applyList(endpoint_set &Set,
+                            const std::vector<endpoint_entry> &Entries,
+                            base::instant Now) {
+  directory_changes Changes = onList(Set.Directory, Entries, Now);
+  for (const base::endpoint_name &Name : Changes.Gone)
+    Set.Pools.erase(Name);
+  for (const base::endpoint_name &Name : Changes.Started)
+    openPool(Set, Name);
+  for (const base::endpoint_name &Name : Changes.Changed)
+    if (const pool_ptr Pool = poolOf(Set, Name))
+      Pool->setEntry(*findEndpoint(Set.Directory, Name));
+  return Changes;
+}
+
+pool_ptr poolOf(endpoint_set &Set, std::string_view Endpoint) {
+  const auto Found = Set.Pools.find(Endpoint);
+  return Found == Set.Pools.end() ? nullptr : Found->second;
+}
+
+std::vector<choice_candidate> readCandidates(endpoint_set &Set,
+                                             std::string_view Service,
+                                             std::string_view Customer,
+                                             const primary_right *Right,
+                                             base::instant Now) {
+  std::vector<choice_candidate> Candidates;
+  for (const endpoint_entry *Entry : endpointsOf(Set.Directory, Service)) {
+    const pool_ptr Pool = poolOf(Set, Entry->Name);
+    if (Pool == nullptr)
+      continue;
+    const bool IsPrimary = Right != nullptr && Right->Endpoint == Entry->Name;
+    Candidates.push_back(candidateOf(*Pool, Customer, Set.Zone, IsPrimary));
+  }
+  return rank(std::move(Candidates), Set.Choice, Now);
+}
+
+void notePoint(endpoint_set &Set, const primary_right &Right,
+               base::instant SentAt, log_point Point) {
+  addSample(Set.Samples[Right.Service], {SentAt, Point}, base::now());
+}
+
+} // namespace redwinggw::session
--- /dev/null
+++ b/packages/session/src/leased_link.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "redwinggw/session/endpoint_set.hpp"
+
+#include <utility>
+
+namespace redwinggw::session {
+
+/// A connection taken out of its pool. One that is not given back explicitly
+/// is closed: its state is not known.
+struct leased_link {
+  leased_link() = default;
+  leased_link(pool_ptr Pool, link_handle Link)
+      : Pool(std::move(Pool)), Link(std::move(Link)) {}
+  leased_link(leased_link &&) noexcept = default;
+  leased_link &operator=(leased_link &&Other) noexcept {
+    std::swap(Pool, Other.Pool);
+    std::swap(Link, Other.Link);
+    return *this;
+  }
+  ~leased_link() {
+    if (Link)
+      Pool->discard(std::move(Link));
+  }
+
+  void giveBack() { Pool->giveBack(std::move(Link)); }
+  endpoint_link &operator*() const { return *Link->Link; }
+  explicit operator bool() const { return Link != nullptr; }
+
+  pool_ptr Pool;
+  link_handle Link;
+};
+
+} // namespace redwinggw::session
--- /dev/null
+++ b/packages/session/src/placement.cpp
@@ -0,0 +1,239 @@
+#include "core_parts.hpp"
+#include "link_setup.hpp"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+/// Where a statement runs.
+namespace redwinggw::session {
+namespace {
+
+using base::instant;
+using base::milliseconds;
+
+/// Pause before looking again for an endpoint that can serve.
+constexpr milliseconds LookAgain{20};
+
+/// Until when to wait for something that is not known to come: longer holds
+/// keep callers from trying elsewhere.
+instant patienceEnd(const session_core &Core, const request &Request) {
+  const auto Patience = std::chrono::duration_cast<base::microseconds>(
+      Request.Route.TargetLatency * Core.Limits.PatienceShare);
+  return std::min(Request.Deadline, Request.Arrived + Patience);
+}
+
+/// The point that a read of this session must see; nothing when only the
+/// primary can tell.
+std::optional<log_point> pointFor(session_core &Core, const session &Session,
+                                  const request &Request, instant Now) {
+  const route &Route = Request.Route;
+  if (Route.Consistency == consistency::Primary)
+    return std::nullopt;
+  const auto Samples = Core.Set.Samples.find(Route.Service);
+  if (Samples == Core.Set.Samples.end())
+    return std::nullopt;
+  auto Point = requiredPoint(Samples->second, Route.MaxStaleness, Now);
+  const bool OwnCommits = Route.Consistency == consistency::ReadYourWrites &&
+                          Session.CommitService == Route.Service;
+  if (Point && OwnCommits && Session.LastCommit)
+    Point = std::max(*Point, *Session.LastCommit);
+  return Point;
+}
+
+instant tryDeadline(const session_core &Core, const request &Request,
+                    instant Now, bool Repeatable) {
+  if (!Repeatable || Request.Tries > 0)
+    return Request.Deadline;
+  const auto Left = Request.Deadline - Now;
+  return Now + std::chrono::duration_cast<base::microseconds>(
+                   Left * Core.Limits.FirstTryShare);
+}
+
+base::task<bool> pauseUntil(session_core &Core, instant At) {
+  boost::asio::steady_timer Timer(
+      Core.Set.Executor, std::max(base::microseconds(0), At - base::now()));
+  boost::system::error_code Ignored;
+  co_await Timer.async_wait(
+      boost::asio::redirect_error(boost::asio::use_awaitable, Ignored));
+  co_return true;
+}
+
+/// Tries to get a connection to \p Name. Nothing when that endpoint cannot
+/// serve now.
+base::task<std::optional<placement>>
+connectTo(session_core &Core, session &Session, request &Request,
+          const base::endpoint_name &Name, instant Latest) {
+  const pool_ptr Pool = poolOf(Core.Set, Name);
+  if (Pool == nullptr)
+    co_return std::nullopt;
+  acquired Acquired =
+      co_await Pool->acquire(Session.Customer, Session.Values, Latest);
+  if (!Acquired.Link) {
+    Request.LastTrouble = "no connection to " + Name;
+    if (Acquired.Failure == acquire_failure::Unreachable)
+      Core.Ports.NoteTrouble(Name);
+    co_return std::nullopt;
+  }
+  placement Placement;
+  Placement.Link = leased_link(Pool, std::move(Acquired.Link));
+  co_return Placement;
+}
+
+/// The endpoints to try for a request, best first.
+std::vector<choice_candidate>
+candidatesFor(session_core &Core, const session &Session,
+              const request &Request, bool NeedsPrimary,
+              const std::optional<primary_right> &Right, bool HasPoint,
+              instant Now) {
+  auto Candidates =
+      readCandidates(Core.Set, Request.Route.Service, Session.Customer,
+                     Right ? &*Right : nullptr, Now);
+  if (NeedsPrimary || !HasPoint)
+    std::erase_if(Candidates, [](const choice_candidate &Candidate) {
+      return !Candidate.IsPrimary;
+    });
+  return Candidates;
+}
+
+/// The best endpoint that was not tried yet; when all were, the best one.
+const choice_candidate &
+nextUntried(const std::vector<choice_candidate> &Candidates, request &Request) {
+  const auto Found =
+      std::ranges::find_if(Candidates, [&](const choice_candidate &Candidate) {
+        return std::ranges::find(Request.Tried, Candidate.Name) ==
+               Request.Tried.end();
+      });
+  if (Found != Candidates.end())
+    return *Found;
+  Request.Tried.clear();
+  return Candidates.front();
+}
+
+} // namespace
+
+base::task<std::optional<placement>> place(session_core &Core, session &Session,
+                                           request &Request,
+                                           bool NeedsPrimary) {
+  while (true) {
+    const instant Now = base::now();
+    const auto Right = Core.Ports.Right(Request.Route.Service);
+    const auto Point =
+        NeedsPrimary ? std::nullopt : pointFor(Core, Session, Request, Now);
+    const auto Candidates = candidatesFor(Core, Session, Request, NeedsPrimary,
+                                          Right, Point.has_value(), Now);
+    if (!Candidates.empty()) {
+      const choice_candidate &Chosen = nextUntried(Candidates, Request);
+      Request.Tried.push_back(Chosen.Name);
+      auto Placement = co_await connectTo(Core, Session, Request, Chosen.Name,
+                                          patienceEnd(Core, Request));
+      if (Placement) {
+        if (Chosen.IsPrimary)
+          Placement->Right = Right;
+        else
+          Placement->After = Point;
+        Placement->TryDeadline =
+            tryDeadline(Core, Request, base::now(),
+                        !Request.Writes && Candidates.size() > 1);
+        co_return Placement;
+      }
+      if (++Request.Tries < Core.Limits.MaxTries &&
+          base::now() < patienceEnd(Core, Request))
+        continue;
+      co_return std::nullopt;
+    }
+    Request.LastTrouble = "no primary of " + Request.Route.Service;
+    const auto Expected = Core.Ports.PrimaryExpected(Request.Route.Service);
+    const instant Latest = Expected && Now + *Expected < Request.Deadline
+                               ? Request.Deadline
+                               : patienceEnd(Core, Request);
+    if (Now + LookAgain >= Latest)
+      co_return std::nullopt;
+    co_await pauseUntil(Core, Now + LookAgain);
+  }
+}
+
+base::task<exchange> runOn(session_core &Core, session &Session,
+                           request &Request, placement &Placement) {
+  pooled_link &Link = *Placement.Link.Link;
+  const instant Deadline = Placement.TryDeadline;
+  exchange NotRun;
+  if (!co_await prepareLink(Link, Session, Deadline))
+    co_return NotRun;
+  std::string Text = Request.Statement.Text;
+  if (Request.Prepared != nullptr) {
+    const std::string Name =
+        co_await prepareStatement(Link, Request.Prepared->Operand, Deadline);
+    if (Name.empty())
+      co_return NotRun;
+    Text = Link.Link->executeText(Name, Request.Statement.Operand);
+  }
+  // The set-up took time in which the primary may have been replaced.
+  if (Placement.Right && !Core.Ports.StillHolds(*Placement.Right))
+    co_return NotRun;
+  co_return co_await Link.Link->run(Request.Statement.Id, Text, Placement.After,
+                                    Deadline);
+}
+
+namespace {
+
+void noteAnswer(session_core &Core, session &Session, const request &Request,
+                placement &Placement, const exchange &Exchange) {
+  const instant Now = base::now();
+  endpoint_pool &Pool = *Placement.Link.Pool;
+  Pool.noteSuccess(Exchange.SentAt, Now);
+  const auto &Error = Exchange.Answer.Error;
+  if (Error && Error->Code == answer_code::Lagging)
+    Pool.health().TrailedAt = Now;
+  if (Error && Error->Code == answer_code::ReadOnly)
+    Core.Ports.NoteTrouble(Pool.entry().Name);
+  const auto Point = Exchange.Answer.Point;
+  if (Error || !Point || !Placement.Right ||
+      !Core.Ports.StillHolds(*Placement.Right))
+    return;
+  notePoint(Core.Set, *Placement.Right, Exchange.SentAt, *Point);
+  const bool Committed =
+      Request.Writes && Exchange.Answer.State == transaction_state::Idle;
+  if (Committed) {
+    Session.CommitService = Placement.Right->Service;
+    Session.LastCommit = Point;
+  }
+}
+
+} // namespace
+
+void settle(session_core &Core, session &Session, const request &Request,
+            placement &Placement, const exchange &Exchange, bool Keep) {
+  endpoint_pool &Pool = *Placement.Link.Pool;
+  if (Exchange.Outcome == exchange_outcome::Answered) {
+    noteAnswer(Core, Session, Request, Placement, Exchange);
+    const bool Idle = Exchange.Answer.State == transaction_state::Idle;
+    if (!Keep && Idle)
+      Placement.Link.giveBack();
+    return;
+  }
+  Pool.noteFailure(base::now());
+  Pool.closeIdle();
+  Core.Ports.NoteTrouble(Pool.entry().Name);
+}
+
+answer makeError(answer_code Code, std::string Reason) {
+  answer Answer;
+  Answer.Error = answer_error{Code, std::move(Reason)};
+  return Answer;
+}
+
+answer refusal(const session_core &Core, const request &Request) {
+  // Without a known end of the trouble a caller does best to come back after
+  // about the time in which a primary is replaced.
+  constexpr milliseconds UnknownEnd{500};
+  const milliseconds After =
+      Core.Ports.PrimaryExpected(Request.Route.Service).value_or(UnknownEnd);
+  return makeError(answer_code::Busy, Request.LastTrouble + "; retry after " +
+                                          std::to_string(After.count()) +
+                                          " ms");
+}
+
+} // namespace redwinggw::session
--- /dev/null
+++ b/packages/session/src/session_core.cpp
@@ -0,0 +1,231 @@
+#include "redwinggw/session/session_core.hpp"
+
+#include "core_parts.hpp"
+#include "link_setup.hpp"
+
+namespace redwinggw::session {
+namespace {
+
+using base::instant;
+
+answer done(const session &Session) {
+  answer Answer;
+  Answer.State = stateOf(Session);
+  return Answer;
+}
+
+/// The customer whose key the session showed, judged by the configuration in
+/// force: a key that was withdrawn since stops here.
+std::optional<answer_error> authorize(const route_table &Table,
+                                      const route &Route, session &Session) {
+  const base::customer_name *Customer = findCustomer(Table, Session.Key);
+  if (Customer != nullptr) {
+    Session.Customer = *Customer;
+    return std::nullopt;
+  }
+  if (!Route.Public)
+    return answer_error{answer_code::Denied,
+                        "the key is not in force; ask the operators for one"};
+  Session.Customer.clear();
+  return std::nullopt;
+}
+
+/// Takes one operation of the customer's rate.
+base::task<std::optional<answer_error>> admit(session_core &Core,
+                                              const session &Session,
+                                              const route &Route,
+                                              instant Arrived) {
+  if (Session.Customer.empty() || Core.Ports.TryAdmit(Session.Customer))
+    co_return std::nullopt;
+  const auto Patience = std::chrono::duration_cast<base::microseconds>(
+      Route.TargetLatency * Core.Limits.PatienceShare);
+  const auto Admitted =
+      co_await Core.Ports.Admit(Session.Customer, Arrived + Patience);
+  if (Admitted)
+    co_return std::nullopt;
+  co_return answer_error{
+      answer_code::Busy,
+      "over the customer's rate; retry after " +
+          std::to_string(Admitted.error().RetryAfter.count()) + " ms"};
+}
+
+base::task<answer> serveData(session_core &Core, session &Session,
+                             request &Request) {
+  if (Request.Statement.Kind == statement_kind::Execute) {
+    const auto Found = Session.Prepared.find(Request.Statement.Name);
+    if (Found == Session.Prepared.end()) {
+      answer Answer = makeError(answer_code::Unknown,
+                                "no statement is prepared under this name");
+      if (Session.Transaction)
+        Session.Transaction->Failed = true;
+      co_return Answer;
+    }
+    Request.Prepared = &Found->second;
+    Request.Writes = Found->second.Writes;
+  }
+  if (Session.Transaction)
+    co_return co_await serveInTransaction(Core, Session, Request);
+  if (const auto Refused =
+          co_await admit(Core, Session, Request.Route, Request.Arrived))
+    co_return makeError(Refused->Code, Refused->Reason);
+  co_return co_await serveSingle(Core, Session, Request);
+}
+
+/// Sets a value here and, when a transaction holds a connection, there.
+base::task<answer> serveSet(session &Session, const request &Request) {
+  Session.Values.insert_or_assign(Request.Statement.Name,
+                                  Request.Statement.Operand);
+  if (Session.Transaction && Session.Transaction->Link) {
+    pooled_link &Link = *Session.Transaction->Link;
+    if (!co_await prepareLink(Link, Session, Request.Deadline)) {
+      Session.Transaction->Failed = true;
+      Session.Transaction->Pool->discard(std::move(Session.Transaction->Link));
+      co_return makeError(answer_code::Aborted,
+                          "the connection to the endpoint was lost");
+    }
+  }
+  co_return done(Session);
+}
+
+base::task<answer> serveBegin(session_core &Core, session &Session,
+                              const request &Request) {
+  if (const auto Refused =
+          co_await admit(Core, Session, Request.Route, Request.Arrived))
+    co_return makeError(Refused->Code, Refused->Reason);
+  Session.Transaction.emplace();
+  Session.Transaction->Route = Request.Route;
+  Session.Transaction->ReadOnly =
+      Request.Statement.Kind == statement_kind::BeginRead;
+  co_return done(Session);
+}
+
+answer servePrepare(session &Session, const statement &Statement) {
+  Session.Prepared.insert_or_assign(
+      Statement.Name, prepared_statement{Statement.Operand, Statement.Writes});
+  return done(Session);
+}
+
+answer serveDeallocate(session &Session, const statement &Statement) {
+  if (Session.Prepared.erase(Statement.Name) != 0)
+    return done(Session);
+  return makeError(answer_code::Unknown,
+                   "no statement is prepared under this name");
+}
+
+/// Ends a failed transaction; Commit rolls back too.
+base::task<answer> endFailed(session &Session, const statement &Statement) {
+  co_await rollback(Session);
+  if (Statement.Kind == statement_kind::Commit)
+    co_return makeError(answer_code::Aborted,
+                        "the transaction had failed and is rolled back");
+  co_return done(Session);
+}
+
+bool endsTransaction(statement_kind Kind) {
+  return Kind == statement_kind::Commit || Kind == statement_kind::Rollback;
+}
+
+/// Why \p Statement is not allowed in the session's state; nothing when it is.
+std::optional<answer_error> checkOrder(const session &Session,
+                                       const statement &Statement) {
+  const auto Malformed = [](std::string Reason) {
+    return answer_error{answer_code::Malformed, std::move(Reason)};
+  };
+  if (Statement.Kind == statement_kind::Malformed)
+    return Malformed("the statement cannot be read");
+  const bool Begins = Statement.Kind == statement_kind::Begin ||
+                      Statement.Kind == statement_kind::BeginRead;
+  if (Session.Transaction && Begins)
+    return Malformed("a transaction is open already");
+  if (!Session.Transaction && endsTransaction(Statement.Kind))
+    return Malformed("no transaction is open");
+  if (Session.Transaction && Session.Transaction->Failed &&
+      !endsTransaction(Statement.Kind))
+    return Malformed("the transaction has failed; roll it back");
+  return std::nullopt;
+}
+
+base::task<answer> dispatch(session_core &Core, session &Session,
+                            request &Request) {
+  const statement &Statement = Request.Statement;
+  if (Session.Transaction && Session.Transaction->Failed)
+    co_return co_await endFailed(Session, Statement);
+  switch (Statement.Kind) {
+  case statement_kind::Begin:
+  case statement_kind::BeginRead:
+    co_return co_await serveBegin(Core, Session, Request);
+  case statement_kind::Commit:
+    co_return co_await serveCommit(Core, Session, Request);
+  case statement_kind::Rollback:
+    co_await rollback(Session);
+    co_return done(Session);
+  case statement_kind::Read:
+  case statement_kind::Write:
+  case statement_kind::Execute:
+    co_return co_await serveData(Core, Session, Request);
+  case statement_kind::Set:
+    co_return co_await serveSet(Session, Request);
+  case statement_kind::Prepare:
+    co_return servePrepare(Session, Statement);
+  case statement_kind::Deallocate:
+    co_return serveDeallocate(Session, Statement);
+  case statement_kind::Malformed:
+    break;
+  }
+  co_return makeError(answer_code::Malformed, "the statement cannot be read");
+}
+
+} // namespace
+
+transaction_state stateOf(const session &Session) {
+  if (!Session.Transaction)
+    return transaction_state::Idle;
+  return Session.Transaction->Failed ? transaction_state::Failed
+                                     : transaction_state::Open;
+}
+
+std::optional<answer_error> openSession(session_core &Core, session &Session) {
+  const route_table_ptr Table = Core.Ports.Routes();
+  const route *Route = findRoute(*Table, Session.Database);
+  if (Route == nullptr)
+    return answer_error{answer_code::NoDatabase,
+                        "no route serves this database; check its name"};
+  return authorize(*Table, *Route, Session);
+}
+
+base::task<answer> serve(session_core &Core, session &Session,
+                         statement Statement, instant Arrived) {
+  // Keeps the route alive while a newer configuration comes into force.
+  const route_table_ptr Table = Core.Ports.Routes();
+  const route *Route = Session.Transaction
+                           ? &Session.Transaction->Route
+                           : findRoute(*Table, Session.Database);
+  std::optional<answer_error> Refused;
+  if (Route == nullptr)
+    Refused = answer_error{answer_code::NoDatabase,
+                           "no route serves this database any more"};
+  if (!Refused)
+    Refused = authorize(*Table, *Route, Session);
+  if (Refused && Session.Transaction)
+    Session.Transaction->Failed = true;
+  if (!Refused)
+    Refused = checkOrder(Session, Statement);
+  if (Refused) {
+    answer Answer = makeError(Refused->Code, Refused->Reason);
+    Answer.State = stateOf(Session);
+    co_return Answer;
+  }
+  // The transaction's own route moves when it ends.
+  const route Copy = *Route;
+  request Request{Statement, Copy, Arrived, Arrived + Copy.Timeout};
+  Request.Writes = Statement.Kind == statement_kind::Write;
+  answer Answer = co_await dispatch(Core, Session, Request);
+  if (Session.Transaction)
+    Session.Transaction->UsedAt = base::now();
+  Answer.State = stateOf(Session);
+  co_return Answer;
+}
+
+base::task<void> endSession(session &Session) { co_await rollback(Session); }
+
+} // namespace redwinggw::session
--- /dev/null
+++ b/packages/session/src/single_statement.cpp
@@ -0,0 +1,114 @@
+#include "core_parts.hpp"
+
+/// Statements outside transactions.
+namespace redwinggw::session {
+namespace {
+
+/// What to do after one try.
+enum class verdict { Deliver, TryAgain };
+
+/// Whether an endpoint's error means that this statement can still be served,
+/// here or elsewhere. Reads may always be repeated; a write only when the
+/// error proves that it did not run.
+verdict judgeError(answer_code Code, bool Writes) {
+  switch (Code) {
+  case answer_code::Busy:
+  case answer_code::Lagging:
+  case answer_code::ReadOnly:
+  case answer_code::Misrouted:
+  case answer_code::TooMany:
+  case answer_code::Unknown:
+    return verdict::TryAgain;
+  case answer_code::Failed:
+  case answer_code::Timeout:
+    return Writes ? verdict::Deliver : verdict::TryAgain;
+  default:
+    return verdict::Deliver;
+  }
+}
+
+verdict judge(const exchange &Exchange, bool Writes) {
+  if (Exchange.Outcome == exchange_outcome::NotSent)
+    return verdict::TryAgain;
+  if (Exchange.Outcome != exchange_outcome::Answered)
+    return Writes ? verdict::Deliver : verdict::TryAgain;
+  if (!Exchange.Answer.Error)
+    return verdict::Deliver;
+  return judgeError(Exchange.Answer.Error->Code, Writes);
+}
+
+std::string troubleOf(const exchange &Exchange, std::string_view Endpoint) {
+  const std::string Name(Endpoint);
+  switch (Exchange.Outcome) {
+  case exchange_outcome::NotSent:
+    return Name + " could not be asked";
+  case exchange_outcome::Broken:
+    return Name + " broke off";
+  case exchange_outcome::TimedOut:
+    return Name + " did not answer in time";
+  case exchange_outcome::Answered:
+    break;
+  }
+  return Name + " answered " +
+         std::string(answerCodeName(Exchange.Answer.Error->Code));
+}
+
+/// The answer when the last try is the last one possible.
+answer finalAnswer(const session_core &Core, const request &Request,
+                   const exchange &Exchange) {
+  if (Exchange.Outcome == exchange_outcome::Answered &&
+      !isPromise(Exchange.Answer.Error->Code) && Request.Writes)
+    return makeError(Exchange.Answer.Error->Code, Request.LastTrouble);
+  const bool Sent = Exchange.Outcome == exchange_outcome::Broken ||
+                    Exchange.Outcome == exchange_outcome::TimedOut;
+  if (Request.Writes && Sent)
+    return makeError(Exchange.Outcome == exchange_outcome::TimedOut
+                         ? answer_code::Timeout
+                         : answer_code::InDoubt,
+                     Request.LastTrouble + "; the write may have run");
+  if (!Request.Writes && Exchange.Outcome == exchange_outcome::TimedOut)
+    return makeError(answer_code::Timeout, Request.LastTrouble);
+  return refusal(Core, Request);
+}
+
+} // namespace
+
+base::task<answer> serveSingle(session_core &Core, session &Session,
+                               request &Request) {
+  const bool NeedsPrimary =
+      Request.Writes || Request.Route.Consistency == consistency::Primary;
+  exchange Last;
+  while (Request.Tries < Core.Limits.MaxTries) {
+    auto Placement = co_await place(Core, Session, Request, NeedsPrimary);
+    if (!Placement)
+      co_return refusal(Core, Request);
+    ++Request.Tries;
+    Last = co_await runOn(Core, Session, Request, *Placement);
+    const std::string Endpoint = Placement->Link.Pool->entry().Name;
+    settle(Core, Session, Request, *Placement, Last, false);
+    if (judge(Last, Request.Writes) == verdict::Deliver) {
+      const bool Done =
+          Last.Outcome == exchange_outcome::Answered && !Last.Answer.Error;
+      const bool Trusted =
+          !Placement->Right || Core.Ports.StillHolds(*Placement->Right);
+      if (Done && Trusted)
+        co_return std::move(Last.Answer);
+      if (Done && Request.Writes)
+        co_return makeError(answer_code::InDoubt,
+                            "the primary was replaced meanwhile");
+      if (!Done) {
+        Request.LastTrouble = troubleOf(Last, Endpoint);
+        co_return finalAnswer(Core, Request, Last);
+      }
+      Request.LastTrouble = "the primary was replaced meanwhile";
+      Last = {};
+    } else {
+      Request.LastTrouble = troubleOf(Last, Endpoint);
+    }
+    if (base::now() >= Request.Deadline)
+      break;
+  }
+  co_return finalAnswer(Core, Request, Last);
+}
+
+} // namespace redwinggw::session
--- /dev/null
+++ b/packages/session/src/transaction.cpp
@@ -0,0 +1,204 @@
+#include "core_parts.hpp"
+#include "link_setup.hpp"
+
+/// Statements inside transactions, and their ends.
+namespace redwinggw::session {
+namespace {
+
+/// A rollback needs no slot; a connection that does not confirm it by then is
+/// closed, which rolls back as well.
+constexpr base::milliseconds RollbackTime{500};
+
+answer failTransaction(session &Session, answer_code Code, std::string Reason) {
+  Session.Transaction->Failed = true;
+  answer Answer = makeError(Code, std::move(Reason));
+  Answer.State = transaction_state::Failed;
+  return Answer;
+}
+
+/// Begins the transaction on \p Placement's endpoint.
+base::task<exchange> beginOn(session_core &Core, session &Session,
+                             placement &Placement, bool ReadOnly) {
+  pooled_link &Link = *Placement.Link.Link;
+  if (!co_await prepareLink(Link, Session, Placement.TryDeadline))
+    co_return exchange();
+  if (Placement.Right && !Core.Ports.StillHolds(*Placement.Right))
+    co_return exchange();
+  co_return co_await Link.Link->run({}, Link.Link->beginText(ReadOnly),
+                                    Placement.After, Placement.TryDeadline);
+}
+
+bool isOpened(const exchange &Exchange) {
+  return Exchange.Outcome == exchange_outcome::Answered &&
+         !Exchange.Answer.Error;
+}
+
+/// Finds an endpoint for the transaction and begins it there. False when none
+/// could be found; nothing has run then.
+base::task<bool> openOnEndpoint(session_core &Core, session &Session,
+                                request &Request) {
+  open_transaction &Transaction = *Session.Transaction;
+  const bool NeedsPrimary =
+      !Transaction.ReadOnly ||
+      Transaction.Route.Consistency == consistency::Primary;
+  while (Request.Tries < Core.Limits.MaxTries) {
+    auto Placement = co_await place(Core, Session, Request, NeedsPrimary);
+    if (!Placement)
+      co_return false;
+    ++Request.Tries;
+    const exchange Begun =
+        co_await beginOn(Core, Session, *Placement, Transaction.ReadOnly);
+    const bool Opened = isOpened(Begun);
+    Request.LastTrouble =
+        Placement->Link.Pool->entry().Name + " did not begin the transaction";
+    settle(Core, Session, Request, *Placement, Begun, Opened);
+    if (Opened) {
+      Transaction.Pool = Placement->Link.Pool;
+      Transaction.Link = std::move(Placement->Link.Link);
+      Transaction.Right = Placement->Right;
+      co_return true;
+    }
+    if (base::now() >= Request.Deadline)
+      co_return false;
+  }
+  co_return false;
+}
+
+/// The transaction's connection as a placement, so that both kinds of
+/// statements are run and settled in one way.
+placement takePlacement(open_transaction &Transaction, base::instant Deadline) {
+  placement Placement;
+  Placement.Link = leased_link(Transaction.Pool, std::move(Transaction.Link));
+  Placement.Right = Transaction.Right;
+  Placement.TryDeadline = Deadline;
+  return Placement;
+}
+
+void putBack(open_transaction &Transaction, placement &Placement) {
+  Transaction.Link = std::move(Placement.Link.Link);
+}
+
+/// Rolls back on a connection and gives it back, or closes it.
+base::task<void> rollbackOn(leased_link Link) {
+  if (!Link)
+    co_return;
+  const exchange Ended = co_await (*Link).run(
+      {}, (*Link).rollbackText(), std::nullopt, base::now() + RollbackTime);
+  if (isOpened(Ended) && Ended.Answer.State == transaction_state::Idle)
+    Link.giveBack();
+}
+
+bool isLost(session_core &Core, const open_transaction &Transaction) {
+  return Transaction.Right && !Core.Ports.StillHolds(*Transaction.Right);
+}
+
+} // namespace
+
+base::task<void> rollback(session &Session) {
+  if (!Session.Transaction)
+    co_return;
+  leased_link Link(Session.Transaction->Pool,
+                   std::move(Session.Transaction->Link));
+  Session.Transaction.reset();
+  co_await rollbackOn(std::move(Link));
+}
+
+base::task<answer> serveInTransaction(session_core &Core, session &Session,
+                                      request &Request) {
+  open_transaction &Transaction = *Session.Transaction;
+  if (!Transaction.Link) {
+    const bool Opened = co_await openOnEndpoint(Core, Session, Request);
+    if (!Opened) {
+      answer Refused = refusal(Core, Request);
+      co_return failTransaction(Session, Refused.Error->Code,
+                                Refused.Error->Reason);
+    }
+  }
+  if (isLost(Core, Transaction))
+    co_return failTransaction(Session, answer_code::Aborted,
+                              "the primary was replaced; retry now");
+  placement Placement = takePlacement(Transaction, Request.Deadline);
+  exchange Done = co_await runOn(Core, Session, Request, Placement);
+  const bool Answered = Done.Outcome == exchange_outcome::Answered;
+  settle(Core, Session, Request, Placement, Done, Answered);
+  if (!Answered)
+    co_return failTransaction(Session, answer_code::Aborted,
+                              "the connection to the endpoint was lost; its "
+                              "transaction is rolled back");
+  putBack(Transaction, Placement);
+  if (isLost(Core, Transaction))
+    co_return failTransaction(Session, answer_code::Aborted,
+                              "the primary was replaced; retry now");
+  // The transaction cannot commit any more, whatever the error was.
+  if (Done.Answer.Error)
+    co_return failTransaction(
+        Session, answer_code::Aborted,
+        "the endpoint answered " +
+            std::string(answerCodeName(Done.Answer.Error->Code)));
+  Done.Answer.State = transaction_state::Open;
+  co_return std::move(Done.Answer);
+}
+
+base::task<answer> serveCommit(session_core &Core, session &Session,
+                               request &Request) {
+  open_transaction &Transaction = *Session.Transaction;
+  bool Opened = Transaction.Link != nullptr;
+  if (!Opened)
+    Opened = co_await openOnEndpoint(Core, Session, Request);
+  if (!Opened) {
+    answer Refused = refusal(Core, Request);
+    Session.Transaction.reset();
+    co_return Refused;
+  }
+  if (isLost(Core, Transaction)) {
+    co_await rollback(Session);
+    co_return makeError(answer_code::Aborted,
+                        "the primary was replaced; retry now");
+  }
+  Request.Writes = !Transaction.ReadOnly;
+  placement Placement = takePlacement(Transaction, Request.Deadline);
+  Session.Transaction.reset();
+  pooled_link &Link = *Placement.Link.Link;
+  exchange Done =
+      co_await Link.Link->run(Request.Statement.Id, Request.Statement.Text,
+                              std::nullopt, Request.Deadline);
+  settle(Core, Session, Request, Placement, Done, false);
+  const bool Trusted =
+      !Placement.Right || Core.Ports.StillHolds(*Placement.Right);
+  if (Done.Outcome == exchange_outcome::Answered && !Done.Answer.Error &&
+      Trusted)
+    co_return std::move(Done.Answer);
+  if (Done.Outcome == exchange_outcome::NotSent)
+    co_return makeError(answer_code::Aborted,
+                        "the connection to the endpoint was lost before the "
+                        "commit was sent");
+  if (Done.Outcome == exchange_outcome::Answered && Done.Answer.Error) {
+    const answer_code Code = Done.Answer.Error->Code;
+    const bool Promise = isPromise(Code);
+    co_return makeError(Promise ? answer_code::Aborted : Code,
+                        "the endpoint answered the commit with " +
+                            std::string(answerCodeName(Code)));
+  }
+  co_return makeError(Done.Outcome == exchange_outcome::TimedOut
+                          ? answer_code::Timeout
+                          : answer_code::InDoubt,
+                      "the commit was sent and not confirmed");
+}
+
+bool isAbandoned(const session_core &Core, const session &Session,
+                 base::instant Now) {
+  const auto &Transaction = Session.Transaction;
+  return Transaction && Transaction->Link && !Session.Busy &&
+         Now - Transaction->UsedAt > Core.Ports.Routes()->TransactionIdle;
+}
+
+base::task<void> abandonTransaction(session &Session) {
+  // The transaction is marked before anything waits: a statement that comes
+  // meanwhile must meet a failed transaction, and never run outside of one.
+  Session.Transaction->Failed = true;
+  leased_link Link(Session.Transaction->Pool,
+                   std::move(Session.Transaction->Link));
+  co_await rollbackOn(std::move(Link));
+}
+
+} // namespace redwinggw::session
--- a/packages/platform/include/redwinggw/platform/store.hpp
+++ b/packages/storage/include/redwinggw/storage/store.hpp
@@ -9,11 +9,14 @@
 #include <boost/asio/any_io_executor.hpp>
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <vector>
 
-/// Clients of the platform's services; docs/PLATFORM.md states the protocol.
-namespace redwinggw::platform {
+/// The port to the platform's services: rows changed under conditions, objects,
+/// the list of instances. A driver speaks the protocol; the default one is
+/// stated in docs/PLATFORM.md.
+namespace redwinggw::storage {
 
 /// A row of the table service. Version 0: it does not exist.
 struct row {
@@ -49,6 +52,28 @@
   bool Leaving = false;
 };
 
+struct store;
+
+/// One protocol of the platform. The functions keep the promises of those of
+/// the same name below.
+struct store_driver {
+  using rows_task = base::task<base::result<std::vector<row>>>;
+  using versions_task = base::task<base::result<std::vector<std::uint64_t>>>;
+
+  rows_task (*Get)(store &, std::vector<std::string> Keys);
+  rows_task (*Scan)(store &, std::string Prefix);
+  versions_task (*Commit)(store &, commit_request);
+  base::task<base::result<void>> (*PutObject)(store &, std::string Name,
+                                              std::string Content);
+  base::task<base::result<std::string>> (*GetObject)(store &, std::string Name);
+  /// Null where instances list themselves in rows.
+  base::task<base::result<std::vector<listed_instance>>> (*ListInstances)(
+      store &);
+};
+
+/// The driver of docs/PLATFORM.md.
+const store_driver &ownProtocol();
+
 /// How to reach the platform. Used from one thread.
 struct store {
   boost::asio::any_io_executor Executor;
@@ -58,6 +83,9 @@
   /// Requests sent so far; for the metrics.
   std::uint64_t Reads = 0;
   std::uint64_t Writes = 0;
+  const store_driver *Driver = &ownProtocol();
+  /// What the driver keeps between requests, such as open connections.
+  std::shared_ptr<void> Session;
 };
 
 /// Reads rows; missing ones come back with version 0, in the order asked.
@@ -80,7 +108,8 @@
 /// Fails with errc::NotFound when there is none of that name.
 base::task<base::result<std::string>> getObject(store &Store, std::string Name);
 
+/// Precondition: the driver has a list.
 base::task<base::result<std::vector<listed_instance>>>
 listInstances(store &Store);
 
-} // namespace redwinggw::platform
+} // namespace redwinggw::storage
--- a/packages/platform/src/store.cpp
+++ b/packages/storage/src/own_protocol.cpp
@@ -1,4 +1,4 @@
-#include "redwinggw/platform/store.hpp"
+#include "redwinggw/storage/store.hpp"
 
 #include "redwinggw/http/client.hpp"
 
@@ -7,7 +7,7 @@
 #include <algorithm>
 #include <iterator>
 
-namespace redwinggw::platform {
+namespace redwinggw::storage {
 namespace {
 
 namespace json = boost::json;
@@ -124,9 +124,10 @@
 
 } // namespace
 
+namespace own_protocol {
+
 base::task<result<std::vector<row>>> get(store &Store,
                                          std::vector<std::string> Keys) {
-  ++Store.Reads;
   json::object Body{{"keys", json::value_from(Keys)}};
   const auto Response = co_await ask(Store, "/table/get", std::move(Body));
   if (!Response)
@@ -137,7 +138,6 @@
 }
 
 base::task<result<std::vector<row>>> scan(store &Store, std::string Prefix) {
-  ++Store.Reads;
   json::object Body{{"prefix", Prefix}};
   const auto Response = co_await ask(Store, "/table/scan", std::move(Body));
   if (!Response)
@@ -147,7 +147,6 @@
 
 base::task<result<std::vector<std::uint64_t>>> commit(store &Store,
                                                       commit_request Request) {
-  ++Store.Writes;
   json::object Body = bodyOf(Request);
   const auto Response = co_await ask(Store, "/table/commit", std::move(Body));
   if (!Response)
@@ -162,7 +161,6 @@
 
 base::task<result<void>> putObject(store &Store, std::string Name,
                                    std::string Content) {
-  ++Store.Writes;
   json::object Body{{"name", Name}, {"content", Content}};
   const auto Response = co_await ask(Store, "/object/put", std::move(Body));
   if (!Response)
@@ -171,7 +169,6 @@
 }
 
 base::task<result<std::string>> getObject(store &Store, std::string Name) {
-  ++Store.Reads;
   json::object Body{{"name", Name}};
   const auto Response = co_await ask(Store, "/object/get", std::move(Body));
   if (!Response)
@@ -184,7 +181,6 @@
 }
 
 base::task<result<std::vector<listed_instance>>> listInstances(store &Store) {
-  ++Store.Reads;
   json::object Body;
   const auto Response = co_await ask(Store, "/instances", std::move(Body));
   if (!Response)
@@ -198,4 +194,14 @@
       });
 }
 
-} // namespace redwinggw::platform
+} // namespace own_protocol
+
+const store_driver &ownProtocol() {
+  static const store_driver Driver{
+      own_protocol::get,       own_protocol::scan,
+      own_protocol::commit,    own_protocol::putObject,
+      own_protocol::getObject, own_protocol::listInstances};
+  return Driver;
+}
+
+} // namespace redwinggw::storage
--- a/tests/bench/failover_load.hpp
+++ b/tests/bench/failover_load.hpp
@@ -34,7 +34,7 @@
 
 struct instance {
   base::instance_name Name;
-  platform::store Store;
+  storage::store Store;
   std::unique_ptr<data::group_service> Groups;
   heard Report;
   std::vector<link> Idle;
--- a/tests/bench/peers_bench.cpp
+++ b/tests/bench/peers_bench.cpp
@@ -56,7 +56,7 @@
   traffic Traffic;
   std::uint64_t Spent = 0;
   std::uint64_t Waited = 0;
-  std::map<std::string, platform::row> Table;
+  std::map<std::string, storage::row> Table;
   std::uint64_t Version = 0;
 };
 
@@ -72,12 +72,12 @@
 
 bench_fleet makeFleet(std::size_t Count) {
   bench_fleet Fleet;
-  std::vector<platform::listed_instance> List(Count);
+  std::vector<storage::listed_instance> List(Count);
   for (std::size_t Index = 0; Index < Count; ++Index) {
     List[Index].Name = nodeName(Index);
     List[Index].Zone = "zone-a";
   }
-  for (const platform::listed_instance &Self : List) {
+  for (const storage::listed_instance &Self : List) {
     bench_node &Node = Fleet.Nodes.emplace_back();
     Node.Membership = makeMembership({Self.Name, Self.Zone, 1});
     onList(Node.Membership, List, Fleet.Now);
@@ -110,14 +110,13 @@
 }
 
 void commitNow(bench_fleet &Fleet, std::size_t Index,
-               const platform::commit_request &Request) {
+               const storage::commit_request &Request) {
   std::vector<std::uint64_t> Versions;
-  std::ranges::transform(Request.Puts, std::back_inserter(Versions),
-                         [&](const platform::put &Put) {
-                           Fleet.Table[Put.Key] = {Put.Key, ++Fleet.Version,
-                                                   Put.Value};
-                           return Fleet.Version;
-                         });
+  std::ranges::transform(
+      Request.Puts, std::back_inserter(Versions), [&](const storage::put &Put) {
+        Fleet.Table[Put.Key] = {Put.Key, ++Fleet.Version, Put.Value};
+        return Fleet.Version;
+      });
   onCommitAnswer(Fleet.Nodes[Index].Shares, Versions, Fleet.Now);
 }
 
@@ -128,7 +127,7 @@
   if (Actions.Commit)
     commitNow(Fleet, Index, *Actions.Commit);
   if (Actions.Read) {
-    std::vector<platform::row> Rows;
+    std::vector<storage::row> Rows;
     std::ranges::copy(std::views::values(Fleet.Table),
                       std::back_inserter(Rows));
     onRows(Node.Shares, Rows, Fleet.Now);
@@ -280,7 +279,7 @@
                       });
   const http::address AnyPort{"127.0.0.1", 0};
   const http::address Address = Server.listen(AnyPort).value();
-  std::deque<platform::store> Stores;
+  std::deque<storage::store> Stores;
   std::vector<std::unique_ptr<peer_service>> Peers;
   for (std::size_t Index = 0; Index < Count; ++Index) {
     const std::string Name = nodeName(Index);
--- a/tests/control/config_fixture.hpp
+++ b/tests/control/config_fixture.hpp
@@ -90,7 +90,7 @@
   standin::platform_standin Platform;
   http::server Server;
   http::address Address;
-  platform::store Store;
+  storage::store Store;
   store_cut Cut = store_cut::None;
   std::unique_ptr<control::configuration_service> Left;
   std::unique_ptr<control::configuration_service> Right;
--- a/tests/control/config_submission_test.cpp
+++ b/tests/control/config_submission_test.cpp
@@ -15,23 +15,23 @@
 
 /// The table service, in memory.
 struct table {
-  std::map<std::string, platform::row> Rows;
+  std::map<std::string, storage::row> Rows;
   std::uint64_t LastVersion = 0;
   /// Off, it commits whatever its conditions: the guard that the race test
   /// shows to be needed.
   bool ChecksConditions = true;
 };
 
-bool commitTo(table &Table, const platform::commit_request &Request) {
+bool commitTo(table &Table, const storage::commit_request &Request) {
   const bool Holds =
-      std::ranges::all_of(Request.Checks, [&](const platform::check &Check) {
+      std::ranges::all_of(Request.Checks, [&](const storage::check &Check) {
         const auto Found = Table.Rows.find(Check.Key);
         return Check.Version ==
                (Found == Table.Rows.end() ? 0 : Found->second.Version);
       });
   if (!Holds && Table.ChecksConditions)
     return false;
-  for (const platform::put &Put : Request.Puts)
+  for (const storage::put &Put : Request.Puts)
     Table.Rows[Put.Key] = {Put.Key, ++Table.LastVersion, Put.Value};
   for (const std::string &Key : Request.Deletes)
     Table.Rows.erase(Key);
@@ -85,7 +85,7 @@
   submission Submission;
   submission_action Next = read_config{};
   /// A commit that is still on its way.
-  std::optional<platform::commit_request> InFlight;
+  std::optional<storage::commit_request> InFlight;
   unsigned Faults = 1;
 
   explicit racer(config_request Request, std::string Id)
@@ -117,7 +117,7 @@
         onState(Racer.Submission, stateFor(Race.Table, Racer.Submission), 0);
     return;
   }
-  const platform::commit_request Request = Commit->Request;
+  const storage::commit_request Request = Commit->Request;
   auto Answer = commit_answer::Unknown;
   if (Fate == fate::Late)
     Racer.InFlight = Request;
--- a/tests/control/membership_fleet.hpp
+++ b/tests/control/membership_fleet.hpp
@@ -40,8 +40,8 @@
   return Name;
 }
 
-inline platform::listed_instance listed(std::size_t Index) {
-  platform::listed_instance Instance;
+inline storage::listed_instance listed(std::size_t Index) {
+  storage::listed_instance Instance;
   Instance.Name = nameOf(Index);
   Instance.Zone = Index % 2 == 0 ? "z0" : "z1";
   return Instance;
@@ -54,10 +54,10 @@
 inline fleet makeFleet(std::size_t Count, membership_limits Limits = {},
                        currency_limits Currency = {}) {
   fleet Fleet;
-  std::vector<platform::listed_instance> List;
+  std::vector<storage::listed_instance> List;
   std::ranges::transform(std::views::iota(std::size_t{0}, Count),
                          std::back_inserter(List), listed);
-  for (const platform::listed_instance &Self : List) {
+  for (const storage::listed_instance &Self : List) {
     fleet_instance &Instance = Fleet.Instances.emplace_back();
     Instance.Membership = makeMembership({Self.Name, Self.Zone, 100}, Limits);
     Instance.Currency.Limits = Currency;
--- a/tests/control/peer_service_test.cpp
+++ b/tests/control/peer_service_test.cpp
@@ -27,7 +27,7 @@
 constexpr double Burst = 60;
 
 struct instance {
-  platform::store Store;
+  storage::store Store;
   std::unique_ptr<peer_service> Peers;
   std::unique_ptr<share_service> Shares;
   http::address Address;
--- a/tests/control/share_fleet.hpp
+++ b/tests/control/share_fleet.hpp
@@ -49,8 +49,8 @@
 
 struct share_fleet {
   std::vector<fleet_node> Nodes;
-  std::vector<platform::listed_instance> List;
-  std::map<std::string, platform::row> Table;
+  std::vector<storage::listed_instance> List;
+  std::map<std::string, storage::row> Table;
   std::uint64_t LastVersion = 0;
   bool StoreUp = true;
   network_faults Faults;
@@ -135,20 +135,19 @@
 }
 
 inline std::optional<std::vector<std::uint64_t>>
-applyCommit(share_fleet &Fleet, const platform::commit_request &Request) {
+applyCommit(share_fleet &Fleet, const storage::commit_request &Request) {
   const bool Holds =
-      std::ranges::all_of(Request.Checks, [&](const platform::check &Check) {
+      std::ranges::all_of(Request.Checks, [&](const storage::check &Check) {
         return Fleet.Table[Check.Key].Version == Check.Version;
       });
   if (!Holds)
     return std::nullopt;
   std::vector<std::uint64_t> Versions;
-  std::ranges::transform(Request.Puts, std::back_inserter(Versions),
-                         [&](const platform::put &Put) {
-                           Fleet.Table[Put.Key] = {Put.Key, ++Fleet.LastVersion,
-                                                   Put.Value};
-                           return Fleet.LastVersion;
-                         });
+  std::ranges::transform(
+      Request.Puts, std::back_inserter(Versions), [&](const storage::put &Put) {
+        Fleet.Table[Put.Key] = {Put.Key, ++Fleet.LastVersion, Put.Value};
+        return Fleet.LastVersion;
+      });
   return Versions;
 }
 
@@ -157,7 +156,7 @@
 }
 
 inline void startCommit(share_fleet &Fleet, std::size_t Index,
-                        const platform::commit_request &Request) {
+                        const storage::commit_request &Request) {
   const bool Sent = reaches(Fleet, Index);
   after(Fleet, delay(Fleet), [&Fleet, Index, Request, Sent] {
     const bool Known = Sent && chance(Fleet) >= Fleet.Faults.LoseAnswer;
@@ -175,12 +174,12 @@
 }
 
 inline void startRead(share_fleet &Fleet, std::size_t Index) {
-  std::optional<std::vector<platform::row>> Rows;
+  std::optional<std::vector<storage::row>> Rows;
   if (reaches(Fleet, Index)) {
     Rows.emplace();
     std::ranges::copy_if(
         std::views::values(Fleet.Table), std::back_inserter(*Rows),
-        [](const platform::row &Row) { return Row.Version > 0; });
+        [](const storage::row &Row) { return Row.Version > 0; });
   }
   after(Fleet, delay(Fleet), [&Fleet, Index, Rows] {
     inNode(Fleet, Index, [&Fleet, Index, Rows] {
--- a/tests/load/driver.cpp
+++ b/tests/load/driver.cpp
@@ -33,10 +33,6 @@
 constexpr const char *ReadAllSql =
     "select session, customer, n from load_counter where session like ?";
 
-std::chrono::steady_clock::time_point clockPoint(instant Instant) {
-  return std::chrono::steady_clock::time_point(Instant.time_since_epoch());
-}
-
 } // namespace
 
 driver::driver(asio::any_io_executor Executor, load_plan Plan,
@@ -128,7 +124,7 @@
 base::task<void> driver::sendAll(instant Start) {
   asio::steady_timer Timer(Executor);
   for (const arrival &Arrival : arrivalsOf(Plan)) {
-    Timer.expires_at(clockPoint(Start + Arrival.At));
+    Timer.expires_at(base::timerPoint(Start + Arrival.At));
     co_await Timer.async_wait(Token);
     ++Running;
     asio::co_spawn(Executor, perform(Arrival, Start), asio::detached);
--- a/tests/load/probe.cpp
+++ b/tests/load/probe.cpp
@@ -94,8 +94,7 @@
       break;
     }
     if (base::now() < Intended) {
-      Timer.expires_at(
-          std::chrono::steady_clock::time_point(Intended.time_since_epoch()));
+      Timer.expires_at(base::timerPoint(Intended));
       co_await Timer.async_wait(Token);
     }
     const bool Done = co_await exchangeOne(Client, Options, Request);
@@ -127,8 +126,7 @@
     asio::co_spawn(Executor, runConnection(Executor, State, Number),
                    asio::detached);
   asio::steady_timer Timer(Executor);
-  Timer.expires_at(
-      std::chrono::steady_clock::time_point(State.Start.time_since_epoch()));
+  Timer.expires_at(base::timerPoint(State.Start));
   co_await Timer.async_wait(Token);
   if (State.Options.OnStart)
     State.Options.OnStart();
--- /dev/null
+++ b/tests/session/fake_endpoint.hpp
@@ -0,0 +1,230 @@
+#pragma once
+
+#include "redwinggw/session/session_core.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+/// A group of databases without sockets: links record what runs where and
+/// answer as a script says.
+namespace redwinggw::session::testing {
+
+/// One statement as an endpoint saw it.
+struct seen_statement {
+  std::string Endpoint;
+  std::string Customer;
+  std::string Id;
+  std::string Text;
+  std::optional<log_point> After;
+  std::size_t Connection = 0;
+};
+
+struct fake_group {
+  /// Answers the next statements; afterwards all succeed.
+  std::function<std::optional<exchange>(const seen_statement &)> Script;
+  std::vector<seen_statement> Seen;
+  log_point Point{1, 100};
+  std::size_t Connections = 0;
+
+  std::vector<seen_statement> callersOwn() const {
+    std::vector<seen_statement> Found;
+    for (const seen_statement &Statement : Seen)
+      if (!Statement.Id.empty())
+        Found.push_back(Statement);
+    return Found;
+  }
+};
+
+inline exchange succeeded(const fake_group &Group, transaction_state State) {
+  exchange Exchange;
+  Exchange.Outcome = exchange_outcome::Answered;
+  Exchange.Answer.Signature = "proof";
+  Exchange.Answer.State = State;
+  Exchange.Answer.Point = Group.Point;
+  Exchange.SentAt = base::now();
+  return Exchange;
+}
+
+inline exchange refused(answer_code Code) {
+  exchange Exchange;
+  Exchange.Outcome = exchange_outcome::Answered;
+  Exchange.Answer.Error = answer_error{Code, "by script"};
+  return Exchange;
+}
+
+inline exchange ended(exchange_outcome Outcome) {
+  exchange Exchange;
+  Exchange.Outcome = Outcome;
+  return Exchange;
+}
+
+class fake_link final : public endpoint_link {
+public:
+  explicit fake_link(fake_group &Group) : Group(Group) {}
+
+  base::task<exchange> open(const endpoint_entry &Entry,
+                            std::string_view Customer, base::instant) override {
+    Endpoint = Entry.Name;
+    this->Customer = Customer;
+    Number = ++Group.Connections;
+    co_return succeeded(Group, transaction_state::Idle);
+  }
+
+  base::task<exchange> run(std::string_view Id, std::string_view Text,
+                           std::optional<log_point> After,
+                           base::instant) override {
+    seen_statement Statement{Endpoint,          Customer, std::string(Id),
+                             std::string(Text), After,    Number};
+    Group.Seen.push_back(Statement);
+    if (Group.Script)
+      if (auto Scripted = Group.Script(Statement)) {
+        Usable = Scripted->Outcome == exchange_outcome::Answered;
+        co_return *Scripted;
+      }
+    if (Text.starts_with("BEGIN"))
+      InTransaction = true;
+    if (Text == "COMMIT" || Text == "ROLLBACK")
+      InTransaction = false;
+    co_return succeeded(Group, InTransaction ? transaction_state::Open
+                                             : transaction_state::Idle);
+  }
+
+  base::task<status_exchange> command(status_command, base::term_number,
+                                      base::instant) override {
+    co_return status_exchange();
+  }
+
+  bool isUsable() override { return Usable; }
+  std::string beginText(bool ReadOnly) const override {
+    return ReadOnly ? "BEGIN READ" : "BEGIN";
+  }
+  std::string rollbackText() const override { return "ROLLBACK"; }
+  std::string resetText() const override { return "RESET"; }
+  std::string setText(std::string_view Name,
+                      std::string_view Value) const override {
+    return "SET " + std::string(Name) + " " + std::string(Value);
+  }
+  std::string prepareText(std::string_view Name,
+                          std::string_view Operand) const override {
+    return "PREPARE " + std::string(Name) + " " + std::string(Operand);
+  }
+  std::string executeText(std::string_view Name,
+                          std::string_view Operand) const override {
+    return "EXECUTE " + std::string(Name) + " " + std::string(Operand);
+  }
+
+private:
+  fake_group &Group;
+  std::string Endpoint;
+  std::string Customer;
+  std::size_t Number = 0;
+  bool InTransaction = false;
+  bool Usable = true;
+};
+
+/// A core before one service "s" with the endpoints p (primary), r1 and r2.
+struct bench_core {
+  bench_core()
+      : Set(Context.get_executor(), "z1",
+            [this] { return std::make_unique<fake_link>(Group); }),
+        Core(Set) {
+    std::vector<endpoint_entry> Entries;
+    for (const char *Name : {"p", "r1", "r2"}) {
+      endpoint_entry Entry;
+      Entry.Name = Name;
+      Entry.Service = "s";
+      Entry.Zone = "z1";
+      Entry.Slots = 5;
+      Entries.push_back(Entry);
+    }
+    applyList(Set, Entries, base::now());
+    auto Table = std::make_shared<route_table>();
+    Table->Version = 1;
+    addRoute(*Table, "strict", consistency::Primary);
+    addRoute(*Table, "bounded", consistency::BoundedStaleness);
+    addRoute(*Table, "own", consistency::ReadYourWrites);
+    Table->Keys.emplace("key", "acme");
+    Table->Keys.emplace("key2", "bolt");
+    Routes = Table;
+    Core.Ports.Routes = [this] { return Routes; };
+    Core.Ports.TryAdmit = [this](std::string_view) { return Admitted; };
+    Core.Ports.Admit = [](base::customer_name,
+                          base::instant) -> base::task<base::result<void>> {
+      co_return base::failure(base::errc::OverRate, "acme",
+                              base::milliseconds(120));
+    };
+    Core.Ports.Right = [this](std::string_view) { return Right; };
+    Core.Ports.StillHolds = [this](const primary_right &Given) {
+      return Right && *Right == Given;
+    };
+    Core.Ports.PrimaryExpected = [](std::string_view) {
+      return std::optional<base::milliseconds>();
+    };
+    Core.Ports.NoteTrouble = [this](std::string_view Name) {
+      Troubles.emplace_back(Name);
+    };
+  }
+
+  static void addRoute(route_table &Table, std::string Name, consistency Kind) {
+    route Route;
+    Route.Name = Name;
+    Route.Service = "s";
+    Route.Consistency = Kind;
+    Route.MaxStaleness = base::milliseconds(1500);
+    Table.Routes.emplace(std::move(Name), Route);
+  }
+
+  session open(std::string Database, std::string Key = "key") {
+    session Session;
+    Session.Database = std::move(Database);
+    Session.Key = std::move(Key);
+    OpenError = openSession(Core, Session);
+    return Session;
+  }
+
+  /// Runs one statement to its answer.
+  answer run(session &Session, statement_kind Kind, std::string Text,
+             std::string Name = {}, std::string Operand = {}) {
+    statement Statement{"id" + std::to_string(++LastId), Kind, std::move(Text),
+                        std::move(Name), std::move(Operand)};
+    Statement.Writes = Statement.Operand.starts_with("WRITE");
+    answer Answer;
+    boost::asio::co_spawn(
+        Context,
+        [](bench_core &Self, session &Session, statement Statement,
+           answer &Answer) -> base::task<void> {
+          Answer = co_await serve(Self.Core, Session, std::move(Statement),
+                                  base::now());
+        }(*this, Session, std::move(Statement), Answer),
+        boost::asio::detached);
+    Context.restart();
+    Context.run();
+    return Answer;
+  }
+  answer read(session &Session) {
+    return run(Session, statement_kind::Read, "READ x");
+  }
+  answer write(session &Session) {
+    return run(Session, statement_kind::Write, "WRITE x 1");
+  }
+
+  boost::asio::io_context Context;
+  fake_group Group;
+  endpoint_set Set;
+  session_core Core;
+  route_table_ptr Routes;
+  std::optional<primary_right> Right = primary_right{"s", "p", 1};
+  bool Admitted = true;
+  std::optional<answer_error> OpenError;
+  std::vector<std::string> Troubles;
+  unsigned LastId = 0;
+};
+
+} // namespace redwinggw::session::testing
--- /dev/null
+++ b/tests/session/session_core_test.cpp
@@ -0,0 +1,238 @@
+#include "fake_endpoint.hpp"
+
+#include "criterion_test.hpp"
+
+using namespace redwinggw;
+using namespace redwinggw::session;
+using namespace redwinggw::session::testing;
+
+namespace {
+
+bool failedWith(const answer &Answer, answer_code Code) {
+  return Answer.Error && Answer.Error->Code == Code;
+}
+
+} // namespace
+
+// The plain way: a write, then reads of the three kinds.
+Test(session_core, serves_writes_at_the_primary_and_reads_at_replicas) {
+  bench_core Bench;
+  session::session Strict = Bench.open("strict");
+  cr_assert(!Bench.OpenError);
+  cr_assert(!Bench.write(Strict).Error);
+  cr_assert(Bench.Group.Seen.back().Endpoint == "p");
+  cr_assert(Bench.Group.Seen.back().Text == "WRITE x 1");
+  cr_assert(!Bench.read(Strict).Error);
+  cr_assert(Bench.Group.Seen.back().Endpoint == "p");
+  session::session Bounded = Bench.open("bounded");
+  const answer Answer = Bench.read(Bounded);
+  cr_assert(!Answer.Error && Answer.Signature == "proof");
+  cr_assert(Bench.Group.Seen.back().Endpoint != "p");
+  // The replica has to prove that it holds what the primary had.
+  cr_assert(Bench.Group.Seen.back().After == Bench.Group.Point);
+}
+
+Test(session_core, refuses_unknown_databases_and_keys) {
+  bench_core Bench;
+  Bench.open("nowhere");
+  cr_assert(Bench.OpenError->Code == answer_code::NoDatabase);
+  Bench.open("strict", "stolen");
+  cr_assert(Bench.OpenError->Code == answer_code::Denied);
+}
+
+// A user's key is withdrawn while the session stays open: its next statement
+// must be denied and reach no endpoint, also inside a transaction.
+Test(session_core, denies_a_withdrawn_key_on_an_open_session) {
+  bench_core Bench;
+  session::session Session = Bench.open("strict");
+  cr_assert(!Bench.run(Session, statement_kind::Begin, "BEGIN").Error);
+  cr_assert(!Bench.write(Session).Error);
+  auto Table = std::make_shared<route_table>(*Bench.Routes);
+  Table->Keys.erase("key");
+  Bench.Routes = Table;
+  const std::size_t Before = Bench.Group.Seen.size();
+  const answer Answer = Bench.write(Session);
+  cr_assert(failedWith(Answer, answer_code::Denied));
+  cr_assert(Answer.State == transaction_state::Failed);
+  cr_assert(Bench.Group.Seen.size() == Before);
+}
+
+Test(session_core, keeps_a_transaction_on_one_connection) {
+  bench_core Bench;
+  session::session Session = Bench.open("own");
+  cr_assert(Bench.run(Session, statement_kind::Begin, "BEGIN").State ==
+            transaction_state::Open);
+  cr_assert(Bench.Group.Seen.empty());
+  Bench.write(Session);
+  Bench.read(Session);
+  const answer Answer = Bench.run(Session, statement_kind::Commit, "COMMIT");
+  cr_assert(!Answer.Error && Answer.Signature == "proof");
+  cr_assert(Answer.State == transaction_state::Idle);
+  cr_assert(Bench.Group.Seen.size() == 4);
+  for (const seen_statement &Statement : Bench.Group.Seen) {
+    cr_assert(Statement.Endpoint == "p");
+    cr_assert(Statement.Connection == Bench.Group.Seen.front().Connection);
+  }
+}
+
+// A session commits, then reads at once: only a replica that holds the commit
+// may serve it.
+Test(session_core, lets_a_session_see_its_own_commits) {
+  bench_core Bench;
+  session::session Session = Bench.open("own");
+  Bench.write(Session);
+  Bench.Group.Point = {1, 250};
+  Bench.write(Session);
+  Bench.Group.Script = [](const seen_statement &Statement) {
+    return Statement.Endpoint == "r1"
+               ? std::optional(refused(answer_code::Lagging))
+               : std::nullopt;
+  };
+  const answer Answer = Bench.read(Session);
+  cr_assert(!Answer.Error);
+  cr_assert(Bench.Group.Seen.back().Endpoint != "r1");
+  cr_assert(Bench.Group.Seen.back().After == log_point({1, 250}));
+}
+
+// Two sessions of one customer share a connection; one has set a value. The
+// other must not run with it.
+Test(session_core, shares_connections_without_sharing_values) {
+  bench_core Bench;
+  session::session First = Bench.open("strict");
+  session::session Second = Bench.open("strict");
+  Bench.run(First, statement_kind::Set, "SET a 1", "a", "1");
+  Bench.read(First);
+  Bench.read(Second);
+  std::vector<std::string> Texts;
+  for (const seen_statement &Statement : Bench.Group.Seen)
+    Texts.push_back(Statement.Text);
+  cr_assert(Texts ==
+            std::vector<std::string>({"SET a 1", "READ x", "RESET", "READ x"}));
+}
+
+// Two sessions prepare other statements under the same name.
+Test(session_core, keeps_prepared_names_of_sessions_apart) {
+  bench_core Bench;
+  session::session First = Bench.open("strict");
+  session::session Second = Bench.open("strict");
+  Bench.run(First, statement_kind::Prepare, "PREPARE s READ a", "s", "READ a");
+  Bench.run(Second, statement_kind::Prepare, "PREPARE s WRITE b", "s",
+            "WRITE b");
+  Bench.run(First, statement_kind::Execute, "EXECUTE s 1", "s", "1");
+  Bench.run(Second, statement_kind::Execute, "EXECUTE s 2 d", "s", "2 d");
+  const auto Own = Bench.Group.callersOwn();
+  cr_assert(Own.size() == 2);
+  cr_assert(Own[0].Text == "EXECUTE p1 1");
+  cr_assert(Own[1].Text == "EXECUTE p2 2 d");
+}
+
+// A user pays, and the connection breaks before the answer: the payment may
+// have run. It must not be repeated, nor be called "not run".
+Test(session_core, never_repeats_a_write_without_an_answer) {
+  bench_core Bench;
+  session::session Session = Bench.open("strict");
+  Bench.Group.Script = [](const seen_statement &) {
+    return std::optional(ended(exchange_outcome::Broken));
+  };
+  cr_assert(failedWith(Bench.write(Session), answer_code::InDoubt));
+  cr_assert(Bench.Group.callersOwn().size() == 1);
+}
+
+// The same for a read: it is repeated at another endpoint, unseen.
+Test(session_core, repeats_a_read_elsewhere) {
+  bench_core Bench;
+  session::session Warm = Bench.open("strict");
+  Bench.write(Warm);
+  session::session Session = Bench.open("bounded");
+  unsigned Failures = 1;
+  Bench.Group.Script = [&](const seen_statement &) {
+    return Failures-- > 0 ? std::optional(ended(exchange_outcome::Broken))
+                          : std::nullopt;
+  };
+  cr_assert(!Bench.read(Session).Error);
+  const auto Own = Bench.Group.callersOwn();
+  cr_assert(Own[1].Endpoint != Own[2].Endpoint);
+}
+
+// A write is refused as busy: that proves that it did not run, so it may be
+// tried again, and the caller sees only the success.
+Test(session_core, repeats_a_write_that_did_not_run) {
+  bench_core Bench;
+  session::session Session = Bench.open("strict");
+  unsigned Failures = 1;
+  Bench.Group.Script = [&](const seen_statement &) {
+    return Failures-- > 0 ? std::optional(refused(answer_code::Busy))
+                          : std::nullopt;
+  };
+  cr_assert(!Bench.write(Session).Error);
+}
+
+// The primary is replaced while a write is under way there. Its answer must
+// not be passed on as a success.
+Test(session_core, does_not_acknowledge_a_write_of_a_replaced_primary) {
+  bench_core Bench;
+  session::session Session = Bench.open("strict");
+  Bench.Group.Script = [&](const seen_statement &) -> std::optional<exchange> {
+    Bench.Right = primary_right{"s", "r1", 2};
+    return std::nullopt;
+  };
+  cr_assert(failedWith(Bench.write(Session), answer_code::InDoubt));
+}
+
+// A commit's answer is lost: the caller learns that the outcome is unknown.
+Test(session_core, reports_a_lost_commit_as_in_doubt) {
+  bench_core Bench;
+  session::session Session = Bench.open("strict");
+  Bench.run(Session, statement_kind::Begin, "BEGIN");
+  Bench.write(Session);
+  Bench.Group.Script = [](const seen_statement &Statement) {
+    return Statement.Text == "COMMIT"
+               ? std::optional(ended(exchange_outcome::Broken))
+               : std::nullopt;
+  };
+  const answer Answer = Bench.run(Session, statement_kind::Commit, "COMMIT");
+  cr_assert(failedWith(Answer, answer_code::InDoubt));
+  cr_assert(Answer.State == transaction_state::Idle);
+}
+
+// The connection of an open transaction breaks: nothing of it can commit any
+// more, and the caller may repeat it as a whole.
+Test(session_core, aborts_a_transaction_whose_connection_broke) {
+  bench_core Bench;
+  session::session Session = Bench.open("strict");
+  Bench.run(Session, statement_kind::Begin, "BEGIN");
+  Bench.write(Session);
+  Bench.Group.Script = [](const seen_statement &) {
+    return std::optional(ended(exchange_outcome::Broken));
+  };
+  answer Answer = Bench.write(Session);
+  cr_assert(failedWith(Answer, answer_code::Aborted));
+  cr_assert(Answer.State == transaction_state::Failed);
+  cr_assert(failedWith(Bench.write(Session), answer_code::Malformed));
+  Answer = Bench.run(Session, statement_kind::Rollback, "ROLLBACK");
+  cr_assert(!Answer.Error && Answer.State == transaction_state::Idle);
+}
+
+// A customer sends more than its rate: it is refused at once, with the time
+// to come back.
+Test(session_core, refuses_over_the_rate_with_a_time) {
+  bench_core Bench;
+  session::session Session = Bench.open("strict");
+  Bench.Admitted = false;
+  const answer Answer = Bench.write(Session);
+  cr_assert(failedWith(Answer, answer_code::Busy));
+  cr_assert(Answer.Error->Reason.find("120 ms") != std::string::npos);
+  cr_assert(Bench.Group.Seen.empty());
+}
+
+// No statement of one customer runs on a connection of another.
+Test(session_core, keeps_customers_on_connections_of_their_own) {
+  bench_core Bench;
+  session::session First = Bench.open("strict");
+  session::session Second = Bench.open("strict", "key2");
+  Bench.read(First);
+  Bench.read(Second);
+  const auto Own = Bench.Group.callersOwn();
+  cr_assert(Own[0].Customer == "acme");
+  cr_assert(Own[1].Customer == "bolt");
+}
--- a/tests/standins/common/standin.cpp
+++ b/tests/standins/common/standin.cpp
@@ -17,14 +17,6 @@
 constexpr auto Token = asio::as_tuple(asio::use_awaitable);
 constexpr double MicrosecondsPerMillisecond = 1000;
 
-/// The point on Asio's clock, which counts nanoseconds: the largest instant
-/// would overflow it and lie in the past.
-std::chrono::steady_clock::time_point clockPoint(base::instant Instant) {
-  using asio_point = std::chrono::steady_clock::time_point;
-  const auto Last = std::chrono::floor<base::microseconds>(asio_point::max());
-  return asio_point(std::min(Instant, Last).time_since_epoch());
-}
-
 } // namespace
 
 http::response answer(const json::object &Body, unsigned Status) {
@@ -66,7 +58,7 @@
 }
 
 base::task<void> wait_list::wait(base::instant Deadline) {
-  asio::steady_timer Timer(Executor, clockPoint(Deadline));
+  asio::steady_timer Timer(Executor, base::timerPoint(Deadline));
   Timers.insert(&Timer);
   co_await Timer.async_wait(Token);
   Timers.erase(&Timer);
--- a/tests/standins/platform/platform.cpp
+++ b/tests/standins/platform/platform.cpp
@@ -23,11 +23,11 @@
 
 constexpr std::array WriteTargets{"/table/commit", "/object/put"};
 
-json::object objectOf(const platform::row &Row) {
+json::object objectOf(const storage::row &Row) {
   return {{"key", Row.Key}, {"version", Row.Version}, {"value", Row.Value}};
 }
 
-json::object objectOf(const platform::listed_instance &Instance) {
+json::object objectOf(const storage::listed_instance &Instance) {
   return {{"name", Instance.Name},
           {"zone", Instance.Zone},
           {"peers", toText(Instance.Peers)},
@@ -36,24 +36,24 @@
           {"state", Instance.Leaving ? "leaving" : "live"}};
 }
 
-json::array versionsOf(const std::vector<platform::row> &Rows) {
+json::array versionsOf(const std::vector<storage::row> &Rows) {
   json::array Versions;
-  for (const platform::row &Row : Rows)
+  for (const storage::row &Row : Rows)
     Versions.push_back(
         json::object{{"key", Row.Key}, {"version", Row.Version}});
   return Versions;
 }
 
-http::response rowsAnswer(const std::vector<platform::row> &Rows) {
+http::response rowsAnswer(const std::vector<storage::row> &Rows) {
   json::array List;
-  for (const platform::row &Row : Rows)
+  for (const storage::row &Row : Rows)
     if (Row.Version != 0)
       List.push_back(objectOf(Row));
   return answer({{"rows", std::move(List)}});
 }
 
-platform::commit_request commitOf(const json::object &Body) {
-  platform::commit_request Request;
+storage::commit_request commitOf(const json::object &Body) {
+  storage::commit_request Request;
   if (const json::value *Checks = Body.if_contains("checks"))
     for (const json::value &Check : Checks->as_array())
       Request.Checks.push_back({textOf(Check.as_object(), "key"),
@@ -133,7 +133,7 @@
     return rowsAnswer(rowsWithPrefix(Table, textOf(Body, "prefix")));
   if (Target != "/table/get")
     return answer({{"error", "no such request"}}, StatusNotFound);
-  std::vector<platform::row> Rows;
+  std::vector<storage::row> Rows;
   for (const json::value &Key : Body.at("keys").as_array())
     Rows.push_back(rowAt(Table, std::string(Key.as_string())));
   return rowsAnswer(Rows);
--- a/tests/standins/platform/table.hpp
+++ b/tests/standins/platform/table.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "redwinggw/base/time.hpp"
-#include "redwinggw/platform/store.hpp"
+#include "redwinggw/storage/store.hpp"
 
 #include <map>
 #include <string>
@@ -13,32 +13,32 @@
 
 /// The rows of the table service.
 struct table {
-  std::map<std::string, platform::row, std::less<>> Rows;
+  std::map<std::string, storage::row, std::less<>> Rows;
   /// One counter for all rows, so that a version is never used again, also
   /// not by a row that was deleted and comes back.
   std::uint64_t LastVersion = 0;
 };
 
 /// The row \p Key, with version 0 when there is none.
-platform::row rowAt(const table &Table, std::string_view Key);
+storage::row rowAt(const table &Table, std::string_view Key);
 
-std::vector<platform::row> rowsWithPrefix(const table &Table,
-                                          std::string_view Prefix);
+std::vector<storage::row> rowsWithPrefix(const table &Table,
+                                         std::string_view Prefix);
 
 struct commit_outcome {
   /// Rows whose check did not hold, with the versions that they have. When
   /// there are any, nothing was changed.
-  std::vector<platform::row> Conflicts;
+  std::vector<storage::row> Conflicts;
   /// The rows put, with their new versions.
-  std::vector<platform::row> Written;
+  std::vector<storage::row> Written;
 };
 
-commit_outcome commit(table &Table, const platform::commit_request &Request);
+commit_outcome commit(table &Table, const storage::commit_request &Request);
 
 /// One change of the list of instances.
 struct listing_change {
   base::instant At;
-  platform::listed_instance Instance;
+  storage::listed_instance Instance;
   bool Gone = false;
 };
 
@@ -49,7 +49,7 @@
 };
 
 /// The list as a reader sees it at \p Now, sorted by name.
-std::vector<platform::listed_instance> visibleAt(const instance_list &List,
-                                                 base::instant Now);
+std::vector<storage::listed_instance> visibleAt(const instance_list &List,
+                                                base::instant Now);
 
 } // namespace redwinggw::standin
--- a/tests/standins/platform_test.cpp
+++ b/tests/standins/platform_test.cpp
@@ -6,8 +6,8 @@
 
 Test(platform_table, one_of_two_commits_on_the_same_version_wins) {
   standin::table Table;
-  const platform::commit_request First{{{"lease", 0}}, {{"lease", "a"}}, {}};
-  const platform::commit_request Second{
+  const storage::commit_request First{{{"lease", 0}}, {{"lease", "a"}}, {}};
+  const storage::commit_request Second{
       {{"lease", 0}}, {{"lease", "b"}, {"other", "b"}}, {}};
   cr_assert(commit(Table, First).Conflicts.empty());
   const auto Lost = commit(Table, Second);
