--- a/packages/base/include/redwinggw/base/log.hpp
+++ b/packages/base/include/redwinggw/base/log.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <initializer_list>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -30,11 +31,26 @@
 std::optional<log_level> logLevelNamed(std::string_view Name);
 std::optional<log_format> logFormatNamed(std::string_view Name);
 
-/// Sends lines of at least \p Level to standard error. Call once, before
-/// other threads log. \p Instance stands in each line.
+/// Sends lines of at least \p Level to standard output, which is never waited
+/// for: a reader that is too slow loses lines, and is told how many. Call once,
+/// before other threads log. \p Instance stands in each line.
 void startLog(log_level Level, log_format Format, std::string Instance);
 
 /// Writes one line. Thread safe.
 void log(log_level Level, log_part Part, std::string_view Sentence);
 
+/// A named value of a structured line.
+struct log_field {
+  std::string_view Name;
+  std::string Value;
+};
+
+/// Writes one structured line about a decision: \p Event names what was
+/// decided, the fields its inputs. Thread safe.
+void logEvent(log_level Level, log_part Part, std::string_view Event,
+              std::initializer_list<log_field> Fields);
+
+/// Writes lines that still wait. To be called every so often and at the end.
+void flushLog();
+
 } // namespace redwinggw::base
--- a/packages/base/src/log.cpp
+++ b/packages/base/src/log.cpp
@@ -1,21 +1,21 @@
 #include "redwinggw/base/log.hpp"
 
+#include "redwinggw/base/bounded_output.hpp"
 #include "redwinggw/base/enum_table.hpp"
 #include "redwinggw/base/time.hpp"
 
-#include <boost/core/null_deleter.hpp>
 #include <boost/log/attributes/mutable_constant.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/make_shared.hpp>
 
 #include <array>
-#include <iostream>
 #include <mutex>
+#include <unistd.h>
 
 namespace redwinggw::base {
 namespace {
@@ -54,6 +54,8 @@
   log_format Format = log_format::Text;
   std::string Instance;
   logger Logger;
+  std::mutex Mutex;
+  bounded_output Output{STDOUT_FILENO};
 };
 
 log_state &state() {
@@ -72,6 +74,25 @@
   return Out;
 }
 
+/// Hands lines to the bounded output.
+struct output_backend
+    : boost::log::sinks::basic_formatted_sink_backend<
+          char, boost::log::sinks::synchronized_feeding> {
+  static void consume(const boost::log::record_view &,
+                      const string_type &Line) {
+    const std::lock_guard Lock(state().Mutex);
+    state().Output.add(Line);
+  }
+};
+
+std::string prefixOf(log_level Level, log_part Part) {
+  const log_state &State = state();
+  return R"({"ms":)" + std::to_string(wallMilliseconds()) + R"(,"level":")" +
+         std::string(nameOf(LevelNames, Level)) + R"(","instance":")" +
+         jsonEscaped(State.Instance) + R"(","part":")" +
+         std::string(nameOf(PartNames, Part)) + "\"";
+}
+
 std::string formatted(log_level Level, log_part Part,
                       std::string_view Sentence) {
   const std::string Time = std::to_string(wallMilliseconds());
@@ -81,9 +102,8 @@
   if (State.Format == log_format::Text)
     return Time + " " + LevelName + " " + State.Instance + " [" + PartName +
            "] " + std::string(Sentence);
-  return R"({"ms":)" + Time + R"(,"level":")" + LevelName +
-         R"(","instance":")" + jsonEscaped(State.Instance) + R"(","part":")" +
-         PartName + R"(","text":")" + jsonEscaped(Sentence) + "\"}";
+  return prefixOf(Level, Part) + R"(,"text":")" + jsonEscaped(Sentence) +
+         "\"}";
 }
 
 } // namespace
@@ -97,14 +117,10 @@
 }
 
 void startLog(log_level Level, log_format Format, std::string Instance) {
-  using backend = boost::log::sinks::text_ostream_backend;
-  using sink = boost::log::sinks::synchronous_sink<backend>;
+  using sink = boost::log::sinks::synchronous_sink<output_backend>;
   state().Format = Format;
   state().Instance = std::move(Instance);
-  auto Backend = boost::make_shared<backend>();
-  Backend->add_stream(
-      boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
-  Backend->auto_flush(true);
+  auto Backend = boost::make_shared<output_backend>();
   auto Core = boost::log::core::get();
   Core->remove_all_sinks();
   Core->add_sink(boost::make_shared<sink>(Backend));
@@ -114,6 +130,27 @@
 
 void log(log_level Level, log_part Part, std::string_view Sentence) {
   BOOST_LOG_SEV(state().Logger, Level) << formatted(Level, Part, Sentence);
+  if (Level >= log_level::Info)
+    flushLog();
+}
+
+void logEvent(log_level Level, log_part Part, std::string_view Event,
+              std::initializer_list<log_field> Fields) {
+  std::string Line = prefixOf(Level, Part);
+  Line.append(R"(,"event":")").append(Event).append("\"");
+  for (const log_field &Field : Fields)
+    Line.append(",\"")
+        .append(Field.Name)
+        .append(R"(":")")
+        .append(jsonEscaped(Field.Value))
+        .append("\"");
+  Line.append("}");
+  BOOST_LOG_SEV(state().Logger, Level) << Line;
+}
+
+void flushLog() {
+  const std::lock_guard Lock(state().Mutex);
+  state().Output.flush();
 }
 
 } // namespace redwinggw::base
--- /dev/null
+++ b/packages/control/include/redwinggw/control/demand_shares.hpp
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "redwinggw/base/ids.hpp"
+#include "redwinggw/base/time.hpp"
+#include "redwinggw/control/configuration.hpp"
+#include "redwinggw/control/membership.hpp"
+#include "redwinggw/wire/message.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// Rate and burst of each customer over the fleet, divided by demand. Each
+/// instance tells the others in its heartbeats how much it is asked for, and
+/// admits the part of the rate that its demand has in the sum.
+///
+/// - No instance gives, so none is missed when it dies, the store is not
+///   asked, and a statement waits for no other instance.
+/// - The parts add up to one as far as all count with the same numbers: an
+///   instance counts its own demand as it announced it last. A silent instance
+///   keeps its part, so that two sides of a partition never both have it.
+/// - Whoever hears no majority admits half of its part, and whoever hears a
+///   majority takes over half of a silent instance's part, later: together
+///   never more than the whole.
+/// - A new process starts from empty buckets, so a burst is not spent twice
+///   over a restart of all.
+namespace redwinggw::control {
+
+struct demand_limits {
+  /// Demand is averaged over this time: long enough that chance arrivals do
+  /// not move the parts, short against the time for which a change counts.
+  base::milliseconds Window{2000};
+  /// What all instances together admit above the rate and burst. The parts
+  /// never fit the arrivals exactly; without some room each misfit refuses a
+  /// statement inside the rate. Stays below the tenth and twenty that
+  /// operators allow.
+  double RateSlack = 1.03;
+  double ExtraTokens = 12;
+  /// Part of an equal share that an instance has without any demand, for the
+  /// first statements.
+  double IdlePart = 0.1;
+  /// A silent instance's part is halved after this time, the own part without
+  /// a majority after that one: the second must be over first.
+  base::milliseconds SilentAfter{3000};
+  base::milliseconds IsolatedAfter{1500};
+};
+
+/// A customer's account in this instance. Tokens may be negative: operations
+/// that wait have taken theirs already.
+struct demand_account {
+  double Rate = 0;
+  double Burst = 0;
+  /// Smoothed operations a second, refused ones included.
+  double Demand = 0;
+  base::instant DemandAt;
+  /// Demand as the others know it.
+  double Announced = 0;
+  double Tokens = 0;
+  base::instant FilledAt;
+  /// Part of the rate that is admitted here.
+  double Part = 0;
+};
+
+/// Not thread safe.
+struct demand_shares {
+  demand_limits Limits;
+  std::map<base::customer_name, demand_account, std::less<>> Accounts;
+  /// Since when no majority is heard; nothing while one is.
+  std::optional<base::instant> IsolatedSince;
+};
+
+/// Takes in the rates and bursts in force.
+void applyRates(demand_shares &Shares, const std::vector<customer> &Customers,
+                base::instant Now);
+
+/// Works out the parts anew. Call at each heartbeat.
+void divideRates(demand_shares &Shares, const membership &Membership,
+                 base::instant Now);
+
+/// The demands to announce; from then on they count here too.
+std::vector<wire::demand_report> announceDemand(demand_shares &Shares,
+                                                base::instant Now);
+
+/// What became of an operation.
+struct demand_verdict {
+  bool Admitted = false;
+  /// Admitted: how long to wait first. Refused: when there is a token.
+  base::microseconds Wait{0};
+};
+
+/// Takes a token of \p Customer, waiting for it \p Patience at most. Unknown
+/// customers are refused.
+demand_verdict takeDemandToken(demand_shares &Shares,
+                               std::string_view Customer,
+                               base::microseconds Patience, base::instant Now);
+
+} // namespace redwinggw::control
--- a/packages/control/include/redwinggw/control/peer_service.hpp
+++ b/packages/control/include/redwinggw/control/peer_service.hpp
@@ -104,6 +104,22 @@
   bool send(std::string_view Instance, wire::share_message Message);
   void onShareMessage(share_handler Handler);
 
+  /// \p Fill completes each own heartbeat right before it leaves.
+  void completeHeartbeats(std::function<void(wire::peer_report &)> Fill);
+
+  /// Sends the next heartbeat at once: it carries news that others wait for.
+  void sendNow();
+
+  /// Sends a reading of a list to all live members, and takes in theirs.
+  void sendReading(const std::string &Text);
+  using reading_handler =
+      std::function<void(const member &, const std::string &)>;
+  void onReading(reading_handler Handler);
+
+  /// Called when a properly signed datagram came from an instance that is not
+  /// listed: the list should be read again.
+  void onStranger(std::function<void()> Handler);
+
   bool hearsMajority(base::instant Now) const;
   bool majorityKnows(base::config_version Version) const;
 
--- /dev/null
+++ b/packages/control/src/demand_shares.cpp
@@ -0,0 +1,154 @@
+#include "redwinggw/control/demand_shares.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <iterator>
+
+namespace redwinggw::control {
+namespace {
+
+using base::instant;
+
+double secondsBetween(instant From, instant To) {
+  return std::chrono::duration<double>(To - From).count();
+}
+
+double depthOf(const demand_shares &Shares, const demand_account &Account) {
+  return (Account.Burst + Shares.Limits.ExtraTokens) * Account.Part;
+}
+
+double speedOf(const demand_shares &Shares, const demand_account &Account) {
+  return Account.Rate * Shares.Limits.RateSlack * Account.Part;
+}
+
+void fill(const demand_shares &Shares, demand_account &Account, instant Now) {
+  const double Added =
+      speedOf(Shares, Account) * secondsBetween(Account.FilledAt, Now);
+  Account.Tokens =
+      std::min(Account.Tokens + Added, depthOf(Shares, Account));
+  Account.FilledAt = Now;
+}
+
+/// Lets the average decay to \p Now.
+void decay(const demand_shares &Shares, demand_account &Account, instant Now) {
+  const double Window =
+      std::chrono::duration<double>(Shares.Limits.Window).count();
+  Account.Demand *=
+      std::exp(-secondsBetween(Account.DemandAt, Now) / Window);
+  Account.DemandAt = Now;
+}
+
+void countDemand(const demand_shares &Shares, demand_account &Account,
+                 instant Now) {
+  decay(Shares, Account, Now);
+  Account.Demand +=
+      1 / std::chrono::duration<double>(Shares.Limits.Window).count();
+}
+
+/// The demand of a member as it last told it; 0 when it told none.
+double demandOf(const member &Member, std::uint32_t Customer) {
+  const auto &Demands = Member.Report.Demands;
+  const auto Found = std::ranges::find(Demands, Customer,
+                                       &wire::demand_report::Customer);
+  return Found == Demands.end() ? 0 : Found->Rate;
+}
+
+/// How much of a member's part stays reserved for it.
+double reservedFor(const demand_shares &Shares, const member &Member,
+                   instant Now) {
+  if (Member.State == member_state::Leaving)
+    return 0;
+  const instant LastSign = Member.ArrivedAt.value_or(Member.Since);
+  constexpr double Half = 0.5;
+  return Now - LastSign > Shares.Limits.SilentAfter ? Half : 1;
+}
+
+} // namespace
+
+void applyRates(demand_shares &Shares, const std::vector<customer> &Customers,
+                instant Now) {
+  for (const customer &Customer : Customers) {
+    const auto [At, New] = Shares.Accounts.try_emplace(Customer.Name);
+    demand_account &Account = At->second;
+    if (New) {
+      Account.DemandAt = Now;
+      Account.FilledAt = Now;
+    }
+    fill(Shares, Account, Now);
+    Account.Rate = Customer.Rate;
+    Account.Burst = Customer.Burst;
+    Account.Tokens = std::min(Account.Tokens, depthOf(Shares, Account));
+  }
+  std::erase_if(Shares.Accounts, [&](const auto &Item) {
+    return std::ranges::find(Customers, Item.first, &customer::Name) ==
+           Customers.end();
+  });
+}
+
+void divideRates(demand_shares &Shares, const membership &Membership,
+                 instant Now) {
+  const bool Heard = hearsMajority(Membership, Now);
+  if (Heard)
+    Shares.IsolatedSince.reset();
+  else if (!Shares.IsolatedSince)
+    Shares.IsolatedSince = Now;
+  const bool Isolated = Shares.IsolatedSince &&
+                        Now - *Shares.IsolatedSince >
+                            Shares.Limits.IsolatedAfter;
+  const auto Instances = static_cast<double>(instanceCount(Membership));
+  for (auto &[Name, Account] : Shares.Accounts) {
+    const std::uint32_t Hash = wire::hashOf(Name);
+    const double Idle = Shares.Limits.IdlePart * Account.Rate / Instances;
+    double Sum = Account.Announced + Idle;
+    for (const member &Member : Membership.Members)
+      Sum += (demandOf(Member, Hash) + Idle) *
+             reservedFor(Shares, Member, Now);
+    fill(Shares, Account, Now);
+    Account.Part = Sum > 0 ? (Account.Announced + Idle) / Sum : 0;
+    if (Isolated)
+      Account.Part /= 2;
+    Account.Tokens = std::min(Account.Tokens, depthOf(Shares, Account));
+  }
+}
+
+std::vector<wire::demand_report> announceDemand(demand_shares &Shares,
+                                                instant Now) {
+  // Below this nothing worth its bytes was asked for lately.
+  constexpr double Least = 0.05;
+  std::vector<wire::demand_report> Reports;
+  for (auto &[Name, Account] : Shares.Accounts) {
+    decay(Shares, Account, Now);
+    Account.Announced = Account.Demand > Least ? Account.Demand : 0;
+    if (Account.Announced > 0)
+      Reports.push_back(
+          {wire::hashOf(Name), static_cast<float>(Account.Announced)});
+  }
+  return Reports;
+}
+
+demand_verdict takeDemandToken(demand_shares &Shares,
+                               std::string_view Customer,
+                               base::microseconds Patience, instant Now) {
+  const auto Found = Shares.Accounts.find(Customer);
+  if (Found == Shares.Accounts.end())
+    return {};
+  demand_account &Account = Found->second;
+  countDemand(Shares, Account, Now);
+  fill(Shares, Account, Now);
+  if (Account.Tokens >= 1) {
+    --Account.Tokens;
+    return {true, {}};
+  }
+  const double Speed = speedOf(Shares, Account);
+  constexpr base::microseconds Never{1'000'000};
+  if (Speed <= 0)
+    return {false, Never};
+  const base::microseconds Wait(
+      static_cast<std::int64_t>((1 - Account.Tokens) / Speed * 1e6));
+  if (Wait > Patience)
+    return {false, Wait};
+  --Account.Tokens;
+  return {true, Wait};
+}
+
+} // namespace redwinggw::control
--- a/packages/control/src/peer_service.cpp
+++ b/packages/control/src/peer_service.cpp
@@ -50,6 +50,7 @@
   }
 
   base::result<http::address> open();
+  void tick();
   void transmit(peer_send Send);
   void receive(std::string_view Bytes);
   void close();
@@ -65,6 +66,9 @@
   currency_state Currency;
   peer_traffic Traffic;
   report_handler Report;
+  std::function<void(wire::peer_report &)> Fill;
+  reading_handler Reading;
+  std::function<void()> Stranger;
   share_handler Share;
   clock_port Clock;
   bool Stopped = false;
@@ -91,6 +95,13 @@
   return Listen;
 }
 
+void peer_service::state::tick() {
+  if (Fill)
+    Fill(Membership.Local);
+  for (peer_send &Send : onTick(Membership, base::now()))
+    transmit(std::move(Send));
+}
+
 void peer_service::state::transmit(peer_send Send) {
   if (Stopped)
     return;
@@ -117,6 +128,9 @@
     ++Membership.Counters.Foreign;
     return;
   }
+  const bool Listed = findMember(Membership, Datagram->Sender) != nullptr;
+  if (!Listed && Stranger)
+    Stranger();
   if (!admitDatagram(Membership, *Datagram))
     return;
   if (Clock.Observe)
@@ -126,10 +140,15 @@
       Share(*Datagram, *Message);
     return;
   }
+  const member *Member = findMember(Membership, Datagram->Sender);
+  if (const auto *Text = std::get_if<wire::list_reading>(&Datagram->Body)) {
+    if (Reading)
+      Reading(*Member, Text->Text);
+    return;
+  }
   for (peer_send &Send : onHeartbeat(Membership, *Datagram, base::now()))
     transmit(std::move(Send));
-  const member *Member = findMember(Membership, Datagram->Sender);
-  if (Report && Member != nullptr)
+  if (Report)
     Report(*Member);
 }
 
@@ -164,8 +183,7 @@
 
 template <typename State> base::task<void> tickLoop(State Self) {
   while (!Self->Stopped) {
-    for (peer_send &Send : onTick(Self->Membership, base::now()))
-      Self->transmit(std::move(Send));
+    Self->tick();
     co_await sleepFor(Self->TickTimer, TickInterval);
   }
 }
@@ -267,6 +285,36 @@
   return true;
 }
 
+void peer_service::completeHeartbeats(
+    std::function<void(wire::peer_report &)> Fill) {
+  State->Fill = std::move(Fill);
+}
+
+void peer_service::sendNow() {
+  State->Membership.LastTick.reset();
+  State->tick();
+}
+
+void peer_service::sendReading(const std::string &Text) {
+  const instant Now = base::now();
+  for (const member &Member : State->Membership.Members) {
+    if (Member.State == member_state::Dead)
+      continue;
+    peer_send Send{Member.Address,
+                   stamp(State->Membership, Member.Name, Now)};
+    Send.Datagram.Body = wire::list_reading{Text};
+    State->transmit(std::move(Send));
+  }
+}
+
+void peer_service::onReading(reading_handler Handler) {
+  State->Reading = std::move(Handler);
+}
+
+void peer_service::onStranger(std::function<void()> Handler) {
+  State->Stranger = std::move(Handler);
+}
+
 void peer_service::onShareMessage(share_handler Handler) {
   State->Share = std::move(Handler);
 }
--- a/packages/redwinggw/src/main.cpp
+++ b/packages/redwinggw/src/main.cpp
@@ -106,6 +106,7 @@
     return reportFailure(Started.error());
   Context.run();
   base::log(base::log_level::Info, base::log_part::Main, "Stopped.");
+  base::flushLog();
   return ExitOk;
 }
 
@@ -139,6 +140,7 @@
     return reportFailure(Started.error());
   Context.run();
   base::log(base::log_level::Info, base::log_part::Main, "Stopped.");
+  base::flushLog();
   return ExitOk;
 }
 
--- a/packages/redwinggw/src/native_following.cpp
+++ b/packages/redwinggw/src/native_following.cpp
@@ -29,6 +29,10 @@
 /// which the old one leaves.
 constexpr milliseconds ReadEvery{1000};
 constexpr milliseconds ReadTimeout{1000};
+/// A relayed list counts for so long; then this instance reads for itself.
+constexpr milliseconds RelayCounts{1700};
+/// How often to look whether another instance has told news.
+constexpr milliseconds NewsEvery{100};
 /// After a failed call. Together the instances stay far below the store's
 /// rates also when it turns all away.
 constexpr milliseconds RetryAfter{250};
@@ -97,28 +101,34 @@
   const control::peer_identity Identity{
       State.Settings.Name, State.Settings.Zone,
       static_cast<std::uint64_t>(base::wallMilliseconds())};
+  // An instance that has heard nothing for so long must not use a primary any
+  // more; see handover_limits::ReadingCounts.
+  control::currency_limits Currency;
+  Currency.Bound = milliseconds(1000);
   State.Peers = std::make_unique<control::peer_service>(
       State.Context.get_executor(), Identity, State.Settings.Peers, Secret,
-      State.Store);
+      State.Store, control::membership_limits(), Currency);
+  connectPeers(State);
   if (const auto Started = State.Peers->start(); !Started)
     base::log(log_level::Error, log_part::Peers, describe(Started.error()));
-  State.Shares = std::make_unique<control::share_service>(
-      State.Context.get_executor(), *State.Peers, State.Store);
-  if (State.Routes) {
-    control::configuration Plans;
-    Plans.Customers = State.Routes->Customers;
-    State.Shares->apply(Plans);
-  }
-  State.Shares->start();
 }
 
 /// Takes in the system's own rows. True when this instance's row is among
 /// them.
 bool takeFleet(native_state &State, const platform::table_rows &Rows) {
   std::vector<storage::listed_instance> Listed;
-  for (const platform::table_row &Row : Rows.Rows)
-    if (auto Instance = instanceOf(Row))
+  State.InstanceRows.clear();
+  for (const platform::table_row &Row : Rows.Rows) {
+    if (auto Instance = instanceOf(Row)) {
+      State.InstanceRows.emplace(Instance->Name, Row.Version);
       Listed.push_back(std::move(*Instance));
+    }
+    if (!Row.Key.starts_with(session::ClaimPrefix))
+      continue;
+    if (const auto Claim =
+            session::readClaim(Row.Key, Row.Version, Row.Value))
+      takeClaim(State, *Claim);
+  }
   State.Peers->setList(Listed);
   return std::ranges::find(Listed, State.Settings.Name,
                            &storage::listed_instance::Name) != Listed.end();
@@ -139,11 +149,7 @@
   if (State.Routes && Table->Version <= State.Routes->Version)
     return;
   State.Routes = std::make_shared<session::route_table>(std::move(*Table));
-  if (State.Shares) {
-    control::configuration Plans;
-    Plans.Customers = State.Routes->Customers;
-    State.Shares->apply(Plans);
-  }
+  applyRates(State.Shares, State.Routes->Customers, base::now());
   State.SharedAmong = 0;
   divideConnections(State);
   base::log(log_level::Info, log_part::Configuration,
@@ -151,6 +157,59 @@
                 " is in force.");
 }
 
+std::vector<session::endpoint_entry>
+entriesOf(const platform::table_rows &Rows) {
+  std::vector<session::endpoint_entry> Entries;
+  for (const platform::table_row &Row : Rows.Rows)
+    if (auto Entry = platform::readEntry(Row.Key, Row.Value))
+      Entries.push_back(std::move(*Entry));
+  return Entries;
+}
+
+/// How often the system's own rows are read: rarely while a majority of the
+/// others is heard, whose heartbeats tell all that is in the rows. Without
+/// them the rows are the only way to learn of a promotion.
+milliseconds fleetReadInterval(const native_state &State) {
+  constexpr milliseconds Heard{3000};
+  constexpr milliseconds Unheard{400};
+  return State.Peers->hearsMajority(base::now()) ? Heard : Unheard;
+}
+
+/// Removes rows of instances that were not heard for long: nothing in the
+/// store expires, and they would count for majorities and shares for good.
+base::task<void> removeDeadInstances(native_state &State) {
+  constexpr milliseconds GoneAfter{8000};
+  if (!isReader(State) || !State.Peers->hearsMajority(base::now()))
+    co_return;
+  const base::instant Now = base::now();
+  storage::commit_request Request;
+  for (const control::member &Member : State.Peers->view().Members) {
+    const auto Row = State.InstanceRows.find(Member.Name);
+    const bool Gone =
+        Now - Member.ArrivedAt.value_or(Member.Since) > GoneAfter;
+    if (!Gone || Row == State.InstanceRows.end())
+      continue;
+    Request.Checks.push_back({instanceKey(Member.Name), Row->second});
+    Request.Deletes.push_back(instanceKey(Member.Name));
+  }
+  if (Request.Deletes.empty())
+    co_return;
+  base::log(log_level::Info, log_part::Peers,
+            "Removing " + std::to_string(Request.Deletes.size()) +
+                " instances that are gone.");
+  const auto Removed = co_await storage::commit(State.Store, Request);
+  if (Removed)
+    State.FleetReadWanted = true;
+}
+
+/// Sends the list to the instances that do not read it themselves.
+void relayList(native_state &State, const platform::table_rows &Rows) {
+  constexpr std::size_t Longest = 60'000;
+  const std::string Text = platform::writeReading(Rows);
+  if (Text.size() <= Longest)
+    State.Peers->sendReading(Text);
+}
+
 base::task<base::result<platform::table_rows>>
 nextConfiguration(native_state &State, std::optional<std::uint64_t> After) {
   const base::instant Now = base::now();
@@ -161,13 +220,10 @@
       State.Reader, "op", *After, WatchTime, Now + WatchTime + WatchSlack);
 }
 
-void takeEndpoints(native_state &State, const platform::table_rows &Rows) {
-  std::vector<session::endpoint_entry> Entries;
-  for (const platform::table_row &Row : Rows.Rows)
-    if (auto Entry = platform::readEntry(Row.Key, Row.Value))
-      Entries.push_back(std::move(*Entry));
+void takeEndpoints(native_state &State,
+                   const std::vector<session::endpoint_entry> &Entries) {
   const auto Changes = applyList(State.Endpoints, Entries, base::now());
-  State.ListRead = true;
+  State.ListAt = base::now();
   for (const base::endpoint_name &Name : Changes.Started)
     base::log(log_level::Info, log_part::Endpoints,
               "Endpoint " + Name + " is listed.");
@@ -190,6 +246,12 @@
   co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
+void takeRelayedList(native_state &State, const std::string &Text) {
+  const auto Rows = platform::readReading(Text);
+  if (Rows)
+    takeEndpoints(State, entriesOf(*Rows));
+}
+
 base::task<void> joinFleet(native_ptr State) {
   while (!State->Draining) {
     const auto Secret = co_await fleetSecret(*State);
@@ -206,28 +268,52 @@
   }
 }
 
+base::task<std::optional<platform::table_rows>>
+readFleet(native_state &State) {
+  const base::instant Sent = base::now();
+  State.FleetReadWanted = false;
+  auto Rows = co_await platform::readTable(
+      State.Reader, std::string(platform::OwnTable), Sent + ReadTimeout);
+  ++State.Store.Reads;
+  if (!Rows)
+    co_return std::nullopt;
+  const bool Listed = takeFleet(State, *Rows);
+  State.Peers->noteStoreRead(Sent, base::now(), State.Claims.Version);
+  State.FleetReadAt = Sent;
+  if (!Listed && !State.Draining)
+    co_await registerInstance(State);
+  co_return std::move(*Rows);
+}
+
 base::task<void> followFleet(native_ptr State) {
   while (!State->Draining) {
-    const base::instant Sent = base::now();
-    const auto Rows = co_await platform::readTable(
-        State->Reader, std::string(platform::OwnTable), Sent + ReadTimeout);
-    ++State->Store.Reads;
-    if (Rows) {
-      const bool Listed = takeFleet(*State, *Rows);
-      State->Peers->noteStoreRead(Sent, base::now(), 0);
-      if (!Listed)
-        co_await registerInstance(*State);
-    }
-    co_await pauseAbout(*State, ReadEvery);
+    const auto Rows = co_await readFleet(*State);
+    if (Rows)
+      co_await removeDeadInstances(*State);
+    const base::instant Since = base::now();
+    const milliseconds Pause = Rows ? fleetReadInterval(*State) : RetryAfter;
+    // News of a change or of a new instance ends the pause.
+    while (!State->Draining && base::now() - Since < Pause &&
+           !State->FleetReadWanted)
+      co_await pauseAbout(*State, NewsEvery);
   }
 }
 
 base::task<void> followConfiguration(native_ptr State) {
   std::optional<std::uint64_t> After;
   while (!State->Draining) {
+    // Where another instance watches, its heartbeats tell of changes.
+    const bool News = newestConfigurationRow(*State) > State->RoutesRow;
+    if (State->Routes && hasReader(*State) && !News) {
+      After.reset();
+      co_await pauseAbout(*State, NewsEvery);
+      continue;
+    }
     const auto Rows = co_await nextConfiguration(*State, After);
     ++State->Store.Reads;
     if (Rows) {
+      if (State->Peers)
+        State->Peers->noteStoreContact();
       takeConfiguration(*State, *Rows);
       After = Rows->Version;
       continue;
@@ -240,11 +326,22 @@
 
 base::task<void> followEndpoints(native_ptr State) {
   while (!State->Draining) {
-    const auto Rows = co_await platform::readTable(State->Reader, "servers",
-                                                   base::now() + ReadTimeout);
+    const bool Relayed =
+        State->ListAt && base::now() - *State->ListAt < RelayCounts;
+    if (Relayed && hasReader(*State)) {
+      co_await pauseAbout(*State, NewsEvery);
+      continue;
+    }
+    const auto Rows = co_await platform::readTable(
+        State->Reader, "servers", base::now() + ReadTimeout);
     ++State->Store.Reads;
-    if (Rows)
-      takeEndpoints(*State, *Rows);
+    if (Rows) {
+      if (State->Peers)
+        State->Peers->noteStoreContact();
+      takeEndpoints(*State, entriesOf(*Rows));
+      if (isReader(*State) && State->Peers)
+        relayList(*State, *Rows);
+    }
     co_await pauseAbout(*State, Rows ? ReadEvery : RetryAfter);
   }
 }
--- /dev/null
+++ b/packages/redwinggw/src/native_handover.cpp
@@ -0,0 +1,422 @@
+#include "native_state.hpp"
+
+#include "platform/promoter.hpp"
+
+#include "redwinggw/base/log.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+/// Moves primaries: docs/PLATFORM-ADAPTER.md gives the steps and their reasons.
+namespace redwinggw {
+namespace {
+
+namespace asio = boost::asio;
+using base::instant;
+using base::milliseconds;
+using session::move_cause;
+using session::primary_claim;
+
+constexpr milliseconds GuardEvery{100};
+/// A statement without an answer for so long makes a probe worth its slot.
+constexpr milliseconds ProbeAfter{250};
+/// Set-up and answer of a probe; a busy endpoint answers within this time.
+constexpr milliseconds ProbeTime{450};
+constexpr milliseconds StatusTime{400};
+constexpr milliseconds OrderTime{1500};
+/// How long a move goes on before it is begun again from the rows.
+constexpr milliseconds MoveTime{7000};
+constexpr milliseconds StepPause{20};
+/// The endpoints' name for connections of the system itself.
+constexpr std::string_view OwnCustomer = "-";
+
+void say(const std::string &Service, const std::string &Text) {
+  base::log(base::log_level::Info, base::log_part::Failover,
+            "Service " + Service + ": " + Text);
+}
+
+/// Asks an endpoint for its state over a fresh connection.
+base::task<session::status_exchange>
+askStatus(native_state &State, session::endpoint_entry Entry,
+          milliseconds Time) {
+  const auto Link = State.Endpoints.Factory();
+  const instant Deadline = base::now() + Time;
+  session::status_exchange Status;
+  const session::exchange Opened =
+      co_await Link->open(Entry, OwnCustomer, Deadline);
+  Status.Outcome = Opened.Outcome;
+  Status.Error = Opened.Answer.Error;
+  if (Opened.Outcome != session::exchange_outcome::Answered || Status.Error)
+    co_return Status;
+  co_return co_await Link->command(session::status_command::Ask, 0, Deadline);
+}
+
+base::task<void> probe(native_ptr State, base::endpoint_name Name) {
+  const auto *Entry = findEndpoint(State->Endpoints.Directory, Name);
+  if (Entry != nullptr) {
+    const instant Sent = base::now();
+    const session::endpoint_entry Copy = *Entry;
+    const auto Status = co_await askStatus(*State, Copy, ProbeTime);
+    const bool Up =
+        Status.Outcome == session::exchange_outcome::Answered &&
+        (!Status.Error ||
+         Status.Error->Code != session::answer_code::Misrouted);
+    if (const auto Pool = poolOf(State->Endpoints, Name)) {
+      if (Up)
+        Pool->noteSuccess(Sent, base::now());
+      else
+        Pool->noteFailure(base::now());
+    }
+  }
+  State->Probing.erase(Name);
+}
+
+/// Probes the primary when statements speak against it or get no answer.
+void probeIfInDoubt(native_ptr State, const base::endpoint_name &Name) {
+  const auto Pool = poolOf(State->Endpoints, Name);
+  if (!Pool || State->Probing.contains(Name))
+    return;
+  const instant Now = base::now();
+  const bool Busy = Pool->open() > Pool->idle();
+  const bool Silent =
+      Busy && Pool->oldestUnanswered() &&
+      Now - *Pool->oldestUnanswered() > ProbeAfter &&
+      Now - Pool->health().LastSuccess > ProbeAfter;
+  if (Pool->health().Failures == 0 && !Silent)
+    return;
+  State->Probing.insert(Name);
+  asio::co_spawn(State->Context, probe(State, Name), asio::detached);
+}
+
+std::optional<instant> missingSince(native_state &State,
+                                    const base::endpoint_name &Name) {
+  if (findEndpoint(State.Endpoints.Directory, Name) != nullptr) {
+    State.Missing.erase(Name);
+    return std::nullopt;
+  }
+  return State.Missing.try_emplace(Name, base::now()).first->second;
+}
+
+session::handover_view viewOf(native_state &State,
+                              const base::service_name &Service) {
+  session::handover_view View;
+  View.Claim = findClaim(State.Claims, Service);
+  View.Primary = primaryOf(State, Service);
+  View.Entry = findEndpoint(State.Endpoints.Directory, View.Primary);
+  if (!View.Primary.empty())
+    View.MissingSince = missingSince(State, View.Primary);
+  View.Suspects = countSuspects(State, Service);
+  for (const control::member &Member : State.Peers->view().Members) {
+    const bool Up = Member.State == control::member_state::Alive;
+    View.Instances += Up ? 1 : 0;
+    View.OrdererAlive =
+        View.OrdererAlive ||
+        (Up && View.Claim != nullptr &&
+         Member.Name == View.Claim->Claim.Orderer);
+  }
+  return View;
+}
+
+/// Rows that a claim is decided by.
+struct claim_rows {
+  storage::row Service;
+  storage::row Orderer;
+};
+
+storage::row rowAt(const platform::table_rows &Rows, std::string Key) {
+  const auto Found =
+      std::ranges::find(Rows.Rows, Key, &platform::table_row::Key);
+  if (Found == Rows.Rows.end())
+    return {std::move(Key), 0, {}};
+  return {std::move(Key), Found->Version, Found->Value};
+}
+
+/// The orderer's row as text: its name, its incarnation and the token.
+std::string ordererText(const native_state &State, std::uint64_t Token) {
+  return State.Settings.Name + " " +
+         std::to_string(State.Peers->view().Self.Incarnation) + " " +
+         std::to_string(Token);
+}
+
+/// The token under which this instance may order: the present one if it is
+/// the orderer already, the next one otherwise.
+std::uint64_t tokenFor(const native_state &State, const std::string &Text) {
+  const std::size_t Space = Text.rfind(' ');
+  if (Space == std::string::npos)
+    return 1;
+  const std::uint64_t Token = std::stoull(Text.substr(Space + 1));
+  return Text == ordererText(State, Token) ? Token : Token + 1;
+}
+
+/// Claims the move of \p Service in the store. Nothing when another instance
+/// was first or the store did not answer.
+base::task<std::optional<primary_claim>>
+claimMove(native_state &State, base::service_name Service,
+          base::endpoint_name Primary) {
+  const auto Rows = co_await readFleet(State);
+  if (!Rows)
+    co_return std::nullopt;
+  const claim_rows Found{rowAt(*Rows, session::claimKey(Service)),
+                         rowAt(*Rows, std::string(OrdererKey))};
+  // Somebody else was first, or has finished meanwhile.
+  const auto *Known = findClaim(State.Claims, Service);
+  if (Known != nullptr && !Known->Claim.Moving &&
+      Known->Claim.Primary != Primary)
+    co_return std::nullopt;
+  primary_claim Claim;
+  Claim.Service = Service;
+  Claim.Primary = Primary;
+  Claim.Moving = true;
+  Claim.Orderer = State.Settings.Name;
+  Claim.Token = tokenFor(State, Found.Orderer.Value);
+  storage::commit_request Request;
+  Request.Checks.push_back({Found.Service.Key, Found.Service.Version});
+  Request.Checks.push_back({Found.Orderer.Key, Found.Orderer.Version});
+  Request.Puts.push_back({Found.Service.Key, claimText(Claim)});
+  Request.Puts.push_back(
+      {Found.Orderer.Key, ordererText(State, Claim.Token)});
+  const auto Versions =
+      co_await storage::commit(State.Store, std::move(Request));
+  if (!Versions)
+    co_return std::nullopt;
+  Claim.Epoch = Versions->front();
+  co_return Claim;
+}
+
+/// Notes who has acknowledged \p Claim.
+void observeAcknowledgements(const native_state &State,
+                             const primary_claim &Claim,
+                             session::move_acknowledgements &Acknowledged) {
+  const auto &Members = State.Peers->view().Members;
+  const auto Count = static_cast<std::size_t>(
+      std::ranges::count_if(Members, [&](const control::member &Member) {
+        return Member.Report.Version >= Claim.Epoch;
+      }));
+  Acknowledged.All = Count == Members.size();
+  const bool Majority = 2 * (Count + 1) > Members.size() + 1;
+  if (Majority && !Acknowledged.MajoritySince)
+    Acknowledged.MajoritySince = base::now();
+}
+
+/// Waits until nobody uses the old primary any more. False when it took too
+/// long.
+base::task<bool> awaitAcknowledgements(native_state &State,
+                                       const primary_claim &Claim,
+                                       instant Deadline) {
+  session::move_acknowledgements Acknowledged;
+  Acknowledged.ClaimedAt = base::now();
+  State.Peers->sendNow();
+  while (base::now() < Deadline) {
+    observeAcknowledgements(State, Claim, Acknowledged);
+    if (mayPromote(Acknowledged, State.Handover, base::now()))
+      co_return true;
+    co_await pauseAbout(State, StepPause);
+  }
+  co_return false;
+}
+
+/// The states of the endpoints that could take over.
+base::task<std::vector<session::move_candidate>>
+askCandidates(native_state &State, const primary_claim &Claim) {
+  std::vector<session::endpoint_entry> Entries;
+  for (const session::endpoint_entry *Entry :
+       endpointsOf(State.Endpoints.Directory, Claim.Service))
+    if (Entry->Name != Claim.Primary)
+      Entries.push_back(*Entry);
+  std::vector<session::move_candidate> Candidates;
+  for (const session::endpoint_entry &Entry : Entries) {
+    const auto Status = co_await askStatus(State, Entry, StatusTime);
+    if (Status.Status)
+      Candidates.push_back(
+          {Entry.Name, Entry.Draining, Status.Status->Received});
+  }
+  co_return Candidates;
+}
+
+/// What the old primary has, if it still answers. All instances have given it
+/// up, so it gets nothing more that is acknowledged.
+base::task<std::optional<session::endpoint_status>>
+askOldPrimary(native_state &State, const primary_claim &Claim) {
+  const auto *Entry =
+      findEndpoint(State.Endpoints.Directory, Claim.Primary);
+  if (Entry == nullptr)
+    co_return std::nullopt;
+  const session::endpoint_entry Copy = *Entry;
+  const auto Status = co_await askStatus(State, Copy, StatusTime);
+  co_return Status.Status;
+}
+
+/// Chooses who takes over, waiting for a replica to receive what the old
+/// primary still tells. Empty when there is nobody.
+base::task<base::endpoint_name> findTarget(native_state &State,
+                                           const primary_claim &Claim) {
+  const auto Old = co_await askOldPrimary(State, Claim);
+  std::optional<session::log_point> Needed;
+  if (Old)
+    Needed = Old->Received;
+  const instant Latest = base::now() + State.Handover.CatchUp;
+  while (true) {
+    const auto Candidates = co_await askCandidates(State, Claim);
+    const bool Patient = base::now() < Latest;
+    if (!Patient)
+      Needed.reset();
+    if (const auto *Target = chooseTarget(Candidates, Needed))
+      co_return Target->Name;
+    if (!Patient)
+      co_return base::endpoint_name();
+    co_await pauseAbout(State, StepPause);
+  }
+}
+
+/// Orders the promotion until it is accepted or refused.
+base::task<bool> promote(native_state &State, const primary_claim &Claim,
+                         base::endpoint_name Target, instant Deadline) {
+  while (base::now() < Deadline) {
+    platform::promotion_order Order{Claim.Service, Target, Claim.Orderer,
+                                    Claim.Token};
+    const auto Outcome = co_await platform::orderPromotion(
+        State.Promotions, std::move(Order), base::now() + OrderTime);
+    if (Outcome != platform::promotion_outcome::Unknown)
+      co_return Outcome == platform::promotion_outcome::Accepted;
+    co_await pauseAbout(State, 5 * StepPause);
+  }
+  co_return false;
+}
+
+/// Waits until \p Target leads. False when it does not come to that.
+base::task<bool> awaitLead(native_state &State, base::endpoint_name Target,
+                           instant Deadline) {
+  while (base::now() < Deadline) {
+    const auto *Entry = findEndpoint(State.Endpoints.Directory, Target);
+    if (Entry == nullptr)
+      co_return false;
+    const session::endpoint_entry Copy = *Entry;
+    const auto Status = co_await askStatus(State, Copy, StatusTime);
+    if (Status.Status &&
+        Status.Status->Role == session::endpoint_role::Primary)
+      co_return true;
+    co_await pauseAbout(State, 2 * StepPause);
+  }
+  co_return false;
+}
+
+/// Tells the instances who the primary is, then the store: it may be down, and
+/// the instances need not wait for it.
+base::task<void> finishMove(native_state &State, primary_claim Claim,
+                            base::endpoint_name Target) {
+  const std::uint64_t Epoch = Claim.Epoch;
+  Claim.Primary = std::move(Target);
+  Claim.Moving = false;
+  takeClaim(State, Claim);
+  State.Peers->sendNow();
+  while (!State.Draining) {
+    const auto *Known = findClaim(State.Claims, Claim.Service);
+    if (Known == nullptr || Known->Claim != Claim)
+      co_return;
+    storage::commit_request Request;
+    Request.Checks.push_back({session::claimKey(Claim.Service), Epoch});
+    Request.Puts.push_back(
+        {session::claimKey(Claim.Service), claimText(Claim)});
+    const auto Versions =
+        co_await storage::commit(State.Store, std::move(Request));
+    if (Versions) {
+      Claim.Epoch = Versions->front();
+      takeClaim(State, Claim);
+      co_return;
+    }
+    if (kindOf(Versions.error()) == base::errc::Conflict) {
+      // Another orderer has begun anew, or our own write did take effect.
+      State.FleetReadWanted = true;
+      co_return;
+    }
+    co_await pauseAbout(State, 10 * StepPause);
+  }
+}
+
+/// Carries a claimed move out.
+base::task<bool> carryOut(native_state &State, const primary_claim &Claim) {
+  const instant Deadline = base::now() + MoveTime;
+  const bool Fenced = co_await awaitAcknowledgements(State, Claim, Deadline);
+  if (!Fenced) {
+    say(Claim.Service, "the move waits for a majority of the instances.");
+    co_return false;
+  }
+  const base::endpoint_name Target = co_await findTarget(State, Claim);
+  if (Target.empty()) {
+    // Nobody else can take over: the old primary goes on if it still leads.
+    const auto Old = co_await askOldPrimary(State, Claim);
+    if (!Old || Old->Role != session::endpoint_role::Primary) {
+      say(Claim.Service, "no endpoint can take over.");
+      co_return false;
+    }
+    say(Claim.Service, "no endpoint can take over; the old primary goes on.");
+    co_await finishMove(State, Claim, Claim.Primary);
+    co_return true;
+  }
+  say(Claim.Service, "promoting " + Target + ".");
+  const bool Promoted = co_await promote(State, Claim, Target, Deadline);
+  bool Leads = false;
+  if (Promoted)
+    Leads = co_await awaitLead(State, Target, Deadline);
+  if (!Leads) {
+    say(Claim.Service, Target + " did not take the lead.");
+    co_return false;
+  }
+  co_await finishMove(State, Claim, Target);
+  co_return true;
+}
+
+base::task<void> movePrimary(native_ptr State, base::service_name Service,
+                             move_cause Cause) {
+  const base::endpoint_name Primary = primaryOf(*State, Service);
+  const instant Begun = base::now();
+  const auto Claim = co_await claimMove(*State, Service, Primary);
+  if (Claim) {
+    say(Service, "moving the primary from " + Primary + ", cause " +
+                     std::string(moveCauseName(Cause)) + ".");
+    takeClaim(*State, *Claim);
+    const bool Done = co_await carryOut(*State, *Claim);
+    const auto Took = std::chrono::duration_cast<milliseconds>(base::now() -
+                                                               Begun);
+    say(Service, std::string(Done ? "moved" : "not moved") + " after " +
+                     std::to_string(Took.count()) + " ms.");
+  }
+  // A failed step is begun again from the rows, by whoever is the reader then.
+  co_await pauseAbout(*State, GuardEvery);
+  State->Moving.erase(Service);
+}
+
+void guard(native_ptr State, const base::service_name &Service) {
+  const base::endpoint_name Primary = primaryOf(*State, Service);
+  probeIfInDoubt(State, Primary);
+  const auto *Known = findClaim(State->Claims, Service);
+  const bool OwnMove = Known != nullptr && Known->Claim.Moving &&
+                       Known->Claim.Orderer == State->Settings.Name;
+  if (State->Moving.contains(Service) || (!isReader(*State) && !OwnMove))
+    return;
+  const auto View = viewOf(*State, Service);
+  const move_cause Cause =
+      causeToMove(View, State->Handover, base::now());
+  if (Cause == move_cause::None)
+    return;
+  State->Moving.insert(Service);
+  asio::co_spawn(State->Context, movePrimary(State, Service, Cause),
+                 asio::detached);
+}
+
+} // namespace
+
+base::task<void> guardPrimaries(native_ptr State) {
+  while (!State->Draining) {
+    if (State->Peers && State->Routes && State->FleetReadAt) {
+      const session::route_table_ptr Table = State->Routes;
+      for (const auto &[Service, Limits] : Table->Services)
+        guard(State, Service);
+    }
+    co_await pauseAbout(*State, GuardEvery);
+  }
+}
+
+} // namespace redwinggw
--- a/packages/redwinggw/src/native_instance.cpp
+++ b/packages/redwinggw/src/native_instance.cpp
@@ -69,7 +69,8 @@
               [this](http::connection &, http::request) {
                 return answerMetrics(*this);
               }),
-      Life(entered), Random(std::random_device()()) {
+      Promotions(Context.get_executor(), Settings.Promotions), Life(entered),
+      Random(std::random_device()()) {
   Endpoints.Factory =
       platform::databaseLinks(Context.get_executor(), Endpoints.Watch);
   platform::useRows(Store, Settings.Platform);
@@ -77,30 +78,30 @@
 }
 
 bool isReady(const native_state &State) {
-  return State.Routes && State.ListRead && State.Shares && !State.Draining;
+  return State.Routes && State.ListAt && State.FleetReadAt && !State.Draining;
 }
 
 session::core_ports nativePorts(native_state &State) {
   session::core_ports Ports;
   Ports.Routes = [&State] { return State.Routes; };
-  Ports.TryAdmit = [&State](std::string_view Customer) {
-    return State.Shares->tryTake(Customer);
+  Ports.Admit = [&State](std::string_view Customer,
+                         base::microseconds Patience) {
+    const auto Verdict =
+        takeDemandToken(State.Shares, Customer, Patience, base::now());
+    return session::admission{Verdict.Admitted, Verdict.Wait};
   };
-  Ports.Admit = [&State](base::customer_name Customer, base::instant Deadline) {
-    return State.Shares->admit(std::move(Customer), Deadline);
+  Ports.Right = [&State](std::string_view Service) {
+    return rightTo(State, Service);
   };
-  Ports.Right =
-      [&State](
-          std::string_view Service) -> std::optional<session::primary_right> {
-    for (const session::endpoint_entry *Entry :
-         endpointsOf(State.Endpoints.Directory, Service))
-      if (Entry->Role == session::endpoint_role::Primary)
-        return session::primary_right{std::string(Service), Entry->Name, 0};
-    return std::nullopt;
+  Ports.StillHolds = [&State](const session::primary_right &Right) {
+    return rightTo(State, Right.Service) == Right;
   };
-  Ports.StillHolds = [](const session::primary_right &) { return true; };
-  Ports.PrimaryExpected = [](std::string_view) {
-    return std::optional<milliseconds>();
+  Ports.PrimaryExpected = [&State](std::string_view Service) {
+    return primaryExpected(State, Service);
+  };
+  Ports.NoteSample = [&State](const session::primary_right &Right,
+                              session::freshness_sample Sample) {
+    State.OwnSamples.insert_or_assign(Right.Service, Sample);
   };
   Ports.NoteTrouble = [](std::string_view) {};
   return Ports;
@@ -126,8 +127,26 @@
   }
 }
 
+namespace {
+
+/// Callers are taken once there is a configuration to serve them by.
+void openToCallers(native_state &State) {
+  if (State.Listening || !isReady(State))
+    return;
+  State.Listening = true;
+  if (const auto Listening = State.Callers.listen(State.Settings.Callers);
+      !Listening)
+    base::log(log_level::Error, log_part::Callers,
+              describe(Listening.error()));
+}
+
+} // namespace
+
 base::task<void> keepNativeHouse(native_ptr State) {
   while (true) {
+    base::flushLog();
+    openToCallers(*State);
+    divideConnections(*State);
     State->Callers.endAbandoned();
     for (auto &[Name, Pool] : State->Endpoints.Pools)
       Pool->closeUnused(base::now());
@@ -147,13 +166,11 @@
   if (const auto Listening = State->Metrics.listen(State->Settings.Metrics);
       !Listening)
     return Listening.error();
-  if (const auto Listening = State->Callers.listen(State->Settings.Callers);
-      !Listening)
-    return Listening.error();
   const auto Executor = State->Context.get_executor();
   asio::co_spawn(Executor, joinFleet(State), asio::detached);
   asio::co_spawn(Executor, followConfiguration(State), asio::detached);
   asio::co_spawn(Executor, followEndpoints(State), asio::detached);
+  asio::co_spawn(Executor, guardPrimaries(State), asio::detached);
   asio::co_spawn(Executor, keepNativeHouse(State), asio::detached);
   State->Life.process(kernel::life_event::Ready);
   return {};
--- /dev/null
+++ b/packages/redwinggw/src/native_rights.cpp
@@ -0,0 +1,77 @@
+#include "native_state.hpp"
+
+#include "redwinggw/base/log.hpp"
+
+/// The right to use endpoints as primaries.
+namespace redwinggw {
+namespace {
+
+using base::milliseconds;
+
+/// From the claim to a new primary that serves: the acknowledgements, and the
+/// platform's promotion of up to a second.
+constexpr milliseconds MoveTakes{1300};
+
+} // namespace
+
+bool isInTouch(native_state &State) {
+  return State.Peers && State.Peers->judgeCurrency(base::now()) !=
+                            control::currency::Isolated;
+}
+
+base::endpoint_name primaryOf(const native_state &State,
+                              std::string_view Service) {
+  if (const auto *Known = findClaim(State.Claims, Service))
+    return Known->Claim.Primary;
+  for (const session::endpoint_entry *Entry :
+       endpointsOf(State.Endpoints.Directory, Service))
+    if (Entry->Role == session::endpoint_role::Primary)
+      return Entry->Name;
+  return {};
+}
+
+std::optional<session::primary_right> rightTo(native_state &State,
+                                              std::string_view Service) {
+  const auto *Known = findClaim(State.Claims, Service);
+  if (Known != nullptr && Known->Claim.Moving)
+    return std::nullopt;
+  base::endpoint_name Primary = primaryOf(State, Service);
+  if (Primary.empty() || !isInTouch(State))
+    return std::nullopt;
+  return session::primary_right{std::string(Service), std::move(Primary),
+                                Known == nullptr ? 0 : Known->Claim.Epoch};
+}
+
+std::optional<milliseconds> primaryExpected(const native_state &State,
+                                            std::string_view Service) {
+  const auto *Known = findClaim(State.Claims, Service);
+  if (Known == nullptr || !Known->Claim.Moving)
+    return std::nullopt;
+  const auto Elapsed = std::chrono::duration_cast<milliseconds>(
+      base::now() - Known->Since);
+  constexpr milliseconds Least{100};
+  return std::max(Least, MoveTakes - Elapsed);
+}
+
+bool takeClaim(native_state &State, const session::primary_claim &Claim) {
+  if (!applyClaim(State.Claims, Claim, base::now()))
+    return false;
+  if (State.Peers)
+    State.Peers->setVersion(State.Claims.Version);
+  base::log(base::log_level::Info, base::log_part::Failover,
+            "Service " + Claim.Service + " epoch " +
+                std::to_string(Claim.Epoch) +
+                (Claim.Moving ? ": moving from " : ": primary ") +
+                Claim.Primary + ", orderer " + Claim.Orderer + " token " +
+                std::to_string(Claim.Token) + ".");
+  return true;
+}
+
+bool suspects(const native_state &State, std::string_view Service) {
+  const auto Pool =
+      State.Endpoints.Pools.find(primaryOf(State, Service));
+  return Pool != State.Endpoints.Pools.end() &&
+         isSuspect(Pool->second->health(), State.Handover, base::now());
+}
+
+} // namespace redwinggw
--- a/packages/redwinggw/src/native_state.hpp
+++ b/packages/redwinggw/src/native_state.hpp
@@ -6,16 +6,21 @@
 #include "platform/row_store.hpp"
 
 #include "redwinggw/control/peer_service.hpp"
-#include "redwinggw/control/share_service.hpp"
+#include "redwinggw/control/demand_shares.hpp"
 #include "redwinggw/http/server.hpp"
 #include "redwinggw/kernel/life_cycle.hpp"
+#include "redwinggw/session/handover.hpp"
 #include "redwinggw/session/session_core.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <memory>
+#include <map>
+#include <optional>
 #include <random>
+#include <set>
+#include <string>
 
 /// All services of one native process.
 namespace redwinggw {
@@ -36,17 +41,39 @@
   platform::caller_listener Callers;
   http::server Readiness;
   http::server Metrics;
-  /// Both exist once the fleet's secret is known.
+  /// Orders to promote endpoints.
+  platform::store_client Promotions;
+  /// Exists once the fleet's secret is known.
   std::unique_ptr<control::peer_service> Peers;
-  std::unique_ptr<control::share_service> Shares;
+  control::demand_shares Shares;
+  session::primary_claims Claims;
+  session::handover_limits Handover;
+  /// Services whose primary this instance is moving.
+  std::set<base::service_name> Moving;
+  /// Endpoints in use as primaries that are not listed, and since when.
+  std::map<base::endpoint_name, base::instant> Missing;
+  /// Endpoints that are being probed.
+  std::set<base::endpoint_name> Probing;
+  /// The newest own sample of each service's log.
+  std::map<base::service_name, session::freshness_sample> OwnSamples;
+  /// Versions of the other instances' rows, to remove those of dead ones.
+  std::map<base::instance_name, std::uint64_t> InstanceRows;
+  /// The last reading of the endpoints' list, own or relayed.
+  std::string ListText;
+  std::optional<base::instant> ListAt;
+  std::optional<base::instant> FleetReadAt;
+  bool FleetReadWanted = false;
   kernel::life_cycle Life;
   std::mt19937_64 Random;
   /// Instances among which the endpoints' connections are divided now.
   std::size_t SharedAmong = 0;
-  bool ListRead = false;
+  bool Listening = false;
   bool Draining = false;
 };
 
+/// The system's own rows are in one table: this one names who orders.
+constexpr std::string_view OrdererKey = "orderer/promotion";
+
 using native_ptr = std::shared_ptr<native_state>;
 
 /// Whether callers may be sent here.
@@ -60,9 +87,51 @@
 base::task<void> followFleet(native_ptr State);
 base::task<void> followConfiguration(native_ptr State);
 base::task<void> followEndpoints(native_ptr State);
+/// Probes primaries in doubt and moves those that failed or leave.
+base::task<void> guardPrimaries(native_ptr State);
 base::task<void> keepNativeHouse(native_ptr State);
 /// @}
 
+/// \name What instances tell each other
+/// @{
+/// Connects the peers' service with the rest.
+void connectPeers(native_state &State);
+/// Whether this instance reads the store for the others: the first by name of
+/// those that are up and have had an answer of the store lately.
+bool isReader(const native_state &State);
+/// Whether somebody who is up reads the store for this instance.
+bool hasReader(const native_state &State);
+/// The newest row of the configuration that an instance has in force.
+std::uint64_t newestConfigurationRow(const native_state &State);
+/// Instances that suspect the primary of \p Service, this one included.
+std::size_t countSuspects(const native_state &State, std::string_view Service);
+/// @}
+
+/// \name The right to use primaries
+/// @{
+/// Whether this instance would have learned of a promotion by now.
+bool isInTouch(native_state &State);
+std::optional<session::primary_right> rightTo(native_state &State,
+                                              std::string_view Service);
+/// The endpoint in use as the primary of \p Service; empty when there is none.
+base::endpoint_name primaryOf(const native_state &State,
+                              std::string_view Service);
+std::optional<base::milliseconds> primaryExpected(const native_state &State,
+                                                  std::string_view Service);
+/// Takes in an agreement; false when it is old.
+bool takeClaim(native_state &State, const session::primary_claim &Claim);
+/// Whether this instance cannot work with the primary of \p Service.
+bool suspects(const native_state &State, std::string_view Service);
+/// @}
+
+/// Takes in a list of endpoints that another instance has read.
+void takeRelayedList(native_state &State, const std::string &Text);
+
+/// Reads the system's own rows and takes them in. Nothing when the store did
+/// not answer.
+base::task<std::optional<platform::table_rows>>
+readFleet(native_state &State);
+
 /// Divides the endpoints' connections anew.
 void divideConnections(native_state &State);
 
--- a/packages/session/include/redwinggw/session/endpoint_pool.hpp
+++ b/packages/session/include/redwinggw/session/endpoint_pool.hpp
@@ -9,6 +9,7 @@
 #include <deque>
 #include <list>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -96,6 +97,18 @@
   /// Closes connections that nobody used for a while.
   void closeUnused(base::instant Now);
 
+  /// A statement was sent, and its exchange ended in any way.
+  void noteSent(base::instant SentAt) { Unanswered.insert(SentAt); }
+  void noteEnded(base::instant SentAt) {
+    Unanswered.erase(Unanswered.find(SentAt));
+  }
+  /// When the oldest statement without an answer was sent.
+  std::optional<base::instant> oldestUnanswered() const {
+    if (Unanswered.empty())
+      return std::nullopt;
+    return *Unanswered.begin();
+  }
+
   void noteSuccess(base::instant SentAt, base::instant Now);
   void noteFailure(base::instant Now);
 
@@ -136,6 +149,7 @@
   std::size_t Open = 0;
   data::fair_queue Queue;
   std::unordered_map<std::uint64_t, waiter *> Waiters;
+  std::multiset<base::instant> Unanswered;
   std::uint64_t LastTicket = 0;
   std::uint64_t Connects = 0;
 };
--- a/packages/session/include/redwinggw/session/session_core.hpp
+++ b/packages/session/include/redwinggw/session/session_core.hpp
@@ -12,14 +12,20 @@
 /// repeats what may be repeated, and answers truthfully.
 namespace redwinggw::session {
 
+/// Whether an operation is within its customer's rate.
+struct admission {
+  bool Admitted = false;
+  /// Admitted: how long to wait first. Refused: when to come back.
+  base::microseconds Wait{0};
+};
+
 /// What the core asks of the rest of the process.
 struct core_ports {
   std::function<route_table_ptr()> Routes;
-  /// Takes one operation of the customer's rate if it is here; never waits.
-  std::function<bool(std::string_view Customer)> TryAdmit;
-  /// The same, waiting for it until the deadline at most.
-  std::function<base::task<base::result<void>>(base::customer_name,
-                                               base::instant Deadline)>
+  /// Takes one operation of the customer's rate, if there is one within
+  /// \p Patience.
+  std::function<admission(std::string_view Customer,
+                          base::microseconds Patience)>
       Admit;
   /// The right to use the service's primary, if this instance has it now.
   std::function<std::optional<primary_right>(std::string_view Service)> Right;
@@ -29,6 +35,8 @@
   /// not known.
   std::function<std::optional<base::milliseconds>(std::string_view Service)>
       PrimaryExpected;
+  /// A primary's answer shows what its log holds.
+  std::function<void(const primary_right &, freshness_sample)> NoteSample;
   /// A statement met an endpoint that is not the primary any more, or did not
   /// answer.
   std::function<void(std::string_view Endpoint)> NoteTrouble;
@@ -46,6 +54,20 @@
   double PatienceShare = 0.25;
 };
 
+/// Bounds the lines about single statements, so that the log costs little
+/// under any load. Failures have a budget of their own: they are what somebody
+/// asks about later.
+struct line_budget {
+  /// A second of a full load on one instance has about a hundred statements.
+  unsigned ServedPerSecond = 40;
+  unsigned FailedPerSecond = 100;
+  std::int64_t Second = 0;
+  unsigned Served = 0;
+  unsigned Failed = 0;
+  /// Lines left out since the start.
+  std::uint64_t LeftOut = 0;
+};
+
 /// Used from one thread. \p Set outlives the core.
 struct session_core {
   explicit session_core(endpoint_set &Set) : Set(Set) {}
@@ -54,6 +76,8 @@
   core_ports Ports;
   core_limits Limits;
   base::metrics Metrics;
+  /// Lines about single statements that may still be written in this second.
+  line_budget Budget;
   /// The instance leaves: sessions end as soon as they are idle.
   bool Draining = false;
 };
--- a/packages/session/src/core_parts.hpp
+++ b/packages/session/src/core_parts.hpp
@@ -59,6 +59,14 @@
                                request &Request);
 base::task<void> rollback(session &Session);
 
+/// Runs a statement, noting for how long the endpoint leaves it unanswered.
+base::task<exchange> runNoted(leased_link &Link, std::string_view Id,
+                              std::string_view Text,
+                              std::optional<log_point> After,
+                              base::instant Deadline);
+
+base::task<void> pauseFor(session_core &Core, base::microseconds Time);
+
 answer makeError(answer_code Code, std::string Reason);
 
 } // namespace redwinggw::session
--- /dev/null
+++ b/packages/session/src/handover.cpp
@@ -0,0 +1,76 @@
+#include "redwinggw/session/handover.hpp"
+
+#include "redwinggw/base/enum_table.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace redwinggw::session {
+namespace {
+
+constexpr std::array CauseNames = std::to_array<base::enum_name<move_cause>>({
+    {move_cause::None, "none"},
+    {move_cause::Draining, "draining"},
+    {move_cause::Missing, "missing"},
+    {move_cause::Failed, "failed"},
+    {move_cause::Unfinished, "unfinished"},
+});
+
+move_cause causeOfUnfinished(const handover_view &View,
+                             const handover_limits &Limits, base::instant Now) {
+  const bool Stuck = Now - View.Claim->Since > Limits.UnfinishedFor;
+  return View.OrdererAlive && !Stuck ? move_cause::None
+                                     : move_cause::Unfinished;
+}
+
+} // namespace
+
+std::string_view moveCauseName(move_cause Cause) {
+  return base::nameOf(CauseNames, Cause);
+}
+
+bool isSuspect(const endpoint_health &Health, const handover_limits &Limits,
+               base::instant Now) {
+  return Health.FailingSince && Health.Failures >= Limits.FailuresNeeded &&
+         Now - *Health.FailingSince >= Limits.SilentFor;
+}
+
+move_cause causeToMove(const handover_view &View, const handover_limits &Limits,
+                       base::instant Now) {
+  if (View.Claim != nullptr && View.Claim->Claim.Moving)
+    return causeOfUnfinished(View, Limits, Now);
+  if (View.Primary.empty())
+    return move_cause::None;
+  if (View.Entry == nullptr)
+    return View.MissingSince && Now - *View.MissingSince > Limits.MissingFor
+               ? move_cause::Missing
+               : move_cause::None;
+  if (View.Entry->Draining)
+    return move_cause::Draining;
+  const std::size_t Needed = std::min(Limits.SuspectsNeeded, View.Instances);
+  return View.Suspects >= Needed && Needed > 0 ? move_cause::Failed
+                                               : move_cause::None;
+}
+
+bool mayPromote(const move_acknowledgements &Acknowledged,
+                const handover_limits &Limits, base::instant Now) {
+  if (Acknowledged.All)
+    return true;
+  return Acknowledged.MajoritySince &&
+         Now - *Acknowledged.MajoritySince > Limits.HeartbeatsCount &&
+         Now - Acknowledged.ClaimedAt > Limits.ReadingCounts;
+}
+
+const move_candidate *
+chooseTarget(const std::vector<move_candidate> &Candidates,
+             std::optional<log_point> Needed) {
+  const auto Rank = [](const move_candidate &Candidate) {
+    return std::pair(!Candidate.Draining, Candidate.Received);
+  };
+  const auto Best = std::ranges::max_element(Candidates, std::less{}, Rank);
+  if (Best == Candidates.end() || (Needed && Best->Received < *Needed))
+    return nullptr;
+  return &*Best;
+}
+
+} // namespace redwinggw::session
--- a/packages/session/src/placement.cpp
+++ b/packages/session/src/placement.cpp
@@ -52,15 +52,6 @@
                    Left * Core.Limits.FirstTryShare);
 }
 
-base::task<bool> pauseUntil(session_core &Core, instant At) {
-  boost::asio::steady_timer Timer(
-      Core.Set.Executor, std::max(base::microseconds(0), At - base::now()));
-  boost::system::error_code Ignored;
-  co_await Timer.async_wait(
-      boost::asio::redirect_error(boost::asio::use_awaitable, Ignored));
-  co_return true;
-}
-
 /// Tries to get a connection to \p Name. Nothing when that endpoint cannot
 /// serve now.
 base::task<std::optional<placement>>
@@ -114,6 +105,25 @@
 
 } // namespace
 
+base::task<void> pauseFor(session_core &Core, base::microseconds Time) {
+  boost::asio::steady_timer Timer(Core.Set.Executor, Time);
+  boost::system::error_code Ignored;
+  co_await Timer.async_wait(
+      boost::asio::redirect_error(boost::asio::use_awaitable, Ignored));
+}
+
+base::task<exchange> runNoted(leased_link &Link, std::string_view Id,
+                              std::string_view Text,
+                              std::optional<log_point> After,
+                              base::instant Deadline) {
+  const pool_ptr Pool = Link.Pool;
+  const base::instant Sent = base::now();
+  Pool->noteSent(Sent);
+  exchange Exchange = co_await (*Link).run(Id, Text, After, Deadline);
+  Pool->noteEnded(Sent);
+  co_return Exchange;
+}
+
 base::task<std::optional<placement>> place(session_core &Core, session &Session,
                                            request &Request,
                                            bool NeedsPrimary) {
@@ -151,7 +161,7 @@
                                : patienceEnd(Core, Request);
     if (Now + LookAgain >= Latest)
       co_return std::nullopt;
-    co_await pauseUntil(Core, Now + LookAgain);
+    co_await pauseFor(Core, LookAgain);
   }
 }
 
@@ -173,8 +183,8 @@
   // The set-up took time in which the primary may have been replaced.
   if (Placement.Right && !Core.Ports.StillHolds(*Placement.Right))
     co_return NotRun;
-  co_return co_await Link.Link->run(Request.Statement.Id, Text, Placement.After,
-                                    Deadline);
+  co_return co_await runNoted(Placement.Link, Request.Statement.Id, Text,
+                              Placement.After, Deadline);
 }
 
 namespace {
@@ -194,6 +204,8 @@
       !Core.Ports.StillHolds(*Placement.Right))
     return;
   notePoint(Core.Set, *Placement.Right, Exchange.SentAt, *Point);
+  if (Core.Ports.NoteSample)
+    Core.Ports.NoteSample(*Placement.Right, {Exchange.SentAt, *Point});
   const bool Committed =
       Request.Writes && Exchange.Answer.State == transaction_state::Idle;
   if (Committed) {
--- /dev/null
+++ b/packages/session/src/primary_claims.cpp
@@ -0,0 +1,66 @@
+#include "redwinggw/session/primary_claims.hpp"
+
+#include "redwinggw/base/log.hpp"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+
+namespace redwinggw::session {
+
+namespace json = boost::json;
+
+bool applyClaim(primary_claims &Claims, const primary_claim &Claim,
+                base::instant Now) {
+  Claims.Version = std::max(Claims.Version, Claim.Epoch);
+  const auto [At, New] =
+      Claims.Known.try_emplace(Claim.Service, primary_claims::known{Claim, Now});
+  if (New)
+    return true;
+  const primary_claim &Present = At->second.Claim;
+  const bool Later =
+      Claim.Epoch > Present.Epoch ||
+      (Claim.Epoch == Present.Epoch && Present.Moving && !Claim.Moving);
+  if (Later)
+    At->second = {Claim, Now};
+  return Later;
+}
+
+const primary_claims::known *findClaim(const primary_claims &Claims,
+                                       std::string_view Service) {
+  const auto Found = Claims.Known.find(Service);
+  return Found == Claims.Known.end() ? nullptr : &Found->second;
+}
+
+std::string claimKey(std::string_view Service) {
+  return std::string(ClaimPrefix).append(Service);
+}
+
+std::string claimText(const primary_claim &Claim) {
+  return json::serialize(json::object{{"primary", Claim.Primary},
+                                      {"moving", Claim.Moving},
+                                      {"orderer", Claim.Orderer},
+                                      {"token", Claim.Token}});
+}
+
+std::optional<primary_claim> readClaim(std::string_view Key,
+                                       std::uint64_t Version,
+                                       std::string_view Text) {
+  try {
+    const json::value Value = json::parse(Text);
+    primary_claim Claim;
+    Claim.Service = Key.substr(ClaimPrefix.size());
+    Claim.Epoch = Version;
+    Claim.Primary = Value.at("primary").as_string();
+    Claim.Moving = Value.at("moving").as_bool();
+    Claim.Orderer = Value.at("orderer").as_string();
+    Claim.Token = Value.at("token").to_number<std::uint64_t>();
+    return Claim;
+  } catch (const std::exception &Fault) {
+    base::log(base::log_level::Error, base::log_part::Failover,
+              "Row " + std::string(Key) + " cannot be read: " + Fault.what());
+    return std::nullopt;
+  }
+}
+
+} // namespace redwinggw::session
--- a/packages/session/src/session_core.cpp
+++ b/packages/session/src/session_core.cpp
@@ -3,6 +3,8 @@
 #include "core_parts.hpp"
 #include "link_setup.hpp"
 
+#include "redwinggw/base/log.hpp"
+
 namespace redwinggw::session {
 namespace {
 
@@ -33,20 +35,22 @@
 /// Takes one operation of the customer's rate.
 base::task<std::optional<answer_error>> admit(session_core &Core,
                                               const session &Session,
-                                              const route &Route,
-                                              instant Arrived) {
-  if (Session.Customer.empty() || Core.Ports.TryAdmit(Session.Customer))
+                                              const route &Route) {
+  if (Session.Customer.empty())
     co_return std::nullopt;
   const auto Patience = std::chrono::duration_cast<base::microseconds>(
       Route.TargetLatency * Core.Limits.PatienceShare);
-  const auto Admitted =
-      co_await Core.Ports.Admit(Session.Customer, Arrived + Patience);
-  if (Admitted)
+  const admission Admission = Core.Ports.Admit(Session.Customer, Patience);
+  if (Admission.Admitted && Admission.Wait.count() == 0)
+    co_return std::nullopt;
+  if (Admission.Admitted) {
+    co_await pauseFor(Core, Admission.Wait);
     co_return std::nullopt;
-  co_return answer_error{
-      answer_code::Busy,
-      "over the customer's rate; retry after " +
-          std::to_string(Admitted.error().RetryAfter.count()) + " ms"};
+  }
+  const auto After = std::chrono::ceil<base::milliseconds>(Admission.Wait);
+  co_return answer_error{answer_code::Busy,
+                         "over the customer's rate; retry after " +
+                             std::to_string(After.count()) + " ms"};
 }
 
 base::task<answer> serveData(session_core &Core, session &Session,
@@ -65,8 +69,8 @@
   }
   if (Session.Transaction)
     co_return co_await serveInTransaction(Core, Session, Request);
-  if (const auto Refused =
-          co_await admit(Core, Session, Request.Route, Request.Arrived))
+  const auto Refused = co_await admit(Core, Session, Request.Route);
+  if (Refused)
     co_return makeError(Refused->Code, Refused->Reason);
   co_return co_await serveSingle(Core, Session, Request);
 }
@@ -89,8 +93,8 @@
 
 base::task<answer> serveBegin(session_core &Core, session &Session,
                               const request &Request) {
-  if (const auto Refused =
-          co_await admit(Core, Session, Request.Route, Request.Arrived))
+  const auto Refused = co_await admit(Core, Session, Request.Route);
+  if (Refused)
     co_return makeError(Refused->Code, Refused->Reason);
   Session.Transaction.emplace();
   Session.Transaction->Route = Request.Route;
@@ -175,6 +179,54 @@
   co_return makeError(answer_code::Malformed, "the statement cannot be read");
 }
 
+/// Whether a line about a statement may still be written in this second.
+bool mayLog(line_budget &Budget, bool Failed, instant Now) {
+  const auto Second =
+      std::chrono::floor<std::chrono::seconds>(Now.time_since_epoch()).count();
+  if (Second != Budget.Second) {
+    Budget.Second = Second;
+    Budget.Served = 0;
+    Budget.Failed = 0;
+  }
+  unsigned &Used = Failed ? Budget.Failed : Budget.Served;
+  const unsigned Most =
+      Failed ? Budget.FailedPerSecond : Budget.ServedPerSecond;
+  if (Used < Most) {
+    ++Used;
+    return true;
+  }
+  ++Budget.LeftOut;
+  return false;
+}
+
+void logAnswer(session_core &Core, const session &Session,
+               const request &Request, const answer &Answer) {
+  const instant Now = base::now();
+  const bool Failed = Answer.Error.has_value();
+  if (!mayLog(Core.Budget, Failed, Now))
+    return;
+  const auto Took = std::chrono::duration_cast<base::milliseconds>(
+      Now - Request.Arrived);
+  const std::string Endpoint =
+      Request.Tried.empty() ? "" : Request.Tried.back();
+  base::logEvent(
+      Failed ? base::log_level::Warning : base::log_level::Info,
+      base::log_part::Callers,
+      Failed ? answerCodeName(Answer.Error->Code) : "served",
+      {{"request", Request.Statement.Id},
+       {"session", std::to_string(Session.Number)},
+       {"customer", Session.Customer},
+       {"route", Request.Route.Name},
+       {"service", Request.Route.Service},
+       {"statement", Request.Statement.Text.substr(
+                         0, Request.Statement.Text.find(' '))},
+       {"endpoint", Endpoint},
+       {"tries", std::to_string(Request.Tries)},
+       {"took_ms", std::to_string(Took.count())},
+       {"configuration", std::to_string(Core.Ports.Routes()->Version)},
+       {"reason", Failed ? Answer.Error->Reason : Request.LastTrouble}});
+}
+
 } // namespace
 
 transaction_state stateOf(const session &Session) {
@@ -223,6 +275,7 @@
   if (Session.Transaction)
     Session.Transaction->UsedAt = base::now();
   Answer.State = stateOf(Session);
+  logAnswer(Core, Session, Request, Answer);
   co_return Answer;
 }
 
--- a/packages/session/src/transaction.cpp
+++ b/packages/session/src/transaction.cpp
@@ -24,8 +24,9 @@
     co_return exchange();
   if (Placement.Right && !Core.Ports.StillHolds(*Placement.Right))
     co_return exchange();
-  co_return co_await Link.Link->run({}, Link.Link->beginText(ReadOnly),
-                                    Placement.After, Placement.TryDeadline);
+  const std::string Text = Link.Link->beginText(ReadOnly);
+  co_return co_await runNoted(Placement.Link, {}, Text, Placement.After,
+                              Placement.TryDeadline);
 }
 
 bool isOpened(const exchange &Exchange) {
@@ -158,10 +159,9 @@
   Request.Writes = !Transaction.ReadOnly;
   placement Placement = takePlacement(Transaction, Request.Deadline);
   Session.Transaction.reset();
-  pooled_link &Link = *Placement.Link.Link;
   exchange Done =
-      co_await Link.Link->run(Request.Statement.Id, Request.Statement.Text,
-                              std::nullopt, Request.Deadline);
+      co_await runNoted(Placement.Link, Request.Statement.Id,
+                        Request.Statement.Text, std::nullopt, Request.Deadline);
   settle(Core, Session, Request, Placement, Done, false);
   const bool Trusted =
       !Placement.Right || Core.Ports.StillHolds(*Placement.Right);
--- a/packages/wire/include/redwinggw/wire/message.hpp
+++ b/packages/wire/include/redwinggw/wire/message.hpp
@@ -32,10 +32,35 @@
   base::endpoint_name Primary;
   /// The sender cannot work with the primary.
   bool Suspect = false;
+  /// A new primary is being made: Primary is the one given up.
+  bool Moving = false;
 
   friend bool operator==(const group_report &, const group_report &) = default;
 };
 
+/// How much of a customer's rate the sender needs.
+struct demand_report {
+  /// hashOf the customer's name: a name would be most of the entry.
+  std::uint32_t Customer = 0;
+  /// Operations a second, smoothed, served or not.
+  float Rate = 0;
+
+  friend bool operator==(const demand_report &, const demand_report &) = default;
+};
+
+/// A place in a group's log that covers all commits acknowledged before it.
+struct position_report {
+  /// hashOf the group's name.
+  std::uint32_t Group = 0;
+  base::term_number Term = 0;
+  base::log_position Position = 0;
+  /// How long ago the sender asked for it.
+  age_ms Age = NoAge;
+
+  friend bool operator==(const position_report &,
+                         const position_report &) = default;
+};
+
 /// Which instances the sender knows to be up, half a byte each.
 struct heard_map {
   /// Hash of the names on the sender's list; another list cannot be read.
@@ -80,6 +105,15 @@
   std::vector<group_report> Groups;
   /// Only in fleets too large for each to hear each directly.
   heard_map Heard;
+  /// Row of the operators' configuration in force at the sender; 0: unused.
+  std::uint64_t ConfigurationRow = 0;
+  std::vector<demand_report> Demands;
+  std::vector<position_report> Positions;
+};
+
+/// A reading of a list that one instance does for all, in the reader's form.
+struct list_reading {
+  std::string Text;
 };
 
 enum class share_kind : std::uint8_t {
@@ -120,7 +154,7 @@
   /// Grows with each datagram of one incarnation.
   std::uint64_t Sequence = 0;
   clock_value Clock;
-  std::variant<peer_report, share_message> Body;
+  std::variant<peer_report, share_message, list_reading> Body;
 };
 
 /// A short stand-in for an instance's name. The same on every machine.
--- a/packages/wire/src/message.cpp
+++ b/packages/wire/src/message.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 /// Bumped when the form of a datagram changes; others are dropped.
-constexpr std::uint8_t FormatVersion = 1;
+constexpr std::uint8_t FormatVersion = 2;
 
 /// Strings and lists travel with a length of 1 or 2 bytes: cereal's own take
 /// 8, which is most of a small heartbeat.
@@ -53,9 +53,10 @@
   transfer(Ar, Report.Group);
   Ar(Report.Term);
   transfer(Ar, Report.Primary);
-  Ar(Report.Suspect);
+  Ar(Report.Suspect, Report.Moving);
 }
 
+constexpr std::size_t MaxReading = 65'000;
 constexpr std::size_t AgesPerByte = 2;
 constexpr unsigned AgeBits = 4;
 
@@ -81,6 +82,30 @@
      Value.EchoSequence, Value.Leaving, Value.WantsReply);
   transferAll(Ar, Value.Groups, [&](auto &Item) { transferGroup(Ar, Item); });
   transferMap(Ar, Value.Heard);
+  Ar(Value.ConfigurationRow);
+  transferAll(Ar, Value.Demands,
+              [&](auto &Item) { Ar(Item.Customer, Item.Rate); });
+  transferAll(Ar, Value.Positions, [&](auto &Item) {
+    Ar(Item.Group, Item.Term, Item.Position, Item.Age);
+  });
+}
+
+template <typename Archive>
+void transferReading(Archive &Out, const list_reading &Value) {
+  const auto Length = static_cast<std::uint32_t>(Value.Text.size());
+  Out(Length);
+  Out(cereal::binary_data(Value.Text.data(), Length));
+}
+
+template <typename Archive>
+void transferReading(Archive &In, list_reading &Value) {
+  std::uint32_t Length = 0;
+  In(Length);
+  // A length beyond what a datagram can hold comes from a damaged one.
+  if (Length > MaxReading)
+    throw cereal::Exception("a reading is too long");
+  Value.Text.resize(Length);
+  In(cereal::binary_data(Value.Text.data(), Length));
 }
 
 template <typename Archive, typename Message>
@@ -100,6 +125,8 @@
   Ar(Value.Incarnation, Value.Sequence, Value.Clock.Wall, Value.Clock.Count);
   if (auto *Report = std::get_if<peer_report>(&Value.Body))
     transferReport(Ar, *Report);
+  else if (auto *Reading = std::get_if<list_reading>(&Value.Body))
+    transferReading(Ar, *Reading);
   else
     transferShare(Ar, std::get<share_message>(Value.Body));
 }
@@ -113,8 +140,13 @@
   if (Format != FormatVersion)
     throw cereal::Exception("format");
   datagram Datagram;
-  if (Kind != 0)
+  // The place of the body's type in the variant.
+  constexpr std::uint8_t ShareKind = 1;
+  constexpr std::uint8_t ReadingKind = 2;
+  if (Kind == ShareKind)
     Datagram.Body = share_message{};
+  if (Kind == ReadingKind)
+    Datagram.Body = list_reading{};
   transferDatagram(In, Datagram);
   return Datagram;
 }
--- /dev/null
+++ b/tests/control/demand_shares_test.cpp
@@ -0,0 +1,169 @@
+#include "redwinggw/control/demand_shares.hpp"
+
+#include <cmath>
+#include <random>
+
+#include "criterion_test.hpp"
+
+using namespace redwinggw;
+using namespace redwinggw::control;
+using base::instant;
+using base::milliseconds;
+
+namespace {
+
+/// Instances that exchange heartbeats in passed time.
+struct demand_fleet {
+  explicit demand_fleet(std::size_t Count, double Rate = 100,
+                        double Burst = 100) {
+    for (std::size_t Index = 0; Index < Count; ++Index) {
+      membership Member = makeMembership({"i" + std::to_string(Index), "z", 1});
+      onStoreRead(Member, Now, Now, 0);
+      Members.push_back(std::move(Member));
+      Shares.emplace_back();
+      applyRates(Shares.back(), {{"acme", Rate, Burst}}, Now);
+      Cut.push_back(false);
+    }
+    std::vector<storage::listed_instance> Listed;
+    for (const membership &Member : Members) {
+      storage::listed_instance Instance;
+      Instance.Name = Member.Self.Name;
+      Listed.push_back(Instance);
+    }
+    for (membership &Member : Members)
+      onList(Member, Listed, Now);
+  }
+
+  void deliver(const peer_send &Send, std::size_t From) {
+    for (std::size_t To = 0; To < Members.size(); ++To)
+      if (Members[To].Self.Name == Send.Datagram.Receiver && !Cut[From] &&
+          !Cut[To] && admitDatagram(Members[To], Send.Datagram))
+        onHeartbeat(Members[To], Send.Datagram, Now);
+  }
+
+  void tick() {
+    Now += milliseconds(50);
+    for (std::size_t Index = 0; Index < Members.size(); ++Index) {
+      if (Dead == Index)
+        continue;
+      if (Ticks % 4 == 0)
+        Members[Index].Local.Demands = announceDemand(Shares[Index], Now);
+      for (const peer_send &Send : onTick(Members[Index], Now))
+        deliver(Send, Index);
+      if (Ticks % 4 == 0)
+        divideRates(Shares[Index], Members[Index], Now);
+    }
+    ++Ticks;
+  }
+
+  /// Asks for an operation at \p Index.
+  bool ask(std::size_t Index) {
+    const bool Admitted =
+        takeDemandToken(Shares[Index], "acme", milliseconds(50), Now).Admitted;
+    Spent += Admitted ? 1 : 0;
+    return Admitted;
+  }
+
+  /// Poisson arrivals at \p Rates, by instance, for \p Time. Answers the
+  /// number refused.
+  std::size_t load(const std::vector<double> &Rates, milliseconds Time) {
+    std::size_t Refused = 0;
+    for (const instant End = Now + Time; Now < End;) {
+      tick();
+      for (std::size_t Index = 0; Index < Members.size(); ++Index) {
+        std::poisson_distribution<int> Arrivals(Rates[Index] * 0.05);
+        for (int Left = Dead == Index ? 0 : Arrivals(Random); Left > 0; --Left)
+          Refused += ask(Index) ? 0 : 1;
+      }
+    }
+    return Refused;
+  }
+
+  instant Now{std::chrono::seconds(1000)};
+  std::vector<membership> Members;
+  std::vector<demand_shares> Shares;
+  std::vector<bool> Cut;
+  std::size_t Dead = SIZE_MAX;
+  std::size_t Ticks = 0;
+  std::size_t Spent = 0;
+  std::mt19937_64 Random{7};
+};
+
+/// What a customer may use in \p Seconds, with what operators tolerate.
+double allowed(double Rate, double Burst, double Seconds) {
+  return (Rate * Seconds + Burst) * 1.1 + 20;
+}
+
+} // namespace
+
+// A customer's callers stand at two of six instances, in uneven numbers. It
+// asks for less than its rate, so nothing may be refused.
+Test(demand_shares, follow_uneven_demand) {
+  demand_fleet Fleet(6);
+  Fleet.load({0, 0, 0, 0, 0, 0}, milliseconds(3000));
+  Fleet.load({50, 12, 0, 0, 0, 0}, milliseconds(2000));
+  const std::size_t Before = Fleet.Spent;
+  const std::size_t Refused =
+      Fleet.load({50, 12, 0, 0, 0, 0}, milliseconds(20000));
+  const std::size_t Asked = Fleet.Spent - Before + Refused;
+  cr_assert(Refused * 200 < Asked);
+}
+
+// A customer sends eight times its rate everywhere: in no five seconds may it
+// get more than its rate, its burst, and the tolerance.
+Test(demand_shares, keep_a_flood_within_the_rate) {
+  demand_fleet Fleet(6);
+  Fleet.load({10, 10, 10, 10, 10, 10}, milliseconds(5000));
+  for (int Window = 0; Window < 4; ++Window) {
+    const std::size_t Before = Fleet.Spent;
+    Fleet.load({300, 100, 100, 100, 100, 100}, milliseconds(5000));
+    const auto Used = static_cast<double>(Fleet.Spent - Before);
+    cr_assert(Used <= allowed(100, 100, 5));
+    cr_assert(Used >= 100 * 5 * 0.9);
+  }
+}
+
+// The customer floods while one instance is cut off from all others: both
+// sides go on, and together they stay within the rate.
+Test(demand_shares, keep_a_flood_within_the_rate_in_a_partition) {
+  demand_fleet Fleet(6);
+  const std::vector<double> Flood{300, 100, 100, 100, 100, 100};
+  Fleet.load(Flood, milliseconds(8000));
+  Fleet.Cut[0] = true;
+  for (int Window = 0; Window < 3; ++Window) {
+    const std::size_t Before = Fleet.Spent;
+    Fleet.load(Flood, milliseconds(5000));
+    cr_assert(static_cast<double>(Fleet.Spent - Before) <=
+              allowed(100, 100, 5));
+  }
+}
+
+// An instance dies and its callers go to the others, which refuse little:
+// there is room between the demand and the rate.
+Test(demand_shares, outlive_an_instance) {
+  demand_fleet Fleet(6);
+  Fleet.load({10, 10, 10, 10, 10, 10}, milliseconds(8000));
+  Fleet.Dead = 5;
+  const std::size_t Before = Fleet.Spent;
+  const std::size_t Refused =
+      Fleet.load({12, 12, 12, 12, 12, 0}, milliseconds(5000));
+  cr_assert(Refused * 20 < Fleet.Spent - Before + Refused);
+}
+
+// All instances are killed and start again in the midst of a flood: nobody
+// knows what was spent, so nothing may be given at once.
+Test(demand_shares, start_from_empty_buckets) {
+  demand_fleet Fleet(6);
+  cr_assert(!Fleet.ask(0));
+}
+
+// A rate is lowered: the tokens saved up under the old one are gone.
+Test(demand_shares, lower_a_rate_at_once) {
+  demand_fleet Fleet(1);
+  Fleet.load({0}, milliseconds(5000));
+  applyRates(Fleet.Shares[0], {{"acme", 2, 2}}, Fleet.Now);
+  std::size_t Admitted = 0;
+  for (int Try = 0; Try < 100; ++Try)
+    Admitted += Fleet.ask(0) ? 1 : 0;
+  cr_assert(Admitted <= 2 + 12 + 1);
+}
--- /dev/null
+++ b/tests/session/handover_test.cpp
@@ -0,0 +1,107 @@
+#include "redwinggw/session/handover.hpp"
+
+#include "criterion_test.hpp"
+
+using namespace redwinggw;
+using namespace redwinggw::session;
+using base::instant;
+using base::milliseconds;
+
+namespace {
+
+const instant Start{std::chrono::seconds(100)};
+const handover_limits Limits;
+
+primary_claim claim(std::uint64_t Epoch, bool Moving, std::string Primary) {
+  primary_claim Claim;
+  Claim.Service = "s";
+  Claim.Epoch = Epoch;
+  Claim.Moving = Moving;
+  Claim.Primary = std::move(Primary);
+  Claim.Orderer = "i1";
+  Claim.Token = 4;
+  return Claim;
+}
+
+endpoint_entry entry(bool Draining) {
+  endpoint_entry Entry;
+  Entry.Name = "p";
+  Entry.Draining = Draining;
+  return Entry;
+}
+
+} // namespace
+
+// Heartbeats cross: news of an older agreement arrives after a newer one.
+Test(primary_claims, only_go_forward) {
+  primary_claims Claims;
+  cr_assert(applyClaim(Claims, claim(7, true, "p"), Start));
+  cr_assert(!applyClaim(Claims, claim(5, false, "q"), Start));
+  cr_assert(applyClaim(Claims, claim(7, false, "r"), Start));
+  cr_assert(!applyClaim(Claims, claim(7, true, "p"), Start));
+  cr_assert(findClaim(Claims, "s")->Claim.Primary == "r");
+  cr_assert(Claims.Version == 7);
+}
+
+Test(primary_claims, survive_the_store) {
+  const primary_claim Claim = claim(9, true, "p");
+  cr_assert(readClaim(claimKey("s"), 9, claimText(Claim)) == Claim);
+  cr_assert(!readClaim(claimKey("s"), 9, "not json"));
+}
+
+// One instance has lost its link to the primary; the others work with it.
+Test(handover, is_not_begun_for_one_instance) {
+  const endpoint_entry Entry = entry(false);
+  handover_view View{nullptr, "p", &Entry, {}, 6, 1, false};
+  cr_assert(causeToMove(View, Limits, Start) == move_cause::None);
+  View.Suspects = 2;
+  cr_assert(causeToMove(View, Limits, Start) == move_cause::Failed);
+  // Alone, an instance has to go by what it sees itself.
+  View.Instances = 1;
+  View.Suspects = 1;
+  cr_assert(causeToMove(View, Limits, Start) == move_cause::Failed);
+}
+
+// A primary announces that it leaves: it is replaced while it still serves.
+Test(handover, is_begun_before_a_draining_primary_goes) {
+  const endpoint_entry Entry = entry(true);
+  const handover_view View{nullptr, "p", &Entry, {}, 6, 0, false};
+  cr_assert(causeToMove(View, Limits, Start) == move_cause::Draining);
+}
+
+// The orderer is killed midway: somebody else has to finish its work, or the
+// service stays without a primary.
+Test(handover, is_finished_by_another_orderer) {
+  const primary_claims::known Claim{claim(7, true, "p"), Start};
+  handover_view View{&Claim, "p", nullptr, {}, 6, 0, true};
+  cr_assert(causeToMove(View, Limits, Start) == move_cause::None);
+  View.OrdererAlive = false;
+  cr_assert(causeToMove(View, Limits, Start) == move_cause::Unfinished);
+  View.OrdererAlive = true;
+  cr_assert(causeToMove(View, Limits, Start + Limits.UnfinishedFor +
+                                          milliseconds(1)) ==
+            move_cause::Unfinished);
+}
+
+// An instance is cut off, with callers that write to the old primary. Nobody
+// may be promoted before that instance's right is over; and never on the word
+// of a minority, whose absent majority may still hear each other.
+Test(handover, waits_out_the_right_of_silent_instances) {
+  const auto Over = Start + Limits.ReadingCounts + milliseconds(1);
+  cr_assert(mayPromote({Start, true, Start}, Limits, Start));
+  cr_assert(!mayPromote({Start, false, Start}, Limits, Start));
+  cr_assert(mayPromote({Start, false, Start}, Limits, Over));
+  // A late majority: its last heartbeats from before still count elsewhere.
+  cr_assert(!mayPromote({Start, false, Over - milliseconds(10)}, Limits, Over));
+  cr_assert(!mayPromote({Start, false, {}}, Limits,
+                        Start + std::chrono::seconds(60)));
+}
+
+Test(handover, promotes_the_most_advanced_replica) {
+  const std::vector<move_candidate> Candidates{
+      {"a", false, {3, 10}}, {"b", false, {3, 12}}, {"c", true, {3, 20}}};
+  cr_assert(chooseTarget(Candidates, std::nullopt)->Name == "b");
+  cr_assert(chooseTarget(Candidates, log_point{3, 12})->Name == "b");
+  cr_assert(chooseTarget(Candidates, log_point{3, 13}) == nullptr);
+  cr_assert(chooseTarget({}, std::nullopt) == nullptr);
+}
