Read the configuration instead of watching it; one order at a time

Ruled out: 410 not handled (it was; the answer was a 200 with no rows).

Change: the reader reads the configuration every 800 ms and takes it in only if its row changed. An orderer stops when a later claim is known, a claim is not acknowledged while an own order is on its way, heartbeats name the orderer, and a silent one is given 700 ms before another takes over.

--- a/packages/base/src/log.cpp
+++ b/packages/base/src/log.cpp
@@ -7,8 +7,8 @@
 #include <boost/log/attributes/mutable_constant.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
-#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/make_shared.hpp>
@@ -75,9 +75,8 @@
 }
 
 /// Hands lines to the bounded output.
-struct output_backend
-    : boost::log::sinks::basic_formatted_sink_backend<
-          char, boost::log::sinks::synchronized_feeding> {
+struct output_backend : boost::log::sinks::basic_formatted_sink_backend<
+                            char, boost::log::sinks::synchronized_feeding> {
   static void consume(const boost::log::record_view &,
                       const string_type &Line) {
     const std::lock_guard Lock(state().Mutex);
@@ -102,8 +101,7 @@
   if (State.Format == log_format::Text)
     return Time + " " + LevelName + " " + State.Instance + " [" + PartName +
            "] " + std::string(Sentence);
-  return prefixOf(Level, Part) + R"(,"text":")" + jsonEscaped(Sentence) +
-         "\"}";
+  return prefixOf(Level, Part) + R"(,"text":")" + jsonEscaped(Sentence) + "\"}";
 }
 
 } // namespace
--- a/packages/control/include/redwinggw/control/demand_shares.hpp
+++ b/packages/control/include/redwinggw/control/demand_shares.hpp
@@ -92,8 +92,7 @@
 
 /// Takes a token of \p Customer, waiting for it \p Patience at most. Unknown
 /// customers are refused.
-demand_verdict takeDemandToken(demand_shares &Shares,
-                               std::string_view Customer,
+demand_verdict takeDemandToken(demand_shares &Shares, std::string_view Customer,
                                base::microseconds Patience, base::instant Now);
 
 } // namespace redwinggw::control
--- a/packages/control/src/demand_shares.cpp
+++ b/packages/control/src/demand_shares.cpp
@@ -24,8 +24,7 @@
 void fill(const demand_shares &Shares, demand_account &Account, instant Now) {
   const double Added =
       speedOf(Shares, Account) * secondsBetween(Account.FilledAt, Now);
-  Account.Tokens =
-      std::min(Account.Tokens + Added, depthOf(Shares, Account));
+  Account.Tokens = std::min(Account.Tokens + Added, depthOf(Shares, Account));
   Account.FilledAt = Now;
 }
 
@@ -33,8 +32,7 @@
 void decay(const demand_shares &Shares, demand_account &Account, instant Now) {
   const double Window =
       std::chrono::duration<double>(Shares.Limits.Window).count();
-  Account.Demand *=
-      std::exp(-secondsBetween(Account.DemandAt, Now) / Window);
+  Account.Demand *= std::exp(-secondsBetween(Account.DemandAt, Now) / Window);
   Account.DemandAt = Now;
 }
 
@@ -48,8 +46,8 @@
 /// The demand of a member as it last told it; 0 when it told none.
 double demandOf(const member &Member, std::uint32_t Customer) {
   const auto &Demands = Member.Report.Demands;
-  const auto Found = std::ranges::find(Demands, Customer,
-                                       &wire::demand_report::Customer);
+  const auto Found =
+      std::ranges::find(Demands, Customer, &wire::demand_report::Customer);
   return Found == Demands.end() ? 0 : Found->Rate;
 }
 
@@ -92,17 +90,15 @@
     Shares.IsolatedSince.reset();
   else if (!Shares.IsolatedSince)
     Shares.IsolatedSince = Now;
-  const bool Isolated = Shares.IsolatedSince &&
-                        Now - *Shares.IsolatedSince >
-                            Shares.Limits.IsolatedAfter;
+  const bool Isolated = Shares.IsolatedSince && Now - *Shares.IsolatedSince >
+                                                    Shares.Limits.IsolatedAfter;
   const auto Instances = static_cast<double>(instanceCount(Membership));
   for (auto &[Name, Account] : Shares.Accounts) {
     const std::uint32_t Hash = wire::hashOf(Name);
     const double Idle = Shares.Limits.IdlePart * Account.Rate / Instances;
     double Sum = Account.Announced + Idle;
     for (const member &Member : Membership.Members)
-      Sum += (demandOf(Member, Hash) + Idle) *
-             reservedFor(Shares, Member, Now);
+      Sum += (demandOf(Member, Hash) + Idle) * reservedFor(Shares, Member, Now);
     fill(Shares, Account, Now);
     Account.Part = Sum > 0 ? (Account.Announced + Idle) / Sum : 0;
     if (Isolated)
@@ -126,8 +122,7 @@
   return Reports;
 }
 
-demand_verdict takeDemandToken(demand_shares &Shares,
-                               std::string_view Customer,
+demand_verdict takeDemandToken(demand_shares &Shares, std::string_view Customer,
                                base::microseconds Patience, instant Now) {
   const auto Found = Shares.Accounts.find(Customer);
   if (Found == Shares.Accounts.end())
--- a/packages/control/src/peer_service.cpp
+++ b/packages/control/src/peer_service.cpp
@@ -300,8 +300,7 @@
   for (const member &Member : State->Membership.Members) {
     if (Member.State == member_state::Dead)
       continue;
-    peer_send Send{Member.Address,
-                   stamp(State->Membership, Member.Name, Now)};
+    peer_send Send{Member.Address, stamp(State->Membership, Member.Name, Now)};
     Send.Datagram.Body = wire::list_reading{Text};
     State->transmit(std::move(Send));
   }
--- a/packages/redwinggw/src/native_following.cpp
+++ b/packages/redwinggw/src/native_following.cpp
@@ -36,10 +36,13 @@
 /// After a failed call. Together the instances stay far below the store's
 /// rates also when it turns all away.
 constexpr milliseconds RetryAfter{250};
-/// A watch is renewed after this time: one whose connection was lost track of
-/// is noticed by then, well within the time for a configuration to apply.
-constexpr milliseconds WatchTime{1500};
-constexpr milliseconds WatchSlack{700};
+/// The configuration is read so often by the one that reads for all. A change
+/// must be in force within three seconds: this pause, a call that hangs, its
+/// repetition and a heartbeat fit in. The store's feed of changes would tell
+/// sooner, but it goes silent when the store drops its history, and then hands
+/// on a version whose changes it never told.
+constexpr milliseconds ConfigurationEvery{800};
+constexpr milliseconds ConfigurationTimeout{700};
 
 std::string instanceKey(std::string_view Name) {
   return std::string(InstancePrefix).append(Name);
@@ -125,8 +128,7 @@
     }
     if (!Row.Key.starts_with(session::ClaimPrefix))
       continue;
-    if (const auto Claim =
-            session::readClaim(Row.Key, Row.Version, Row.Value))
+    if (const auto Claim = session::readClaim(Row.Key, Row.Version, Row.Value))
       takeClaim(State, *Claim);
   }
   State.Peers->setList(Listed);
@@ -185,8 +187,7 @@
   storage::commit_request Request;
   for (const control::member &Member : State.Peers->view().Members) {
     const auto Row = State.InstanceRows.find(Member.Name);
-    const bool Gone =
-        Now - Member.ArrivedAt.value_or(Member.Since) > GoneAfter;
+    const bool Gone = Now - Member.ArrivedAt.value_or(Member.Since) > GoneAfter;
     if (!Gone || Row == State.InstanceRows.end())
       continue;
     Request.Checks.push_back({instanceKey(Member.Name), Row->second});
@@ -210,16 +211,6 @@
     State.Peers->sendReading(Text);
 }
 
-base::task<base::result<platform::table_rows>>
-nextConfiguration(native_state &State, std::optional<std::uint64_t> After) {
-  const base::instant Now = base::now();
-  if (!After)
-    co_return co_await platform::readTable(State.Reader, "op",
-                                           Now + ReadTimeout);
-  co_return co_await platform::awaitChanges(
-      State.Reader, "op", *After, WatchTime, Now + WatchTime + WatchSlack);
-}
-
 void takeEndpoints(native_state &State,
                    const std::vector<session::endpoint_entry> &Entries) {
   const auto Changes = applyList(State.Endpoints, Entries, base::now());
@@ -268,8 +259,7 @@
   }
 }
 
-base::task<std::optional<platform::table_rows>>
-readFleet(native_state &State) {
+base::task<std::optional<platform::table_rows>> readFleet(native_state &State) {
   const base::instant Sent = base::now();
   State.FleetReadWanted = false;
   auto Rows = co_await platform::readTable(
@@ -300,27 +290,22 @@
 }
 
 base::task<void> followConfiguration(native_ptr State) {
-  std::optional<std::uint64_t> After;
   while (!State->Draining) {
-    // Where another instance watches, its heartbeats tell of changes.
+    // Where another instance reads, its heartbeats tell of changes.
     const bool News = newestConfigurationRow(*State) > State->RoutesRow;
     if (State->Routes && hasReader(*State) && !News) {
-      After.reset();
       co_await pauseAbout(*State, NewsEvery);
       continue;
     }
-    const auto Rows = co_await nextConfiguration(*State, After);
+    const auto Rows = co_await platform::readTable(
+        State->Reader, "op", base::now() + ConfigurationTimeout);
     ++State->Store.Reads;
     if (Rows) {
       if (State->Peers)
         State->Peers->noteStoreContact();
       takeConfiguration(*State, *Rows);
-      After = Rows->Version;
-      continue;
     }
-    if (kindOf(Rows.error()) == base::errc::Conflict)
-      After.reset();
-    co_await pauseAbout(*State, RetryAfter);
+    co_await pauseAbout(*State, Rows ? ConfigurationEvery : RetryAfter);
   }
 }
 
@@ -332,8 +317,8 @@
       co_await pauseAbout(*State, NewsEvery);
       continue;
     }
-    const auto Rows = co_await platform::readTable(
-        State->Reader, "servers", base::now() + ReadTimeout);
+    const auto Rows = co_await platform::readTable(State->Reader, "servers",
+                                                   base::now() + ReadTimeout);
     ++State->Store.Reads;
     if (Rows) {
       if (State->Peers)
--- a/packages/redwinggw/src/native_handover.cpp
+++ b/packages/redwinggw/src/native_handover.cpp
@@ -38,9 +38,9 @@
 }
 
 /// Asks an endpoint for its state over a fresh connection.
-base::task<session::status_exchange>
-askStatus(native_state &State, session::endpoint_entry Entry,
-          milliseconds Time) {
+base::task<session::status_exchange> askStatus(native_state &State,
+                                               session::endpoint_entry Entry,
+                                               milliseconds Time) {
   const auto Link = State.Endpoints.Factory();
   const instant Deadline = base::now() + Time;
   session::status_exchange Status;
@@ -59,10 +59,9 @@
     const instant Sent = base::now();
     const session::endpoint_entry Copy = *Entry;
     const auto Status = co_await askStatus(*State, Copy, ProbeTime);
-    const bool Up =
-        Status.Outcome == session::exchange_outcome::Answered &&
-        (!Status.Error ||
-         Status.Error->Code != session::answer_code::Misrouted);
+    const bool Up = Status.Outcome == session::exchange_outcome::Answered &&
+                    (!Status.Error ||
+                     Status.Error->Code != session::answer_code::Misrouted);
     if (const auto Pool = poolOf(State->Endpoints, Name)) {
       if (Up)
         Pool->noteSuccess(Sent, base::now());
@@ -80,10 +79,9 @@
     return;
   const instant Now = base::now();
   const bool Busy = Pool->open() > Pool->idle();
-  const bool Silent =
-      Busy && Pool->oldestUnanswered() &&
-      Now - *Pool->oldestUnanswered() > ProbeAfter &&
-      Now - Pool->health().LastSuccess > ProbeAfter;
+  const bool Silent = Busy && Pool->oldestUnanswered() &&
+                      Now - *Pool->oldestUnanswered() > ProbeAfter &&
+                      Now - Pool->health().LastSuccess > ProbeAfter;
   if (Pool->health().Failures == 0 && !Silent)
     return;
   State->Probing.insert(Name);
@@ -108,14 +106,19 @@
   if (!View.Primary.empty())
     View.MissingSince = missingSince(State, View.Primary);
   View.Suspects = countSuspects(State, Service);
+  bool OrdererHeard = false;
   for (const control::member &Member : State.Peers->view().Members) {
     const bool Up = Member.State == control::member_state::Alive;
     View.Instances += Up ? 1 : 0;
-    View.OrdererAlive =
-        View.OrdererAlive ||
-        (Up && View.Claim != nullptr &&
-         Member.Name == View.Claim->Claim.Orderer);
+    const bool Orders =
+        View.Claim != nullptr && Member.Name == View.Claim->Claim.Orderer;
+    OrdererHeard = OrdererHeard || (Up && Orders);
   }
+  if (OrdererHeard)
+    State.OrderersGone.erase(Service);
+  else
+    View.OrdererGoneSince =
+        State.OrderersGone.try_emplace(Service, base::now()).first->second;
   return View;
 }
 
@@ -175,8 +178,7 @@
   Request.Checks.push_back({Found.Service.Key, Found.Service.Version});
   Request.Checks.push_back({Found.Orderer.Key, Found.Orderer.Version});
   Request.Puts.push_back({Found.Service.Key, claimText(Claim)});
-  Request.Puts.push_back(
-      {Found.Orderer.Key, ordererText(State, Claim.Token)});
+  Request.Puts.push_back({Found.Orderer.Key, ordererText(State, Claim.Token)});
   const auto Versions =
       co_await storage::commit(State.Store, std::move(Request));
   if (!Versions)
@@ -200,6 +202,13 @@
     Acknowledged.MajoritySince = base::now();
 }
 
+/// Whether no later claim of the service is known: another orderer may have
+/// taken over from this one, whose order would come after that one's.
+bool isCurrent(const native_state &State, const primary_claim &Claim) {
+  const auto *Known = findClaim(State.Claims, Claim.Service);
+  return Known != nullptr && Known->Claim.Epoch == Claim.Epoch;
+}
+
 /// Waits until nobody uses the old primary any more. False when it took too
 /// long.
 base::task<bool> awaitAcknowledgements(native_state &State,
@@ -208,7 +217,7 @@
   session::move_acknowledgements Acknowledged;
   Acknowledged.ClaimedAt = base::now();
   State.Peers->sendNow();
-  while (base::now() < Deadline) {
+  while (base::now() < Deadline && isCurrent(State, Claim)) {
     observeAcknowledgements(State, Claim, Acknowledged);
     if (mayPromote(Acknowledged, State.Handover, base::now()))
       co_return true;
@@ -239,8 +248,7 @@
 /// up, so it gets nothing more that is acknowledged.
 base::task<std::optional<session::endpoint_status>>
 askOldPrimary(native_state &State, const primary_claim &Claim) {
-  const auto *Entry =
-      findEndpoint(State.Endpoints.Directory, Claim.Primary);
+  const auto *Entry = findEndpoint(State.Endpoints.Directory, Claim.Primary);
   if (Entry == nullptr)
     co_return std::nullopt;
   const session::endpoint_entry Copy = *Entry;
@@ -273,11 +281,13 @@
 /// Orders the promotion until it is accepted or refused.
 base::task<bool> promote(native_state &State, const primary_claim &Claim,
                          base::endpoint_name Target, instant Deadline) {
-  while (base::now() < Deadline) {
+  while (base::now() < Deadline && isCurrent(State, Claim)) {
     platform::promotion_order Order{Claim.Service, Target, Claim.Orderer,
                                     Claim.Token};
+    State.Ordering.insert(Claim.Service);
     const auto Outcome = co_await platform::orderPromotion(
         State.Promotions, std::move(Order), base::now() + OrderTime);
+    State.Ordering.erase(Claim.Service);
     if (Outcome != platform::promotion_outcome::Unknown)
       co_return Outcome == platform::promotion_outcome::Accepted;
     co_await pauseAbout(State, 5 * StepPause);
@@ -286,16 +296,15 @@
 }
 
 /// Waits until \p Target leads. False when it does not come to that.
-base::task<bool> awaitLead(native_state &State, base::endpoint_name Target,
-                           instant Deadline) {
-  while (base::now() < Deadline) {
+base::task<bool> awaitLead(native_state &State, const primary_claim &Claim,
+                           base::endpoint_name Target, instant Deadline) {
+  while (base::now() < Deadline && isCurrent(State, Claim)) {
     const auto *Entry = findEndpoint(State.Endpoints.Directory, Target);
     if (Entry == nullptr)
       co_return false;
     const session::endpoint_entry Copy = *Entry;
     const auto Status = co_await askStatus(State, Copy, StatusTime);
-    if (Status.Status &&
-        Status.Status->Role == session::endpoint_role::Primary)
+    if (Status.Status && Status.Status->Role == session::endpoint_role::Primary)
       co_return true;
     co_await pauseAbout(State, 2 * StepPause);
   }
@@ -359,7 +368,7 @@
   const bool Promoted = co_await promote(State, Claim, Target, Deadline);
   bool Leads = false;
   if (Promoted)
-    Leads = co_await awaitLead(State, Target, Deadline);
+    Leads = co_await awaitLead(State, Claim, Target, Deadline);
   if (!Leads) {
     say(Claim.Service, Target + " did not take the lead.");
     co_return false;
@@ -378,8 +387,8 @@
                      std::string(moveCauseName(Cause)) + ".");
     takeClaim(*State, *Claim);
     const bool Done = co_await carryOut(*State, *Claim);
-    const auto Took = std::chrono::duration_cast<milliseconds>(base::now() -
-                                                               Begun);
+    const auto Took =
+        std::chrono::duration_cast<milliseconds>(base::now() - Begun);
     say(Service, std::string(Done ? "moved" : "not moved") + " after " +
                      std::to_string(Took.count()) + " ms.");
   }
@@ -397,8 +406,7 @@
   if (State->Moving.contains(Service) || (!isReader(*State) && !OwnMove))
     return;
   const auto View = viewOf(*State, Service);
-  const move_cause Cause =
-      causeToMove(View, State->Handover, base::now());
+  const move_cause Cause = causeToMove(View, State->Handover, base::now());
   if (Cause == move_cause::None)
     return;
   State->Moving.insert(Service);
--- a/packages/redwinggw/src/native_instance.cpp
+++ b/packages/redwinggw/src/native_instance.cpp
@@ -136,8 +136,7 @@
   State.Listening = true;
   if (const auto Listening = State.Callers.listen(State.Settings.Callers);
       !Listening)
-    base::log(log_level::Error, log_part::Callers,
-              describe(Listening.error()));
+    base::log(log_level::Error, log_part::Callers, describe(Listening.error()));
 }
 
 } // namespace
--- a/packages/redwinggw/src/native_news.cpp
+++ b/packages/redwinggw/src/native_news.cpp
@@ -42,6 +42,7 @@
     if (Known != nullptr) {
       Report.Term = Known->Claim.Epoch;
       Report.Moving = Known->Claim.Moving;
+      Report.Orderer = Known->Claim.Orderer;
     }
   }
   return Reports;
@@ -67,7 +68,8 @@
   const instant Now = base::now();
   const auto &View = State.Peers->view();
   // The parts follow at the pace of the heartbeats that carry the demands.
-  const bool Due = !View.LastTick || Now - *View.LastTick >= View.Limits.Interval;
+  const bool Due =
+      !View.LastTick || Now - *View.LastTick >= View.Limits.Interval;
   if (!Due)
     return;
   Report.Demands = announceDemand(State.Shares, Now);
@@ -77,10 +79,9 @@
   Report.ConfigurationRow = State.RoutesRow;
 }
 
-/// An agreement that another instance knows of. It names no orderer: only the
-/// row in the store does.
-void takeGroup(native_state &State, const control::member &Member,
-               const wire::group_report &Report) {
+/// An agreement that another instance knows of. The token is in the store only:
+/// whoever orders next reads it there.
+void takeGroup(native_state &State, const wire::group_report &Report) {
   if (Report.Term == 0)
     return;
   session::primary_claim Claim;
@@ -88,12 +89,7 @@
   Claim.Epoch = Report.Term;
   Claim.Primary = Report.Primary;
   Claim.Moving = Report.Moving;
-  Claim.Orderer = Member.Name;
-  if (const auto *Known = findClaim(State.Claims, Report.Group);
-      Known != nullptr && Known->Claim.Epoch == Claim.Epoch) {
-    Claim.Orderer = Known->Claim.Orderer;
-    Claim.Token = Known->Claim.Token;
-  }
+  Claim.Orderer = Report.Orderer;
   takeClaim(State, Claim);
 }
 
@@ -114,7 +110,7 @@
 
 void takeReport(native_state &State, const control::member &Member) {
   for (const wire::group_report &Report : Member.Report.Groups)
-    takeGroup(State, Member, Report);
+    takeGroup(State, Report);
   takePositions(State, Member);
   if (Member.Report.HeadVersion > State.Claims.Version)
     State.FleetReadWanted = true;
@@ -126,9 +122,8 @@
   State.Peers->completeHeartbeats([&State](wire::peer_report &Report) {
     completeHeartbeat(State, Report);
   });
-  State.Peers->onReport([&State](const control::member &Member) {
-    takeReport(State, Member);
-  });
+  State.Peers->onReport(
+      [&State](const control::member &Member) { takeReport(State, Member); });
   State.Peers->onReading(
       [&State](const control::member &, const std::string &Text) {
         takeRelayedList(State, Text);
@@ -141,10 +136,9 @@
     return true;
   const instant Now = base::now();
   const auto &View = State.Peers->view();
-  return std::ranges::none_of(
-      View.Members, [&](const control::member &Member) {
-        return Member.Name < View.Self.Name && readsStore(Member, Now);
-      });
+  return std::ranges::none_of(View.Members, [&](const control::member &Member) {
+    return Member.Name < View.Self.Name && readsStore(Member, Now);
+  });
 }
 
 bool hasReader(const native_state &State) {
@@ -165,18 +159,17 @@
   return Newest;
 }
 
-std::size_t countSuspects(const native_state &State,
-                          std::string_view Service) {
+std::size_t countSuspects(const native_state &State, std::string_view Service) {
   std::size_t Count = suspects(State, Service) ? 1 : 0;
   if (!State.Peers)
     return Count;
   for (const control::member &Member : State.Peers->view().Members)
     Count += isUp(Member) &&
-                     std::ranges::any_of(
-                         Member.Report.Groups,
-                         [&](const wire::group_report &Report) {
-                           return Report.Group == Service && Report.Suspect;
-                         })
+                     std::ranges::any_of(Member.Report.Groups,
+                                         [&](const wire::group_report &Report) {
+                                           return Report.Group == Service &&
+                                                  Report.Suspect;
+                                         })
                  ? 1
                  : 0;
   return Count;
--- a/packages/redwinggw/src/native_rights.cpp
+++ b/packages/redwinggw/src/native_rights.cpp
@@ -15,8 +15,8 @@
 } // namespace
 
 bool isInTouch(native_state &State) {
-  return State.Peers && State.Peers->judgeCurrency(base::now()) !=
-                            control::currency::Isolated;
+  return State.Peers &&
+         State.Peers->judgeCurrency(base::now()) != control::currency::Isolated;
 }
 
 base::endpoint_name primaryOf(const native_state &State,
@@ -47,13 +47,18 @@
   const auto *Known = findClaim(State.Claims, Service);
   if (Known == nullptr || !Known->Claim.Moving)
     return std::nullopt;
-  const auto Elapsed = std::chrono::duration_cast<milliseconds>(
-      base::now() - Known->Since);
+  const auto Elapsed =
+      std::chrono::duration_cast<milliseconds>(base::now() - Known->Since);
   constexpr milliseconds Least{100};
   return std::max(Least, MoveTakes - Elapsed);
 }
 
 bool takeClaim(native_state &State, const session::primary_claim &Claim) {
+  // To know a later claim is to acknowledge it, after which its orderer may
+  // order too. An earlier order of ours that is still on its way would then
+  // come after that one, so it has to end first; the claim is told again.
+  if (State.Ordering.contains(Claim.Service))
+    return false;
   if (!applyClaim(State.Claims, Claim, base::now()))
     return false;
   if (State.Peers)
@@ -68,8 +73,7 @@
 }
 
 bool suspects(const native_state &State, std::string_view Service) {
-  const auto Pool =
-      State.Endpoints.Pools.find(primaryOf(State, Service));
+  const auto Pool = State.Endpoints.Pools.find(primaryOf(State, Service));
   return Pool != State.Endpoints.Pools.end() &&
          isSuspect(Pool->second->health(), State.Handover, base::now());
 }
--- a/packages/redwinggw/src/native_state.hpp
+++ b/packages/redwinggw/src/native_state.hpp
@@ -5,8 +5,8 @@
 #include "platform/caller_listener.hpp"
 #include "platform/row_store.hpp"
 
-#include "redwinggw/control/peer_service.hpp"
 #include "redwinggw/control/demand_shares.hpp"
+#include "redwinggw/control/peer_service.hpp"
 #include "redwinggw/http/server.hpp"
 #include "redwinggw/kernel/life_cycle.hpp"
 #include "redwinggw/session/handover.hpp"
@@ -15,8 +15,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <memory>
 #include <map>
+#include <memory>
 #include <optional>
 #include <random>
 #include <set>
@@ -52,6 +52,10 @@
   std::set<base::service_name> Moving;
   /// Endpoints in use as primaries that are not listed, and since when.
   std::map<base::endpoint_name, base::instant> Missing;
+  /// Orderers of unfinished moves that are not heard, by service.
+  std::map<base::service_name, base::instant> OrderersGone;
+  /// Services for which an order to promote is on its way.
+  std::set<base::service_name> Ordering;
   /// Endpoints that are being probed.
   std::set<base::endpoint_name> Probing;
   /// The newest own sample of each service's log.
@@ -129,8 +133,7 @@
 
 /// Reads the system's own rows and takes them in. Nothing when the store did
 /// not answer.
-base::task<std::optional<platform::table_rows>>
-readFleet(native_state &State);
+base::task<std::optional<platform::table_rows>> readFleet(native_state &State);
 
 /// Divides the endpoints' connections anew.
 void divideConnections(native_state &State);
--- a/packages/session/include/redwinggw/session/handover.hpp
+++ b/packages/session/include/redwinggw/session/handover.hpp
@@ -38,6 +38,9 @@
   /// Instances that must suspect the primary, or all where there are fewer:
   /// one instance's broken link moves nothing.
   std::size_t SuspectsNeeded = 2;
+  /// An orderer that is not heard for so long is taken to have died: longer
+  /// than it takes to hear all others after a start or a partition.
+  base::milliseconds OrdererGoneFor{700};
   /// A move of a live orderer is left alone for so long.
   base::milliseconds UnfinishedFor{8000};
   /// An instance that does not acknowledge a move goes on with the old primary
@@ -68,8 +71,8 @@
   /// Instances that are up, this one included, and those that suspect.
   std::size_t Instances = 1;
   std::size_t Suspects = 0;
-  /// Whether the orderer of an unfinished move is up.
-  bool OrdererAlive = false;
+  /// Since when the orderer of an unfinished move has not been heard.
+  std::optional<base::instant> OrdererGoneSince;
 };
 
 move_cause causeToMove(const handover_view &View, const handover_limits &Limits,
--- a/packages/session/include/redwinggw/session/primary_claims.hpp
+++ b/packages/session/include/redwinggw/session/primary_claims.hpp
@@ -57,8 +57,7 @@
 constexpr std::string_view ClaimPrefix = "group/";
 std::string claimKey(std::string_view Service);
 std::string claimText(const primary_claim &Claim);
-std::optional<primary_claim> readClaim(std::string_view Key,
-                                       std::uint64_t Version,
-                                       std::string_view Text);
+std::optional<primary_claim>
+readClaim(std::string_view Key, std::uint64_t Version, std::string_view Text);
 
 } // namespace redwinggw::session
--- a/packages/session/src/handover.cpp
+++ b/packages/session/src/handover.cpp
@@ -19,8 +19,9 @@
 move_cause causeOfUnfinished(const handover_view &View,
                              const handover_limits &Limits, base::instant Now) {
   const bool Stuck = Now - View.Claim->Since > Limits.UnfinishedFor;
-  return View.OrdererAlive && !Stuck ? move_cause::None
-                                     : move_cause::Unfinished;
+  const bool Gone = View.OrdererGoneSince &&
+                    Now - *View.OrdererGoneSince > Limits.OrdererGoneFor;
+  return Stuck || Gone ? move_cause::Unfinished : move_cause::None;
 }
 
 } // namespace
--- a/packages/session/src/primary_claims.cpp
+++ b/packages/session/src/primary_claims.cpp
@@ -13,8 +13,8 @@
 bool applyClaim(primary_claims &Claims, const primary_claim &Claim,
                 base::instant Now) {
   Claims.Version = std::max(Claims.Version, Claim.Epoch);
-  const auto [At, New] =
-      Claims.Known.try_emplace(Claim.Service, primary_claims::known{Claim, Now});
+  const auto [At, New] = Claims.Known.try_emplace(
+      Claim.Service, primary_claims::known{Claim, Now});
   if (New)
     return true;
   const primary_claim &Present = At->second.Claim;
@@ -43,9 +43,8 @@
                                       {"token", Claim.Token}});
 }
 
-std::optional<primary_claim> readClaim(std::string_view Key,
-                                       std::uint64_t Version,
-                                       std::string_view Text) {
+std::optional<primary_claim>
+readClaim(std::string_view Key, std::uint64_t Version, std::string_view Text) {
   try {
     const json::value Value = json::parse(Text);
     primary_claim Claim;
--- a/packages/session/src/session_core.cpp
+++ b/packages/session/src/session_core.cpp
@@ -33,9 +33,8 @@
 }
 
 /// Takes one operation of the customer's rate.
-base::task<std::optional<answer_error>> admit(session_core &Core,
-                                              const session &Session,
-                                              const route &Route) {
+base::task<std::optional<answer_error>>
+admit(session_core &Core, const session &Session, const route &Route) {
   if (Session.Customer.empty())
     co_return std::nullopt;
   const auto Patience = std::chrono::duration_cast<base::microseconds>(
@@ -205,8 +204,8 @@
   const bool Failed = Answer.Error.has_value();
   if (!mayLog(Core.Budget, Failed, Now))
     return;
-  const auto Took = std::chrono::duration_cast<base::milliseconds>(
-      Now - Request.Arrived);
+  const auto Took =
+      std::chrono::duration_cast<base::milliseconds>(Now - Request.Arrived);
   const std::string Endpoint =
       Request.Tried.empty() ? "" : Request.Tried.back();
   base::logEvent(
@@ -218,8 +217,8 @@
        {"customer", Session.Customer},
        {"route", Request.Route.Name},
        {"service", Request.Route.Service},
-       {"statement", Request.Statement.Text.substr(
-                         0, Request.Statement.Text.find(' '))},
+       {"statement",
+        Request.Statement.Text.substr(0, Request.Statement.Text.find(' '))},
        {"endpoint", Endpoint},
        {"tries", std::to_string(Request.Tries)},
        {"took_ms", std::to_string(Took.count())},
--- a/packages/wire/include/redwinggw/wire/message.hpp
+++ b/packages/wire/include/redwinggw/wire/message.hpp
@@ -34,6 +34,8 @@
   bool Suspect = false;
   /// A new primary is being made: Primary is the one given up.
   bool Moving = false;
+  /// Who orders or ordered the promotion; empty where that is not told.
+  base::instance_name Orderer;
 
   friend bool operator==(const group_report &, const group_report &) = default;
 };
@@ -45,7 +47,8 @@
   /// Operations a second, smoothed, served or not.
   float Rate = 0;
 
-  friend bool operator==(const demand_report &, const demand_report &) = default;
+  friend bool operator==(const demand_report &,
+                         const demand_report &) = default;
 };
 
 /// A place in a group's log that covers all commits acknowledged before it.
--- a/packages/wire/src/message.cpp
+++ b/packages/wire/src/message.cpp
@@ -54,6 +54,7 @@
   Ar(Report.Term);
   transfer(Ar, Report.Primary);
   Ar(Report.Suspect, Report.Moving);
+  transfer(Ar, Report.Orderer);
 }
 
 constexpr std::size_t MaxReading = 65'000;
