Fence with half of the instances; send callers away from a cut-off one

Ruled out: a slower promotion (580 ms whole, 350 of them the platform's).

Change: half of the instances, not a majority, must have acknowledged: the rest is then no majority without one that knows. Suspicions count for the present primary only. An instance out of touch for 800 ms is not ready and closes idle sessions. A pool may open up to twice its even part while the endpoint accepts. Lines for lost and regained touch and store.

--- a/packages/redwinggw/src/native_following.cpp
+++ b/packages/redwinggw/src/native_following.cpp
@@ -265,6 +265,7 @@
   auto Rows = co_await platform::readTable(
       State.Reader, std::string(platform::OwnTable), Sent + ReadTimeout);
   ++State.Store.Reads;
+  noteStore(State, Rows.has_value(), Rows ? "" : describe(Rows.error()));
   if (!Rows)
     co_return std::nullopt;
   const bool Listed = takeFleet(State, *Rows);
@@ -300,6 +301,7 @@
     const auto Rows = co_await platform::readTable(
         State->Reader, "op", base::now() + ConfigurationTimeout);
     ++State->Store.Reads;
+    noteStore(*State, Rows.has_value(), Rows ? "" : describe(Rows.error()));
     if (Rows) {
       if (State->Peers)
         State->Peers->noteStoreContact();
@@ -320,6 +322,7 @@
     const auto Rows = co_await platform::readTable(State->Reader, "servers",
                                                    base::now() + ReadTimeout);
     ++State->Store.Reads;
+    noteStore(*State, Rows.has_value(), Rows ? "" : describe(Rows.error()));
     if (Rows) {
       if (State->Peers)
         State->Peers->noteStoreContact();
--- a/packages/redwinggw/src/native_handover.cpp
+++ b/packages/redwinggw/src/native_handover.cpp
@@ -197,9 +197,9 @@
         return Member.Report.Version >= Claim.Epoch;
       }));
   Acknowledged.All = Count == Members.size();
-  const bool Majority = 2 * (Count + 1) > Members.size() + 1;
-  if (Majority && !Acknowledged.MajoritySince)
-    Acknowledged.MajoritySince = base::now();
+  const bool Half = 2 * (Count + 1) >= Members.size() + 1;
+  if (Half && !Acknowledged.HalfSince)
+    Acknowledged.HalfSince = base::now();
 }
 
 /// Whether no later claim of the service is known: another orderer may have
@@ -349,7 +349,7 @@
   const instant Deadline = base::now() + MoveTime;
   const bool Fenced = co_await awaitAcknowledgements(State, Claim, Deadline);
   if (!Fenced) {
-    say(Claim.Service, "the move waits for a majority of the instances.");
+    say(Claim.Service, "the move waits for half of the instances.");
     co_return false;
   }
   const base::endpoint_name Target = co_await findTarget(State, Claim);
--- a/packages/redwinggw/src/native_instance.cpp
+++ b/packages/redwinggw/src/native_instance.cpp
@@ -18,6 +18,9 @@
 using base::milliseconds;
 
 constexpr milliseconds HousekeepingEvery{200};
+/// Longer than the pause in which a lost majority is made up for by readings
+/// of the store.
+constexpr milliseconds CutOffAfter{800};
 
 void entered(kernel::life_state State) {
   base::log(log_level::Info, log_part::Main,
@@ -77,8 +80,14 @@
   Core.Ports = nativePorts(*this);
 }
 
+bool isCutOff(const native_state &State) {
+  return State.OutOfTouchSince &&
+         base::now() - *State.OutOfTouchSince > CutOffAfter;
+}
+
 bool isReady(const native_state &State) {
-  return State.Routes && State.ListAt && State.FleetReadAt && !State.Draining;
+  return State.Routes && State.ListAt && State.FleetReadAt && !State.Draining &&
+         !isCutOff(State);
 }
 
 session::core_ports nativePorts(native_state &State) {
@@ -123,12 +132,28 @@
     session::pool_limits Limits;
     Limits.Connections =
         std::max<std::size_t>(1, Service->second.Connections / Instances);
+    Limits.MostConnections = 2 * Limits.Connections;
     Pool->setLimits(Limits);
   }
 }
 
 namespace {
 
+/// An instance that may not use primaries can serve little: callers do better
+/// elsewhere. Those with sessions here come back through the balancer, which
+/// sends no one to an instance that is not ready.
+void noteTouch(native_state &State) {
+  if (isInTouch(State)) {
+    State.OutOfTouchSince.reset();
+    return;
+  }
+  if (!State.OutOfTouchSince)
+    State.OutOfTouchSince = base::now();
+  constexpr std::size_t ClosedAtOnce = 20;
+  if (isCutOff(State))
+    State.Callers.closeIdle(ClosedAtOnce);
+}
+
 /// Callers are taken once there is a configuration to serve them by.
 void openToCallers(native_state &State) {
   if (State.Listening || !isReady(State))
@@ -144,6 +169,7 @@
 base::task<void> keepNativeHouse(native_ptr State) {
   while (true) {
     base::flushLog();
+    noteTouch(*State);
     openToCallers(*State);
     divideConnections(*State);
     State->Callers.endAbandoned();
--- a/packages/redwinggw/src/native_news.cpp
+++ b/packages/redwinggw/src/native_news.cpp
@@ -161,6 +161,8 @@
 
 std::size_t countSuspects(const native_state &State, std::string_view Service) {
   std::size_t Count = suspects(State, Service) ? 1 : 0;
+  // Reports may still speak of a primary that was replaced meanwhile.
+  const base::endpoint_name Primary = primaryOf(State, Service);
   if (!State.Peers)
     return Count;
   for (const control::member &Member : State.Peers->view().Members)
@@ -168,7 +170,8 @@
                      std::ranges::any_of(Member.Report.Groups,
                                          [&](const wire::group_report &Report) {
                                            return Report.Group == Service &&
-                                                  Report.Suspect;
+                                                  Report.Suspect &&
+                                                  Report.Primary == Primary;
                                          })
                  ? 1
                  : 0;
--- a/packages/redwinggw/src/native_rights.cpp
+++ b/packages/redwinggw/src/native_rights.cpp
@@ -15,8 +15,26 @@
 } // namespace
 
 bool isInTouch(native_state &State) {
-  return State.Peers &&
-         State.Peers->judgeCurrency(base::now()) != control::currency::Isolated;
+  if (!State.Peers)
+    return false;
+  const control::currency Now = State.Peers->judgeCurrency(base::now());
+  if (Now != State.Currency)
+    base::logEvent(base::log_level::Info, base::log_part::Peers, "in_touch",
+                   {{"was", std::string(currencyName(State.Currency))},
+                    {"is", std::string(currencyName(Now))},
+                    {"claims", std::to_string(State.Claims.Version)}});
+  State.Currency = Now;
+  return Now != control::currency::Isolated;
+}
+
+void noteStore(native_state &State, bool Answered, std::string_view Reason) {
+  if (Answered == State.StoreUp)
+    return;
+  State.StoreUp = Answered;
+  base::logEvent(Answered ? base::log_level::Info : base::log_level::Warning,
+                 base::log_part::Platform,
+                 Answered ? "store_regained" : "store_lost",
+                 {{"reason", std::string(Reason)}});
 }
 
 base::endpoint_name primaryOf(const native_state &State,
--- a/packages/redwinggw/src/native_state.hpp
+++ b/packages/redwinggw/src/native_state.hpp
@@ -66,6 +66,10 @@
   std::string ListText;
   std::optional<base::instant> ListAt;
   std::optional<base::instant> FleetReadAt;
+  std::optional<base::instant> OutOfTouchSince;
+  control::currency Currency = control::currency::Isolated;
+  /// Whether the last call to the store was answered.
+  bool StoreUp = true;
   bool FleetReadWanted = false;
   kernel::life_cycle Life;
   std::mt19937_64 Random;
@@ -80,6 +84,8 @@
 
 using native_ptr = std::shared_ptr<native_state>;
 
+/// Whether this instance has been unable to use primaries for a while.
+bool isCutOff(const native_state &State);
 /// Whether callers may be sent here.
 bool isReady(const native_state &State);
 
@@ -115,6 +121,8 @@
 /// @{
 /// Whether this instance would have learned of a promotion by now.
 bool isInTouch(native_state &State);
+/// Notes the outcome of a call to the store, and logs a change.
+void noteStore(native_state &State, bool Answered, std::string_view Reason);
 std::optional<session::primary_right> rightTo(native_state &State,
                                               std::string_view Service);
 /// The endpoint in use as the primary of \p Service; empty when there is none.
--- a/packages/session/include/redwinggw/session/endpoint_pool.hpp
+++ b/packages/session/include/redwinggw/session/endpoint_pool.hpp
@@ -58,8 +58,15 @@
 };
 
 struct pool_limits {
-  /// Connections that this instance may open.
+  /// This instance's even part of the endpoint's connections.
   std::size_t Connections = 4;
+  /// Connections that it may open while statements wait and the endpoint still
+  /// accepts some: callers are spread unevenly over instances and customers.
+  std::size_t MostConnections = 8;
+  /// A connection above the even part is closed when nobody used it for so
+  /// long, and none is tried after the endpoint had no more for that time.
+  base::milliseconds SpareIdleTime{250};
+  base::milliseconds RefusedPause{1000};
   /// A connection is set up within one round trip and the endpoint's set-up
   /// time; far above both, and short enough to try another endpoint.
   base::milliseconds ConnectTimeout{700};
@@ -123,13 +130,12 @@
   std::size_t waiting() const { return Queue.Size; }
   bool hasIdle(std::string_view Customer) const;
   /// All connections are open and in use.
-  bool isExhausted() const {
-    return Idle.empty() && Open >= Limits.Connections;
-  }
+  bool isExhausted() const { return Idle.empty() && !mayOpen(); }
   std::uint64_t connects() const { return Connects; }
 
 private:
   link_handle takeIdle(std::string_view Customer, const session_values &Values);
+  bool mayOpen() const;
   bool evictOne();
   void wakeNext();
   base::task<acquired> connect(base::customer_name Customer,
@@ -147,6 +153,8 @@
   endpoint_health Health;
   std::list<link_handle> Idle;
   std::size_t Open = 0;
+  /// When the endpoint last had no connection left for anybody.
+  std::optional<base::instant> RefusedAt;
   data::fair_queue Queue;
   std::unordered_map<std::uint64_t, waiter *> Waiters;
   std::multiset<base::instant> Unanswered;
--- a/packages/session/include/redwinggw/session/handover.hpp
+++ b/packages/session/include/redwinggw/session/handover.hpp
@@ -82,7 +82,9 @@
 struct move_acknowledgements {
   base::instant ClaimedAt;
   bool All = false;
-  std::optional<base::instant> MajoritySince;
+  /// Since when at least half of the instances have: the others are too few to
+  /// be a majority without one of these, which would tell them.
+  std::optional<base::instant> HalfSince;
 };
 
 /// Whether nobody can use the old primary any more.
--- a/packages/session/src/endpoint_pool.cpp
+++ b/packages/session/src/endpoint_pool.cpp
@@ -84,6 +84,14 @@
   });
 }
 
+bool endpoint_pool::mayOpen() const {
+  if (Open < Limits.Connections)
+    return true;
+  const bool Refused =
+      RefusedAt && base::now() - *RefusedAt < Limits.RefusedPause;
+  return Open < Limits.MostConnections && !Refused;
+}
+
 /// Closes the idle connection that was used longest ago.
 bool endpoint_pool::evictOne() {
   if (Idle.empty())
@@ -114,8 +122,11 @@
   if (!Answered && (Latest <= Deadline || base::now() < Deadline))
     noteFailure(base::now());
   --Open;
+  const acquire_failure Failure = failureOf(Opened);
+  if (Failure == acquire_failure::Exhausted)
+    RefusedAt = base::now();
   wakeNext();
-  co_return acquired{nullptr, failureOf(Opened)};
+  co_return acquired{nullptr, Failure};
 }
 
 base::task<acquired> endpoint_pool::acquire(base::customer_name Customer,
@@ -127,7 +138,7 @@
         co_return acquired{std::move(Link)};
       --Open;
     }
-    if (Open < Limits.Connections || evictOne())
+    if (Open < Limits.Connections || evictOne() || mayOpen())
       co_return co_await connect(std::move(Customer), Deadline);
     if (!co_await waitForTurn(Customer, Deadline))
       co_return acquired{nullptr, acquire_failure::Exhausted};
@@ -155,7 +166,7 @@
 }
 
 void endpoint_pool::wakeNext() {
-  if (Open >= Limits.Connections && Idle.empty())
+  if (isExhausted())
     return;
   while (const auto Ticket = dequeue(Queue)) {
     const auto Found = Waiters.find(Ticket->Id);
@@ -170,8 +181,6 @@
 void endpoint_pool::giveBack(link_handle Link) {
   Link->UsedAt = base::now();
   Idle.push_front(std::move(Link));
-  if (Open > Limits.Connections)
-    evictOne();
   wakeNext();
 }
 
@@ -188,7 +197,12 @@
 }
 
 void endpoint_pool::closeUnused(instant Now) {
-  while (!Idle.empty() && Now - Idle.back()->UsedAt > Limits.IdleTime)
+  const auto IsOld = [&](const link_handle &Link) {
+    const milliseconds Longest =
+        Open > Limits.Connections ? Limits.SpareIdleTime : Limits.IdleTime;
+    return Now - Link->UsedAt > Longest;
+  };
+  while (!Idle.empty() && IsOld(Idle.back()))
     evictOne();
 }
 
--- a/packages/session/src/handover.cpp
+++ b/packages/session/src/handover.cpp
@@ -57,8 +57,8 @@
                 const handover_limits &Limits, base::instant Now) {
   if (Acknowledged.All)
     return true;
-  return Acknowledged.MajoritySince &&
-         Now - *Acknowledged.MajoritySince > Limits.HeartbeatsCount &&
+  return Acknowledged.HalfSince &&
+         Now - *Acknowledged.HalfSince > Limits.HeartbeatsCount &&
          Now - Acknowledged.ClaimedAt > Limits.ReadingCounts;
 }
 
