Stop in steps; keep 60% of the endpoints' connections

Change: a stop tells peers and balancer first, serves 2.1 s more, then closes idle sessions a few at a time, gives transactions half of the time, removes its row. All instances together keep 60% of an endpoint's connections.

--- a/packages/redwinggw/src/native_following.cpp
+++ b/packages/redwinggw/src/native_following.cpp
@@ -243,8 +243,21 @@
     takeEndpoints(State, entriesOf(*Rows));
 }
 
+base::task<void> removeInstance(native_state &State) {
+  // From here on a reading of the fleet must not register it again.
+  State.Stopped = true;
+  storage::commit_request Request;
+  Request.Deletes.push_back(instanceKey(State.Settings.Name));
+  const auto Removed =
+      co_await storage::commit(State.Store, std::move(Request));
+  if (!Removed)
+    base::log(log_level::Warning, log_part::Peers,
+              "The own row stays for others to remove: " +
+                  describe(Removed.error()));
+}
+
 base::task<void> joinFleet(native_ptr State) {
-  while (!State->Draining) {
+  while (!State->Stopped) {
     const auto Secret = co_await fleetSecret(*State);
     bool Registered = false;
     if (Secret)
@@ -271,27 +284,27 @@
   const bool Listed = takeFleet(State, *Rows);
   State.Peers->noteStoreRead(Sent, base::now(), State.Claims.Version);
   State.FleetReadAt = Sent;
-  if (!Listed && !State.Draining)
+  if (!Listed && !State.Stopped)
     co_await registerInstance(State);
   co_return std::move(*Rows);
 }
 
 base::task<void> followFleet(native_ptr State) {
-  while (!State->Draining) {
+  while (!State->Stopped) {
     const auto Rows = co_await readFleet(*State);
     if (Rows)
       co_await removeDeadInstances(*State);
     const base::instant Since = base::now();
     const milliseconds Pause = Rows ? fleetReadInterval(*State) : RetryAfter;
     // News of a change or of a new instance ends the pause.
-    while (!State->Draining && base::now() - Since < Pause &&
+    while (!State->Stopped && base::now() - Since < Pause &&
            !State->FleetReadWanted)
       co_await pauseAbout(*State, NewsEvery);
   }
 }
 
 base::task<void> followConfiguration(native_ptr State) {
-  while (!State->Draining) {
+  while (!State->Stopped) {
     // Where another instance reads, its heartbeats tell of changes.
     const bool News = newestConfigurationRow(*State) > State->RoutesRow;
     if (State->Routes && hasReader(*State) && !News) {
@@ -312,7 +325,7 @@
 }
 
 base::task<void> followEndpoints(native_ptr State) {
-  while (!State->Draining) {
+  while (!State->Stopped) {
     const bool Relayed =
         State->ListAt && base::now() - *State->ListAt < RelayCounts;
     if (Relayed && hasReader(*State)) {
--- a/packages/redwinggw/src/native_handover.cpp
+++ b/packages/redwinggw/src/native_handover.cpp
@@ -320,7 +320,7 @@
   Claim.Moving = false;
   takeClaim(State, Claim);
   State.Peers->sendNow();
-  while (!State.Draining) {
+  while (!State.Stopped) {
     const auto *Known = findClaim(State.Claims, Claim.Service);
     if (Known == nullptr || Known->Claim != Claim)
       co_return;
@@ -403,7 +403,7 @@
   const auto *Known = findClaim(State->Claims, Service);
   const bool OwnMove = Known != nullptr && Known->Claim.Moving &&
                        Known->Claim.Orderer == State->Settings.Name;
-  if (State->Moving.contains(Service) || (!isReader(*State) && !OwnMove))
+  if (State->Draining || State->Moving.contains(Service) || (!isReader(*State) && !OwnMove))
     return;
   const auto View = viewOf(*State, Service);
   const move_cause Cause = causeToMove(View, State->Handover, base::now());
@@ -417,7 +417,7 @@
 } // namespace
 
 base::task<void> guardPrimaries(native_ptr State) {
-  while (!State->Draining) {
+  while (!State->Stopped) {
     if (State->Peers && State->Routes && State->FleetReadAt) {
       const session::route_table_ptr Table = State->Routes;
       for (const auto &[Service, Limits] : Table->Services)
--- a/packages/redwinggw/src/native_instance.cpp
+++ b/packages/redwinggw/src/native_instance.cpp
@@ -18,6 +18,10 @@
 using base::milliseconds;
 
 constexpr milliseconds HousekeepingEvery{200};
+/// Part of an endpoint's connections that all instances together keep open.
+/// The rest is for those that need more, and for new processes: the endpoint
+/// counts connections of machines without power for three more seconds.
+constexpr unsigned KeptPercent = 60;
 /// Longer than the pause in which a lost majority is made up for by readings
 /// of the store.
 constexpr milliseconds CutOffAfter{800};
@@ -45,12 +49,52 @@
   co_return Response;
 }
 
+/// \name Steps of a graceful stop, from its beginning
+/// The platform kills a process six seconds after its first signal.
+/// @{
+/// The balancer has asked twice by then and sends nobody any more. Whoever was
+/// sent before is still served: a session closed sooner would come back here.
+constexpr milliseconds CallersKnow{2100};
+/// Open transactions may end until then: half of the time.
+constexpr milliseconds TransactionsEnd{3100};
+/// Statements still at work get their answers until then.
+constexpr milliseconds AnswersEnd{5200};
+constexpr milliseconds DrainPace{100};
+/// @}
+
+/// Closes idle sessions a few at a time, so that they do not all come back to
+/// the other instances at once.
+void closeSomeIdle(native_state &State, base::microseconds Elapsed) {
+  constexpr std::size_t Rounds = 6;
+  const bool Late = Elapsed >= TransactionsEnd;
+  const std::size_t Open = State.Callers.open();
+  State.Callers.closeIdle(Late ? Open : Open / Rounds + 1);
+}
+
+base::task<void> leaveFleet(native_state &State) {
+  if (!State.Peers)
+    co_return;
+  co_await removeInstance(State);
+  State.Peers->stop();
+}
+
 base::task<void> drainNative(native_ptr State) {
+  const base::instant Begun = base::now();
+  if (State->Peers)
+    State->Peers->drain();
+  while (base::now() - Begun < CallersKnow)
+    co_await pauseAbout(*State, DrainPace);
   State->Callers.stopAccepting();
-  while (State->Callers.open() > 0) {
-    State->Callers.closeIdle(State->Callers.open());
-    co_await pauseAbout(*State, milliseconds(100));
+  State->Core.Draining = true;
+  while (State->Callers.open() > 0 && base::now() - Begun < AnswersEnd) {
+    const auto Elapsed = base::now() - Begun;
+    if (Elapsed >= TransactionsEnd)
+      State->Callers.endTransactions();
+    closeSomeIdle(*State, Elapsed);
+    co_await pauseAbout(*State, DrainPace);
   }
+  co_await leaveFleet(*State);
+  State->Stopped = true;
   State->Life.process(kernel::life_event::Drained);
   State->Context.stop();
 }
@@ -130,9 +174,10 @@
     if (Service == State.Routes->Services.end())
       continue;
     session::pool_limits Limits;
-    Limits.Connections =
-        std::max<std::size_t>(1, Service->second.Connections / Instances);
-    Limits.MostConnections = 2 * Limits.Connections;
+    const std::size_t Kept = Service->second.Connections * KeptPercent / 100;
+    Limits.Connections = std::max<std::size_t>(1, Kept / Instances);
+    Limits.MostConnections = std::max<std::size_t>(
+        Limits.Connections, 2 * Service->second.Connections / Instances);
     Pool->setLimits(Limits);
   }
 }
@@ -205,7 +250,6 @@
   if (State->Draining)
     return;
   State->Draining = true;
-  State->Core.Draining = true;
   State->Life.process(kernel::life_event::Stop);
   asio::co_spawn(State->Context, drainNative(State), asio::detached);
 }
--- a/packages/redwinggw/src/native_news.cpp
+++ b/packages/redwinggw/src/native_news.cpp
@@ -134,6 +134,8 @@
 bool isReader(const native_state &State) {
   if (!State.Peers)
     return true;
+  if (State.Draining && hasReader(State))
+    return false;
   const instant Now = base::now();
   const auto &View = State.Peers->view();
   return std::ranges::none_of(View.Members, [&](const control::member &Member) {
@@ -147,7 +149,8 @@
   const instant Now = base::now();
   return std::ranges::any_of(
       State.Peers->view().Members, [&](const control::member &Member) {
-        return Member.Name < State.Settings.Name && readsStore(Member, Now);
+        const bool First = Member.Name < State.Settings.Name;
+        return (First || State.Draining) && readsStore(Member, Now);
       });
 }
 
--- a/packages/redwinggw/src/native_state.hpp
+++ b/packages/redwinggw/src/native_state.hpp
@@ -76,7 +76,10 @@
   /// Instances among which the endpoints' connections are divided now.
   std::size_t SharedAmong = 0;
   bool Listening = false;
+  /// Begins with the first signal: not ready, no new duties.
   bool Draining = false;
+  /// All loops end.
+  bool Stopped = false;
 };
 
 /// The system's own rows are in one table: this one names who orders.
@@ -89,7 +92,7 @@
 /// Whether callers may be sent here.
 bool isReady(const native_state &State);
 
-/// \name Loops, each run as a coroutine until the instance drains
+/// \name Loops, each run as a coroutine until the instance stops
 /// @{
 /// Makes or reads the fleet's secret, registers this instance, and starts the
 /// services that need both.
@@ -143,6 +146,9 @@
 /// not answer.
 base::task<std::optional<platform::table_rows>> readFleet(native_state &State);
 
+/// Removes this instance's row: it has stopped and counts no more.
+base::task<void> removeInstance(native_state &State);
+
 /// Divides the endpoints' connections anew.
 void divideConnections(native_state &State);
 
