Stand-ins of the users' platform, and the whole path on real processes

The first run of the new test found one: an instance told the balancer that it was ready up to 200 ms before it listened to callers.

Ruled out: a wait in the test (the balancer would send callers just as early).

Change: tests/standins/native (rows, databases with log, lag and promotion, orders), native_path_test with 11 stories on real processes; ready means listening.

--- a/packages/redwinggw/src/native_instance.cpp
+++ b/packages/redwinggw/src/native_instance.cpp
@@ -130,8 +130,7 @@
 }
 
 bool isReady(const native_state &State) {
-  return State.Routes && State.ListAt && State.FleetReadAt && !State.Draining &&
-         !isCutOff(State);
+  return State.Listening && !State.Draining && !isCutOff(State);
 }
 
 session::core_ports nativePorts(native_state &State) {
@@ -203,7 +202,7 @@
 
 /// Callers are taken once there is a configuration to serve them by.
 void openToCallers(native_state &State) {
-  if (State.Listening || !isReady(State))
+  if (State.Listening || !State.Routes || !State.ListAt || !State.FleetReadAt)
     return;
   State.Listening = true;
   if (const auto Listening = State.Callers.listen(State.Settings.Callers);
--- /dev/null
+++ b/tests/native/line_client.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "redwinggw/http/address.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace redwinggw::fleet {
+
+/// What a caller got for one statement.
+struct line_answer {
+  std::vector<std::string> Rows;
+  /// What stood behind the end of the answer; empty after an error.
+  std::string Signature;
+  /// Code of the error; "closed" when the connection ended.
+  std::string Error;
+  std::string State;
+};
+
+/// A caller that waits for each answer. Used from one thread.
+class line_client {
+public:
+  /// Connects and starts a session; failed() tells how it was refused.
+  line_client(const http::address &Address, const std::string &Database,
+              const std::string &Key);
+
+  const std::string &failed() const { return Failed; }
+
+  line_answer run(const std::string &Text);
+  /// Sends bytes as they are, and reads one answer.
+  line_answer send(const std::string &Bytes);
+
+private:
+  std::optional<std::string> readLine();
+  line_answer readAnswer();
+
+  boost::asio::io_context Context;
+  boost::asio::ip::tcp::socket Socket;
+  std::string Buffer;
+  std::string Failed;
+};
+
+} // namespace redwinggw::fleet
--- /dev/null
+++ b/tests/native/native_path_test.cpp
@@ -0,0 +1,183 @@
+#include "line_client.hpp"
+#include "native_fleet.hpp"
+
+#include <csignal>
+
+#include "criterion_test.hpp"
+
+using namespace redwinggw;
+using namespace redwinggw::fleet;
+using standin::native_world;
+
+namespace {
+
+/// Writes until it succeeds, as a caller does that repeats what was refused.
+bool writeEventually(const native_process &Instance, const std::string &Item,
+                     const std::string &Data) {
+  return eventually([&] {
+    line_client Caller(Instance.Callers, "strict", "key");
+    return Caller.run("WRITE " + Item + " " + Data).Error.empty();
+  });
+}
+
+} // namespace
+
+// Each kind of statement from end to end, through real processes.
+Test(native_path, serves_statements_of_every_kind) {
+  native_fleet Fleet(1);
+  line_client Caller(Fleet.Instances[0].Callers, "own", "key");
+  cr_assert(Caller.failed().empty());
+  cr_assert(Caller.run("SET zone east").Signature == "-");
+  cr_assert(Caller.run("WRITE bag 400g").Signature.starts_with("sig."));
+  line_answer Answer = Caller.run("READ bag");
+  cr_assert(Answer.Rows == std::vector<std::string>{"400g"});
+  cr_assert(Caller.run("PREPARE s READ shape").Signature == "-");
+  cr_assert(Caller.run("EXECUTE s bag").Rows ==
+            std::vector<std::string>{"400g"});
+  cr_assert(Caller.run("BEGIN").State == "T");
+  cr_assert(Caller.run("WRITE bag 500g").State == "T");
+  Answer = Caller.run("COMMIT");
+  cr_assert(Answer.Signature.starts_with("sig.") && Answer.State == "I");
+  cr_assert(Caller.run("READ bag").Rows == std::vector<std::string>{"500g"});
+  cr_assert(Caller.run("BEGIN").State == "T");
+  cr_assert(Caller.run("WRITE bag 9kg").Error.empty());
+  cr_assert(Caller.run("ROLLBACK").Error.empty());
+  cr_assert(Caller.run("READ bag").Rows == std::vector<std::string>{"500g"});
+  cr_assert(Caller.run("NONSENSE").Error == "MALFORMED");
+}
+
+Test(native_path, refuses_unknown_databases_keys_and_orders) {
+  native_fleet Fleet(1);
+  const http::address &Callers = Fleet.Instances[0].Callers;
+  cr_assert(line_client(Callers, "nowhere", "key").failed() == "NODATABASE");
+  cr_assert(line_client(Callers, "strict", "stolen").failed() == "DENIED");
+  line_client Caller(Callers, "strict", "key");
+  cr_assert(Caller.run("COMMIT").Error == "MALFORMED");
+  cr_assert(Caller.send("HELLO\r\n").Error == "MALFORMED");
+}
+
+// A message of over 1 MiB must not fill the instance's memory.
+Test(native_path, ends_a_session_with_an_endless_line) {
+  native_fleet Fleet(1);
+  line_client Caller(Fleet.Instances[0].Callers, "strict", "key");
+  const std::string Long(std::size_t{3} << 20U, 'x');
+  const line_answer Answer = Caller.send("QUERY 1 WRITE a " + Long);
+  cr_assert(Answer.Error == "TOOLARGE" || Answer.Error == "closed");
+}
+
+// The operators withdraw a key while its caller stays connected: the next
+// statements must be denied, at every instance.
+Test(native_path, stops_a_withdrawn_key_on_open_sessions) {
+  native_fleet Fleet(2);
+  line_client First(Fleet.Instances[0].Callers, "strict", "key");
+  line_client Second(Fleet.Instances[1].Callers, "strict", "key");
+  cr_assert(First.run("READ a").Error.empty());
+  cr_assert(Second.run("READ a").Error.empty());
+  Fleet.World.with([](native_world &World) { World.configure({"other"}); });
+  cr_assert(eventually([&] { return First.run("READ a").Error == "DENIED"; }));
+  cr_assert(eventually([&] { return Second.run("READ a").Error == "DENIED"; }));
+}
+
+// A database runs a payment and its answer is lost: the caller must not be
+// told that nothing happened, and nobody may repeat it.
+Test(native_path, leaves_an_unanswered_write_in_doubt) {
+  native_fleet Fleet(1);
+  line_client Caller(Fleet.Instances[0].Callers, "strict", "key");
+  Fleet.World.with([](native_world &World) {
+    World.Group.Databases[0].LoseAnswers = 1;
+  });
+  cr_assert(Caller.run("WRITE pay 5").Error == "INDOUBT");
+  Fleet.World.with([](native_world &World) {
+    unsigned Runs = 0;
+    for (const auto &[Id, Count] : World.Group.Runs)
+      Runs += Count;
+    cr_assert(Runs == 1);
+  });
+}
+
+// The primary crashes: a replica takes over, ordered once, and an acknowledged
+// write that the replica had received is still there.
+Test(native_path, moves_the_primary_after_a_crash) {
+  native_fleet Fleet(3);
+  cr_assert(writeEventually(Fleet.Instances[0], "a", "before"));
+  // Past the lag of the replicas.
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  Fleet.World.crash("d1");
+  // Two instances have to meet the crash.
+  line_client Other(Fleet.Instances[1].Callers, "strict", "key");
+  Other.run("READ a");
+  cr_assert(writeEventually(Fleet.Instances[0], "b", "after"));
+  cr_assert(writeEventually(Fleet.Instances[1], "c", "after"));
+  line_client Caller(Fleet.Instances[2].Callers, "strict", "key");
+  cr_assert(Caller.run("READ a").Rows == std::vector<std::string>{"before"});
+  Fleet.World.with([](native_world &World) {
+    cr_assert(World.Promotions.size() == 1);
+  });
+}
+
+// The primary announces that it leaves: it is replaced before it goes, and
+// nothing that was acknowledged is lost.
+Test(native_path, replaces_a_leaving_primary_without_loss) {
+  native_fleet Fleet(2);
+  cr_assert(writeEventually(Fleet.Instances[0], "a", "1"));
+  Fleet.World.drain("d1");
+  cr_assert(eventually([&] {
+    bool Moved = false;
+    Fleet.World.with(
+        [&](native_world &World) { Moved = !World.Group.Databases[0].Primary; });
+    return Moved;
+  }));
+  cr_assert(writeEventually(Fleet.Instances[1], "b", "2"));
+  line_client Caller(Fleet.Instances[0].Callers, "strict", "key");
+  cr_assert(Caller.run("READ a").Rows == std::vector<std::string>{"1"});
+}
+
+// The store is down: nothing can be changed, and what is in force goes on.
+Test(native_path, goes_on_while_the_store_is_down) {
+  native_fleet Fleet(2);
+  cr_assert(writeEventually(Fleet.Instances[0], "a", "1"));
+  Fleet.World.with([](native_world &World) { World.Store.Down = true; });
+  std::this_thread::sleep_for(std::chrono::milliseconds(3000));
+  line_client Caller(Fleet.Instances[1].Callers, "own", "key");
+  cr_assert(Caller.run("WRITE a 2").Error.empty());
+  cr_assert(Caller.run("READ a").Rows == std::vector<std::string>{"2"});
+}
+
+// A planned stop: the instance is not ready at once, answers what is at work,
+// removes its row and exits with 0.
+Test(native_path, stops_gracefully) {
+  native_fleet Fleet(2);
+  native_process &Leaving = Fleet.Instances[0];
+  line_client Caller(Leaving.Callers, "strict", "key");
+  cr_assert(Caller.run("BEGIN").Error.empty());
+  cr_assert(Caller.run("WRITE a 1").Error.empty());
+  Leaving.Process->signal(SIGTERM);
+  cr_assert(eventually([&] { return !isReady(Leaving); }));
+  cr_assert(Caller.run("COMMIT").Error.empty());
+  cr_assert(Leaving.Process->wait(std::chrono::seconds(30)) == 0);
+  Fleet.World.with([](native_world &World) {
+    cr_assert(World.Store.value("redwinggw", "instance/i1").empty());
+    cr_assert(!World.Store.value("redwinggw", "instance/i2").empty());
+  });
+}
+
+// The settings change: an instance that does not expect the signal would end.
+Test(native_path, survives_a_reload) {
+  native_fleet Fleet(1);
+  Fleet.Instances[0].Process->signal(SIGHUP);
+  cr_assert(eventually([&] {
+    return Fleet.Instances[0].Process->output().find("read again") !=
+           std::string::npos;
+  }));
+  cr_assert(writeEventually(Fleet.Instances[0], "a", "1"));
+}
+
+// The endpoints learn whose statements they run, and never a key.
+Test(native_path, shows_endpoints_customers_and_no_keys) {
+  native_fleet Fleet(1);
+  cr_assert(writeEventually(Fleet.Instances[0], "a", "1"));
+  Fleet.World.with([](native_world &World) {
+    cr_assert(World.Group.Customers.contains("acme"));
+    cr_assert(!World.Group.Customers.contains("key"));
+  });
+}
--- /dev/null
+++ b/tests/standins/native/database_server.cpp
@@ -0,0 +1,278 @@
+#include "native/database_server.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <charconv>
+#include <optional>
+#include <set>
+
+namespace redwinggw::standin {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+constexpr auto Token = asio::as_tuple(asio::use_awaitable);
+
+std::string takeWord(std::string &Text) {
+  const std::size_t End = Text.find(' ');
+  std::string Word = Text.substr(0, End);
+  Text.erase(0, End == std::string::npos ? Text.size() : End + 1);
+  return Word;
+}
+
+/// One connection of a client.
+struct connection {
+  explicit connection(tcp::socket Socket) : Socket(std::move(Socket)) {}
+  tcp::socket Socket;
+  std::string Buffer;
+  bool Started = false;
+  bool InTransaction = false;
+  bool Failed = false;
+  bool ReadOnly = false;
+  std::vector<log_entry> Pending;
+  std::map<std::string, std::string> Prepared;
+};
+
+std::optional<session::log_point> readAfter(std::string &Text) {
+  if (!Text.starts_with("AFTER "))
+    return std::nullopt;
+  takeWord(Text);
+  const std::string Point = takeWord(Text);
+  session::log_point Read;
+  const std::size_t Dot = Point.find('.');
+  Read.Term = std::stoull(Point.substr(0, Dot));
+  Read.Position = std::stoull(Point.substr(Dot + 1));
+  return Read;
+}
+
+} // namespace
+
+struct database_server::state
+    : std::enable_shared_from_this<database_server::state> {
+  state(asio::any_io_executor Executor, database_group &Group, std::string Name)
+      : Executor(Executor), Group(Group), Name(std::move(Name)),
+        Acceptor(Executor, tcp::endpoint(asio::ip::address_v4::loopback(), 0)) {
+    Address = {"127.0.0.1", Acceptor.local_endpoint().port()};
+  }
+
+  native_database &self() { return *findDatabase(Group, Name); }
+  base::task<void> accept();
+  base::task<void> serve(std::shared_ptr<connection> Client);
+  std::string start(connection &Client, std::string Fields);
+  std::string query(connection &Client, std::string Fields, bool &Lost);
+  std::string run(connection &Client, const std::string &Id, std::string Text);
+  std::string runData(connection &Client, const std::string &Id,
+                      const std::string &Verb, std::string Operands);
+  std::string commit(connection &Client, const std::string &Id);
+  std::string statusRow() const;
+  std::string fail(connection &Client, const std::string &Code);
+  std::string ready(const connection &Client);
+
+  asio::any_io_executor Executor;
+  database_group &Group;
+  std::string Name;
+  tcp::acceptor Acceptor;
+  http::address Address;
+  std::set<std::shared_ptr<connection>> Clients;
+};
+
+base::task<void> database_server::state::accept() {
+  const auto Self = shared_from_this();
+  while (Acceptor.is_open()) {
+    auto [Error, Socket] = co_await Acceptor.async_accept(Token);
+    if (Error || self().Down)
+      continue;
+    const auto Client = std::make_shared<connection>(std::move(Socket));
+    Clients.insert(Client);
+    ++self().Connections;
+    asio::co_spawn(Executor, serve(Client), asio::detached);
+  }
+}
+
+base::task<void>
+database_server::state::serve(std::shared_ptr<connection> Client) {
+  const auto Self = shared_from_this();
+  while (true) {
+    const auto [Error, Size] = co_await asio::async_read_until(
+        Client->Socket, asio::dynamic_buffer(Client->Buffer), "\r\n", Token);
+    if (Error)
+      break;
+    std::string Line = Client->Buffer.substr(0, Size - 2);
+    Client->Buffer.erase(0, Size);
+    const std::string Word = takeWord(Line);
+    if (Word == "BYE")
+      break;
+    bool Lost = false;
+    const std::string Answer = Client->Started ? query(*Client, Line, Lost)
+                                               : start(*Client, Line);
+    if (Lost)
+      break;
+    const auto [WriteError, Sent] =
+        co_await asio::async_write(Client->Socket, asio::buffer(Answer), Token);
+    if (WriteError || !Client->Started)
+      break;
+  }
+  boost::system::error_code Ignored;
+  Client->Socket.close(Ignored);
+  if (Clients.erase(Client) != 0)
+    --self().Connections;
+}
+
+std::string database_server::state::ready(const connection &Client) {
+  replicate(Group, base::now());
+  const auto Point = pointOf(Group, self());
+  const char *State = Client.Failed          ? "E"
+                      : Client.InTransaction ? "T"
+                                             : "I";
+  return std::string("READY ") + State + " " + std::to_string(Point.Term) +
+         "." + std::to_string(Point.Position) + "\r\n";
+}
+
+std::string database_server::state::start(connection &Client,
+                                          std::string Fields) {
+  const std::string Service = takeWord(Fields);
+  Group.Customers.insert(takeWord(Fields));
+  if (Service != Group.Service || (!Fields.empty() && Fields != Name))
+    return "ERROR MISROUTED " + Name + "\r\n";
+  if (self().Connections > Group.ConnectionLimit)
+    return "ERROR TOOMANY " + Name + "\r\n";
+  Client.Started = true;
+  return ready(Client);
+}
+
+std::string database_server::state::fail(connection &Client,
+                                         const std::string &Code) {
+  Client.Failed = Client.InTransaction;
+  return "ERROR " + Code + " " + Name + "\r\n";
+}
+
+std::string database_server::state::statusRow() const {
+  native_database &Own = *findDatabase(Group, Name);
+  replicate(Group, base::now());
+  return std::string("ROW ") + (Own.Primary ? "primary" : "replica") + " " +
+         std::to_string(Group.Term) + " " + std::to_string(Group.Term) + "." +
+         std::to_string(Own.Received) + " 0 0 0 " +
+         std::to_string(Own.Connections) + "\r\nDONE -\r\n";
+}
+
+std::string database_server::state::query(connection &Client,
+                                          std::string Fields, bool &Lost) {
+  const std::string Id = takeWord(Fields);
+  const std::string Answer = run(Client, Id, std::move(Fields));
+  if (Id != "-" && self().LoseAnswers > 0) {
+    --self().LoseAnswers;
+    Lost = true;
+  }
+  return Answer + ready(Client);
+}
+
+std::string database_server::state::run(connection &Client,
+                                        const std::string &Id,
+                                        std::string Text) {
+  replicate(Group, base::now());
+  if (const auto After = readAfter(Text);
+      After && pointOf(Group, self()) < *After)
+    return fail(Client, "LAGGING");
+  const std::string Verb = takeWord(Text);
+  if (Verb == "STATUS")
+    return statusRow();
+  if (Verb == "ROLLBACK") {
+    Client.InTransaction = Client.Failed = false;
+    Client.Pending.clear();
+    return "DONE -\r\n";
+  }
+  if (Client.Failed)
+    return fail(Client, "MALFORMED");
+  if (Verb == "BEGIN") {
+    Client.ReadOnly = Text == "READ";
+    if (!Client.ReadOnly && !self().Primary)
+      return fail(Client, "READONLY");
+    Client.InTransaction = true;
+    return "DONE -\r\n";
+  }
+  if (Verb == "PREPARE") {
+    const std::string Prepared = takeWord(Text);
+    Client.Prepared[Prepared] = Text;
+    return "DONE -\r\n";
+  }
+  if (Verb == "SET" || Verb == "RESET") {
+    if (Verb == "RESET")
+      Client.Prepared.clear();
+    return "DONE -\r\n";
+  }
+  if (Verb == "COMMIT")
+    return commit(Client, Id);
+  return runData(Client, Id, Verb, std::move(Text));
+}
+
+std::string database_server::state::runData(connection &Client,
+                                            const std::string &Id,
+                                            const std::string &Verb,
+                                            std::string Operands) {
+  bool Writes = Verb == "WRITE";
+  if (Verb == "EXECUTE") {
+    const auto Found = Client.Prepared.find(takeWord(Operands));
+    if (Found == Client.Prepared.end())
+      return fail(Client, "UNKNOWN");
+    Writes = Found->second.starts_with("WRITE");
+  }
+  if (Writes && (!self().Primary || Client.ReadOnly))
+    return fail(Client, "READONLY");
+  ++Group.Runs[Id];
+  const std::string Signature = "DONE sig." + Id + "\r\n";
+  const std::string Item = takeWord(Operands);
+  if (!Writes)
+    return "ROW " + valueAt(Group, self(), Item) + "\r\n" + Signature;
+  const log_entry Entry{Item, Operands, base::now(), Id};
+  if (Client.InTransaction)
+    Client.Pending.push_back(Entry);
+  else
+    Group.Log.push_back(Entry);
+  return Signature;
+}
+
+std::string database_server::state::commit(connection &Client,
+                                           const std::string &Id) {
+  const bool Wrote = !Client.Pending.empty();
+  if (Wrote && !self().Primary)
+    return fail(Client, "READONLY");
+  ++Group.Runs[Id];
+  for (log_entry &Entry : Client.Pending) {
+    Entry.CommittedAt = base::now();
+    Group.Log.push_back(Entry);
+  }
+  Client.Pending.clear();
+  Client.InTransaction = false;
+  return "DONE sig." + Id + "\r\n";
+}
+
+database_server::database_server(asio::any_io_executor Executor,
+                                 database_group &Group, std::string Name)
+    : State(std::make_shared<state>(Executor, Group, std::move(Name))) {
+  asio::co_spawn(Executor, State->accept(), asio::detached);
+}
+
+database_server::~database_server() {
+  boost::system::error_code Ignored;
+  State->Acceptor.close(Ignored);
+  dropConnections();
+}
+
+const http::address &database_server::address() const {
+  return State->Address;
+}
+
+void database_server::dropConnections() {
+  for (const auto &Client : State->Clients) {
+    boost::system::error_code Ignored;
+    Client->Socket.close(Ignored);
+  }
+}
+
+} // namespace redwinggw::standin
--- /dev/null
+++ b/tests/standins/native/row_table.cpp
@@ -0,0 +1,136 @@
+#include "native/row_table.hpp"
+
+#include <boost/json.hpp>
+
+#include <openssl/evp.h>
+
+#include <algorithm>
+
+namespace redwinggw::standin {
+namespace {
+
+namespace json = boost::json;
+
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusPrecondition = 412;
+constexpr unsigned StatusNotFound = 404;
+constexpr unsigned StatusUnavailable = 503;
+
+std::string toBase64(const std::string &Bytes) {
+  std::string Out((Bytes.size() + 2) / 3 * 4 + 1, '\0');
+  const int Size = EVP_EncodeBlock(
+      reinterpret_cast<unsigned char *>(Out.data()),
+      reinterpret_cast<const unsigned char *>(Bytes.data()),
+      static_cast<int>(Bytes.size()));
+  Out.resize(static_cast<std::size_t>(Size));
+  return Out;
+}
+
+std::string fromBase64(std::string_view Text) {
+  std::string Out(Text.size(), '\0');
+  const int Size = EVP_DecodeBlock(
+      reinterpret_cast<unsigned char *>(Out.data()),
+      reinterpret_cast<const unsigned char *>(Text.data()),
+      static_cast<int>(Text.size()));
+  Out.resize(static_cast<std::size_t>(std::max(0, Size)));
+  while (Text.ends_with('=')) {
+    Out.pop_back();
+    Text.remove_suffix(1);
+  }
+  return Out;
+}
+
+/// A parameter of a query; "%00" at its end stands for the next key.
+std::string parameter(const std::string &Query, const std::string &Name) {
+  const std::size_t At = ("&" + Query).find("&" + Name + "=");
+  if (At == std::string::npos)
+    return {};
+  const std::size_t Begin = At + Name.size() + 1;
+  std::string Value = Query.substr(Begin, Query.find('&', Begin) - Begin);
+  if (Value.ends_with("%00"))
+    Value.replace(Value.size() - 3, 3, 1, '\0');
+  return Value;
+}
+
+http::response answer(unsigned Status, json::object Body) {
+  http::response Response;
+  Response.Status = Status;
+  Body["now_ms"] = 1;
+  Response.Body = json::serialize(Body);
+  return Response;
+}
+
+std::string textAt(const json::value &Value, const char *Name) {
+  return std::string(Value.at(Name).as_string());
+}
+
+} // namespace
+
+http::response row_table::handle(const http::request &Request) {
+  ++Calls;
+  if (Down)
+    return answer(StatusUnavailable, {});
+  const std::size_t Mark = Request.Target.find('?');
+  const std::string Path = Request.Target.substr(0, Mark);
+  if (Path == "/v1/rows-get")
+    return read(Request.Target.substr(Mark + 1));
+  if (Path == "/v1/rows-tx")
+    return commit(json::parse(Request.Body).as_object());
+  return answer(StatusNotFound, {});
+}
+
+http::response row_table::read(const std::string &Query) const {
+  const std::string Table = parameter(Query, "table");
+  const std::string From = parameter(Query, "from");
+  const std::string To = parameter(Query, "to");
+  json::array Found;
+  for (const auto &[Key, Row] : Rows) {
+    const auto &[RowTable, Name] = Key;
+    if (RowTable != Table || Name < From || (!To.empty() && Name >= To))
+      continue;
+    Found.push_back(json::object{{"table", Table},
+                                 {"part", ""},
+                                 {"key", Name},
+                                 {"value", toBase64(Row.Value)},
+                                 {"record_version", Row.Version}});
+  }
+  return answer(StatusOk, {{"rows", std::move(Found)},
+                           {"has_more", false},
+                           {"record_version", Version}});
+}
+
+http::response row_table::commit(const json::object &Body) {
+  const auto KeyOf = [](const json::value &Entry) {
+    return row_key{textAt(Entry, "table"), textAt(Entry, "key")};
+  };
+  for (const json::value &Expected : Body.at("expect").as_array()) {
+    const auto Found = Rows.find(KeyOf(Expected));
+    const std::uint64_t Present = Found == Rows.end() ? 0 : Found->second.Version;
+    if (Present != Expected.at("record_version").to_number<std::uint64_t>())
+      return answer(StatusPrecondition, {{"rows", json::array()}});
+  }
+  ++Version;
+  for (const json::value &Entry : Body.at("writes").as_array())
+    Rows[KeyOf(Entry)] = {fromBase64(textAt(Entry, "value")), Version};
+  for (const json::value &Entry : Body.at("remove").as_array())
+    Rows.erase(KeyOf(Entry));
+  return answer(StatusOk, {{"record_version", Version}});
+}
+
+void row_table::put(const std::string &Table, const std::string &Key,
+                    const std::string &Value) {
+  Rows[{Table, Key}] = {Value, ++Version};
+}
+
+void row_table::remove(const std::string &Table, const std::string &Key) {
+  ++Version;
+  Rows.erase({Table, Key});
+}
+
+std::string row_table::value(const std::string &Table,
+                             const std::string &Key) const {
+  const auto Found = Rows.find({Table, Key});
+  return Found == Rows.end() ? std::string() : Found->second.Value;
+}
+
+} // namespace redwinggw::standin
--- /dev/null
+++ b/tests/standins/native/world.cpp
@@ -0,0 +1,143 @@
+#include "native/world.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/json.hpp>
+
+#include <future>
+
+namespace redwinggw::standin {
+namespace {
+
+namespace json = boost::json;
+namespace asio = boost::asio;
+
+json::object routeOf(const std::string &Host, const std::string &Kind) {
+  return {{"name", "r-" + Host},   {"host", Host},
+          {"path_prefix", "/"},    {"kind", Kind},
+          {"timeout_ms", 3000},    {"target_latency_ms", 2000},
+          {"priority", 1},         {"service", "s"},
+          {"max_staleness_ms", 2500}, {"public", false}};
+}
+
+} // namespace
+
+native_world::native_world()
+    : StoreServer(Context.get_executor(), {},
+                  [this](http::connection &, http::request Request)
+                      -> base::task<http::response> {
+                    co_return Store.handle(Request);
+                  }),
+      PromotionServer(Context.get_executor(), {},
+                      [this](http::connection &, http::request Request)
+                          -> base::task<http::response> {
+                        co_return promoteOne(Request);
+                      }) {
+  Group.Service = "s";
+  for (const char *Name : {"d1", "d2", "d3"}) {
+    native_database Database;
+    Database.Name = Name;
+    Database.Primary = Group.Databases.empty();
+    Group.Databases.push_back(Database);
+  }
+  for (const native_database &Database : Group.Databases) {
+    Servers.push_back(std::make_unique<database_server>(
+        Context.get_executor(), Group, Database.Name));
+    list(Database);
+  }
+  const http::address Any{"127.0.0.1", 0};
+  StoreAddress = StoreServer.listen(Any).value();
+  PromotionAddress = PromotionServer.listen(Any).value();
+  configure({"key"});
+  Thread = std::thread([this] {
+    const auto Guard = asio::make_work_guard(Context);
+    Context.run();
+  });
+}
+
+native_world::~native_world() {
+  Context.stop();
+  Thread.join();
+}
+
+void native_world::with(const std::function<void(native_world &)> &Work) {
+  std::promise<void> Done;
+  asio::post(Context, [&] {
+    Work(*this);
+    Done.set_value();
+  });
+  Done.get_future().wait();
+}
+
+void native_world::list(const native_database &Database) {
+  for (const auto &Server : Servers) {
+    const std::size_t Index = &Server - Servers.data();
+    if (Group.Databases[Index].Name != Database.Name)
+      continue;
+    Store.put("servers", Database.Name,
+              json::serialize(json::object{
+                  {"service", Group.Service},
+                  {"address", toText(Server->address())},
+                  {"zone", Group.Zone},
+                  {"version", "v1"},
+                  {"slots", 5},
+                  {"state", Database.Draining ? "draining" : "ready"},
+                  {"cold_remaining_ms", 0},
+                  {"database_role", Database.Primary ? "primary" : "replica"},
+                  {"sequence", 1},
+                  {"born", 1}}));
+  }
+}
+
+void native_world::configure(const std::vector<std::string> &Keys,
+                             double Rate) {
+  const json::object Customer{{"name", "acme"},
+                              {"api_keys", json::value_from(Keys)},
+                              {"priority", 1},
+                              {"rate_per_s", Rate},
+                              {"burst", Rate}};
+  const json::object Service{
+      {"name", "s"}, {"connection_limit", 50}, {"sync_replicas", 0}};
+  Store.put("op", "config",
+            json::serialize(json::object{
+                {"version", ++ConfigurationVersion},
+                {"routes", json::array{routeOf("strict", "primary"),
+                                       routeOf("bounded", "bounded_staleness"),
+                                       routeOf("own", "read_your_writes")}},
+                {"services", json::array{Service}},
+                {"limits", json::object{{"transaction_idle_ms", 3000}}},
+                {"tenants", json::array{Customer}}}));
+}
+
+http::response native_world::promoteOne(const http::request &Request) {
+  const json::value Body = json::parse(Request.Body);
+  const std::string Name(Body.at("identifier").as_string());
+  Promotions.push_back({Name, Request.From});
+  http::response Response;
+  constexpr unsigned Conflict = 409;
+  if (!promote(Group, Name))
+    Response.Status = Conflict;
+  for (const native_database &Database : Group.Databases)
+    if (!Database.Down)
+      list(Database);
+  return Response;
+}
+
+void native_world::crash(const std::string &Name) {
+  with([&](native_world &World) {
+    findDatabase(World.Group, Name)->Down = true;
+    for (std::size_t Index = 0; Index < Servers.size(); ++Index)
+      if (World.Group.Databases[Index].Name == Name)
+        Servers[Index]->dropConnections();
+  });
+}
+
+void native_world::drain(const std::string &Name) {
+  with([&](native_world &World) {
+    native_database *Database = findDatabase(World.Group, Name);
+    Database->Draining = true;
+    list(*Database);
+  });
+}
+
+} // namespace redwinggw::standin
--- /dev/null
+++ b/tests/standins/native/world.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "native/database_group.hpp"
+#include "native/database_server.hpp"
+#include "native/row_table.hpp"
+
+#include "redwinggw/http/server.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+/// The users' platform in one process: store, databases and promotions, served
+/// by a thread of its own.
+namespace redwinggw::standin {
+
+/// An order to promote a database, as it arrived.
+struct promotion {
+  std::string Database;
+  std::string Orderer;
+};
+
+class native_world {
+public:
+  /// One service "s" with the databases d1 (primary), d2 and d3.
+  native_world();
+  native_world(const native_world &) = delete;
+  native_world &operator=(const native_world &) = delete;
+  ~native_world();
+
+  /// Runs \p Work on the world's thread and waits for it.
+  void with(const std::function<void(native_world &)> &Work);
+
+  /// Stops \p Name: its entry stays for a while, as after a crash.
+  void crash(const std::string &Name);
+  /// Lets \p Name announce that it leaves.
+  void drain(const std::string &Name);
+  /// Puts a configuration with these keys of the customer "acme" in force.
+  void configure(const std::vector<std::string> &Keys, double Rate = 1000);
+
+  http::address StoreAddress;
+  http::address PromotionAddress;
+
+  /// \name For use in with() only
+  /// @{
+  row_table Store;
+  database_group Group;
+  std::vector<promotion> Promotions;
+  /// @}
+
+private:
+  void list(const native_database &Database);
+  http::response promoteOne(const http::request &Request);
+
+  boost::asio::io_context Context;
+  std::vector<std::unique_ptr<database_server>> Servers;
+  http::server StoreServer;
+  http::server PromotionServer;
+  unsigned ConfigurationVersion = 1;
+  std::thread Thread;
+};
+
+} // namespace redwinggw::standin
