Answer instances that are not listed yet; help those that the store turns away

The trace shows i2 out of touch from the outage on: the store went down before i1 had read the list with i2, so nobody answered i2's heartbeats. A real instance that joins right before an outage refuses its callers until the store is back.

Ruled out: lost datagrams and late timers (i1 never sent one); a wrong judgement of i2 (it was right to refuse, alone on its side of the list).

Change: rightly signed heartbeats of an instance that is not listed add it until the next list; membership_test shows it without processes. Also: readings of the configuration go to instances that stay behind it (the store may turn them away), metrics and fuller lines of each answer.

--- a/packages/control/include/redwinggw/control/membership.hpp
+++ b/packages/control/include/redwinggw/control/membership.hpp
@@ -38,6 +38,11 @@
   base::milliseconds SuspectAfter{700};
   base::milliseconds DeadAfter{2000};
   base::milliseconds GossipDeadAfter{6000};
+  /// Take in instances that are not listed but sign rightly, until the next
+  /// list. Guards against an instance that joins right before the list cannot
+  /// be read any more: nobody would answer it, and it would refuse its callers
+  /// until the list is back. Safe, since a longer list only asks for more.
+  bool AcceptStrangers = false;
   /// Switched off by tests only: judge age by arrival, not by the echo.
   bool AgeByEcho = true;
   /// Switched off by tests only: instances that have not read the store since
@@ -145,6 +150,11 @@
             const std::vector<storage::listed_instance> &Listed,
             base::instant Now);
 
+/// Takes in the sender of a datagram that is not listed, if strangers are
+/// accepted.
+void onStranger(membership &Membership, const wire::datagram &Datagram,
+                const http::address &From, base::instant Now);
+
 /// Recognises late, crossed, doubled and misaddressed datagrams. True when
 /// \p Datagram may have an effect. Call once for each that arrives.
 bool admitDatagram(membership &Membership, const wire::datagram &Datagram);
--- a/packages/control/include/redwinggw/control/peer_service.hpp
+++ b/packages/control/include/redwinggw/control/peer_service.hpp
@@ -110,10 +110,12 @@
   /// Sends the next heartbeat at once: it carries news that others wait for.
   void sendNow();
 
-  /// Sends a reading of a list to all live members, and takes in theirs.
-  void sendReading(const std::string &Text);
+  /// Sends a reading of the store to all live members, or to one, and takes in
+  /// theirs.
+  void sendReading(const wire::store_reading &Reading);
+  void sendReading(const member &To, const wire::store_reading &Reading);
   using reading_handler =
-      std::function<void(const member &, const std::string &)>;
+      std::function<void(const member &, const wire::store_reading &)>;
   void onReading(reading_handler Handler);
 
   /// Called when a properly signed datagram came from an instance that is not
--- a/packages/control/src/membership.cpp
+++ b/packages/control/src/membership.cpp
@@ -124,6 +124,23 @@
   indexList(Membership);
 }
 
+void onStranger(membership &Membership, const wire::datagram &Datagram,
+                const http::address &From, instant Now) {
+  const auto *Report = std::get_if<wire::peer_report>(&Datagram.Body);
+  const bool Meant = Datagram.Receiver == Membership.Self.Name &&
+                     Datagram.Sender != Membership.Self.Name;
+  if (!Membership.Limits.AcceptStrangers || Report == nullptr || !Meant ||
+      Report->Leaving)
+    return;
+  member &Member = Membership.Members.emplace_back();
+  Member.Name = Datagram.Sender;
+  Member.Zone = Report->Zone;
+  Member.Address = From;
+  Member.Since = Now;
+  std::ranges::sort(Membership.Members, {}, &member::Name);
+  indexList(Membership);
+}
+
 bool admitDatagram(membership &Membership, const wire::datagram &Datagram) {
   membership_counters &Counters = Membership.Counters;
   // A datagram recorded on its way to another instance is signed rightly.
--- a/packages/control/src/peer_service.cpp
+++ b/packages/control/src/peer_service.cpp
@@ -52,7 +52,7 @@
   base::result<http::address> open();
   void tick();
   void transmit(peer_send Send);
-  void receive(std::string_view Bytes);
+  void receive(std::string_view Bytes, const udp::endpoint &From);
   void close();
 
   asio::any_io_executor Executor;
@@ -120,7 +120,8 @@
   Traffic.SentBytes += Bytes.size();
 }
 
-void peer_service::state::receive(std::string_view Bytes) {
+void peer_service::state::receive(std::string_view Bytes,
+                                  const udp::endpoint &From) {
   ++Traffic.ReceivedDatagrams;
   Traffic.ReceivedBytes += Bytes.size();
   const auto Datagram = wire::decode(FleetKey, Bytes);
@@ -129,8 +130,12 @@
     return;
   }
   const bool Listed = findMember(Membership, Datagram->Sender) != nullptr;
-  if (!Listed && Stranger)
-    Stranger();
+  if (!Listed) {
+    control::onStranger(Membership, *Datagram,
+                        {From.address().to_string(), From.port()}, base::now());
+    if (Stranger)
+      Stranger();
+  }
   if (!admitDatagram(Membership, *Datagram))
     return;
   if (Clock.Observe)
@@ -141,9 +146,9 @@
     return;
   }
   const member *Member = findMember(Membership, Datagram->Sender);
-  if (const auto *Text = std::get_if<wire::list_reading>(&Datagram->Body)) {
+  if (const auto *Read = std::get_if<wire::store_reading>(&Datagram->Body)) {
     if (Reading)
-      Reading(*Member, Text->Text);
+      Reading(*Member, *Read);
     return;
   }
   for (peer_send &Send : onHeartbeat(Membership, *Datagram, base::now()))
@@ -177,7 +182,7 @@
         asio::buffer(Buffer), From,
         asio::redirect_error(asio::use_awaitable, Error));
     if (!Error)
-      Self->receive({Buffer.data(), Size});
+      Self->receive({Buffer.data(), Size}, From);
   }
 }
 
@@ -295,15 +300,17 @@
   State->tick();
 }
 
-void peer_service::sendReading(const std::string &Text) {
-  const instant Now = base::now();
-  for (const member &Member : State->Membership.Members) {
-    if (Member.State == member_state::Dead)
-      continue;
-    peer_send Send{Member.Address, stamp(State->Membership, Member.Name, Now)};
-    Send.Datagram.Body = wire::list_reading{Text};
-    State->transmit(std::move(Send));
-  }
+void peer_service::sendReading(const wire::store_reading &Reading) {
+  for (const member &Member : State->Membership.Members)
+    if (Member.State != member_state::Dead)
+      sendReading(Member, Reading);
+}
+
+void peer_service::sendReading(const member &To,
+                               const wire::store_reading &Reading) {
+  peer_send Send{To.Address, stamp(State->Membership, To.Name, base::now())};
+  Send.Datagram.Body = Reading;
+  State->transmit(std::move(Send));
 }
 
 void peer_service::onReading(reading_handler Handler) {
--- a/packages/redwinggw/src/native_following.cpp
+++ b/packages/redwinggw/src/native_following.cpp
@@ -31,6 +31,8 @@
 constexpr milliseconds ReadTimeout{1000};
 /// A relayed list counts for so long; then this instance reads for itself.
 constexpr milliseconds RelayCounts{1700};
+/// A reading that fits a datagram.
+constexpr std::size_t LongestReading = 60'000;
 constexpr base::instant LongAgo{-std::chrono::hours(1)};
 /// How often to look whether another instance has told news.
 constexpr milliseconds NewsEvery{100};
@@ -109,9 +111,11 @@
   // more; see handover_limits::ReadingCounts.
   control::currency_limits Currency;
   Currency.Bound = milliseconds(1000);
+  control::membership_limits Members;
+  Members.AcceptStrangers = true;
   State.Peers = std::make_unique<control::peer_service>(
       State.Context.get_executor(), Identity, State.Settings.Peers, Secret,
-      State.Store, control::membership_limits(), Currency);
+      State.Store, Members, Currency);
   connectPeers(State);
   if (const auto Started = State.Peers->start(); !Started)
     base::log(log_level::Error, log_part::Peers, describe(Started.error()));
@@ -149,6 +153,7 @@
     return;
   }
   State.RoutesRow = Row->Version;
+  State.RoutesText = Row->Value;
   if (State.Routes && Table->Version <= State.Routes->Version)
     return;
   State.Routes = std::make_shared<session::route_table>(std::move(*Table));
@@ -206,10 +211,9 @@
 
 /// Sends the list to the instances that do not read it themselves.
 void relayList(native_state &State, const platform::table_rows &Rows) {
-  constexpr std::size_t Longest = 60'000;
   const std::string Text = platform::writeReading(Rows);
-  if (Text.size() <= Longest)
-    State.Peers->sendReading(Text);
+  if (Text.size() <= LongestReading)
+    State.Peers->sendReading({wire::reading_kind::Endpoints, Text});
 }
 
 void takeEndpoints(native_state &State,
@@ -238,10 +242,37 @@
   co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
-void takeRelayedList(native_state &State, const std::string &Text) {
-  const auto Rows = platform::readReading(Text);
-  if (Rows)
+void takeReading(native_state &State, const wire::store_reading &Reading) {
+  const auto Rows = platform::readReading(Reading.Text);
+  if (!Rows)
+    return;
+  if (Reading.Kind == wire::reading_kind::Endpoints)
     takeEndpoints(State, entriesOf(*Rows));
+  else
+    takeConfiguration(State, *Rows);
+}
+
+void helpBehind(native_state &State) {
+  // An instance that reaches the store has read the change by then.
+  constexpr milliseconds Every{600};
+  const base::instant Now = base::now();
+  if (!State.Peers || State.RoutesText.size() > LongestReading ||
+      Now - State.HelpedAt.value_or(LongAgo) < Every)
+    return;
+  State.HelpedAt = Now;
+  platform::table_rows Rows;
+  Rows.Rows.push_back({std::string(platform::ConfigurationKey), State.RoutesRow,
+                       State.RoutesText});
+  const wire::store_reading Reading{wire::reading_kind::Configuration,
+                                    platform::writeReading(Rows)};
+  // The last round's news is older than the pause between two rounds.
+  const std::uint64_t Behind = State.HelpedRow;
+  State.HelpedRow = State.RoutesRow;
+  for (const control::member &Member : State.Peers->view().Members) {
+    const bool Up = Member.State == control::member_state::Alive;
+    if (Up && Member.Report.ConfigurationRow < Behind)
+      State.Peers->sendReading(Member, Reading);
+  }
 }
 
 base::task<void> removeInstance(native_state &State) {
--- a/packages/redwinggw/src/native_instance.cpp
+++ b/packages/redwinggw/src/native_instance.cpp
@@ -41,9 +41,41 @@
   co_return Response;
 }
 
+void collectNativeMetrics(native_state &State) {
+  using base::metric;
+  base::metrics &Metrics = State.Core.Metrics;
+  observeProcess(Metrics);
+  for (const auto &[Name, Pool] : State.Endpoints.Pools) {
+    const auto Idle = static_cast<double>(Pool->idle());
+    const auto Open = static_cast<double>(Pool->open());
+    set(gaugeOf(Metrics, metric::EndpointConnections, {Name, "idle"}), Idle);
+    set(gaugeOf(Metrics, metric::EndpointConnections, {Name, "busy"}),
+        Open - Idle);
+    counterOf(Metrics, metric::EndpointConnectsTotal, {Name, "tried"}).Value =
+        static_cast<double>(Pool->connects());
+  }
+  set(gaugeOf(Metrics, metric::ConfigurationVersion),
+      static_cast<double>(State.Routes ? State.Routes->Version : 0));
+  set(gaugeOf(Metrics, metric::CallerConnections),
+      static_cast<double>(State.Callers.open()));
+  counterOf(Metrics, metric::StoreReadsTotal, {"rows"}).Value =
+      static_cast<double>(State.Store.Reads);
+  counterOf(Metrics, metric::StoreWritesTotal, {"rows"}).Value =
+      static_cast<double>(State.Store.Writes);
+  if (!State.Peers)
+    return;
+  set(gaugeOf(Metrics, metric::Peers, {"listed"}),
+      static_cast<double>(State.Peers->view().Members.size()));
+  const control::peer_traffic &Traffic = State.Peers->traffic();
+  counterOf(Metrics, metric::PeerBytesTotal, {"sent"}).Value =
+      static_cast<double>(Traffic.SentBytes);
+  counterOf(Metrics, metric::PeerBytesTotal, {"received"}).Value =
+      static_cast<double>(Traffic.ReceivedBytes);
+}
+
 base::task<http::response> answerMetrics(native_state &State) {
   http::response Response;
-  observeProcess(State.Core.Metrics);
+  collectNativeMetrics(State);
   Response.ContentType = "text/plain";
   Response.Body = toPrometheus(State.Core.Metrics);
   co_return Response;
@@ -216,6 +248,7 @@
   while (true) {
     base::flushLog();
     noteTouch(*State);
+    helpBehind(*State);
     openToCallers(*State);
     divideConnections(*State);
     State->Callers.endAbandoned();
--- a/packages/redwinggw/src/native_news.cpp
+++ b/packages/redwinggw/src/native_news.cpp
@@ -125,8 +125,8 @@
   State.Peers->onReport(
       [&State](const control::member &Member) { takeReport(State, Member); });
   State.Peers->onReading(
-      [&State](const control::member &, const std::string &Text) {
-        takeRelayedList(State, Text);
+      [&State](const control::member &, const wire::store_reading &Reading) {
+        takeReading(State, Reading);
       });
   State.Peers->onStranger([&State] { State.FleetReadWanted = true; });
 }
--- a/packages/redwinggw/src/native_rights.cpp
+++ b/packages/redwinggw/src/native_rights.cpp
@@ -81,12 +81,13 @@
     return false;
   if (State.Peers)
     State.Peers->setVersion(State.Claims.Version);
-  base::log(base::log_level::Info, base::log_part::Failover,
-            "Service " + Claim.Service + " epoch " +
-                std::to_string(Claim.Epoch) +
-                (Claim.Moving ? ": moving from " : ": primary ") +
-                Claim.Primary + ", orderer " + Claim.Orderer + " token " +
-                std::to_string(Claim.Token) + ".");
+  base::logEvent(base::log_level::Info, base::log_part::Failover,
+                 Claim.Moving ? "primary_given_up" : "primary_agreed",
+                 {{"service", Claim.Service},
+                  {"epoch", std::to_string(Claim.Epoch)},
+                  {"primary", Claim.Primary},
+                  {"orderer", Claim.Orderer},
+                  {"token", std::to_string(Claim.Token)}});
   return true;
 }
 
--- /dev/null
+++ b/packages/session/src/answer_record.cpp
@@ -0,0 +1,104 @@
+#include "core_parts.hpp"
+
+#include "redwinggw/base/log.hpp"
+
+/// What is kept of each answer: a structured line and the metrics.
+namespace redwinggw::session {
+namespace {
+
+using base::metric;
+
+/// Whether a line about a statement may still be written in this second.
+bool mayLog(line_budget &Budget, bool Failed, base::instant Now) {
+  const auto Second =
+      std::chrono::floor<std::chrono::seconds>(Now.time_since_epoch()).count();
+  if (Second != Budget.Second) {
+    Budget.Second = Second;
+    Budget.Served = 0;
+    Budget.Failed = 0;
+  }
+  unsigned &Used = Failed ? Budget.Failed : Budget.Served;
+  const unsigned Most =
+      Failed ? Budget.FailedPerSecond : Budget.ServedPerSecond;
+  if (Used < Most) {
+    ++Used;
+    return true;
+  }
+  ++Budget.LeftOut;
+  return false;
+}
+
+std::string_view outcomeOf(const answer &Answer) {
+  if (!Answer.Error)
+    return base::outcomeName(base::outcome::Done);
+  return base::outcomeName(isPromise(Answer.Error->Code)
+                               ? base::outcome::NotRun
+                               : base::outcome::Unknown);
+}
+
+std::string pointText(const std::optional<log_point> &Point) {
+  return Point ? std::to_string(Point->Term) + "." +
+                     std::to_string(Point->Position)
+               : "";
+}
+
+void writeLine(session_core &Core, const caller_session &Session,
+               const request &Request, const answer &Answer,
+               base::microseconds Took) {
+  const auto &Error = Answer.Error;
+  const auto Milliseconds = std::chrono::floor<base::milliseconds>(Took);
+  const std::string &Text = Request.Statement.Text;
+  base::logEvent(
+      Error ? base::log_level::Warning : base::log_level::Info,
+      base::log_part::Callers, Error ? answerCodeName(Error->Code) : "served",
+      {{"request", Request.Statement.Id},
+       {"outcome", std::string(outcomeOf(Answer))},
+       {"session", std::to_string(Session.Number)},
+       {"customer", Session.Customer},
+       {"route", Request.Route.Name},
+       {"service", Request.Route.Service},
+       {"statement", Text.substr(0, Text.find(' '))},
+       {"endpoint", Request.Tried.empty() ? "" : Request.Tried.back()},
+       {"tries", std::to_string(Request.Tries)},
+       {"epoch", std::to_string(Request.Epoch)},
+       {"required", pointText(Request.Required)},
+       {"took_ms", std::to_string(Milliseconds.count())},
+       {"configuration", std::to_string(Core.Ports.Routes()->Version)},
+       {"reason", Error ? Error->Reason : Request.LastTrouble}});
+}
+
+void count(session_core &Core, const caller_session &Session,
+           const request &Request, const answer &Answer,
+           base::microseconds Took) {
+  const std::string Kind = Request.Writes ? "write" : "read";
+  add(counterOf(Core.Metrics, metric::RequestsTotal,
+                {Session.Customer, Kind, std::string(outcomeOf(Answer))}));
+  if (Answer.Error)
+    add(counterOf(
+        Core.Metrics, metric::RefusalsTotal,
+        {Session.Customer, std::string(answerCodeName(Answer.Error->Code))}));
+  if (Request.Tried.empty())
+    return;
+  const std::string Target = Request.OnPrimary ? "primary" : "replica";
+  observe(histogramOf(Core.Metrics, metric::RequestSeconds, {Kind, Target}),
+          Took);
+  const bool ReplicaAllowed = Request.Route.Consistency != consistency::Primary;
+  if (!Request.Writes)
+    add(counterOf(Core.Metrics, metric::ReadsTotal,
+                  {Target, ReplicaAllowed ? "yes" : "no"}));
+}
+
+} // namespace
+
+void recordAnswer(session_core &Core, const caller_session &Session,
+                  const request &Request, const answer &Answer) {
+  // What was answered here without an endpoint was no decision.
+  if (!Answer.Error && Request.Tried.empty())
+    return;
+  const base::instant Now = base::now();
+  count(Core, Session, Request, Answer, Now - Request.Arrived);
+  if (mayLog(Core.Budget, Answer.Error.has_value(), Now))
+    writeLine(Core, Session, Request, Answer, Now - Request.Arrived);
+}
+
+} // namespace redwinggw::session
--- a/packages/session/src/core_parts.hpp
+++ b/packages/session/src/core_parts.hpp
@@ -19,6 +19,11 @@
   unsigned Tries = 0;
   /// Endpoints that did not serve it.
   std::vector<base::endpoint_name> Tried;
+  /// What the last try went by: whether it used the primary, under which
+  /// agreement, and the point that a replica had to prove.
+  bool OnPrimary = false;
+  std::uint64_t Epoch = 0;
+  std::optional<log_point> Required;
   /// Why the last try did not serve it; for logs and refusals.
   std::string LastTrouble;
 };
@@ -69,6 +74,10 @@
 
 base::task<void> pauseFor(session_core &Core, base::microseconds Time);
 
+/// Writes the line about an answer, within its bounds, and counts it.
+void recordAnswer(session_core &Core, const caller_session &Session,
+                  const request &Request, const answer &Answer);
+
 answer makeError(answer_code Code, std::string Reason);
 answer makeError(answer_error Error);
 
--- a/packages/session/src/placement.cpp
+++ b/packages/session/src/placement.cpp
@@ -146,6 +146,9 @@
           Placement->Right = Right;
         else
           Placement->After = Point;
+        Request.OnPrimary = Chosen.IsPrimary;
+        Request.Epoch = Right ? Right->Epoch : 0;
+        Request.Required = Placement->After;
         Placement->TryDeadline =
             tryDeadline(Core, Request, base::now(),
                         !Request.Writes && Candidates.size() > 1);
--- a/packages/session/src/session_core.cpp
+++ b/packages/session/src/session_core.cpp
@@ -3,8 +3,6 @@
 #include "core_parts.hpp"
 #include "link_setup.hpp"
 
-#include "redwinggw/base/log.hpp"
-
 namespace redwinggw::session {
 namespace {
 
@@ -181,58 +179,6 @@
   co_return makeError(answer_code::Malformed, "the statement cannot be read");
 }
 
-/// Whether a line about a statement may still be written in this second.
-bool mayLog(line_budget &Budget, bool Failed, instant Now) {
-  const auto Second =
-      std::chrono::floor<std::chrono::seconds>(Now.time_since_epoch()).count();
-  if (Second != Budget.Second) {
-    Budget.Second = Second;
-    Budget.Served = 0;
-    Budget.Failed = 0;
-  }
-  unsigned &Used = Failed ? Budget.Failed : Budget.Served;
-  const unsigned Most =
-      Failed ? Budget.FailedPerSecond : Budget.ServedPerSecond;
-  if (Used < Most) {
-    ++Used;
-    return true;
-  }
-  ++Budget.LeftOut;
-  return false;
-}
-
-void logAnswer(session_core &Core, const caller_session &Session,
-               const request &Request, const answer &Answer) {
-  const instant Now = base::now();
-  const bool Failed = Answer.Error.has_value();
-  // What was answered here without an endpoint was no decision.
-  if (!Failed && Request.Tried.empty() &&
-      Request.Statement.Kind != statement_kind::Commit)
-    return;
-  if (!mayLog(Core.Budget, Failed, Now))
-    return;
-  const auto Took =
-      std::chrono::duration_cast<base::milliseconds>(Now - Request.Arrived);
-  const std::string Endpoint =
-      Request.Tried.empty() ? "" : Request.Tried.back();
-  base::logEvent(
-      Failed ? base::log_level::Warning : base::log_level::Info,
-      base::log_part::Callers,
-      Failed ? answerCodeName(Answer.Error->Code) : "served",
-      {{"request", Request.Statement.Id},
-       {"session", std::to_string(Session.Number)},
-       {"customer", Session.Customer},
-       {"route", Request.Route.Name},
-       {"service", Request.Route.Service},
-       {"statement",
-        Request.Statement.Text.substr(0, Request.Statement.Text.find(' '))},
-       {"endpoint", Endpoint},
-       {"tries", std::to_string(Request.Tries)},
-       {"took_ms", std::to_string(Took.count())},
-       {"configuration", std::to_string(Core.Ports.Routes()->Version)},
-       {"reason", Failed ? Answer.Error->Reason : Request.LastTrouble}});
-}
-
 } // namespace
 
 transaction_state stateOf(const caller_session &Session) {
@@ -282,7 +228,7 @@
   if (Session.Transaction)
     Session.Transaction->UsedAt = base::now();
   Answer.State = stateOf(Session);
-  logAnswer(Core, Session, Request, Answer);
+  recordAnswer(Core, Session, Request, Answer);
   co_return Answer;
 }
 
--- a/packages/session/src/transaction.cpp
+++ b/packages/session/src/transaction.cpp
@@ -68,11 +68,14 @@
 
 /// The transaction's connection as a placement, so that both kinds of
 /// statements are run and settled in one way.
-placement takePlacement(open_transaction &Transaction, base::instant Deadline) {
+placement takePlacement(open_transaction &Transaction, request &Request) {
   placement Placement;
   Placement.Link = leased_link(Transaction.Pool, std::move(Transaction.Link));
   Placement.Right = Transaction.Right;
-  Placement.TryDeadline = Deadline;
+  Placement.TryDeadline = Request.Deadline;
+  Request.OnPrimary = Transaction.Right.has_value();
+  Request.Epoch = Transaction.Right ? Transaction.Right->Epoch : 0;
+  Request.Tried.assign(1, Transaction.Pool->entry().Name);
   return Placement;
 }
 
@@ -119,7 +122,7 @@
   if (isLost(Core, Transaction))
     co_return failTransaction(Session, answer_code::Aborted,
                               "the primary was replaced; retry now");
-  placement Placement = takePlacement(Transaction, Request.Deadline);
+  placement Placement = takePlacement(Transaction, Request);
   exchange Done = co_await runOn(Core, Session, Request, Placement);
   const bool Answered = Done.Outcome == exchange_outcome::Answered;
   settle(Core, Session, Request, Placement, Done, Answered);
@@ -157,7 +160,7 @@
                         "the primary was replaced; retry now");
   }
   Request.Writes = !Transaction.ReadOnly;
-  placement Placement = takePlacement(Transaction, Request.Deadline);
+  placement Placement = takePlacement(Transaction, Request);
   Session.Transaction.reset();
   exchange Done =
       co_await runNoted(Placement.Link, Request.Statement.Id,
--- a/packages/wire/include/redwinggw/wire/message.hpp
+++ b/packages/wire/include/redwinggw/wire/message.hpp
@@ -114,8 +114,12 @@
   std::vector<position_report> Positions;
 };
 
-/// A reading of a list that one instance does for all, in the reader's form.
-struct list_reading {
+enum class reading_kind : std::uint8_t { Endpoints, Configuration };
+
+/// What one instance has read from the store for others, in the form in which
+/// the store keeps it.
+struct store_reading {
+  reading_kind Kind = reading_kind::Endpoints;
   std::string Text;
 };
 
@@ -157,7 +161,7 @@
   /// Grows with each datagram of one incarnation.
   std::uint64_t Sequence = 0;
   clock_value Clock;
-  std::variant<peer_report, share_message, list_reading> Body;
+  std::variant<peer_report, share_message, store_reading> Body;
 };
 
 /// A short stand-in for an instance's name. The same on every machine.
--- a/packages/wire/src/message.cpp
+++ b/packages/wire/src/message.cpp
@@ -92,16 +92,16 @@
 }
 
 template <typename Archive>
-void transferReading(Archive &Out, const list_reading &Value) {
+void transferReading(Archive &Out, const store_reading &Value) {
   const auto Length = static_cast<std::uint32_t>(Value.Text.size());
-  Out(Length);
+  Out(Value.Kind, Length);
   Out(cereal::binary_data(Value.Text.data(), Length));
 }
 
 template <typename Archive>
-void transferReading(Archive &In, list_reading &Value) {
+void transferReading(Archive &In, store_reading &Value) {
   std::uint32_t Length = 0;
-  In(Length);
+  In(Value.Kind, Length);
   // A length beyond what a datagram can hold comes from a damaged one.
   if (Length > MaxReading)
     throw cereal::Exception("a reading is too long");
@@ -126,7 +126,7 @@
   Ar(Value.Incarnation, Value.Sequence, Value.Clock.Wall, Value.Clock.Count);
   if (auto *Report = std::get_if<peer_report>(&Value.Body))
     transferReport(Ar, *Report);
-  else if (auto *Reading = std::get_if<list_reading>(&Value.Body))
+  else if (auto *Reading = std::get_if<store_reading>(&Value.Body))
     transferReading(Ar, *Reading);
   else
     transferShare(Ar, std::get<share_message>(Value.Body));
@@ -147,7 +147,7 @@
   if (Kind == ShareKind)
     Datagram.Body = share_message{};
   if (Kind == ReadingKind)
-    Datagram.Body = list_reading{};
+    Datagram.Body = store_reading{};
   transferDatagram(In, Datagram);
   return Datagram;
 }
--- a/tests/control/membership_test.cpp
+++ b/tests/control/membership_test.cpp
@@ -107,3 +107,30 @@
   run(Fleet, milliseconds(9000));
   cr_assert(stateSeen(Fleet, 0, 9) == member_state::Dead);
 }
+
+// A third instance joins right before the list cannot be read any more: the
+// first two do not have it on theirs, so nobody answers it, and it refuses its
+// callers for as long as the list is away. Its own heartbeats, rightly signed,
+// are enough to answer it; they need no list.
+Test(membership, an_instance_that_is_not_listed_yet_is_answered) {
+  fleet Fleet = makeFleet(3);
+  for (const std::size_t Index : {0, 1}) {
+    membership &Membership = Fleet.Instances[Index].Membership;
+    Membership.Limits.AcceptStrangers = true;
+    onList(Membership, {listed(0), listed(1)}, Fleet.Now);
+  }
+  membership &Newcomer = Fleet.Instances[2].Membership;
+  membership &Known = Fleet.Instances[0].Membership;
+  const auto Sends = onTick(Newcomer, Fleet.Now + milliseconds(500));
+  const wire::datagram Hello = Sends.front().Datagram;
+  cr_assert(Hello.Receiver == "i0");
+  onStranger(Known, Hello, {"127.0.0.1", 7}, Fleet.Now);
+  const member *Added = findMember(Known, "i2");
+  cr_assert(Added != nullptr && Added->Address.Port == 7);
+  cr_assert(admitDatagram(Known, Hello));
+  // A longer list only asks for more instances.
+  cr_assert(instanceCount(Known) == 3);
+  // The next list decides.
+  onList(Known, {listed(0), listed(1)}, Fleet.Now);
+  cr_assert(findMember(Known, "i2") == nullptr);
+}
--- a/tests/native/native_fleet.cpp
+++ b/tests/native/native_fleet.cpp
@@ -42,15 +42,18 @@
         << "peers = " << toText(freeAddress()) << "\n"
         << "metrics = " << toText(freeAddress()) << "\n"
         << "[platform]\nkind = native\n"
-        << "address = " << toText(World.StoreAddress) << "\n"
+        << "address = "
+        << toText(Index + 1 < Count ? World.StoreAddress
+                                    : World.SecondStoreAddress)
+        << "\n"
         << "promotions = " << toText(World.PromotionAddress) << "\n"
         << "[log]\nformat = json\n";
     start(Instance);
   }
   for (const native_process &Instance : Instances)
     if (!eventually([&] { return isReady(Instance); }))
-      throw std::runtime_error(Instance.Name + " does not get ready: " +
-                               Instance.Process->output());
+      throw std::runtime_error(
+          Instance.Name + " does not get ready: " + Instance.Process->output());
 }
 
 void native_fleet::start(native_process &Instance) {
--- a/tests/native/native_fleet.hpp
+++ b/tests/native/native_fleet.hpp
@@ -18,7 +18,8 @@
   std::unique_ptr<child_process> Process;
 };
 
-/// Real instances before a world of stand-ins. Used from one thread.
+/// Real instances before a world of stand-ins; the last one reaches the store
+/// by the second way. Used from one thread.
 struct native_fleet {
   explicit native_fleet(std::size_t Instances);
   ~native_fleet();
--- a/tests/native/native_path_test.cpp
+++ b/tests/native/native_path_test.cpp
@@ -78,14 +78,26 @@
   cr_assert(eventually([&] { return Second.run("READ a").Error == "DENIED"; }));
 }
 
+// The store turns one instance away and serves the others: a key that is
+// withdrawn meanwhile must stop there too, by word of the others.
+Test(native_path, tells_an_instance_that_the_store_turns_away) {
+  native_fleet Fleet(3);
+  line_client Caller(Fleet.Instances[2].Callers, "strict", "key");
+  cr_assert(Caller.run("READ a").Error.empty());
+  Fleet.World.with([](native_world &World) {
+    World.SecondWayDown = true;
+    World.configure({"other"});
+  });
+  cr_assert(eventually([&] { return Caller.run("READ a").Error == "DENIED"; }));
+}
+
 // A database runs a payment and its answer is lost: the caller must not be
 // told that nothing happened, and nobody may repeat it.
 Test(native_path, leaves_an_unanswered_write_in_doubt) {
   native_fleet Fleet(1);
   line_client Caller(Fleet.Instances[0].Callers, "strict", "key");
-  Fleet.World.with([](native_world &World) {
-    World.Group.Databases[0].LoseAnswers = 1;
-  });
+  Fleet.World.with(
+      [](native_world &World) { World.Group.Databases[0].LoseAnswers = 1; });
   cr_assert(Caller.run("WRITE pay 5").Error == "INDOUBT");
   Fleet.World.with([](native_world &World) {
     unsigned Runs = 0;
@@ -110,9 +122,8 @@
   cr_assert(writeEventually(Fleet.Instances[1], "c", "after"));
   line_client Caller(Fleet.Instances[2].Callers, "strict", "key");
   cr_assert(Caller.run("READ a").Rows == std::vector<std::string>{"before"});
-  Fleet.World.with([](native_world &World) {
-    cr_assert(World.Promotions.size() == 1);
-  });
+  Fleet.World.with(
+      [](native_world &World) { cr_assert(World.Promotions.size() == 1); });
 }
 
 // The primary announces that it leaves: it is replaced before it goes, and
@@ -123,8 +134,9 @@
   Fleet.World.drain("d1");
   cr_assert(eventually([&] {
     bool Moved = false;
-    Fleet.World.with(
-        [&](native_world &World) { Moved = !World.Group.Databases[0].Primary; });
+    Fleet.World.with([&](native_world &World) {
+      Moved = !World.Group.Databases[0].Primary;
+    });
     return Moved;
   }));
   cr_assert(writeEventually(Fleet.Instances[1], "b", "2"));
@@ -139,7 +151,9 @@
   Fleet.World.with([](native_world &World) { World.Store.Down = true; });
   std::this_thread::sleep_for(std::chrono::milliseconds(3000));
   line_client Caller(Fleet.Instances[1].Callers, "own", "key");
-  cr_assert(Caller.run("WRITE a 2").Error.empty());
+  const line_answer Written = Caller.run("WRITE a 2");
+  cr_assert(Written.Error.empty(), "%s\n%s", Written.Error.c_str(),
+            Fleet.Instances[1].Process->output().c_str());
   cr_assert(Caller.run("READ a").Rows == std::vector<std::string>{"2"});
 }
 
--- a/tests/standins/native/database_group.cpp
+++ b/tests/standins/native/database_group.cpp
@@ -12,15 +12,13 @@
 }
 
 void replicate(database_group &Group, base::instant Now) {
-  const auto Old =
-      std::ranges::find_if(Group.Log, [&](const log_entry &Entry) {
-        return Now - Entry.CommittedAt < Group.Lag;
-      });
+  const auto Old = std::ranges::find_if(Group.Log, [&](const log_entry &Entry) {
+    return Now - Entry.CommittedAt < Group.Lag;
+  });
   const auto Applied = static_cast<std::size_t>(Old - Group.Log.begin());
   for (native_database &Database : Group.Databases)
-    Database.Received = Database.Primary
-                            ? Group.Log.size()
-                            : std::max(Database.Received, Applied);
+    Database.Received = Database.Primary ? Group.Log.size()
+                                         : std::max(Database.Received, Applied);
 }
 
 session::log_point pointOf(const database_group &Group,
--- a/tests/standins/native/database_server.cpp
+++ b/tests/standins/native/database_server.cpp
@@ -109,8 +109,8 @@
     if (Word == "BYE")
       break;
     bool Lost = false;
-    const std::string Answer = Client->Started ? query(*Client, Line, Lost)
-                                               : start(*Client, Line);
+    const std::string Answer =
+        Client->Started ? query(*Client, Line, Lost) : start(*Client, Line);
     if (Lost)
       break;
     const auto [WriteError, Sent] =
@@ -127,9 +127,7 @@
 std::string database_server::state::ready(const connection &Client) {
   replicate(Group, base::now());
   const auto Point = pointOf(Group, self());
-  const char *State = Client.Failed          ? "E"
-                      : Client.InTransaction ? "T"
-                                             : "I";
+  const char *State = Client.Failed ? "E" : Client.InTransaction ? "T" : "I";
   return std::string("READY ") + State + " " + std::to_string(Point.Term) +
          "." + std::to_string(Point.Position) + "\r\n";
 }
@@ -264,9 +262,7 @@
   dropConnections();
 }
 
-const http::address &database_server::address() const {
-  return State->Address;
-}
+const http::address &database_server::address() const { return State->Address; }
 
 void database_server::dropConnections() {
   for (const auto &Client : State->Clients) {
--- a/tests/standins/native/row_table.cpp
+++ b/tests/standins/native/row_table.cpp
@@ -18,20 +18,20 @@
 
 std::string toBase64(const std::string &Bytes) {
   std::string Out((Bytes.size() + 2) / 3 * 4 + 1, '\0');
-  const int Size = EVP_EncodeBlock(
-      reinterpret_cast<unsigned char *>(Out.data()),
-      reinterpret_cast<const unsigned char *>(Bytes.data()),
-      static_cast<int>(Bytes.size()));
+  const int Size =
+      EVP_EncodeBlock(reinterpret_cast<unsigned char *>(Out.data()),
+                      reinterpret_cast<const unsigned char *>(Bytes.data()),
+                      static_cast<int>(Bytes.size()));
   Out.resize(static_cast<std::size_t>(Size));
   return Out;
 }
 
 std::string fromBase64(std::string_view Text) {
   std::string Out(Text.size(), '\0');
-  const int Size = EVP_DecodeBlock(
-      reinterpret_cast<unsigned char *>(Out.data()),
-      reinterpret_cast<const unsigned char *>(Text.data()),
-      static_cast<int>(Text.size()));
+  const int Size =
+      EVP_DecodeBlock(reinterpret_cast<unsigned char *>(Out.data()),
+                      reinterpret_cast<const unsigned char *>(Text.data()),
+                      static_cast<int>(Text.size()));
   Out.resize(static_cast<std::size_t>(std::max(0, Size)));
   while (Text.ends_with('=')) {
     Out.pop_back();
@@ -105,7 +105,8 @@
   };
   for (const json::value &Expected : Body.at("expect").as_array()) {
     const auto Found = Rows.find(KeyOf(Expected));
-    const std::uint64_t Present = Found == Rows.end() ? 0 : Found->second.Version;
+    const std::uint64_t Present =
+        Found == Rows.end() ? 0 : Found->second.Version;
     if (Present != Expected.at("record_version").to_number<std::uint64_t>())
       return answer(StatusPrecondition, {{"rows", json::array()}});
   }
--- a/tests/standins/native/world.cpp
+++ b/tests/standins/native/world.cpp
@@ -13,21 +13,30 @@
 namespace asio = boost::asio;
 
 json::object routeOf(const std::string &Host, const std::string &Kind) {
-  return {{"name", "r-" + Host},   {"host", Host},
-          {"path_prefix", "/"},    {"kind", Kind},
-          {"timeout_ms", 3000},    {"target_latency_ms", 2000},
-          {"priority", 1},         {"service", "s"},
-          {"max_staleness_ms", 2500}, {"public", false}};
+  return {
+      {"name", "r-" + Host}, {"host", Host},       {"path_prefix", "/"},
+      {"kind", Kind},        {"timeout_ms", 3000}, {"target_latency_ms", 2000},
+      {"priority", 1},       {"service", "s"},     {"max_staleness_ms", 2500},
+      {"public", false}};
 }
 
 } // namespace
 
 native_world::native_world()
     : StoreServer(Context.get_executor(), {},
-                  [this](http::connection &, http::request Request)
-                      -> base::task<http::response> {
+                  [this](http::connection &,
+                         http::request Request) -> base::task<http::response> {
                     co_return Store.handle(Request);
                   }),
+      SecondStoreServer(
+          Context.get_executor(), {},
+          [this](http::connection &,
+                 http::request Request) -> base::task<http::response> {
+            constexpr unsigned Unavailable = 503;
+            http::response Refused;
+            Refused.Status = Unavailable;
+            co_return SecondWayDown ? Refused : Store.handle(Request);
+          }),
       PromotionServer(Context.get_executor(), {},
                       [this](http::connection &, http::request Request)
                           -> base::task<http::response> {
@@ -41,12 +50,13 @@
     Group.Databases.push_back(Database);
   }
   for (const native_database &Database : Group.Databases) {
-    Servers.push_back(std::make_unique<database_server>(
-        Context.get_executor(), Group, Database.Name));
+    Servers.push_back(std::make_unique<database_server>(Context.get_executor(),
+                                                        Group, Database.Name));
     list(Database);
   }
   const http::address Any{"127.0.0.1", 0};
   StoreAddress = StoreServer.listen(Any).value();
+  SecondStoreAddress = SecondStoreServer.listen(Any).value();
   PromotionAddress = PromotionServer.listen(Any).value();
   configure({"key"});
   Thread = std::thread([this] {
--- a/tests/standins/native/world.hpp
+++ b/tests/standins/native/world.hpp
@@ -43,11 +43,14 @@
   void configure(const std::vector<std::string> &Keys, double Rate = 1000);
 
   http::address StoreAddress;
+  /// The same store by another way, which can be closed by itself.
+  http::address SecondStoreAddress;
   http::address PromotionAddress;
 
   /// \name For use in with() only
   /// @{
   row_table Store;
+  bool SecondWayDown = false;
   database_group Group;
   std::vector<promotion> Promotions;
   /// @}
@@ -59,6 +62,7 @@
   boost::asio::io_context Context;
   std::vector<std::unique_ptr<database_server>> Servers;
   http::server StoreServer;
+  http::server SecondStoreServer;
   http::server PromotionServer;
   unsigned ConfigurationVersion = 1;
   std::thread Thread;
