One base64, one way to listen; probing in a file of its own; pages

Cause: read as a newcomer: base64 and opening a listener stood twice, the file of failovers held probing too, and the pages said nothing of the new platform.

Ruled out: moving the stand-ins' line protocol onto platform/: a test that decodes with the code under test proves less.

Conclusion: no behaviour changed but the settings.

--- a/packages/base/include/redwinggw/base/log.hpp
+++ b/packages/base/include/redwinggw/base/log.hpp
@@ -36,6 +36,9 @@
 /// before other threads log. \p Instance stands in each line.
 void startLog(log_level Level, log_format Format, std::string Instance);
 
+/// Changes the least level that is written. Thread safe.
+void setLogLevel(log_level Level);
+
 /// Writes one line. Thread safe.
 void log(log_level Level, log_part Part, std::string_view Sentence);
 
--- a/packages/base/src/log.cpp
+++ b/packages/base/src/log.cpp
@@ -122,8 +122,12 @@
   auto Core = boost::log::core::get();
   Core->remove_all_sinks();
   Core->add_sink(boost::make_shared<sink>(Backend));
-  Core->set_filter(boost::log::expressions::attr<log_level>("Severity") >=
-                   Level);
+  setLogLevel(Level);
+}
+
+void setLogLevel(log_level Level) {
+  boost::log::core::get()->set_filter(
+      boost::log::expressions::attr<log_level>("Severity") >= Level);
 }
 
 void log(log_level Level, log_part Part, std::string_view Sentence) {
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -2,6 +2,8 @@
 
 #include "fields.hpp"
 
+#include "redwinggw/http/listen.hpp"
+
 #include "redwinggw/base/log.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -144,24 +146,10 @@
 server::~server() { drain(); }
 
 base::result<address> server::listen(const address &Address) {
-  boost::system::error_code Error;
-  const asio::ip::tcp::endpoint Endpoint(
-      asio::ip::make_address(Address.Host, Error), Address.Port);
-  auto &Acceptor = State->Acceptor;
-  if (!Error)
-    Acceptor.open(Endpoint.protocol(), Error);
-  if (!Error)
-    Acceptor.set_option(asio::socket_base::reuse_address(true), Error);
-  if (!Error)
-    Acceptor.bind(Endpoint, Error);
-  if (!Error)
-    Acceptor.listen(asio::socket_base::max_listen_connections, Error);
-  if (Error)
-    return base::failure(base::errc::BadSettings, "cannot listen at " +
-                                                      toText(Address) + ": " +
-                                                      Error.message());
-  asio::co_spawn(State->Executor, State->accept(), asio::detached);
-  return address{Address.Host, Acceptor.local_endpoint().port()};
+  const auto Listening = listenAt(State->Acceptor, Address);
+  if (Listening)
+    asio::co_spawn(State->Executor, State->accept(), asio::detached);
+  return Listening;
 }
 
 void server::drain() {
--- a/packages/redwinggw/src/main.cpp
+++ b/packages/redwinggw/src/main.cpp
@@ -6,9 +6,11 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/program_options.hpp>
 
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -110,21 +112,47 @@
   return ExitOk;
 }
 
-/// Reads the settings again at each SIGHUP; faulty ones change nothing.
+/// Reads the settings again; faulty ones change nothing.
+void reload(native_instance &Instance, const command_line &Line) {
+  if (auto Settings = readSettings(Line))
+    Instance.reload(std::move(*Settings));
+  else
+    base::log(base::log_level::Error, base::log_part::Main,
+              describe(Settings.error()));
+}
+
 void reloadOnSignal(boost::asio::signal_set &Signals, native_instance &Instance,
                     const command_line &Line) {
   Signals.async_wait([&](boost::system::error_code Error, int) {
     if (Error)
       return;
-    if (auto Settings = readSettings(Line))
-      Instance.reload(std::move(*Settings));
-    else
-      base::log(base::log_level::Error, base::log_part::Main,
-                describe(Settings.error()));
+    reload(Instance, Line);
     reloadOnSignal(Signals, Instance, Line);
   });
 }
 
+/// When the settings file was written last, as far as that can be told.
+std::filesystem::file_time_type settingsTime(const command_line &Line) {
+  std::error_code Ignored;
+  return std::filesystem::last_write_time(Line.Config, Ignored);
+}
+
+/// The platform may change the file without a signal.
+void reloadOnChange(boost::asio::steady_timer &Timer, native_instance &Instance,
+                    const command_line &Line,
+                    std::filesystem::file_time_type Known) {
+  constexpr std::chrono::seconds LookEvery{2};
+  Timer.expires_after(LookEvery);
+  Timer.async_wait([&, Known](boost::system::error_code Error) {
+    if (Error)
+      return;
+    const auto Present = settingsTime(Line);
+    if (Present != Known)
+      reload(Instance, Line);
+    reloadOnChange(Timer, Instance, Line, Present);
+  });
+}
+
 int runNative(settings Settings, const command_line &Line) {
   base::startLog(Settings.LogLevel, Settings.LogFormat, Settings.Name);
   boost::asio::io_context Context(1);
@@ -136,6 +164,8 @@
   });
   boost::asio::signal_set Reloads(Context, SIGHUP);
   reloadOnSignal(Reloads, Instance, Line);
+  boost::asio::steady_timer FileTimer(Context);
+  reloadOnChange(FileTimer, Instance, Line, settingsTime(Line));
   if (const auto Started = Instance.start(); !Started)
     return reportFailure(Started.error());
   Context.run();
--- a/packages/redwinggw/src/native_handover.cpp
+++ b/packages/redwinggw/src/native_handover.cpp
@@ -20,74 +20,17 @@
 using session::primary_claim;
 
 constexpr milliseconds GuardEvery{100};
-/// A statement without an answer for so long makes a probe worth its slot.
-constexpr milliseconds ProbeAfter{250};
-/// Set-up and answer of a probe; a busy endpoint answers within this time.
-constexpr milliseconds ProbeTime{450};
 constexpr milliseconds StatusTime{400};
 constexpr milliseconds OrderTime{1500};
 /// How long a move goes on before it is begun again from the rows.
 constexpr milliseconds MoveTime{7000};
 constexpr milliseconds StepPause{20};
-/// The endpoints' name for connections of the system itself.
-constexpr std::string_view OwnCustomer = "-";
 
 void say(const std::string &Service, const std::string &Text) {
   base::log(base::log_level::Info, base::log_part::Failover,
             "Service " + Service + ": " + Text);
 }
 
-/// Asks an endpoint for its state over a fresh connection.
-base::task<session::status_exchange> askStatus(native_state &State,
-                                               session::endpoint_entry Entry,
-                                               milliseconds Time) {
-  const auto Link = State.Endpoints.Factory();
-  const instant Deadline = base::now() + Time;
-  session::status_exchange Status;
-  const session::exchange Opened =
-      co_await Link->open(Entry, OwnCustomer, Deadline);
-  Status.Outcome = Opened.Outcome;
-  Status.Error = Opened.Answer.Error;
-  if (Opened.Outcome != session::exchange_outcome::Answered || Status.Error)
-    co_return Status;
-  co_return co_await Link->command(session::status_command::Ask, 0, Deadline);
-}
-
-base::task<void> probe(native_ptr State, base::endpoint_name Name) {
-  const auto *Entry = findEndpoint(State->Endpoints.Directory, Name);
-  if (Entry != nullptr) {
-    const instant Sent = base::now();
-    const session::endpoint_entry Copy = *Entry;
-    const auto Status = co_await askStatus(*State, Copy, ProbeTime);
-    const bool Up = Status.Outcome == session::exchange_outcome::Answered &&
-                    (!Status.Error ||
-                     Status.Error->Code != session::answer_code::Misrouted);
-    if (const auto Pool = poolOf(State->Endpoints, Name)) {
-      if (Up)
-        Pool->noteSuccess(Sent, base::now());
-      else
-        Pool->noteFailure(base::now());
-    }
-  }
-  State->Probing.erase(Name);
-}
-
-/// Probes the primary when statements speak against it or get no answer.
-void probeIfInDoubt(native_ptr State, const base::endpoint_name &Name) {
-  const auto Pool = poolOf(State->Endpoints, Name);
-  if (!Pool || State->Probing.contains(Name))
-    return;
-  const instant Now = base::now();
-  const bool Busy = Pool->open() > Pool->idle();
-  const instant Oldest = Pool->oldestUnanswered().value_or(Now);
-  const bool Silent = Busy && Now - Oldest > ProbeAfter &&
-                      Now - Pool->health().LastSuccess > ProbeAfter;
-  if (Pool->health().Failures == 0 && !Silent)
-    return;
-  State->Probing.insert(Name);
-  asio::co_spawn(State->Context, probe(State, Name), asio::detached);
-}
-
 std::optional<instant> missingSince(native_state &State,
                                     const base::endpoint_name &Name) {
   if (findEndpoint(State.Endpoints.Directory, Name) != nullptr) {
--- a/packages/redwinggw/src/native_instance.cpp
+++ b/packages/redwinggw/src/native_instance.cpp
@@ -289,7 +289,9 @@
 }
 
 void native_instance::reload(settings Settings) {
-  State->Settings = std::move(Settings);
+  // Addresses and names are in use; they change with the next start.
+  base::setLogLevel(Settings.LogLevel);
+  State->Settings.LogLevel = Settings.LogLevel;
   base::log(log_level::Info, log_part::Main, "The settings were read again.");
 }
 
--- /dev/null
+++ b/packages/redwinggw/src/native_probing.cpp
@@ -0,0 +1,72 @@
+#include "native_state.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+/// Asks endpoints for their state over fresh connections.
+namespace redwinggw {
+namespace {
+
+namespace asio = boost::asio;
+using base::instant;
+using base::milliseconds;
+
+/// A statement without an answer for so long makes a probe worth its slot.
+constexpr milliseconds ProbeAfter{250};
+/// Set-up and answer of a probe; a busy endpoint answers within this time.
+constexpr milliseconds ProbeTime{450};
+/// The name under which the system itself connects.
+constexpr std::string_view OwnCustomer = "-";
+
+base::task<void> probe(native_ptr State, base::endpoint_name Name) {
+  const auto *Entry = findEndpoint(State->Endpoints.Directory, Name);
+  if (Entry != nullptr) {
+    const instant Sent = base::now();
+    const session::endpoint_entry Copy = *Entry;
+    const auto Status = co_await askStatus(*State, Copy, ProbeTime);
+    const bool Up = Status.Outcome == session::exchange_outcome::Answered &&
+                    (!Status.Error ||
+                     Status.Error->Code != session::answer_code::Misrouted);
+    if (const auto Pool = poolOf(State->Endpoints, Name)) {
+      if (Up)
+        Pool->noteSuccess(Sent, base::now());
+      else
+        Pool->noteFailure(base::now());
+    }
+  }
+  State->Probing.erase(Name);
+}
+
+} // namespace
+
+base::task<session::status_exchange> askStatus(native_state &State,
+                                               session::endpoint_entry Entry,
+                                               milliseconds Time) {
+  const auto Link = State.Endpoints.Factory();
+  const instant Deadline = base::now() + Time;
+  session::status_exchange Status;
+  const session::exchange Opened =
+      co_await Link->open(Entry, OwnCustomer, Deadline);
+  Status.Outcome = Opened.Outcome;
+  Status.Error = Opened.Answer.Error;
+  if (Opened.Outcome != session::exchange_outcome::Answered || Status.Error)
+    co_return Status;
+  co_return co_await Link->command(session::status_command::Ask, 0, Deadline);
+}
+
+void probeIfInDoubt(native_ptr State, const base::endpoint_name &Name) {
+  const auto Pool = poolOf(State->Endpoints, Name);
+  if (!Pool || State->Probing.contains(Name))
+    return;
+  const instant Now = base::now();
+  const bool Busy = Pool->open() > Pool->idle();
+  const instant Oldest = Pool->oldestUnanswered().value_or(Now);
+  const bool Silent = Busy && Now - Oldest > ProbeAfter &&
+                      Now - Pool->health().LastSuccess > ProbeAfter;
+  if (Pool->health().Failures == 0 && !Silent)
+    return;
+  State->Probing.insert(Name);
+  asio::co_spawn(State->Context, probe(State, Name), asio::detached);
+}
+
+} // namespace redwinggw
--- a/packages/redwinggw/src/native_state.hpp
+++ b/packages/redwinggw/src/native_state.hpp
@@ -110,6 +110,16 @@
 base::task<void> keepNativeHouse(native_ptr State);
 /// @}
 
+/// \name Asking endpoints
+/// @{
+/// Asks an endpoint for its state over a fresh connection.
+base::task<session::status_exchange> askStatus(native_state &State,
+                                               session::endpoint_entry Entry,
+                                               base::milliseconds Time);
+/// Probes a primary when statements speak against it or get no answer.
+void probeIfInDoubt(native_ptr State, const base::endpoint_name &Name);
+/// @}
+
 /// \name What instances tell each other
 /// @{
 /// Connects the peers' service with the rest.
--- a/tests/native/native_path_test.cpp
+++ b/tests/native/native_path_test.cpp
@@ -2,6 +2,7 @@
 #include "native_fleet.hpp"
 
 #include <csignal>
+#include <fstream>
 
 #include "criterion_test.hpp"
 
@@ -186,6 +187,17 @@
   cr_assert(writeEventually(Fleet.Instances[0], "a", "1"));
 }
 
+// The platform changes the settings file and sends no signal.
+Test(native_path, notices_settings_that_changed_without_a_signal) {
+  native_fleet Fleet(1);
+  std::ofstream(Fleet.Instances[0].SettingsFile, std::ios::app)
+      << "level = debug\n";
+  cr_assert(eventually([&] {
+    return Fleet.Instances[0].Process->output().find("read again") !=
+           std::string::npos;
+  }));
+}
+
 // The endpoints learn whose statements they run, and never a key.
 Test(native_path, shows_endpoints_customers_and_no_keys) {
   native_fleet Fleet(1);
--- a/tests/standins/native/database_server.cpp
+++ b/tests/standins/native/database_server.cpp
@@ -223,7 +223,7 @@
   if (Writes && (!self().Primary || Client.ReadOnly))
     return fail(Client, "READONLY");
   ++Group.Runs[Id];
-  const std::string Signature = "DONE sig." + Id + "\r\n";
+  std::string Signature = "DONE sig." + Id + "\r\n";
   const std::string Item = takeWord(Operands);
   if (!Writes)
     return "ROW " + valueAt(Group, self(), Item) + "\r\n" + Signature;
--- a/tests/standins/native/row_table.cpp
+++ b/tests/standins/native/row_table.cpp
@@ -1,8 +1,8 @@
 #include "native/row_table.hpp"
 
-#include <boost/json.hpp>
+#include "redwinggw/base/base64.hpp"
 
-#include <openssl/evp.h>
+#include <boost/json.hpp>
 
 #include <algorithm>
 
@@ -16,30 +16,6 @@
 constexpr unsigned StatusNotFound = 404;
 constexpr unsigned StatusUnavailable = 503;
 
-std::string toBase64(const std::string &Bytes) {
-  std::string Out((Bytes.size() + 2) / 3 * 4 + 1, '\0');
-  const int Size =
-      EVP_EncodeBlock(reinterpret_cast<unsigned char *>(Out.data()),
-                      reinterpret_cast<const unsigned char *>(Bytes.data()),
-                      static_cast<int>(Bytes.size()));
-  Out.resize(static_cast<std::size_t>(Size));
-  return Out;
-}
-
-std::string fromBase64(std::string_view Text) {
-  std::string Out(Text.size(), '\0');
-  const int Size =
-      EVP_DecodeBlock(reinterpret_cast<unsigned char *>(Out.data()),
-                      reinterpret_cast<const unsigned char *>(Text.data()),
-                      static_cast<int>(Text.size()));
-  Out.resize(static_cast<std::size_t>(std::max(0, Size)));
-  while (Text.ends_with('=')) {
-    Out.pop_back();
-    Text.remove_suffix(1);
-  }
-  return Out;
-}
-
 /// A parameter of a query; "%00" at its end stands for the next key.
 std::string parameter(const std::string &Query, const std::string &Name) {
   const std::size_t At = ("&" + Query).find("&" + Name + "=");
@@ -91,7 +67,7 @@
     Found.push_back(json::object{{"table", Table},
                                  {"part", ""},
                                  {"key", Name},
-                                 {"value", toBase64(Row.Value)},
+                                 {"value", base::toBase64(Row.Value)},
                                  {"record_version", Row.Version}});
   }
   return answer(StatusOk, {{"rows", std::move(Found)},
@@ -112,7 +88,8 @@
   }
   ++Version;
   for (const json::value &Entry : Body.at("writes").as_array())
-    Rows[KeyOf(Entry)] = {fromBase64(textAt(Entry, "value")), Version};
+    Rows[KeyOf(Entry)] = {base::fromBase64(textAt(Entry, "value")).value_or(""),
+                          Version};
   for (const json::value &Entry : Body.at("remove").as_array())
     Rows.erase(KeyOf(Entry));
   return answer(StatusOk, {{"record_version", Version}});
