--- a/packages/control/include/redwinggw/control/demand_shares.hpp
+++ b/packages/control/include/redwinggw/control/demand_shares.hpp
@@ -36,8 +36,8 @@
   /// never fit the arrivals exactly; without some room each misfit refuses a
   /// statement inside the rate. Stays below the tenth and twenty that
   /// operators allow.
-  double RateSlack = 1.03;
-  double ExtraTokens = 12;
+  double RateSlack = 1.05;
+  double ExtraTokens = 14;
   /// Part of an equal share that an instance has without any demand, for the
   /// first statements.
   double IdlePart = 0.1;
--- a/packages/redwinggw/src/native_rights.cpp
+++ b/packages/redwinggw/src/native_rights.cpp
@@ -67,6 +67,10 @@
     return std::nullopt;
   const auto Elapsed =
       std::chrono::duration_cast<milliseconds>(base::now() - Known->Since);
+  // One that takes longer is stuck, and nobody knows for how long.
+  constexpr milliseconds Stuck = 2 * MoveTakes;
+  if (Elapsed > Stuck)
+    return std::nullopt;
   constexpr milliseconds Least{100};
   return std::max(Least, MoveTakes - Elapsed);
 }
--- a/packages/session/include/redwinggw/session/endpoint_pool.hpp
+++ b/packages/session/include/redwinggw/session/endpoint_pool.hpp
@@ -86,10 +86,13 @@
   ~endpoint_pool();
 
   /// A connection of \p Customer, preferably one that carries \p Values;
-  /// waits for one when all are in use. Nothing has run when it fails.
+  /// waits for one until \p WaitUntil when all are in use. Setting one up may
+  /// take until \p Deadline: given up earlier, it would have cost the endpoint
+  /// its set-up time for nothing, most of all while it is busy. Nothing has run
+  /// when it fails.
   base::task<acquired> acquire(base::customer_name Customer,
                                const session_values &Values,
-                               base::instant Deadline);
+                               base::instant WaitUntil, base::instant Deadline);
 
   /// Takes a connection back. Precondition: no transaction is open on it.
   void giveBack(link_handle Link);
--- a/packages/session/include/redwinggw/session/session_core.hpp
+++ b/packages/session/include/redwinggw/session/session_core.hpp
@@ -50,8 +50,11 @@
   /// A read that had no answer for this part of its time is tried elsewhere.
   double FirstTryShare = 0.6;
   /// Part of the aimed latency for which a statement waits for something that
-  /// is not known to come.
-  double PatienceShare = 0.25;
+  /// is not known to come. Callers count longer holds than a quarter as time
+  /// taken from them.
+  double PatienceShare = 0.2;
+  /// Part of the aimed latency within which a connection has to be set up.
+  double SetUpShare = 0.6;
 };
 
 /// Bounds the lines about single statements, so that the log costs little
--- a/packages/session/src/core_parts.hpp
+++ b/packages/session/src/core_parts.hpp
@@ -19,6 +19,8 @@
   unsigned Tries = 0;
   /// Endpoints that did not serve it.
   std::vector<base::endpoint_name> Tried;
+  /// Until when it waits for a primary; set when the waiting begins.
+  std::optional<base::instant> WaitEnd;
   /// What the last try went by: whether it used the primary, under which
   /// agreement, and the point that a replica had to prove.
   bool OnPrimary = false;
--- a/packages/session/src/endpoint_pool.cpp
+++ b/packages/session/src/endpoint_pool.cpp
@@ -131,6 +131,7 @@
 
 base::task<acquired> endpoint_pool::acquire(base::customer_name Customer,
                                             const session_values &Values,
+                                            instant WaitUntil,
                                             instant Deadline) {
   while (true) {
     while (link_handle Link = takeIdle(Customer, Values)) {
@@ -140,7 +141,7 @@
     }
     if (Open < Limits.Connections || evictOne() || mayOpen())
       co_return co_await connect(std::move(Customer), Deadline);
-    if (!co_await waitForTurn(Customer, Deadline))
+    if (!co_await waitForTurn(Customer, WaitUntil))
       co_return acquired{nullptr, acquire_failure::Exhausted};
   }
 }
--- a/packages/session/src/placement.cpp
+++ b/packages/session/src/placement.cpp
@@ -25,6 +25,29 @@
   return std::min(Request.Deadline, Request.Arrived + Patience);
 }
 
+/// Until when a connection may be set up: a statement that gets it then can
+/// still be answered within the aimed latency.
+instant setUpEnd(const session_core &Core, const request &Request) {
+  const auto Time = std::chrono::duration_cast<base::microseconds>(
+      Request.Route.TargetLatency * Core.Limits.SetUpShare);
+  return std::min(Request.Deadline,
+                  std::max(Request.Arrived + Time, base::now()));
+}
+
+/// Until when to wait for a primary that is expected at \p Expected. What would
+/// come too late is refused at once; what does not come as expected is not
+/// waited for up to the end, or the caller would have no time left to go
+/// elsewhere.
+instant waitEnd(const session_core &Core, request &Request, instant Expected) {
+  if (Request.WaitEnd)
+    return *Request.WaitEnd;
+  constexpr milliseconds Margin{400};
+  const bool InTime = Expected < Request.Deadline;
+  Request.WaitEnd = InTime ? std::min(Request.Deadline, Expected + Margin)
+                           : patienceEnd(Core, Request);
+  return *Request.WaitEnd;
+}
+
 /// The point that a read of this session must see; nothing when only the
 /// primary can tell.
 std::optional<log_point> pointFor(session_core &Core,
@@ -61,10 +84,12 @@
   const pool_ptr Pool = poolOf(Core.Set, Name);
   if (Pool == nullptr)
     co_return std::nullopt;
-  acquired Acquired =
-      co_await Pool->acquire(Session.Customer, Session.Values, Latest);
+  acquired Acquired = co_await Pool->acquire(Session.Customer, Session.Values,
+                                             Latest, setUpEnd(Core, Request));
   if (!Acquired.Link) {
-    Request.LastTrouble = "no connection to " + Name;
+    Request.LastTrouble = "no connection to " + Name + ", " +
+                          std::to_string(Pool->open()) + " open, " +
+                          std::to_string(Pool->waiting()) + " waiting";
     if (Acquired.Failure == acquire_failure::Unreachable)
       Core.Ports.NoteTrouble(Name);
     co_return std::nullopt;
@@ -161,9 +186,8 @@
     }
     Request.LastTrouble = "no primary of " + Request.Route.Service;
     const auto Expected = Core.Ports.PrimaryExpected(Request.Route.Service);
-    const instant Latest = Expected && Now + *Expected < Request.Deadline
-                               ? Request.Deadline
-                               : patienceEnd(Core, Request);
+    const instant Latest = Expected ? waitEnd(Core, Request, Now + *Expected)
+                                    : patienceEnd(Core, Request);
     if (Now + LookAgain >= Latest)
       co_return std::nullopt;
     co_await pauseFor(Core, LookAgain);
