Let a lost commit of reads be repeated; shorter functions

Cause: a transaction that had only read was answered as in doubt when its commit's answer was lost, so its caller gave up, though nothing can be kept. place, serveSingle and serveCommit had grown long.

Ruled out: repeating the commit here (the connection and its reads are gone).

Change: an open transaction notes whether a statement that writes was sent; without one a failed commit is answered with aborted, which may be repeated. The three functions are split by step.

--- a/packages/session/src/placement.cpp
+++ b/packages/session/src/placement.cpp
@@ -150,6 +150,55 @@
   co_return Exchange;
 }
 
+namespace {
+
+/// Gets a connection to the best candidate that was not tried yet, and notes
+/// what its endpoint is trusted for.
+base::task<std::optional<placement>>
+tryBest(session_core &Core, caller_session &Session, request &Request,
+        std::vector<choice_candidate> Candidates,
+        std::optional<primary_right> Right, std::optional<log_point> Point) {
+  const choice_candidate Chosen = nextUntried(Candidates, Request);
+  Request.Tried.push_back(Chosen.Name);
+  auto Placement = co_await connectTo(Core, Session, Request, Chosen.Name,
+                                      patienceEnd(Core, Request));
+  if (!Placement)
+    co_return std::nullopt;
+  if (Chosen.IsPrimary)
+    Placement->Right = Right;
+  else
+    Placement->After = Point;
+  Request.OnPrimary = Chosen.IsPrimary;
+  Request.Epoch = Right ? Right->Epoch : 0;
+  Request.Required = Placement->After;
+  const bool Repeatable = !Request.Writes && Candidates.size() > 1;
+  Placement->TryDeadline = tryDeadline(Core, Request, base::now(), Repeatable);
+  co_return Placement;
+}
+
+/// Pauses while a primary may still come in time. False when it is better to
+/// refuse now.
+base::task<bool> awaitPrimary(session_core &Core, request &Request) {
+  const instant Now = base::now();
+  const base::service_name &Service = Request.Route.Service;
+  Request.LastTrouble = "no primary of " + Service;
+  const auto Expected = Core.Ports.PrimaryExpected(Service);
+  const instant Latest = Expected ? waitEnd(Core, Request, Now + *Expected)
+                                  : patienceEnd(Core, Request);
+  const bool Worthwhile = Now + LookAgain < Latest;
+  if (Worthwhile)
+    co_await pauseFor(Core, LookAgain);
+  co_return Worthwhile;
+}
+
+bool mayTryAgain(const session_core &Core, request &Request) {
+  ++Request.Tries;
+  return Request.Tries < Core.Limits.MaxTries &&
+         base::now() < patienceEnd(Core, Request);
+}
+
+} // namespace
+
 base::task<std::optional<placement>> place(session_core &Core,
                                            caller_session &Session,
                                            request &Request,
@@ -159,38 +208,20 @@
     const auto Right = Core.Ports.Right(Request.Route.Service);
     const auto Point =
         NeedsPrimary ? std::nullopt : pointFor(Core, Session, Request, Now);
-    const auto Candidates = candidatesFor(Core, Session, Request, NeedsPrimary,
-                                          Right, Point.has_value(), Now);
-    if (!Candidates.empty()) {
-      const choice_candidate &Chosen = nextUntried(Candidates, Request);
-      Request.Tried.push_back(Chosen.Name);
-      auto Placement = co_await connectTo(Core, Session, Request, Chosen.Name,
-                                          patienceEnd(Core, Request));
-      if (Placement) {
-        if (Chosen.IsPrimary)
-          Placement->Right = Right;
-        else
-          Placement->After = Point;
-        Request.OnPrimary = Chosen.IsPrimary;
-        Request.Epoch = Right ? Right->Epoch : 0;
-        Request.Required = Placement->After;
-        Placement->TryDeadline =
-            tryDeadline(Core, Request, base::now(),
-                        !Request.Writes && Candidates.size() > 1);
-        co_return Placement;
-      }
-      if (++Request.Tries < Core.Limits.MaxTries &&
-          base::now() < patienceEnd(Core, Request))
-        continue;
-      co_return std::nullopt;
+    auto Candidates = candidatesFor(Core, Session, Request, NeedsPrimary, Right,
+                                    Point.has_value(), Now);
+    if (Candidates.empty()) {
+      const bool Again = co_await awaitPrimary(Core, Request);
+      if (!Again)
+        co_return std::nullopt;
+      continue;
     }
-    Request.LastTrouble = "no primary of " + Request.Route.Service;
-    const auto Expected = Core.Ports.PrimaryExpected(Request.Route.Service);
-    const instant Latest = Expected ? waitEnd(Core, Request, Now + *Expected)
-                                    : patienceEnd(Core, Request);
-    if (Now + LookAgain >= Latest)
+    auto Placement = co_await tryBest(Core, Session, Request,
+                                      std::move(Candidates), Right, Point);
+    if (Placement)
+      co_return Placement;
+    if (!mayTryAgain(Core, Request))
       co_return std::nullopt;
-    co_await pauseFor(Core, LookAgain);
   }
 }
 
--- a/packages/session/src/single_statement.cpp
+++ b/packages/session/src/single_statement.cpp
@@ -72,6 +72,27 @@
   return makeError(refusal(Core, Request));
 }
 
+/// The answer to deliver after a try, nothing when another one may serve.
+std::optional<answer> answerToTry(session_core &Core, request &Request,
+                                  const placement &Placement, exchange &Last) {
+  const bool Done =
+      Last.Outcome == exchange_outcome::Answered && !Last.Answer.Error;
+  if (!Done) {
+    Request.LastTrouble = troubleOf(Last, Placement.Link.Pool->entry().Name);
+    if (judge(Last, Request.Writes) == verdict::TryAgain)
+      return std::nullopt;
+    return finalAnswer(Core, Request, Last);
+  }
+  // The answer counts only if nobody can have been promoted before it.
+  if (!Placement.Right || Core.Ports.StillHolds(*Placement.Right))
+    return std::move(Last.Answer);
+  Request.LastTrouble = "the primary was replaced meanwhile";
+  Last = {};
+  if (Request.Writes)
+    return makeError(answer_code::InDoubt, Request.LastTrouble);
+  return std::nullopt;
+}
+
 } // namespace
 
 base::task<answer> serveSingle(session_core &Core, caller_session &Session,
@@ -85,27 +106,10 @@
       co_return makeError(refusal(Core, Request));
     ++Request.Tries;
     Last = co_await runOn(Core, Session, Request, *Placement);
-    const std::string Endpoint = Placement->Link.Pool->entry().Name;
     settle(Core, Session, Request, *Placement, Last, false);
-    if (judge(Last, Request.Writes) == verdict::Deliver) {
-      const bool Done =
-          Last.Outcome == exchange_outcome::Answered && !Last.Answer.Error;
-      const bool Trusted =
-          !Placement->Right || Core.Ports.StillHolds(*Placement->Right);
-      if (Done && Trusted)
-        co_return std::move(Last.Answer);
-      if (Done && Request.Writes)
-        co_return makeError(answer_code::InDoubt,
-                            "the primary was replaced meanwhile");
-      if (!Done) {
-        Request.LastTrouble = troubleOf(Last, Endpoint);
-        co_return finalAnswer(Core, Request, Last);
-      }
-      Request.LastTrouble = "the primary was replaced meanwhile";
-      Last = {};
-    } else {
-      Request.LastTrouble = troubleOf(Last, Endpoint);
-    }
+    auto Answer = answerToTry(Core, Request, *Placement, Last);
+    if (Answer)
+      co_return std::move(*Answer);
     if (base::now() >= Request.Deadline)
       break;
   }
--- a/packages/session/src/transaction.cpp
+++ b/packages/session/src/transaction.cpp
@@ -122,6 +122,7 @@
   if (isLost(Core, Transaction))
     co_return failTransaction(Session, answer_code::Aborted,
                               "the primary was replaced; retry now");
+  Transaction.Wrote = Transaction.Wrote || Request.Writes;
   placement Placement = takePlacement(Transaction, Request);
   exchange Done = co_await runOn(Core, Session, Request, Placement);
   const bool Answered = Done.Outcome == exchange_outcome::Answered;
@@ -144,6 +145,36 @@
   co_return std::move(Done.Answer);
 }
 
+namespace {
+
+/// What the caller is told of a commit. \p Wrote: whether there was anything to
+/// keep; without, every failure leaves nothing behind and may be repeated.
+answer answerToCommit(exchange Done, bool Trusted, bool Wrote) {
+  const auto &Error = Done.Answer.Error;
+  const bool Answered = Done.Outcome == exchange_outcome::Answered;
+  if (Answered && !Error && Trusted)
+    return std::move(Done.Answer);
+  if (!Wrote)
+    return makeError(answer_code::Aborted,
+                     "the commit was not confirmed; the transaction had only "
+                     "read");
+  if (Done.Outcome == exchange_outcome::NotSent)
+    return makeError(answer_code::Aborted,
+                     "the connection to the endpoint was lost before the "
+                     "commit was sent");
+  if (Error)
+    return makeError(isPromise(Error->Code) ? answer_code::Aborted
+                                            : Error->Code,
+                     "the endpoint answered the commit with " +
+                         std::string(answerCodeName(Error->Code)));
+  return makeError(Done.Outcome == exchange_outcome::TimedOut
+                       ? answer_code::Timeout
+                       : answer_code::InDoubt,
+                   "the commit was sent and not confirmed");
+}
+
+} // namespace
+
 base::task<answer> serveCommit(session_core &Core, caller_session &Session,
                                request &Request) {
   open_transaction &Transaction = *Session.Transaction;
@@ -159,6 +190,7 @@
     co_return makeError(answer_code::Aborted,
                         "the primary was replaced; retry now");
   }
+  const bool Wrote = Transaction.Wrote;
   Request.Writes = !Transaction.ReadOnly;
   placement Placement = takePlacement(Transaction, Request);
   Session.Transaction.reset();
@@ -168,24 +200,7 @@
   settle(Core, Session, Request, Placement, Done, false);
   const bool Trusted =
       !Placement.Right || Core.Ports.StillHolds(*Placement.Right);
-  if (Done.Outcome == exchange_outcome::Answered && !Done.Answer.Error &&
-      Trusted)
-    co_return std::move(Done.Answer);
-  if (Done.Outcome == exchange_outcome::NotSent)
-    co_return makeError(answer_code::Aborted,
-                        "the connection to the endpoint was lost before the "
-                        "commit was sent");
-  if (Done.Outcome == exchange_outcome::Answered && Done.Answer.Error) {
-    const answer_code Code = Done.Answer.Error->Code;
-    const bool Promise = isPromise(Code);
-    co_return makeError(Promise ? answer_code::Aborted : Code,
-                        "the endpoint answered the commit with " +
-                            std::string(answerCodeName(Code)));
-  }
-  co_return makeError(Done.Outcome == exchange_outcome::TimedOut
-                          ? answer_code::Timeout
-                          : answer_code::InDoubt,
-                      "the commit was sent and not confirmed");
+  co_return answerToCommit(std::move(Done), Trusted, Wrote);
 }
 
 bool isAbandoned(const session_core &Core, const caller_session &Session,
--- a/tests/session/session_core_test.cpp
+++ b/tests/session/session_core_test.cpp
@@ -198,6 +198,22 @@
   cr_assert(Answer.State == transaction_state::Idle);
 }
 
+// The same for a transaction that has only read: nothing can be kept, so the
+// caller is told that it may repeat it.
+Test(session_core, lets_a_lost_commit_of_reads_be_repeated) {
+  bench_core Bench;
+  caller_session Session = Bench.open("strict");
+  Bench.run(Session, statement_kind::Begin, "BEGIN");
+  Bench.read(Session);
+  Bench.Group.Script = [](const seen_statement &Statement) {
+    return Statement.Text == "COMMIT"
+               ? std::optional(ended(exchange_outcome::Broken))
+               : std::nullopt;
+  };
+  cr_assert(failedWith(Bench.run(Session, statement_kind::Commit, "COMMIT"),
+                       answer_code::Aborted));
+}
+
 // The connection of an open transaction breaks: nothing of it can commit any
 // more, and the caller may repeat it as a whole.
 Test(session_core, aborts_a_transaction_whose_connection_broke) {
