--- a/packages/session/include/redwinggw/session/directory.hpp
+++ b/packages/session/include/redwinggw/session/directory.hpp
@@ -36,12 +36,18 @@
 
 struct known_endpoint {
   endpoint_entry Entry;
+  /// Since when it has been seen to leave.
+  std::optional<base::instant> LeavingSince;
 };
 
 struct directory_limits {
   /// Entries that lapsed while the list could not be read are back within two
   /// seconds of its return; one that is missing after that is gone.
   base::milliseconds ReturnTime{2200};
+  /// A leaving endpoint is a last resort for so long after that was seen here.
+  /// It must get no new work from seven seconds after it said so; a reading,
+  /// its relay and one repetition of both may take three of them.
+  base::milliseconds LeavingUse{3500};
   /// Readings further apart than this mean that the list was not to be had.
   base::milliseconds OutageAfter{2500};
 };
@@ -73,6 +79,11 @@
 std::vector<const endpoint_entry *> endpointsOf(const directory &Directory,
                                                 std::string_view Service);
 
+/// Whether \p Endpoint may get new work. One that was leaving when it was first
+/// seen may have been for long, and gets none.
+bool takesWork(const directory &Directory, const known_endpoint &Endpoint,
+               base::instant Now);
+
 const endpoint_entry *findEndpoint(const directory &Directory,
                                    std::string_view Name);
 
--- a/packages/session/src/directory.cpp
+++ b/packages/session/src/directory.cpp
@@ -21,7 +21,7 @@
 }
 
 void takeEntry(directory &Directory, const endpoint_entry &Entry,
-               directory_changes &Changes) {
+               base::instant Now, directory_changes &Changes) {
   const auto [At, New] =
       Directory.Endpoints.try_emplace(Entry.Name, known_endpoint{Entry});
   known_endpoint &Known = At->second;
@@ -30,6 +30,10 @@
   else if (Known.Entry != Entry)
     Changes.Changed.push_back(Entry.Name);
   Known.Entry = Entry;
+  if (!Entry.Draining)
+    Known.LeavingSince.reset();
+  else if (!Known.LeavingSince)
+    Known.LeavingSince = New ? base::instant() : Now;
 }
 
 } // namespace
@@ -40,7 +44,7 @@
   noteReading(Directory, Now);
   directory_changes Changes;
   for (const endpoint_entry &Entry : Entries)
-    takeEntry(Directory, Entry, Changes);
+    takeEntry(Directory, Entry, Now, Changes);
   const bool Trusted = isTrusted(Directory, Now);
   std::erase_if(Directory.Endpoints, [&](const auto &Item) {
     const bool Listed =
@@ -63,6 +67,12 @@
   return Found;
 }
 
+bool takesWork(const directory &Directory, const known_endpoint &Endpoint,
+               base::instant Now) {
+  return !Endpoint.LeavingSince ||
+         Now - *Endpoint.LeavingSince < Directory.Limits.LeavingUse;
+}
+
 const endpoint_entry *findEndpoint(const directory &Directory,
                                    std::string_view Name) {
   const auto Found = Directory.Endpoints.find(Name);
--- a/packages/session/src/endpoint_set.cpp
+++ b/packages/session/src/endpoint_set.cpp
@@ -65,11 +65,13 @@
                                              const primary_right *Right,
                                              base::instant Now) {
   std::vector<choice_candidate> Candidates;
-  for (const endpoint_entry *Entry : endpointsOf(Set.Directory, Service)) {
-    const pool_ptr Pool = poolOf(Set, Entry->Name);
+  for (const auto &[Name, Known] : Set.Directory.Endpoints) {
+    const bool Serves =
+        Known.Entry.Service == Service && takesWork(Set.Directory, Known, Now);
+    const pool_ptr Pool = Serves ? poolOf(Set, Name) : nullptr;
     if (Pool == nullptr)
       continue;
-    const bool IsPrimary = Right != nullptr && Right->Endpoint == Entry->Name;
+    const bool IsPrimary = Right != nullptr && Right->Endpoint == Name;
     Candidates.push_back(candidateOf(*Pool, Customer, Set.Zone, IsPrimary));
   }
   return rank(std::move(Candidates), Set.Choice, Now);
--- a/tests/session/directory_test.cpp
+++ b/tests/session/directory_test.cpp
@@ -56,3 +56,26 @@
       onList(Directory, {entry("a", 2)}, Start + milliseconds(500));
   cr_assert(Changes.Started.size() == 1);
 }
+
+// A replica announces that it leaves while the other one trails and the primary
+// is dark: reads went on to it as the last resort, past the time after which it
+// may get none, and would have been cut off at its end.
+Test(directory, gives_a_leaving_endpoint_no_work_after_a_while) {
+  directory Directory;
+  endpoint_entry Entry = entry("a");
+  onList(Directory, {Entry}, Start);
+  const auto Takes = [&](milliseconds After) {
+    return takesWork(Directory, Directory.Endpoints.at("a"), Start + After);
+  };
+  cr_assert(Takes(milliseconds(60000)));
+  Entry.Draining = true;
+  onList(Directory, {Entry}, Start + milliseconds(1000));
+  onList(Directory, {Entry}, Start + milliseconds(2000));
+  cr_assert(Takes(milliseconds(4000)));
+  cr_assert(!Takes(milliseconds(4600)));
+  // Whoever starts now cannot know for how long it has been leaving.
+  directory Later;
+  onList(Later, {Entry}, Start + milliseconds(2000));
+  cr_assert(
+      !takesWork(Later, Later.Endpoints.at("a"), Start + milliseconds(2000)));
+}
