--- a/packages/redwinggwctl/src/sheet_commands.cpp
+++ b/packages/redwinggwctl/src/sheet_commands.cpp
@@ -96,7 +96,7 @@
   return Body;
 }
 
-/// "2026-12-03 00:05:45 UTC".
+/// Year-month-day hour:minute:second UTC, for people.
 std::string timeText(std::int64_t WallMilliseconds) {
   constexpr std::int64_t PerSecond = 1000;
   const auto Seconds = static_cast<std::time_t>(WallMilliseconds / PerSecond);
