Keep a leaving instance's part of a rate until its callers go

Cause: instances took over the parts of those that leave as soon as these announced it, while these served on for 2.1 s until the balancer sends nobody any more: both spent the part. A second hole showed on reading: an instance that starts behind a partition took the silence of the others for a lack of demand and served the whole rate. Ruled out: the flood alone (keep_a_flood_within_the_rate), kills alone (start_from_empty_buckets), partitions of instances that knew each other. Change: a leaving instance keeps its part and yields it as it sends its callers away; members that were never heard count as asked for as much as this instance; who has heard no majority since its start takes an equal part for a second, then the idle part. Tests, both failing before: 1350 used of 1340 allowed while pairs leave, 1005 of 680 behind a partition; and parts go with the callers of an instance that leaves.

--- a/packages/control/include/redwinggw/control/demand_shares.hpp
+++ b/packages/control/include/redwinggw/control/demand_shares.hpp
@@ -26,8 +26,9 @@
 ///   with no majority and no store, admits half of its part. Two sides of a
 ///   partition then admit at most 1.07 of the whole, whichever of them reaches
 ///   the store; operators tolerate 1.1.
+/// - An instance that leaves keeps its part until it sends its callers away.
 /// - A new process starts from empty buckets, so a burst is not spent twice
-///   over a restart of all.
+///   over a restart of all, and with the idle part until it hears a majority.
 namespace redwinggw::control {
 
 struct demand_limits {
@@ -52,6 +53,12 @@
   /// Of a silent instance's part so much stays reserved after this time.
   base::milliseconds SilentAfter{3000};
   double SilentReserve = 0.75;
+  /// By then a new instance has heard the others, if it can: five heartbeats.
+  base::milliseconds FirstHeartbeats{1000};
+  /// A new instance that hears no majority serves the idle part only, for so
+  /// long at most: longer than rows of dead instances stay listed, and not for
+  /// ever where more than half of the listed are gone for good.
+  base::milliseconds StrangerFor{10000};
   /// Out of touch for so long, an instance admits half of its part.
   base::milliseconds IsolatedAfter{1500};
 };
@@ -80,6 +87,12 @@
   std::map<base::customer_name, demand_account, std::less<>> Accounts;
   /// Since when this instance is out of touch; nothing while it is not.
   std::optional<base::instant> IsolatedSince;
+  /// The first division of rates.
+  std::optional<base::instant> StartedAt;
+  /// Whether a majority has been heard since the start.
+  bool Acquainted = false;
+  /// This instance leaves its parts to the others.
+  bool Yielded = false;
 };
 
 /// Takes in the rates and bursts in force.
@@ -91,6 +104,11 @@
 void divideRates(demand_shares &Shares, const membership &Membership,
                  bool InTouch, base::instant Now);
 
+/// Leaves this instance's parts to the others: from now on it announces no
+/// demand and admits the idle part only. For an instance that sends its callers
+/// away.
+void yieldRates(demand_shares &Shares);
+
 /// The demands to announce; from then on they count here too.
 std::vector<wire::demand_report> announceDemand(demand_shares &Shares,
                                                 base::instant Now);
--- a/packages/control/src/demand_shares.cpp
+++ b/packages/control/src/demand_shares.cpp
@@ -43,24 +43,46 @@
       1 / std::chrono::duration<double>(Shares.Limits.Window).count();
 }
 
-/// The demand of a member as it last told it; 0 when it told none.
-double demandOf(const member &Member, std::uint32_t Customer) {
+/// The demand of a member as it last told it; 0 when it told none. One that
+/// was never heard may be asked for as much as this instance, whose demand is
+/// \p Own.
+double demandOf(const member &Member, std::uint32_t Customer, double Own) {
+  if (!Member.ArrivedAt)
+    return Own;
   const auto &Demands = Member.Report.Demands;
   const auto Found =
       std::ranges::find(Demands, Customer, &wire::demand_report::Customer);
   return Found == Demands.end() ? 0 : Found->Rate;
 }
 
-/// How much of a member's part stays reserved for it.
+/// How much of a member's part stays reserved for it. One that leaves keeps its
+/// part too: it serves until the balancer sends nobody any more, and tells no
+/// demand from then on. Without that each planned stop under a
+/// flood had its part spent twice.
 double reservedFor(const demand_shares &Shares, const member &Member,
                    bool HearsMajority, instant Now) {
-  if (Member.State == member_state::Leaving)
-    return 0;
   const instant LastSign = Member.ArrivedAt.value_or(Member.Since);
   const bool Silent = Now - LastSign > Shares.Limits.SilentAfter;
   return Silent && HearsMajority ? Shares.Limits.SilentReserve : 1;
 }
 
+/// The largest part that an instance may take for itself. The others may be
+/// using the whole rate while a new instance has not heard a majority, and
+/// count only the idle part for one that has told them no demand. Right after
+/// the start, an equal part does no harm: all may have started together.
+double mostOf(demand_shares &Shares, bool HearsMajority, double Instances,
+              instant Now) {
+  if (!Shares.StartedAt)
+    Shares.StartedAt = Now;
+  const demand_limits &Limits = Shares.Limits;
+  const auto Age = Now - *Shares.StartedAt;
+  Shares.Acquainted =
+      Shares.Acquainted || HearsMajority || Age > Limits.StrangerFor;
+  if (Shares.Acquainted)
+    return 1;
+  return (Age < Limits.FirstHeartbeats ? 1 : Limits.IdlePart) / Instances;
+}
+
 /// Tokens that an operation of \p Priority leaves to more urgent ones.
 double reserveFor(const demand_shares &Shares, const demand_account &Account,
                   unsigned Priority) {
@@ -106,22 +128,26 @@
   const bool Isolated = Shares.IsolatedSince && Now - *Shares.IsolatedSince >
                                                     Shares.Limits.IsolatedAfter;
   const auto Instances = static_cast<double>(instanceCount(Membership));
+  const double Most = mostOf(Shares, Heard, Instances, Now);
   for (auto &[Name, Account] : Shares.Accounts) {
     const std::uint32_t Hash = wire::hashOf(Name);
     const double Idle = Shares.Limits.IdlePart * Account.Rate / Instances;
     double Sum = Account.Announced + Idle;
     for (const member &Member : Membership.Members)
-      Sum += (demandOf(Member, Hash) + Idle) *
+      Sum += (demandOf(Member, Hash, Account.Announced) + Idle) *
              reservedFor(Shares, Member, Heard, Now);
     fill(Shares, Account, Now);
     Account.Part = Sum > 0 ? (Account.Announced + Idle) / Sum : 0;
     Account.Pressed = Sum - Instances * Idle > Account.Rate;
     if (Isolated)
       Account.Part /= 2;
+    Account.Part = std::min(Account.Part, Most);
     Account.Tokens = std::min(Account.Tokens, depthOf(Shares, Account));
   }
 }
 
+void yieldRates(demand_shares &Shares) { Shares.Yielded = true; }
+
 std::vector<wire::demand_report> announceDemand(demand_shares &Shares,
                                                 instant Now) {
   // Below this nothing worth its bytes was asked for lately.
@@ -129,7 +155,8 @@
   std::vector<wire::demand_report> Reports;
   for (auto &[Name, Account] : Shares.Accounts) {
     decay(Shares, Account, Now);
-    Account.Announced = Account.Demand > Least ? Account.Demand : 0;
+    const bool Told = Account.Demand > Least && !Shares.Yielded;
+    Account.Announced = Told ? Account.Demand : 0;
     if (Account.Announced > 0)
       Reports.push_back(
           {wire::hashOf(Name), static_cast<float>(Account.Announced)});
--- a/packages/redwinggw/src/native_instance.cpp
+++ b/packages/redwinggw/src/native_instance.cpp
@@ -118,6 +118,8 @@
     co_await pauseAbout(*State, DrainPace);
   State->Callers.stopAccepting();
   State->Core.Draining = true;
+  // The callers go elsewhere now, and their parts of the rates with them.
+  yieldRates(State->Shares);
   while (State->Callers.open() > 0 && base::now() - Begun < AnswersEnd) {
     const auto Elapsed = base::now() - Begun;
     if (Elapsed >= TransactionsEnd)
--- a/tests/control/demand_shares_test.cpp
+++ b/tests/control/demand_shares_test.cpp
@@ -37,7 +37,7 @@
 
   void deliver(const peer_send &Send, std::size_t From) {
     for (std::size_t To = 0; To < Members.size(); ++To)
-      if (Members[To].Self.Name == Send.Datagram.Receiver &&
+      if (Members[To].Self.Name == Send.Datagram.Receiver && To != Dead &&
           Cut[From] == Cut[To] && admitDatagram(Members[To], Send.Datagram))
         onHeartbeat(Members[To], Send.Datagram, Now);
   }
@@ -58,6 +58,12 @@
     ++Ticks;
   }
 
+  /// The instance announces that it leaves, and goes on for now.
+  void leave(std::size_t Index) {
+    for (const peer_send &Send : onLeave(Members[Index], Now))
+      deliver(Send, Index);
+  }
+
   /// Asks for an operation at \p Index.
   bool ask(std::size_t Index, unsigned Priority = 0) {
     const bool Admitted =
@@ -174,6 +180,59 @@
   cr_assert(Refused * 20 < Fleet.Spent - Before + Refused);
 }
 
+// A customer floods the fleet while its instances leave two at a time, as in a
+// roll-out: they serve on until the balancer sends nobody any more. The others
+// took over the parts of the two as soon as these announced that they leave, so
+// both spent them.
+Test(demand_shares, keep_a_flood_within_the_rate_while_instances_leave) {
+  demand_fleet Fleet(9, 200, 200);
+  std::vector<double> Flood(9, 300);
+  Fleet.load(Flood, milliseconds(8000));
+  const std::size_t Before = Fleet.Spent;
+  for (std::size_t First = 0; First < 4; First += 2) {
+    Fleet.leave(First);
+    Fleet.leave(First + 1);
+    Fleet.load(Flood, milliseconds(2500));
+    Flood[First] = 0;
+    Flood[First + 1] = 0;
+  }
+  const auto Used = static_cast<double>(Fleet.Spent - Before);
+  cr_assert(Used <= allowed(200, 200, 5), "%g used", Used);
+}
+
+// Instances stop one after the other and send their callers to the rest, which
+// asks for less than the rate in all: the parts go with the callers, so hardly
+// anything is refused.
+Test(demand_shares, go_with_the_callers_of_a_leaving_instance) {
+  demand_fleet Fleet(6);
+  Fleet.load({10, 10, 10, 10, 10, 10}, milliseconds(8000));
+  Fleet.leave(5);
+  Fleet.load({10, 10, 10, 10, 10, 10}, milliseconds(2100));
+  yieldRates(Fleet.Shares[5]);
+  const std::size_t Before = Fleet.Spent;
+  const std::size_t Refused =
+      Fleet.load({12, 12, 12, 12, 12, 0}, milliseconds(3000));
+  cr_assert(Refused * 50 < Fleet.Spent - Before + Refused);
+}
+
+// A customer floods the fleet. One instance starts behind a partition: it
+// reaches the store, whose list names the others, and hears none of them. It
+// took their silence for a lack of demand and served the whole rate, which the
+// others serve too.
+Test(demand_shares, leave_the_rate_to_others_that_were_never_heard) {
+  demand_fleet Fleet(6);
+  Fleet.StoreReached = true;
+  Fleet.Dead = 5;
+  const std::vector<double> Flood{300, 300, 300, 300, 300, 300};
+  Fleet.load(Flood, milliseconds(8000));
+  Fleet.Dead = SIZE_MAX;
+  Fleet.Cut[5] = true;
+  const std::size_t Before = Fleet.Spent;
+  Fleet.load(Flood, milliseconds(5000));
+  const auto Used = static_cast<double>(Fleet.Spent - Before);
+  cr_assert(Used <= allowed(100, 100, 5), "%g used", Used);
+}
+
 // An instance dies and its callers go to the others, which refuse little:
 // there is room between the demand and the rate.
 Test(demand_shares, outlive_an_instance) {
