--- /dev/null
+++ b/tests/control/share_bound_cuts_test.cpp
@@ -0,0 +1,24 @@
+#include "share_stories.hpp"
+
+#include "criterion_test.hpp"
+
+using namespace redwinggw;
+using namespace redwinggw::control;
+using namespace redwinggw::control::testing;
+
+namespace {
+
+constexpr std::array Stories = std::to_array<fault_case>({
+    {"giver is cut from all", giverIsCutFromAll},
+    {"giver is cut from the store", giverIsCutFromTheStore},
+    {"store comes back for others only", storeComesBackForOthersOnly},
+});
+
+} // namespace
+
+// A customer floods all instances with five times its rate while the giver is
+// cut off from the others or the store, or the store goes down. In no window
+// may the fleet as a whole serve more than burst + rate * length.
+Test(share_bound_cuts, no_window_is_above_while_the_giver_is_cut) {
+  cr_assert(worstOf(Stories) <= Rounding);
+}
--- /dev/null
+++ b/tests/control/share_stories.hpp
@@ -0,0 +1,175 @@
+#pragma once
+
+#include "share_fleet.hpp"
+
+#include <iostream>
+#include <span>
+
+/// Stories of faults around givers and holders of shares, under a flood of five
+/// times the rate, and the worst excess over the bound in each.
+namespace redwinggw::control::testing {
+
+constexpr double Rate = 200;
+constexpr double Burst = 20;
+constexpr std::size_t Count = 5;
+constexpr milliseconds Start{4000};
+/// So that a holder holds a good part of the burst.
+constexpr milliseconds LongTtl{200};
+/// For rounding of times to the steps of the test.
+constexpr double Rounding = 0.01;
+
+inline double excessOf(const share_fleet &Fleet) {
+  return worstExcess(Fleet.History, Rate, Burst);
+}
+
+inline void flood(share_fleet &Fleet, milliseconds Time) {
+  runLoad(Fleet, Time, 5 * Rate, anyNode(Fleet));
+}
+
+/// Some load, so that the lease is held and the bucket is nearly full.
+inline share_fleet startedFleet(unsigned Seed, share_settings Settings = {}) {
+  share_fleet Fleet = makeShareFleet(Count, Seed, Rate, Burst, Settings);
+  runLoad(Fleet, Start, Rate / 2, anyNode(Fleet));
+  return Fleet;
+}
+
+/// Cuts \p Index from all others, both ways.
+inline void isolate(share_fleet &Fleet, std::size_t Index) {
+  for (std::size_t Other = 0; Other < Fleet.Nodes.size(); ++Other) {
+    Fleet.Cuts.insert({Index, Other});
+    Fleet.Cuts.insert({Other, Index});
+  }
+}
+
+/// A story with a fault, its worst excess under \p Settings.
+using scenario = double (*)(unsigned Seed, share_settings Settings);
+
+inline double giverIsKilled(unsigned Seed, share_settings Settings) {
+  share_fleet Fleet = startedFleet(Seed, Settings);
+  Fleet.Nodes[giverIndex(Fleet)].Up = false;
+  flood(Fleet, milliseconds(8000));
+  return excessOf(Fleet);
+}
+
+inline double giverPausesOverItsLease(unsigned Seed, share_settings Settings) {
+  share_fleet Fleet = startedFleet(Seed, Settings);
+  const std::size_t Giver = giverIndex(Fleet);
+  Fleet.Nodes[Giver].Paused = true;
+  flood(Fleet, milliseconds(5000));
+  wake(Fleet, Giver);
+  flood(Fleet, milliseconds(2000));
+  return excessOf(Fleet);
+}
+
+inline double giverIsCutFromAll(unsigned Seed, share_settings Settings) {
+  share_fleet Fleet = startedFleet(Seed, Settings);
+  const std::size_t Giver = giverIndex(Fleet);
+  Fleet.Nodes[Giver].SeesStore = false;
+  isolate(Fleet, Giver);
+  flood(Fleet, milliseconds(12000));
+  return excessOf(Fleet);
+}
+
+inline double giverIsCutFromTheStore(unsigned Seed, share_settings Settings) {
+  share_fleet Fleet = startedFleet(Seed, Settings);
+  Fleet.Nodes[giverIndex(Fleet)].SeesStore = false;
+  flood(Fleet, milliseconds(12000));
+  return excessOf(Fleet);
+}
+
+inline double storeComesBackForOthersOnly(unsigned Seed,
+                                          share_settings Settings) {
+  share_fleet Fleet = startedFleet(Seed, Settings);
+  Fleet.StoreUp = false;
+  flood(Fleet, milliseconds(6000));
+  Fleet.Nodes[giverIndex(Fleet)].SeesStore = false;
+  Fleet.StoreUp = true;
+  flood(Fleet, milliseconds(8000));
+  return excessOf(Fleet);
+}
+
+/// The giver sleeps between a renewal and its answer.
+inline double giverPausesInARenewal(unsigned Seed, share_settings Settings) {
+  share_fleet Fleet = startedFleet(Seed, Settings);
+  const std::size_t Giver = giverIndex(Fleet);
+  while (Fleet.Nodes[Giver].Shares.Committing.empty())
+    step(Fleet);
+  Fleet.Nodes[Giver].Paused = true;
+  flood(Fleet, milliseconds(6000));
+  isolate(Fleet, Giver);
+  Fleet.Nodes[Giver].SeesStore = false;
+  wake(Fleet, Giver);
+  flood(Fleet, milliseconds(3000));
+  return excessOf(Fleet);
+}
+
+/// The others get nothing from the giver and take it for dead.
+inline double giverIsNotHeard(unsigned Seed, share_settings Settings) {
+  share_fleet Fleet = startedFleet(Seed, Settings);
+  const std::size_t Giver = giverIndex(Fleet);
+  for (std::size_t Other = 0; Other < Count; ++Other)
+    Fleet.Cuts.insert({Giver, Other});
+  flood(Fleet, milliseconds(10000));
+  return excessOf(Fleet);
+}
+
+inline double holderPausesWithTokens(unsigned Seed, share_settings Settings) {
+  Settings.Shares.MinTtl = LongTtl;
+  share_fleet Fleet = startedFleet(Seed, Settings);
+  const std::size_t Holder = (giverIndex(Fleet) + 1) % Count;
+  runLoad(Fleet, milliseconds(1500), 0.4 * Rate, [Holder] { return Holder; });
+  Fleet.Nodes[Holder].Paused = true;
+  runLoad(Fleet, milliseconds(1000), 1, [Holder] { return Holder; });
+  const std::size_t Other = (Holder + 1) % Count;
+  runLoad(Fleet, milliseconds(5), 200 * Rate, [Other] { return Other; });
+  wake(Fleet, Holder);
+  flood(Fleet, milliseconds(500));
+  return excessOf(Fleet);
+}
+
+inline double loadJumpsWhileTokensAreHeld(unsigned Seed,
+                                          share_settings Settings) {
+  Settings.Shares.MinTtl = LongTtl;
+  share_fleet Fleet = startedFleet(Seed, Settings);
+  const std::size_t Holder = (giverIndex(Fleet) + 1) % Count;
+  runLoad(Fleet, milliseconds(1500), 0.9 * Rate, [Holder] { return Holder; });
+  runLoad(Fleet, milliseconds(100), 50 * Rate, anyNode(Fleet));
+  return excessOf(Fleet);
+}
+
+inline double datagramsAreLateCrossedAndDoubled(unsigned Seed,
+                                                share_settings Settings) {
+  share_fleet Fleet = makeShareFleet(Count, Seed, Rate, Burst, Settings);
+  Fleet.Faults = {0.1, 0.3, milliseconds(15), 0.1};
+  flood(Fleet, milliseconds(10000));
+  return excessOf(Fleet);
+}
+
+inline double giverDrains(unsigned Seed, share_settings Settings) {
+  share_fleet Fleet = startedFleet(Seed, Settings);
+  giverIsDrained(Fleet);
+  flood(Fleet, milliseconds(3000));
+  return excessOf(Fleet);
+}
+
+struct fault_case {
+  const char *Name;
+  scenario Run;
+};
+
+constexpr unsigned StorySeeds = 3;
+
+/// The worst excess over the bound in any of \p Stories, with each seed.
+inline double worstOf(std::span<const fault_case> Stories) {
+  double Worst = -Burst;
+  for (const fault_case &Case : Stories) {
+    double Excess = -Burst;
+    for (unsigned Seed = 1; Seed <= StorySeeds; ++Seed)
+      Excess = std::max(Excess, Case.Run(Seed, {}));
+    std::cerr << Case.Name << ": excess " << Excess << "\n";
+    Worst = std::max(Worst, Excess);
+  }
+  return Worst;
+}
+
+} // namespace redwinggw::control::testing
--- a/tests/matrix/failover_scenario.cpp
+++ b/tests/matrix/failover_scenario.cpp
@@ -282,4 +282,12 @@
   return Scenarios;
 }
 
+std::vector<failover_run> allCells(std::uint64_t Seed) {
+  std::vector<failover_run> Runs;
+  for (const auto &Fault : FaultNames)
+    for (const auto &Step : StepNames)
+      Runs.push_back({Fault.Value, Step.Value, Seed, {}, {}});
+  return Runs;
+}
+
 } // namespace redwinggw::matrix
--- a/tests/matrix/failover_scenario.hpp
+++ b/tests/matrix/failover_scenario.hpp
@@ -19,6 +19,9 @@
 /// from its replicas, one way, or from the instances.
 cell_run runFailover(const failover_run &Run);
 
+/// One run of every cell with \p Seed.
+std::vector<failover_run> allCells(std::uint64_t Seed);
+
 /// A guard switched off, and the promise that breaks without it.
 struct mutation {
   std::string Name;
