Send demands and positions in every second heartbeat of a large fleet

Ruled out: the endpoints' list (sent by digest already). Change: beyond 16 others every second heartbeat leaves both out, and the former demands count on; the own rows are read less often as the fleet grows, so that all together read five times a second. The fleet's demand decides for small parts below 0.8 (was 0.85) of the rate, since a flood shows later now. Test: keeps_demands_that_a_heartbeat_leaves_out.

--- a/packages/control/include/redwinggw/control/demand_shares.hpp
+++ b/packages/control/include/redwinggw/control/demand_shares.hpp
@@ -47,11 +47,11 @@
   /// A part that holds fewer operations than this serves badly what arrives by
   /// chance, at once or not at all: half is refused at a part of one. There the
   /// fleet's demand decides while it is below CalmShare of the rate. A flood
-  /// shows in the others' heartbeats after about 0.35 s; at eight times the
-  /// usual demand it takes 1.6 times the rate by then, which the burst and the
+  /// shows in the others' heartbeats after about 0.4 s; at eight times the
+  /// usual demand it takes 1.9 times the rate by then, which the burst and the
   /// operators' tolerance cover.
   double LeastDepth = 3;
-  double CalmShare = 0.85;
+  double CalmShare = 0.8;
   /// Part of a bucket that operations leave to those of the next higher
   /// priority: a customer over its rate is served what it has declared to
   /// matter most. Below the rate nothing is reserved: it would only turn
--- a/packages/control/src/membership.cpp
+++ b/packages/control/src/membership.cpp
@@ -67,6 +67,13 @@
                                                    : member_state::Alive;
 }
 
+void takeReport(member &Member, const wire::peer_report &Report) {
+  std::vector<wire::demand_report> Former = std::move(Member.Report.Demands);
+  Member.Report = Report;
+  if (!Report.Full)
+    Member.Report.Demands = std::move(Former);
+}
+
 /// A member that started again knows nothing of what it knew before.
 void forgetFormerIncarnation(member &Member) {
   Member.Heartbeat = 0;
@@ -187,7 +194,7 @@
   ++Membership.Counters.Heartbeats;
   Member->Heartbeat = Datagram.Sequence;
   Member->ArrivedAt = Now;
-  Member->Report = Report;
+  takeReport(*Member, Report);
   const std::optional<instant> MadeAt = Membership.Limits.AgeByEcho
                                             ? echoedAt(Membership, Report)
                                             : std::optional(Now);
--- a/packages/redwinggw/src/native_following.cpp
+++ b/packages/redwinggw/src/native_following.cpp
@@ -186,7 +186,11 @@
 /// others is heard, whose heartbeats tell all that is in the rows. Without
 /// them the rows are the only way to learn of a promotion.
 milliseconds fleetReadInterval(const native_state &State) {
-  constexpr milliseconds Heard{3000};
+  // Reads of all instances together stay at five a second.
+  constexpr std::size_t FewInstances = 16;
+  const std::size_t Members = State.Peers->view().Members.size();
+  const auto Share = static_cast<std::int64_t>(1 + Members / FewInstances);
+  const milliseconds Heard = Share * milliseconds(3000);
   constexpr milliseconds Unheard{400};
   return State.Peers->hearsMajority(base::now()) ? Heard : Unheard;
 }
--- a/packages/redwinggw/src/native_news.cpp
+++ b/packages/redwinggw/src/native_news.cpp
@@ -64,6 +64,15 @@
   return Reports;
 }
 
+/// Whether the next heartbeats carry demands and positions. They are two thirds
+/// of its bytes, and in a large fleet most of what crosses the zones.
+bool isFullDue(native_state &State) {
+  constexpr std::size_t AlwaysFull = 16;
+  ++State.HeartbeatRound;
+  const bool Large = State.Peers->view().Members.size() > AlwaysFull;
+  return !Large || State.HeartbeatRound % 2 == 0;
+}
+
 void completeHeartbeat(native_state &State, wire::peer_report &Report) {
   const instant Now = base::now();
   const auto &View = State.Peers->view();
@@ -72,10 +81,16 @@
       !View.LastTick || Now - *View.LastTick >= View.Limits.Interval;
   if (!Due)
     return;
-  Report.Demands = announceDemand(State.Shares, Now);
+  Report.Full = isFullDue(State);
+  if (Report.Full) {
+    Report.Demands = announceDemand(State.Shares, Now);
+    Report.Positions = positionReports(State);
+  } else {
+    Report.Demands.clear();
+    Report.Positions.clear();
+  }
   divideRates(State.Shares, View, isInTouch(State), Now);
   Report.Groups = groupReports(State);
-  Report.Positions = positionReports(State);
   Report.ConfigurationRow = State.RoutesRow;
 }
 
--- a/packages/redwinggw/src/native_state.hpp
+++ b/packages/redwinggw/src/native_state.hpp
@@ -65,6 +65,8 @@
   std::set<base::endpoint_name> Probing;
   /// The newest own sample of each service's log.
   std::map<base::service_name, session::freshness_sample> OwnSamples;
+  /// Counts the heartbeats to all.
+  std::uint64_t HeartbeatRound = 0;
   /// Versions of the other instances' rows, to remove those of dead ones.
   std::map<base::instance_name, std::uint64_t> InstanceRows;
   /// The last reading of the endpoints' list, own or relayed.
--- a/packages/wire/include/redwinggw/wire/message.hpp
+++ b/packages/wire/include/redwinggw/wire/message.hpp
@@ -110,6 +110,8 @@
   heard_map Heard;
   /// Row of the operators' configuration in force at the sender; 0: unused.
   std::uint64_t ConfigurationRow = 0;
+  /// False: Demands and Positions are left out, and the former ones count on.
+  bool Full = true;
   std::vector<demand_report> Demands;
   std::vector<position_report> Positions;
 };
--- a/packages/wire/src/message.cpp
+++ b/packages/wire/src/message.cpp
@@ -83,7 +83,7 @@
      Value.EchoSequence, Value.Leaving, Value.WantsReply);
   transferAll(Ar, Value.Groups, [&](auto &Item) { transferGroup(Ar, Item); });
   transferMap(Ar, Value.Heard);
-  Ar(Value.ConfigurationRow);
+  Ar(Value.ConfigurationRow, Value.Full);
   transferAll(Ar, Value.Demands,
               [&](auto &Item) { Ar(Item.Customer, Item.Rate); });
   transferAll(Ar, Value.Positions, [&](auto &Item) {
--- a/tests/control/membership_test.cpp
+++ b/tests/control/membership_test.cpp
@@ -134,3 +134,30 @@
   onList(Known, {listed(0), listed(1)}, Fleet.Now);
   cr_assert(findMember(Known, "i2") == nullptr);
 }
+
+// In a large fleet every second heartbeat leaves out the demands. Taken for "no
+// demand", it would hand the sender's part of each rate to the others.
+Test(membership, keeps_demands_that_a_heartbeat_leaves_out) {
+  const base::instant Now{std::chrono::seconds(100)};
+  membership Here = makeMembership({"a", "z", 1});
+  storage::listed_instance Other;
+  Other.Name = "b";
+  onList(Here, {Other}, Now);
+  const auto Hear = [&](std::uint64_t Sequence, bool Full) {
+    wire::peer_report Report;
+    Report.Full = Full;
+    if (Full)
+      Report.Demands.push_back({7, 3.0F});
+    wire::datagram Datagram;
+    Datagram.Sender = "b";
+    Datagram.Receiver = "a";
+    Datagram.Incarnation = 1;
+    Datagram.Sequence = Sequence;
+    Datagram.Body = Report;
+    cr_assert(admitDatagram(Here, Datagram));
+    onHeartbeat(Here, Datagram, Now);
+    return findMember(Here, "b")->Report.Demands.size();
+  };
+  cr_assert(Hear(1, true) == 1);
+  cr_assert(Hear(2, false) == 1);
+}
