--- /dev/null
+++ b/packages/redwinggw/src/native_endpoints.cpp
@@ -0,0 +1,116 @@
+#include "native_state.hpp"
+
+#include "platform/decoding.hpp"
+
+#include "redwinggw/base/log.hpp"
+
+/// The list of endpoints: read from the platform's store by one instance, and
+/// sent to the others.
+namespace redwinggw {
+namespace {
+
+using base::log_level;
+using base::log_part;
+using base::milliseconds;
+
+/// One reading a second of each table: a leaving endpoint must be out of use
+/// within seven seconds, and a new one should be in use at about the time at
+/// which the old one leaves.
+constexpr milliseconds ReadEvery{1000};
+/// A relayed list counts for so long; then this instance reads for itself.
+constexpr milliseconds RelayCounts{1700};
+/// An unchanged list is sent in full so often: an instance that lost the
+/// datagram with a change has read the store itself long before.
+constexpr milliseconds RelayAgain{5000};
+
+std::vector<session::endpoint_entry>
+entriesOf(const platform::table_rows &Rows) {
+  std::vector<session::endpoint_entry> Entries;
+  for (const platform::table_row &Row : Rows.Rows)
+    if (auto Entry = platform::readEntry(Row.Key, Row.Value))
+      Entries.push_back(std::move(*Entry));
+  return Entries;
+}
+
+std::string digestText(const std::vector<session::endpoint_entry> &List) {
+  return std::to_string(digestOf(List));
+}
+
+/// Sends the list to the instances that do not read it themselves: in full
+/// after a change, and now and then for those that missed it; otherwise that it
+/// is unchanged. Whoever has another list ignores that, and reads for itself
+/// when nothing else comes.
+void relayList(native_state &State, const platform::table_rows &Rows) {
+  const base::instant Now = base::now();
+  const bool Unchanged = State.SentList == State.List && State.SentListAt &&
+                         Now - *State.SentListAt < RelayAgain;
+  if (Unchanged) {
+    State.Peers->sendReading(
+        {wire::reading_kind::EndpointsUnchanged, digestText(State.List)});
+    return;
+  }
+  const std::string Text = platform::writeReading(Rows);
+  if (Text.size() > LongestReading)
+    return;
+  State.Peers->sendReading({wire::reading_kind::Endpoints, Text});
+  State.SentList = State.List;
+  State.SentListAt = Now;
+}
+
+void takeEndpoints(native_state &State,
+                   const std::vector<session::endpoint_entry> &Entries) {
+  const auto Changes = applyList(State.Endpoints, Entries, base::now());
+  State.List = Entries;
+  State.ListAt = base::now();
+  for (const base::endpoint_name &Name : Changes.Started)
+    base::log(log_level::Info, log_part::Endpoints,
+              "Endpoint " + Name + " is listed.");
+  for (const base::endpoint_name &Name : Changes.Gone)
+    base::log(log_level::Info, log_part::Endpoints,
+              "Endpoint " + Name + " is gone.");
+  if (!Changes.Started.empty())
+    State.SharedAmong = 0;
+  divideConnections(State);
+}
+
+} // namespace
+
+void takeReading(native_state &State, const wire::store_reading &Reading) {
+  if (Reading.Kind == wire::reading_kind::EndpointsUnchanged) {
+    if (State.ListAt && Reading.Text == digestText(State.List))
+      takeEndpoints(State, std::vector(State.List));
+    return;
+  }
+  const auto Rows = platform::readReading(Reading.Text);
+  if (!Rows)
+    return;
+  if (Reading.Kind == wire::reading_kind::Endpoints)
+    takeEndpoints(State, entriesOf(*Rows));
+  else
+    takeConfiguration(State, *Rows);
+}
+
+base::task<void> followEndpoints(native_ptr State) {
+  while (!State->Stopped) {
+    const bool Relayed =
+        base::now() - State->ListAt.value_or(LongAgo) < RelayCounts;
+    if (Relayed && hasReader(*State)) {
+      co_await pauseAbout(*State, NewsEvery);
+      continue;
+    }
+    const auto Rows = co_await platform::readTable(
+        State->Reader, platform::EndpointTable, base::now() + ReadTimeout);
+    ++State->Store.Reads;
+    noteStore(*State, Rows.has_value(), Rows ? "" : describe(Rows.error()));
+    if (Rows) {
+      if (State->Peers)
+        State->Peers->noteStoreContact();
+      takeEndpoints(*State, entriesOf(*Rows));
+      if (isReader(*State) && State->Peers)
+        relayList(*State, *Rows);
+    }
+    co_await pauseAbout(*State, Rows ? ReadEvery : RetryAfter);
+  }
+}
+
+} // namespace redwinggw
--- a/packages/redwinggw/src/native_following.cpp
+++ b/packages/redwinggw/src/native_following.cpp
@@ -10,8 +10,8 @@
 
 #include <algorithm>
 
-/// What an instance reads from the platform's store: the other instances, the
-/// configuration, the endpoints.
+/// What an instance reads from the platform's store: the other instances and
+/// the configuration.
 namespace redwinggw {
 namespace {
 
@@ -24,28 +24,10 @@
 constexpr std::string_view SecretKey = "fleet/secret";
 constexpr std::string_view InstancePrefix = "instance/";
 
-/// One reading a second of each table: a leaving endpoint must be out of use
-/// within seven seconds, and a new one should be in use at about the time at
-/// which the old one leaves.
-constexpr milliseconds ReadEvery{1000};
-constexpr milliseconds ReadTimeout{1000};
-/// A relayed list counts for so long; then this instance reads for itself.
-constexpr milliseconds RelayCounts{1700};
-/// An unchanged list is sent in full so often: an instance that lost the
-/// datagram with a change has read the store itself long before.
-constexpr milliseconds RelayAgain{5000};
-/// A reading that fits a datagram.
-constexpr std::size_t LongestReading = 60'000;
 /// Fleets up to this size hear each other directly: rates, samples and the
 /// choice of the reader rest on reports of a moment ago, which gossip brings
 /// seconds late. An instance of 80 spends 1% of a core on it.
 constexpr std::size_t HeardDirectly = 128;
-constexpr base::instant LongAgo{-std::chrono::hours(1)};
-/// How often to look whether another instance has told news.
-constexpr milliseconds NewsEvery{100};
-/// After a failed call. Together the instances stay far below the store's
-/// rates also when it turns all away.
-constexpr milliseconds RetryAfter{250};
 /// The configuration is read so often by the one that reads for all. A change
 /// must be in force within three seconds: this pause, a call that hangs, its
 /// repetition and a heartbeat fit in. The store's feed of changes would tell
@@ -149,39 +131,6 @@
                            &storage::listed_instance::Name) != Listed.end();
 }
 
-void takeConfiguration(native_state &State, const platform::table_rows &Rows) {
-  const auto Row = std::ranges::find(Rows.Rows, platform::ConfigurationKey,
-                                     &platform::table_row::Key);
-  if (Row == Rows.Rows.end() || Row->Removed || Row->Version <= State.RoutesRow)
-    return;
-  auto Table = platform::readConfiguration(Row->Value);
-  if (!Table) {
-    base::log(log_level::Error, log_part::Configuration,
-              describe(Table.error()));
-    return;
-  }
-  State.RoutesRow = Row->Version;
-  State.RoutesText = Row->Value;
-  if (State.Routes && Table->Version <= State.Routes->Version)
-    return;
-  State.Routes = std::make_shared<session::route_table>(std::move(*Table));
-  applyRates(State.Shares, State.Routes->Customers, base::now());
-  State.SharedAmong = 0;
-  divideConnections(State);
-  base::log(log_level::Info, log_part::Configuration,
-            "Version " + std::to_string(State.Routes->Version) +
-                " is in force.");
-}
-
-std::vector<session::endpoint_entry>
-entriesOf(const platform::table_rows &Rows) {
-  std::vector<session::endpoint_entry> Entries;
-  for (const platform::table_row &Row : Rows.Rows)
-    if (auto Entry = platform::readEntry(Row.Key, Row.Value))
-      Entries.push_back(std::move(*Entry));
-  return Entries;
-}
-
 /// How often the system's own rows are read: rarely while a majority of the
 /// others is heard, whose heartbeats tell all that is in the rows. Without
 /// them the rows are the only way to learn of a promotion.
@@ -224,49 +173,32 @@
     State.FleetReadWanted = true;
 }
 
-std::string digestText(const std::vector<session::endpoint_entry> &List) {
-  return std::to_string(digestOf(List));
-}
+} // namespace
 
-/// Sends the list to the instances that do not read it themselves: in full
-/// after a change, and now and then for those that missed it; otherwise that it
-/// is unchanged. Whoever has another list ignores that, and reads for itself
-/// when nothing else comes.
-void relayList(native_state &State, const platform::table_rows &Rows) {
-  const base::instant Now = base::now();
-  const bool Unchanged = State.SentList == State.List && State.SentListAt &&
-                         Now - *State.SentListAt < RelayAgain;
-  if (Unchanged) {
-    State.Peers->sendReading(
-        {wire::reading_kind::EndpointsUnchanged, digestText(State.List)});
+void takeConfiguration(native_state &State, const platform::table_rows &Rows) {
+  const auto Row = std::ranges::find(Rows.Rows, platform::ConfigurationKey,
+                                     &platform::table_row::Key);
+  if (Row == Rows.Rows.end() || Row->Removed || Row->Version <= State.RoutesRow)
+    return;
+  auto Table = platform::readConfiguration(Row->Value);
+  if (!Table) {
+    base::log(log_level::Error, log_part::Configuration,
+              describe(Table.error()));
     return;
   }
-  const std::string Text = platform::writeReading(Rows);
-  if (Text.size() > LongestReading)
+  State.RoutesRow = Row->Version;
+  State.RoutesText = Row->Value;
+  if (State.Routes && Table->Version <= State.Routes->Version)
     return;
-  State.Peers->sendReading({wire::reading_kind::Endpoints, Text});
-  State.SentList = State.List;
-  State.SentListAt = Now;
-}
-
-void takeEndpoints(native_state &State,
-                   const std::vector<session::endpoint_entry> &Entries) {
-  const auto Changes = applyList(State.Endpoints, Entries, base::now());
-  State.List = Entries;
-  State.ListAt = base::now();
-  for (const base::endpoint_name &Name : Changes.Started)
-    base::log(log_level::Info, log_part::Endpoints,
-              "Endpoint " + Name + " is listed.");
-  for (const base::endpoint_name &Name : Changes.Gone)
-    base::log(log_level::Info, log_part::Endpoints,
-              "Endpoint " + Name + " is gone.");
-  if (!Changes.Started.empty())
-    State.SharedAmong = 0;
+  State.Routes = std::make_shared<session::route_table>(std::move(*Table));
+  applyRates(State.Shares, State.Routes->Customers, base::now());
+  State.SharedAmong = 0;
   divideConnections(State);
+  base::log(log_level::Info, log_part::Configuration,
+            "Version " + std::to_string(State.Routes->Version) +
+                " is in force.");
 }
 
-} // namespace
-
 base::task<void> pauseAbout(native_state &State, milliseconds Time) {
   constexpr int Spread = 10;
   std::uniform_int_distribution<std::int64_t> Offset(-Time.count() / Spread,
@@ -276,21 +208,6 @@
   co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
-void takeReading(native_state &State, const wire::store_reading &Reading) {
-  if (Reading.Kind == wire::reading_kind::EndpointsUnchanged) {
-    if (State.ListAt && Reading.Text == digestText(State.List))
-      takeEndpoints(State, std::vector(State.List));
-    return;
-  }
-  const auto Rows = platform::readReading(Reading.Text);
-  if (!Rows)
-    return;
-  if (Reading.Kind == wire::reading_kind::Endpoints)
-    takeEndpoints(State, entriesOf(*Rows));
-  else
-    takeConfiguration(State, *Rows);
-}
-
 void helpBehind(native_state &State) {
   // An instance that reaches the store has read the change by then.
   constexpr milliseconds Every{600};
@@ -396,27 +313,4 @@
   }
 }
 
-base::task<void> followEndpoints(native_ptr State) {
-  while (!State->Stopped) {
-    const bool Relayed =
-        base::now() - State->ListAt.value_or(LongAgo) < RelayCounts;
-    if (Relayed && hasReader(*State)) {
-      co_await pauseAbout(*State, NewsEvery);
-      continue;
-    }
-    const auto Rows = co_await platform::readTable(
-        State->Reader, platform::EndpointTable, base::now() + ReadTimeout);
-    ++State->Store.Reads;
-    noteStore(*State, Rows.has_value(), Rows ? "" : describe(Rows.error()));
-    if (Rows) {
-      if (State->Peers)
-        State->Peers->noteStoreContact();
-      takeEndpoints(*State, entriesOf(*Rows));
-      if (isReader(*State) && State->Peers)
-        relayList(*State, *Rows);
-    }
-    co_await pauseAbout(*State, Rows ? ReadEvery : RetryAfter);
-  }
-}
-
 } // namespace redwinggw
--- a/packages/redwinggw/src/native_state.hpp
+++ b/packages/redwinggw/src/native_state.hpp
@@ -95,6 +95,19 @@
 /// The system's own rows are in one table: this one names who orders.
 constexpr std::string_view OrdererKey = "orderer/promotion";
 
+/// \name Reading the store
+/// @{
+constexpr base::milliseconds ReadTimeout{1000};
+/// A reading that fits a datagram.
+constexpr std::size_t LongestReading = 60'000;
+constexpr base::instant LongAgo{-std::chrono::hours(1)};
+/// How often to look whether another instance has told news.
+constexpr base::milliseconds NewsEvery{100};
+/// After a failed call. Together the instances stay far below the store's
+/// rates also when it turns all away.
+constexpr base::milliseconds RetryAfter{250};
+/// @}
+
 using native_ptr = std::shared_ptr<native_state>;
 
 /// Whether this instance has been unable to use primaries for a while.
@@ -159,6 +172,8 @@
 bool suspects(const native_state &State, std::string_view Service);
 /// @}
 
+/// Puts the operator's configuration in force, if the reading has a newer one.
+void takeConfiguration(native_state &State, const platform::table_rows &Rows);
 /// Takes in what another instance has read from the store.
 void takeReading(native_state &State, const wire::store_reading &Reading);
 /// Sends the configuration to instances that stay behind it: the store may
--- a/packages/wire/src/message.cpp
+++ b/packages/wire/src/message.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 /// Bumped when the form of a datagram changes; others are dropped.
-constexpr std::uint8_t FormatVersion = 2;
+constexpr std::uint8_t FormatVersion = 3;
 
 /// Strings and lists travel with a length of 1 or 2 bytes: cereal's own take
 /// 8, which is most of a small heartbeat.
