Wait for an own connection when the endpoint has no more

Cause: after a kill of all instances the endpoints count the dead ones' connections for three seconds more. A statement that found its instance's connections at work tried five times within two milliseconds to open another one, was refused each time and so was its caller, "retry after 500 ms", while a connection was free a moment later. Ruled out: the queue (nobody waited), the endpoint's slots (idle then). Change: for 100 ms after such a refusal a statement waits for a connection of its own, if there is one, up to its patience. Test: waits_for_its_own_connection_when_the_endpoint_is_full (failed before).

--- a/packages/session/include/redwinggw/session/endpoint_pool.hpp
+++ b/packages/session/include/redwinggw/session/endpoint_pool.hpp
@@ -68,6 +68,9 @@
   /// long, and none is tried after the endpoint had no more for that time.
   base::milliseconds SpareIdleTime{250};
   base::milliseconds RefusedPause{1000};
+  /// Nor below the even part for so long, while one is open: about as long as
+  /// the callers' statements hold one.
+  base::milliseconds FullPause{100};
   /// A connection is set up within one round trip and the endpoint's set-up
   /// time; far above both, and short enough to try another endpoint.
   base::milliseconds ConnectTimeout{700};
@@ -139,6 +142,7 @@
 
 private:
   link_handle takeIdle(std::string_view Customer, const session_values &Values);
+  bool wasRefused(base::milliseconds Within) const;
   bool mayOpen() const;
   bool evictOne();
   void wakeNext();
--- a/packages/session/src/endpoint_pool.cpp
+++ b/packages/session/src/endpoint_pool.cpp
@@ -84,12 +84,17 @@
   });
 }
 
+bool endpoint_pool::wasRefused(milliseconds Within) const {
+  return RefusedAt && base::now() - *RefusedAt < Within;
+}
+
 bool endpoint_pool::mayOpen() const {
+  // Below the even part too: an endpoint still counts the connections of
+  // instances that died a moment ago. With a connection of its own at work,
+  // which is free soon, a statement does better to wait for that one.
   if (Open < Limits.Connections)
-    return true;
-  const bool Refused =
-      RefusedAt && base::now() - *RefusedAt < Limits.RefusedPause;
-  return Open < Limits.MostConnections && !Refused;
+    return Open == 0 || !wasRefused(Limits.FullPause);
+  return Open < Limits.MostConnections && !wasRefused(Limits.RefusedPause);
 }
 
 /// Closes the idle connection that was used longest ago.
@@ -139,7 +144,8 @@
         co_return acquired{std::move(Link)};
       --Open;
     }
-    if (Open < Limits.Connections || evictOne() || mayOpen())
+    const bool Fits = Open < Limits.Connections && mayOpen();
+    if (Fits || evictOne() || mayOpen())
       co_return co_await connect(std::move(Customer), Deadline);
     if (!co_await waitForTurn(Customer, WaitUntil))
       co_return acquired{nullptr, acquire_failure::Exhausted};
--- /dev/null
+++ b/tests/session/endpoint_pool_test.cpp
@@ -0,0 +1,72 @@
+#include "fake_endpoint.hpp"
+
+#include "redwinggw/session/endpoint_pool.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "criterion_test.hpp"
+
+using namespace redwinggw;
+using namespace redwinggw::session;
+using namespace redwinggw::session::testing;
+using base::milliseconds;
+
+namespace {
+
+struct bench_pool {
+  bench_pool()
+      : Watch(Context.get_executor()),
+        Pool(std::make_shared<endpoint_pool>(
+            Context.get_executor(), Watch,
+            [this] { return std::make_unique<fake_link>(Group); }, Entry)) {}
+
+  boost::asio::io_context Context;
+  fake_group Group;
+  endpoint_entry Entry;
+  deadline_watch Watch;
+  std::shared_ptr<endpoint_pool> Pool;
+};
+
+/// Asks for a connection, again and again for \p Patience as callers do.
+base::task<void> acquireWithin(bench_pool &Bench, milliseconds Patience,
+                               bool &Got) {
+  const base::instant End = base::now() + Patience;
+  const session_values Values;
+  for (int Try = 0; Try < 5 && !Got && base::now() < End; ++Try) {
+    acquired Acquired = co_await Bench.Pool->acquire("acme", Values, End, End);
+    Got = Acquired.Link != nullptr;
+    if (Got)
+      Bench.Pool->giveBack(std::move(Acquired.Link));
+  }
+}
+
+base::task<void> holdFor(bench_pool &Bench, milliseconds Time) {
+  const base::instant End = base::now() + milliseconds(5000);
+  const session_values Values;
+  acquired Acquired = co_await Bench.Pool->acquire("acme", Values, End, End);
+  boost::asio::steady_timer Timer(Bench.Context, Time);
+  co_await Timer.async_wait(boost::asio::use_awaitable);
+  Bench.Pool->giveBack(std::move(Acquired.Link));
+}
+
+} // namespace
+
+// All instances were killed and start again; the endpoint still counts the dead
+// ones' connections and takes hardly any new one. A caller's statement came
+// while the only connection was at work: five tries to open another one were
+// refused within two milliseconds, and so was the caller, though the
+// connection was free a moment later.
+Test(endpoint_pool, waits_for_its_own_connection_when_the_endpoint_is_full) {
+  bench_pool Bench;
+  Bench.Group.MostConnections = 1;
+  bool Got = false;
+  boost::asio::co_spawn(Bench.Context, holdFor(Bench, milliseconds(30)),
+                        boost::asio::detached);
+  boost::asio::co_spawn(Bench.Context,
+                        acquireWithin(Bench, milliseconds(2000), Got),
+                        boost::asio::detached);
+  Bench.Context.run();
+  cr_assert(Got);
+  cr_assert(Bench.Group.Refusals <= 1);
+}
--- a/tests/session/fake_endpoint.hpp
+++ b/tests/session/fake_endpoint.hpp
@@ -30,6 +30,10 @@
   /// Answers the next statements; afterwards all succeed.
   std::function<std::optional<exchange>(const seen_statement &)> Script;
   std::vector<seen_statement> Seen;
+  /// The endpoint takes no connection above so many.
+  std::size_t MostConnections = SIZE_MAX;
+  std::size_t Connected = 0;
+  std::size_t Refusals = 0;
   log_point Point{1, 100};
   std::size_t Connections = 0;
 
@@ -68,11 +72,20 @@
 class fake_link final : public endpoint_link {
 public:
   explicit fake_link(fake_group &Group) : Group(Group) {}
+  ~fake_link() override {
+    if (Number != 0)
+      --Group.Connected;
+  }
 
   base::task<exchange> open(const endpoint_entry &Entry,
                             std::string_view Customer, base::instant) override {
     Endpoint = Entry.Name;
     this->Customer = Customer;
+    if (Group.Connected >= Group.MostConnections) {
+      ++Group.Refusals;
+      co_return refused(answer_code::TooMany);
+    }
+    ++Group.Connected;
     Number = ++Group.Connections;
     co_return succeeded(Group, transaction_state::Idle);
   }
