--- a/packages/base/include/redwinggw/base/metrics.hpp
+++ b/packages/base/include/redwinggw/base/metrics.hpp
@@ -28,6 +28,7 @@
   SlotSecondsTotal,
   EndpointConnections,
   EndpointConnectsTotal,
+  RelayedTotal,
   EndpointErrorsTotal,
   ReplicaAgeSeconds,
   FailoversTotal,
--- /dev/null
+++ b/packages/base/src/socket_options.cpp
@@ -0,0 +1,32 @@
+#include "redwinggw/base/socket_options.hpp"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace redwinggw::base {
+namespace {
+
+/// Times after which a silent connection is given up: several round trips
+/// between availability zones, and well under a statement's timeout.
+constexpr int UnacknowledgedMs = 1500;
+constexpr int ProbeAfterSeconds = 1;
+constexpr int ProbeEverySeconds = 1;
+constexpr int ProbesLost = 2;
+
+void setOption(int Socket, int Level, int Name, int Value) {
+  // Without the option the exchange's own deadline still ends it, only later.
+  (void)::setsockopt(Socket, Level, Name, &Value, sizeof(Value));
+}
+
+} // namespace
+
+void detectSilence(int NativeHandle) {
+  setOption(NativeHandle, IPPROTO_TCP, TCP_NODELAY, 1);
+  setOption(NativeHandle, IPPROTO_TCP, TCP_USER_TIMEOUT, UnacknowledgedMs);
+  setOption(NativeHandle, SOL_SOCKET, SO_KEEPALIVE, 1);
+  setOption(NativeHandle, IPPROTO_TCP, TCP_KEEPIDLE, ProbeAfterSeconds);
+  setOption(NativeHandle, IPPROTO_TCP, TCP_KEEPINTVL, ProbeEverySeconds);
+  setOption(NativeHandle, IPPROTO_TCP, TCP_KEEPCNT, ProbesLost);
+}
+
+} // namespace redwinggw::base
--- a/packages/redwinggw/src/native_endpoints.cpp
+++ b/packages/redwinggw/src/native_endpoints.cpp
@@ -68,8 +68,6 @@
   for (const base::endpoint_name &Name : Changes.Gone)
     base::log(log_level::Info, log_part::Endpoints,
               "Endpoint " + Name + " is gone.");
-  if (!Changes.Started.empty())
-    State.SharedAmong = 0;
   divideConnections(State);
 }
 
--- a/packages/redwinggw/src/native_following.cpp
+++ b/packages/redwinggw/src/native_following.cpp
@@ -107,6 +107,7 @@
       State.Context.get_executor(), Identity, State.Settings.Peers, Secret,
       State.Store, Members, Currency);
   connectPeers(State);
+  startRelays(State, Secret);
   if (const auto Started = State.Peers->start(); !Started)
     base::log(log_level::Error, log_part::Peers, describe(Started.error()));
 }
@@ -192,7 +193,6 @@
     return;
   State.Routes = std::make_shared<session::route_table>(std::move(*Table));
   applyRates(State.Shares, State.Routes->Customers, base::now());
-  State.SharedAmong = 0;
   divideConnections(State);
   base::log(log_level::Info, log_part::Configuration,
             "Version " + std::to_string(State.Routes->Version) +
--- a/packages/redwinggw/src/native_instance.cpp
+++ b/packages/redwinggw/src/native_instance.cpp
@@ -18,10 +18,6 @@
 using base::milliseconds;
 
 constexpr milliseconds HousekeepingEvery{200};
-/// Part of an endpoint's connections that all instances together keep open.
-/// The rest is for those that need more, and for new processes: the endpoint
-/// counts connections of machines without power for three more seconds.
-constexpr unsigned KeptPercent = 60;
 /// Longer than the pause in which a lost majority is made up for by readings
 /// of the store.
 constexpr milliseconds CutOffAfter{800};
@@ -120,7 +116,11 @@
   State->Core.Draining = true;
   // The callers go elsewhere now, and their parts of the rates with them.
   yieldRates(State->Shares);
-  while (State->Callers.open() > 0 && base::now() - Begun < AnswersEnd) {
+  const auto IsBusy = [&State] {
+    const bool Relays = State->RelayServer && State->RelayServer->leases() > 0;
+    return State->Callers.open() > 0 || Relays;
+  };
+  while (IsBusy() && base::now() - Begun < AnswersEnd) {
     const auto Elapsed = base::now() - Begun;
     if (Elapsed >= TransactionsEnd)
       State->Callers.endTransactions();
@@ -128,6 +128,8 @@
     co_await pauseAbout(*State, DrainPace);
   }
   co_await leaveFleet(*State);
+  if (State->RelayServer)
+    State->RelayServer->stop();
   State->Stopped = true;
   State->Life.process(kernel::life_event::Drained);
   State->Context.stop();
@@ -189,34 +191,14 @@
                               session::freshness_sample Sample) {
     State.OwnSamples.insert_or_assign(Right.Service, Sample);
   };
+  Ports.Relay = [&State](const session::endpoint_entry &Entry,
+                         std::string_view Customer) {
+    return relayTo(State, Entry, Customer);
+  };
   Ports.NoteTrouble = [](std::string_view) {};
   return Ports;
 }
 
-void divideConnections(native_state &State) {
-  if (!State.Routes)
-    return;
-  const std::size_t Instances =
-      State.Peers ? std::max<std::size_t>(1, instanceCount(State.Peers->view()))
-                  : 1;
-  if (Instances == State.SharedAmong)
-    return;
-  State.SharedAmong = Instances;
-  for (auto &[Name, Pool] : State.Endpoints.Pools) {
-    const auto Service = State.Routes->Services.find(Pool->entry().Service);
-    if (Service == State.Routes->Services.end())
-      continue;
-    session::pool_limits Limits;
-    const std::size_t Kept =
-        std::size_t{Service->second.Connections} * KeptPercent / 100;
-    Limits.Connections = std::max<std::size_t>(1, Kept / Instances);
-    Limits.MostConnections = std::max<std::size_t>(
-        Limits.Connections,
-        2 * std::size_t{Service->second.Connections} / Instances);
-    Pool->setLimits(Limits);
-  }
-}
-
 namespace {
 
 /// An instance that may not use primaries can serve little: callers do better
--- /dev/null
+++ b/packages/redwinggw/src/native_relay.cpp
@@ -0,0 +1,138 @@
+#include "native_state.hpp"
+
+#include "redwinggw/base/log.hpp"
+#include "redwinggw/session/endpoint_owner.hpp"
+
+#include <algorithm>
+
+/// Which instance holds the connections to an endpoint, and how many each may
+/// hold.
+namespace redwinggw {
+namespace {
+
+using base::instant;
+using base::milliseconds;
+
+/// An owner that was not heard for so long is passed over: three heartbeats.
+constexpr milliseconds OwnerHeard{650};
+/// Part of an endpoint's connections that its owner may open. The rest is for
+/// instances that cannot use the owner, for probes, and for the next owner: an
+/// endpoint counts connections of an instance without power for three more
+/// seconds.
+constexpr std::size_t OwnedPercent = 85;
+
+bool canOwn(const control::member &Member, instant Now) {
+  return Member.State == control::member_state::Alive && Member.ArrivedAt &&
+         Now - *Member.ArrivedAt <= OwnerHeard;
+}
+
+std::vector<session::owner_candidate> ownerCandidates(const native_state &State,
+                                                      instant Now) {
+  std::vector<session::owner_candidate> Candidates;
+  if (!State.Draining)
+    Candidates.push_back({State.Settings.Name, State.Settings.Zone});
+  if (!State.Peers)
+    return Candidates;
+  for (const control::member &Member : State.Peers->view().Members)
+    if (canOwn(Member, Now))
+      Candidates.push_back({Member.Name, Member.Zone});
+  return Candidates;
+}
+
+bool isOwn(const native_state &State, std::string_view Endpoint) {
+  const auto Owner = State.Owners.find(Endpoint);
+  return Owner == State.Owners.end() || Owner->second == State.Settings.Name;
+}
+
+session::pool_limits limitsFor(const native_state &State,
+                               const session::endpoint_entry &Entry,
+                               std::size_t Accepted) {
+  session::pool_limits Limits;
+  const std::size_t Instances =
+      State.Peers ? instanceCount(State.Peers->view()) : 1;
+  if (isOwn(State, Entry.Name)) {
+    constexpr std::size_t Whole = 100;
+    Limits.Connections =
+        std::max<std::size_t>(1, Accepted * OwnedPercent / Whole);
+    Limits.MostConnections = std::max(Limits.Connections, Accepted);
+    return Limits;
+  }
+  // Few: only what the owner cannot serve goes over them.
+  Limits.Connections = 1;
+  Limits.MostConnections = std::max<std::size_t>(1, 2 * Accepted / Instances);
+  return Limits;
+}
+
+void noteOwner(native_state &State, const base::endpoint_name &Endpoint,
+               const session::owner_candidate *Owner) {
+  const base::instance_name Name = Owner == nullptr ? "" : Owner->Name;
+  auto &Known = State.Owners[Endpoint];
+  if (Known == Name)
+    return;
+  base::logEvent(base::log_level::Info, base::log_part::Endpoints,
+                 "owner_changed",
+                 {{"endpoint", Endpoint}, {"was", Known}, {"is", Name}});
+  Known = Name;
+}
+
+/// Each instance works this out alone from who it hears.
+void assignOwners(native_state &State) {
+  const instant Now = base::now();
+  const auto Candidates = ownerCandidates(State, Now);
+  for (const auto &[Name, Pool] : State.Endpoints.Pools)
+    noteOwner(State, Name, ownerOf(Name, Pool->entry().Zone, Candidates));
+  std::erase_if(State.Owners, [&](const auto &Item) {
+    return !State.Endpoints.Pools.contains(Item.first);
+  });
+  if (!State.Peers || !State.RelayLinks)
+    return;
+  for (const control::member &Member : State.Peers->view().Members)
+    if (!canOwn(Member, Now))
+      State.RelayLinks->closeIdle(Member.Name);
+}
+
+} // namespace
+
+void startRelays(native_state &State, const std::string &Secret) {
+  const auto Executor = State.Context.get_executor();
+  State.RelayLinks = std::make_unique<session::relay_links>(
+      Executor, State.Endpoints.Watch, Secret);
+  State.RelayServer =
+      std::make_unique<session::relay_server>(Executor, State.Core, Secret);
+  // The others go to the endpoints themselves when it does not listen.
+  if (const auto Listening = State.RelayServer->listen(State.Settings.Peers);
+      !Listening)
+    base::log(base::log_level::Error, base::log_part::Peers,
+              describe(Listening.error()));
+}
+
+void divideConnections(native_state &State) {
+  if (!State.Routes)
+    return;
+  assignOwners(State);
+  for (auto &[Name, Pool] : State.Endpoints.Pools) {
+    const auto Service = State.Routes->Services.find(Pool->entry().Service);
+    if (Service == State.Routes->Services.end())
+      continue;
+    Pool->setOwnedElsewhere(!isOwn(State, Name));
+    Pool->setLimits(
+        limitsFor(State, Pool->entry(), Service->second.Connections));
+  }
+}
+
+std::unique_ptr<session::relay_link>
+relayTo(native_state &State, const session::endpoint_entry &Entry,
+        std::string_view Customer) {
+  if (isOwn(State, Entry.Name) || !State.RelayLinks || !State.Peers)
+    return nullptr;
+  const instant Now = base::now();
+  const base::instance_name &Owner = State.Owners.find(Entry.Name)->second;
+  const control::member *Member = findMember(State.Peers->view(), Owner);
+  if (Member == nullptr || !canOwn(*Member, Now) ||
+      !State.RelayLinks->isUsable(Owner, Now))
+    return nullptr;
+  return State.RelayLinks->to({Owner, Member->Address}, Entry.Name,
+                              std::string(Customer));
+}
+
+} // namespace redwinggw
--- a/packages/redwinggw/src/native_state.hpp
+++ b/packages/redwinggw/src/native_state.hpp
@@ -10,6 +10,8 @@
 #include "redwinggw/http/server.hpp"
 #include "redwinggw/kernel/life_cycle.hpp"
 #include "redwinggw/session/handover.hpp"
+#include "redwinggw/session/relay_host.hpp"
+#include "redwinggw/session/relay_links.hpp"
 #include "redwinggw/session/session_core.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -50,6 +52,12 @@
   platform::store_client Promotions;
   /// Exists once the fleet's secret is known.
   std::unique_ptr<control::peer_service> Peers;
+  /// Statements for other instances, and by them; exist once the fleet's
+  /// secret is known.
+  std::unique_ptr<session::relay_server> RelayServer;
+  std::unique_ptr<session::relay_links> RelayLinks;
+  /// Who owns the connections to each endpoint, as this instance sees it.
+  std::map<base::endpoint_name, base::instance_name, std::less<>> Owners;
   control::demand_shares Shares;
   session::primary_claims Claims;
   session::handover_limits Handover;
@@ -83,8 +91,6 @@
   bool FleetReadWanted = false;
   kernel::life_cycle Life;
   std::mt19937_64 Random;
-  /// Instances among which the endpoints' connections are divided now.
-  std::size_t SharedAmong = 0;
   bool Listening = false;
   /// Begins with the first signal: not ready, no new duties.
   bool Draining = false;
@@ -187,8 +193,19 @@
 /// Removes this instance's row: it has stopped and counts no more.
 base::task<void> removeInstance(native_state &State);
 
-/// Divides the endpoints' connections anew.
+/// \name Connections to endpoints
+/// @{
+/// Starts to take statements of other instances and to pass on own ones.
+void startRelays(native_state &State, const std::string &Secret);
+/// Works out anew who owns each endpoint's connections, and how many this
+/// instance may hold.
 void divideConnections(native_state &State);
+/// The way to an endpoint through its owner; null when this instance is the
+/// owner or the owner cannot be used now.
+std::unique_ptr<session::relay_link>
+relayTo(native_state &State, const session::endpoint_entry &Entry,
+        std::string_view Customer);
+/// @}
 
 /// The ports of the session core.
 session::core_ports nativePorts(native_state &State);
--- a/packages/session/include/redwinggw/session/deadline_watch.hpp
+++ b/packages/session/include/redwinggw/session/deadline_watch.hpp
@@ -38,4 +38,23 @@
   std::shared_ptr<state> State;
 };
 
+/// Watches one deadline for as long as it lives: \p Expired is called once when
+/// the deadline passes before. Used from one thread.
+class deadline_guard {
+public:
+  deadline_guard(deadline_watch &Watch, base::instant Deadline,
+                 std::function<void()> Expired);
+  deadline_guard(const deadline_guard &) = delete;
+  deadline_guard &operator=(const deadline_guard &) = delete;
+  ~deadline_guard() { Watch.drop(Id); }
+
+  /// Whether the deadline has passed while it was watched.
+  bool expired() const { return HasExpired; }
+
+private:
+  deadline_watch &Watch;
+  bool HasExpired = false;
+  deadline_watch::id Id;
+};
+
 } // namespace redwinggw::session
--- /dev/null
+++ b/packages/session/include/redwinggw/session/endpoint_owner.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "redwinggw/base/ids.hpp"
+
+#include <string_view>
+#include <vector>
+
+/// Which instance owns the connections to an endpoint. Decisions without I/O.
+namespace redwinggw::session {
+
+/// An instance that could own connections.
+struct owner_candidate {
+  base::instance_name Name;
+  base::zone_name Zone;
+};
+
+/// The owner of \p Endpoint, which stands in \p Zone: an instance of that
+/// availability zone where there is one, so that statements cross zones once.
+/// Rendezvous hashing: each instance works it out alone, all that know the same
+/// candidates agree, and only the endpoints of an instance that comes or goes
+/// change hands. Where two believe to be the owner, both hold connections, and
+/// nothing else goes wrong. Null without candidates. Thread safe.
+const owner_candidate *ownerOf(std::string_view Endpoint, std::string_view Zone,
+                               const std::vector<owner_candidate> &Candidates);
+
+} // namespace redwinggw::session
--- a/packages/session/include/redwinggw/session/endpoint_pool.hpp
+++ b/packages/session/include/redwinggw/session/endpoint_pool.hpp
@@ -4,7 +4,7 @@
 #include "redwinggw/data/fair_queue.hpp"
 #include "redwinggw/session/deadline_watch.hpp"
 #include "redwinggw/session/endpoint_link.hpp"
-#include "redwinggw/session/session_values.hpp"
+#include "redwinggw/session/statement_relay.hpp"
 
 #include <deque>
 #include <list>
@@ -19,6 +19,9 @@
 /// A link with what is set up on it.
 struct pooled_link {
   std::unique_ptr<endpoint_link> Link;
+  /// Set in place of Link when the endpoint's owner runs the statements. What
+  /// is set up is then known there, and the fields below are not used.
+  std::unique_ptr<relay_link> Relay;
   base::customer_name Customer;
   /// Session values in force on it, unless it is not known which are.
   session_values Values;
@@ -97,6 +100,11 @@
                                const session_values &Values,
                                base::instant WaitUntil, base::instant Deadline);
 
+  /// Wraps a way through the endpoint's owner, which takes no connection here.
+  /// It is given back or discarded like a connection.
+  link_handle lend(std::unique_ptr<relay_link> Relay,
+                   base::customer_name Customer);
+
   /// Takes a connection back. Precondition: no transaction is open on it.
   void giveBack(link_handle Link);
 
@@ -126,6 +134,14 @@
   void noteSuccess(base::instant SentAt, base::instant Now);
   void noteFailure(base::instant Now);
 
+  /// Whether another instance owns the endpoint's connections.
+  void setOwnedElsewhere(bool Owned) { OwnedElsewhere = Owned; }
+  bool isOwnedElsewhere() const { return OwnedElsewhere; }
+  /// Statements that run or wait at the owner, as it said at \p Now.
+  void noteOwnerLoad(std::size_t Load, base::instant Now);
+  /// Statements that run or wait at the endpoint, as far as is known here.
+  std::size_t load(base::instant Now) const;
+
   void setEntry(endpoint_entry Entry) { this->Entry = std::move(Entry); }
   void setLimits(pool_limits Limits);
 
@@ -161,6 +177,11 @@
   endpoint_health Health;
   std::list<link_handle> Idle;
   std::size_t Open = 0;
+  bool OwnedElsewhere = false;
+  /// Statements of this instance that its owner runs.
+  std::size_t Relayed = 0;
+  std::size_t OwnerLoad = 0;
+  std::optional<base::instant> OwnerLoadAt;
   /// When the endpoint last had no connection left for anybody.
   std::optional<base::instant> RefusedAt;
   data::fair_queue Queue;
--- a/packages/session/src/leased_link.hpp
+++ b/packages/session/include/redwinggw/session/leased_link.hpp
@@ -24,7 +24,7 @@
   }
 
   void giveBack() { Pool->giveBack(std::move(Link)); }
-  endpoint_link &operator*() const { return *Link->Link; }
+
   explicit operator bool() const { return Link != nullptr; }
 
   pool_ptr Pool;
--- /dev/null
+++ b/packages/session/include/redwinggw/session/relay_host.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "redwinggw/session/leased_link.hpp"
+#include "redwinggw/session/session_core.hpp"
+#include "redwinggw/session/statement_relay.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <memory>
+#include <string>
+
+/// The owner's side of statements that others pass on; statement_relay.hpp
+/// tells why they do.
+namespace redwinggw::session {
+
+/// What the owner holds for one way of another instance: a connection while a
+/// transaction is open on it.
+struct relay_lease {
+  leased_link Link;
+};
+
+/// Runs a passed-on statement. Decides nothing about it but whether this
+/// instance may still use the primary: a statement that waited here must not
+/// reach one that was replaced meanwhile. It is run once at most; the caller's
+/// instance decides whether to try again.
+base::task<relay_reply> serveRelayed(session_core &Core, relay_lease &Lease,
+                                     relay_request Request);
+
+/// Takes passed-on statements over TCP. Used from one thread; \p Core outlives
+/// it.
+class relay_server {
+public:
+  /// Requests have to be signed with \p Secret.
+  relay_server(boost::asio::any_io_executor Executor, session_core &Core,
+               std::string Secret);
+  relay_server(const relay_server &) = delete;
+  relay_server &operator=(const relay_server &) = delete;
+  ~relay_server();
+
+  /// Fails with errc::BadSettings when the address cannot be bound.
+  base::result<http::address> listen(const http::address &Address);
+
+  /// Connections of endpoints that are held for others' transactions.
+  std::size_t leases() const;
+
+  /// Closes everything; what is held is rolled back.
+  void stop();
+
+private:
+  struct state;
+  std::shared_ptr<state> State;
+};
+
+} // namespace redwinggw::session
--- /dev/null
+++ b/packages/session/include/redwinggw/session/relay_links.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "redwinggw/http/address.hpp"
+#include "redwinggw/session/deadline_watch.hpp"
+#include "redwinggw/session/statement_relay.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+/// The ways to the owners of endpoints' connections.
+namespace redwinggw::session {
+
+/// Where an owner takes statements.
+struct relay_owner {
+  base::instance_name Name;
+  http::address Address;
+};
+
+/// Used from one thread. \p Watch outlives it; links may outlive it.
+class relay_links {
+public:
+  relay_links(boost::asio::any_io_executor Executor, deadline_watch &Watch,
+              std::string Secret);
+  relay_links(const relay_links &) = delete;
+  relay_links &operator=(const relay_links &) = delete;
+  ~relay_links();
+
+  /// Whether \p Owner may be asked: it has not left a statement without an
+  /// answer lately.
+  bool isUsable(std::string_view Owner, base::instant Now) const;
+
+  /// A way to \p Endpoint through \p Owner. Connects when it is first used.
+  std::unique_ptr<relay_link> to(const relay_owner &Owner,
+                                 base::endpoint_name Endpoint,
+                                 base::customer_name Customer);
+
+  /// Closes the idle connections to \p Owner: it was away, and its end may
+  /// have lost track of them.
+  void closeIdle(std::string_view Owner);
+
+private:
+  struct state;
+  std::shared_ptr<state> State;
+};
+
+} // namespace redwinggw::session
--- a/packages/session/include/redwinggw/session/session_core.hpp
+++ b/packages/session/include/redwinggw/session/session_core.hpp
@@ -37,6 +37,12 @@
       PrimaryExpected;
   /// A primary's answer shows what its log holds.
   std::function<void(const primary_right &, freshness_sample)> NoteSample;
+  /// A way to the endpoint through the instance that owns its connections;
+  /// null when that is this instance, or when the owner cannot be used now.
+  /// Unset: there are no owners.
+  std::function<std::unique_ptr<relay_link>(const endpoint_entry &,
+                                            std::string_view Customer)>
+      Relay;
   /// A statement met an endpoint that is not the primary any more, or did not
   /// answer.
   std::function<void(std::string_view Endpoint)> NoteTrouble;
--- /dev/null
+++ b/packages/session/include/redwinggw/session/statement_relay.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "redwinggw/session/endpoint_link.hpp"
+#include "redwinggw/session/link_statement.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+/// Statements that one instance runs for another, on connections of its own.
+///
+/// A connection belongs to one customer, and an endpoint accepts few. Where
+/// each instance keeps its own, customers times instances is far more than
+/// there are, and nearly every statement pays for a new connection. Here each
+/// endpoint has one instance that owns its connections; the others pass their
+/// statements on to it. The caller's instance still decides everything about
+/// the statement (key, rate, route, freshness, repetition, whether its answer
+/// may be delivered), and can always go to the endpoint itself.
+namespace redwinggw::session {
+
+/// Why a statement that was passed on did not run.
+enum class relay_failure : std::uint8_t {
+  None,
+  /// The owner did not answer, or cannot be reached.
+  OwnerLost,
+  /// The owner has no connection free in time.
+  NoConnection,
+  /// The owner does not know the endpoint, or may not use it as the primary.
+  Refused,
+  /// The owner cannot reach the endpoint.
+  EndpointLost,
+};
+
+struct relay_request {
+  base::endpoint_name Endpoint;
+  base::customer_name Customer;
+  link_statement Statement;
+  /// Time for the whole statement, and for getting a connection in it.
+  base::milliseconds TimeLeft{0};
+  base::milliseconds Patience{0};
+};
+
+struct relay_reply {
+  relay_failure Failure = relay_failure::None;
+  exchange Exchange;
+  /// Statements that run or wait at the owner for this endpoint.
+  std::uint16_t Load = 0;
+};
+
+/// A way to one endpoint through its owner. It holds a connection of the
+/// endpoint while a transaction is open on it; destroying it before the end
+/// of the transaction rolls back. Used from one thread, one run at a time.
+class relay_link {
+public:
+  relay_link() = default;
+  relay_link(const relay_link &) = delete;
+  relay_link &operator=(const relay_link &) = delete;
+  virtual ~relay_link() = default;
+
+  /// Has \p Statement run by the owner. \p WaitUntil bounds the wait for a
+  /// connection. Outcome Broken or TimedOut: it may have run.
+  virtual base::task<relay_reply> run(const link_statement &Statement,
+                                      base::instant WaitUntil,
+                                      base::instant Deadline) = 0;
+
+  /// The owner's name, for logs.
+  virtual std::string_view owner() const = 0;
+};
+
+/// Forms of the messages, signed with the fleet's secret, and back. Nothing
+/// for bytes that were cut short, changed, or signed with another secret.
+/// Thread safe.
+std::string encodeRequest(std::string_view Secret, const relay_request &Value);
+std::string encodeReply(std::string_view Secret, const relay_reply &Value);
+std::optional<relay_request> decodeRequest(std::string_view Secret,
+                                           std::string_view Bytes);
+std::optional<relay_reply> decodeReply(std::string_view Secret,
+                                       std::string_view Bytes);
+
+/// The name of \p Failure in logs. Thread safe.
+std::string_view relayFailureName(relay_failure Failure);
+
+} // namespace redwinggw::session
--- a/packages/session/src/answer_record.cpp
+++ b/packages/session/src/answer_record.cpp
@@ -59,6 +59,7 @@
        {"service", Request.Route.Service},
        {"statement", Text.substr(0, Text.find(' '))},
        {"endpoint", Request.Tried.empty() ? "" : Request.Tried.back()},
+       {"via", Request.Via},
        {"tries", std::to_string(Request.Tries)},
        {"epoch", std::to_string(Request.Epoch)},
        {"required", pointText(Request.Required)},
@@ -101,4 +102,22 @@
     writeLine(Core, Session, Request, Answer, Now - Request.Arrived);
 }
 
+void recordRelayed(session_core &Core, const relay_request &Request,
+                   const relay_reply &Reply, base::microseconds Took) {
+  const bool Answered = Reply.Exchange.Outcome == exchange_outcome::Answered;
+  add(counterOf(Core.Metrics, metric::RelayedTotal,
+                {std::string(relayFailureName(Reply.Failure))}));
+  if (Answered || !mayLog(Core.Budget, true, base::now()))
+    return;
+  base::logEvent(
+      base::log_level::Warning, base::log_part::Peers, "relay_failed",
+      {{"request", Request.Statement.Id},
+       {"customer", Request.Customer},
+       {"endpoint", Request.Endpoint},
+       {"failure", std::string(relayFailureName(Reply.Failure))},
+       {"load", std::to_string(Reply.Load)},
+       {"took_ms",
+        std::to_string(std::chrono::floor<base::milliseconds>(Took).count())}});
+}
+
 } // namespace redwinggw::session
--- a/packages/session/src/core_parts.hpp
+++ b/packages/session/src/core_parts.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "leased_link.hpp"
+#include "redwinggw/session/leased_link.hpp"
 
 #include "redwinggw/session/session_core.hpp"
 
@@ -19,6 +19,10 @@
   unsigned Tries = 0;
   /// Endpoints that did not serve it.
   std::vector<base::endpoint_name> Tried;
+  /// The owner of an endpoint could not help: go there without it.
+  bool Direct = false;
+  /// The instance that ran the last try for this one; empty: none.
+  base::instance_name Via;
   /// Until when it waits for a primary; set when the waiting begins.
   std::optional<base::instant> WaitEnd;
   /// What the last try went by: whether it used the primary, under which
@@ -39,6 +43,8 @@
   std::optional<log_point> After;
   /// Its answer is waited for until then.
   base::instant TryDeadline;
+  /// Why the endpoint's owner did not run the statement.
+  relay_failure Failure = relay_failure::None;
 };
 
 /// Finds an endpoint and a connection for \p Request, waiting where that can
@@ -47,15 +53,26 @@
                                            caller_session &Session,
                                            request &Request, bool NeedsPrimary);
 
-/// Runs the statement on the placement's connection, set up for the session.
+/// Runs the caller's statement on the placement's connection, set up for the
+/// session.
 base::task<exchange> runOn(session_core &Core, caller_session &Session,
                            request &Request, placement &Placement);
 
+/// Runs \p Statement on the placement's connection or through the endpoint's
+/// owner, noting for how long the endpoint leaves it unanswered.
+base::task<exchange> runPlaced(session_core &Core, request &Request,
+                               placement &Placement, link_statement Statement);
+
 /// Takes in what an exchange tells about the endpoint, and a commit's
 /// position. Closes or gives back the connection unless \p Keep.
-void settle(session_core &Core, caller_session &Session, const request &Request,
+void settle(session_core &Core, caller_session &Session, request &Request,
             placement &Placement, const exchange &Exchange, bool Keep);
 
+/// Whether another try can help: not when the last one found no connection in
+/// the time for which it is worth to wait.
+bool mayRetry(const session_core &Core, const request &Request,
+              const placement &Last);
+
 /// Why no endpoint could serve the statement, and when to come back.
 answer_error refusal(const session_core &Core, const request &Request);
 
@@ -68,18 +85,17 @@
                                request &Request);
 base::task<void> rollback(caller_session &Session);
 
-/// Runs a statement, noting for how long the endpoint leaves it unanswered.
-base::task<exchange> runNoted(leased_link &Link, std::string_view Id,
-                              std::string_view Text,
-                              std::optional<log_point> After,
-                              base::instant Deadline);
-
 base::task<void> pauseFor(session_core &Core, base::microseconds Time);
 
 /// Writes the line about an answer, within its bounds, and counts it.
 void recordAnswer(session_core &Core, const caller_session &Session,
                   const request &Request, const answer &Answer);
 
+/// Writes a line, within its bounds, about a passed-on statement that was not
+/// answered, and counts it.
+void recordRelayed(session_core &Core, const relay_request &Request,
+                   const relay_reply &Reply, base::microseconds Took);
+
 answer makeError(answer_code Code, std::string Reason);
 answer makeError(answer_error Error);
 
--- a/packages/session/src/deadline_watch.cpp
+++ b/packages/session/src/deadline_watch.cpp
@@ -71,4 +71,12 @@
   State->Deadlines.erase(Found);
 }
 
+deadline_guard::deadline_guard(deadline_watch &Watch, base::instant Deadline,
+                               std::function<void()> Expired)
+    : Watch(Watch),
+      Id(Watch.add(Deadline, [this, Expired = std::move(Expired)] {
+        HasExpired = true;
+        Expired();
+      })) {}
+
 } // namespace redwinggw::session
--- /dev/null
+++ b/packages/session/src/endpoint_owner.cpp
@@ -0,0 +1,37 @@
+#include "redwinggw/session/endpoint_owner.hpp"
+
+#include "redwinggw/wire/message.hpp"
+
+#include <algorithm>
+#include <cstdint>
+#include <tuple>
+
+namespace redwinggw::session {
+namespace {
+
+/// Spreads the few differing bits of similar names over all bits: names of
+/// instances differ in their last letter, and one would own most endpoints.
+std::uint32_t spread(std::uint32_t Hash) {
+  constexpr std::uint32_t First = 0x85ebca6bU;
+  constexpr std::uint32_t Second = 0xc2b2ae35U;
+  Hash = (Hash ^ (Hash >> 16U)) * First;
+  Hash = (Hash ^ (Hash >> 13U)) * Second;
+  return Hash ^ (Hash >> 16U);
+}
+
+} // namespace
+
+const owner_candidate *ownerOf(std::string_view Endpoint, std::string_view Zone,
+                               const std::vector<owner_candidate> &Candidates) {
+  const std::uint32_t Place = spread(wire::hashOf(Endpoint));
+  const auto Weight = [&](const owner_candidate &Candidate) {
+    const std::uint32_t Draw =
+        spread(Place ^ spread(wire::hashOf(Candidate.Name)));
+    return std::tuple(Candidate.Zone == Zone, Draw,
+                      std::string_view(Candidate.Name));
+  };
+  const auto Best = std::ranges::max_element(Candidates, {}, Weight);
+  return Best == Candidates.end() ? nullptr : &*Best;
+}
+
+} // namespace redwinggw::session
--- a/packages/session/src/endpoint_pool.cpp
+++ b/packages/session/src/endpoint_pool.cpp
@@ -22,6 +22,10 @@
 /// outlast every statement's time.
 constexpr std::size_t LongestQueue = 400;
 
+/// What the owner said of its load counts for about as long as a few
+/// statements take; then what is known here is the better guess.
+constexpr milliseconds OwnerLoadCounts{150};
+
 acquire_failure failureOf(const exchange &Exchange) {
   if (Exchange.Outcome != exchange_outcome::Answered || !Exchange.Answer.Error)
     return acquire_failure::Unreachable;
@@ -185,13 +189,30 @@
   }
 }
 
+link_handle endpoint_pool::lend(std::unique_ptr<relay_link> Relay,
+                                base::customer_name Customer) {
+  ++Relayed;
+  auto Link = std::make_unique<pooled_link>();
+  Link->Relay = std::move(Relay);
+  Link->Customer = std::move(Customer);
+  return Link;
+}
+
 void endpoint_pool::giveBack(link_handle Link) {
+  if (Link->Relay) {
+    --Relayed;
+    return;
+  }
   Link->UsedAt = base::now();
   Idle.push_front(std::move(Link));
   wakeNext();
 }
 
 void endpoint_pool::discard(link_handle Link) {
+  if (Link->Relay) {
+    --Relayed;
+    return;
+  }
   Link.reset();
   --Open;
   wakeNext();
@@ -213,6 +234,17 @@
     evictOne();
 }
 
+void endpoint_pool::noteOwnerLoad(std::size_t Load, instant Now) {
+  OwnerLoad = Load;
+  OwnerLoadAt = Now;
+}
+
+std::size_t endpoint_pool::load(instant Now) const {
+  const std::size_t Own = Open - Idle.size() + waiting() + Relayed;
+  const bool Told = OwnerLoadAt && Now - *OwnerLoadAt < OwnerLoadCounts;
+  return Told ? std::max(Own, OwnerLoad) : Own;
+}
+
 void endpoint_pool::noteSuccess(instant SentAt, instant Now) {
   Health.Failures = 0;
   Health.FailingSince.reset();
--- a/packages/session/src/endpoint_set.cpp
+++ b/packages/session/src/endpoint_set.cpp
@@ -7,7 +7,7 @@
 
 choice_candidate candidateOf(const endpoint_pool &Pool,
                              std::string_view Customer, std::string_view Zone,
-                             bool IsPrimary) {
+                             bool IsPrimary, base::instant Now) {
   const endpoint_entry &Entry = Pool.entry();
   const endpoint_health &Health = Pool.health();
   choice_candidate Candidate;
@@ -15,9 +15,10 @@
   Candidate.IsPrimary = IsPrimary;
   Candidate.SameZone = Entry.Zone == Zone;
   Candidate.Draining = Entry.Draining;
-  Candidate.HasIdle = Pool.hasIdle(Customer);
-  Candidate.Exhausted = Pool.isExhausted();
-  Candidate.Load = Pool.open() - Pool.idle() + Pool.waiting();
+  const bool Relayed = Pool.isOwnedElsewhere();
+  Candidate.HasIdle = Relayed || Pool.hasIdle(Customer);
+  Candidate.Exhausted = !Relayed && Pool.isExhausted();
+  Candidate.Load = Pool.load(Now);
   Candidate.Slots = Entry.Slots;
   Candidate.LatencyMs = Health.Latency;
   Candidate.Failures = Health.Failures;
@@ -72,7 +73,8 @@
     if (Pool == nullptr)
       continue;
     const bool IsPrimary = Right != nullptr && Right->Endpoint == Name;
-    Candidates.push_back(candidateOf(*Pool, Customer, Set.Zone, IsPrimary));
+    Candidates.push_back(
+        candidateOf(*Pool, Customer, Set.Zone, IsPrimary, Now));
   }
   return rank(std::move(Candidates), Set.Choice, Now);
 }
--- /dev/null
+++ b/packages/session/src/frame_stream.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "redwinggw/base/task.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+/// Messages between instances over TCP, each behind its length.
+namespace redwinggw::session {
+
+/// Used from one thread; one read and one write at a time.
+class frame_stream {
+public:
+  explicit frame_stream(boost::asio::ip::tcp::socket Socket);
+
+  /// The next message whole; nothing when the connection ended, broke, or
+  /// announced a message that is too long.
+  base::task<std::optional<std::string>> next();
+
+  /// Sends \p Bytes as one message; false when the connection broke.
+  base::task<bool> send(std::string_view Bytes);
+
+  /// Whether the other end has neither closed nor sent anything unread.
+  bool isQuiet();
+
+  void close();
+
+private:
+  base::task<bool> fill(std::size_t Bytes);
+
+  boost::asio::ip::tcp::socket Socket;
+  /// What was read and not returned yet.
+  std::string Buffer;
+};
+
+} // namespace redwinggw::session
--- a/packages/session/src/link_setup.cpp
+++ b/packages/session/src/link_setup.cpp
@@ -24,11 +24,52 @@
   co_return Done;
 }
 
+/// The name under which \p Operand is prepared on \p Link, preparing it when
+/// needed. Empty when the connection can no longer be used.
+base::task<std::string> prepareStatement(pooled_link &Link,
+                                         std::string_view Operand,
+                                         base::instant Deadline) {
+  if (const auto Found = Link.Prepared.find(Operand);
+      Found != Link.Prepared.end())
+    co_return Found->second;
+  std::string Name = "p" + std::to_string(Link.Prepared.size() + 1);
+  std::string Text = Link.Link->prepareText(Name, Operand);
+  const bool Done = co_await runOwn(Link, std::move(Text), Deadline);
+  if (!Done)
+    co_return std::string();
+  Link.Prepared.emplace(Operand, Name);
+  co_return Name;
+}
+
+/// The text to send; empty when the connection can no longer be used.
+base::task<std::string> textOf(pooled_link &Link,
+                               const link_statement &Statement,
+                               base::instant Deadline) {
+  switch (Statement.Action) {
+  case link_action::Begin:
+    co_return Link.Link->beginText(false);
+  case link_action::BeginReadOnly:
+    co_return Link.Link->beginText(true);
+  case link_action::Rollback:
+    co_return Link.Link->rollbackText();
+  case link_action::Caller:
+    break;
+  }
+  if (Statement.Prepared.empty())
+    co_return Statement.Text;
+  const std::string Name =
+      co_await prepareStatement(Link, Statement.Prepared, Deadline);
+  if (Name.empty())
+    co_return std::string();
+  co_return Link.Link->executeText(Name, Statement.Arguments);
+}
+
 } // namespace
 
-base::task<bool> prepareLink(pooled_link &Link, const caller_session &Session,
+base::task<bool> prepareLink(pooled_link &Link, const session_values &Wanted,
                              base::instant Deadline) {
-  const session_values &Wanted = Session.Values;
+  if (Link.Relay)
+    co_return true;
   if (Link.ValuesKnown && Link.Values == Wanted)
     co_return true;
   const bool Settable =
@@ -53,19 +94,23 @@
   co_return true;
 }
 
-base::task<std::string> prepareStatement(pooled_link &Link,
-                                         std::string_view Operand,
-                                         base::instant Deadline) {
-  if (const auto Found = Link.Prepared.find(Operand);
-      Found != Link.Prepared.end())
-    co_return Found->second;
-  std::string Name = "p" + std::to_string(Link.Prepared.size() + 1);
-  std::string Text = Link.Link->prepareText(Name, Operand);
-  const bool Done = co_await runOwn(Link, std::move(Text), Deadline);
-  if (!Done)
-    co_return std::string();
-  Link.Prepared.emplace(Operand, Name);
-  co_return Name;
+base::task<exchange> runOnLink(pooled_link &Link,
+                               const link_statement &Statement,
+                               const right_check &StillHolds,
+                               base::instant Deadline) {
+  exchange NotRun;
+  if (Statement.Values) {
+    const bool Ready = co_await prepareLink(Link, *Statement.Values, Deadline);
+    if (!Ready)
+      co_return NotRun;
+  }
+  const std::string Text = co_await textOf(Link, Statement, Deadline);
+  if (Text.empty())
+    co_return NotRun;
+  if (Statement.Right && !StillHolds(*Statement.Right))
+    co_return NotRun;
+  co_return co_await Link.Link->run(Statement.Id, Text, Statement.After,
+                                    Deadline);
 }
 
 } // namespace redwinggw::session
--- a/packages/session/src/placement.cpp
+++ b/packages/session/src/placement.cpp
@@ -76,6 +76,17 @@
                    Left * Core.Limits.FirstTryShare);
 }
 
+/// The way to the endpoint through its owner; null when this instance goes
+/// there itself.
+std::unique_ptr<relay_link> relayTo(const session_core &Core,
+                                    const caller_session &Session,
+                                    const request &Request,
+                                    const endpoint_entry &Entry) {
+  if (Request.Direct || !Core.Ports.Relay)
+    return nullptr;
+  return Core.Ports.Relay(Entry, Session.Customer);
+}
+
 /// Tries to get a connection to \p Name. Nothing when that endpoint cannot
 /// serve now.
 base::task<std::optional<placement>>
@@ -84,6 +95,12 @@
   const pool_ptr Pool = poolOf(Core.Set, Name);
   if (Pool == nullptr)
     co_return std::nullopt;
+  placement Placement;
+  if (auto Relay = relayTo(Core, Session, Request, Pool->entry())) {
+    Placement.Link =
+        leased_link(Pool, Pool->lend(std::move(Relay), Session.Customer));
+    co_return Placement;
+  }
   acquired Acquired = co_await Pool->acquire(Session.Customer, Session.Values,
                                              Latest, setUpEnd(Core, Request));
   if (!Acquired.Link) {
@@ -94,7 +111,6 @@
       Core.Ports.NoteTrouble(Name);
     co_return std::nullopt;
   }
-  placement Placement;
   Placement.Link = leased_link(Pool, std::move(Acquired.Link));
   co_return Placement;
 }
@@ -138,14 +154,27 @@
       boost::asio::redirect_error(boost::asio::use_awaitable, Ignored));
 }
 
-base::task<exchange> runNoted(leased_link &Link, std::string_view Id,
-                              std::string_view Text,
-                              std::optional<log_point> After,
-                              base::instant Deadline) {
-  const pool_ptr Pool = Link.Pool;
-  const base::instant Sent = base::now();
+base::task<exchange> runPlaced(session_core &Core, request &Request,
+                               placement &Placement, link_statement Statement) {
+  const pool_ptr Pool = Placement.Link.Pool;
+  pooled_link &Link = *Placement.Link.Link;
+  const instant Sent = base::now();
   Pool->noteSent(Sent);
-  exchange Exchange = co_await (*Link).run(Id, Text, After, Deadline);
+  exchange Exchange;
+  if (Link.Relay) {
+    Request.Via = Link.Relay->owner();
+    relay_reply Reply = co_await Link.Relay->run(
+        Statement, patienceEnd(Core, Request), Placement.TryDeadline);
+    Placement.Failure = Reply.Failure;
+    Exchange = std::move(Reply.Exchange);
+    Exchange.SentAt = Sent;
+    if (Reply.Failure != relay_failure::OwnerLost)
+      Pool->noteOwnerLoad(Reply.Load, base::now());
+  } else {
+    Request.Via.clear();
+    Exchange = co_await runOnLink(Link, Statement, Core.Ports.StillHolds,
+                                  Placement.TryDeadline);
+  }
   Pool->noteEnded(Sent);
   co_return Exchange;
 }
@@ -227,24 +256,18 @@
 
 base::task<exchange> runOn(session_core &Core, caller_session &Session,
                            request &Request, placement &Placement) {
-  pooled_link &Link = *Placement.Link.Link;
-  const instant Deadline = Placement.TryDeadline;
-  exchange NotRun;
-  if (!co_await prepareLink(Link, Session, Deadline))
-    co_return NotRun;
-  std::string Text = Request.Statement.Text;
-  if (Request.Prepared != nullptr) {
-    const std::string Name =
-        co_await prepareStatement(Link, Request.Prepared->Operand, Deadline);
-    if (Name.empty())
-      co_return NotRun;
-    Text = Link.Link->executeText(Name, Request.Statement.Operand);
+  link_statement Statement;
+  Statement.Id = Request.Statement.Id;
+  Statement.Values = Session.Values;
+  Statement.After = Placement.After;
+  Statement.Right = Placement.Right;
+  if (Request.Prepared == nullptr) {
+    Statement.Text = Request.Statement.Text;
+  } else {
+    Statement.Prepared = Request.Prepared->Operand;
+    Statement.Arguments = Request.Statement.Operand;
   }
-  // The set-up took time in which the primary may have been replaced.
-  if (Placement.Right && !Core.Ports.StillHolds(*Placement.Right))
-    co_return NotRun;
-  co_return co_await runNoted(Placement.Link, Request.Statement.Id, Text,
-                              Placement.After, Deadline);
+  co_return co_await runPlaced(Core, Request, Placement, std::move(Statement));
 }
 
 namespace {
@@ -277,7 +300,18 @@
 
 } // namespace
 
-void settle(session_core &Core, caller_session &Session, const request &Request,
+namespace {
+
+/// Whether the endpoint is to blame for a try that had no answer, and not the
+/// instance that should have run it.
+bool endpointFailed(relay_failure Failure) {
+  return Failure == relay_failure::None ||
+         Failure == relay_failure::EndpointLost;
+}
+
+} // namespace
+
+void settle(session_core &Core, caller_session &Session, request &Request,
             placement &Placement, const exchange &Exchange, bool Keep) {
   endpoint_pool &Pool = *Placement.Link.Pool;
   if (Exchange.Outcome == exchange_outcome::Answered) {
@@ -287,11 +321,23 @@
       Placement.Link.giveBack();
     return;
   }
+  // The next try does better without an owner that could not help.
+  Request.Direct = Placement.Failure != relay_failure::None &&
+                   Placement.Failure != relay_failure::NoConnection;
+  if (!endpointFailed(Placement.Failure))
+    return;
   Pool.noteFailure(base::now());
   Pool.closeIdle();
   Core.Ports.NoteTrouble(Pool.entry().Name);
 }
 
+bool mayRetry(const session_core &Core, const request &Request,
+              const placement &Last) {
+  const instant Now = base::now();
+  const bool Crowded = Last.Failure == relay_failure::NoConnection;
+  return Now < (Crowded ? patienceEnd(Core, Request) : Request.Deadline);
+}
+
 answer makeError(answer_error Error) {
   answer Answer;
   Answer.Error = std::move(Error);
--- /dev/null
+++ b/packages/session/src/relay_codec.cpp
@@ -0,0 +1,249 @@
+#include "redwinggw/base/enum_table.hpp"
+#include "redwinggw/session/statement_relay.hpp"
+#include "redwinggw/wire/signature.hpp"
+
+#include <cereal/archives/binary.hpp>
+
+#include <array>
+#include <limits>
+#include <sstream>
+#include <type_traits>
+
+/// The form of passed-on statements between instances.
+namespace redwinggw::session {
+namespace {
+
+/// Bumped when the form of a message changes; others are refused.
+constexpr std::uint8_t FormatVersion = 1;
+/// Callers' messages have at most 1 MiB; what is longer is damaged.
+constexpr std::uint64_t LongestText = std::uint64_t{2} << 20U;
+
+template <typename Archive> constexpr bool Reading = Archive::is_loading::value;
+
+/// Numbers that are mostly small take one byte for each seven bits.
+template <typename Archive> void transfer(Archive &Out, std::uint64_t Number) {
+  constexpr std::uint64_t More = 0x80;
+  constexpr unsigned Bits = 7;
+  while (Number >= More) {
+    Out(static_cast<std::uint8_t>((Number & (More - 1)) | More));
+    Number >>= Bits;
+  }
+  Out(static_cast<std::uint8_t>(Number));
+}
+
+std::uint64_t readNumber(cereal::BinaryInputArchive &In) {
+  constexpr std::uint8_t More = 0x80;
+  constexpr unsigned Bits = 7;
+  std::uint64_t Number = 0;
+  for (unsigned Shift = 0; Shift < std::numeric_limits<std::uint64_t>::digits;
+       Shift += Bits) {
+    std::uint8_t Byte = 0;
+    In(Byte);
+    Number |= static_cast<std::uint64_t>(Byte & (More - 1)) << Shift;
+    if ((Byte & More) == 0)
+      return Number;
+  }
+  throw cereal::Exception("a number is too long");
+}
+
+/// Writes and reads the fields of a message in one order.
+struct writer {
+  cereal::BinaryOutputArchive Archive;
+
+  void number(std::uint64_t Value) { transfer(Archive, Value); }
+  void text(const std::string &Value) {
+    number(Value.size());
+    Archive(cereal::binary_data(Value.data(), Value.size()));
+  }
+  template <typename Enum> void choice(Enum Value, Enum /*Last*/) {
+    Archive(static_cast<std::uint8_t>(Value));
+  }
+  void time(base::milliseconds Value) {
+    number(
+        static_cast<std::uint64_t>(std::max<std::int64_t>(0, Value.count())));
+  }
+  template <typename Value, typename Function>
+  void optional(const std::optional<Value> &Given, Function Transfer) {
+    Archive(Given.has_value());
+    if (Given)
+      Transfer(*Given);
+  }
+  void values(const session_values &Values) {
+    number(Values.size());
+    for (const auto &[Name, Value] : Values) {
+      text(Name);
+      text(Value);
+    }
+  }
+  void texts(const std::vector<std::string> &Texts) {
+    number(Texts.size());
+    for (const std::string &Text : Texts)
+      text(Text);
+  }
+};
+
+struct reader {
+  cereal::BinaryInputArchive Archive;
+
+  template <typename Number> void number(Number &Value) {
+    Value = static_cast<Number>(readNumber(Archive));
+  }
+  void text(std::string &Value) {
+    const std::uint64_t Length = readNumber(Archive);
+    if (Length > LongestText)
+      throw cereal::Exception("a text is too long");
+    Value.resize(Length);
+    Archive(cereal::binary_data(Value.data(), Length));
+  }
+  template <typename Enum> void choice(Enum &Value, Enum Last) {
+    std::uint8_t Number = 0;
+    Archive(Number);
+    if (Number > static_cast<std::uint8_t>(Last))
+      throw cereal::Exception("a choice is unknown");
+    Value = static_cast<Enum>(Number);
+  }
+  void time(base::milliseconds &Value) {
+    constexpr std::uint64_t Longest = 3'600'000;
+    const std::uint64_t Count = std::min(readNumber(Archive), Longest);
+    Value = base::milliseconds(static_cast<std::int64_t>(Count));
+  }
+  template <typename Value, typename Function>
+  void optional(std::optional<Value> &Given, Function Transfer) {
+    bool Has = false;
+    Archive(Has);
+    if (Has)
+      Transfer(Given.emplace());
+  }
+  void values(session_values &Values) {
+    const std::uint64_t Count = readNumber(Archive);
+    for (std::uint64_t Index = 0; Index < Count; ++Index) {
+      std::string Name;
+      text(Name);
+      text(Values[Name]);
+    }
+  }
+  void texts(std::vector<std::string> &Texts) {
+    const std::uint64_t Count = readNumber(Archive);
+    for (std::uint64_t Index = 0; Index < Count; ++Index)
+      text(Texts.emplace_back());
+  }
+};
+
+template <typename Side, typename Point>
+void transferPoint(Side &Ar, Point &Value) {
+  Ar.number(Value.Term);
+  Ar.number(Value.Position);
+}
+
+template <typename Side, typename Statement>
+void transferStatement(Side &Ar, Statement &Value) {
+  Ar.choice(Value.Action, link_action::Rollback);
+  Ar.text(Value.Id);
+  Ar.text(Value.Text);
+  Ar.optional(Value.Values, [&](auto &Values) { Ar.values(Values); });
+  Ar.text(Value.Prepared);
+  Ar.text(Value.Arguments);
+  Ar.optional(Value.After, [&](auto &Point) { transferPoint(Ar, Point); });
+  Ar.optional(Value.Right, [&](auto &Right) {
+    Ar.text(Right.Service);
+    Ar.text(Right.Endpoint);
+    Ar.number(Right.Epoch);
+  });
+}
+
+template <typename Side, typename Answer>
+void transferAnswer(Side &Ar, Answer &Value) {
+  Ar.optional(Value.Error, [&](auto &Error) {
+    Ar.choice(Error.Code, answer_code::TooLarge);
+    Ar.text(Error.Reason);
+  });
+  Ar.texts(Value.Rows);
+  Ar.text(Value.Signature);
+  Ar.choice(Value.State, transaction_state::Failed);
+  Ar.optional(Value.Point, [&](auto &Point) { transferPoint(Ar, Point); });
+}
+
+template <typename Side, typename Request>
+void transferMessage(Side &Ar, Request &Value)
+  requires std::is_same_v<std::remove_const_t<Request>, relay_request>
+{
+  Ar.text(Value.Endpoint);
+  Ar.text(Value.Customer);
+  transferStatement(Ar, Value.Statement);
+  Ar.time(Value.TimeLeft);
+  Ar.time(Value.Patience);
+}
+
+template <typename Side, typename Reply>
+void transferMessage(Side &Ar, Reply &Value)
+  requires std::is_same_v<std::remove_const_t<Reply>, relay_reply>
+{
+  Ar.choice(Value.Failure, relay_failure::EndpointLost);
+  Ar.choice(Value.Exchange.Outcome, exchange_outcome::TimedOut);
+  transferAnswer(Ar, Value.Exchange.Answer);
+  Ar.number(Value.Load);
+}
+
+template <typename Message>
+std::string encode(std::string_view Secret, const Message &Value) {
+  std::ostringstream Stream;
+  writer Writer{cereal::BinaryOutputArchive(Stream)};
+  Writer.Archive(FormatVersion);
+  transferMessage(Writer, Value);
+  return wire::sign(Secret, std::move(Stream).str());
+}
+
+template <typename Message>
+std::optional<Message> decode(std::string_view Secret, std::string_view Bytes) {
+  const auto Payload = wire::verify(Secret, Bytes);
+  if (!Payload)
+    return std::nullopt;
+  try {
+    std::istringstream Stream{std::string(*Payload)};
+    reader Reader{cereal::BinaryInputArchive(Stream)};
+    std::uint8_t Format = 0;
+    Reader.Archive(Format);
+    if (Format != FormatVersion)
+      return std::nullopt;
+    Message Value;
+    transferMessage(Reader, Value);
+    return Value;
+  } catch (const cereal::Exception &) {
+    return std::nullopt;
+  }
+}
+
+constexpr std::array FailureNames =
+    std::to_array<base::enum_name<relay_failure>>({
+        {relay_failure::None, "none"},
+        {relay_failure::OwnerLost, "owner_lost"},
+        {relay_failure::NoConnection, "no_connection"},
+        {relay_failure::Refused, "refused"},
+        {relay_failure::EndpointLost, "endpoint_lost"},
+    });
+
+} // namespace
+
+std::string encodeRequest(std::string_view Secret, const relay_request &Value) {
+  return encode(Secret, Value);
+}
+
+std::string encodeReply(std::string_view Secret, const relay_reply &Value) {
+  return encode(Secret, Value);
+}
+
+std::optional<relay_request> decodeRequest(std::string_view Secret,
+                                           std::string_view Bytes) {
+  return decode<relay_request>(Secret, Bytes);
+}
+
+std::optional<relay_reply> decodeReply(std::string_view Secret,
+                                       std::string_view Bytes) {
+  return decode<relay_reply>(Secret, Bytes);
+}
+
+std::string_view relayFailureName(relay_failure Failure) {
+  return base::nameOf(FailureNames, Failure);
+}
+
+} // namespace redwinggw::session
--- /dev/null
+++ b/packages/session/src/relay_links.cpp
@@ -0,0 +1,226 @@
+#include "redwinggw/session/relay_links.hpp"
+
+#include "frame_stream.hpp"
+
+#include "redwinggw/base/log.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <list>
+#include <map>
+#include <optional>
+
+namespace redwinggw::session {
+namespace {
+
+namespace asio = boost::asio;
+using base::instant;
+using base::milliseconds;
+
+constexpr auto Token = asio::as_tuple(asio::use_awaitable);
+/// An instance that left a statement without an answer is passed over for so
+/// long; by then its heartbeats tell whether it is up.
+constexpr milliseconds LostPause{1000};
+/// A connection between instances is there within a few round trips.
+constexpr milliseconds ConnectTime{200};
+/// The owner gives up so much before the caller's instance does, so that an
+/// endpoint that is late can be told from an owner that is.
+constexpr milliseconds AnswerMargin{40};
+
+milliseconds spanTo(instant Until) {
+  const auto Left = std::chrono::floor<milliseconds>(Until - base::now());
+  return std::max(Left, milliseconds(0));
+}
+
+} // namespace
+
+struct relay_links::state : std::enable_shared_from_this<state> {
+  /// What is known of one owner.
+  struct way {
+    relay_owner Owner;
+    std::list<frame_stream> Idle;
+    std::optional<instant> LostAt;
+  };
+
+  state(asio::any_io_executor Executor, deadline_watch &Watch,
+        std::string Secret)
+      : Executor(std::move(Executor)), Watch(Watch), Secret(std::move(Secret)) {
+  }
+
+  class link;
+
+  std::optional<frame_stream> takeIdle(way &Way);
+  base::task<std::optional<frame_stream>> connect(way &Way, instant Deadline);
+  void noteLost(way &Way, std::string_view What);
+
+  asio::any_io_executor Executor;
+  deadline_watch &Watch;
+  std::string Secret;
+  std::map<base::instance_name, std::shared_ptr<way>, std::less<>> Ways;
+};
+
+std::optional<frame_stream> relay_links::state::takeIdle(way &Way) {
+  while (!Way.Idle.empty()) {
+    frame_stream Stream = std::move(Way.Idle.front());
+    Way.Idle.pop_front();
+    if (Stream.isQuiet())
+      return Stream;
+  }
+  return std::nullopt;
+}
+
+base::task<std::optional<frame_stream>>
+relay_links::state::connect(way &Way, instant Deadline) {
+  boost::system::error_code Bad;
+  const auto Host = asio::ip::make_address(Way.Owner.Address.Host, Bad);
+  if (Bad)
+    co_return std::nullopt;
+  asio::ip::tcp::socket Socket(Executor);
+  const instant Latest = std::min(Deadline, base::now() + ConnectTime);
+  const deadline_guard Guard(Watch, Latest, [&Socket] {
+    boost::system::error_code Ignored;
+    Socket.close(Ignored);
+  });
+  const asio::ip::tcp::endpoint To(Host, Way.Owner.Address.Port);
+  const auto [Error] = co_await Socket.async_connect(To, Token);
+  if (Error || Guard.expired())
+    co_return std::nullopt;
+  co_return frame_stream(std::move(Socket));
+}
+
+void relay_links::state::noteLost(way &Way, std::string_view What) {
+  Way.LostAt = base::now();
+  // The network may have lost track of the other connections as well.
+  Way.Idle.clear();
+  base::logEvent(base::log_level::Warning, base::log_part::Peers, "owner_lost",
+                 {{"owner", Way.Owner.Name}, {"reason", std::string(What)}});
+}
+
+/// A statement's way over TCP; one connection serves it until its transaction
+/// ends.
+class relay_links::state::link final : public relay_link {
+public:
+  link(std::shared_ptr<state> Links, std::shared_ptr<way> To,
+       base::endpoint_name Endpoint, base::customer_name Customer)
+      : Links(std::move(Links)), To(std::move(To)),
+        Endpoint(std::move(Endpoint)), Customer(std::move(Customer)) {}
+
+  base::task<relay_reply> run(const link_statement &Statement,
+                              instant WaitUntil, instant Deadline) override;
+  std::string_view owner() const override { return To->Owner.Name; }
+
+private:
+  base::task<bool> open(instant Deadline);
+  std::string requestFor(const link_statement &Statement, instant WaitUntil,
+                         instant Deadline) const;
+  base::task<std::optional<relay_reply>> converse(std::string Bytes);
+
+  std::shared_ptr<state> Links;
+  std::shared_ptr<way> To;
+  base::endpoint_name Endpoint;
+  base::customer_name Customer;
+  std::optional<frame_stream> Stream;
+};
+
+base::task<bool> relay_links::state::link::open(instant Deadline) {
+  if (Stream)
+    co_return true;
+  Stream = Links->takeIdle(*To);
+  if (!Stream) {
+    auto Connected = co_await Links->connect(*To, Deadline);
+    if (Connected)
+      Stream.emplace(std::move(*Connected));
+  }
+  co_return Stream.has_value();
+}
+
+std::string
+relay_links::state::link::requestFor(const link_statement &Statement,
+                                     instant WaitUntil,
+                                     instant Deadline) const {
+  relay_request Request;
+  Request.Endpoint = Endpoint;
+  Request.Customer = Customer;
+  Request.Statement = Statement;
+  Request.TimeLeft = spanTo(Deadline - AnswerMargin);
+  Request.Patience = spanTo(WaitUntil);
+  return encodeRequest(Links->Secret, Request);
+}
+
+base::task<std::optional<relay_reply>>
+relay_links::state::link::converse(std::string Bytes) {
+  const bool Sent = co_await Stream->send(Bytes);
+  if (!Sent)
+    co_return std::nullopt;
+  const auto Answer = co_await Stream->next();
+  if (!Answer)
+    co_return std::nullopt;
+  co_return decodeReply(Links->Secret, *Answer);
+}
+
+base::task<relay_reply>
+relay_links::state::link::run(const link_statement &Statement,
+                              instant WaitUntil, instant Deadline) {
+  relay_reply Lost;
+  Lost.Failure = relay_failure::OwnerLost;
+  const bool Opened = co_await open(Deadline);
+  if (!Opened) {
+    Links->noteLost(*To, "cannot connect");
+    co_return Lost;
+  }
+  const deadline_guard Guard(Links->Watch, Deadline,
+                             [this] { Stream->close(); });
+  std::string Bytes = requestFor(Statement, WaitUntil, Deadline);
+  auto Reply = co_await converse(std::move(Bytes));
+  if (!Reply) {
+    Stream.reset();
+    Links->noteLost(*To, Guard.expired() ? "no answer" : "broke off");
+    // It was sent, at least in part, and may have run.
+    Lost.Exchange.Outcome =
+        Guard.expired() ? exchange_outcome::TimedOut : exchange_outcome::Broken;
+    co_return Lost;
+  }
+  const bool Held = Reply->Exchange.Outcome == exchange_outcome::Answered &&
+                    Reply->Exchange.Answer.State != transaction_state::Idle;
+  if (!Held && !Guard.expired()) {
+    To->Idle.push_front(std::move(*Stream));
+    Stream.reset();
+  }
+  co_return std::move(*Reply);
+}
+
+relay_links::relay_links(asio::any_io_executor Executor, deadline_watch &Watch,
+                         std::string Secret)
+    : State(std::make_shared<state>(std::move(Executor), Watch,
+                                    std::move(Secret))) {}
+
+relay_links::~relay_links() = default;
+
+bool relay_links::isUsable(std::string_view Owner, instant Now) const {
+  const auto Found = State->Ways.find(Owner);
+  return Found == State->Ways.end() || !Found->second->LostAt ||
+         Now - *Found->second->LostAt > LostPause;
+}
+
+std::unique_ptr<relay_link> relay_links::to(const relay_owner &Owner,
+                                            base::endpoint_name Endpoint,
+                                            base::customer_name Customer) {
+  auto &Way = State->Ways[Owner.Name];
+  if (!Way || Way->Owner.Address != Owner.Address) {
+    // A new process under the name, or the first statement for this owner.
+    Way = std::make_shared<state::way>();
+    Way->Owner = Owner;
+  }
+  return std::make_unique<state::link>(State, Way, std::move(Endpoint),
+                                       std::move(Customer));
+}
+
+void relay_links::closeIdle(std::string_view Owner) {
+  const auto Found = State->Ways.find(Owner);
+  if (Found != State->Ways.end())
+    Found->second->Idle.clear();
+}
+
+} // namespace redwinggw::session
--- a/packages/session/src/session_core.cpp
+++ b/packages/session/src/session_core.cpp
@@ -80,7 +80,7 @@
                                   Request.Statement.Operand);
   if (Session.Transaction && Session.Transaction->Link) {
     pooled_link &Link = *Session.Transaction->Link;
-    if (!co_await prepareLink(Link, Session, Request.Deadline)) {
+    if (!co_await prepareLink(Link, Session.Values, Request.Deadline)) {
       Session.Transaction->Failed = true;
       Session.Transaction->Pool->discard(std::move(Session.Transaction->Link));
       co_return makeError(answer_code::Aborted,
--- a/packages/session/src/single_statement.cpp
+++ b/packages/session/src/single_statement.cpp
@@ -110,7 +110,7 @@
     auto Answer = answerToTry(Core, Request, *Placement, Last);
     if (Answer)
       co_return std::move(*Answer);
-    if (base::now() >= Request.Deadline)
+    if (!mayRetry(Core, Request, *Placement))
       break;
   }
   co_return finalAnswer(Core, Request, Last);
--- a/packages/session/src/transaction.cpp
+++ b/packages/session/src/transaction.cpp
@@ -19,15 +19,14 @@
 
 /// Begins the transaction on \p Placement's endpoint.
 base::task<exchange> beginOn(session_core &Core, caller_session &Session,
-                             placement &Placement, bool ReadOnly) {
-  pooled_link &Link = *Placement.Link.Link;
-  if (!co_await prepareLink(Link, Session, Placement.TryDeadline))
-    co_return exchange();
-  if (Placement.Right && !Core.Ports.StillHolds(*Placement.Right))
-    co_return exchange();
-  const std::string Text = Link.Link->beginText(ReadOnly);
-  co_return co_await runNoted(Placement.Link, {}, Text, Placement.After,
-                              Placement.TryDeadline);
+                             request &Request, placement &Placement,
+                             bool ReadOnly) {
+  link_statement Statement;
+  Statement.Action = ReadOnly ? link_action::BeginReadOnly : link_action::Begin;
+  Statement.Values = Session.Values;
+  Statement.After = Placement.After;
+  Statement.Right = Placement.Right;
+  co_return co_await runPlaced(Core, Request, Placement, std::move(Statement));
 }
 
 bool isOpened(const exchange &Exchange) {
@@ -48,8 +47,8 @@
     if (!Placement)
       co_return false;
     ++Request.Tries;
-    const exchange Begun =
-        co_await beginOn(Core, Session, *Placement, Transaction.ReadOnly);
+    const exchange Begun = co_await beginOn(Core, Session, Request, *Placement,
+                                            Transaction.ReadOnly);
     const bool Opened = isOpened(Begun);
     Request.LastTrouble =
         Placement->Link.Pool->entry().Name + " did not begin the transaction";
@@ -60,7 +59,7 @@
       Transaction.Right = Placement->Right;
       co_return true;
     }
-    if (base::now() >= Request.Deadline)
+    if (!mayRetry(Core, Request, *Placement))
       co_return false;
   }
   co_return false;
@@ -83,12 +82,23 @@
   Transaction.Link = std::move(Placement.Link.Link);
 }
 
+base::task<exchange> runOnEither(pooled_link &Link,
+                                 const link_statement &Statement,
+                                 base::instant Deadline) {
+  if (!Link.Relay)
+    co_return co_await runOnLink(Link, Statement, {}, Deadline);
+  relay_reply Reply = co_await Link.Relay->run(Statement, Deadline, Deadline);
+  co_return std::move(Reply.Exchange);
+}
+
 /// Rolls back on a connection and gives it back, or closes it.
 base::task<void> rollbackOn(leased_link Link) {
   if (!Link)
     co_return;
-  const exchange Ended = co_await (*Link).run(
-      {}, (*Link).rollbackText(), std::nullopt, base::now() + RollbackTime);
+  link_statement Statement;
+  Statement.Action = link_action::Rollback;
+  const exchange Ended =
+      co_await runOnEither(*Link.Link, Statement, base::now() + RollbackTime);
   if (isOpened(Ended) && Ended.Answer.State == transaction_state::Idle)
     Link.giveBack();
 }
@@ -194,9 +204,12 @@
   Request.Writes = !Transaction.ReadOnly;
   placement Placement = takePlacement(Transaction, Request);
   Session.Transaction.reset();
+  link_statement Statement;
+  Statement.Id = Request.Statement.Id;
+  Statement.Text = Request.Statement.Text;
+  Statement.Right = Placement.Right;
   exchange Done =
-      co_await runNoted(Placement.Link, Request.Statement.Id,
-                        Request.Statement.Text, std::nullopt, Request.Deadline);
+      co_await runPlaced(Core, Request, Placement, std::move(Statement));
   settle(Core, Session, Request, Placement, Done, false);
   const bool Trusted =
       !Placement.Right || Core.Ports.StillHolds(*Placement.Right);
--- a/tests/session/fake_endpoint.hpp
+++ b/tests/session/fake_endpoint.hpp
@@ -144,9 +144,13 @@
 
 /// A core before one service "s" with the endpoints p (primary), r1 and r2.
 struct bench_core {
-  bench_core()
-      : Set(Context.get_executor(), "z1",
-            [this] { return std::make_unique<fake_link>(Group); }),
+  bench_core() : bench_core(OwnContext, OwnGroup) {}
+
+  /// A core that shares its loop and its endpoints with others.
+  bench_core(boost::asio::io_context &Context, fake_group &Group)
+      : Context(Context), Group(Group),
+        Set(Context.get_executor(), "z1",
+            [&Group] { return std::make_unique<fake_link>(Group); }),
         Core(Set) {
     std::vector<endpoint_entry> Entries;
     for (const char *Name : {"p", "r1", "r2"}) {
@@ -205,24 +209,28 @@
     return OpenError && OpenError->Code == Code;
   }
 
-  /// Runs one statement to its answer.
+  /// Runs one statement to its answer, and the loop until it is idle. A shared
+  /// loop has work for ever: it is left with the answer.
   answer run(caller_session &Session, statement_kind Kind, std::string Text,
              std::string Name = {}, std::string Operand = {}) {
     statement Statement{"id" + std::to_string(++LastId), Kind, std::move(Text),
                         std::move(Name), std::move(Operand)};
     Statement.Writes = Statement.Operand.starts_with("WRITE");
-    answer Answer;
+    std::optional<answer> Answer;
     boost::asio::co_spawn(
         Context,
         [](bench_core &Self, caller_session &Session, statement Statement,
-           answer &Answer) -> base::task<void> {
+           std::optional<answer> &Answer) -> base::task<void> {
           Answer = co_await serve(Self.Core, Session, std::move(Statement),
                                   base::now());
         }(*this, Session, std::move(Statement), Answer),
         boost::asio::detached);
     Context.restart();
-    Context.run();
-    return Answer;
+    if (&Context == &OwnContext)
+      Context.run();
+    while (!Answer && Context.run_one() != 0) {
+    }
+    return Answer.value();
   }
   answer read(caller_session &Session) {
     return run(Session, statement_kind::Read, "READ x");
@@ -231,8 +239,10 @@
     return run(Session, statement_kind::Write, "WRITE x 1");
   }
 
-  boost::asio::io_context Context;
-  fake_group Group;
+  boost::asio::io_context OwnContext;
+  fake_group OwnGroup;
+  boost::asio::io_context &Context;
+  fake_group &Group;
   endpoint_set Set;
   session_core Core;
   route_table_ptr Routes;
--- /dev/null
+++ b/tests/session/relay_codec_test.cpp
@@ -0,0 +1,116 @@
+#include "redwinggw/session/statement_relay.hpp"
+#include "redwinggw/wire/signature.hpp"
+
+#include <random>
+#include <string>
+
+#include "criterion_test.hpp"
+
+using namespace redwinggw;
+using namespace redwinggw::session;
+
+namespace {
+
+const std::string Secret = "the fleet's secret";
+
+relay_request fullRequest() {
+  relay_request Request;
+  Request.Endpoint = "i-1";
+  Request.Customer = "acme";
+  Request.Statement.Action = link_action::Caller;
+  Request.Statement.Id = "5c0e7a21";
+  Request.Statement.Text = "READ 1a4";
+  Request.Statement.Values = session_values{{"zone", "east"}, {"a", ""}};
+  Request.Statement.Prepared = "WRITE q2c";
+  Request.Statement.Arguments = "1a4 xkq";
+  Request.Statement.After = log_point{3, 70'000};
+  Request.Statement.Right = primary_right{"s", "i-1", 12};
+  Request.TimeLeft = base::milliseconds(480);
+  Request.Patience = base::milliseconds(30);
+  return Request;
+}
+
+relay_reply fullReply() {
+  relay_reply Reply;
+  Reply.Failure = relay_failure::None;
+  Reply.Exchange.Outcome = exchange_outcome::Answered;
+  Reply.Exchange.Answer.Rows = {"qhz", "", std::string(70'000, 'x')};
+  Reply.Exchange.Answer.Signature = "7.1f3.c";
+  Reply.Exchange.Answer.State = transaction_state::Open;
+  Reply.Exchange.Answer.Point = log_point{3, 300};
+  Reply.Load = 700;
+  return Reply;
+}
+
+} // namespace
+
+Test(relay_codec, keeps_a_request) {
+  const auto Read = decodeRequest(Secret, encodeRequest(Secret, fullRequest()));
+  cr_assert(Read);
+  const link_statement &Statement = Read->Statement;
+  cr_assert(Read->Endpoint == "i-1" && Read->Customer == "acme");
+  cr_assert(Statement.Id == "5c0e7a21" && Statement.Text == "READ 1a4");
+  cr_assert(Statement.Values == fullRequest().Statement.Values);
+  cr_assert(Statement.Prepared == "WRITE q2c");
+  cr_assert(Statement.Arguments == "1a4 xkq");
+  cr_assert(Statement.After == log_point({3, 70'000}));
+  cr_assert(Statement.Right == primary_right({"s", "i-1", 12}));
+  cr_assert(Read->TimeLeft == base::milliseconds(480));
+  cr_assert(Read->Patience == base::milliseconds(30));
+}
+
+Test(relay_codec, keeps_a_reply) {
+  const auto Read = decodeReply(Secret, encodeReply(Secret, fullReply()));
+  cr_assert(Read && Read->Load == 700);
+  const answer &Answer = Read->Exchange.Answer;
+  cr_assert(Answer.Rows == fullReply().Exchange.Answer.Rows);
+  cr_assert(Answer.Signature == "7.1f3.c" && !Answer.Error);
+  cr_assert(Answer.State == transaction_state::Open);
+  cr_assert(Answer.Point == log_point({3, 300}));
+}
+
+Test(relay_codec, keeps_an_error) {
+  relay_reply Reply;
+  Reply.Exchange.Outcome = exchange_outcome::Answered;
+  Reply.Exchange.Answer.Error = answer_error{answer_code::TooLarge, "a reason"};
+  const auto Read = decodeReply(Secret, encodeReply(Secret, Reply));
+  cr_assert(Read && Read->Exchange.Answer.Error);
+  cr_assert(Read->Exchange.Answer.Error->Code == answer_code::TooLarge);
+  cr_assert(Read->Exchange.Answer.Error->Reason == "a reason");
+}
+
+// Anybody who reaches the port could otherwise run statements as any customer.
+Test(relay_codec, refuses_another_secret) {
+  cr_assert(!decodeRequest("guessed", encodeRequest(Secret, fullRequest())));
+  cr_assert(!decodeReply("guessed", encodeReply(Secret, fullReply())));
+}
+
+Test(relay_codec, refuses_what_was_cut_or_changed) {
+  const std::string Bytes = encodeRequest(Secret, fullRequest());
+  for (std::size_t Length = 0; Length < Bytes.size(); ++Length)
+    cr_assert(!decodeRequest(Secret, Bytes.substr(0, Length)));
+  for (std::size_t At = 0; At < Bytes.size(); ++At) {
+    std::string Changed = Bytes;
+    Changed[At] = static_cast<char>(Changed[At] ^ 0x20);
+    cr_assert(!decodeRequest(Secret, Changed));
+  }
+}
+
+// An instance of another version signs rightly but speaks otherwise: whatever
+// its bytes say, reading them must end, in bounded memory.
+Test(relay_codec, survives_signed_nonsense) {
+  std::mt19937 Random(4711);
+  const std::string SignedRequest = encodeRequest(Secret, fullRequest());
+  const std::string SignedReply = encodeReply(Secret, fullReply());
+  const std::string Request(*wire::verify(Secret, SignedRequest));
+  const std::string Reply(*wire::verify(Secret, SignedReply));
+  for (unsigned Round = 0; Round < 3000; ++Round) {
+    std::string Payload = Round % 2 == 0 ? Request : Reply;
+    const std::size_t At = Random() % Payload.size();
+    Payload[At] = static_cast<char>(Random());
+    Payload.resize(Payload.size() - Random() % 3);
+    const std::string Bytes = wire::sign(Secret, std::move(Payload));
+    decodeRequest(Secret, Bytes);
+    decodeReply(Secret, Bytes);
+  }
+}
--- /dev/null
+++ b/tests/session/relay_test.cpp
@@ -0,0 +1,239 @@
+#include "redwinggw/session/relay_host.hpp"
+#include "redwinggw/session/relay_links.hpp"
+
+#include "fake_endpoint.hpp"
+
+#include <algorithm>
+#include <deque>
+#include <set>
+
+#include "criterion_test.hpp"
+
+using namespace redwinggw;
+using namespace redwinggw::session;
+using namespace redwinggw::session::testing;
+
+namespace {
+
+constexpr std::string_view Secret = "secret";
+
+/// An owner of all endpoints and instances that pass their statements on to
+/// it, over real connections, in one loop.
+struct relay_fleet {
+  explicit relay_fleet(std::size_t Instances = 1)
+      : Owner(Context, Group),
+        Server(Context.get_executor(), Owner.Core, std::string(Secret)) {
+    Address = Server.listen({"127.0.0.1", 0}).value();
+    for (std::size_t Index = 0; Index < Instances; ++Index)
+      add();
+  }
+  ~relay_fleet() {
+    Server.stop();
+    Context.poll();
+  }
+
+  void add() {
+    bench_core &Instance = Instances.emplace_back(Context, Group);
+    Links.push_back(std::make_unique<relay_links>(
+        Context.get_executor(), Instance.Set.Watch, std::string(Secret)));
+    Instance.Core.Ports.Relay =
+        [this, Via = Links.back().get()](
+            const endpoint_entry &Entry,
+            std::string_view Customer) -> std::unique_ptr<relay_link> {
+      if (!Via->isUsable("owner", base::now()))
+        return nullptr;
+      return Via->to({"owner", Address}, Entry.Name, std::string(Customer));
+    };
+  }
+
+  bench_core &first() { return Instances.front(); }
+
+  boost::asio::io_context Context;
+  fake_group Group;
+  bench_core Owner;
+  relay_server Server;
+  http::address Address;
+  std::deque<bench_core> Instances;
+  std::deque<std::unique_ptr<relay_links>> Links;
+};
+
+bool failedWith(const answer &Answer, answer_code Code) {
+  return Answer.Error && Answer.Error->Code == Code;
+}
+
+std::size_t connectionsOf(const fake_group &Group) {
+  std::set<std::size_t> Numbers;
+  for (const seen_statement &Statement : Group.Seen)
+    Numbers.insert(Statement.Connection);
+  return Numbers.size();
+}
+
+} // namespace
+
+// Callers at nine instances, of two customers, write and read in turn. Each
+// customer needs a connection to an endpoint, and not each instance one for
+// each customer: that would be eighteen to the primary alone.
+Test(relay, serves_many_instances_over_few_connections) {
+  relay_fleet Fleet(9);
+  constexpr unsigned Rounds = 20;
+  for (unsigned Round = 0; Round < Rounds; ++Round)
+    for (bench_core &Instance : Fleet.Instances)
+      for (const char *Key : {"key", "key2"}) {
+        caller_session Session = Instance.open("own", Key);
+        cr_assert(!Instance.write(Session).Error);
+        cr_assert(!Instance.read(Session).Error);
+      }
+  cr_assert(Fleet.Group.callersOwn().size() == 9 * 2 * 2 * Rounds);
+  cr_assert(Fleet.Group.Connections <= 2 * 3);
+  for (const seen_statement &Statement : Fleet.Group.Seen)
+    cr_assert(Statement.Customer == "acme" || Statement.Customer == "bolt");
+}
+
+// A session's values and prepared statements go with each of its statements,
+// and another session's never show.
+Test(relay, sets_up_the_session_where_the_connection_is) {
+  relay_fleet Fleet;
+  bench_core &Instance = Fleet.first();
+  caller_session First = Instance.open("strict");
+  caller_session Second = Instance.open("strict");
+  Instance.run(First, statement_kind::Set, "SET a 1", "a", "1");
+  Instance.run(First, statement_kind::Prepare, "PREPARE s READ q", "s",
+               "READ q");
+  cr_assert(!Instance.read(First).Error);
+  cr_assert(!Instance.read(Second).Error);
+  cr_assert(
+      !Instance.run(First, statement_kind::Execute, "EXECUTE s 1", "s", "1")
+           .Error);
+  std::vector<std::string> Texts;
+  std::ranges::transform(Fleet.Group.Seen, std::back_inserter(Texts),
+                         &seen_statement::Text);
+  cr_assert(Texts == std::vector<std::string>(
+                         {"SET a 1", "READ x", "RESET", "READ x", "SET a 1",
+                          "PREPARE p1 READ q", "EXECUTE p1 1"}));
+}
+
+Test(relay, keeps_a_transaction_on_one_connection) {
+  relay_fleet Fleet(2);
+  bench_core &Instance = Fleet.first();
+  bench_core &Other = Fleet.Instances.back();
+  caller_session Session = Instance.open("own");
+  caller_session Beside = Other.open("own");
+  Instance.run(Session, statement_kind::Begin, "BEGIN");
+  cr_assert(!Instance.write(Session).Error);
+  cr_assert(!Other.write(Beside).Error);
+  cr_assert(!Instance.read(Session).Error);
+  const answer Done = Instance.run(Session, statement_kind::Commit, "COMMIT");
+  cr_assert(!Done.Error && Done.Signature == "proof");
+  std::vector<std::size_t> Own;
+  std::vector<std::size_t> Others;
+  for (const seen_statement &Statement : Fleet.Group.Seen)
+    (Statement.Text == "WRITE x 1" && Own.size() > 1 && Others.empty() ? Others
+                                                                       : Own)
+        .push_back(Statement.Connection);
+  cr_assert(Own.size() == 4 && Others.size() == 1);
+  cr_assert(std::ranges::count(Own, Own.front()) == 4);
+  cr_assert(Others.front() != Own.front());
+  cr_assert(Fleet.Server.leases() == 0);
+}
+
+// A user pays. The owner passes the payment on and dies before its answer is
+// there: the payment may have run. It must not be sent again, by another way
+// either, nor be called "not run".
+Test(relay, never_repeats_a_write_whose_owner_went) {
+  relay_fleet Fleet;
+  bench_core &Instance = Fleet.first();
+  Fleet.Group.Script = [&](const seen_statement &) -> std::optional<exchange> {
+    Fleet.Server.stop();
+    return std::nullopt;
+  };
+  caller_session Session = Instance.open("strict");
+  cr_assert(failedWith(Instance.write(Session), answer_code::InDoubt));
+  cr_assert(Fleet.Group.callersOwn().size() == 1);
+}
+
+// The same for a read: its caller sees nothing of it.
+Test(relay, repeats_a_read_whose_owner_went) {
+  relay_fleet Fleet;
+  bench_core &Instance = Fleet.first();
+  caller_session Session = Instance.open("strict");
+  bool Stopped = false;
+  Fleet.Group.Script = [&](const seen_statement &) -> std::optional<exchange> {
+    if (!std::exchange(Stopped, true))
+      Fleet.Server.stop();
+    return std::nullopt;
+  };
+  cr_assert(!Instance.read(Session).Error);
+  cr_assert(Fleet.Group.callersOwn().size() == 2);
+}
+
+// The owner was stopped, and the list does not tell yet. A write that could
+// not be handed over has not run: the caller's instance goes to the endpoint
+// itself.
+Test(relay, goes_to_the_endpoint_itself_when_the_owner_is_gone) {
+  relay_fleet Fleet;
+  bench_core &Instance = Fleet.first();
+  Fleet.Server.stop();
+  caller_session Session = Instance.open("strict");
+  cr_assert(!Instance.write(Session).Error);
+  cr_assert(Fleet.Group.callersOwn().size() == 1);
+  cr_assert(!Fleet.Links.front()->isUsable("owner", base::now()));
+}
+
+// A write waits at the owner while the primary is replaced, and the owner knows
+// already: it must not reach the old primary any more.
+Test(relay, does_not_send_to_a_primary_that_the_owner_knows_replaced) {
+  relay_fleet Fleet;
+  bench_core &Instance = Fleet.first();
+  Fleet.Owner.Right = primary_right{"s", "r1", 2};
+  caller_session Session = Instance.open("strict");
+  Instance.write(Session);
+  for (const seen_statement &Statement : Fleet.Group.callersOwn())
+    cr_assert(Statement.Connection != 0);
+  cr_assert(Fleet.Owner.Set.Pools.at("p")->connects() == 0);
+}
+
+// The primary is replaced while a passed-on write is under way. The owner has
+// the answer; the caller's instance must not pass it on as a success.
+Test(relay, does_not_acknowledge_a_write_of_a_replaced_primary) {
+  relay_fleet Fleet;
+  bench_core &Instance = Fleet.first();
+  Fleet.Group.Script = [&](const seen_statement &) -> std::optional<exchange> {
+    Instance.Right = primary_right{"s", "r1", 2};
+    return std::nullopt;
+  };
+  caller_session Session = Instance.open("strict");
+  cr_assert(failedWith(Instance.write(Session), answer_code::InDoubt));
+}
+
+// An instance dies with a transaction open. Its connection at the owner is
+// closed, which rolls back, and is never given to another session.
+Test(relay, rolls_back_for_an_instance_that_went) {
+  relay_fleet Fleet(2);
+  caller_session Left = Fleet.first().open("strict");
+  Fleet.first().run(Left, statement_kind::Begin, "BEGIN");
+  cr_assert(!Fleet.first().write(Left).Error);
+  const std::size_t Abandoned = Fleet.Group.Seen.back().Connection;
+  cr_assert(Fleet.Server.leases() == 1);
+  Left.Transaction.reset();
+  while (Fleet.Server.leases() != 0)
+    Fleet.Context.run_one();
+  bench_core &Other = Fleet.Instances.back();
+  caller_session Session = Other.open("strict");
+  cr_assert(!Other.write(Session).Error);
+  cr_assert(Fleet.Group.Seen.back().Connection != Abandoned);
+  cr_assert(connectionsOf(Fleet.Group) == 2);
+}
+
+Test(relay, gives_the_connection_back_after_a_rollback) {
+  relay_fleet Fleet;
+  bench_core &Instance = Fleet.first();
+  caller_session Session = Instance.open("strict");
+  for (unsigned Round = 0; Round < 3; ++Round) {
+    Instance.run(Session, statement_kind::Begin, "BEGIN");
+    cr_assert(!Instance.write(Session).Error);
+    cr_assert(
+        !Instance.run(Session, statement_kind::Rollback, "ROLLBACK").Error);
+    cr_assert(Fleet.Server.leases() == 0);
+  }
+  cr_assert(Fleet.Group.Connections == 1);
+}
