Queue for an endpoint's slots at its owner; refuse at once what would be late

Up to 23 statements waited inside the database, all equally long: median 226 ms there where callers aim at 250, 6,300 refusals after the wait. Change: the owner sends as many statements as there are slots, and one. The others wait by level (open transactions first, then by the route's priority, one turn in eight for the lowest) and within a level by what their customers used; whoever's turn would come after half of its aimed latency is refused at once. An endpoint that left all unanswered takes no more that would wait. Replies tell the owner's load, which routing goes by, and the time at the endpoint. Test first: slot_queue_test plays the load (1.33 of the slots).

--- a/packages/data/include/redwinggw/data/fair_queue.hpp
+++ b/packages/data/include/redwinggw/data/fair_queue.hpp
@@ -51,6 +51,9 @@
   std::size_t Size = 0;
 };
 
+/// Slot time that the waiting requests are expected to take.
+base::microseconds queuedWork(const fair_queue &Queue);
+
 /// Time after which a new request of \p Customer is expected to start, with
 /// \p Width requests running at once.
 base::microseconds expectedWait(const fair_queue &Queue,
--- a/packages/data/src/fair_queue.cpp
+++ b/packages/data/src/fair_queue.cpp
@@ -22,13 +22,6 @@
                   std::chrono::ceil<base::milliseconds>(Wait));
 }
 
-base::microseconds queuedWork(const fair_queue &Queue) {
-  base::microseconds Work{0};
-  for (const auto &[Name, Own] : Queue.Customers)
-    Work += Own.Cost * Own.Waiting.size();
-  return Work;
-}
-
 std::optional<queue_ticket> dequeueFirst(fair_queue &Queue) {
   if (Queue.Arrivals.empty())
     return std::nullopt;
@@ -47,6 +40,13 @@
 
 } // namespace
 
+base::microseconds queuedWork(const fair_queue &Queue) {
+  base::microseconds Work{0};
+  for (const auto &[Name, Own] : Queue.Customers)
+    Work += Own.Cost * Own.Waiting.size();
+  return Work;
+}
+
 base::microseconds expectedWait(const fair_queue &Queue,
                                 std::string_view Customer, std::size_t Width) {
   const auto Places =
--- a/packages/redwinggw/src/native_instance.cpp
+++ b/packages/redwinggw/src/native_instance.cpp
@@ -192,8 +192,8 @@
     State.OwnSamples.insert_or_assign(Right.Service, Sample);
   };
   Ports.Relay = [&State](const session::endpoint_entry &Entry,
-                         std::string_view Customer) {
-    return relayTo(State, Entry, Customer);
+                         std::string_view Customer, unsigned Priority) {
+    return relayTo(State, Entry, Customer, Priority);
   };
   Ports.NoteTrouble = [](std::string_view) {};
   return Ports;
--- a/packages/redwinggw/src/native_relay.cpp
+++ b/packages/redwinggw/src/native_relay.cpp
@@ -122,7 +122,7 @@
 
 std::unique_ptr<session::relay_link>
 relayTo(native_state &State, const session::endpoint_entry &Entry,
-        std::string_view Customer) {
+        std::string_view Customer, unsigned Priority) {
   if (isOwn(State, Entry.Name) || !State.RelayLinks || !State.Peers)
     return nullptr;
   const instant Now = base::now();
@@ -132,7 +132,7 @@
       !State.RelayLinks->isUsable(Owner, Now))
     return nullptr;
   return State.RelayLinks->to({Owner, Member->Address}, Entry.Name,
-                              std::string(Customer));
+                              std::string(Customer), Priority);
 }
 
 } // namespace redwinggw
--- a/packages/redwinggw/src/native_state.hpp
+++ b/packages/redwinggw/src/native_state.hpp
@@ -204,7 +204,7 @@
 /// owner or the owner cannot be used now.
 std::unique_ptr<session::relay_link>
 relayTo(native_state &State, const session::endpoint_entry &Entry,
-        std::string_view Customer);
+        std::string_view Customer, unsigned Priority);
 /// @}
 
 /// The ports of the session core.
--- a/packages/session/include/redwinggw/session/endpoint_pool.hpp
+++ b/packages/session/include/redwinggw/session/endpoint_pool.hpp
@@ -4,14 +4,15 @@
 #include "redwinggw/data/fair_queue.hpp"
 #include "redwinggw/session/deadline_watch.hpp"
 #include "redwinggw/session/endpoint_link.hpp"
+#include "redwinggw/session/slot_queue.hpp"
 #include "redwinggw/session/statement_relay.hpp"
+#include "redwinggw/session/wait_list.hpp"
 
 #include <deque>
 #include <list>
 #include <memory>
 #include <set>
 #include <string>
-#include <unordered_map>
 
 /// The connections of one instance to one endpoint.
 namespace redwinggw::session {
@@ -91,6 +92,14 @@
   endpoint_pool &operator=(const endpoint_pool &) = delete;
   ~endpoint_pool();
 
+  /// Waits until \p Until for a turn on the endpoint's slots. False when there
+  /// is none in time; that is known at once where it can be. leave() has to
+  /// follow with the same \p Level and \p Customer.
+  base::task<bool> enter(slot_level Level, base::customer_name Customer,
+                         base::instant Until);
+  void leave(slot_level Level, std::string_view Customer,
+             base::microseconds Busy);
+
   /// A connection of \p Customer, preferably one that carries \p Values;
   /// waits for one until \p WaitUntil when all are in use. Setting one up may
   /// take until \p Deadline: given up earlier, it would have cost the endpoint
@@ -142,7 +151,7 @@
   /// Statements that run or wait at the endpoint, as far as is known here.
   std::size_t load(base::instant Now) const;
 
-  void setEntry(endpoint_entry Entry) { this->Entry = std::move(Entry); }
+  void setEntry(endpoint_entry Entry);
   void setLimits(pool_limits Limits);
 
   const endpoint_entry &entry() const { return Entry; }
@@ -150,7 +159,7 @@
   endpoint_health &health() { return Health; }
   std::size_t open() const { return Open; }
   std::size_t idle() const { return Idle.size(); }
-  std::size_t waiting() const { return Queue.Size; }
+  std::size_t waiting() const { return Queue.Size + waitingIn(Slots); }
   bool hasIdle(std::string_view Customer) const;
   /// All connections are open and in use.
   bool isExhausted() const { return Idle.empty() && !mayOpen(); }
@@ -167,7 +176,8 @@
   base::task<bool> waitForTurn(const base::customer_name &Customer,
                                base::instant Deadline);
 
-  struct waiter;
+  bool isStalled(base::instant Now) const;
+  void startWaiting();
 
   boost::asio::any_io_executor Executor;
   deadline_watch &Watch;
@@ -185,9 +195,9 @@
   /// When the endpoint last had no connection left for anybody.
   std::optional<base::instant> RefusedAt;
   data::fair_queue Queue;
-  std::unordered_map<std::uint64_t, waiter *> Waiters;
+  wait_list Waiters;
+  slot_queue Slots;
   std::multiset<base::instant> Unanswered;
-  std::uint64_t LastTicket = 0;
   std::uint64_t Connects = 0;
 };
 
--- a/packages/session/include/redwinggw/session/leased_link.hpp
+++ b/packages/session/include/redwinggw/session/leased_link.hpp
@@ -6,6 +6,34 @@
 
 namespace redwinggw::session {
 
+/// A turn on an endpoint's slots, given up at the end of its life.
+class slot_pass {
+public:
+  slot_pass() = default;
+  slot_pass(pool_ptr Pool, slot_level Level, base::customer_name Customer)
+      : Pool(std::move(Pool)), Level(Level), Customer(std::move(Customer)),
+        Since(base::now()) {}
+  slot_pass(slot_pass &&) noexcept = default;
+  slot_pass &operator=(slot_pass &&Other) noexcept {
+    std::swap(Pool, Other.Pool);
+    std::swap(Level, Other.Level);
+    std::swap(Customer, Other.Customer);
+    std::swap(Since, Other.Since);
+    return *this;
+  }
+  ~slot_pass() {
+    if (Pool)
+      Pool->leave(Level, Customer, base::now() - Since);
+  }
+  explicit operator bool() const { return Pool != nullptr; }
+
+private:
+  pool_ptr Pool;
+  slot_level Level = slot_level::Normal;
+  base::customer_name Customer;
+  base::instant Since;
+};
+
 /// A connection taken out of its pool. One that is not given back explicitly
 /// is closed: its state is not known.
 struct leased_link {
@@ -16,6 +44,7 @@
   leased_link &operator=(leased_link &&Other) noexcept {
     std::swap(Pool, Other.Pool);
     std::swap(Link, Other.Link);
+    std::swap(Pass, Other.Pass);
     return *this;
   }
   ~leased_link() {
@@ -24,11 +53,19 @@
   }
 
   void giveBack() { Pool->giveBack(std::move(Link)); }
-
   explicit operator bool() const { return Link != nullptr; }
 
   pool_ptr Pool;
   link_handle Link;
+  /// Held while a statement runs; a transaction gives it up between its
+  /// statements.
+  slot_pass Pass;
 };
 
+/// Waits until \p Until for a turn on the slots of \p Pool's endpoint. Empty
+/// when there is none in time.
+base::task<slot_pass> takeTurn(pool_ptr Pool, slot_level Level,
+                               base::customer_name Customer,
+                               base::instant Until);
+
 } // namespace redwinggw::session
--- a/packages/session/include/redwinggw/session/relay_links.hpp
+++ b/packages/session/include/redwinggw/session/relay_links.hpp
@@ -32,10 +32,12 @@
   /// answer lately.
   bool isUsable(std::string_view Owner, base::instant Now) const;
 
-  /// A way to \p Endpoint through \p Owner. Connects when it is first used.
+  /// A way to \p Endpoint through \p Owner, for a route of \p Priority.
+  /// Connects when it is first used.
   std::unique_ptr<relay_link> to(const relay_owner &Owner,
                                  base::endpoint_name Endpoint,
-                                 base::customer_name Customer);
+                                 base::customer_name Customer,
+                                 unsigned Priority);
 
   /// Closes the idle connections to \p Owner: it was away, and its end may
   /// have lost track of them.
--- a/packages/session/include/redwinggw/session/session_core.hpp
+++ b/packages/session/include/redwinggw/session/session_core.hpp
@@ -40,8 +40,8 @@
   /// A way to the endpoint through the instance that owns its connections;
   /// null when that is this instance, or when the owner cannot be used now.
   /// Unset: there are no owners.
-  std::function<std::unique_ptr<relay_link>(const endpoint_entry &,
-                                            std::string_view Customer)>
+  std::function<std::unique_ptr<relay_link>(
+      const endpoint_entry &, std::string_view Customer, unsigned Priority)>
       Relay;
   /// A statement met an endpoint that is not the primary any more, or did not
   /// answer.
@@ -59,6 +59,9 @@
   /// is not known to come. Callers count longer holds than a quarter as time
   /// taken from them.
   double PatienceShare = 0.2;
+  /// Part of the aimed latency for which a statement waits for its turn on an
+  /// endpoint's slots: the rest is for running it.
+  double QueueShare = 0.5;
   /// Part of the aimed latency within which a connection has to be set up.
   double SetUpShare = 0.6;
 };
--- a/packages/session/include/redwinggw/session/statement_relay.hpp
+++ b/packages/session/include/redwinggw/session/statement_relay.hpp
@@ -37,7 +37,9 @@
   base::endpoint_name Endpoint;
   base::customer_name Customer;
   link_statement Statement;
-  /// Time for the whole statement, and for getting a connection in it.
+  /// Of the caller's route; 0 is the most important.
+  unsigned Priority = 0;
+  /// Time for the whole statement, and for its turn and a connection in it.
   base::milliseconds TimeLeft{0};
   base::milliseconds Patience{0};
 };
@@ -45,6 +47,8 @@
 struct relay_reply {
   relay_failure Failure = relay_failure::None;
   exchange Exchange;
+  /// For how long the statement was at the endpoint.
+  base::milliseconds Ran{0};
   /// Statements that run or wait at the owner for this endpoint.
   std::uint16_t Load = 0;
 };
@@ -60,7 +64,7 @@
   virtual ~relay_link() = default;
 
   /// Has \p Statement run by the owner. \p WaitUntil bounds the wait for a
-  /// connection. Outcome Broken or TimedOut: it may have run.
+  /// turn and a connection. Outcome Broken or TimedOut: it may have run.
   virtual base::task<relay_reply> run(const link_statement &Statement,
                                       base::instant WaitUntil,
                                       base::instant Deadline) = 0;
--- a/packages/session/src/core_parts.hpp
+++ b/packages/session/src/core_parts.hpp
@@ -41,10 +41,14 @@
   std::optional<primary_right> Right;
   /// The point that the endpoint must have.
   std::optional<log_point> After;
+  /// It belongs to a transaction that has begun on this connection.
+  bool Begun = false;
   /// Its answer is waited for until then.
   base::instant TryDeadline;
   /// Why the endpoint's owner did not run the statement.
   relay_failure Failure = relay_failure::None;
+  /// When the owner sent the statement to the endpoint, as it tells.
+  std::optional<base::instant> RanSince;
 };
 
 /// Finds an endpoint and a connection for \p Request, waiting where that can
--- a/packages/session/src/endpoint_pool.cpp
+++ b/packages/session/src/endpoint_pool.cpp
@@ -1,9 +1,5 @@
 #include "redwinggw/session/endpoint_pool.hpp"
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 #include <algorithm>
 #include <cmath>
 #include <ranges>
@@ -26,6 +22,14 @@
 /// statements take; then what is known here is the better guess.
 constexpr milliseconds OwnerLoadCounts{150};
 
+/// Statements sent beyond the endpoint's slots: the next one is there when a
+/// slot gets free, and not a round trip later.
+constexpr unsigned SentAhead = 1;
+/// An endpoint that left all without an answer for so long, and for so many
+/// times of a usual statement, takes no more statements that would wait.
+constexpr milliseconds StalledAfter{250};
+constexpr double StalledTimes = 8;
+
 acquire_failure failureOf(const exchange &Exchange) {
   if (Exchange.Outcome != exchange_outcome::Answered || !Exchange.Answer.Error)
     return acquire_failure::Unreachable;
@@ -38,24 +42,64 @@
 
 } // namespace
 
-/// A coroutine that waits for a connection; sleeps until it is woken.
-struct endpoint_pool::waiter {
-  explicit waiter(asio::any_io_executor Executor)
-      : Timer(Executor, asio::steady_timer::time_point::max()) {}
-  asio::steady_timer Timer;
-  bool Woken = false;
-};
-
 endpoint_pool::endpoint_pool(asio::any_io_executor Executor,
                              deadline_watch &Watch, link_factory Factory,
                              endpoint_entry Entry)
     : Executor(std::move(Executor)), Watch(Watch), Factory(std::move(Factory)),
-      Entry(std::move(Entry)) {
+      Waiters(this->Executor, Watch) {
   Queue.Settings.Total = LongestQueue;
+  setEntry(std::move(Entry));
 }
 
 endpoint_pool::~endpoint_pool() = default;
 
+void endpoint_pool::setEntry(endpoint_entry NewEntry) {
+  Entry = std::move(NewEntry);
+  Slots.Width = Entry.Slots == 0 ? 0 : Entry.Slots + SentAhead;
+}
+
+/// Whether everything that runs there has been without an answer for long: a
+/// turn would not come, and the endpoint may be gone.
+bool endpoint_pool::isStalled(instant Now) const {
+  const auto Usual =
+      milliseconds(static_cast<std::int64_t>(StalledTimes * Health.Latency));
+  const milliseconds Longest = std::max(StalledAfter, Usual);
+  const instant Oldest = oldestUnanswered().value_or(Now);
+  return Now - Oldest > Longest && Now - Health.LastSuccess > Longest;
+}
+
+base::task<bool> endpoint_pool::enter(slot_level Level,
+                                      base::customer_name Customer,
+                                      instant Until) {
+  if (startNow(Slots))
+    co_return true;
+  const instant Now = base::now();
+  if (isStalled(Now))
+    co_return false;
+  const data::queue_ticket Ticket{Waiters.nextNumber(), Customer, Until};
+  if (!enqueue(Slots, Level, Ticket, Now).Queued)
+    co_return false;
+  const bool Started = co_await Waiters.wait(Ticket.Id, Until);
+  if (!Started)
+    cancel(Slots, Level, Ticket);
+  co_return Started;
+}
+
+void endpoint_pool::leave(slot_level Level, std::string_view Customer,
+                          base::microseconds Busy) {
+  finish(Slots, Level, Customer, Busy);
+  startWaiting();
+}
+
+void endpoint_pool::startWaiting() {
+  while (const auto Ticket = startNext(Slots)) {
+    if (Waiters.wake(Ticket->Id))
+      continue;
+    // It has just given up.
+    --Slots.Running;
+  }
+}
+
 void endpoint_pool::setLimits(pool_limits NewLimits) {
   Limits = NewLimits;
   wakeNext();
@@ -158,35 +202,22 @@
 
 base::task<bool> endpoint_pool::waitForTurn(const base::customer_name &Customer,
                                             instant Deadline) {
-  const data::queue_ticket Ticket{++LastTicket, Customer, Deadline};
+  const data::queue_ticket Ticket{Waiters.nextNumber(), Customer, Deadline};
   const std::size_t Width = std::max<std::size_t>(1, Limits.Connections);
   if (!enqueue(Queue, Ticket, Width, base::now()).Queued)
     co_return false;
-  waiter Waiter(Executor);
-  Waiters.emplace(Ticket.Id, &Waiter);
-  const auto Expiry = Watch.add(Deadline, [&] { Waiter.Timer.cancel(); });
-  boost::system::error_code Ignored;
-  if (!Waiter.Woken)
-    co_await Waiter.Timer.async_wait(
-        asio::redirect_error(asio::use_awaitable, Ignored));
-  Watch.drop(Expiry);
-  Waiters.erase(Ticket.Id);
-  if (!Waiter.Woken)
+  const bool Woken = co_await Waiters.wait(Ticket.Id, Deadline);
+  if (!Woken)
     cancel(Queue, Ticket);
-  co_return Waiter.Woken;
+  co_return Woken;
 }
 
 void endpoint_pool::wakeNext() {
   if (isExhausted())
     return;
-  while (const auto Ticket = dequeue(Queue)) {
-    const auto Found = Waiters.find(Ticket->Id);
-    if (Found == Waiters.end())
-      continue;
-    Found->second->Woken = true;
-    Found->second->Timer.cancel();
-    return;
-  }
+  while (const auto Ticket = dequeue(Queue))
+    if (Waiters.wake(Ticket->Id))
+      return;
 }
 
 link_handle endpoint_pool::lend(std::unique_ptr<relay_link> Relay,
@@ -240,7 +271,7 @@
 }
 
 std::size_t endpoint_pool::load(instant Now) const {
-  const std::size_t Own = Open - Idle.size() + waiting() + Relayed;
+  const std::size_t Own = Slots.Running + waiting() + Relayed;
   const bool Told = OwnerLoadAt && Now - *OwnerLoadAt < OwnerLoadCounts;
   return Told ? std::max(Own, OwnerLoad) : Own;
 }
--- a/packages/session/src/placement.cpp
+++ b/packages/session/src/placement.cpp
@@ -25,6 +25,14 @@
   return std::min(Request.Deadline, Request.Arrived + Patience);
 }
 
+/// Until when to wait for a turn on an endpoint's slots: it comes, unlike what
+/// patienceEnd is for, and later the answer would be late.
+instant queueEnd(const session_core &Core, const request &Request) {
+  const auto Time = std::chrono::duration_cast<base::microseconds>(
+      Request.Route.TargetLatency * Core.Limits.QueueShare);
+  return std::min(Request.Deadline, Request.Arrived + Time);
+}
+
 /// Until when a connection may be set up: a statement that gets it then can
 /// still be answered within the aimed latency.
 instant setUpEnd(const session_core &Core, const request &Request) {
@@ -84,7 +92,7 @@
                                     const endpoint_entry &Entry) {
   if (Request.Direct || !Core.Ports.Relay)
     return nullptr;
-  return Core.Ports.Relay(Entry, Session.Customer);
+  return Core.Ports.Relay(Entry, Session.Customer, Request.Route.Priority);
 }
 
 /// Tries to get a connection to \p Name. Nothing when that endpoint cannot
@@ -101,6 +109,13 @@
         leased_link(Pool, Pool->lend(std::move(Relay), Session.Customer));
     co_return Placement;
   }
+  slot_pass Pass = co_await takeTurn(Pool, levelOf(Request.Route.Priority),
+                                     Session.Customer, queueEnd(Core, Request));
+  if (!Pass) {
+    Request.LastTrouble = "no turn at " + Name + " in time, " +
+                          std::to_string(Pool->waiting()) + " waiting";
+    co_return std::nullopt;
+  }
   acquired Acquired = co_await Pool->acquire(Session.Customer, Session.Values,
                                              Latest, setUpEnd(Core, Request));
   if (!Acquired.Link) {
@@ -112,6 +127,7 @@
     co_return std::nullopt;
   }
   Placement.Link = leased_link(Pool, std::move(Acquired.Link));
+  Placement.Link.Pass = std::move(Pass);
   co_return Placement;
 }
 
@@ -154,26 +170,60 @@
       boost::asio::redirect_error(boost::asio::use_awaitable, Ignored));
 }
 
+namespace {
+
+/// Has the endpoint's owner run the statement.
+base::task<exchange> runByOwner(session_core &Core, request &Request,
+                                placement &Placement,
+                                const link_statement &Statement) {
+  relay_link &Relay = *Placement.Link.Link->Relay;
+  endpoint_pool &Pool = *Placement.Link.Pool;
+  Request.Via = Relay.owner();
+  const instant WaitUntil =
+      Placement.Begun ? Placement.TryDeadline : queueEnd(Core, Request);
+  relay_reply Reply =
+      co_await Relay.run(Statement, WaitUntil, Placement.TryDeadline);
+  Placement.Failure = Reply.Failure;
+  Placement.RanSince = base::now() - Reply.Ran;
+  if (Reply.Failure != relay_failure::OwnerLost)
+    Pool.noteOwnerLoad(Reply.Load, base::now());
+  if (Reply.Failure != relay_failure::None)
+    Request.LastTrouble = Pool.entry().Name + " through " + Request.Via + ": " +
+                          std::string(relayFailureName(Reply.Failure));
+  co_return std::move(Reply.Exchange);
+}
+
+/// Runs the statement on an own connection, which has its turn when it is the
+/// first one there.
+base::task<exchange> runHere(session_core &Core, request &Request,
+                             placement &Placement,
+                             const link_statement &Statement) {
+  Request.Via.clear();
+  leased_link &Link = Placement.Link;
+  if (!Link.Pass)
+    Link.Pass = co_await takeTurn(Link.Pool, slot_level::Begun,
+                                  Link.Link->Customer, Placement.TryDeadline);
+  if (!Link.Pass) {
+    Placement.Failure = relay_failure::NoConnection;
+    co_return exchange();
+  }
+  co_return co_await runOnLink(*Link.Link, Statement, Core.Ports.StillHolds,
+                               Placement.TryDeadline);
+}
+
+} // namespace
+
 base::task<exchange> runPlaced(session_core &Core, request &Request,
                                placement &Placement, link_statement Statement) {
   const pool_ptr Pool = Placement.Link.Pool;
-  pooled_link &Link = *Placement.Link.Link;
   const instant Sent = base::now();
   Pool->noteSent(Sent);
   exchange Exchange;
-  if (Link.Relay) {
-    Request.Via = Link.Relay->owner();
-    relay_reply Reply = co_await Link.Relay->run(
-        Statement, patienceEnd(Core, Request), Placement.TryDeadline);
-    Placement.Failure = Reply.Failure;
-    Exchange = std::move(Reply.Exchange);
+  if (Placement.Link.Link->Relay) {
+    Exchange = co_await runByOwner(Core, Request, Placement, Statement);
     Exchange.SentAt = Sent;
-    if (Reply.Failure != relay_failure::OwnerLost)
-      Pool->noteOwnerLoad(Reply.Load, base::now());
   } else {
-    Request.Via.clear();
-    Exchange = co_await runOnLink(Link, Statement, Core.Ports.StillHolds,
-                                  Placement.TryDeadline);
+    Exchange = co_await runHere(Core, Request, Placement, Statement);
   }
   Pool->noteEnded(Sent);
   co_return Exchange;
@@ -277,7 +327,7 @@
                 const exchange &Exchange) {
   const instant Now = base::now();
   endpoint_pool &Pool = *Placement.Link.Pool;
-  Pool.noteSuccess(Exchange.SentAt, Now);
+  Pool.noteSuccess(Placement.RanSince.value_or(Exchange.SentAt), Now);
   const auto &Error = Exchange.Answer.Error;
   if (Error && Error->Code == answer_code::Lagging)
     Pool.health().TrailedAt = Now;
--- a/packages/session/src/relay_codec.cpp
+++ b/packages/session/src/relay_codec.cpp
@@ -170,6 +170,7 @@
   Ar.text(Value.Endpoint);
   Ar.text(Value.Customer);
   transferStatement(Ar, Value.Statement);
+  Ar.number(Value.Priority);
   Ar.time(Value.TimeLeft);
   Ar.time(Value.Patience);
 }
@@ -181,6 +182,7 @@
   Ar.choice(Value.Failure, relay_failure::EndpointLost);
   Ar.choice(Value.Exchange.Outcome, exchange_outcome::TimedOut);
   transferAnswer(Ar, Value.Exchange.Answer);
+  Ar.time(Value.Ran);
   Ar.number(Value.Load);
 }
 
--- a/packages/session/src/relay_host.cpp
+++ b/packages/session/src/relay_host.cpp
@@ -38,11 +38,18 @@
   return !Statement.Right || Core.Ports.StillHolds(*Statement.Right);
 }
 
-/// Gives the lease a connection, unless it has one.
+/// Gives the lease a turn, and a connection unless it has one.
 base::task<relay_failure> lease(session_core &Core, relay_lease &Lease,
                                 const relay_request &Request, instant Arrived) {
-  if (Lease.Link)
-    co_return relay_failure::None;
+  if (Lease.Link) {
+    const bool EndsOnly = Request.Statement.Action == link_action::Rollback;
+    if (!EndsOnly)
+      Lease.Link.Pass =
+          co_await takeTurn(Lease.Link.Pool, slot_level::Begun,
+                            Request.Customer, Arrived + Request.TimeLeft);
+    const bool MayRun = EndsOnly || Lease.Link.Pass;
+    co_return MayRun ? relay_failure::None : relay_failure::NoConnection;
+  }
   // Only the transaction's own connection can go on with it.
   if (Request.Statement.Action == link_action::Rollback)
     co_return relay_failure::Refused;
@@ -51,12 +58,17 @@
     co_return relay_failure::Refused;
   const session_values Values =
       Request.Statement.Values.value_or(session_values());
-  acquired Acquired = co_await Pool->acquire(Request.Customer, Values,
-                                             Arrived + Request.Patience,
-                                             Arrived + Request.TimeLeft);
+  const instant WaitUntil = Arrived + Request.Patience;
+  slot_pass Pass = co_await takeTurn(Pool, levelOf(Request.Priority),
+                                     Request.Customer, WaitUntil);
+  if (!Pass)
+    co_return relay_failure::NoConnection;
+  acquired Acquired = co_await Pool->acquire(
+      Request.Customer, Values, WaitUntil, Arrived + Request.TimeLeft);
   if (!Acquired.Link)
     co_return failureOf(Acquired.Failure);
   Lease.Link = leased_link(Pool, std::move(Acquired.Link));
+  Lease.Link.Pass = std::move(Pass);
   co_return relay_failure::None;
 }
 
@@ -91,11 +103,14 @@
   Reply.Failure = co_await lease(Core, Lease, Request, Arrived);
   if (Reply.Failure == relay_failure::None) {
     const pool_ptr Pool = Lease.Link.Pool;
-    Pool->noteSent(Arrived);
+    const instant Sent = base::now();
+    Pool->noteSent(Sent);
     Reply.Exchange =
         co_await runOnLink(*Lease.Link.Link, Request.Statement,
                            Core.Ports.StillHolds, Arrived + Request.TimeLeft);
-    Pool->noteEnded(Arrived);
+    Pool->noteEnded(Sent);
+    Reply.Ran = std::chrono::ceil<base::milliseconds>(base::now() - Sent);
+    Lease.Link.Pass = slot_pass();
     if (!mayUse(Core, Request.Statement) &&
         Reply.Exchange.Outcome == exchange_outcome::NotSent)
       Reply.Failure = relay_failure::Refused;
--- a/packages/session/src/relay_links.cpp
+++ b/packages/session/src/relay_links.cpp
@@ -103,9 +103,11 @@
 class relay_links::state::link final : public relay_link {
 public:
   link(std::shared_ptr<state> Links, std::shared_ptr<way> To,
-       base::endpoint_name Endpoint, base::customer_name Customer)
+       base::endpoint_name Endpoint, base::customer_name Customer,
+       unsigned Priority)
       : Links(std::move(Links)), To(std::move(To)),
-        Endpoint(std::move(Endpoint)), Customer(std::move(Customer)) {}
+        Endpoint(std::move(Endpoint)), Customer(std::move(Customer)),
+        Priority(Priority) {}
 
   base::task<relay_reply> run(const link_statement &Statement,
                               instant WaitUntil, instant Deadline) override;
@@ -121,6 +123,7 @@
   std::shared_ptr<way> To;
   base::endpoint_name Endpoint;
   base::customer_name Customer;
+  unsigned Priority;
   std::optional<frame_stream> Stream;
 };
 
@@ -144,6 +147,7 @@
   Request.Endpoint = Endpoint;
   Request.Customer = Customer;
   Request.Statement = Statement;
+  Request.Priority = Priority;
   Request.TimeLeft = spanTo(Deadline - AnswerMargin);
   Request.Patience = spanTo(WaitUntil);
   return encodeRequest(Links->Secret, Request);
@@ -206,7 +210,8 @@
 
 std::unique_ptr<relay_link> relay_links::to(const relay_owner &Owner,
                                             base::endpoint_name Endpoint,
-                                            base::customer_name Customer) {
+                                            base::customer_name Customer,
+                                            unsigned Priority) {
   auto &Way = State->Ways[Owner.Name];
   if (!Way || Way->Owner.Address != Owner.Address) {
     // A new process under the name, or the first statement for this owner.
@@ -214,7 +219,7 @@
     Way->Owner = Owner;
   }
   return std::make_unique<state::link>(State, Way, std::move(Endpoint),
-                                       std::move(Customer));
+                                       std::move(Customer), Priority);
 }
 
 void relay_links::closeIdle(std::string_view Owner) {
--- a/packages/session/src/transaction.cpp
+++ b/packages/session/src/transaction.cpp
@@ -71,6 +71,7 @@
   placement Placement;
   Placement.Link = leased_link(Transaction.Pool, std::move(Transaction.Link));
   Placement.Right = Transaction.Right;
+  Placement.Begun = true;
   Placement.TryDeadline = Request.Deadline;
   Request.OnPrimary = Transaction.Right.has_value();
   Request.Epoch = Transaction.Right ? Transaction.Right->Epoch : 0;
--- a/tests/session/relay_test.cpp
+++ b/tests/session/relay_test.cpp
@@ -38,11 +38,12 @@
         Context.get_executor(), Instance.Set.Watch, std::string(Secret)));
     Instance.Core.Ports.Relay =
         [this, Via = Links.back().get()](
-            const endpoint_entry &Entry,
-            std::string_view Customer) -> std::unique_ptr<relay_link> {
+            const endpoint_entry &Entry, std::string_view Customer,
+            unsigned Priority) -> std::unique_ptr<relay_link> {
       if (!Via->isUsable("owner", base::now()))
         return nullptr;
-      return Via->to({"owner", Address}, Entry.Name, std::string(Customer));
+      return Via->to({"owner", Address}, Entry.Name, std::string(Customer),
+                     Priority);
     };
   }
 
--- /dev/null
+++ b/tests/session/slot_queue_test.cpp
@@ -0,0 +1,258 @@
+#include "redwinggw/session/slot_queue.hpp"
+
+#include <algorithm>
+#include <map>
+#include <queue>
+#include <random>
+#include <vector>
+
+#include "criterion_test.hpp"
+
+using namespace redwinggw;
+using namespace redwinggw::session;
+using base::instant;
+using base::microseconds;
+using base::milliseconds;
+
+namespace {
+
+const instant Start{std::chrono::seconds(100)};
+const instant Never = Start + std::chrono::hours(1);
+
+bool add(slot_queue &Queue, slot_level Level, std::uint64_t Id,
+         const std::string &Customer = "acme", instant Deadline = Never) {
+  return enqueue(Queue, Level, {Id, Customer, Deadline}, Start).Queued;
+}
+
+/// The number of the statement that starts next. Precondition: one does.
+std::uint64_t next(slot_queue &Queue) {
+  const auto Ticket = startNext(Queue);
+  cr_assert(Ticket);
+  return Ticket->Id;
+}
+
+slot_queue busyQueue(unsigned Width) {
+  slot_queue Queue;
+  Queue.Width = Width;
+  Queue.Running = Width;
+  return Queue;
+}
+
+/// One statement of the played load.
+struct arrival {
+  instant At;
+  slot_level Level;
+  milliseconds Work;
+  milliseconds Aim;
+};
+
+/// Statements of two kinds in the proportion and with the times of order
+/// changes and confirmations, \p Load times what \p Slots can do.
+std::vector<arrival> playedLoad(double Load, unsigned Slots) {
+  std::mt19937 Random(4711);
+  constexpr double MeanWorkMs = 0.2 * 6 + 0.8 * 18;
+  std::exponential_distribution<double> Gap(Load * Slots / MeanWorkMs);
+  std::bernoulli_distribution IsUrgent(0.2);
+  std::vector<arrival> Arrivals;
+  double AtMs = 0;
+  constexpr double PlayedMs = 20'000;
+  while (AtMs < PlayedMs) {
+    AtMs += Gap(Random);
+    const instant At = Start + microseconds(static_cast<int>(AtMs * 1000));
+    if (IsUrgent(Random))
+      Arrivals.push_back(
+          {At, slot_level::Normal, milliseconds(6), milliseconds(150)});
+    else
+      Arrivals.push_back(
+          {At, slot_level::Low, milliseconds(18), milliseconds(250)});
+  }
+  return Arrivals;
+}
+
+struct played {
+  std::size_t InAim = 0;
+  std::size_t Refused = 0;
+  std::size_t HeldAndRefused = 0;
+};
+
+struct running {
+  instant Until;
+  std::size_t Index;
+  friend bool operator>(const running &Left, const running &Right) {
+    return Left.Until > Right.Until;
+  }
+};
+
+/// Plays \p Arrivals against \p Slots; a statement waits for its turn for at
+/// most \p QueueShare of its aim.
+played play(const std::vector<arrival> &Arrivals, unsigned Slots,
+            double QueueShare) {
+  slot_queue Queue;
+  Queue.Width = Slots;
+  played Result;
+  std::priority_queue<running, std::vector<running>, std::greater<>> Running;
+  const auto Run = [&](std::size_t Index, instant Now) {
+    Running.push({Now + Arrivals[Index].Work, Index});
+  };
+  const auto FinishUntil = [&](instant Now) {
+    while (!Running.empty() && Running.top().Until <= Now) {
+      const running Done = Running.top();
+      Running.pop();
+      const arrival &Arrival = Arrivals[Done.Index];
+      Result.InAim += Done.Until - Arrival.At <= Arrival.Aim ? 1 : 0;
+      finish(Queue, Arrival.Level, "acme", Arrival.Work);
+      while (const auto Ticket = startNext(Queue)) {
+        if (Ticket->Deadline >= Done.Until) {
+          Run(Ticket->Id, Done.Until);
+          continue;
+        }
+        // Its time passed while it waited.
+        ++Result.HeldAndRefused;
+        --Queue.Running;
+      }
+    }
+  };
+  for (std::size_t Index = 0; Index < Arrivals.size(); ++Index) {
+    const arrival &Arrival = Arrivals[Index];
+    FinishUntil(Arrival.At);
+    if (startNow(Queue)) {
+      Run(Index, Arrival.At);
+      continue;
+    }
+    const auto Patience =
+        std::chrono::duration_cast<microseconds>(Arrival.Aim * QueueShare);
+    const bool Queued =
+        enqueue(Queue, Arrival.Level, {Index, "acme", Arrival.At + Patience},
+                Arrival.At)
+            .Queued;
+    Result.Refused += Queued ? 0 : 1;
+  }
+  FinishUntil(Never);
+  return Result;
+}
+
+} // namespace
+
+Test(slot_queue, starts_what_fits_at_once) {
+  slot_queue Queue;
+  Queue.Width = 2;
+  cr_assert(startNow(Queue));
+  cr_assert(startNow(Queue));
+  cr_assert(!startNow(Queue));
+  finish(Queue, slot_level::Normal, "acme", milliseconds(5));
+  cr_assert(startNow(Queue));
+}
+
+Test(slot_queue, lets_nobody_pass_those_who_wait) {
+  slot_queue Queue = busyQueue(1);
+  cr_assert(add(Queue, slot_level::Normal, 1));
+  finish(Queue, slot_level::Normal, "acme", milliseconds(5));
+  cr_assert(!startNow(Queue));
+  cr_assert(next(Queue) == 1);
+}
+
+// A transaction holds a connection and locks; its next statement must not wait
+// behind new work of others.
+Test(slot_queue, serves_begun_transactions_first) {
+  slot_queue Queue = busyQueue(1);
+  add(Queue, levelOf(1), 1);
+  add(Queue, levelOf(0), 2);
+  add(Queue, slot_level::Begun, 3);
+  std::vector<std::uint64_t> Order;
+  for (int Turn = 0; Turn < 3; ++Turn) {
+    finish(Queue, slot_level::Normal, "acme", milliseconds(5));
+    Order.push_back(next(Queue));
+  }
+  cr_assert(Order == std::vector<std::uint64_t>({3, 2, 1}));
+}
+
+// One customer sends hundreds of urgent statements. What others declared as
+// less urgent still moves.
+Test(slot_queue, gives_the_lowest_level_a_turn_now_and_then) {
+  slot_queue Queue = busyQueue(1);
+  for (std::uint64_t Id = 0; Id < 100; ++Id)
+    add(Queue, levelOf(0), Id, "flood");
+  add(Queue, levelOf(3), 1000, "calm");
+  unsigned Turns = 0;
+  std::uint64_t Started = 0;
+  while (Started != 1000) {
+    finish(Queue, slot_level::Normal, "flood", milliseconds(5));
+    Started = next(Queue);
+    ++Turns;
+  }
+  cr_assert(Turns <= 10, "%u turns", Turns);
+}
+
+Test(slot_queue, shares_a_level_between_customers) {
+  slot_queue Queue = busyQueue(1);
+  for (std::uint64_t Id = 0; Id < 100; ++Id)
+    add(Queue, slot_level::Low, Id, "flood");
+  add(Queue, slot_level::Low, 1000, "calm");
+  unsigned Turns = 0;
+  std::uint64_t Started = 0;
+  while (Started != 1000) {
+    finish(Queue, slot_level::Low, "flood", milliseconds(2));
+    Started = next(Queue);
+    ++Turns;
+  }
+  cr_assert(Turns < 10, "%u turns", Turns);
+}
+
+Test(slot_queue, forgets_who_has_given_up) {
+  slot_queue Queue = busyQueue(1);
+  add(Queue, slot_level::Low, 1);
+  add(Queue, slot_level::Low, 2);
+  cancel(Queue, slot_level::Low, {1, "acme", Never});
+  cr_assert(waitingIn(Queue) == 1);
+  finish(Queue, slot_level::Low, "acme", milliseconds(2));
+  cr_assert(next(Queue) == 2);
+}
+
+// A statement whose turn would come after its time is told so at once, so that
+// its caller can go elsewhere or come back while that still helps.
+Test(slot_queue, refuses_at_once_what_would_come_too_late) {
+  slot_queue Queue = busyQueue(1);
+  for (std::uint64_t Id = 0; Id < 10; ++Id) {
+    add(Queue, slot_level::Normal, Id);
+    Queue.Levels[static_cast<std::size_t>(slot_level::Normal)]
+        .Customers["acme"]
+        .Cost = milliseconds(20);
+  }
+  cr_assert(
+      !add(Queue, slot_level::Normal, 11, "acme", Start + milliseconds(100)));
+  cr_assert(
+      add(Queue, slot_level::Normal, 12, "acme", Start + milliseconds(400)));
+  cr_assert(
+      !add(Queue, slot_level::Low, 13, "bolt", Start + milliseconds(100)));
+  cr_assert(
+      add(Queue, slot_level::Begun, 14, "bolt", Start + milliseconds(100)));
+}
+
+// Both replicas of a service trail for a while, and its primary is asked for a
+// third more than its slots can do. Callers are served in time as far as the
+// slots go; the rest is refused, nearly always without having been held. Sent
+// on as it came, the same load leaves hardly anybody served in time.
+Test(slot_queue, serves_in_time_what_the_slots_can_do_under_overload) {
+  constexpr unsigned Slots = 3;
+  constexpr double Load = 1.33;
+  const auto Arrivals = playedLoad(Load, Slots);
+  const played Bounded = play(Arrivals, Slots, 0.5);
+  const auto All = static_cast<double>(Arrivals.size());
+  const double Possible = 1 / Load;
+  cr_assert(static_cast<double>(Bounded.InAim) / All > 0.95 * Possible,
+            "%zu in time of %zu", Bounded.InAim, Arrivals.size());
+  cr_assert(Bounded.HeldAndRefused < Arrivals.size() / 20, "%zu held in vain",
+            Bounded.HeldAndRefused);
+  constexpr double NoBound = 1e6;
+  const played Unbounded = play(Arrivals, Slots, NoBound);
+  cr_assert(2 * Unbounded.InAim < Bounded.InAim, "%zu in time without a bound",
+            Unbounded.InAim);
+}
+
+Test(slot_queue, refuses_nobody_under_a_load_that_fits) {
+  constexpr unsigned Slots = 3;
+  const auto Arrivals = playedLoad(0.7, Slots);
+  const played Result = play(Arrivals, Slots, 0.5);
+  cr_assert(Result.Refused + Result.HeldAndRefused < Arrivals.size() / 500);
+  cr_assert(Result.InAim > Arrivals.size() * 995 / 1000);
+}
