Close an owner's connections soon after the peak that they were opened for

Change: up to 85% while they are used; what is beyond 45% closes after a second without use instead of eight.

--- a/packages/redwinggw/src/native_relay.cpp
+++ b/packages/redwinggw/src/native_relay.cpp
@@ -15,11 +15,13 @@
 
 /// An owner that was not heard for so long is passed over: three heartbeats.
 constexpr milliseconds OwnerHeard{650};
-/// Part of an endpoint's connections that its owner may open. The rest is for
-/// instances that cannot use the owner, for probes, and for the next owner: an
-/// endpoint counts connections of an instance without power for three more
-/// seconds.
+/// Part of an endpoint's connections that its owner may open at any time. The
+/// rest is for instances that cannot use the owner, and for probes.
 constexpr std::size_t OwnedPercent = 85;
+/// Part that it keeps open without need. An endpoint counts the connections of
+/// an instance without power for three more seconds: with less than half of
+/// them kept, the next owner finds as many as it needs.
+constexpr std::size_t KeptPercent = 45;
 
 bool canOwn(const control::member &Member, instant Now) {
   return Member.State == control::member_state::Alive && Member.ArrivedAt &&
@@ -52,8 +54,9 @@
       State.Peers ? instanceCount(State.Peers->view()) : 1;
   if (isOwn(State, Entry.Name)) {
     constexpr std::size_t Whole = 100;
-    Limits.Connections =
-        std::max<std::size_t>(1, Accepted * OwnedPercent / Whole);
+    constexpr std::size_t Least = 1;
+    Limits.Connections = std::max(Least, Accepted * OwnedPercent / Whole);
+    Limits.KeptConnections = std::max(Least, Accepted * KeptPercent / Whole);
     Limits.MostConnections = std::max(Limits.Connections, Accepted);
     return Limits;
   }
--- a/packages/session/include/redwinggw/session/endpoint_pool.hpp
+++ b/packages/session/include/redwinggw/session/endpoint_pool.hpp
@@ -65,6 +65,10 @@
 struct pool_limits {
   /// This instance's even part of the endpoint's connections.
   std::size_t Connections = 4;
+  /// Of these so many are kept open through pauses of their customers, the
+  /// others for UnneededIdleTime only.
+  std::size_t KeptConnections = 4;
+  base::milliseconds UnneededIdleTime{1000};
   /// Connections that it may open while statements wait and the endpoint still
   /// accepts some: callers are spread unevenly over instances and customers.
   std::size_t MostConnections = 8;
--- a/packages/session/src/endpoint_pool.cpp
+++ b/packages/session/src/endpoint_pool.cpp
@@ -257,9 +257,11 @@
 
 void endpoint_pool::closeUnused(instant Now) {
   const auto IsOld = [&](const link_handle &Link) {
-    const milliseconds Longest =
-        Open > Limits.Connections ? Limits.SpareIdleTime : Limits.IdleTime;
-    return Now - Link->UsedAt > Longest;
+    if (Open > Limits.Connections)
+      return Now - Link->UsedAt > Limits.SpareIdleTime;
+    if (Open > Limits.KeptConnections)
+      return Now - Link->UsedAt > Limits.UnneededIdleTime;
+    return Now - Link->UsedAt > Limits.IdleTime;
   };
   while (!Idle.empty() && IsOld(Idle.back()))
     evictOne();
--- a/tests/session/endpoint_pool_test.cpp
+++ b/tests/session/endpoint_pool_test.cpp
@@ -70,3 +70,27 @@
   cr_assert(Got);
   cr_assert(Bench.Group.Refusals <= 1);
 }
+
+// An instance that owned nearly all connections of an endpoint loses its power.
+// The endpoint counts them for three more seconds, and the next owner's callers
+// find none. So what was opened for a peak is closed soon after it.
+Test(endpoint_pool, keeps_few_connections_when_the_peak_is_over) {
+  bench_pool Bench;
+  pool_limits Limits;
+  Limits.Connections = 8;
+  Limits.MostConnections = 8;
+  Limits.KeptConnections = 3;
+  Bench.Pool->setLimits(Limits);
+  for (int Count = 0; Count < 8; ++Count)
+    boost::asio::co_spawn(Bench.Context, holdFor(Bench, milliseconds(5)),
+                          boost::asio::detached);
+  Bench.Context.run();
+  cr_assert(Bench.Pool->open() == 8);
+  const base::instant Now = base::now();
+  Bench.Pool->closeUnused(Now + Limits.UnneededIdleTime / 2);
+  cr_assert(Bench.Pool->open() == 8);
+  Bench.Pool->closeUnused(Now + 2 * Limits.UnneededIdleTime);
+  cr_assert(Bench.Pool->open() == 3);
+  Bench.Pool->closeUnused(Now + 2 * Limits.IdleTime);
+  cr_assert(Bench.Pool->open() == 0);
+}
