Let an old primary go on only where no promotion can have been ordered

Among the code's ways only one gives that state: an orderer finds no candidate that answers (under a flood replicas answer STATUS with BUSY) and lets the old primary, which leads in its own eyes until it reaches the new one, go on - also where the move had been begun by an earlier claim whose promotion was ordered. Ruled out: acknowledgements counted for another service's claim (every claim commits under the orderer's row); statements judged once only. Change: a claim over an unfinished one never lets the old primary go on. Test: handover_test (the decision; without the condition it fails).

--- a/packages/redwinggw/src/native_handover.cpp
+++ b/packages/redwinggw/src/native_handover.cpp
@@ -96,11 +96,27 @@
   return Text == ordererText(State, Token) ? Token : Token + 1;
 }
 
+/// A move that this instance carries out.
+struct claimed_move {
+  primary_claim Claim;
+  /// An earlier claim had begun it and may have ordered a promotion.
+  bool Resumed = false;
+};
+
+/// Whether the service's row says that a move was begun. A row that cannot be
+/// read does not tell that none was.
+bool isUnfinished(const storage::row &Row) {
+  if (Row.Version == 0)
+    return false;
+  const auto Former = session::readClaim(Row.Key, Row.Version, Row.Value);
+  return !Former || Former->Moving;
+}
+
 /// Claims the move of \p Service in the store. Nothing when another instance
 /// was first or the store did not answer.
-base::task<std::optional<primary_claim>>
-claimMove(native_state &State, base::service_name Service,
-          base::endpoint_name Primary) {
+base::task<std::optional<claimed_move>> claimMove(native_state &State,
+                                                  base::service_name Service,
+                                                  base::endpoint_name Primary) {
   const auto Rows = co_await readFleet(State);
   if (!Rows)
     co_return std::nullopt;
@@ -111,7 +127,9 @@
   if (Known != nullptr && !Known->Claim.Moving &&
       Known->Claim.Primary != Primary)
     co_return std::nullopt;
-  primary_claim Claim;
+  claimed_move Move;
+  Move.Resumed = isUnfinished(Found.Service);
+  primary_claim &Claim = Move.Claim;
   Claim.Service = Service;
   Claim.Primary = Primary;
   Claim.Moving = true;
@@ -127,7 +145,7 @@
   if (!Versions)
     co_return std::nullopt;
   Claim.Epoch = Versions->front();
-  co_return Claim;
+  co_return Move;
 }
 
 /// Notes who has acknowledged \p Claim.
@@ -288,7 +306,8 @@
 }
 
 /// Carries a claimed move out.
-base::task<bool> carryOut(native_state &State, const primary_claim &Claim) {
+base::task<bool> carryOut(native_state &State, const claimed_move &Move) {
+  const primary_claim &Claim = Move.Claim;
   const instant Deadline = base::now() + MoveTime;
   const bool Fenced = co_await awaitAcknowledgements(State, Claim, Deadline);
   if (!Fenced) {
@@ -299,7 +318,7 @@
   if (Target.empty()) {
     // Nobody else can take over: the old primary goes on if it still leads.
     const auto Old = co_await askOldPrimary(State, Claim);
-    if (!Old || Old->Role != session::endpoint_role::Primary) {
+    if (!mayGoOn(Old, Move.Resumed)) {
       say(Claim.Service, "no endpoint can take over.");
       co_return false;
     }
@@ -324,12 +343,12 @@
                              move_cause Cause) {
   const base::endpoint_name Primary = primaryOf(*State, Service);
   const instant Begun = base::now();
-  const auto Claim = co_await claimMove(*State, Service, Primary);
-  if (Claim) {
+  const auto Move = co_await claimMove(*State, Service, Primary);
+  if (Move) {
     say(Service, "moving the primary from " + Primary + ", cause " +
                      std::string(moveCauseName(Cause)) + ".");
-    takeClaim(*State, *Claim);
-    const bool Done = co_await carryOut(*State, *Claim);
+    takeClaim(*State, Move->Claim);
+    const bool Done = co_await carryOut(*State, *Move);
     const auto Took =
         std::chrono::duration_cast<milliseconds>(base::now() - Begun);
     say(Service, std::string(Done ? "moved" : "not moved") + " after " +
--- a/packages/session/include/redwinggw/session/handover.hpp
+++ b/packages/session/include/redwinggw/session/handover.hpp
@@ -104,6 +104,13 @@
 chooseTarget(const std::vector<move_candidate> &Candidates,
              std::optional<log_point> Needed);
 
+/// Whether the old primary may go on because nobody can take over: it leads
+/// still, by its last answer \p Old, and no promotion can have been ordered.
+/// \p Resumed: the move was begun by an earlier claim, whose order may take
+/// effect even now. An old primary that went on then would acknowledge writes
+/// beside the new one; it leads in its own eyes until it reaches that one.
+bool mayGoOn(const std::optional<endpoint_status> &Old, bool Resumed);
+
 /// The name of \p Cause in logs. Thread safe.
 std::string_view moveCauseName(move_cause Cause);
 
--- a/packages/session/src/handover.cpp
+++ b/packages/session/src/handover.cpp
@@ -62,6 +62,10 @@
          Now - Acknowledged.ClaimedAt > Limits.ReadingCounts;
 }
 
+bool mayGoOn(const std::optional<endpoint_status> &Old, bool Resumed) {
+  return !Resumed && Old && Old->Role == endpoint_role::Primary;
+}
+
 const move_candidate *
 chooseTarget(const std::vector<move_candidate> &Candidates,
              std::optional<log_point> Needed) {
--- a/tests/session/handover_test.cpp
+++ b/tests/session/handover_test.cpp
@@ -112,3 +112,18 @@
   cr_assert(chooseTarget(Candidates, log_point{3, 13}) == nullptr);
   cr_assert(chooseTarget({}, std::nullopt) == nullptr);
 }
+
+// An orderer has promoted a replica and is cut off before it can tell. The next
+// one begins anew; the replicas are too busy to answer it, and the old primary,
+// which has not yet heard of the new one, says that it leads. A user's write
+// that it then confirmed would be rolled back a second later.
+Test(handover, lets_the_old_primary_go_on_only_when_nobody_can_be_promoted) {
+  endpoint_status Leads;
+  Leads.Role = endpoint_role::Primary;
+  endpoint_status Follows;
+  Follows.Role = endpoint_role::Replica;
+  cr_assert(mayGoOn(Leads, false));
+  cr_assert(!mayGoOn(Leads, true));
+  cr_assert(!mayGoOn(Follows, false));
+  cr_assert(!mayGoOn(std::nullopt, false));
+}
