Give back to a customer's rate what ran nowhere

Change: an operation that no endpoint has run, or may have run, is given back to the local bucket, which holds no more for it; the bound over any window is that of the bucket. Parts too small to divide give nothing back. Test: session_core_test (refused, in doubt, served; transactions that never began), demand_shares_test (a flood that is mostly turned away and given back, every five seconds within the rate).

--- a/packages/control/include/redwinggw/control/demand_shares.hpp
+++ b/packages/control/include/redwinggw/control/demand_shares.hpp
@@ -139,4 +139,11 @@
                                unsigned Priority, base::microseconds Patience,
                                base::instant Now);
 
+/// Gives back the token of an operation that no endpoint has run. An overloaded
+/// or failing endpoint makes callers come again; were each attempt counted, they
+/// would be refused for their rate though they got nothing of it. Whatever
+/// runs, in any span of time, is still bounded: a bucket holds no more for it.
+void returnDemandToken(demand_shares &Shares, std::string_view Customer,
+                       base::instant Now);
+
 } // namespace redwinggw::control
--- a/packages/control/src/demand_shares.cpp
+++ b/packages/control/src/demand_shares.cpp
@@ -211,4 +211,17 @@
   return {true, Wait};
 }
 
+void returnDemandToken(demand_shares &Shares, std::string_view Customer,
+                       instant Now) {
+  const auto Found = Shares.Accounts.find(Customer);
+  if (Found == Shares.Accounts.end())
+    return;
+  demand_account &Account = Found->second;
+  // A part too small to divide may have given no token for it.
+  if (!Account.Divisible)
+    return;
+  fill(Shares, Account, Now);
+  Account.Tokens = std::min(Account.Tokens + 1, depthOf(Shares, Account));
+}
+
 } // namespace redwinggw::control
--- a/packages/redwinggw/src/native_instance.cpp
+++ b/packages/redwinggw/src/native_instance.cpp
@@ -178,6 +178,9 @@
                                          Patience, base::now());
     return session::admission{Verdict.Admitted, Verdict.Wait};
   };
+  Ports.Return = [&State](std::string_view Customer) {
+    returnDemandToken(State.Shares, Customer, base::now());
+  };
   Ports.Right = [&State](std::string_view Service) {
     return rightTo(State, Service);
   };
--- a/packages/session/include/redwinggw/session/session.hpp
+++ b/packages/session/include/redwinggw/session/session.hpp
@@ -18,6 +18,8 @@
   /// next one.
   route Route;
   bool ReadOnly = false;
+  /// An endpoint has begun it.
+  bool Begun = false;
   /// A statement that writes was sent to the endpoint.
   bool Wrote = false;
   /// It failed and can only be ended.
--- a/packages/session/include/redwinggw/session/session_core.hpp
+++ b/packages/session/include/redwinggw/session/session_core.hpp
@@ -27,6 +27,8 @@
   std::function<admission(std::string_view Customer, unsigned Priority,
                           base::microseconds Patience)>
       Admit;
+  /// Gives back what Admit took for an operation that no endpoint has run.
+  std::function<void(std::string_view Customer)> Return;
   /// The right to use the service's primary, if this instance has it now.
   std::function<std::optional<primary_right>(std::string_view Service)> Right;
   /// Whether the right has held ever since it was given.
--- a/packages/session/src/core_parts.hpp
+++ b/packages/session/src/core_parts.hpp
@@ -16,6 +16,8 @@
   /// What is run: for prepared statements the operand it was prepared with.
   const prepared_statement *Prepared = nullptr;
   bool Writes = false;
+  /// An endpoint has run something of it, or may have.
+  bool Ran = false;
   unsigned Tries = 0;
   /// Endpoints that did not serve it.
   std::vector<base::endpoint_name> Tried;
@@ -89,6 +91,9 @@
                                request &Request);
 base::task<void> rollback(caller_session &Session);
 
+/// Gives back the operation's part of the customer's rate.
+void returnAdmission(const session_core &Core, const caller_session &Session);
+
 base::task<void> pauseFor(session_core &Core, base::microseconds Time);
 
 /// Writes the line about an answer, within its bounds, and counts it.
--- a/packages/session/src/placement.cpp
+++ b/packages/session/src/placement.cpp
@@ -172,6 +172,16 @@
 
 namespace {
 
+/// Whether the endpoint has run the statement, or may have.
+bool mayHaveRun(const exchange &Exchange) {
+  if (Exchange.Outcome == exchange_outcome::NotSent)
+    return false;
+  if (Exchange.Outcome != exchange_outcome::Answered || !Exchange.Answer.Error)
+    return true;
+  const answer_code Code = Exchange.Answer.Error->Code;
+  return !isPromise(Code) && Code != answer_code::Unknown;
+}
+
 /// Has the endpoint's owner run the statement.
 base::task<exchange> runByOwner(session_core &Core, request &Request,
                                 placement &Placement,
@@ -226,6 +236,7 @@
     Exchange = co_await runHere(Core, Request, Placement, Statement);
   }
   Pool->noteEnded(Sent);
+  Request.Ran = Request.Ran || mayHaveRun(Exchange);
   co_return Exchange;
 }
 
--- a/packages/session/src/session_core.cpp
+++ b/packages/session/src/session_core.cpp
@@ -52,6 +52,18 @@
                              std::to_string(After.count()) + " ms"};
 }
 
+/// Ends the transaction; one that no endpoint has begun took nothing of the
+/// customer's rate.
+base::task<answer> serveRollback(const session_core &Core,
+                                 caller_session &Session) {
+  const bool Unused =
+      !Session.Transaction->Begun && !Session.Transaction->Failed;
+  co_await rollback(Session);
+  if (Unused)
+    returnAdmission(Core, Session);
+  co_return done(Session);
+}
+
 base::task<answer> serveData(session_core &Core, caller_session &Session,
                              request &Request) {
   if (Request.Statement.Kind == statement_kind::Execute) {
@@ -71,7 +83,10 @@
   const auto Refused = co_await admit(Core, Session, Request.Route);
   if (Refused)
     co_return makeError(Refused->Code, Refused->Reason);
-  co_return co_await serveSingle(Core, Session, Request);
+  answer Answer = co_await serveSingle(Core, Session, Request);
+  if (!Request.Ran)
+    returnAdmission(Core, Session);
+  co_return Answer;
 }
 
 /// Sets a value here and, when a transaction holds a connection, there.
@@ -161,8 +176,7 @@
   case statement_kind::Commit:
     co_return co_await serveCommit(Core, Session, Request);
   case statement_kind::Rollback:
-    co_await rollback(Session);
-    co_return done(Session);
+    co_return co_await serveRollback(Core, Session);
   case statement_kind::Read:
   case statement_kind::Write:
   case statement_kind::Execute:
@@ -181,6 +195,11 @@
 
 } // namespace
 
+void returnAdmission(const session_core &Core, const caller_session &Session) {
+  if (Core.Ports.Return && !Session.Customer.empty())
+    Core.Ports.Return(Session.Customer);
+}
+
 transaction_state stateOf(const caller_session &Session) {
   if (!Session.Transaction)
     return transaction_state::Idle;
--- a/tests/control/demand_shares_test.cpp
+++ b/tests/control/demand_shares_test.cpp
@@ -300,3 +300,28 @@
   cr_assert(Urgent >= 380);
   cr_assert(Other >= 80);
 }
+
+// Endpoints turn most of a flood away, each time at once, and what they turned
+// away is given back. Of what did run, no five seconds may hold more than the
+// rate allows, and callers get all of it.
+Test(demand_shares, keep_the_rate_when_tokens_are_given_back) {
+  demand_fleet Fleet(6);
+  Fleet.load({10, 10, 10, 10, 10, 10}, milliseconds(5000));
+  for (int Window = 0; Window < 4; ++Window) {
+    std::size_t Ran = 0;
+    for (const instant End = Fleet.Now + std::chrono::seconds(5);
+         Fleet.Now < End;) {
+      Fleet.tick();
+      for (std::size_t Index = 0; Index < Fleet.Members.size(); ++Index)
+        for (std::size_t Try = 0; Try < 8; ++Try) {
+          const bool Admitted = Fleet.ask(Index);
+          const bool TurnedAway = Try % 4 != 3;
+          if (Admitted && TurnedAway)
+            returnDemandToken(Fleet.Shares[Index], "acme", Fleet.Now);
+          Ran += Admitted && !TurnedAway ? 1 : 0;
+        }
+    }
+    cr_assert(static_cast<double>(Ran) <= allowed(100, 100, 5), "%zu", Ran);
+    cr_assert(static_cast<double>(Ran) >= 100 * 5 * 0.9, "%zu", Ran);
+  }
+}
--- a/tests/session/fake_endpoint.hpp
+++ b/tests/session/fake_endpoint.hpp
@@ -175,6 +175,7 @@
       return Admitted ? admission{true, {}}
                       : admission{false, base::milliseconds(120)};
     };
+    Core.Ports.Return = [this](std::string_view) { ++Returned; };
     Core.Ports.Right = [this](std::string_view) { return Right; };
     Core.Ports.StillHolds = [this](const primary_right &Given) {
       return Right && *Right == Given;
@@ -248,6 +249,8 @@
   route_table_ptr Routes;
   std::optional<primary_right> Right = primary_right{"s", "p", 1};
   bool Admitted = true;
+  /// Operations whose part of the rate was given back.
+  unsigned Returned = 0;
   std::optional<answer_error> OpenError;
   std::vector<std::string> Troubles;
   unsigned LastId = 0;
--- a/tests/session/session_core_test.cpp
+++ b/tests/session/session_core_test.cpp
@@ -256,3 +256,45 @@
   cr_assert(Own[0].Customer == "acme");
   cr_assert(Own[1].Customer == "bolt");
 }
+
+// The endpoints are overloaded, and a user's attempts are refused as busy. Each
+// attempt counted against its customer's rate, though nothing ran: coming back
+// when there was room again, the user was refused for the rate.
+Test(session_core, counts_only_what_may_have_run_against_the_rate) {
+  bench_core Bench;
+  caller_session Session = Bench.open("strict");
+  Bench.Group.Script = [](const seen_statement &) {
+    return std::optional(refused(answer_code::Busy));
+  };
+  cr_assert(failedWith(Bench.write(Session), answer_code::Busy));
+  cr_assert(Bench.Returned == 1);
+  Bench.Group.Script = [](const seen_statement &) {
+    return std::optional(ended(exchange_outcome::Broken));
+  };
+  cr_assert(failedWith(Bench.write(Session), answer_code::InDoubt));
+  Bench.Group.Script = {};
+  cr_assert(!Bench.write(Session).Error);
+  cr_assert(Bench.Returned == 1);
+}
+
+// The same for transactions: one that found no endpoint, or was given up before
+// it needed one, has run nowhere.
+Test(session_core, counts_only_begun_transactions_against_the_rate) {
+  bench_core Bench;
+  caller_session Session = Bench.open("strict");
+  Bench.run(Session, statement_kind::Begin, "BEGIN");
+  Bench.Group.Script = [](const seen_statement &) {
+    return std::optional(refused(answer_code::Busy));
+  };
+  cr_assert(Bench.write(Session).Error);
+  Bench.run(Session, statement_kind::Rollback, "ROLLBACK");
+  cr_assert(Bench.Returned == 1);
+  Bench.run(Session, statement_kind::Begin, "BEGIN");
+  Bench.run(Session, statement_kind::Rollback, "ROLLBACK");
+  cr_assert(Bench.Returned == 2);
+  Bench.Group.Script = {};
+  Bench.run(Session, statement_kind::Begin, "BEGIN");
+  cr_assert(!Bench.write(Session).Error);
+  Bench.run(Session, statement_kind::Rollback, "ROLLBACK");
+  cr_assert(Bench.Returned == 2);
+}
