--- a/tests/native/native_path_test.cpp
+++ b/tests/native/native_path_test.cpp
@@ -176,6 +176,23 @@
   });
 }
 
+// An instance stops while a caller sends one statement after the other. The one
+// that crossed the close of the session was lost: its caller saw the connection
+// end and could not know whether it had run.
+Test(native_path, answers_the_statement_that_crosses_a_stop) {
+  native_fleet Fleet(2);
+  native_process &Leaving = Fleet.Instances[0];
+  line_client Caller(Leaving.Callers, "strict", "key");
+  cr_assert(Caller.run("WRITE a 1").Error.empty());
+  Leaving.Process->signal(SIGTERM);
+  line_answer Answer;
+  while (Answer.Error.empty())
+    Answer = Caller.run("READ a");
+  cr_assert(Answer.Error == "BUSY", "%s", Answer.Error.c_str());
+  cr_assert(Answer.State == "I");
+  cr_assert(Leaving.Process->wait(std::chrono::seconds(30)) == 0);
+}
+
 // The settings change: an instance that does not expect the signal would end.
 Test(native_path, survives_a_reload) {
   native_fleet Fleet(1);
