Let instances lend each other tokens of a customer's rate

Ruled out: longer waits for a token (dropped before, no gain). Change: heartbeats tell spare tokens; an operation without one asks the instance with most of them, then a second one, within 15 ms. A lent token leaves one bucket before it enters the other, so the bound over all holds, also when answers are lost. Test: token_lending_test plays callers that gather at one instance after the other (under a hundredth refused with loans, over a twentieth without) and a flood with lost answers. The fleet of both tests stands in demand_fleet.hpp.

--- a/packages/control/include/redwinggw/control/demand_shares.hpp
+++ b/packages/control/include/redwinggw/control/demand_shares.hpp
@@ -63,6 +63,8 @@
   /// An instance is silent, and its part stays as it is, from here on: three
   /// heartbeats.
   base::milliseconds HeardFor{650};
+  /// What an instance lends leaves it tokens for so long.
+  base::milliseconds KeptFor{50};
   /// Of a silent instance's part so much stays reserved after this time.
   base::milliseconds SilentAfter{3000};
   double SilentReserve = 0.75;
@@ -92,6 +94,10 @@
   double Tokens = 0;
   /// Tokens of operations of which it is not known yet whether they run.
   double Unsettled = 0;
+  /// Room beyond the bucket's depth for borrowed tokens, until the next
+  /// division: where a customer's callers have just come, the bucket is flat,
+  /// and what was borrowed for them would run over.
+  double LoanRoom = 0;
   base::instant FilledAt;
   /// Part of the rate that is admitted here.
   double Part = 0;
@@ -128,6 +134,19 @@
 void applyRates(demand_shares &Shares, const std::vector<customer> &Customers,
                 base::instant Now);
 
+/// What the bucket of \p Account holds at most. At least one operation where
+/// there is demand: in a large fleet a small customer's part is less, and every
+/// operation would be refused. What this adds to the burst is less than one for
+/// each instance that it calls.
+double bucketDepth(const demand_shares &Shares, const demand_account &Account);
+
+/// Adds to the bucket what has come in up to \p Now.
+void fillBucket(const demand_shares &Shares, demand_account &Account,
+                base::instant Now);
+
+/// Tokens of \p Account beyond what its own callers are about to need.
+double spareTokens(const demand_shares &Shares, const demand_account &Account);
+
 /// Works out the parts anew. Call at each heartbeat. \p InTouch: a majority is
 /// heard or the store is reached.
 void divideRates(demand_shares &Shares, const membership &Membership,
@@ -149,6 +168,8 @@
   bool Counted = false;
   /// Admitted: how long to wait first. Refused: when there is a token.
   base::microseconds Wait{0};
+  /// Refused: tokens that were missing.
+  double Missing = 0;
 };
 
 /// Takes a token of \p Customer, waiting for it \p Patience at most.
--- a/packages/control/src/demand_shares.cpp
+++ b/packages/control/src/demand_shares.cpp
@@ -13,29 +13,10 @@
   return std::chrono::duration<double>(To - From).count();
 }
 
-/// At least one operation where there is demand: in a large fleet a small
-/// customer's part is less, and every operation would be refused. What this
-/// adds to the burst is less than one for each instance that it calls.
-double depthOf(const demand_shares &Shares, const demand_account &Account) {
-  const double Depth =
-      (Account.Burst + Shares.Limits.ExtraTokens) * Account.Part;
-  return Account.Announced > 0 ? std::max(1.0, Depth) : Depth;
-}
-
 double speedOf(const demand_shares &Shares, const demand_account &Account) {
   return Account.Rate * Shares.Limits.RateSlack * Account.Part;
 }
 
-void fill(const demand_shares &Shares, demand_account &Account, instant Now) {
-  const double Added =
-      speedOf(Shares, Account) * secondsBetween(Account.FilledAt, Now);
-  const double Room =
-      depthOf(Shares, Account) - Account.Tokens - Account.Unsettled;
-  Account.Tokens += std::clamp(Added, 0.0, std::max(0.0, Room));
-  Account.Tokens = std::min(Account.Tokens, depthOf(Shares, Account));
-  Account.FilledAt = Now;
-}
-
 /// Lets the average decay to \p Now.
 void decay(const demand_shares &Shares, demand_account &Account, instant Now) {
   const double Window =
@@ -152,7 +133,7 @@
   const double Part =
       std::min(Limits.ReservePerPriority * Priority, Limits.MostReserved);
   // A bucket too small to divide serves in the order of arrival.
-  const double Room = std::max(0.0, depthOf(Shares, Account) - 1);
+  const double Room = std::max(0.0, bucketDepth(Shares, Account) - 1);
   return Part * Room;
 }
 
@@ -176,6 +157,24 @@
 
 } // namespace
 
+double bucketDepth(const demand_shares &Shares, const demand_account &Account) {
+  const double Depth =
+      (Account.Burst + Shares.Limits.ExtraTokens) * Account.Part;
+  return Account.Announced > 0 ? std::max(1.0, Depth) : Depth;
+}
+
+void fillBucket(const demand_shares &Shares, demand_account &Account,
+                instant Now) {
+  const double Added =
+      speedOf(Shares, Account) * secondsBetween(Account.FilledAt, Now);
+  const double Room =
+      bucketDepth(Shares, Account) - Account.Tokens - Account.Unsettled;
+  Account.Tokens += std::clamp(Added, 0.0, std::max(0.0, Room));
+  Account.Tokens =
+      std::min(Account.Tokens, bucketDepth(Shares, Account) + Account.LoanRoom);
+  Account.FilledAt = Now;
+}
+
 void applyRates(demand_shares &Shares, const std::vector<customer> &Customers,
                 instant Now) {
   for (const customer &Customer : Customers) {
@@ -185,10 +184,10 @@
       Account.DemandAt = Now;
       Account.FilledAt = Now;
     }
-    fill(Shares, Account, Now);
+    fillBucket(Shares, Account, Now);
     Account.Rate = Customer.Rate;
     Account.Burst = Customer.Burst;
-    Account.Tokens = std::min(Account.Tokens, depthOf(Shares, Account));
+    Account.Tokens = std::min(Account.Tokens, bucketDepth(Shares, Account));
   }
   std::erase_if(Shares.Accounts, [&](const auto &Item) {
     return std::ranges::find(Customers, Item.first, &customer::Name) ==
@@ -214,7 +213,8 @@
     const others_view Others =
         viewOthers(Shares, Account, Membership, Hash, Idle, Now);
     const double Sum = Own + Others.Heard;
-    fill(Shares, Account, Now);
+    fillBucket(Shares, Account, Now);
+    Account.LoanRoom = 0;
     Account.HeardDemand = Sum;
     Account.HeardPart = heardPart(Shares, Others, Heard);
     Account.Part = Sum > 0 ? Own / Sum * Account.HeardPart : 0;
@@ -224,14 +224,31 @@
     if (Isolated)
       Account.Part /= 2;
     Account.Part = std::min(Account.Part, Most);
-    Account.Divisible = !Heard || Isolated || Most < 1 ||
-                        depthOf(Shares, Account) >= Shares.Limits.LeastDepth;
-    Account.Tokens = std::min(Account.Tokens, depthOf(Shares, Account));
+    Account.Divisible =
+        !Heard || Isolated || Most < 1 ||
+        bucketDepth(Shares, Account) >= Shares.Limits.LeastDepth;
+    Account.Tokens = std::min(Account.Tokens, bucketDepth(Shares, Account));
   }
 }
 
+double spareTokens(const demand_shares &Shares, const demand_account &Account) {
+  const double Kept =
+      1 + Account.Announced *
+              std::chrono::duration<double>(Shares.Limits.KeptFor).count();
+  return std::max(0.0, Account.Tokens - Kept);
+}
+
 void yieldRates(demand_shares &Shares) { Shares.Yielded = true; }
 
+namespace {
+
+std::uint8_t wholeTokens(double Tokens) {
+  constexpr double Most = UINT8_MAX;
+  return static_cast<std::uint8_t>(std::min(Most, std::floor(Tokens)));
+}
+
+} // namespace
+
 std::vector<wire::demand_report> announceDemand(demand_shares &Shares,
                                                 instant Now) {
   // Below this nothing worth its bytes was asked for lately.
@@ -242,8 +259,9 @@
     const bool Told = Account.Demand > Least && !Shares.Yielded;
     Account.Announced = Told ? Account.Demand : 0;
     if (Account.Announced > 0)
-      Reports.push_back(
-          {wire::hashOf(Name), static_cast<float>(Account.Announced)});
+      Reports.push_back({wire::hashOf(Name),
+                         static_cast<float>(Account.Announced),
+                         wholeTokens(spareTokens(Shares, Account))});
   }
   return Reports;
 }
@@ -256,7 +274,7 @@
     return {};
   demand_account &Account = Found->second;
   countDemand(Shares, Account, Now);
-  fill(Shares, Account, Now);
+  fillBucket(Shares, Account, Now);
   if (isCalm(Shares, Account)) {
     Account.Tokens = std::max(0.0, Account.Tokens - 1);
     return {true, false, {}};
@@ -271,7 +289,7 @@
   const base::microseconds Wait(
       static_cast<std::int64_t>((Needed - Account.Tokens) / Speed * 1e6));
   if (Wait > Patience)
-    return {false, false, Wait};
+    return {false, false, Wait, Needed - Account.Tokens};
   return take(Account, Wait);
 }
 
@@ -281,10 +299,10 @@
   if (Found == Shares.Accounts.end())
     return;
   demand_account &Account = Found->second;
-  fill(Shares, Account, Now);
+  fillBucket(Shares, Account, Now);
   Account.Unsettled = std::max(0.0, Account.Unsettled - 1);
   if (!Run)
-    Account.Tokens = std::min(Account.Tokens + 1, depthOf(Shares, Account));
+    Account.Tokens = std::min(Account.Tokens + 1, bucketDepth(Shares, Account));
 }
 
 } // namespace redwinggw::control
--- a/packages/redwinggw/src/native_following.cpp
+++ b/packages/redwinggw/src/native_following.cpp
@@ -107,6 +107,7 @@
       State.Context.get_executor(), Identity, State.Settings.Peers, Secret,
       State.Store, Members, Currency);
   connectPeers(State);
+  connectLending(State);
   startRelays(State, Secret);
   if (const auto Started = State.Peers->start(); !Started)
     base::log(log_level::Error, log_part::Peers, describe(Started.error()));
--- a/packages/redwinggw/src/native_instance.cpp
+++ b/packages/redwinggw/src/native_instance.cpp
@@ -152,7 +152,8 @@
               [this](http::connection &, http::request) {
                 return answerMetrics(*this);
               }),
-      Promotions(Context.get_executor(), Settings.Promotions), Life(entered),
+      Promotions(Context.get_executor(), Settings.Promotions),
+      Loans(Context.get_executor(), Endpoints.Watch), Life(entered),
       Random(std::random_device()()) {
   Endpoints.Factory =
       platform::databaseLinks(Context.get_executor(), Endpoints.Watch);
@@ -172,11 +173,9 @@
 session::core_ports nativePorts(native_state &State) {
   session::core_ports Ports;
   Ports.Routes = [&State] { return State.Routes; };
-  Ports.Admit = [&State](std::string_view Customer, unsigned Priority,
+  Ports.Admit = [&State](base::customer_name Customer, unsigned Priority,
                          base::microseconds Patience) {
-    const auto Verdict = takeDemandToken(State.Shares, Customer, Priority,
-                                         Patience, base::now());
-    return session::admission{Verdict.Admitted, Verdict.Counted, Verdict.Wait};
+    return admitNative(State, std::move(Customer), Priority, Patience);
   };
   Ports.Settle = [&State](std::string_view Customer, bool Ran) {
     settleDemandToken(State.Shares, Customer, Ran, base::now());
--- a/packages/redwinggw/src/native_state.hpp
+++ b/packages/redwinggw/src/native_state.hpp
@@ -7,6 +7,7 @@
 
 #include "redwinggw/control/demand_shares.hpp"
 #include "redwinggw/control/peer_service.hpp"
+#include "redwinggw/control/token_lending.hpp"
 #include "redwinggw/http/server.hpp"
 #include "redwinggw/kernel/life_cycle.hpp"
 #include "redwinggw/session/handover.hpp"
@@ -59,6 +60,9 @@
   /// Who owns the connections to each endpoint, as this instance sees it.
   std::map<base::endpoint_name, base::instance_name, std::less<>> Owners;
   control::demand_shares Shares;
+  control::token_lending Lending;
+  /// Operations that wait for tokens of another instance.
+  session::wait_list Loans;
   session::primary_claims Claims;
   session::handover_limits Handover;
   /// Services whose primary this instance is moving.
@@ -193,6 +197,18 @@
 /// Removes this instance's row: it has stopped and counts no more.
 base::task<void> removeInstance(native_state &State);
 
+/// \name Customers' rates
+/// @{
+/// Takes an operation of the customer's rate, with tokens of another instance
+/// where the own ones do not suffice.
+base::task<session::admission> admitNative(native_state &State,
+                                           std::string Customer,
+                                           unsigned Priority,
+                                           base::microseconds Patience);
+/// Starts to lend tokens.
+void connectLending(native_state &State);
+/// @}
+
 /// \name Connections to endpoints
 /// @{
 /// Starts to take statements of other instances and to pass on own ones.
--- a/packages/session/include/redwinggw/session/session_core.hpp
+++ b/packages/session/include/redwinggw/session/session_core.hpp
@@ -26,8 +26,9 @@
   std::function<route_table_ptr()> Routes;
   /// Takes one operation of the customer's rate, if there is one within
   /// \p Patience.
-  std::function<admission(std::string_view Customer, unsigned Priority,
-                          base::microseconds Patience)>
+  std::function<base::task<admission>(base::customer_name Customer,
+                                      unsigned Priority,
+                                      base::microseconds Patience)>
       Admit;
   /// Ends an admitted operation that was Counted; what no endpoint has run is
   /// given back to the customer's rate.
--- a/packages/session/src/session_core.cpp
+++ b/packages/session/src/session_core.cpp
@@ -46,7 +46,7 @@
   const auto Patience = std::chrono::duration_cast<base::microseconds>(
       Route.TargetLatency * Core.Limits.PatienceShare);
   const admission Admission =
-      Core.Ports.Admit(Session.Customer, Route.Priority, Patience);
+      co_await Core.Ports.Admit(Session.Customer, Route.Priority, Patience);
   if (!Admission.Admitted) {
     const auto After = std::chrono::ceil<base::milliseconds>(Admission.Wait);
     Result.Refused = answer_error{answer_code::Busy,
--- a/packages/wire/include/redwinggw/wire/message.hpp
+++ b/packages/wire/include/redwinggw/wire/message.hpp
@@ -46,6 +46,8 @@
   std::uint32_t Customer = 0;
   /// Operations a second, smoothed, served or not.
   float Rate = 0;
+  /// Whole tokens of the customer's rate that the sender could lend.
+  std::uint8_t Spare = 0;
 
   friend bool operator==(const demand_report &,
                          const demand_report &) = default;
@@ -132,7 +134,7 @@
 
 enum class share_kind : std::uint8_t {
   Request,  ///< Tokens: wanted
-  Grant,    ///< Tokens: given
+  Grant,    ///< Tokens: given, for good where rates are divided by demand
   Released, ///< the lease of the partition is free for the receiver
   Moved,    ///< the receiver of the request gives no shares of this partition
 };
--- a/packages/wire/src/message.cpp
+++ b/packages/wire/src/message.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 /// Bumped when the form of a datagram changes; others are dropped.
-constexpr std::uint8_t FormatVersion = 3;
+constexpr std::uint8_t FormatVersion = 4;
 
 /// Strings and lists travel with a length of 1 or 2 bytes: cereal's own take
 /// 8, which is most of a small heartbeat.
@@ -85,7 +85,7 @@
   transferMap(Ar, Value.Heard);
   Ar(Value.ConfigurationRow, Value.Full);
   transferAll(Ar, Value.Demands,
-              [&](auto &Item) { Ar(Item.Customer, Item.Rate); });
+              [&](auto &Item) { Ar(Item.Customer, Item.Rate, Item.Spare); });
   transferAll(Ar, Value.Positions, [&](auto &Item) {
     Ar(Item.Group, Item.Term, Item.Position, Item.Age);
   });
--- a/tests/control/demand_shares_test.cpp
+++ b/tests/control/demand_shares_test.cpp
@@ -1,122 +1,14 @@
-#include "redwinggw/control/demand_shares.hpp"
+#include "demand_fleet.hpp"
 
 #include <algorithm>
 #include <cmath>
 #include <deque>
-#include <random>
 
 #include "criterion_test.hpp"
 
 using namespace redwinggw;
 using namespace redwinggw::control;
-using base::instant;
-using base::milliseconds;
-
-namespace {
-
-/// Instances that exchange heartbeats in passed time.
-struct demand_fleet {
-  explicit demand_fleet(std::size_t Count, double Rate = 100,
-                        double Burst = 100) {
-    for (std::size_t Index = 0; Index < Count; ++Index) {
-      membership_limits Direct;
-      Direct.DirectLimit = Count;
-      membership Member =
-          makeMembership({"i" + std::to_string(Index), "z", 1}, Direct);
-      onStoreRead(Member, Now, Now, 0);
-      Members.push_back(std::move(Member));
-      Shares.emplace_back();
-      applyRates(Shares.back(), {{"acme", Rate, Burst}}, Now);
-      Cut.push_back(false);
-    }
-    std::vector<storage::listed_instance> Listed;
-    for (const membership &Member : Members) {
-      storage::listed_instance Instance;
-      Instance.Name = Member.Self.Name;
-      Listed.push_back(Instance);
-    }
-    for (membership &Member : Members)
-      onList(Member, Listed, Now);
-  }
-
-  void deliver(const peer_send &Send, std::size_t From) {
-    for (std::size_t To = 0; To < Members.size(); ++To)
-      if (Members[To].Self.Name == Send.Datagram.Receiver && To != Dead &&
-          Cut[From] == Cut[To] && admitDatagram(Members[To], Send.Datagram))
-        onHeartbeat(Members[To], Send.Datagram, Now);
-  }
-
-  void tick() {
-    Now += milliseconds(50);
-    for (std::size_t Index = 0; Index < Members.size(); ++Index) {
-      if (Dead == Index)
-        continue;
-      if (Ticks % 4 == 0)
-        Members[Index].Local.Demands = announceDemand(Shares[Index], Now);
-      for (const peer_send &Send : onTick(Members[Index], Now))
-        deliver(Send, Index);
-      if (Ticks % 4 == 0)
-        divideRates(Shares[Index], Members[Index],
-                    StoreReached || hearsMajority(Members[Index], Now), Now);
-    }
-    ++Ticks;
-  }
-
-  /// The instance announces that it leaves, and goes on for now.
-  void leave(std::size_t Index) {
-    for (const peer_send &Send : onLeave(Members[Index], Now))
-      deliver(Send, Index);
-  }
-
-  /// Asks for an operation at \p Index, which runs at once.
-  bool ask(std::size_t Index, unsigned Priority = 0) {
-    const bool Admitted = hold(Index, Priority);
-    if (Admitted)
-      settleDemandToken(Shares[Index], "acme", true, Now);
-    Spent += Admitted ? 1 : 0;
-    return Admitted;
-  }
-
-  /// The same, but it stays open whether the operation runs.
-  bool hold(std::size_t Index, unsigned Priority = 0) {
-    return takeDemandToken(Shares[Index], "acme", Priority, milliseconds(50),
-                           Now)
-        .Admitted;
-  }
-
-  /// Poisson arrivals at \p Rates, by instance, for \p Time. Answers the
-  /// number refused.
-  std::size_t load(const std::vector<double> &Rates, milliseconds Time) {
-    std::size_t Refused = 0;
-    for (const instant End = Now + Time; Now < End;) {
-      tick();
-      for (std::size_t Index = 0; Index < Members.size(); ++Index) {
-        std::poisson_distribution<int> Arrivals(Rates[Index] * 0.05);
-        for (int Left = Dead == Index ? 0 : Arrivals(Random); Left > 0; --Left)
-          Refused += ask(Index) ? 0 : 1;
-      }
-    }
-    return Refused;
-  }
-
-  instant Now{std::chrono::seconds(1000)};
-  std::vector<membership> Members;
-  std::vector<demand_shares> Shares;
-  std::vector<bool> Cut;
-  /// All reach the store, also where they do not hear each other.
-  bool StoreReached = false;
-  std::size_t Dead = SIZE_MAX;
-  std::size_t Ticks = 0;
-  std::size_t Spent = 0;
-  std::mt19937_64 Random{7};
-};
-
-/// What a customer may use in \p Seconds, with what operators tolerate.
-double allowed(double Rate, double Burst, double Seconds) {
-  return (Rate * Seconds + Burst) * 1.1 + 20;
-}
-
-} // namespace
+using namespace redwinggw::control::testing;
 
 // A customer's callers stand at two of six instances, in uneven numbers. It
 // asks for less than its rate, so nothing may be refused.
--- a/tests/session/fake_endpoint.hpp
+++ b/tests/session/fake_endpoint.hpp
@@ -171,10 +171,8 @@
     Table->Keys.emplace("key2", "bolt");
     Routes = Table;
     Core.Ports.Routes = [this] { return Routes; };
-    Core.Ports.Admit = [this](std::string_view, unsigned, base::microseconds) {
-      return Admitted ? admission{true, true, {}}
-                      : admission{false, false, base::milliseconds(120)};
-    };
+    Core.Ports.Admit = [this](base::customer_name, unsigned,
+                              base::microseconds) { return admit(Admitted); };
     Core.Ports.Settle = [this](std::string_view, bool Ran) {
       Returned += Ran ? 0 : 1;
     };
@@ -190,6 +188,11 @@
     };
   }
 
+  static base::task<admission> admit(bool Admitted) {
+    co_return Admitted ? admission{true, true, {}}
+                       : admission{false, false, base::milliseconds(120)};
+  }
+
   static void addRoute(route_table &Table, std::string Name, consistency Kind) {
     route Route;
     Route.Name = Name;
