End a passed-on transaction at its owner with whatever ended it

Change: the owner rolls back and lets go where it cannot go on, and refuses a statement of another customer or endpoint on a held connection; a way that held a transaction is closed unless the transaction's own end was answered. Ruled out: temporaries in co_await expressions, pools of endpoints started again.

--- a/packages/session/src/relay_host.cpp
+++ b/packages/session/src/relay_host.cpp
@@ -38,18 +38,34 @@
   return !Statement.Right || Core.Ports.StillHolds(*Statement.Right);
 }
 
+/// Gives the transaction that has the lease a turn for its next statement. One
+/// that finds none cannot go on: its connection is closed, which rolls back.
+base::task<relay_failure> continueLease(relay_lease &Lease,
+                                        const relay_request &Request,
+                                        instant Arrived) {
+  const bool Same = Lease.Link.Pool->entry().Name == Request.Endpoint &&
+                    Lease.Link.Link->Customer == Request.Customer;
+  // A rollback needs no slot.
+  if (Same && Request.Statement.Action == link_action::Rollback)
+    co_return relay_failure::None;
+  if (Same) {
+    slot_pass Pass =
+        co_await takeTurn(Lease.Link.Pool, slot_level::Begun, Request.Customer,
+                          Arrived + Request.TimeLeft);
+    if (Pass) {
+      Lease.Link.Pass = std::move(Pass);
+      co_return relay_failure::None;
+    }
+  }
+  Lease.Link = leased_link();
+  co_return relay_failure::NoConnection;
+}
+
 /// Gives the lease a turn, and a connection unless it has one.
 base::task<relay_failure> lease(session_core &Core, relay_lease &Lease,
                                 const relay_request &Request, instant Arrived) {
-  if (Lease.Link) {
-    const bool EndsOnly = Request.Statement.Action == link_action::Rollback;
-    if (!EndsOnly)
-      Lease.Link.Pass =
-          co_await takeTurn(Lease.Link.Pool, slot_level::Begun,
-                            Request.Customer, Arrived + Request.TimeLeft);
-    const bool MayRun = EndsOnly || Lease.Link.Pass;
-    co_return MayRun ? relay_failure::None : relay_failure::NoConnection;
-  }
+  if (Lease.Link)
+    co_return co_await continueLease(Lease, Request, Arrived);
   // Only the transaction's own connection can go on with it.
   if (Request.Statement.Action == link_action::Rollback)
     co_return relay_failure::Refused;
@@ -163,8 +179,11 @@
 relay_server::state::nextRequest(way &Way) {
   std::optional<std::string> Bytes;
   if (Way.Lease.Link) {
-    const instant Latest =
-        base::now() + Core.Ports.Routes()->TransactionIdle + RestMargin;
+    // Statements may come before this instance has read its configuration.
+    const route_table_ptr Table = Core.Ports.Routes();
+    const base::milliseconds Rest =
+        Table ? Table->TransactionIdle : route_table().TransactionIdle;
+    const instant Latest = base::now() + Rest + RestMargin;
     const deadline_guard Guard(Core.Set.Watch, Latest,
                                [&Way] { Way.Stream.close(); });
     Bytes = co_await Way.Stream.next();
--- a/packages/session/src/relay_links.cpp
+++ b/packages/session/src/relay_links.cpp
@@ -125,6 +125,8 @@
   base::customer_name Customer;
   unsigned Priority;
   std::optional<frame_stream> Stream;
+  /// The owner holds a connection of the endpoint for a transaction on it.
+  bool Held = false;
 };
 
 base::task<bool> relay_links::state::link::open(instant Deadline) {
@@ -186,12 +188,17 @@
         Guard.expired() ? exchange_outcome::TimedOut : exchange_outcome::Broken;
     co_return Lost;
   }
-  const bool Held = Reply->Exchange.Outcome == exchange_outcome::Answered &&
-                    Reply->Exchange.Answer.State != transaction_state::Idle;
-  if (!Held && !Guard.expired()) {
+  // A connection serves others only when the owner holds nothing on it for
+  // sure: a transaction's is closed with whatever ended it but its own end.
+  const bool Answered = Reply->Exchange.Outcome == exchange_outcome::Answered;
+  const bool Ended =
+      Answered && Reply->Exchange.Answer.State == transaction_state::Idle;
+  const bool Free = Ended || (!Answered && !Held);
+  Held = Answered && !Ended;
+  if (Free && !Guard.expired())
     To->Idle.push_front(std::move(*Stream));
+  if (!Held)
     Stream.reset();
-  }
   co_return std::move(*Reply);
 }
 
--- a/tests/session/relay_test.cpp
+++ b/tests/session/relay_test.cpp
@@ -49,6 +49,21 @@
 
   bench_core &first() { return Instances.front(); }
 
+  /// Takes a turn on the slots. Precondition: one is free.
+  slot_pass take(const pool_ptr &Pool) {
+    slot_pass Pass;
+    boost::asio::co_spawn(
+        Context,
+        [](pool_ptr Pool, slot_pass &Pass) -> base::task<void> {
+          Pass = co_await takeTurn(Pool, slot_level::Normal, "acme",
+                                   base::now() + base::milliseconds(50));
+        }(Pool, Pass),
+        boost::asio::detached);
+    while (!Pass)
+      Context.run_one();
+    return Pass;
+  }
+
   boost::asio::io_context Context;
   fake_group Group;
   bench_core Owner;
@@ -238,3 +253,40 @@
   }
   cr_assert(Fleet.Group.Connections == 1);
 }
+
+// A transaction's statement finds no turn at the owner in its time. Its caller
+// is told that the transaction is aborted. The owner still held its connection
+// for that way, and ran the next statement on it, of another customer.
+Test(relay, ends_a_transaction_that_finds_no_turn) {
+  relay_fleet Fleet;
+  bench_core &Instance = Fleet.first();
+  caller_session Session = Instance.open("strict");
+  Instance.run(Session, statement_kind::Begin, "BEGIN");
+  cr_assert(!Instance.write(Session).Error);
+  const std::size_t Former = Fleet.Group.Seen.back().Connection;
+  const pool_ptr Pool = Fleet.Owner.Set.Pools.at("p");
+  constexpr unsigned AllSlots = 6;
+  std::vector<slot_pass> Taken;
+  for (unsigned Slot = 0; Slot < AllSlots; ++Slot)
+    Taken.push_back(Fleet.take(Pool));
+  cr_assert(failedWith(Instance.write(Session), answer_code::Aborted));
+  cr_assert(Fleet.Server.leases() == 0);
+  Taken.clear();
+  caller_session Other = Instance.open("strict", "key2");
+  cr_assert(!Instance.write(Other).Error);
+  const seen_statement &Last = Fleet.Group.Seen.back();
+  cr_assert(Last.Customer == "bolt" && Last.Connection != Former);
+}
+
+// An instance has just started: the others know it and pass on a transaction,
+// and it has not read the configuration yet.
+Test(relay, serves_transactions_before_the_owner_has_a_configuration) {
+  relay_fleet Fleet;
+  bench_core &Instance = Fleet.first();
+  Fleet.Owner.Routes = nullptr;
+  caller_session Session = Instance.open("strict");
+  Instance.run(Session, statement_kind::Begin, "BEGIN");
+  cr_assert(!Instance.write(Session).Error);
+  cr_assert(!Instance.write(Session).Error);
+  cr_assert(!Instance.run(Session, statement_kind::Commit, "COMMIT").Error);
+}
