Learn how far replicas trail, and go elsewhere when a point is too young

A replica far behind was tried each 250 ms by each instance. A replica that probably trails is weighed above the primary, and still tried when the primary has no turn in time. Test: replica_lag_test plays sessions that read their own commits (one guess in six wrong without, one in forty with, half of the reads still at the replica).

--- a/packages/session/include/redwinggw/session/endpoint_choice.hpp
+++ b/packages/session/include/redwinggw/session/endpoint_choice.hpp
@@ -3,7 +3,6 @@
 #include "redwinggw/base/ids.hpp"
 #include "redwinggw/base/time.hpp"
 
-#include <optional>
 #include <vector>
 
 /// Which endpoint should serve a statement. Decisions without I/O.
@@ -27,8 +26,8 @@
   /// Consecutive failures and the time of the last one.
   unsigned Failures = 0;
   base::instant LastFailure;
-  /// When it last trailed a required position.
-  std::optional<base::instant> TrailedAt;
+  /// It probably has not got what the read needs.
+  bool Trails = false;
 };
 
 struct choice_limits {
@@ -41,9 +40,9 @@
   /// Reads that may go to a replica go to the primary only when that is this
   /// much faster: writes can go nowhere else.
   double PrimaryMs = 60;
-  /// A replica that trailed is avoided for this time; its lag lasts longer
-  /// than a statement, but a wrong guess costs only one round trip.
-  base::milliseconds TrailTime{250};
+  /// The same for a replica that probably trails: a wrong guess costs a round
+  /// trip, and the primary is the last to be filled up with reads.
+  double TrailMs = 90;
   /// Pause after the first failure; doubled by each further one.
   base::milliseconds FailurePause{100};
   base::milliseconds LongestPause{2000};
@@ -52,7 +51,7 @@
 /// Expected time until the endpoint has answered, in milliseconds, with what
 /// speaks against it as further milliseconds.
 double expectedMs(const choice_candidate &Candidate,
-                  const choice_limits &Limits, base::instant Now);
+                  const choice_limits &Limits);
 
 /// The candidates in the order in which they should be tried. Those that
 /// failed lately come last, so that the last good one is never lost.
--- a/packages/session/include/redwinggw/session/endpoint_pool.hpp
+++ b/packages/session/include/redwinggw/session/endpoint_pool.hpp
@@ -4,6 +4,7 @@
 #include "redwinggw/data/fair_queue.hpp"
 #include "redwinggw/session/deadline_watch.hpp"
 #include "redwinggw/session/endpoint_link.hpp"
+#include "redwinggw/session/replica_lag.hpp"
 #include "redwinggw/session/slot_queue.hpp"
 #include "redwinggw/session/statement_relay.hpp"
 #include "redwinggw/session/wait_list.hpp"
@@ -58,8 +59,8 @@
   base::instant LastSuccess;
   /// Smoothed time of a statement, in milliseconds.
   double Latency = 0;
-  /// It trailed a required position at this time.
-  std::optional<base::instant> TrailedAt;
+  /// How far it trails, while it is a replica.
+  replica_lag Lag;
 };
 
 struct pool_limits {
--- a/packages/session/include/redwinggw/session/endpoint_set.hpp
+++ b/packages/session/include/redwinggw/session/endpoint_set.hpp
@@ -45,11 +45,12 @@
 
 /// Endpoints of \p Service that may serve a read, best first: replicas, and
 /// the primary when \p Right allows. Draining ones only where no other is.
-std::vector<choice_candidate> readCandidates(endpoint_set &Set,
-                                             std::string_view Service,
-                                             std::string_view Customer,
-                                             const primary_right *Right,
-                                             base::instant Now);
+/// \p Required: what a replica has to prove.
+std::vector<choice_candidate>
+readCandidates(endpoint_set &Set, std::string_view Service,
+               std::string_view Customer, const primary_right *Right,
+               const std::optional<required_point> &Required,
+               base::instant Now);
 
 /// Adds what a primary's answer shows about its log.
 void notePoint(endpoint_set &Set, const primary_right &Right,
--- a/packages/session/include/redwinggw/session/freshness.hpp
+++ b/packages/session/include/redwinggw/session/freshness.hpp
@@ -2,6 +2,7 @@
 
 #include "redwinggw/base/time.hpp"
 #include "redwinggw/session/log_point.hpp"
+#include "redwinggw/session/replica_lag.hpp"
 
 #include <deque>
 #include <optional>
@@ -37,9 +38,9 @@
 /// The least position that covers all commits acknowledged \p Staleness before
 /// \p Now. Nothing when no sample is young enough: then only the primary can
 /// serve.
-std::optional<log_point> requiredPoint(const freshness &Freshness,
-                                       base::milliseconds Staleness,
-                                       base::instant Now);
+std::optional<required_point> requiredPoint(const freshness &Freshness,
+                                            base::milliseconds Staleness,
+                                            base::instant Now);
 
 /// Forgets everything: the primary was replaced or cannot be trusted.
 void clearSamples(freshness &Freshness);
--- a/packages/session/include/redwinggw/session/session.hpp
+++ b/packages/session/include/redwinggw/session/session.hpp
@@ -80,6 +80,7 @@
   /// Position after the session's last commit, for one service at a time.
   base::service_name CommitService;
   std::optional<log_point> LastCommit;
+  base::instant LastCommitAt;
   std::unique_ptr<open_transaction> Transaction;
   /// A statement of this session is being worked on.
   bool Busy = false;
--- a/packages/session/src/core_parts.hpp
+++ b/packages/session/src/core_parts.hpp
@@ -42,7 +42,7 @@
   /// Set when the endpoint is used as the primary.
   std::optional<primary_right> Right;
   /// The point that the endpoint must have.
-  std::optional<log_point> After;
+  std::optional<required_point> Required;
   /// It belongs to a transaction that has begun on this connection.
   bool Begun = false;
   /// Its answer is waited for until then.
@@ -53,6 +53,13 @@
   std::optional<base::instant> RanSince;
 };
 
+/// The point that the placement's endpoint has to prove.
+inline std::optional<log_point> pointOf(const placement &Placement) {
+  if (!Placement.Required)
+    return std::nullopt;
+  return Placement.Required->Point;
+}
+
 /// Finds an endpoint and a connection for \p Request, waiting where that can
 /// help. \p NeedsPrimary: writes and transactions that may write.
 base::task<std::optional<placement>> place(session_core &Core,
--- a/packages/session/src/endpoint_choice.cpp
+++ b/packages/session/src/endpoint_choice.cpp
@@ -19,7 +19,7 @@
 } // namespace
 
 double expectedMs(const choice_candidate &Candidate,
-                  const choice_limits &Limits, base::instant Now) {
+                  const choice_limits &Limits) {
   const double Statement =
       Candidate.LatencyMs == 0 ? Limits.UnknownLatencyMs : Candidate.LatencyMs;
   const double Queued =
@@ -29,9 +29,8 @@
   Expected += Candidate.Exhausted ? Statement : 0;
   Expected += Candidate.SameZone ? 0 : Limits.OtherZoneMs;
   Expected += Candidate.IsPrimary ? Limits.PrimaryMs : 0;
-  const bool Trailed =
-      Candidate.TrailedAt && Now - *Candidate.TrailedAt < Limits.TrailTime;
-  return Trailed ? Expected + Limits.PrimaryMs : Expected;
+  Expected += Candidate.Trails ? Limits.TrailMs : 0;
+  return Expected;
 }
 
 std::vector<choice_candidate> rank(std::vector<choice_candidate> Candidates,
@@ -39,7 +38,7 @@
                                    base::instant Now) {
   const auto Key = [&](const choice_candidate &Candidate) {
     const bool Last = Candidate.Draining || isPaused(Candidate, Limits, Now);
-    return std::pair(Last, expectedMs(Candidate, Limits, Now));
+    return std::pair(Last, expectedMs(Candidate, Limits));
   };
   std::ranges::sort(Candidates, std::less{}, Key);
   return Candidates;
--- a/packages/session/src/endpoint_set.cpp
+++ b/packages/session/src/endpoint_set.cpp
@@ -25,7 +25,6 @@
   Candidate.LatencyMs = Health.Latency;
   Candidate.Failures = Health.Failures;
   Candidate.LastFailure = Health.LastFailure;
-  Candidate.TrailedAt = Health.TrailedAt;
   return Candidate;
 }
 
@@ -62,11 +61,11 @@
   return Found == Set.Pools.end() ? nullptr : Found->second;
 }
 
-std::vector<choice_candidate> readCandidates(endpoint_set &Set,
-                                             std::string_view Service,
-                                             std::string_view Customer,
-                                             const primary_right *Right,
-                                             base::instant Now) {
+std::vector<choice_candidate>
+readCandidates(endpoint_set &Set, std::string_view Service,
+               std::string_view Customer, const primary_right *Right,
+               const std::optional<required_point> &Required,
+               base::instant Now) {
   std::vector<choice_candidate> Candidates;
   for (const auto &[Name, Known] : Set.Directory.Endpoints) {
     const bool Serves =
@@ -75,8 +74,10 @@
     if (Pool == nullptr)
       continue;
     const bool IsPrimary = Right != nullptr && Right->Endpoint == Name;
-    Candidates.push_back(
+    choice_candidate &Candidate = Candidates.emplace_back(
         candidateOf(*Pool, Customer, Set.Zone, IsPrimary, Now));
+    Candidate.Trails = !IsPrimary && Required &&
+                       probablyTrails(Pool->health().Lag, *Required, Now);
   }
   return rank(std::move(Candidates), Set.Choice, Now);
 }
--- a/packages/session/src/freshness.cpp
+++ b/packages/session/src/freshness.cpp
@@ -18,15 +18,15 @@
     Samples.push_back(Sample);
 }
 
-std::optional<log_point> requiredPoint(const freshness &Freshness,
-                                       base::milliseconds Staleness,
-                                       base::instant Now) {
+std::optional<required_point> requiredPoint(const freshness &Freshness,
+                                            base::milliseconds Staleness,
+                                            base::instant Now) {
   const base::instant Needed = Now - Staleness;
   const auto Found = std::ranges::lower_bound(
       Freshness.Samples, Needed, std::less{}, &freshness_sample::SentAt);
   if (Found == Freshness.Samples.end())
     return std::nullopt;
-  return Found->Point;
+  return required_point{Found->Point, Found->SentAt};
 }
 
 void clearSamples(freshness &Freshness) { Freshness.Samples.clear(); }
--- a/packages/session/src/placement.cpp
+++ b/packages/session/src/placement.cpp
@@ -58,9 +58,9 @@
 
 /// The point that a read of this session must see; nothing when only the
 /// primary can tell.
-std::optional<log_point> pointFor(session_core &Core,
-                                  const caller_session &Session,
-                                  const request &Request, instant Now) {
+std::optional<required_point> pointFor(session_core &Core,
+                                       const caller_session &Session,
+                                       const request &Request, instant Now) {
   const route &Route = Request.Route;
   if (Route.Consistency == consistency::Primary)
     return std::nullopt;
@@ -70,8 +70,10 @@
   auto Point = requiredPoint(Samples->second, Route.MaxStaleness, Now);
   const bool OwnCommits = Route.Consistency == consistency::ReadYourWrites &&
                           Session.CommitService == Route.Service;
-  if (Point && OwnCommits && Session.LastCommit)
-    Point = std::max(*Point, *Session.LastCommit);
+  const bool IsLater = Point && OwnCommits && Session.LastCommit &&
+                       *Session.LastCommit > Point->Point;
+  if (IsLater)
+    Point = required_point{*Session.LastCommit, Session.LastCommitAt};
   return Point;
 }
 
@@ -135,12 +137,12 @@
 std::vector<choice_candidate>
 candidatesFor(session_core &Core, const caller_session &Session,
               const request &Request, bool NeedsPrimary,
-              const std::optional<primary_right> &Right, bool HasPoint,
-              instant Now) {
+              const std::optional<primary_right> &Right,
+              const std::optional<required_point> &Point, instant Now) {
   auto Candidates =
       readCandidates(Core.Set, Request.Route.Service, Session.Customer,
-                     Right ? &*Right : nullptr, Now);
-  if (NeedsPrimary || !HasPoint)
+                     Right ? &*Right : nullptr, Point, Now);
+  if (NeedsPrimary || !Point)
     std::erase_if(Candidates, [](const choice_candidate &Candidate) {
       return !Candidate.IsPrimary;
     });
@@ -247,7 +249,8 @@
 base::task<std::optional<placement>>
 tryBest(session_core &Core, caller_session &Session, request &Request,
         std::vector<choice_candidate> Candidates,
-        std::optional<primary_right> Right, std::optional<log_point> Point) {
+        std::optional<primary_right> Right,
+        std::optional<required_point> Point) {
   const choice_candidate Chosen = nextUntried(Candidates, Request);
   Request.Tried.push_back(Chosen.Name);
   auto Placement = co_await connectTo(Core, Session, Request, Chosen.Name,
@@ -257,10 +260,10 @@
   if (Chosen.IsPrimary)
     Placement->Right = Right;
   else
-    Placement->After = Point;
+    Placement->Required = Point;
   Request.OnPrimary = Chosen.IsPrimary;
   Request.Epoch = Right ? Right->Epoch : 0;
-  Request.Required = Placement->After;
+  Request.Required = pointOf(*Placement);
   const bool Repeatable = !Request.Writes && Candidates.size() > 1;
   Placement->TryDeadline = tryDeadline(Core, Request, base::now(), Repeatable);
   co_return Placement;
@@ -296,10 +299,10 @@
   while (true) {
     const instant Now = base::now();
     const auto Right = Core.Ports.Right(Request.Route.Service);
-    const auto Point =
-        NeedsPrimary ? std::nullopt : pointFor(Core, Session, Request, Now);
-    auto Candidates = candidatesFor(Core, Session, Request, NeedsPrimary, Right,
-                                    Point.has_value(), Now);
+    const auto Point = NeedsPrimary ? std::optional<required_point>()
+                                    : pointFor(Core, Session, Request, Now);
+    auto Candidates =
+        candidatesFor(Core, Session, Request, NeedsPrimary, Right, Point, Now);
     if (Candidates.empty()) {
       const bool Again = co_await awaitPrimary(Core, Request);
       if (!Again)
@@ -320,7 +323,7 @@
   link_statement Statement;
   Statement.Id = Request.Statement.Id;
   Statement.Values = Session.Values;
-  Statement.After = Placement.After;
+  Statement.After = pointOf(Placement);
   Statement.Right = Placement.Right;
   if (Request.Prepared == nullptr) {
     Statement.Text = Request.Statement.Text;
@@ -333,6 +336,22 @@
 
 namespace {
 
+/// Takes in what a replica's answer tells about its lag.
+void noteLag(replica_lag &Lag, const placement &Placement,
+             const exchange &Exchange, instant Now) {
+  if (Placement.Right)
+    return;
+  if (Exchange.Answer.Point)
+    noteReached(Lag, *Exchange.Answer.Point);
+  if (!Placement.Required)
+    return;
+  const auto &Error = Exchange.Answer.Error;
+  if (Error && Error->Code == answer_code::Lagging)
+    noteTrailing(Lag, *Placement.Required, Now);
+  else if (!Error)
+    noteServed(Lag);
+}
+
 void noteAnswer(session_core &Core, caller_session &Session,
                 const request &Request, placement &Placement,
                 const exchange &Exchange) {
@@ -340,8 +359,7 @@
   endpoint_pool &Pool = *Placement.Link.Pool;
   Pool.noteSuccess(Placement.RanSince.value_or(Exchange.SentAt), Now);
   const auto &Error = Exchange.Answer.Error;
-  if (Error && Error->Code == answer_code::Lagging)
-    Pool.health().TrailedAt = Now;
+  noteLag(Pool.health().Lag, Placement, Exchange, Now);
   if (Error && Error->Code == answer_code::ReadOnly)
     Core.Ports.NoteTrouble(Pool.entry().Name);
   const auto Point = Exchange.Answer.Point;
@@ -356,6 +374,7 @@
   if (Committed) {
     Session.CommitService = Placement.Right->Service;
     Session.LastCommit = Point;
+    Session.LastCommitAt = Now;
   }
 }
 
--- a/packages/session/src/transaction.cpp
+++ b/packages/session/src/transaction.cpp
@@ -24,7 +24,7 @@
   link_statement Statement;
   Statement.Action = ReadOnly ? link_action::BeginReadOnly : link_action::Begin;
   Statement.Values = Session.Values;
-  Statement.After = Placement.After;
+  Statement.After = pointOf(Placement);
   Statement.Right = Placement.Right;
   co_return co_await runPlaced(Core, Request, Placement, std::move(Statement));
 }
--- a/tests/session/endpoint_choice_test.cpp
+++ b/tests/session/endpoint_choice_test.cpp
@@ -60,9 +60,9 @@
   cr_assert(best({Failing}) == "failing");
 }
 
-Test(endpoint_choice, avoids_a_trailing_replica_for_a_moment) {
+Test(endpoint_choice, avoids_a_replica_that_probably_trails) {
   choice_candidate Trailing = candidate("trailing");
-  Trailing.TrailedAt = Now - milliseconds(100);
+  Trailing.Trails = true;
   cr_assert(best({Trailing, candidate("r")}) == "r");
   choice_candidate Leaving = candidate("leaving");
   Leaving.Draining = true;
--- a/tests/session/freshness_test.cpp
+++ b/tests/session/freshness_test.cpp
@@ -26,9 +26,9 @@
 Test(freshness, requires_the_oldest_sample_inside_the_bound) {
   const freshness Freshness = threeSamples();
   const instant Now = Start + milliseconds(2100);
-  cr_assert(requiredPoint(Freshness, milliseconds(1500), Now) ==
+  cr_assert(requiredPoint(Freshness, milliseconds(1500), Now)->Point ==
             log_point({1, 20}));
-  cr_assert(requiredPoint(Freshness, milliseconds(2500), Now) ==
+  cr_assert(requiredPoint(Freshness, milliseconds(2500), Now)->Point ==
             log_point({1, 10}));
 }
 
@@ -47,8 +47,9 @@
   freshness Freshness = threeSamples();
   addSample(Freshness, {Start + milliseconds(500), {1, 12}},
             Start + milliseconds(2100));
-  cr_assert(requiredPoint(Freshness, milliseconds(50),
-                          Start + milliseconds(2050)) == log_point({1, 30}));
+  cr_assert(
+      requiredPoint(Freshness, milliseconds(50), Start + milliseconds(2050))
+          ->Point == log_point({1, 30}));
 }
 
 Test(freshness, forgets_old_samples) {
--- /dev/null
+++ b/tests/session/replica_lag_test.cpp
@@ -0,0 +1,105 @@
+#include "redwinggw/session/replica_lag.hpp"
+
+#include <random>
+
+#include "criterion_test.hpp"
+
+using namespace redwinggw;
+using namespace redwinggw::session;
+using base::instant;
+using base::milliseconds;
+
+namespace {
+
+const instant Start{std::chrono::seconds(100)};
+
+required_point pointOfAge(milliseconds Age, instant Now,
+                          base::log_position Position = 50) {
+  return {{1, Position}, Now - Age};
+}
+
+/// Reads at a replica, and those that it refused.
+struct guesses {
+  unsigned Tried = 0;
+  unsigned Refused = 0;
+  unsigned Elsewhere = 0;
+};
+
+/// A session each 10 ms reads what it committed up to 300 ms ago, at a replica
+/// that has each commit \p Lag later; where the lag is known, it goes elsewhere
+/// when the replica probably has not got it.
+guesses play(bool LagKnown, unsigned Reads) {
+  std::mt19937 Random(4711);
+  std::lognormal_distribution<double> LagMs(4.0, 0.6);
+  std::uniform_int_distribution<int> AgeMs(0, 300);
+  replica_lag Lag;
+  guesses Result;
+  instant Now = Start;
+  for (unsigned Read = 0; Read < Reads; ++Read) {
+    Now += milliseconds(10);
+    const milliseconds Age(AgeMs(Random));
+    const required_point Required = pointOfAge(Age, Now, 50 + Read);
+    if (LagKnown && probablyTrails(Lag, Required, Now)) {
+      ++Result.Elsewhere;
+      continue;
+    }
+    ++Result.Tried;
+    if (static_cast<double>(Age.count()) >= LagMs(Random)) {
+      noteServed(Lag);
+      continue;
+    }
+    ++Result.Refused;
+    noteTrailing(Lag, Required, Now);
+  }
+  return Result;
+}
+
+} // namespace
+
+Test(replica_lag, trusts_a_replica_that_was_seen_to_have_it) {
+  replica_lag Lag;
+  noteTrailing(Lag, pointOfAge(milliseconds(200), Start), Start);
+  cr_assert(probablyTrails(Lag, pointOfAge(milliseconds(50), Start), Start));
+  noteReached(Lag, {1, 60});
+  cr_assert(!probablyTrails(Lag, pointOfAge(milliseconds(50), Start), Start));
+  // Crossed answers: an older one takes nothing back.
+  noteReached(Lag, {1, 40});
+  cr_assert(!probablyTrails(Lag, pointOfAge(milliseconds(50), Start), Start));
+}
+
+// Sessions read their own commits of a moment ago. Replicas have them a
+// twentieth of a second later, and one read in six was sent there in vain: a
+// round trip and a turn on the slots each.
+Test(replica_lag, learns_how_young_a_point_is_too_young) {
+  constexpr unsigned Reads = 4000;
+  const guesses Blind = play(false, Reads);
+  cr_assert(Blind.Refused * 6 > Blind.Tried, "%u of %u", Blind.Refused,
+            Blind.Tried);
+  const guesses Learned = play(true, Reads);
+  cr_assert(Learned.Refused * 40 < Learned.Tried, "%u of %u", Learned.Refused,
+            Learned.Tried);
+  // What it probably has is still read there.
+  cr_assert(Learned.Tried * 2 > Reads, "%u of %u", Learned.Tried, Reads);
+}
+
+// A replica falls seconds behind. It is asked less and less often, and again as
+// soon as it has caught up.
+Test(replica_lag, asks_a_replica_that_is_far_behind_less_and_less) {
+  replica_lag Lag;
+  unsigned Asked = 0;
+  const auto Ask = [&](instant Now) {
+    const required_point Required = pointOfAge(milliseconds(2000), Now);
+    if (probablyTrails(Lag, Required, Now))
+      return;
+    ++Asked;
+    noteTrailing(Lag, Required, Now);
+  };
+  for (int Step = 0; Step < 1000; ++Step)
+    Ask(Start + milliseconds(10 * Step));
+  cr_assert(Asked < 15, "%u", Asked);
+  const instant Late = Start + std::chrono::seconds(20);
+  const required_point Required = pointOfAge(milliseconds(2000), Late);
+  cr_assert(!probablyTrails(Lag, Required, Late));
+  noteServed(Lag);
+  cr_assert(!probablyTrails(Lag, Required, Late));
+}
