--- a/packages/base/include/redwinggw/base/socket_options.hpp
+++ b/packages/base/include/redwinggw/base/socket_options.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
-/// Options of TCP sockets for connections that other processes may lose track
-/// of.
+/// TCP connections that are kept open, and that others may lose track of.
 namespace redwinggw::base {
 
 /// Sends small messages at once, and lets unacknowledged bytes and unanswered
@@ -10,4 +9,9 @@
 /// \p NativeHandle is that of an open socket. Thread safe.
 void detectSilence(int NativeHandle);
 
+/// Whether the other end of a TCP connection has neither closed it nor sent
+/// anything that is unread. \p NativeHandle is that of an open socket. Thread
+/// safe.
+bool isQuiet(int NativeHandle);
+
 } // namespace redwinggw::base
--- a/packages/base/src/socket_options.cpp
+++ b/packages/base/src/socket_options.cpp
@@ -1,5 +1,7 @@
 #include "redwinggw/base/socket_options.hpp"
 
+#include <cerrno>
+
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -30,4 +32,10 @@
   setOption(NativeHandle, IPPROTO_TCP, TCP_KEEPCNT, ProbesLost);
 }
 
+bool isQuiet(int NativeHandle) {
+  char Byte = 0;
+  const auto Read = ::recv(NativeHandle, &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return Read < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 } // namespace redwinggw::base
--- a/packages/session/src/frame_stream.cpp
+++ b/packages/session/src/frame_stream.cpp
@@ -11,8 +11,6 @@
 #include <cstdint>
 #include <cstring>
 
-#include <sys/socket.h>
-
 namespace redwinggw::session {
 namespace {
 
@@ -84,10 +82,7 @@
 bool frame_stream::isQuiet() {
   if (!Socket.is_open() || !Buffer.empty())
     return false;
-  char Byte = 0;
-  const auto Read =
-      ::recv(Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return Read < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return base::isQuiet(Socket.native_handle());
 }
 
 void frame_stream::close() {
