--- a/packages/session/src/relay_links.cpp
+++ b/packages/session/src/relay_links.cpp
@@ -208,8 +208,10 @@
 
 bool relay_links::isUsable(std::string_view Owner, instant Now) const {
   const auto Found = State->Ways.find(Owner);
-  return Found == State->Ways.end() || !Found->second->LostAt ||
-         Now - *Found->second->LostAt > LostPause;
+  if (Found == State->Ways.end())
+    return true;
+  const auto LostAt = Found->second->LostAt;
+  return !LostAt || Now - *LostAt > LostPause;
 }
 
 std::unique_ptr<relay_link> relay_links::to(const relay_owner &Owner,
