--- a/tests/control/demand_fleet.hpp
+++ b/tests/control/demand_fleet.hpp
@@ -15,11 +15,13 @@
 
 /// Instances that exchange heartbeats in passed time.
 struct demand_fleet {
+  /// \p DirectLimit: up to so many all hear each other directly.
   explicit demand_fleet(std::size_t Count, double Rate = 100,
-                        double Burst = 100) {
+                        double Burst = 100,
+                        std::size_t DirectLimit = SIZE_MAX) {
     for (std::size_t Index = 0; Index < Count; ++Index) {
       membership_limits Direct;
-      Direct.DirectLimit = Count;
+      Direct.DirectLimit = DirectLimit;
       membership Member =
           makeMembership({"i" + std::to_string(Index), "z", 1}, Direct);
       onStoreRead(Member, Now, Now, 0);
--- a/tests/control/demand_shares_test.cpp
+++ b/tests/control/demand_shares_test.cpp
@@ -262,3 +262,19 @@
     cr_assert(Ran >= 100 * 5 * 0.9, "%f", Ran);
   }
 }
+
+// A fleet too large for all to hear each other directly: each talks to another
+// one in turn and knows the rest by relays. Taken for silent, all but the last
+// few kept what they seemed to have, which was more than the whole rate, and
+// every caller was refused.
+Test(demand_shares, serve_a_fleet_that_gossips) {
+  constexpr std::size_t Count = 60;
+  demand_fleet Fleet(Count, 2000, 2000, 16);
+  Fleet.StoreReached = true;
+  const std::vector<double> Rates(Count, 30);
+  Fleet.load(Rates, milliseconds(40'000));
+  const std::size_t Before = Fleet.Spent;
+  const std::size_t Refused = Fleet.load(Rates, milliseconds(5000));
+  cr_assert(Refused * 100 < Fleet.Spent - Before + Refused,
+            "%zu refused of %zu", Refused, Fleet.Spent - Before + Refused);
+}
