Agree on owners also where instances gossip; work them out after changes only

Beyond 128 instances hardly any is heard directly at a time, so each took itself for the owner of most endpoints and would have opened an owner's connections to them: 20 of 20 endpoints disputed among 60 gossiping instances (test). Besides, each instance drew for all endpoints and members five times a second: 940 x 790 draws at the aimed size. Change: mayOwn() takes the others' word where instances gossip; it stands in endpoint_owner, testable without a network. Owners are worked out anew only when the candidates change or an endpoint comes. Tests: endpoint_owner_test agrees_in_a_fleet_that_gossips (failed before: 20), passes_over_an_instance_that_is_not_heard. Figures: disputed endpoints 20 -> 0 of 20.

--- a/packages/redwinggw/src/native_relay.cpp
+++ b/packages/redwinggw/src/native_relay.cpp
@@ -11,10 +11,7 @@
 namespace {
 
 using base::instant;
-using base::milliseconds;
 
-/// An owner that was not heard for so long is passed over: three heartbeats.
-constexpr milliseconds OwnerHeard{650};
 /// Part of an endpoint's connections that its owner may open at any time. The
 /// rest is for instances that cannot use the owner, and for probes.
 constexpr std::size_t OwnedPercent = 85;
@@ -23,21 +20,13 @@
 /// them kept, the next owner finds as many as it needs.
 constexpr std::size_t KeptPercent = 45;
 
-bool canOwn(const control::member &Member, instant Now) {
-  return Member.State == control::member_state::Alive && Member.ArrivedAt &&
-         Now - *Member.ArrivedAt <= OwnerHeard;
-}
-
 std::vector<session::owner_candidate> ownerCandidates(const native_state &State,
                                                       instant Now) {
   std::vector<session::owner_candidate> Candidates;
+  if (State.Peers)
+    Candidates = session::ownersAmong(State.Peers->view(), Now);
   if (!State.Draining)
     Candidates.push_back({State.Settings.Name, State.Settings.Zone});
-  if (!State.Peers)
-    return Candidates;
-  for (const control::member &Member : State.Peers->view().Members)
-    if (canOwn(Member, Now))
-      Candidates.push_back({Member.Name, Member.Zone});
   return Candidates;
 }
 
@@ -78,19 +67,23 @@
   Known = Name;
 }
 
-/// Each instance works this out alone from who it hears.
+/// Each instance works this out alone from who it hears; anew only after a
+/// change, since it takes a draw for each endpoint and instance.
 void assignOwners(native_state &State) {
   const instant Now = base::now();
-  const auto Candidates = ownerCandidates(State, Now);
+  auto Candidates = ownerCandidates(State, Now);
+  const bool Changed = Candidates != State.OwnerCandidates;
   for (const auto &[Name, Pool] : State.Endpoints.Pools)
-    noteOwner(State, Name, ownerOf(Name, Pool->entry().Zone, Candidates));
+    if (Changed || !State.Owners.contains(Name))
+      noteOwner(State, Name, ownerOf(Name, Pool->entry().Zone, Candidates));
+  State.OwnerCandidates = std::move(Candidates);
   std::erase_if(State.Owners, [&](const auto &Item) {
     return !State.Endpoints.Pools.contains(Item.first);
   });
   if (!State.Peers || !State.RelayLinks)
     return;
   for (const control::member &Member : State.Peers->view().Members)
-    if (!canOwn(Member, Now))
+    if (!session::mayOwn(State.Peers->view(), Member, Now))
       State.RelayLinks->closeIdle(Member.Name);
 }
 
@@ -131,7 +124,8 @@
   const instant Now = base::now();
   const base::instance_name &Owner = State.Owners.find(Entry.Name)->second;
   const control::member *Member = findMember(State.Peers->view(), Owner);
-  if (Member == nullptr || !canOwn(*Member, Now) ||
+  if (Member == nullptr ||
+      !session::mayOwn(State.Peers->view(), *Member, Now) ||
       !State.RelayLinks->isUsable(Owner, Now))
     return nullptr;
   return State.RelayLinks->to({Owner, Member->Address}, Entry.Name,
--- a/packages/redwinggw/src/native_state.hpp
+++ b/packages/redwinggw/src/native_state.hpp
@@ -10,6 +10,7 @@
 #include "redwinggw/control/token_lending.hpp"
 #include "redwinggw/http/server.hpp"
 #include "redwinggw/kernel/life_cycle.hpp"
+#include "redwinggw/session/endpoint_owner.hpp"
 #include "redwinggw/session/handover.hpp"
 #include "redwinggw/session/relay_host.hpp"
 #include "redwinggw/session/relay_links.hpp"
@@ -59,6 +60,8 @@
   std::unique_ptr<session::relay_links> RelayLinks;
   /// Who owns the connections to each endpoint, as this instance sees it.
   std::map<base::endpoint_name, base::instance_name, std::less<>> Owners;
+  /// The instances among which these were divided.
+  std::vector<session::owner_candidate> OwnerCandidates;
   control::demand_shares Shares;
   control::token_lending Lending;
   /// Operations that wait for tokens of another instance.
--- a/packages/session/include/redwinggw/session/endpoint_owner.hpp
+++ b/packages/session/include/redwinggw/session/endpoint_owner.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "redwinggw/base/ids.hpp"
+#include "redwinggw/control/membership.hpp"
 
 #include <string_view>
 #include <vector>
@@ -12,8 +13,22 @@
 struct owner_candidate {
   base::instance_name Name;
   base::zone_name Zone;
+
+  friend bool operator==(const owner_candidate &,
+                         const owner_candidate &) = default;
 };
 
+/// Whether statements may be passed on to \p Member: it is up, does not leave,
+/// and was heard a moment ago. Where instances gossip, hardly any is heard
+/// directly at a time; there the others' word counts, or each instance would
+/// have owners of its own. Thread safe.
+bool mayOwn(const control::membership &Membership,
+            const control::member &Member, base::instant Now);
+
+/// The members that may own connections. Thread safe.
+std::vector<owner_candidate> ownersAmong(const control::membership &Membership,
+                                         base::instant Now);
+
 /// The owner of \p Endpoint, which stands in \p Zone: an instance of that
 /// availability zone where there is one, so that statements cross zones once.
 /// Rendezvous hashing: each instance works it out alone, all that know the same
--- a/packages/session/src/endpoint_owner.cpp
+++ b/packages/session/src/endpoint_owner.cpp
@@ -1,5 +1,6 @@
 #include "redwinggw/session/endpoint_owner.hpp"
 
+#include "redwinggw/control/membership_knowledge.hpp"
 #include "redwinggw/wire/message.hpp"
 
 #include <algorithm>
@@ -9,6 +10,9 @@
 namespace redwinggw::session {
 namespace {
 
+/// An instance that was not heard for so long is passed over: three heartbeats.
+constexpr base::milliseconds HeardWithin{650};
+
 /// Spreads the few differing bits of similar names over all bits: names of
 /// instances differ in their last letter, and one would own most endpoints.
 std::uint32_t spread(std::uint32_t Hash) {
@@ -21,6 +25,23 @@
 
 } // namespace
 
+bool mayOwn(const control::membership &Membership,
+            const control::member &Member, base::instant Now) {
+  if (Member.State != control::member_state::Alive)
+    return false;
+  return isGossiping(Membership) ||
+         (Member.ArrivedAt && Now - *Member.ArrivedAt <= HeardWithin);
+}
+
+std::vector<owner_candidate> ownersAmong(const control::membership &Membership,
+                                         base::instant Now) {
+  std::vector<owner_candidate> Candidates;
+  for (const control::member &Member : Membership.Members)
+    if (mayOwn(Membership, Member, Now))
+      Candidates.push_back({Member.Name, Member.Zone});
+  return Candidates;
+}
+
 const owner_candidate *ownerOf(std::string_view Endpoint, std::string_view Zone,
                                const std::vector<owner_candidate> &Candidates) {
   const std::uint32_t Place = spread(wire::hashOf(Endpoint));
--- a/tests/session/endpoint_owner_test.cpp
+++ b/tests/session/endpoint_owner_test.cpp
@@ -28,6 +28,68 @@
       ->Name;
 }
 
+/// Instances that exchange heartbeats in passed time.
+struct talking_fleet {
+  talking_fleet(std::size_t Count, std::size_t DirectLimit) {
+    control::membership_limits Limits;
+    Limits.DirectLimit = DirectLimit;
+    std::vector<storage::listed_instance> Listed(Count);
+    for (std::size_t Index = 0; Index < Count; ++Index) {
+      Listed[Index].Name = "i" + std::to_string(Index);
+      Members.push_back(
+          control::makeMembership({Listed[Index].Name, "z", 1}, Limits));
+      control::onStoreRead(Members.back(), Now, Now, 0);
+    }
+    for (control::membership &Member : Members)
+      control::onList(Member, Listed, Now);
+  }
+
+  void deliver(const control::peer_send &Send) {
+    const std::size_t To = std::stoul(Send.Datagram.Receiver.substr(1));
+    if (To == Dead || !control::admitDatagram(Members[To], Send.Datagram))
+      return;
+    for (const control::peer_send &Answer :
+         control::onHeartbeat(Members[To], Send.Datagram, Now))
+      deliver(Answer);
+  }
+
+  void run(base::milliseconds Time) {
+    constexpr base::milliseconds Step{50};
+    for (const base::instant End = Now + Time; Now < End;) {
+      Now += Step;
+      for (std::size_t Index = 0; Index < Members.size(); ++Index)
+        for (const control::peer_send &Send :
+             control::onTick(Members[Index], Now))
+          if (Index != Dead)
+            deliver(Send);
+    }
+  }
+
+  /// Of \p Endpoints, those whose owner not nearly all agree on.
+  std::size_t disputed(std::size_t Endpoints) const {
+    std::size_t Disputed = 0;
+    for (std::size_t Endpoint = 0; Endpoint < Endpoints; ++Endpoint) {
+      std::map<base::instance_name, std::size_t> Votes;
+      for (std::size_t Index = 0; Index < Members.size(); ++Index) {
+        if (Index == Dead)
+          continue;
+        auto Candidates = ownersAmong(Members[Index], Now);
+        Candidates.push_back({Members[Index].Self.Name, "z"});
+        const std::string Name = "e" + std::to_string(Endpoint);
+        ++Votes[ownerOf(Name, "z", Candidates)->Name];
+      }
+      const auto Most = std::ranges::max_element(
+          Votes, {}, [](const auto &Vote) { return Vote.second; });
+      Disputed += Most->second * 10 < Members.size() * 9 ? 1 : 0;
+    }
+    return Disputed;
+  }
+
+  base::instant Now{std::chrono::seconds(1000)};
+  std::vector<control::membership> Members;
+  std::size_t Dead = SIZE_MAX;
+};
+
 } // namespace
 
 Test(endpoint_owner, has_none_without_instances) {
@@ -78,3 +140,23 @@
   for (const auto &[Name, Count] : Owned)
     cr_assert(Count < 2 * Even, "%s owns %zu", Name.c_str(), Count);
 }
+
+// An instance dies. Within a second nobody passes statements on to it.
+Test(endpoint_owner, passes_over_an_instance_that_is_not_heard) {
+  talking_fleet Fleet(6, 16);
+  Fleet.run(base::milliseconds(2000));
+  const control::membership &First = Fleet.Members.front();
+  cr_assert(ownersAmong(First, Fleet.Now).size() == 5);
+  Fleet.Dead = 3;
+  Fleet.run(base::milliseconds(900));
+  cr_assert(ownersAmong(First, Fleet.Now).size() == 4);
+}
+
+// A fleet too large for all to hear each other directly: each talks to a few a
+// second. Were only these taken for up, nearly every instance would take itself
+// for the owner of most endpoints and open an owner's connections to them.
+Test(endpoint_owner, agrees_in_a_fleet_that_gossips) {
+  talking_fleet Fleet(60, 16);
+  Fleet.run(base::milliseconds(20'000));
+  cr_assert(Fleet.disputed(20) == 0, "%zu", Fleet.disputed(20));
+}
