Count gossiping instances as owners until they are taken for dead

Two reasons: the test's list had no zones, so each instance preferred itself; and of 60 gossiping instances each hears a part of the others only within seconds. Change: the list has zones; where instances gossip, suspects may own too. One that is dead is found by the connection and passed over then.

--- a/packages/session/src/endpoint_owner.cpp
+++ b/packages/session/src/endpoint_owner.cpp
@@ -27,10 +27,11 @@
 
 bool mayOwn(const control::membership &Membership,
             const control::member &Member, base::instant Now) {
-  if (Member.State != control::member_state::Alive)
-    return false;
-  return isGossiping(Membership) ||
-         (Member.ArrivedAt && Now - *Member.ArrivedAt <= HeardWithin);
+  using enum control::member_state;
+  if (isGossiping(Membership))
+    return Member.State == Alive || Member.State == Suspect;
+  return Member.State == Alive && Member.ArrivedAt &&
+         Now - *Member.ArrivedAt <= HeardWithin;
 }
 
 std::vector<owner_candidate> ownersAmong(const control::membership &Membership,
--- a/tests/session/endpoint_owner_test.cpp
+++ b/tests/session/endpoint_owner_test.cpp
@@ -36,6 +36,7 @@
     std::vector<storage::listed_instance> Listed(Count);
     for (std::size_t Index = 0; Index < Count; ++Index) {
       Listed[Index].Name = "i" + std::to_string(Index);
+      Listed[Index].Zone = "z";
       Members.push_back(
           control::makeMembership({Listed[Index].Name, "z", 1}, Limits));
       control::onStoreRead(Members.back(), Now, Now, 0);
