Blame no endpoint for a right that was lost during the set-up

Cause, found on reading the change again: a statement that is not sent because the primary was given up while its connection was set up counted as a failure of the endpoint, here and at its owner: the pool lost its idle connections, routing avoided the endpoint, and the guard probed it. Ruled out: treating every unsent try so; a set-up that fails is the endpoint's. Change: a lost right ends the try and blames nobody.

--- a/packages/session/src/relay_host.cpp
+++ b/packages/session/src/relay_host.cpp
@@ -70,17 +70,21 @@
 }
 
 /// Takes in how the endpoint did, and ends the lease with the transaction.
-void settleLease(relay_lease &Lease, const exchange &Exchange) {
+void settleLease(relay_lease &Lease, const relay_reply &Reply) {
+  const exchange &Exchange = Reply.Exchange;
   endpoint_pool &Pool = *Lease.Link.Pool;
-  if (Exchange.Outcome != exchange_outcome::Answered) {
+  if (Exchange.Outcome == exchange_outcome::Answered) {
+    Pool.noteSuccess(Exchange.SentAt, base::now());
+    if (Exchange.Answer.State == transaction_state::Idle)
+      Lease.Link.giveBack();
+    return;
+  }
+  // A right that was lost during the set-up is not the endpoint's failure.
+  if (Reply.Failure != relay_failure::Refused) {
     Pool.noteFailure(base::now());
     Pool.closeIdle();
-    Lease.Link = leased_link();
-    return;
   }
-  Pool.noteSuccess(Exchange.SentAt, base::now());
-  if (Exchange.Answer.State == transaction_state::Idle)
-    Lease.Link.giveBack();
+  Lease.Link = leased_link();
 }
 
 std::uint16_t loadOf(session_core &Core, const base::endpoint_name &Name) {
@@ -111,7 +115,7 @@
     if (!mayUse(Core, Request.Statement) &&
         Reply.Exchange.Outcome == exchange_outcome::NotSent)
       Reply.Failure = relay_failure::Refused;
-    settleLease(Lease, Reply.Exchange);
+    settleLease(Lease, Reply);
   }
   Reply.Load = loadOf(Core, Request.Endpoint);
   recordRelayed(Core, Request, Reply, base::now() - Arrived);
--- a/packages/session/src/try_statement.cpp
+++ b/packages/session/src/try_statement.cpp
@@ -152,15 +152,17 @@
   }
 }
 
-} // namespace
-
-namespace {
-
 /// Whether the endpoint is to blame for a try that had no answer, and not the
-/// instance that should have run it.
-bool endpointFailed(relay_failure Failure) {
-  return Failure == relay_failure::None ||
-         Failure == relay_failure::EndpointLost;
+/// instance that should have run it, or a right that was lost during the
+/// set-up.
+bool endpointFailed(const session_core &Core, const placement &Placement,
+                    const exchange &Exchange) {
+  if (Placement.Failure != relay_failure::None)
+    return Placement.Failure == relay_failure::EndpointLost;
+  const bool RightLost = Exchange.Outcome == exchange_outcome::NotSent &&
+                         Placement.Right &&
+                         !Core.Ports.StillHolds(*Placement.Right);
+  return !RightLost;
 }
 
 } // namespace
@@ -178,7 +180,7 @@
   // The next try does better without an owner that could not help.
   Request.Direct = Placement.Failure != relay_failure::None &&
                    Placement.Failure != relay_failure::NoConnection;
-  if (!endpointFailed(Placement.Failure))
+  if (!endpointFailed(Core, Placement, Exchange))
     return;
   Pool.noteFailure(base::now());
   Pool.closeIdle();
--- a/tests/session/relay_test.cpp
+++ b/tests/session/relay_test.cpp
@@ -291,3 +291,21 @@
   cr_assert(!Instance.write(Session).Error);
   cr_assert(!Instance.run(Session, statement_kind::Commit, "COMMIT").Error);
 }
+
+// The same at the owner: it learns during the set-up that the primary is given
+// up.
+Test(relay, does_not_blame_an_endpoint_for_a_right_that_the_owner_lost) {
+  relay_fleet Fleet;
+  bench_core &Instance = Fleet.first();
+  caller_session Session = Instance.open("strict");
+  Instance.run(Session, statement_kind::Set, "SET a 1", "a", "1");
+  Fleet.Group.Script = [&](const seen_statement &) -> std::optional<exchange> {
+    Fleet.Owner.Right.reset();
+    Instance.Right.reset();
+    return std::nullopt;
+  };
+  cr_assert(failedWith(Instance.write(Session), answer_code::Busy));
+  cr_assert(Fleet.Group.callersOwn().empty());
+  cr_assert(Fleet.Owner.Set.Pools.at("p")->health().Failures == 0);
+  cr_assert(Instance.Set.Pools.at("p")->health().Failures == 0);
+}
--- a/tests/session/session_core_test.cpp
+++ b/tests/session/session_core_test.cpp
@@ -298,3 +298,20 @@
   Bench.run(Session, statement_kind::Rollback, "ROLLBACK");
   cr_assert(Bench.Returned == 2);
 }
+
+// A statement's connection is being set up while the primary is given up: the
+// statement is not sent. The endpoint did nothing wrong, and must not be
+// avoided or lose its idle connections for it.
+Test(session_core, does_not_blame_an_endpoint_for_a_lost_right) {
+  bench_core Bench;
+  caller_session Session = Bench.open("strict");
+  Bench.run(Session, statement_kind::Set, "SET a 1", "a", "1");
+  Bench.Group.Script = [&](const seen_statement &) -> std::optional<exchange> {
+    Bench.Right.reset();
+    return std::nullopt;
+  };
+  cr_assert(failedWith(Bench.write(Session), answer_code::Busy));
+  cr_assert(Bench.Group.callersOwn().empty());
+  cr_assert(Bench.Set.Pools.at("p")->health().Failures == 0);
+  cr_assert(Bench.Troubles.empty());
+}
