--- a/packages/http/src/listen.cpp
+++ b/packages/http/src/listen.cpp
@@ -1,9 +1,25 @@
 #include "redwinggw/http/listen.hpp"
 
+#include "redwinggw/base/time.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <utility>
+
 namespace redwinggw::http {
 
 namespace asio = boost::asio;
 
+namespace {
+
+constexpr auto Token = asio::as_tuple(asio::use_awaitable);
+/// Pause when no descriptor is left for a new connection.
+constexpr base::milliseconds AcceptPause{50};
+
+} // namespace
+
 base::result<address> listenAt(asio::ip::tcp::acceptor &Acceptor,
                                const address &Address) {
   boost::system::error_code Error;
@@ -24,4 +40,21 @@
   return address{Address.Host, Acceptor.local_endpoint().port()};
 }
 
+base::task<void>
+acceptConnections(asio::ip::tcp::acceptor &Acceptor,
+                  std::function<void(asio::ip::tcp::socket)> Take) {
+  while (Acceptor.is_open()) {
+    auto [Error, Socket] = co_await Acceptor.async_accept(Token);
+    boost::system::error_code Ignored;
+    if (!Error) {
+      Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
+      Take(std::move(Socket));
+      continue;
+    }
+    asio::steady_timer Pause(Acceptor.get_executor(), AcceptPause);
+    if (Acceptor.is_open())
+      co_await Pause.async_wait(Token);
+  }
+}
+
 } // namespace redwinggw::http
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -67,21 +67,11 @@
       : Executor(std::move(Executor)), Options(Options),
         Handler(std::move(Handler)), Acceptor(this->Executor) {}
 
-  base::task<void> accept() {
-    const auto Self = shared_from_this();
-    while (!Draining) {
-      auto [Error, Socket] = co_await Acceptor.async_accept(Token);
-      if (Error && !Acceptor.is_open())
-        co_return;
-      if (Error)
-        continue;
-      boost::system::error_code Ignored;
-      Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
-      const auto Session = std::make_shared<session>(std::move(Socket));
-      Session->Connection.Id = ++LastId;
-      Sessions.emplace(Session->Connection.Id, Session);
-      asio::co_spawn(Executor, serve(Session), asio::detached);
-    }
+  void take(asio::ip::tcp::socket Socket) {
+    const auto Session = std::make_shared<session>(std::move(Socket));
+    Session->Connection.Id = ++LastId;
+    Sessions.emplace(Session->Connection.Id, Session);
+    asio::co_spawn(Executor, serve(Session), asio::detached);
   }
 
   base::task<void> serve(std::shared_ptr<session> Session) {
@@ -148,7 +138,13 @@
 base::result<address> server::listen(const address &Address) {
   const auto Listening = listenAt(State->Acceptor, Address);
   if (Listening)
-    asio::co_spawn(State->Executor, State->accept(), asio::detached);
+    asio::co_spawn(
+        State->Executor,
+        acceptConnections(State->Acceptor,
+                          [Self = State](asio::ip::tcp::socket Socket) {
+                            Self->take(std::move(Socket));
+                          }),
+        asio::detached);
   return Listening;
 }
 
--- a/packages/redwinggw/src/native_rates.cpp
+++ b/packages/redwinggw/src/native_rates.cpp
@@ -14,6 +14,14 @@
   return {Verdict.Admitted, Verdict.Counted, Verdict.Wait};
 }
 
+/// Counts tokens that went from one instance to another.
+void countLoan(native_state &State, const base::customer_name &Customer,
+               std::string_view Step, double Tokens) {
+  counterOf(State.Core.Metrics, base::metric::ShareTokensTotal,
+            {Customer, std::string(Step)})
+      .Value += Tokens;
+}
+
 /// Asks another instance for tokens and waits for its answer. False when there
 /// is nobody to ask or no answer in time.
 base::task<bool> borrow(native_state &State, const std::string &Customer,
@@ -45,6 +53,7 @@
   for (const wire::share_entry &Entry : Request.Entries) {
     const double Given =
         lendTokens(State.Shares, Entry.Customer, Entry.Tokens, base::now());
+    countLoan(State, Entry.Customer, "given", Given);
     Grant.Entries.push_back({Entry.Customer, static_cast<float>(Given), 0, 0});
   }
   State.Peers->send(To, std::move(Grant));
@@ -52,9 +61,11 @@
 
 void takeGrant(native_state &State, const base::instance_name &From,
                const wire::share_message &Grant) {
-  for (const wire::share_entry &Entry : Grant.Entries)
+  for (const wire::share_entry &Entry : Grant.Entries) {
     takeLoan(State.Lending, State.Shares, From, Entry.Customer, Entry.Tokens,
              base::now());
+    countLoan(State, Entry.Customer, "taken", Entry.Tokens);
+  }
   State.Loans.wake(Grant.Number);
 }
 
--- a/packages/session/include/redwinggw/session/leased_link.hpp
+++ b/packages/session/include/redwinggw/session/leased_link.hpp
@@ -1,39 +1,11 @@
 #pragma once
 
-#include "redwinggw/session/endpoint_set.hpp"
+#include "redwinggw/session/slot_pass.hpp"
 
 #include <utility>
 
 namespace redwinggw::session {
 
-/// A turn on an endpoint's slots, given up at the end of its life.
-class slot_pass {
-public:
-  slot_pass() = default;
-  slot_pass(pool_ptr Pool, slot_level Level, base::customer_name Customer)
-      : Pool(std::move(Pool)), Level(Level), Customer(std::move(Customer)),
-        Since(base::now()) {}
-  slot_pass(slot_pass &&) noexcept = default;
-  slot_pass &operator=(slot_pass &&Other) noexcept {
-    std::swap(Pool, Other.Pool);
-    std::swap(Level, Other.Level);
-    std::swap(Customer, Other.Customer);
-    std::swap(Since, Other.Since);
-    return *this;
-  }
-  ~slot_pass() {
-    if (Pool)
-      Pool->leave(Level, Customer, base::now() - Since);
-  }
-  explicit operator bool() const { return Pool != nullptr; }
-
-private:
-  pool_ptr Pool;
-  slot_level Level = slot_level::Normal;
-  base::customer_name Customer;
-  base::instant Since;
-};
-
 /// A connection taken out of its pool. One that is not given back explicitly
 /// is closed: its state is not known.
 struct leased_link {
@@ -62,10 +34,4 @@
   slot_pass Pass;
 };
 
-/// Waits until \p Until for a turn on the slots of \p Pool's endpoint. Empty
-/// when there is none in time.
-base::task<slot_pass> takeTurn(pool_ptr Pool, slot_level Level,
-                               base::customer_name Customer,
-                               base::instant Until);
-
 } // namespace redwinggw::session
--- a/packages/session/include/redwinggw/session/statement_relay.hpp
+++ b/packages/session/include/redwinggw/session/statement_relay.hpp
@@ -25,7 +25,7 @@
   None,
   /// The owner did not answer, or cannot be reached.
   OwnerLost,
-  /// The owner has no connection free in time.
+  /// The owner has no turn on the slots or no connection in time.
   NoConnection,
   /// The owner does not know the endpoint, or may not use it as the primary.
   Refused,
--- a/packages/session/src/endpoint_set.cpp
+++ b/packages/session/src/endpoint_set.cpp
@@ -1,7 +1,5 @@
 #include "redwinggw/session/endpoint_set.hpp"
 
-#include "redwinggw/session/leased_link.hpp"
-
 #include <algorithm>
 
 namespace redwinggw::session {
@@ -82,15 +80,6 @@
   return rank(std::move(Candidates), Set.Choice, Now);
 }
 
-base::task<slot_pass> takeTurn(pool_ptr Pool, slot_level Level,
-                               base::customer_name Customer,
-                               base::instant Until) {
-  const bool Entered = co_await Pool->enter(Level, Customer, Until);
-  if (!Entered)
-    co_return slot_pass();
-  co_return slot_pass(std::move(Pool), Level, std::move(Customer));
-}
-
 void notePoint(endpoint_set &Set, const primary_right &Right,
                base::instant SentAt, log_point Point) {
   addSample(Set.Samples[Right.Service], {SentAt, Point}, base::now());
--- a/packages/session/src/relay_codec.cpp
+++ b/packages/session/src/relay_codec.cpp
@@ -18,29 +18,18 @@
 /// Callers' messages have at most 1 MiB; what is longer is damaged.
 constexpr std::uint64_t LongestText = std::uint64_t{2} << 20U;
 
-template <typename Archive> constexpr bool Reading = Archive::is_loading::value;
-
 /// Numbers that are mostly small take one byte for each seven bits.
-template <typename Archive> void transfer(Archive &Out, std::uint64_t Number) {
-  constexpr std::uint64_t More = 0x80;
-  constexpr unsigned Bits = 7;
-  while (Number >= More) {
-    Out(static_cast<std::uint8_t>((Number & (More - 1)) | More));
-    Number >>= Bits;
-  }
-  Out(static_cast<std::uint8_t>(Number));
-}
+constexpr std::uint8_t MoreFollows = 0x80;
+constexpr unsigned BitsOfByte = 7;
 
 std::uint64_t readNumber(cereal::BinaryInputArchive &In) {
-  constexpr std::uint8_t More = 0x80;
-  constexpr unsigned Bits = 7;
   std::uint64_t Number = 0;
   for (unsigned Shift = 0; Shift < std::numeric_limits<std::uint64_t>::digits;
-       Shift += Bits) {
+       Shift += BitsOfByte) {
     std::uint8_t Byte = 0;
     In(Byte);
-    Number |= static_cast<std::uint64_t>(Byte & (More - 1)) << Shift;
-    if ((Byte & More) == 0)
+    Number |= static_cast<std::uint64_t>(Byte & (MoreFollows - 1)) << Shift;
+    if ((Byte & MoreFollows) == 0)
       return Number;
   }
   throw cereal::Exception("a number is too long");
@@ -50,7 +39,11 @@
 struct writer {
   cereal::BinaryOutputArchive Archive;
 
-  void number(std::uint64_t Value) { transfer(Archive, Value); }
+  void number(std::uint64_t Value) {
+    for (; Value >= MoreFollows; Value >>= BitsOfByte)
+      Archive(static_cast<std::uint8_t>(Value | MoreFollows));
+    Archive(static_cast<std::uint8_t>(Value));
+  }
   void text(const std::string &Value) {
     number(Value.size());
     Archive(cereal::binary_data(Value.data(), Value.size()));
--- a/packages/session/src/relay_server.cpp
+++ b/packages/session/src/relay_server.cpp
@@ -5,11 +5,8 @@
 #include "redwinggw/base/log.hpp"
 #include "redwinggw/http/listen.hpp"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 #include <set>
@@ -21,9 +18,6 @@
 namespace asio = boost::asio;
 using base::instant;
 
-constexpr auto Token = asio::as_tuple(asio::use_awaitable);
-/// After a failure to accept, most of all for want of descriptors.
-constexpr base::milliseconds AcceptPause{50};
 /// A transaction whose instance says nothing for so much longer than callers
 /// may rest in one is rolled back: that instance is frozen or gone.
 constexpr base::milliseconds RestMargin{1000};
@@ -42,7 +36,7 @@
       : Executor(Executor), Core(Core), Secret(std::move(Secret)),
         Acceptor(Executor) {}
 
-  base::task<void> accept();
+  void take(asio::ip::tcp::socket Socket);
   base::task<void> serveWay(std::shared_ptr<way> Way);
   base::task<std::optional<relay_request>> nextRequest(way &Way);
 
@@ -53,19 +47,10 @@
   std::set<std::shared_ptr<way>> Ways;
 };
 
-base::task<void> relay_server::state::accept() {
-  const auto Self = shared_from_this();
-  while (Acceptor.is_open()) {
-    auto [Error, Socket] = co_await Acceptor.async_accept(Token);
-    if (Error) {
-      asio::steady_timer Pause(Executor, AcceptPause);
-      co_await Pause.async_wait(Token);
-      continue;
-    }
-    const auto Way = std::make_shared<way>(std::move(Socket));
-    Ways.insert(Way);
-    asio::co_spawn(Executor, serveWay(Way), asio::detached);
-  }
+void relay_server::state::take(asio::ip::tcp::socket Socket) {
+  const auto Way = std::make_shared<way>(std::move(Socket));
+  Ways.insert(Way);
+  asio::co_spawn(Executor, serveWay(Way), asio::detached);
 }
 
 base::task<std::optional<relay_request>>
@@ -85,7 +70,13 @@
   }
   if (!Bytes)
     co_return std::nullopt;
-  co_return decodeRequest(Secret, *Bytes);
+  auto Request = decodeRequest(Secret, *Bytes);
+  // Another version, another fleet's secret, or a foreign program.
+  if (!Request)
+    base::log(
+        base::log_level::Warning, base::log_part::Peers,
+        "A passed-on statement cannot be read; its connection is closed.");
+  co_return Request;
 }
 
 base::task<void> relay_server::state::serveWay(std::shared_ptr<way> Way) {
@@ -120,7 +111,13 @@
 base::result<http::address> relay_server::listen(const http::address &Address) {
   const auto Listening = http::listenAt(State->Acceptor, Address);
   if (Listening)
-    asio::co_spawn(State->Executor, State->accept(), asio::detached);
+    asio::co_spawn(
+        State->Executor,
+        http::acceptConnections(State->Acceptor,
+                                [Self = State](asio::ip::tcp::socket Socket) {
+                                  Self->take(std::move(Socket));
+                                }),
+        asio::detached);
   return Listening;
 }
 
--- a/tests/session/slot_queue_test.cpp
+++ b/tests/session/slot_queue_test.cpp
@@ -31,6 +31,17 @@
   return Ticket->Id;
 }
 
+/// How many statements of "flood" at \p Level end before \p Id starts.
+unsigned turnsUntil(slot_queue &Queue, std::uint64_t Id, slot_level Level) {
+  unsigned Turns = 0;
+  std::uint64_t Started = 0;
+  for (; Started != Id; ++Turns) {
+    finish(Queue, Level, "flood", milliseconds(5));
+    Started = next(Queue);
+  }
+  return Turns;
+}
+
 slot_queue busyQueue(unsigned Width) {
   slot_queue Queue;
   Queue.Width = Width;
@@ -173,13 +184,7 @@
   for (std::uint64_t Id = 0; Id < 100; ++Id)
     add(Queue, levelOf(0), Id, "flood");
   add(Queue, levelOf(3), 1000, "calm");
-  unsigned Turns = 0;
-  std::uint64_t Started = 0;
-  while (Started != 1000) {
-    finish(Queue, slot_level::Normal, "flood", milliseconds(5));
-    Started = next(Queue);
-    ++Turns;
-  }
+  const unsigned Turns = turnsUntil(Queue, 1000, slot_level::Normal);
   cr_assert(Turns <= 10, "%u turns", Turns);
 }
 
@@ -188,13 +193,7 @@
   for (std::uint64_t Id = 0; Id < 100; ++Id)
     add(Queue, slot_level::Low, Id, "flood");
   add(Queue, slot_level::Low, 1000, "calm");
-  unsigned Turns = 0;
-  std::uint64_t Started = 0;
-  while (Started != 1000) {
-    finish(Queue, slot_level::Low, "flood", milliseconds(2));
-    Started = next(Queue);
-    ++Turns;
-  }
+  const unsigned Turns = turnsUntil(Queue, 1000, slot_level::Low);
   cr_assert(Turns < 10, "%u turns", Turns);
 }
 
