Log each reading of the configuration that fails, and how much had come

The record could not tell the hypotheses apart: store_lost is written once, for any call, and does not say how much of an answer had come nor which row was waited for.

Change: configuration_not_read (row in force, newest row told of, for how long behind, how long the reading took, bytes that had come) for each failed reading, at most one for each pause between two; configuration_in_force with version, row, routes, bytes and behind_ms in place of a sentence; the counter of store errors counts these readings. No decision is changed.

--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -88,7 +88,8 @@
     close();
     co_return failure(Parser.got_some() ? errc::TruncatedAnswer
                                         : errc::OutcomeUnknown,
-                      ReadError.message());
+                      ReadError.message() + " after " + std::to_string(Read) +
+                          " bytes of the answer");
   }
   response Response;
   Response.Status = Parser.get().result_int();
--- a/packages/redwinggw/src/native_following.cpp
+++ b/packages/redwinggw/src/native_following.cpp
@@ -175,6 +175,39 @@
     State.FleetReadWanted = true;
 }
 
+/// For how long a newer configuration than the one in force has been known of.
+std::string millisecondsBehind(const native_state &State) {
+  const base::instant Since = State.BehindSince.value_or(base::now());
+  return std::to_string(
+      std::chrono::floor<milliseconds>(base::now() - Since).count());
+}
+
+void noteInForce(native_state &State) {
+  base::logEvent(log_level::Info, log_part::Configuration,
+                 "configuration_in_force",
+                 {{"version", std::to_string(State.Routes->Version)},
+                  {"row", std::to_string(State.RoutesRow)},
+                  {"routes", std::to_string(State.Routes->Routes.size())},
+                  {"bytes", std::to_string(State.RoutesText.size())},
+                  {"behind_ms", millisecondsBehind(State)}});
+  State.BehindSince.reset();
+}
+
+void noteUnreadConfiguration(native_state &State, base::instant Sent,
+                             const base::failure &Reason) {
+  counterOf(State.Core.Metrics, base::metric::StoreErrorsTotal,
+            {"configuration"})
+      .Value += 1;
+  const auto Took = std::chrono::floor<milliseconds>(base::now() - Sent);
+  base::logEvent(log_level::Warning, log_part::Configuration,
+                 "configuration_not_read",
+                 {{"row", std::to_string(State.RoutesRow)},
+                  {"newest_row", std::to_string(newestConfigurationRow(State))},
+                  {"behind_ms", millisecondsBehind(State)},
+                  {"took_ms", std::to_string(Took.count())},
+                  {"reason", describe(Reason)}});
+}
+
 } // namespace
 
 void takeConfiguration(native_state &State, const platform::table_rows &Rows) {
@@ -195,9 +228,7 @@
   State.Routes = std::make_shared<session::route_table>(std::move(*Table));
   applyRates(State.Shares, State.Routes->Customers, base::now());
   divideConnections(State);
-  base::log(log_level::Info, log_part::Configuration,
-            "Version " + std::to_string(State.Routes->Version) +
-                " is in force.");
+  noteInForce(State);
 }
 
 base::task<void> pauseAbout(native_state &State, milliseconds Time) {
@@ -296,15 +327,19 @@
   while (!State->Stopped) {
     // Where another instance reads, its heartbeats tell of changes.
     const bool News = newestConfigurationRow(*State) > State->RoutesRow;
+    if (News && !State->BehindSince)
+      State->BehindSince = base::now();
     if (State->Routes && hasReader(*State) && !News) {
       co_await pauseAbout(*State, NewsEvery);
       continue;
     }
-    const auto Rows =
-        co_await platform::readTable(State->Reader, platform::OperatorTable,
-                                     base::now() + ConfigurationTimeout);
+    const base::instant Sent = base::now();
+    const auto Rows = co_await platform::readTable(
+        State->Reader, platform::OperatorTable, Sent + ConfigurationTimeout);
     ++State->Store.Reads;
     noteStore(*State, Rows.has_value(), Rows ? "" : describe(Rows.error()));
+    if (!Rows)
+      noteUnreadConfiguration(*State, Sent, Rows.error());
     if (Rows) {
       if (State->Peers)
         State->Peers->noteStoreContact();
--- a/packages/redwinggw/src/native_state.hpp
+++ b/packages/redwinggw/src/native_state.hpp
@@ -42,6 +42,8 @@
   std::uint64_t RoutesRow = 0;
   /// The row's text, for instances that the store turns away.
   std::string RoutesText;
+  /// Since when another instance is known to have a newer configuration.
+  std::optional<base::instant> BehindSince;
   /// When others were last helped to the configuration.
   std::optional<base::instant> HelpedAt;
   std::uint64_t HelpedRow = 0;
