Test that fails: a large configuration over a slow link is never in force

What callers saw: on 10 Mbit/s links a route that version 19 had dropped was served 5 s after the acknowledgement, and went on to be.

The test: a real instance reaches the stand-in of the store by a link of 500 KB/s; a configuration of 5,000 routes withdraws its caller's key. The stand-in gets a way to the store with a settable speed.

--- /dev/null
+++ b/tests/native/large_configuration_test.cpp
@@ -0,0 +1,33 @@
+#include "line_client.hpp"
+#include "native_fleet.hpp"
+
+#include "criterion_test.hpp"
+
+using namespace redwinggw;
+using namespace redwinggw::fleet;
+using standin::native_world;
+
+namespace {
+
+/// A configuration of about a megabyte.
+constexpr std::size_t ManyRoutes = 5000;
+
+void configureLargely(native_world &World) {
+  constexpr double Rate = 1000;
+  World.configure({"other"}, Rate, ManyRoutes);
+}
+
+} // namespace
+
+// Guards against a configuration that never comes into force over a slow link.
+Test(large_configuration, arrives_over_a_slow_link) {
+  native_fleet Fleet(2);
+  line_client Caller(Fleet.Instances[1].Callers, "strict", "key");
+  cr_assert(Caller.run("READ a").Error.empty());
+  Fleet.World.with([](native_world &World) {
+    constexpr std::size_t BytesPerSecond = 500'000;
+    World.SecondWay->setSpeed(BytesPerSecond);
+    configureLargely(World);
+  });
+  cr_assert(eventually([&] { return Caller.run("READ a").Error == "DENIED"; }));
+}
--- a/tests/standins/native/world.cpp
+++ b/tests/standins/native/world.cpp
@@ -56,7 +56,9 @@
   }
   const http::address Any{"127.0.0.1", 0};
   StoreAddress = StoreServer.listen(Any).value();
-  SecondStoreAddress = SecondStoreServer.listen(Any).value();
+  SecondWay = std::make_unique<slow_way>(Context.get_executor(),
+                                         SecondStoreServer.listen(Any).value());
+  SecondStoreAddress = SecondWay->address();
   PromotionAddress = PromotionServer.listen(Any).value();
   configure({"key"});
   Thread = std::thread([this] {
@@ -99,8 +101,13 @@
   }
 }
 
-void native_world::configure(const std::vector<std::string> &Keys,
-                             double Rate) {
+void native_world::configure(const std::vector<std::string> &Keys, double Rate,
+                             std::size_t UnusedRoutes) {
+  json::array Routes{routeOf("strict", "primary"),
+                     routeOf("bounded", "bounded_staleness"),
+                     routeOf("own", "read_your_writes")};
+  for (std::size_t Index = 0; Index < UnusedRoutes; ++Index)
+    Routes.push_back(routeOf("unused" + std::to_string(Index), "primary"));
   const json::object Customer{{"name", "acme"},
                               {"api_keys", json::value_from(Keys)},
                               {"priority", 1},
@@ -111,9 +118,7 @@
   Store.put("op", "config",
             json::serialize(json::object{
                 {"version", ++ConfigurationVersion},
-                {"routes", json::array{routeOf("strict", "primary"),
-                                       routeOf("bounded", "bounded_staleness"),
-                                       routeOf("own", "read_your_writes")}},
+                {"routes", std::move(Routes)},
                 {"services", json::array{Service}},
                 {"limits", json::object{{"transaction_idle_ms", 3000}}},
                 {"tenants", json::array{Customer}}}));
--- a/tests/standins/native/world.hpp
+++ b/tests/standins/native/world.hpp
@@ -3,6 +3,7 @@
 #include "native/database_group.hpp"
 #include "native/database_server.hpp"
 #include "native/row_table.hpp"
+#include "native/slow_way.hpp"
 
 #include "redwinggw/http/server.hpp"
 
@@ -39,8 +40,10 @@
   void crash(const std::string &Name);
   /// Lets \p Name announce that it leaves.
   void drain(const std::string &Name);
-  /// Puts a configuration with these keys of the customer "acme" in force.
-  void configure(const std::vector<std::string> &Keys, double Rate = 1000);
+  /// Puts a configuration with these keys of the customer "acme" in force, and
+  /// with so many routes that nobody uses.
+  void configure(const std::vector<std::string> &Keys, double Rate = 1000,
+                 std::size_t UnusedRoutes = 0);
 
   http::address StoreAddress;
   /// The same store by another way, which can be closed by itself.
@@ -51,6 +54,7 @@
   /// @{
   row_table Store;
   bool SecondWayDown = false;
+  std::unique_ptr<slow_way> SecondWay;
   database_group Group;
   std::vector<promotion> Promotions;
   /// @}
