Read the store for as long as an answer arrives, not for a fixed time

Cause: one time limit for a whole transfer, 700 ms for the configuration. How long it takes depends on its size and on the link: about 1,040 KB need 0.9 s there. Each reading was cut, thrown away and begun anew 250 ms later, on 72 of 80 instances at once, and the retries filled their links.

Ruled out: lost news (all instances read), a slow store (no call without an answer in its record).

What is read of the endpoints carries the time of the question and cannot undo a newer, relayed list.

Why it works: progress, however slow, is no longer discarded, so each reading that a link can carry at all ends; a silent connection is still given up as soon as before.

--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -8,6 +8,8 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
+
 namespace redwinggw::http {
 namespace {
 
@@ -43,6 +45,15 @@
 struct client::state {
   explicit state(asio::any_io_executor Executor)
       : Stream(std::move(Executor)) {}
+
+  /// Ends the running step at \p Deadline, or after \p Silence if sooner.
+  void expectProgress(base::instant Deadline,
+                      std::optional<base::milliseconds> Silence) {
+    const base::instant Latest =
+        Silence ? std::min(Deadline, base::now() + *Silence) : Deadline;
+    Stream.expires_at(base::timerPoint(Latest));
+  }
+
   beast::tcp_stream Stream;
   beast::flat_buffer Buffer;
   bool Open = false;
@@ -68,9 +79,10 @@
   co_return base::result<void>();
 }
 
-base::task<base::result<response>> client::exchange(const request &Request,
-                                                    base::instant Deadline) {
-  State->Stream.expires_at(base::timerPoint(Deadline));
+base::task<base::result<response>>
+client::exchange(const request &Request, base::instant Deadline,
+                 std::optional<base::milliseconds> Silence) {
+  State->expectProgress(Deadline, Silence);
   const auto Message = messageOf(Request);
   const auto [WriteError, Sent] =
       co_await beast::http::async_write(State->Stream, Message, Token);
@@ -82,14 +94,19 @@
   }
   beast::http::response_parser<beast::http::string_body> Parser;
   Parser.body_limit(AnswerLimit);
-  const auto [ReadError, Read] = co_await beast::http::async_read(
-      State->Stream, State->Buffer, Parser, Token);
-  if (ReadError) {
-    close();
-    co_return failure(Parser.got_some() ? errc::TruncatedAnswer
-                                        : errc::OutcomeUnknown,
-                      ReadError.message() + " after " + std::to_string(Read) +
-                          " bytes of the answer");
+  std::size_t Received = 0;
+  while (!Parser.is_done()) {
+    State->expectProgress(Deadline, Silence);
+    const auto [ReadError, Read] = co_await beast::http::async_read_some(
+        State->Stream, State->Buffer, Parser, Token);
+    Received += Read;
+    if (ReadError) {
+      close();
+      co_return failure(Parser.got_some() ? errc::TruncatedAnswer
+                                          : errc::OutcomeUnknown,
+                        ReadError.message() + " after " +
+                            std::to_string(Received) + " bytes of the answer");
+    }
   }
   response Response;
   Response.Status = Parser.get().result_int();
--- a/packages/redwinggw/src/native_endpoints.cpp
+++ b/packages/redwinggw/src/native_endpoints.cpp
@@ -58,10 +58,11 @@
 }
 
 void takeEndpoints(native_state &State,
-                   const std::vector<session::endpoint_entry> &Entries) {
+                   const std::vector<session::endpoint_entry> &Entries,
+                   base::instant ReadAt) {
   const auto Changes = applyList(State.Endpoints, Entries, base::now());
   State.List = Entries;
-  State.ListAt = base::now();
+  State.ListAt = ReadAt;
   for (const base::endpoint_name &Name : Changes.Started)
     base::log(log_level::Info, log_part::Endpoints,
               "Endpoint " + Name + " is listed.");
@@ -76,18 +77,32 @@
 void takeReading(native_state &State, const wire::store_reading &Reading) {
   if (Reading.Kind == wire::reading_kind::EndpointsUnchanged) {
     if (State.ListAt && Reading.Text == digestText(State.List))
-      takeEndpoints(State, std::vector(State.List));
+      takeEndpoints(State, std::vector(State.List), base::now());
     return;
   }
   const auto Rows = platform::readReading(Reading.Text);
   if (!Rows)
     return;
   if (Reading.Kind == wire::reading_kind::Endpoints)
-    takeEndpoints(State, entriesOf(*Rows));
+    takeEndpoints(State, entriesOf(*Rows), base::now());
   else
     takeConfiguration(State, *Rows);
 }
 
+namespace {
+
+void takeOwnReading(native_state &State, const platform::table_rows &Rows,
+                    base::instant Sent) {
+  // A reading that took long must not undo a list that was relayed meanwhile.
+  if (State.ListAt.value_or(LongAgo) > Sent)
+    return;
+  takeEndpoints(State, entriesOf(Rows), Sent);
+  if (isReader(State) && State.Peers)
+    relayList(State, Rows);
+}
+
+} // namespace
+
 base::task<void> followEndpoints(native_ptr State) {
   while (!State->Stopped) {
     const bool Relayed =
@@ -96,16 +111,15 @@
       co_await pauseAbout(*State, NewsEvery);
       continue;
     }
+    const base::instant Sent = base::now();
     const auto Rows = co_await platform::readTable(
-        State->Reader, platform::EndpointTable, base::now() + ReadTimeout);
+        State->Reader, platform::EndpointTable, ReadSilence);
     ++State->Store.Reads;
     noteStore(*State, Rows.has_value(), Rows ? "" : describe(Rows.error()));
     if (Rows) {
       if (State->Peers)
         State->Peers->noteStoreContact();
-      takeEndpoints(*State, entriesOf(*Rows));
-      if (isReader(*State) && State->Peers)
-        relayList(*State, *Rows);
+      takeOwnReading(*State, *Rows, Sent);
     }
     co_await pauseAbout(*State, Rows ? ReadEvery : RetryAfter);
   }
--- a/packages/redwinggw/src/native_following.cpp
+++ b/packages/redwinggw/src/native_following.cpp
@@ -34,7 +34,7 @@
 /// sooner, but it goes silent when the store drops its history, and then hands
 /// on a version whose changes it never told.
 constexpr milliseconds ConfigurationEvery{800};
-constexpr milliseconds ConfigurationTimeout{700};
+constexpr milliseconds ConfigurationSilence{700};
 
 std::string instanceKey(std::string_view Name) {
   return std::string(InstancePrefix).append(Name);
@@ -296,7 +296,7 @@
   const base::instant Sent = base::now();
   State.FleetReadWanted = false;
   auto Rows = co_await platform::readTable(State.Reader, platform::OwnTable,
-                                           Sent + ReadTimeout);
+                                           ReadSilence);
   ++State.Store.Reads;
   noteStore(State, Rows.has_value(), Rows ? "" : describe(Rows.error()));
   if (!Rows)
@@ -335,7 +335,7 @@
     }
     const base::instant Sent = base::now();
     const auto Rows = co_await platform::readTable(
-        State->Reader, platform::OperatorTable, Sent + ConfigurationTimeout);
+        State->Reader, platform::OperatorTable, ConfigurationSilence);
     ++State->Store.Reads;
     noteStore(*State, Rows.has_value(), Rows ? "" : describe(Rows.error()));
     if (!Rows)
--- a/packages/redwinggw/src/native_state.hpp
+++ b/packages/redwinggw/src/native_state.hpp
@@ -112,7 +112,9 @@
 
 /// \name Reading the store
 /// @{
-constexpr base::milliseconds ReadTimeout{1000};
+/// A reading ends when nothing arrives for so long; how long it may take
+/// depends on its size and on the link.
+constexpr base::milliseconds ReadSilence{1000};
 /// A reading that fits a datagram.
 constexpr std::size_t LongestReading = 60'000;
 constexpr base::instant LongAgo{-std::chrono::hours(1)};
--- /dev/null
+++ b/tests/http/client_test.cpp
@@ -0,0 +1,100 @@
+#include "redwinggw/http/client.hpp"
+#include "redwinggw/http/listen.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include "criterion_test.hpp"
+
+using namespace redwinggw;
+
+namespace {
+
+namespace asio = boost::asio;
+using base::milliseconds;
+
+constexpr auto Token = asio::as_tuple(asio::use_awaitable);
+constexpr milliseconds Long{60'000};
+
+/// A server that sends the body of its answer byte by byte.
+struct slow_server {
+  std::string Body;
+  milliseconds BetweenBytes{0};
+  /// Bytes after which it sends nothing more and keeps the connection.
+  std::size_t StopsAfter = std::string::npos;
+};
+
+base::task<void> serveSlowly(asio::io_context &Context,
+                             asio::ip::tcp::socket Socket, slow_server Server) {
+  asio::steady_timer Timer(Context);
+  const std::string Head = "HTTP/1.1 200 OK\r\nContent-Length: " +
+                           std::to_string(Server.Body.size()) + "\r\n\r\n";
+  co_await asio::async_write(Socket, asio::buffer(Head), Token);
+  for (std::size_t Sent = 0; Sent < Server.Body.size(); ++Sent) {
+    if (Sent == Server.StopsAfter) {
+      Timer.expires_after(Long);
+      co_await Timer.async_wait(Token);
+    }
+    co_await asio::async_write(Socket, asio::buffer(&Server.Body[Sent], 1),
+                               Token);
+    Timer.expires_after(Server.BetweenBytes);
+    co_await Timer.async_wait(Token);
+  }
+}
+
+base::task<void> exchangeWith(asio::io_context &Context, http::address Address,
+                              milliseconds Silence,
+                              base::result<http::response> &Answer) {
+  http::client Client(Context.get_executor());
+  const auto Connected = co_await Client.connect(Address, base::now() + Long);
+  cr_assert(Connected.has_value());
+  const http::request Request;
+  Answer = co_await Client.exchange(Request, base::now() + Long, Silence);
+  Context.stop();
+}
+
+base::result<http::response> exchangeSlowly(slow_server Server,
+                                            milliseconds Silence) {
+  asio::io_context Context;
+  asio::ip::tcp::acceptor Acceptor(Context);
+  const auto Address = http::listenAt(Acceptor, {"127.0.0.1", 0});
+  const auto Take = [&](asio::ip::tcp::socket Socket) {
+    asio::co_spawn(Context, serveSlowly(Context, std::move(Socket), Server),
+                   asio::detached);
+  };
+  asio::co_spawn(Context, http::acceptConnections(Acceptor, Take),
+                 asio::detached);
+  base::result<http::response> Answer = base::failure(base::errc::Internal);
+  asio::co_spawn(Context,
+                 exchangeWith(Context, Address.value(), Silence, Answer),
+                 asio::detached);
+  Context.run();
+  return Answer;
+}
+
+} // namespace
+
+// Guards against cutting off an answer that takes long and still arrives.
+Test(client, waits_for_an_answer_while_it_arrives) {
+  constexpr milliseconds Silence{2000};
+  constexpr milliseconds BetweenBytes{250};
+  const std::string Body = "ten bytes.";
+  const auto Answer = exchangeSlowly({Body, BetweenBytes}, Silence);
+  cr_assert(Answer.has_value());
+  cr_assert(Answer->Body == Body);
+}
+
+// Guards against waiting until the deadline for a connection that went silent.
+Test(client, gives_up_an_answer_that_stops_arriving) {
+  constexpr milliseconds Silence{300};
+  constexpr std::size_t StopsAfter = 3;
+  const auto Answer =
+      exchangeSlowly({"ten bytes.", milliseconds(0), StopsAfter}, Silence);
+  cr_assert(Answer.has_error());
+  cr_assert(kindOf(Answer.error()) == base::errc::TruncatedAnswer);
+}
