Hand a configuration of any size on to instances that get none of the store

What callers would see: where the store turns an instance away and serves the others, a withdrawn key or dropped route stays in force there for as long as the configuration is larger than 60,000 bytes.

Cause: others pushed the configuration in one datagram and, above that size, sent nothing and said nothing.

Ruled out: several datagrams, which would need an order, repetition and a pace of their own.

An instance hands on to two at a time and turns others down, who then ask one that has had it meanwhile. The datagrams of the configuration and the rounds that sent them are removed; what follows the configuration has a file of its own.

After: the test passes; configuration_relay_test shows 5 MB, ten askers at once, parts of two configurations, other messages and secrets.

Why it works: who is behind asks until it is not, and any instance that is ahead can answer; nothing depends on the size.

--- a/packages/redwinggw/src/native_endpoints.cpp
+++ b/packages/redwinggw/src/native_endpoints.cpp
@@ -80,13 +80,8 @@
       takeEndpoints(State, std::vector(State.List), base::now());
     return;
   }
-  const auto Rows = platform::readReading(Reading.Text);
-  if (!Rows)
-    return;
-  if (Reading.Kind == wire::reading_kind::Endpoints)
+  if (const auto Rows = platform::readReading(Reading.Text))
     takeEndpoints(State, entriesOf(*Rows), base::now());
-  else
-    takeConfiguration(State, *Rows);
 }
 
 namespace {
--- a/packages/redwinggw/src/native_following.cpp
+++ b/packages/redwinggw/src/native_following.cpp
@@ -1,7 +1,5 @@
 #include "native_state.hpp"
 
-#include "platform/decoding.hpp"
-
 #include "redwinggw/base/log.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -10,8 +8,7 @@
 
 #include <algorithm>
 
-/// What an instance reads from the platform's store: the other instances and
-/// the configuration.
+/// What an instance reads of the others from the platform's store.
 namespace redwinggw {
 namespace {
 
@@ -28,14 +25,6 @@
 /// choice of the reader rest on reports of a moment ago, which gossip brings
 /// seconds late. An instance of 80 spends 1% of a core on it.
 constexpr std::size_t HeardDirectly = 128;
-/// The configuration is read so often by the one that reads for all. A change
-/// must be in force within three seconds: this pause, a call that hangs, its
-/// repetition and a heartbeat fit in. The store's feed of changes would tell
-/// sooner, but it goes silent when the store drops its history, and then hands
-/// on a version whose changes it never told.
-constexpr milliseconds ConfigurationEvery{800};
-constexpr milliseconds ConfigurationSilence{700};
-
 std::string instanceKey(std::string_view Name) {
   return std::string(InstancePrefix).append(Name);
 }
@@ -175,62 +164,8 @@
     State.FleetReadWanted = true;
 }
 
-/// For how long a newer configuration than the one in force has been known of.
-std::string millisecondsBehind(const native_state &State) {
-  const base::instant Since = State.BehindSince.value_or(base::now());
-  return std::to_string(
-      std::chrono::floor<milliseconds>(base::now() - Since).count());
-}
-
-void noteInForce(native_state &State) {
-  base::logEvent(log_level::Info, log_part::Configuration,
-                 "configuration_in_force",
-                 {{"version", std::to_string(State.Routes->Version)},
-                  {"row", std::to_string(State.RoutesRow)},
-                  {"routes", std::to_string(State.Routes->Routes.size())},
-                  {"bytes", std::to_string(State.RoutesText.size())},
-                  {"behind_ms", millisecondsBehind(State)}});
-  State.BehindSince.reset();
-}
-
-void noteUnreadConfiguration(native_state &State, base::instant Sent,
-                             const base::failure &Reason) {
-  counterOf(State.Core.Metrics, base::metric::StoreErrorsTotal,
-            {"configuration"})
-      .Value += 1;
-  const auto Took = std::chrono::floor<milliseconds>(base::now() - Sent);
-  base::logEvent(log_level::Warning, log_part::Configuration,
-                 "configuration_not_read",
-                 {{"row", std::to_string(State.RoutesRow)},
-                  {"newest_row", std::to_string(newestConfigurationRow(State))},
-                  {"behind_ms", millisecondsBehind(State)},
-                  {"took_ms", std::to_string(Took.count())},
-                  {"reason", describe(Reason)}});
-}
-
 } // namespace
 
-void takeConfiguration(native_state &State, const platform::table_rows &Rows) {
-  const auto Row = std::ranges::find(Rows.Rows, platform::ConfigurationKey,
-                                     &platform::table_row::Key);
-  if (Row == Rows.Rows.end() || Row->Removed || Row->Version <= State.RoutesRow)
-    return;
-  auto Table = platform::readConfiguration(Row->Value);
-  if (!Table) {
-    base::log(log_level::Error, log_part::Configuration,
-              describe(Table.error()));
-    return;
-  }
-  State.RoutesRow = Row->Version;
-  State.RoutesText = Row->Value;
-  if (State.Routes && Table->Version <= State.Routes->Version)
-    return;
-  State.Routes = std::make_shared<session::route_table>(std::move(*Table));
-  applyRates(State.Shares, State.Routes->Customers, base::now());
-  divideConnections(State);
-  noteInForce(State);
-}
-
 base::task<void> pauseAbout(native_state &State, milliseconds Time) {
   constexpr int Spread = 10;
   std::uniform_int_distribution<std::int64_t> Offset(-Time.count() / Spread,
@@ -240,29 +175,6 @@
   co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
-void helpBehind(native_state &State) {
-  // An instance that reaches the store has read the change by then.
-  constexpr milliseconds Every{600};
-  const base::instant Now = base::now();
-  if (!State.Peers || State.RoutesText.size() > LongestReading ||
-      Now - State.HelpedAt.value_or(LongAgo) < Every)
-    return;
-  State.HelpedAt = Now;
-  platform::table_rows Rows;
-  Rows.Rows.push_back({std::string(platform::ConfigurationKey), State.RoutesRow,
-                       State.RoutesText});
-  const wire::store_reading Reading{wire::reading_kind::Configuration,
-                                    platform::writeReading(Rows)};
-  // The last round's news is older than the pause between two rounds.
-  const std::uint64_t Behind = State.HelpedRow;
-  State.HelpedRow = State.RoutesRow;
-  for (const control::member &Member : State.Peers->view().Members) {
-    const bool Up = Member.State == control::member_state::Alive;
-    if (Up && Member.Report.ConfigurationRow < Behind)
-      State.Peers->sendReading(Member, Reading);
-  }
-}
-
 base::task<void> removeInstance(native_state &State) {
   // From here on a reading of the fleet must not register it again.
   State.Stopped = true;
@@ -323,30 +235,4 @@
   }
 }
 
-base::task<void> followConfiguration(native_ptr State) {
-  while (!State->Stopped) {
-    // Where another instance reads, its heartbeats tell of changes.
-    const bool News = newestConfigurationRow(*State) > State->RoutesRow;
-    if (News && !State->BehindSince)
-      State->BehindSince = base::now();
-    if (State->Routes && hasReader(*State) && !News) {
-      co_await pauseAbout(*State, NewsEvery);
-      continue;
-    }
-    const base::instant Sent = base::now();
-    const auto Rows = co_await platform::readTable(
-        State->Reader, platform::OperatorTable, ConfigurationSilence);
-    ++State->Store.Reads;
-    noteStore(*State, Rows.has_value(), Rows ? "" : describe(Rows.error()));
-    if (!Rows)
-      noteUnreadConfiguration(*State, Sent, Rows.error());
-    if (Rows) {
-      if (State->Peers)
-        State->Peers->noteStoreContact();
-      takeConfiguration(*State, *Rows);
-    }
-    co_await pauseAbout(*State, Rows ? ConfigurationEvery : RetryAfter);
-  }
-}
-
 } // namespace redwinggw
--- a/packages/redwinggw/src/native_instance.cpp
+++ b/packages/redwinggw/src/native_instance.cpp
@@ -234,7 +234,6 @@
   while (true) {
     base::flushLog();
     noteTouch(*State);
-    helpBehind(*State);
     openToCallers(*State);
     divideConnections(*State);
     State->Callers.endAbandoned();
--- a/packages/redwinggw/src/native_news.cpp
+++ b/packages/redwinggw/src/native_news.cpp
@@ -91,7 +91,7 @@
   }
   divideRates(State.Shares, View, isInTouch(State), Now);
   Report.Groups = groupReports(State);
-  Report.ConfigurationRow = State.RoutesRow;
+  Report.ConfigurationRow = State.Stored.Row;
 }
 
 /// An agreement that another instance knows of. The token is in the store only:
--- a/packages/redwinggw/src/native_relay.cpp
+++ b/packages/redwinggw/src/native_relay.cpp
@@ -95,6 +95,7 @@
       Executor, State.Endpoints.Watch, Secret);
   State.RelayServer =
       std::make_unique<session::relay_server>(Executor, State.Core, Secret);
+  State.RelayServer->handOnConfiguration([&State] { return State.Stored; });
   // The others go to the endpoints themselves when it does not listen.
   if (const auto Listening = State.RelayServer->listen(State.Settings.Peers);
       !Listening)
--- a/packages/redwinggw/src/native_state.hpp
+++ b/packages/redwinggw/src/native_state.hpp
@@ -39,14 +39,10 @@
   /// Watches and reads of what others write.
   platform::store_client Reader;
   session::route_table_ptr Routes;
-  std::uint64_t RoutesRow = 0;
-  /// The row's text, for instances that the store turns away.
-  std::string RoutesText;
+  /// What Routes was made of, for instances that the store turns away.
+  session::stored_configuration Stored;
   /// Since when another instance is known to have a newer configuration.
   std::optional<base::instant> BehindSince;
-  /// When others were last helped to the configuration.
-  std::optional<base::instant> HelpedAt;
-  std::uint64_t HelpedRow = 0;
   session::endpoint_set Endpoints;
   session::session_core Core;
   platform::caller_listener Callers;
@@ -189,14 +185,8 @@
 bool suspects(const native_state &State, std::string_view Service);
 /// @}
 
-/// Puts the operator's configuration in force, if the reading has a newer one.
-void takeConfiguration(native_state &State, const platform::table_rows &Rows);
 /// Takes in what another instance has read from the store.
 void takeReading(native_state &State, const wire::store_reading &Reading);
-/// Sends the configuration to instances that stay behind it: the store may
-/// turn them away while it serves this one.
-void helpBehind(native_state &State);
-
 /// Reads the system's own rows and takes them in. Nothing when the store did
 /// not answer.
 base::task<std::optional<platform::table_rows>> readFleet(native_state &State);
--- a/packages/session/include/redwinggw/session/relay_host.hpp
+++ b/packages/session/include/redwinggw/session/relay_host.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "redwinggw/session/configuration_relay.hpp"
 #include "redwinggw/session/leased_link.hpp"
 #include "redwinggw/session/session_core.hpp"
 #include "redwinggw/session/statement_relay.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -26,8 +28,8 @@
 base::task<relay_reply> serveRelayed(session_core &Core, relay_lease &Lease,
                                      relay_request Request);
 
-/// Takes passed-on statements over TCP. Used from one thread; \p Core outlives
-/// it.
+/// Takes passed-on statements and requests for the configuration over TCP. Used
+/// from one thread; \p Core outlives it.
 class relay_server {
 public:
   /// Requests have to be signed with \p Secret.
@@ -40,6 +42,9 @@
   /// Fails with errc::BadSettings when the address cannot be bound.
   base::result<http::address> listen(const http::address &Address);
 
+  /// \p Held gives the configuration in force here, to be handed on.
+  void handOnConfiguration(std::function<stored_configuration()> Held);
+
   /// Connections of endpoints that are held for others' transactions.
   std::size_t leases() const;
 
--- a/packages/session/include/redwinggw/session/relay_links.hpp
+++ b/packages/session/include/redwinggw/session/relay_links.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "redwinggw/base/task.hpp"
 #include "redwinggw/http/address.hpp"
+#include "redwinggw/session/configuration_relay.hpp"
 #include "redwinggw/session/deadline_watch.hpp"
 #include "redwinggw/session/statement_relay.hpp"
 
@@ -39,6 +41,11 @@
                                  base::customer_name Customer,
                                  unsigned Priority);
 
+  /// Asks the instance \p From for its configuration. One without a row when it
+  /// has none newer than \p Row, is handing it on to others, or is lost.
+  base::task<stored_configuration> askConfiguration(relay_owner From,
+                                                    std::uint64_t Row);
+
   /// Closes the idle connections to \p Owner: it was away, and its end may
   /// have lost track of them.
   void closeIdle(std::string_view Owner);
--- a/packages/session/src/relay_codec.cpp
+++ b/packages/session/src/relay_codec.cpp
@@ -1,4 +1,5 @@
 #include "redwinggw/base/enum_table.hpp"
+#include "redwinggw/session/configuration_relay.hpp"
 #include "redwinggw/session/statement_relay.hpp"
 #include "redwinggw/wire/signature.hpp"
 
@@ -9,12 +10,17 @@
 #include <sstream>
 #include <type_traits>
 
-/// The form of passed-on statements between instances.
+/// The form of messages between instances over TCP.
 namespace redwinggw::session {
 namespace {
 
-/// Bumped when the form of a message changes; others are refused.
-constexpr std::uint8_t FormatVersion = 1;
+/// First byte of a message. One whose form changes gets a new number; others
+/// are refused.
+enum class message_form : std::uint8_t {
+  Statement = 1,
+  ConfigurationRequest = 2,
+  ConfigurationPart = 3,
+};
 /// Callers' messages have at most 1 MiB; what is longer is damaged.
 constexpr std::uint64_t LongestText = std::uint64_t{2} << 20U;
 
@@ -51,6 +57,7 @@
   template <typename Enum> void choice(Enum Value, Enum /*Last*/) {
     Archive(static_cast<std::uint8_t>(Value));
   }
+  void flag(bool Value) { Archive(Value); }
   void time(base::milliseconds Value) {
     number(
         static_cast<std::uint64_t>(std::max<std::int64_t>(0, Value.count())));
@@ -95,6 +102,7 @@
       throw cereal::Exception("a choice is unknown");
     Value = static_cast<Enum>(Number);
   }
+  void flag(bool &Value) { Archive(Value); }
   void time(base::milliseconds &Value) {
     constexpr std::uint64_t Longest = 3'600'000;
     const std::uint64_t Count = std::min(readNumber(Archive), Longest);
@@ -179,11 +187,36 @@
   Ar.number(Value.Load);
 }
 
+template <typename Side, typename Request>
+void transferMessage(Side &Ar, Request &Value)
+  requires std::is_same_v<std::remove_const_t<Request>, configuration_request>
+{
+  Ar.number(Value.Row);
+}
+
+template <typename Side, typename Part>
+void transferMessage(Side &Ar, Part &Value)
+  requires std::is_same_v<std::remove_const_t<Part>, configuration_part>
+{
+  Ar.number(Value.Row);
+  Ar.text(Value.Text);
+  Ar.flag(Value.Last);
+}
+
+template <typename Message>
+constexpr message_form FormOf = message_form::Statement;
+template <>
+constexpr message_form FormOf<configuration_request> =
+    message_form::ConfigurationRequest;
+template <>
+constexpr message_form FormOf<configuration_part> =
+    message_form::ConfigurationPart;
+
 template <typename Message>
 std::string encode(std::string_view Secret, const Message &Value) {
   std::ostringstream Stream;
   writer Writer{cereal::BinaryOutputArchive(Stream)};
-  Writer.Archive(FormatVersion);
+  Writer.Archive(static_cast<std::uint8_t>(FormOf<Message>));
   transferMessage(Writer, Value);
   return wire::sign(Secret, std::move(Stream).str());
 }
@@ -196,9 +229,9 @@
   try {
     std::istringstream Stream{std::string(*Payload)};
     reader Reader{cereal::BinaryInputArchive(Stream)};
-    std::uint8_t Format = 0;
-    Reader.Archive(Format);
-    if (Format != FormatVersion)
+    std::uint8_t Form = 0;
+    Reader.Archive(Form);
+    if (Form != static_cast<std::uint8_t>(FormOf<Message>))
       return std::nullopt;
     Message Value;
     transferMessage(Reader, Value);
@@ -237,6 +270,26 @@
   return decode<relay_reply>(Secret, Bytes);
 }
 
+std::string encodeConfigurationRequest(std::string_view Secret,
+                                       const configuration_request &Value) {
+  return encode(Secret, Value);
+}
+
+std::string encodeConfigurationPart(std::string_view Secret,
+                                    const configuration_part &Value) {
+  return encode(Secret, Value);
+}
+
+std::optional<configuration_request>
+decodeConfigurationRequest(std::string_view Secret, std::string_view Bytes) {
+  return decode<configuration_request>(Secret, Bytes);
+}
+
+std::optional<configuration_part>
+decodeConfigurationPart(std::string_view Secret, std::string_view Bytes) {
+  return decode<configuration_part>(Secret, Bytes);
+}
+
 std::string_view relayFailureName(relay_failure Failure) {
   return base::nameOf(FailureNames, Failure);
 }
--- a/packages/session/src/relay_links.cpp
+++ b/packages/session/src/relay_links.cpp
@@ -28,6 +28,8 @@
 /// The owner gives up so much before the caller's instance does, so that an
 /// endpoint that is late can be told from an owner that is.
 constexpr milliseconds AnswerMargin{40};
+/// A part of a configuration is there by then, or the instance is lost.
+constexpr milliseconds PartTime{1000};
 
 milliseconds spanTo(instant Until) {
   const auto Left = std::chrono::floor<milliseconds>(Until - base::now());
@@ -52,7 +54,9 @@
   class link;
 
   std::unique_ptr<frame_stream> takeIdle(way &Way);
-  base::task<std::unique_ptr<frame_stream>> connect(way &Way, instant Deadline);
+  base::task<std::unique_ptr<frame_stream>> connect(const relay_owner &Owner,
+                                                    instant Deadline);
+  base::task<std::optional<configuration_part>> nextPart(frame_stream &Stream);
   void noteLost(way &Way, std::string_view What);
 
   asio::any_io_executor Executor;
@@ -72,9 +76,9 @@
 }
 
 base::task<std::unique_ptr<frame_stream>>
-relay_links::state::connect(way &Way, instant Deadline) {
+relay_links::state::connect(const relay_owner &Owner, instant Deadline) {
   boost::system::error_code Bad;
-  const auto Host = asio::ip::make_address(Way.Owner.Address.Host, Bad);
+  const auto Host = asio::ip::make_address(Owner.Address.Host, Bad);
   if (Bad)
     co_return nullptr;
   asio::ip::tcp::socket Socket(Executor);
@@ -83,13 +87,23 @@
     boost::system::error_code Ignored;
     Socket.close(Ignored);
   });
-  const asio::ip::tcp::endpoint To(Host, Way.Owner.Address.Port);
+  const asio::ip::tcp::endpoint To(Host, Owner.Address.Port);
   const auto [Error] = co_await Socket.async_connect(To, Token);
   if (Error || Guard.expired())
     co_return nullptr;
   co_return std::make_unique<frame_stream>(std::move(Socket));
 }
 
+base::task<std::optional<configuration_part>>
+relay_links::state::nextPart(frame_stream &Stream) {
+  const deadline_guard Guard(Watch, base::now() + PartTime,
+                             [&Stream] { Stream.close(); });
+  const auto Bytes = co_await Stream.next();
+  if (!Bytes)
+    co_return std::nullopt;
+  co_return decodeConfigurationPart(Secret, *Bytes);
+}
+
 void relay_links::state::noteLost(way &Way, std::string_view What) {
   Way.LostAt = base::now();
   // The network may have lost track of the other connections as well.
@@ -133,7 +147,7 @@
   if (!Stream)
     Stream = Links->takeIdle(*To);
   if (!Stream)
-    Stream = co_await Links->connect(*To, Deadline);
+    Stream = co_await Links->connect(To->Owner, Deadline);
   co_return Stream != nullptr;
 }
 
@@ -228,6 +242,28 @@
                                        std::move(Customer), Priority);
 }
 
+base::task<stored_configuration>
+relay_links::askConfiguration(relay_owner From, std::uint64_t Row) {
+  const auto Links = State;
+  const auto Stream = co_await Links->connect(From, base::now() + ConnectTime);
+  if (!Stream)
+    co_return stored_configuration();
+  const configuration_request Request{Row};
+  const std::string Bytes = encodeConfigurationRequest(Links->Secret, Request);
+  const bool Sent = co_await Stream->send(Bytes);
+  configuration_assembly Assembly;
+  bool Goes = Sent;
+  while (Goes && !Assembly.Complete) {
+    auto Part = co_await Links->nextPart(*Stream);
+    Goes = Part && addPart(Assembly, std::move(*Part));
+  }
+  if (!Goes)
+    co_return stored_configuration();
+  co_return stored_configuration{
+      Assembly.Row,
+      std::make_shared<const std::string>(std::move(Assembly.Text))};
+}
+
 void relay_links::closeIdle(std::string_view Owner) {
   const auto Found = State->Ways.find(Owner);
   if (Found != State->Ways.end())
--- a/packages/wire/include/redwinggw/wire/message.hpp
+++ b/packages/wire/include/redwinggw/wire/message.hpp
@@ -119,10 +119,9 @@
 };
 
 enum class reading_kind : std::uint8_t {
-  Endpoints,
-  Configuration,
+  Endpoints = 0,
   /// The endpoints' list is still the one whose digest is told.
-  EndpointsUnchanged,
+  EndpointsUnchanged = 2,
 };
 
 /// What one instance has read from the store for others, in the form in which
--- a/tests/native/large_configuration_test.cpp
+++ b/tests/native/large_configuration_test.cpp
@@ -31,3 +31,15 @@
   });
   cr_assert(eventually([&] { return Caller.run("READ a").Error == "DENIED"; }));
 }
+
+// Guards against a configuration too large for what instances tell each other.
+Test(large_configuration, reaches_an_instance_that_the_store_turns_away) {
+  native_fleet Fleet(3);
+  line_client Caller(Fleet.Instances[2].Callers, "strict", "key");
+  cr_assert(Caller.run("READ a").Error.empty());
+  Fleet.World.with([](native_world &World) {
+    World.SecondWayDown = true;
+    configureLargely(World);
+  });
+  cr_assert(eventually([&] { return Caller.run("READ a").Error == "DENIED"; }));
+}
--- /dev/null
+++ b/tests/session/configuration_relay_test.cpp
@@ -0,0 +1,119 @@
+#include "redwinggw/session/configuration_relay.hpp"
+#include "redwinggw/session/relay_host.hpp"
+#include "redwinggw/session/relay_links.hpp"
+
+#include "fake_endpoint.hpp"
+
+#include "criterion_test.hpp"
+
+using namespace redwinggw;
+using namespace redwinggw::session;
+using namespace redwinggw::session::testing;
+
+namespace {
+
+const std::string Secret = "secret";
+constexpr std::size_t LargeBytes = 5'000'000;
+
+stored_configuration largeConfiguration(std::uint64_t Row) {
+  return {Row, std::make_shared<const std::string>(LargeBytes, 'x')};
+}
+
+/// Two instances over real connections, in one loop.
+struct configuration_pair {
+  configuration_pair()
+      : Holder(Context, Group), Asker(Context, Group),
+        Server(Context.get_executor(), Holder.Core, Secret),
+        Links(Context.get_executor(), Asker.Set.Watch, Secret) {
+    Address = Server.listen({"127.0.0.1", 0}).value();
+    Server.handOnConfiguration([this] { return Held; });
+  }
+  ~configuration_pair() {
+    Server.stop();
+    Context.poll();
+  }
+
+  base::task<void> askOnce(std::uint64_t Row) {
+    const relay_owner From{"holder", Address};
+    Answers.push_back(co_await Links.askConfiguration(From, Row));
+  }
+
+  /// Asks so many times at once and waits for all answers.
+  void ask(std::uint64_t Row, std::size_t Times = 1) {
+    for (std::size_t Count = 0; Count < Times; ++Count)
+      boost::asio::co_spawn(Context, askOnce(Row), boost::asio::detached);
+    while (Answers.size() < Times)
+      Context.run_one();
+  }
+
+  boost::asio::io_context Context;
+  fake_group Group;
+  bench_core Holder;
+  bench_core Asker;
+  relay_server Server;
+  relay_links Links;
+  http::address Address;
+  stored_configuration Held;
+  std::vector<stored_configuration> Answers;
+};
+
+} // namespace
+
+// Guards against a largest size of what instances can hand on.
+Test(configuration_relay, hands_on_a_configuration_of_any_size) {
+  configuration_pair Pair;
+  Pair.Held = largeConfiguration(9);
+  Pair.ask(5);
+  cr_assert(Pair.Answers[0].Row == 9);
+  cr_assert(*Pair.Answers[0].Text == *Pair.Held.Text);
+}
+
+Test(configuration_relay, hands_on_nothing_that_is_not_newer) {
+  configuration_pair Pair;
+  Pair.ask(0);
+  cr_assert(Pair.Answers[0].Row == 0);
+  Pair.Answers.clear();
+  Pair.Held = largeConfiguration(9);
+  Pair.ask(9);
+  cr_assert(Pair.Answers[0].Row == 0);
+}
+
+// Guards against a link that all others' requests fill at once.
+Test(configuration_relay, turns_down_more_than_it_can_send_at_a_time) {
+  configuration_pair Pair;
+  Pair.Held = largeConfiguration(9);
+  constexpr std::size_t Askers = 10;
+  Pair.ask(5, Askers);
+  const auto Served = std::ranges::count(Pair.Answers, std::uint64_t{9},
+                                         &stored_configuration::Row);
+  cr_assert(Served >= 1);
+  Pair.Answers.clear();
+  Pair.ask(5);
+  cr_assert(Pair.Answers[0].Row == 9);
+}
+
+// Guards against a text made of two configurations.
+Test(configuration_relay, takes_no_parts_of_two_configurations) {
+  configuration_assembly Assembly;
+  cr_assert(addPart(Assembly, {9, "begin", false}));
+  cr_assert(!addPart(Assembly, {10, "end", true}));
+}
+
+Test(configuration_relay, messages_come_back_as_they_were) {
+  const configuration_request Request{300};
+  const std::string Asked = encodeConfigurationRequest(Secret, Request);
+  cr_assert(decodeConfigurationRequest(Secret, Asked)->Row == 300);
+  const configuration_part Part{7, "text", false};
+  const std::string Told = encodeConfigurationPart(Secret, Part);
+  const auto Read = decodeConfigurationPart(Secret, Told);
+  cr_assert(Read && Read->Row == 7 && Read->Text == "text" && !Read->Last);
+}
+
+// Guards against one kind of message being taken for another.
+Test(configuration_relay, refuses_other_messages_and_secrets) {
+  const configuration_request Request{300};
+  const std::string Asked = encodeConfigurationRequest(Secret, Request);
+  cr_assert(!decodeConfigurationPart(Secret, Asked));
+  cr_assert(!decodeConfigurationRequest("another", Asked));
+  cr_assert(!decodeConfigurationRequest(Secret, Asked.substr(1)));
+}
