Read the project's own platform for as long as an answer arrives

Cause: the project's own protocol had one limit, the setting's timeout, for a whole answer, whatever its size.

Evidence: own_protocol_test failed before: "timeout after 290816 bytes of the answer" of 1 MB at 300 KB/s.

Change: readings end after that timeout without a byte of the body, and after 20 s in all cases. Commits keep their total limit: whoever changes something has to know soon how it ended. The way with a settable speed moves to what the stand-ins share.

After: the test passes.

--- a/packages/http/include/redwinggw/http/client.hpp
+++ b/packages/http/include/redwinggw/http/client.hpp
@@ -52,6 +52,7 @@
 /// Connects, exchanges once and closes.
 base::task<base::result<response>>
 exchangeOnce(boost::asio::any_io_executor Executor, address Address,
-             request Request, base::instant Deadline);
+             request Request, base::instant Deadline,
+             std::optional<base::milliseconds> Silence = std::nullopt);
 
 } // namespace redwinggw::http
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -125,14 +125,16 @@
 
 bool client::isOpen() const { return State->Open; }
 
-base::task<base::result<response>> exchangeOnce(asio::any_io_executor Executor,
-                                                address Address,
-                                                request Request,
-                                                base::instant Deadline) {
+base::task<base::result<response>>
+exchangeOnce(asio::any_io_executor Executor, address Address, request Request,
+             base::instant Deadline,
+             std::optional<base::milliseconds> Silence) {
   client Client(std::move(Executor));
-  if (auto Connected = co_await Client.connect(Address, Deadline); !Connected)
-    co_return Connected.error();
-  co_return co_await Client.exchange(Request, Deadline);
+  const base::instant Connected =
+      Silence ? std::min(Deadline, base::now() + *Silence) : Deadline;
+  if (auto Open = co_await Client.connect(Address, Connected); !Open)
+    co_return Open.error();
+  co_return co_await Client.exchange(Request, Deadline, Silence);
 }
 
 } // namespace redwinggw::http
--- a/packages/storage/src/own_protocol.cpp
+++ b/packages/storage/src/own_protocol.cpp
@@ -25,14 +25,20 @@
   return json::parse(Response.Body);
 }
 
-base::task<result<http::response>> ask(store &Store, std::string Target,
-                                       json::object Body) {
+/// A transfer that still goes on then has all but stopped.
+constexpr base::milliseconds LongestTransfer{20000};
+
+/// Asks with a whole answer due by \p Deadline, which stops coming for
+/// Store.Timeout at most.
+base::task<result<http::response>> askUntil(store &Store, std::string Target,
+                                            json::object Body,
+                                            base::instant Deadline) {
   http::request Request;
   Request.Target = std::move(Target);
   Request.From = Store.Instance;
   Request.Body = json::serialize(Body);
-  auto Response = co_await http::exchangeOnce(
-      Store.Executor, Store.Address, Request, base::now() + Store.Timeout);
+  auto Response = co_await http::exchangeOnce(Store.Executor, Store.Address,
+                                              Request, Deadline, Store.Timeout);
   if (!Response)
     co_return failure(errc::StoreUnreachable, Response.error().Detail);
   const unsigned Status = Response->Status;
@@ -43,6 +49,20 @@
   co_return std::move(*Response);
 }
 
+/// Changes something: whoever asked has to know soon how it ended.
+base::task<result<http::response>> ask(store &Store, std::string Target,
+                                       json::object Body) {
+  return askUntil(Store, std::move(Target), std::move(Body),
+                  base::now() + Store.Timeout);
+}
+
+/// Reads something, which takes as long as its size and the link need.
+base::task<result<http::response>> askToRead(store &Store, std::string Target,
+                                             json::object Body) {
+  return askUntil(Store, std::move(Target), std::move(Body),
+                  base::now() + LongestTransfer);
+}
+
 template <typename Value, typename Read>
 result<Value> readBody(const http::response &Response, Read ReadValue) {
   try {
@@ -129,7 +149,8 @@
 base::task<result<std::vector<row>>> get(store &Store,
                                          std::vector<std::string> Keys) {
   json::object Body{{"keys", json::value_from(Keys)}};
-  const auto Response = co_await ask(Store, "/table/get", std::move(Body));
+  const auto Response =
+      co_await askToRead(Store, "/table/get", std::move(Body));
   if (!Response)
     co_return Response.error();
   co_return readBody<std::vector<row>>(
@@ -139,7 +160,8 @@
 
 base::task<result<std::vector<row>>> scan(store &Store, std::string Prefix) {
   json::object Body{{"prefix", Prefix}};
-  const auto Response = co_await ask(Store, "/table/scan", std::move(Body));
+  const auto Response =
+      co_await askToRead(Store, "/table/scan", std::move(Body));
   if (!Response)
     co_return Response.error();
   co_return readBody<std::vector<row>>(*Response, rowsOf);
@@ -170,7 +192,8 @@
 
 base::task<result<std::string>> getObject(store &Store, std::string Name) {
   json::object Body{{"name", Name}};
-  const auto Response = co_await ask(Store, "/object/get", std::move(Body));
+  const auto Response =
+      co_await askToRead(Store, "/object/get", std::move(Body));
   if (!Response)
     co_return Response.error();
   if (Response->Status == StatusNotFound)
@@ -182,7 +205,8 @@
 
 base::task<result<std::vector<listed_instance>>> listInstances(store &Store) {
   json::object Body;
-  const auto Response = co_await ask(Store, "/instances", std::move(Body));
+  const auto Response =
+      co_await askToRead(Store, "/instances", std::move(Body));
   if (!Response)
     co_return Response.error();
   co_return readBody<std::vector<listed_instance>>(
--- a/tests/standins/native/slow_way.cpp
+++ b/tests/standins/common/slow_way.cpp
@@ -1,4 +1,4 @@
-#include "native/slow_way.hpp"
+#include "common/slow_way.hpp"
 
 #include "redwinggw/http/listen.hpp"
 
--- a/tests/standins/native/world.hpp
+++ b/tests/standins/native/world.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "common/slow_way.hpp"
 #include "native/database_group.hpp"
 #include "native/database_server.hpp"
 #include "native/row_table.hpp"
-#include "native/slow_way.hpp"
 
 #include "redwinggw/http/server.hpp"
 
--- /dev/null
+++ b/tests/storage/own_protocol_test.cpp
@@ -0,0 +1,55 @@
+#include "common/slow_way.hpp"
+#include "platform/platform.hpp"
+
+#include "redwinggw/http/server.hpp"
+#include "redwinggw/storage/store.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "criterion_test.hpp"
+
+using namespace redwinggw;
+
+namespace {
+
+namespace asio = boost::asio;
+
+const std::string LargeValue(1'000'000, 'x');
+
+base::task<void> writeThenRead(storage::store &Direct, storage::store &Slow,
+                               std::string &Value) {
+  storage::commit_request Request;
+  Request.Puts.push_back({"sheet", LargeValue});
+  const auto Written = co_await storage::commit(Direct, std::move(Request));
+  cr_assert(Written.has_value());
+  std::vector<std::string> Keys(1, "sheet");
+  const auto Rows = co_await storage::get(Slow, std::move(Keys));
+  cr_assert(Rows.has_value(), "%s", describe(Rows.error()).c_str());
+  Value = Rows->front().Value;
+}
+
+} // namespace
+
+// Guards against a sheet that is never read because its transfer takes long.
+Test(own_protocol, reads_a_large_row_over_a_slow_link) {
+  asio::io_context Context;
+  const auto Executor = Context.get_executor();
+  standin::platform_standin Platform(Executor, base::microseconds(0));
+  http::server Server(Executor, {},
+                      [&](http::connection &, http::request Request) {
+                        return Platform.handle(std::move(Request));
+                      });
+  const http::address Address = Server.listen({"127.0.0.1", 0}).value();
+  standin::slow_way Way(Executor, Address);
+  constexpr std::size_t BytesPerSecond = 300'000;
+  Way.setSpeed(BytesPerSecond);
+  storage::store Direct{Executor, Address, "i1"};
+  storage::store Slow{Executor, Way.address(), "i1"};
+  std::string Value;
+  asio::co_spawn(Context, writeThenRead(Direct, Slow, Value),
+                 [&](const std::exception_ptr &) { Context.stop(); });
+  Context.run();
+  cr_assert(Value == LargeValue);
+}
