--- a/packages/redwinggw/src/native_endpoints.cpp
+++ b/packages/redwinggw/src/native_endpoints.cpp
@@ -50,8 +50,12 @@
     return;
   }
   const std::string Text = platform::writeReading(Rows);
-  if (Text.size() > LongestReading)
+  if (Text.size() > LongestReading) {
+    base::logEvent(log_level::Warning, log_part::Endpoints, "list_not_relayed",
+                   {{"bytes", std::to_string(Text.size())},
+                    {"limit", std::to_string(LongestReading)}});
     return;
+  }
   State.Peers->sendReading({wire::reading_kind::Endpoints, Text});
   State.SentList = State.List;
   State.SentListAt = Now;
