--- a/tests/session/configuration_relay_test.cpp
+++ b/tests/session/configuration_relay_test.cpp
@@ -102,7 +102,8 @@
 Test(configuration_relay, messages_come_back_as_they_were) {
   const configuration_request Request{300};
   const std::string Asked = encodeConfigurationRequest(Secret, Request);
-  cr_assert(decodeConfigurationRequest(Secret, Asked)->Row == 300);
+  const auto Again = decodeConfigurationRequest(Secret, Asked);
+  cr_assert(Again && Again->Row == 300);
   const configuration_part Part{7, "text", false};
   const std::string Told = encodeConfigurationPart(Secret, Part);
   const auto Read = decodeConfigurationPart(Secret, Told);
--- a/tests/standins/common/slow_way.cpp
+++ b/tests/standins/common/slow_way.cpp
@@ -19,7 +19,7 @@
 using asio::ip::tcp;
 
 constexpr auto Token = asio::as_tuple(asio::use_awaitable);
-constexpr std::size_t ChunkBytes = 16 * 1024;
+constexpr std::size_t ChunkBytes = std::size_t{16} * 1024;
 
 /// Both ends of one connection.
 struct passage {
