--- a/tests/control/config_service_test.cpp
+++ b/tests/control/config_service_test.cpp
@@ -158,6 +158,7 @@
   const auto Refused = co_await Fleet.Left->submit(First);
   cr_assert(kindOf(Refused.error()) == errc::StaleConfiguration);
   const auto Accepted = co_await Fleet.Right->submit(Other);
+  cr_assert(Accepted.has_value(), "%s", describe(Accepted.error()).c_str());
   cr_assert(Accepted->Version == 1);
 }
 
