Say what a newcomer would ask about two files of the change

Callers see nothing. Reading the whole change found numbers of reading_kind without their reason and a file comment that no longer fits after the configuration moved out.

--- a/packages/redwinggw/src/native_following.cpp
+++ b/packages/redwinggw/src/native_following.cpp
@@ -8,7 +8,7 @@
 
 #include <algorithm>
 
-/// What an instance reads of the others from the platform's store.
+/// The other instances and their agreements, as the platform's store has them.
 namespace redwinggw {
 namespace {
 
@@ -25,6 +25,7 @@
 /// choice of the reader rest on reports of a moment ago, which gossip brings
 /// seconds late. An instance of 80 spends 1% of a core on it.
 constexpr std::size_t HeardDirectly = 128;
+
 std::string instanceKey(std::string_view Name) {
   return std::string(InstancePrefix).append(Name);
 }
--- a/packages/wire/include/redwinggw/wire/message.hpp
+++ b/packages/wire/include/redwinggw/wire/message.hpp
@@ -118,6 +118,7 @@
   std::vector<position_report> Positions;
 };
 
+/// The numbers travel: one that was used before is not given to another kind.
 enum class reading_kind : std::uint8_t {
   Endpoints = 0,
   /// The endpoints' list is still the one whose digest is told.
