--- a/tests/control/config_service_test.cpp
+++ b/tests/control/config_service_test.cpp
@@ -164,8 +164,7 @@
 
 } // namespace
 
-// An instance that is cut off from the fleet, but not from the store, accepts
-// a withdrawal: nobody could tell the operator that it is in force.
+// Guards against accepting a change that nobody could confirm to be in force.
 Test(config_service, without_a_majority_nothing_is_accepted) {
   config_fixture Fleet;
   control::configuration_ports Ports;
--- a/tests/control/demand_shares_test.cpp
+++ b/tests/control/demand_shares_test.cpp
@@ -263,10 +263,7 @@
   }
 }
 
-// A fleet too large for all to hear each other directly: each talks to another
-// one in turn and knows the rest by relays. Taken for silent, all but the last
-// few kept what they seemed to have, which was more than the whole rate, and
-// every caller was refused.
+// Guards against refusing all callers where few are heard directly.
 Test(demand_shares, serve_a_fleet_that_gossips) {
   constexpr std::size_t Count = 60;
   demand_fleet Fleet(Count, 2000, 2000, 16);
--- a/tests/session/endpoint_owner_test.cpp
+++ b/tests/session/endpoint_owner_test.cpp
@@ -153,9 +153,7 @@
   cr_assert(ownersAmong(First, Fleet.Now).size() == 4);
 }
 
-// A fleet too large for all to hear each other directly: each talks to a few a
-// second. Were only these taken for up, nearly every instance would take itself
-// for the owner of most endpoints and open an owner's connections to them.
+// Guards against many owners of an endpoint where few are heard directly.
 Test(endpoint_owner, agrees_in_a_fleet_that_gossips) {
   talking_fleet Fleet(60, 16);
   Fleet.run(base::milliseconds(20'000));
--- a/tests/session/relay_test.cpp
+++ b/tests/session/relay_test.cpp
@@ -292,8 +292,7 @@
   cr_assert(!Instance.run(Session, statement_kind::Commit, "COMMIT").Error);
 }
 
-// The same at the owner: it learns during the set-up that the primary is given
-// up.
+// Guards against avoiding an endpoint for what its owner learned meanwhile.
 Test(relay, does_not_blame_an_endpoint_for_a_right_that_the_owner_lost) {
   relay_fleet Fleet;
   bench_core &Instance = Fleet.first();
--- a/tests/session/replica_lag_test.cpp
+++ b/tests/session/replica_lag_test.cpp
@@ -67,9 +67,7 @@
   cr_assert(!probablyTrails(Lag, pointOfAge(milliseconds(50), Start), Start));
 }
 
-// Sessions read their own commits of a moment ago. Replicas have them a
-// twentieth of a second later, and one read in six was sent there in vain: a
-// round trip and a turn on the slots each.
+// Guards against asking replicas for a commit that they cannot have yet.
 Test(replica_lag, learns_how_young_a_point_is_too_young) {
   constexpr unsigned Reads = 4000;
   const guesses Blind = play(false, Reads);
@@ -82,8 +80,7 @@
   cr_assert(Learned.Tried * 2 > Reads, "%u of %u", Learned.Tried, Reads);
 }
 
-// A replica falls seconds behind. It is asked less and less often, and again as
-// soon as it has caught up.
+// Guards against asking in vain a replica that is seconds behind.
 Test(replica_lag, asks_a_replica_that_is_far_behind_less_and_less) {
   replica_lag Lag;
   unsigned Asked = 0;
--- a/tests/session/session_core_test.cpp
+++ b/tests/session/session_core_test.cpp
@@ -299,9 +299,7 @@
   cr_assert(Bench.Returned == 2);
 }
 
-// A statement's connection is being set up while the primary is given up: the
-// statement is not sent. The endpoint did nothing wrong, and must not be
-// avoided or lose its idle connections for it.
+// Guards against avoiding an endpoint because its primary was given up.
 Test(session_core, does_not_blame_an_endpoint_for_a_lost_right) {
   bench_core Bench;
   caller_session Session = Bench.open("strict");
