--- a/packages/control/include/redwinggw/control/demand_shares.hpp
+++ b/packages/control/include/redwinggw/control/demand_shares.hpp
@@ -3,9 +3,12 @@
 #include "redwinggw/base/ids.hpp"
 #include "redwinggw/base/time.hpp"
 #include "redwinggw/control/configuration.hpp"
+#include "redwinggw/control/demand_sources.hpp"
 #include "redwinggw/control/membership.hpp"
 #include "redwinggw/wire/message.hpp"
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -28,6 +31,14 @@
 ///   anything. Whoever is out of touch, with no majority and no store, admits
 ///   half of its part. Two sides of a partition then admit at most 1.04 of the
 ///   whole, whichever of them reaches the store; operators tolerate 1.1.
+/// - What relays pass on is a few heartbeats old. There an instance counts its
+///   own demand as it told it so long ago: were a growing demand counted here
+///   before that of the others is, a flood that begins everywhere would be
+///   served several times over until the news of it has gone round.
+/// - Where instances report to relays, a relay adds up the demand of those that
+///   report to it and the parts of those that went silent. Its sums stand for
+///   one instance that has all of that demand. Two relays add up the same zone;
+///   whoever reads them goes by one of them.
 /// - An instance that leaves keeps its part until it sends its callers away.
 /// - A new process starts from empty buckets, so a burst is not spent twice
 ///   over a restart of all, and with the idle part until it hears a majority.
@@ -54,6 +65,9 @@
   /// operators' tolerance cover.
   double LeastDepth = 3;
   double CalmShare = 0.8;
+  /// What was admitted there without a token is owed, up to so many tokens, and
+  /// paid back if the customer turns out to be over its rate.
+  double MostOwed = 2;
   /// Part of a bucket that operations leave to those of the next higher
   /// priority: a customer over its rate is served what it has declared to
   /// matter most. Below the rate nothing is reserved: it would only turn
@@ -81,6 +95,22 @@
   base::milliseconds IsolatedAfter{1500};
 };
 
+/// What a relay passes on of a customer's demand.
+struct demand_total {
+  double Rate = 0;
+  double SilentRate = 0;
+  double SilentPart = 0;
+  double MissedPart = 0;
+  std::uint32_t Lender = 0;
+  std::uint8_t Spare = 0;
+};
+
+/// An instance that could lend tokens, as a relay told.
+struct told_lender {
+  std::uint32_t Instance = 0;
+  std::uint8_t Spare = 0;
+};
+
 /// A customer's account in this instance. Tokens may be negative: operations
 /// that wait have taken theirs already.
 struct demand_account {
@@ -89,8 +119,10 @@
   /// Smoothed operations a second, refused ones included.
   double Demand = 0;
   base::instant DemandAt;
-  /// Demand as the others know it.
+  /// Demand as the others were told last, and the times before, the newest
+  /// first.
   double Announced = 0;
+  std::array<double, 2> AnnouncedBefore{};
   double Tokens = 0;
   /// Tokens of operations of which it is not known yet whether they run.
   double Unsettled = 0;
@@ -101,8 +133,14 @@
   base::instant FilledAt;
   /// Part of the rate that is admitted here.
   double Part = 0;
-  /// Parts that silent instances had when they were heard last.
-  std::map<base::instance_name, double, std::less<>> SilentParts;
+  /// Parts that silent sources had when they were heard last, by name.
+  std::map<std::string, double, std::less<>> SilentParts;
+  /// Sums to pass on: of the instances that report here, and of all with this
+  /// one.
+  demand_total Zone;
+  demand_total Fleet;
+  /// Who could lend tokens, as relays told.
+  std::vector<told_lender> Lenders;
   /// At the last division: the demand of all that were heard, this one
   /// included, and the part of the rate that was divided among them.
   double HeardDemand = 0;
@@ -128,6 +166,10 @@
   bool Acquainted = false;
   /// This instance leaves its parts to the others.
   bool Yielded = false;
+  /// How many instances the sums to pass on hold.
+  std::size_t ZoneInstances = 0;
+  std::size_t FleetInstances = 0;
+  std::size_t UnknownInstances = 0;
 };
 
 /// Takes in the rates and bursts in force.
@@ -161,6 +203,10 @@
 std::vector<wire::demand_report> announceDemand(demand_shares &Shares,
                                                 base::instant Now);
 
+/// The sums that a relay passes on, as of the last division.
+wire::demand_digest zoneDemands(const demand_shares &Shares);
+wire::demand_digest fleetDemands(const demand_shares &Shares);
+
 /// What became of an operation.
 struct demand_verdict {
   bool Admitted = false;
--- a/packages/control/include/redwinggw/control/membership.hpp
+++ b/packages/control/include/redwinggw/control/membership.hpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 /// Which instances there are and what they say, from the platform's lagging
@@ -23,21 +24,33 @@
   base::zone_name Zone;
   /// Wall clock (ms) at start: grows from start to start.
   std::uint64_t Incarnation = 0;
+  /// How much work it can take compared with others; instances with more relay
+  /// for those with less.
+  double Capacity = 0;
 };
 
 /// Times and bounds of the heartbeats.
 struct membership_limits {
   base::milliseconds Interval{200};
-  /// Up to so many others each heartbeat goes to all of them.
+  /// Up to so many others each heartbeat goes to all of them; beyond that
+  /// relays.hpp says to whom.
   std::size_t DirectLimit = 16;
-  /// Beyond that, one chosen evenly is asked each so often, and answers.
-  base::milliseconds GossipInterval{250};
   /// An instance is heard while what it said is at most so old.
   base::milliseconds HearBound{600};
-  base::milliseconds GossipHearBound{2500};
   base::milliseconds SuspectAfter{700};
   base::milliseconds DeadAfter{2000};
-  base::milliseconds GossipDeadAfter{6000};
+  /// The same where there are relays: what they tell is up to three heartbeats
+  /// old.
+  base::milliseconds RelayedHearBound{1000};
+  base::milliseconds RelayedSuspectAfter{1300};
+  base::milliseconds RelayedDeadAfter{2600};
+  /// A relay that is silent for so long is passed over, and asked again after
+  /// PassOverRelay.
+  base::milliseconds RelaySilence{650};
+  base::milliseconds PassOverRelay{3000};
+  /// An instance whose last answer of the store is older does not read it for
+  /// others.
+  base::milliseconds ReadsWithin{2500};
   /// Take in instances that are not listed but sign rightly, until the next
   /// list. Guards against an instance that joins right before the list cannot
   /// be read any more: nobody would answer it, and it would refuse its callers
@@ -59,6 +72,8 @@
   base::zone_name Zone;
   http::address Address;
   bool ListedLeaving = false;
+  /// A relay told that it leaves.
+  bool ToldLeaving = false;
   member_state State = member_state::Suspect;
   wire::replay_window Window;
   /// Sequence of the newest heartbeat.
@@ -66,8 +81,24 @@
   /// Its last report was made at this time or later: the time when the
   /// heartbeat left that it echoes. Relayed knowledge counts here too.
   std::optional<base::instant> HeardAt;
-  /// When its newest heartbeat arrived. Nothing: none yet.
+  /// When its newest heartbeat arrived, here or at a relay, as far as is known.
+  /// Nothing: none yet.
   std::optional<base::instant> ArrivedAt;
+  /// When its newest heartbeat arrived here.
+  std::optional<base::instant> DirectAt;
+  /// \name As a relay, or one that may be
+  /// @{
+  double Capacity = 0;
+  /// Since when it has left our heartbeats unanswered.
+  std::optional<base::instant> UnansweredSince;
+  std::optional<base::instant> PassedOverUntil;
+  /// @}
+  /// It had an answer of the store at this time or later.
+  std::optional<base::instant> StoreContactAt;
+  /// Highest version in force there that is known, and the highest that it can
+  /// have known of at HeardAt.
+  base::config_version KnownVersion = 0;
+  base::config_version MayKnow = 0;
   /// The newest report and the earliest time when it can have been made.
   wire::peer_report Report;
   std::optional<base::instant> ReportAt;
@@ -121,16 +152,25 @@
   std::vector<member> Members;
   /// True once a list was read.
   bool ListKnown = false;
-  /// Hash of all names on it with this one, and the place of this one.
-  std::uint32_t ListHash = 0;
-  std::size_t SelfIndex = 0;
+  /// The place of each member by the hash of its name, sorted.
+  std::vector<std::pair<std::uint32_t, std::size_t>> ByHash;
+  /// Whether this instance relays, as of the last heartbeats.
+  bool Relay = true;
+  /// False: this instance passes on nothing of others, since it does not take
+  /// in all that they tell.
+  bool PassesOn = true;
+  /// Somebody told of an instance that is not on the list.
+  bool ToldOfStrangers = false;
+  /// What this instance passes on of others beside their ages, as the shell
+  /// left it: to other relays, and to the instances that it relays for.
+  wire::fleet_digest ZoneDigest;
+  wire::fleet_digest FleetDigest;
   store_knowledge Store;
   membership_counters Counters;
-  /// The own part of each heartbeat, as setLocal of the shell left it.
+  /// The own part of each heartbeat, as the shell left it at LocalAt.
   wire::peer_report Local;
+  base::instant LocalAt = base::instant::min();
   std::uint64_t Sequence = 0;
-  /// Counts the choices of an instance to ask.
-  std::uint32_t Round = 0;
   std::optional<base::instant> LastTick;
   /// When the last own datagrams left, by sequence modulo the size.
   static constexpr std::size_t SentSlots = 4096;
@@ -170,6 +210,9 @@
 /// second each, 790 instances would take a large part of the store's reads.
 base::milliseconds listInterval(const membership &Membership);
 
+/// Whether onTick would send heartbeats.
+bool isTickDue(const membership &Membership, base::instant Now);
+
 /// The heartbeats that are due. Call at least every Interval.
 std::vector<peer_send> onTick(membership &Membership, base::instant Now);
 
@@ -187,6 +230,14 @@
 /// The member called \p Name, null when there is none.
 const member *findMember(const membership &Membership, std::string_view Name);
 
+/// The member whose name has \p Hash, null when there is none.
+const member *findByHash(const membership &Membership, std::uint32_t Hash);
+
+/// Whether \p Member had an answer of the store lately and may read it for
+/// others.
+bool readsStore(const membership &Membership, const member &Member,
+                base::instant Now);
+
 /// True when \p Member said something at \p Now - HearBound or later.
 bool isHeard(const membership &Membership, const member &Member,
              base::instant Now);
--- a/packages/control/include/redwinggw/control/membership_knowledge.hpp
+++ b/packages/control/include/redwinggw/control/membership_knowledge.hpp
@@ -5,21 +5,20 @@
 /// What heartbeats carry and what is learnt from them; parts of membership.
 namespace redwinggw::control {
 
-/// True when there are too many others to send each heartbeat to all.
-bool isGossiping(const membership &Membership);
-
-/// Another instance, chosen evenly and differently by each: in a common
-/// rotation all would ask the same one, and news would hardly spread.
-/// Precondition: there is one.
-const member &nextPeer(membership &Membership);
-
 /// The report of this instance at \p Now, without echo and relay.
 wire::peer_report localReport(const membership &Membership, base::instant Now);
 
-/// What to relay: the members that are heard.
-wire::heard_map heardMap(const membership &Membership, base::instant Now);
-
-/// Makes ListHash and SelfIndex match the members.
+/// What to pass on to \p Receiver: of its availability zone to another relay,
+/// of all to an instance that this one relays for.
+///
+/// It never hides news: an instance whose version in force is beyond the one
+/// here is left out, since what it knows cannot be passed on yet. Whoever
+/// counts it as heard by this digest knows what it knew.
+wire::fleet_digest digestFor(const membership &Membership,
+                             const member &Receiver, wire::digest_scope Scope,
+                             base::instant Now);
+
+/// Makes ByHash match the members.
 void indexList(membership &Membership);
 
 /// Takes in the report that \p Member just sent. \p MadeAt is the earliest
--- a/packages/control/include/redwinggw/control/peer_service.hpp
+++ b/packages/control/include/redwinggw/control/peer_service.hpp
@@ -104,20 +104,30 @@
   bool send(std::string_view Instance, wire::share_message Message);
   void onShareMessage(share_handler Handler);
 
-  /// \p Fill completes each own heartbeat right before it leaves.
+  /// \p Fill completes the own heartbeats right before they leave, once for all
+  /// of a time. Answers between two of them carry what it left.
   void completeHeartbeats(std::function<void(wire::peer_report &)> Fill);
 
   /// Sends the next heartbeat at once: it carries news that others wait for.
   void sendNow();
 
-  /// Sends a reading of the store to all live members, or to one, and takes in
-  /// theirs.
+  /// Sends a reading of the store to all live members, through relays where
+  /// there are any, and takes in theirs.
   void sendReading(const wire::store_reading &Reading);
-  void sendReading(const member &To, const wire::store_reading &Reading);
   using reading_handler =
       std::function<void(const member &, const wire::store_reading &)>;
   void onReading(reading_handler Handler);
 
+  /// Reports on groups, of any number. Call it with setVersion: whoever hears
+  /// of a version must hear of what it is.
+  void tellGroups(std::vector<wire::group_report> Reports);
+
+  /// What this instance passes on of others beside their ages; see
+  /// membership.
+  void setDigests(wire::fleet_digest Zone, wire::fleet_digest Fleet);
+  /// Whether anything of others is passed on.
+  void passOn(bool Allowed);
+
   /// Called when a properly signed datagram came from an instance that is not
   /// listed: the list should be read again.
   void onStranger(std::function<void()> Handler);
--- a/packages/control/src/demand_shares.cpp
+++ b/packages/control/src/demand_shares.cpp
@@ -1,5 +1,7 @@
 #include "redwinggw/control/demand_shares.hpp"
 
+#include "redwinggw/control/relays.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <iterator>
@@ -32,30 +34,6 @@
       1 / std::chrono::duration<double>(Shares.Limits.Window).count();
 }
 
-/// The demand of a member as it last told it; 0 when it told none. One that
-/// was never heard may be asked for as much as this instance, whose demand is
-/// \p Own.
-double demandOf(const member &Member, std::uint32_t Customer, double Own) {
-  if (!Member.ArrivedAt)
-    return Own;
-  const auto &Demands = Member.Report.Demands;
-  const auto Found =
-      std::ranges::find(Demands, Customer, &wire::demand_report::Customer);
-  return Found == Demands.end() ? 0 : Found->Rate;
-}
-
-bool isSilent(const demand_shares &Shares, const member &Member, instant Now) {
-  return Member.ArrivedAt && Now - *Member.ArrivedAt > Shares.Limits.HeardFor;
-}
-
-/// Whether a silent member has been so for long enough that some of its part is
-/// taken over. One that leaves keeps it: it serves until the balancer sends
-/// nobody any more, and tells no demand from then on. Without that each planned
-/// stop under a flood had its part spent twice.
-bool isMissed(const demand_shares &Shares, const member &Member, instant Now) {
-  return Now - Member.ArrivedAt.value_or(Now) > Shares.Limits.SilentAfter;
-}
-
 /// What the others have of a customer's rate.
 struct others_view {
   /// Demand of those that are heard, with their idle part.
@@ -67,36 +45,116 @@
   double MissedPart = 0;
 };
 
-/// The part that a silent member had when it was heard last.
-double silentPartOf(demand_account &Account, const member &Member,
+/// The part that a silent source had when it was heard last.
+double silentPartOf(demand_account &Account, const std::string &Name,
                     double Demand) {
   const double Whole = std::max(Account.HeardDemand, Demand);
   const double Had = Whole > 0 ? Demand / Whole * Account.HeardPart : 0;
-  return Account.SilentParts.try_emplace(Member.Name, Had).first->second;
+  return Account.SilentParts.try_emplace(Name, Had).first->second;
+}
+
+/// The own demand as relays pass it on by now.
+double passedOnDemand(const demand_account &Account) {
+  return Account.AnnouncedBefore.back();
+}
+
+/// The sums of a relay hold what this instance told it a moment ago.
+double withoutOwn(const demand_account &Account, const demand_source &Source,
+                  double Rate) {
+  return Source.WithOwn ? std::max(0.0, Rate - passedOnDemand(Account)) : Rate;
+}
+
+void addLender(demand_account &Account, const demand_source &Source,
+               const source_demand &Demand) {
+  // Those that are heard directly tell of their tokens themselves.
+  if (Source.Summed != nullptr && Demand.Spare > 0 &&
+      Source.State == source_state::Heard)
+    Account.Lenders.push_back({Demand.Lender, Demand.Spare});
+}
+
+void addTo(demand_total &Total, const source_demand &Demand) {
+  Total.Rate += Demand.Rate;
+  Total.SilentRate += Demand.SilentRate;
+  Total.SilentPart += Demand.SilentPart;
+  Total.MissedPart += Demand.MissedPart;
+  if (Demand.Spare > Total.Spare) {
+    Total.Lender = Demand.Lender;
+    Total.Spare = Demand.Spare;
+  }
+}
+
+/// \p Demand of a silent source, with all of it among the silent.
+source_demand asSilent(demand_account &Account, const demand_source &Source,
+                       source_demand Demand, double Idle) {
+  const double Part = silentPartOf(Account, Source.Name, Demand.Rate + Idle);
+  Demand.SilentRate += Demand.Rate;
+  Demand.SilentPart += Part;
+  Demand.MissedPart += Source.State == source_state::Missed ? Part : 0;
+  Demand.Rate = 0;
+  Demand.Spare = 0;
+  return Demand;
+}
+
+void forgetHeard(demand_account &Account,
+                 const std::vector<demand_source> &Sources) {
+  std::erase_if(Account.SilentParts, [&](const auto &Item) {
+    return std::ranges::none_of(Sources, [&](const demand_source &Source) {
+      const bool Silent = Source.State == source_state::Silent ||
+                          Source.State == source_state::Missed;
+      return Silent && Source.Name == Item.first;
+    });
+  });
 }
 
-others_view viewOthers(const demand_shares &Shares, demand_account &Account,
-                       const membership &Membership, std::uint32_t Customer,
-                       double Idle, instant Now) {
+others_view viewOthers(demand_account &Account,
+                       const std::vector<demand_source> &Sources,
+                       std::uint32_t Customer, double IdleOfOne) {
   others_view View;
-  for (const member &Member : Membership.Members) {
-    const double Demand = demandOf(Member, Customer, Account.Announced) + Idle;
-    if (!isSilent(Shares, Member, Now)) {
-      Account.SilentParts.erase(Member.Name);
-      View.Heard += Demand;
+  Account.Zone = {};
+  Account.Fleet = {};
+  Account.Lenders.clear();
+  for (const demand_source &Source : Sources) {
+    const double Idle = IdleOfOne * Source.Instances;
+    if (Source.State == source_state::Unknown) {
+      // Each may be asked for as much as this instance.
+      View.Heard += Account.Announced * Source.Instances + Idle;
       continue;
     }
-    const double Part = silentPartOf(Account, Member, Demand);
-    View.SilentPart += Part;
-    View.MissedPart += isMissed(Shares, Member, Now) ? Part : 0;
-    View.SilentDemand += Demand - Idle;
+    source_demand Demand = demandFrom(Source, Customer);
+    Demand.Rate = withoutOwn(Account, Source, Demand.Rate);
+    if (Source.State != source_state::Heard)
+      Demand = asSilent(Account, Source, Demand, Idle);
+    else
+      View.Heard += Demand.Rate + Idle;
+    addLender(Account, Source, Demand);
+    addTo(Account.Fleet, Demand);
+    if (Source.ReportsHere)
+      addTo(Account.Zone, Demand);
   }
-  std::erase_if(Account.SilentParts, [&](const auto &Item) {
-    return findMember(Membership, Item.first) == nullptr;
-  });
+  View.SilentDemand = Account.Fleet.SilentRate;
+  View.SilentPart = Account.Fleet.SilentPart;
+  View.MissedPart = Account.Fleet.MissedPart;
+  Account.Fleet.Rate += Account.Announced;
+  forgetHeard(Account, Sources);
   return View;
 }
 
+/// Counts the instances whose demand the sums to pass on hold.
+void countInstances(demand_shares &Shares,
+                    const std::vector<demand_source> &Sources) {
+  double Zone = 0;
+  double Fleet = 1;
+  double Unknown = 0;
+  for (const demand_source &Source : Sources) {
+    Zone += Source.ReportsHere ? Source.Instances : 0;
+    (Source.State == source_state::Unknown ? Unknown : Fleet) +=
+        Source.Instances;
+  }
+  Shares.ZoneInstances = static_cast<std::size_t>(Zone);
+  Shares.FleetInstances = static_cast<std::size_t>(Fleet);
+  Shares.UnknownInstances = static_cast<std::size_t>(Unknown);
+}
+
 /// The part of the rate that is divided among those that are heard.
 double heardPart(const demand_shares &Shares, const others_view &Others,
                  bool HearsMajority) {
@@ -206,12 +264,16 @@
                                                     Shares.Limits.IsolatedAfter;
   const auto Instances = static_cast<double>(instanceCount(Membership));
   const double Most = mostOf(Shares, Heard, Instances, Now);
+  const auto Sources = demandSources(
+      Membership, {Shares.Limits.HeardFor, Shares.Limits.SilentAfter}, Now);
+  countInstances(Shares, Sources);
+  const bool Relayed = usesRelays(Membership);
   for (auto &[Name, Account] : Shares.Accounts) {
     const std::uint32_t Hash = wire::hashOf(Name);
     const double Idle = Shares.Limits.IdlePart * Account.Rate / Instances;
-    const double Own = Account.Announced + Idle;
-    const others_view Others =
-        viewOthers(Shares, Account, Membership, Hash, Idle, Now);
+    const double Own =
+        (Relayed ? passedOnDemand(Account) : Account.Announced) + Idle;
+    const others_view Others = viewOthers(Account, Sources, Hash, Idle);
     const double Sum = Own + Others.Heard;
     fillBucket(Shares, Account, Now);
     Account.LoanRoom = 0;
@@ -257,6 +319,7 @@
   for (auto &[Name, Account] : Shares.Accounts) {
     decay(Shares, Account, Now);
     const bool Told = Account.Demand > Least && !Shares.Yielded;
+    Account.AnnouncedBefore = {Account.Announced, Account.AnnouncedBefore[0]};
     Account.Announced = Told ? Account.Demand : 0;
     if (Account.Announced > 0)
       Reports.push_back({wire::hashOf(Name),
@@ -266,6 +329,45 @@
   return Reports;
 }
 
+namespace {
+
+wire::demand_digest digestOf(const demand_shares &Shares,
+                             demand_total demand_account::*Total) {
+  wire::demand_digest Digest;
+  for (const auto &[Name, Account] : Shares.Accounts) {
+    const demand_total &Sum = Account.*Total;
+    const std::uint32_t Customer = wire::hashOf(Name);
+    if (Sum.Rate > 0)
+      Digest.Sums.push_back(
+          {Customer, static_cast<float>(Sum.Rate), Sum.Lender, Sum.Spare});
+    if (Sum.SilentPart > 0)
+      Digest.Silent.push_back({Customer, static_cast<float>(Sum.SilentRate),
+                               static_cast<float>(Sum.SilentPart),
+                               static_cast<float>(Sum.MissedPart)});
+  }
+  return Digest;
+}
+
+std::uint16_t countOf(std::size_t Instances) {
+  constexpr std::size_t Most = UINT16_MAX;
+  return static_cast<std::uint16_t>(std::min(Most, Instances));
+}
+
+} // namespace
+
+wire::demand_digest zoneDemands(const demand_shares &Shares) {
+  wire::demand_digest Digest = digestOf(Shares, &demand_account::Zone);
+  Digest.Heard = countOf(Shares.ZoneInstances);
+  return Digest;
+}
+
+wire::demand_digest fleetDemands(const demand_shares &Shares) {
+  wire::demand_digest Digest = digestOf(Shares, &demand_account::Fleet);
+  Digest.Heard = countOf(Shares.FleetInstances);
+  Digest.Unknown = countOf(Shares.UnknownInstances);
+  return Digest;
+}
+
 demand_verdict takeDemandToken(demand_shares &Shares, std::string_view Customer,
                                unsigned Priority, base::microseconds Patience,
                                instant Now) {
@@ -276,7 +378,7 @@
   countDemand(Shares, Account, Now);
   fillBucket(Shares, Account, Now);
   if (isCalm(Shares, Account)) {
-    Account.Tokens = std::max(0.0, Account.Tokens - 1);
+    Account.Tokens = std::max(-Shares.Limits.MostOwed, Account.Tokens - 1);
     return {true, false, {}};
   }
   const double Needed = 1 + reserveFor(Shares, Account, Priority);
--- a/packages/control/src/membership.cpp
+++ b/packages/control/src/membership.cpp
@@ -2,6 +2,7 @@
 
 #include "redwinggw/base/enum_table.hpp"
 #include "redwinggw/control/membership_knowledge.hpp"
+#include "redwinggw/control/relays.hpp"
 
 #include <algorithm>
 #include <iterator>
@@ -25,16 +26,33 @@
   return Found ? &*At : nullptr;
 }
 
-peer_send heartbeatTo(membership &Membership, const member &Member, bool Reply,
-                      instant Now) {
+/// Whom a heartbeat goes to.
+enum class heartbeat_kind {
+  /// Another relay.
+  Relay,
+  /// A relay of this instance.
+  Report,
+  /// An instance that reports here.
+  Answer,
+};
+
+peer_send heartbeatTo(membership &Membership, const member &Member,
+                      heartbeat_kind Kind, instant Now) {
   peer_send Send{Member.Address, stamp(Membership, Member.Name, Now)};
   wire::peer_report Report = localReport(Membership, Now);
   Report.EchoIncarnation = Member.Window.Incarnation;
   Report.EchoSequence = Member.Heartbeat;
-  const bool Gossips = isGossiping(Membership);
-  Report.WantsReply = Gossips && !Reply;
-  if (Gossips && Reply)
-    Report.Heard = heardMap(Membership, Now);
+  Report.Reports = Kind == heartbeat_kind::Report;
+  // Two that both take themselves for relays find out by an answer.
+  const bool Silent = !isHeardDirectly(Membership, Member, Now);
+  Report.WantsReply =
+      Report.Reports || (Kind == heartbeat_kind::Relay && Silent);
+  if (Kind == heartbeat_kind::Answer)
+    Report.Digest =
+        digestFor(Membership, Member, wire::digest_scope::Fleet, Now);
+  else if (Kind == heartbeat_kind::Relay && usesRelays(Membership))
+    Report.Digest =
+        digestFor(Membership, Member, wire::digest_scope::Zone, Now);
   Send.Datagram.Body = std::move(Report);
   return Send;
 }
@@ -54,24 +72,25 @@
 member_state stateOf(const membership &Membership, const member &Member,
                      instant Now) {
   const membership_limits &Limits = Membership.Limits;
-  const auto DeadAfter =
-      isGossiping(Membership) ? Limits.GossipDeadAfter : Limits.DeadAfter;
+  const bool Relayed = usesRelays(Membership);
+  const auto DeadAfter = Relayed ? Limits.RelayedDeadAfter : Limits.DeadAfter;
   const auto SuspectAfter =
-      isGossiping(Membership) ? Limits.GossipHearBound : Limits.SuspectAfter;
+      Relayed ? Limits.RelayedSuspectAfter : Limits.SuspectAfter;
   const auto Silence = Now - Member.HeardAt.value_or(Member.Since);
   if (Silence > DeadAfter)
     return member_state::Dead;
-  if (Member.ListedLeaving || Member.Report.Leaving)
+  if (Member.ListedLeaving || Member.Report.Leaving || Member.ToldLeaving)
     return member_state::Leaving;
   return !Member.HeardAt || Silence > SuspectAfter ? member_state::Suspect
                                                    : member_state::Alive;
 }
 
+/// What a relay passes on stays in force until it passes on something newer.
 void takeReport(member &Member, const wire::peer_report &Report) {
-  std::vector<wire::demand_report> Former = std::move(Member.Report.Demands);
+  wire::fleet_digest Former = std::move(Member.Report.Digest);
   Member.Report = Report;
-  if (!Report.Full)
-    Member.Report.Demands = std::move(Former);
+  if (Report.Digest.Scope == wire::digest_scope::None)
+    Member.Report.Digest = std::move(Former);
 }
 
 /// A member that started again knows nothing of what it knew before.
@@ -81,7 +100,9 @@
   Member.ReportAt.reset();
   Member.Report = {};
   Member.Informed = false;
+  Member.ToldLeaving = false;
   Member.KnownHead = 0;
+  Member.KnownVersion = 0;
 }
 
 } // namespace
@@ -124,10 +145,12 @@
     Member.Zone = Instance.Zone;
     Member.Address = Instance.Peers;
     Member.ListedLeaving = Instance.Leaving;
+    Member.Capacity = Instance.Capacity;
   }
   std::ranges::sort(Members, {}, &member::Name);
   Membership.Members = std::move(Members);
   Membership.ListKnown = true;
+  Membership.ToldOfStrangers = false;
   indexList(Membership);
 }
 
@@ -194,48 +217,79 @@
   ++Membership.Counters.Heartbeats;
   Member->Heartbeat = Datagram.Sequence;
   Member->ArrivedAt = Now;
+  noteAnswered(*Member, Now);
   takeReport(*Member, Report);
   const std::optional<instant> MadeAt = Membership.Limits.AgeByEcho
                                             ? echoedAt(Membership, Report)
                                             : std::optional(Now);
   learn(Membership, *Member, MadeAt, Now);
   std::vector<peer_send> Sends;
-  if (Report.WantsReply)
-    Sends.push_back(heartbeatTo(Membership, *Member, true, Now));
+  if (Report.WantsReply) {
+    const auto Kind =
+        Report.Reports ? heartbeat_kind::Answer : heartbeat_kind::Relay;
+    Sends.push_back(heartbeatTo(Membership, *Member, Kind, Now));
+    std::get<wire::peer_report>(Sends.back().Datagram.Body).WantsReply = false;
+  }
   return Sends;
 }
 
+namespace {
+
+/// Lets one relay, and not each, pass readings of the store on to this
+/// instance: the first that answers.
+void wantReadingsOfOne(const membership &Membership,
+                       std::vector<peer_send> &Sends, instant Now) {
+  if (Membership.Relay)
+    return;
+  const auto Chosen = std::ranges::find_if(Sends, [&](const peer_send &Send) {
+    const member *Member = findMember(Membership, Send.Datagram.Receiver);
+    return isHeardDirectly(Membership, *Member, Now);
+  });
+  if (Chosen != Sends.end())
+    std::get<wire::peer_report>(Chosen->Datagram.Body).WantsReadings = true;
+}
+
+} // namespace
+
+bool isTickDue(const membership &Membership, instant Now) {
+  return !Membership.LastTick ||
+         Now - *Membership.LastTick >= Membership.Limits.Interval;
+}
+
 std::vector<peer_send> onTick(membership &Membership, instant Now) {
   std::ranges::for_each(Membership.Members, [&](member &Member) {
     Member.State = stateOf(Membership, Member, Now);
   });
-  const bool Gossips = isGossiping(Membership);
-  const auto Interval =
-      Gossips ? Membership.Limits.GossipInterval : Membership.Limits.Interval;
-  if (Membership.Members.empty() ||
-      (Membership.LastTick && Now - *Membership.LastTick < Interval))
+  if (!isTickDue(Membership, Now))
     return {};
   Membership.LastTick = Now;
+  if (Membership.Members.empty())
+    return {};
+  const heartbeat_plan Plan = planHeartbeats(Membership, Now);
+  Membership.Relay = Plan.Relay;
+  const auto Kind = Plan.Relay ? heartbeat_kind::Relay : heartbeat_kind::Report;
   std::vector<peer_send> Sends;
-  if (Gossips) {
-    const member &Next = nextPeer(Membership);
-    Sends.push_back(heartbeatTo(Membership, Next, false, Now));
-    return Sends;
+  for (const std::size_t Index : Plan.Targets) {
+    member &Member = Membership.Members[Index];
+    Sends.push_back(heartbeatTo(Membership, Member, Kind, Now));
+    noteAsked(Membership, Member, Now);
   }
-  std::ranges::transform(Membership.Members, std::back_inserter(Sends),
-                         [&](const member &Member) {
-                           return heartbeatTo(Membership, Member, true, Now);
-                         });
+  wantReadingsOfOne(Membership, Sends, Now);
   return Sends;
 }
 
 std::vector<peer_send> onLeave(membership &Membership, instant Now) {
   Membership.Local.Leaving = true;
+  const heartbeat_plan Plan = planHeartbeats(Membership, Now);
   std::vector<peer_send> Sends;
-  std::ranges::transform(Membership.Members, std::back_inserter(Sends),
-                         [&](const member &Member) {
-                           return heartbeatTo(Membership, Member, true, Now);
-                         });
+  for (std::size_t Index = 0; Index < Membership.Members.size(); ++Index) {
+    const member &Member = Membership.Members[Index];
+    const bool Told =
+        std::ranges::find(Plan.Targets, Index) != Plan.Targets.end();
+    if (Told || reportsHere(Member) || isHeardDirectly(Membership, Member, Now))
+      Sends.push_back(
+          heartbeatTo(Membership, Member, heartbeat_kind::Relay, Now));
+  }
   return Sends;
 }
 
--- a/packages/control/src/membership_knowledge.cpp
+++ b/packages/control/src/membership_knowledge.cpp
@@ -1,5 +1,7 @@
 #include "redwinggw/control/membership_knowledge.hpp"
 
+#include "redwinggw/control/relays.hpp"
+
 #include <algorithm>
 #include <iterator>
 
@@ -52,62 +54,63 @@
     raise(Store.ProofAt, *ProofAt);
 }
 
-/// The place in the list, this instance included, of the member at \p Index.
-std::size_t listIndex(const membership &Membership, std::size_t Index) {
-  return Index < Membership.SelfIndex ? Index : Index + 1;
+constexpr milliseconds AgeStep{wire::AgeStepMs};
+
+member *findMutableByHash(membership &Membership, std::uint32_t Hash) {
+  const member *Found = findByHash(Membership, Hash);
+  return Found == nullptr ? nullptr
+                          : &Membership.Members[static_cast<std::size_t>(
+                                Found - Membership.Members.data())];
 }
 
-constexpr milliseconds MapStep{wire::MapStepMs};
+/// Takes in what a relay says of \p Member. Ages add up over relays and are
+/// rounded up at each, so what comes by relay never looks younger than it is.
+void learnRelayedMember(member &Member, const wire::relayed_member &Relayed,
+                        const wire::peer_report &Report, instant MadeAt) {
+  using enum wire::relayed_fact;
+  if (hasFact(Relayed, KnowsHead))
+    Member.KnownHead = std::max(Member.KnownHead, Report.HeadVersion);
+  if (hasFact(Relayed, KnowsVersion))
+    Member.KnownVersion = std::max(Member.KnownVersion, Report.Version);
+  const instant HeardAt = MadeAt - Relayed.Age * AgeStep;
+  if (Member.HeardAt.value_or(instant::min()) >= HeardAt)
+    return;
+  Member.HeardAt = HeardAt;
+  raise(Member.ArrivedAt, HeardAt);
+  Member.MayKnow = Report.Version;
+  Member.Informed = hasFact(Relayed, Informed);
+  Member.ToldLeaving = hasFact(Relayed, Leaving);
+  if (hasFact(Relayed, ReadsStore))
+    raise(Member.StoreContactAt, HeardAt);
+}
 
-/// Ages add up over relays and are rounded up at each, so what comes by relay
-/// never looks younger than it is.
 void learnRelayed(membership &Membership, const wire::peer_report &Report,
                   instant MadeAt) {
-  if (Report.Heard.Ages.empty() || Report.Heard.ListHash != Membership.ListHash)
-    return;
-  for (std::size_t Index = 0; Index < Membership.Members.size(); ++Index) {
-    member &Member = Membership.Members[Index];
-    const unsigned Age =
-        wire::ageAt(Report.Heard, listIndex(Membership, Index));
-    const instant HeardAt = MadeAt - Age * MapStep;
-    if (Age == 0)
+  for (const wire::relayed_member &Relayed : Report.Digest.Members) {
+    member *Member = findMutableByHash(Membership, Relayed.Instance);
+    if (Member == nullptr) {
+      const bool Self = Relayed.Instance == wire::hashOf(Membership.Self.Name);
+      Membership.ToldOfStrangers = Membership.ToldOfStrangers || !Self;
       continue;
-    Member.KnownHead = std::max(Member.KnownHead, Report.HeadVersion);
-    if (Member.HeardAt.value_or(instant::min()) >= HeardAt)
-      continue;
-    Member.HeardAt = HeardAt;
-    Member.Informed = true;
+    }
+    learnRelayedMember(*Member, Relayed, Report, MadeAt);
   }
 }
 
-/// Spreads neighbouring numbers evenly (the finalizer of SplitMix64).
-std::uint64_t scatter(std::uint64_t Value) {
-  Value = (Value ^ (Value >> 30U)) * 0xbf58476d1ce4e5b9ULL;
-  Value = (Value ^ (Value >> 27U)) * 0x94d049bb133111ebULL;
-  return Value ^ (Value >> 31U);
-}
-
 bool isMajority(const membership &Membership, std::size_t Count) {
   return 2 * Count > instanceCount(Membership);
 }
 
 } // namespace
 
-bool isGossiping(const membership &Membership) {
-  return Membership.Members.size() > Membership.Limits.DirectLimit;
-}
-
-const member &nextPeer(membership &Membership) {
-  const std::uint64_t Seed =
-      (std::uint64_t{wire::hashOf(Membership.Self.Name)} << 32U) |
-      ++Membership.Round;
-  return Membership.Members[scatter(Seed) % Membership.Members.size()];
-}
-
 wire::peer_report localReport(const membership &Membership, instant Now) {
   const store_knowledge &Store = Membership.Store;
   wire::peer_report Report = Membership.Local;
   Report.Zone = Membership.Self.Zone;
+  // An answer leaves later than the positions in it were looked up.
+  if (Membership.LocalAt != instant::min())
+    for (wire::position_report &Position : Report.Positions)
+      Position.Age += ageAtMost(Membership.LocalAt, Now);
   Report.StoreReadAge = ageAtMost(Store.ReadAt, Now);
   Report.HeadVersion = Store.HeadVersion;
   Report.ProofAge = ageAtMost(Store.ProofAt, Now);
@@ -116,20 +119,50 @@
   return Report;
 }
 
-wire::heard_map heardMap(const membership &Membership, instant Now) {
-  wire::heard_map Map;
-  Map.ListHash = Membership.ListHash;
-  for (std::size_t Index = 0; Index < Membership.Members.size(); ++Index) {
-    const member &Member = Membership.Members[Index];
-    if (!Member.Informed || !Member.HeardAt ||
-        Member.KnownHead < Membership.Store.HeadVersion)
+namespace {
+
+/// What to pass on of \p Member; nothing when that is too old, or when it may
+/// know what is not known here yet.
+std::optional<wire::relayed_member>
+relayedMember(const membership &Membership, const member &Member, instant Now) {
+  using enum wire::relayed_fact;
+  if (!Member.HeardAt || Member.MayKnow > Membership.Local.Version)
+    return std::nullopt;
+  const auto Steps = (Now - *Member.HeardAt) / AgeStep + 1;
+  if (Steps > wire::MaxAgeSteps)
+    return std::nullopt;
+  wire::relayed_member Relayed;
+  Relayed.Instance = wire::hashOf(Member.Name);
+  Relayed.Age = static_cast<std::uint8_t>(Steps);
+  setFact(Relayed, Informed, Member.Informed);
+  setFact(Relayed, KnowsHead, Member.KnownHead >= Membership.Store.HeadVersion);
+  setFact(Relayed, KnowsVersion,
+          Member.KnownVersion >= Membership.Local.Version);
+  setFact(Relayed, ReadsStore, readsStore(Membership, Member, Now));
+  setFact(Relayed, Counted, reportsHere(Member));
+  setFact(Relayed, Leaving, Member.Report.Leaving || Member.ToldLeaving);
+  return Relayed;
+}
+
+} // namespace
+
+wire::fleet_digest digestFor(const membership &Membership,
+                             const member &Receiver, wire::digest_scope Scope,
+                             instant Now) {
+  const bool Zone = Scope == wire::digest_scope::Zone;
+  wire::fleet_digest Digest =
+      Zone ? Membership.ZoneDigest : Membership.FleetDigest;
+  Digest.Scope = Scope;
+  if (!Membership.PassesOn)
+    return Digest;
+  for (const member &Member : Membership.Members) {
+    const bool Wanted = !Zone || Member.Zone == Membership.Self.Zone;
+    if (!Wanted || Member.Name == Receiver.Name)
       continue;
-    const auto Steps = (Now - *Member.HeardAt) / MapStep + 1;
-    if (Steps <= wire::MaxMapAge)
-      wire::setAge(Map, listIndex(Membership, Index),
-                   static_cast<unsigned>(Steps));
+    if (const auto Relayed = relayedMember(Membership, Member, Now))
+      Digest.Members.push_back(*Relayed);
   }
-  return Map;
+  return Digest;
 }
 
 milliseconds listInterval(const membership &Membership) {
@@ -140,24 +173,21 @@
 }
 
 void indexList(membership &Membership) {
-  const auto At = std::ranges::lower_bound(
-      Membership.Members, Membership.Self.Name, {}, &member::Name);
-  Membership.SelfIndex =
-      static_cast<std::size_t>(At - Membership.Members.begin());
-  std::string Names;
-  for (std::size_t Index = 0; Index <= Membership.Members.size(); ++Index) {
-    if (Index == Membership.SelfIndex)
-      Names += Membership.Self.Name + "/";
-    if (Index < Membership.Members.size())
-      Names += Membership.Members[Index].Name + "/";
-  }
-  Membership.ListHash = wire::hashOf(Names);
+  Membership.ByHash.clear();
+  for (std::size_t Index = 0; Index < Membership.Members.size(); ++Index)
+    Membership.ByHash.emplace_back(wire::hashOf(Membership.Members[Index].Name),
+                                   Index);
+  std::ranges::sort(Membership.ByHash);
 }
 
 void learn(membership &Membership, member &Member,
            std::optional<instant> MadeAt, instant Now) {
   const wire::peer_report &Report = Member.Report;
   Member.KnownHead = std::max(Member.KnownHead, Report.HeadVersion);
+  Member.KnownVersion = std::max(Member.KnownVersion, Report.Version);
+  Member.ToldLeaving = false;
+  if (Report.OwnContactAge != wire::NoAge)
+    raise(Member.StoreContactAt, Now - milliseconds(Report.OwnContactAge));
   store_knowledge &Store = Membership.Store;
   learnContact(Store.HeardContactAt, Report.OwnContactAge, Now);
   learnContact(Store.RelayedContactAt, Report.HeardContactAge, Now);
@@ -168,6 +198,9 @@
   if (!MadeAt)
     return;
   Member.ReportAt = MadeAt;
+  if (Member.HeardAt.value_or(*MadeAt) <= *MadeAt)
+    Member.MayKnow = Report.Version;
+  Member.MayKnow = std::max(Member.MayKnow, Report.Version);
   raise(Member.HeardAt, *MadeAt);
   Member.Informed = Report.StoreReadAge != wire::NoAge;
   learnRelayed(Membership, Report, *MadeAt);
@@ -184,9 +217,23 @@
   raise(Membership.Store.OwnContactAt, Answered);
 }
 
+const member *findByHash(const membership &Membership, std::uint32_t Hash) {
+  const auto At =
+      std::ranges::lower_bound(Membership.ByHash, Hash, {},
+                               &std::pair<std::uint32_t, std::size_t>::first);
+  const bool Found = At != Membership.ByHash.end() && At->first == Hash;
+  return Found ? &Membership.Members[At->second] : nullptr;
+}
+
+bool readsStore(const membership &Membership, const member &Member,
+                instant Now) {
+  return Member.StoreContactAt &&
+         Now - *Member.StoreContactAt <= Membership.Limits.ReadsWithin;
+}
+
 bool isHeard(const membership &Membership, const member &Member, instant Now) {
-  const auto Bound = isGossiping(Membership) ? Membership.Limits.GossipHearBound
-                                             : Membership.Limits.HearBound;
+  const auto Bound = usesRelays(Membership) ? Membership.Limits.RelayedHearBound
+                                            : Membership.Limits.HearBound;
   return Member.HeardAt && Now - *Member.HeardAt <= Bound;
 }
 
--- a/packages/control/src/peer_service.cpp
+++ b/packages/control/src/peer_service.cpp
@@ -1,6 +1,7 @@
 #include "redwinggw/control/peer_service.hpp"
 
 #include "redwinggw/base/log.hpp"
+#include "redwinggw/control/relays.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -53,6 +54,8 @@
   void tick();
   void transmit(peer_send Send);
   void receive(std::string_view Bytes, const udp::endpoint &From);
+  void sendReading(const member &To, const wire::store_reading &Reading);
+  void passOnReading(const member &From, const wire::store_reading &Reading);
   void close();
 
   asio::any_io_executor Executor;
@@ -96,8 +99,10 @@
 }
 
 void peer_service::state::tick() {
-  if (Fill)
+  if (Fill && isTickDue(Membership, base::now())) {
     Fill(Membership.Local);
+    Membership.LocalAt = base::now();
+  }
   for (peer_send &Send : onTick(Membership, base::now()))
     transmit(std::move(Send));
 }
@@ -147,6 +152,7 @@
   }
   const member *Member = findMember(Membership, Datagram->Sender);
   if (const auto *Read = std::get_if<wire::store_reading>(&Datagram->Body)) {
+    passOnReading(*Member, *Read);
     if (Reading)
       Reading(*Member, *Read);
     return;
@@ -157,6 +163,27 @@
     Report(*Member);
 }
 
+void peer_service::state::sendReading(const member &To,
+                                      const wire::store_reading &Reading) {
+  peer_send Send{To.Address, stamp(Membership, To.Name, base::now())};
+  Send.Datagram.Body = Reading;
+  transmit(std::move(Send));
+}
+
+/// Passes a reading on to the instances that this one relays for.
+void peer_service::state::passOnReading(const member &From,
+                                        const wire::store_reading &Reading) {
+  if (Reading.Relayed)
+    return;
+  wire::store_reading Copy = Reading;
+  Copy.Relayed = true;
+  for (const member &Member : Membership.Members)
+    if (reportsHere(Member) && Member.Report.WantsReadings &&
+        Member.Name != From.Name &&
+        isHeardDirectly(Membership, Member, base::now()))
+      sendReading(Member, Copy);
+}
+
 void peer_service::state::close() {
   Stopped = true;
   boost::system::error_code Ignored;
@@ -301,16 +328,30 @@
 }
 
 void peer_service::sendReading(const wire::store_reading &Reading) {
-  for (const member &Member : State->Membership.Members)
-    if (Member.State != member_state::Dead)
-      sendReading(Member, Reading);
+  const membership &Membership = State->Membership;
+  if (!usesRelays(Membership)) {
+    for (const member &Member : Membership.Members)
+      if (Member.State != member_state::Dead)
+        State->sendReading(Member, Reading);
+    return;
+  }
+  for (const std::size_t Index : allRelays(Membership, base::now()))
+    State->sendReading(Membership.Members[Index], Reading);
+  State->passOnReading({}, Reading);
 }
 
-void peer_service::sendReading(const member &To,
-                               const wire::store_reading &Reading) {
-  peer_send Send{To.Address, stamp(State->Membership, To.Name, base::now())};
-  Send.Datagram.Body = Reading;
-  State->transmit(std::move(Send));
+void peer_service::tellGroups(std::vector<wire::group_report> Reports) {
+  State->Membership.Local.Groups = std::move(Reports);
+}
+
+void peer_service::passOn(bool Allowed) {
+  State->Membership.PassesOn = Allowed;
+}
+
+void peer_service::setDigests(wire::fleet_digest Zone,
+                              wire::fleet_digest Fleet) {
+  State->Membership.ZoneDigest = std::move(Zone);
+  State->Membership.FleetDigest = std::move(Fleet);
 }
 
 void peer_service::onReading(reading_handler Handler) {
--- /dev/null
+++ b/packages/control/src/relays.cpp
@@ -0,0 +1,155 @@
+#include "redwinggw/control/relays.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <map>
+#include <numeric>
+
+namespace redwinggw::control {
+namespace {
+
+using base::instant;
+
+/// Relays of an availability zone.
+constexpr std::size_t RelaysPerZone = 2;
+/// Members of a zone that are asked while fewer have answered.
+constexpr std::size_t MostAsked = 4;
+
+bool isPassedOver(const member &Member, instant Now) {
+  return Member.PassedOverUntil && Now < *Member.PassedOverUntil;
+}
+
+bool mayRelay(const member &Member, instant Now) {
+  return !isPassedOver(Member, Now) && !Member.ListedLeaving &&
+         !Member.Report.Leaving;
+}
+
+/// The members of one availability zone, first in rank first.
+using zone_members = std::vector<std::size_t>;
+
+std::map<std::string_view, zone_members>
+membersByZone(const membership &Membership) {
+  std::map<std::string_view, zone_members> Zones;
+  for (std::size_t Index = 0; Index < Membership.Members.size(); ++Index)
+    Zones[Membership.Members[Index].Zone].push_back(Index);
+  for (auto &[Zone, Indices] : Zones)
+    std::ranges::sort(Indices, [&](std::size_t A, std::size_t B) {
+      return ranksBefore(Membership.Members[A], Membership.Members[B]);
+    });
+  return Zones;
+}
+
+/// The relays among \p Indices: from the first in rank on until enough have
+/// answered.
+zone_members relaysAmong(const membership &Membership,
+                         const zone_members &Indices, std::size_t Enough,
+                         instant Now) {
+  zone_members Relays;
+  std::size_t Answering = 0;
+  for (const std::size_t Index : Indices) {
+    if (Answering == Enough || Relays.size() == MostAsked)
+      break;
+    const member &Member = Membership.Members[Index];
+    if (!mayRelay(Member, Now))
+      continue;
+    Relays.push_back(Index);
+    Answering += isHeardDirectly(Membership, Member, Now) ? 1 : 0;
+  }
+  return Relays;
+}
+
+/// This instance as a member, for its rank.
+member selfAsMember(const membership &Membership) {
+  member Self;
+  Self.Name = Membership.Self.Name;
+  Self.Capacity = Membership.Self.Capacity;
+  return Self;
+}
+
+bool relaysZone(const membership &Membership, const zone_members &Indices,
+                instant Now) {
+  const member Self = selfAsMember(Membership);
+  zone_members Before;
+  std::ranges::copy_if(Indices, std::back_inserter(Before),
+                       [&](std::size_t Index) {
+                         return ranksBefore(Membership.Members[Index], Self);
+                       });
+  const auto First = relaysAmong(Membership, Before, RelaysPerZone, Now);
+  const auto Answering = std::ranges::count_if(First, [&](std::size_t Index) {
+    return isHeardDirectly(Membership, Membership.Members[Index], Now);
+  });
+  return static_cast<std::size_t>(Answering) < RelaysPerZone &&
+         First.size() < MostAsked;
+}
+
+} // namespace
+
+bool usesRelays(const membership &Membership) {
+  return Membership.Members.size() > Membership.Limits.DirectLimit;
+}
+
+bool ranksBefore(const member &A, const member &B) {
+  if (A.Capacity != B.Capacity)
+    return A.Capacity > B.Capacity;
+  return A.Name < B.Name;
+}
+
+bool isHeardDirectly(const membership &Membership, const member &Member,
+                     instant Now) {
+  return Member.DirectAt &&
+         Now - *Member.DirectAt <= Membership.Limits.RelaySilence;
+}
+
+bool reportsHere(const member &Member) {
+  return Member.DirectAt && Member.Report.Reports;
+}
+
+heartbeat_plan planHeartbeats(const membership &Membership, instant Now) {
+  heartbeat_plan Plan;
+  if (!usesRelays(Membership)) {
+    Plan.Targets.resize(Membership.Members.size());
+    std::iota(Plan.Targets.begin(), Plan.Targets.end(), std::size_t{0});
+    return Plan;
+  }
+  const auto Zones = membersByZone(Membership);
+  const auto Own = Zones.find(Membership.Self.Zone);
+  Plan.Relay = !Membership.Local.Leaving &&
+               (Own == Zones.end() || relaysZone(Membership, Own->second, Now));
+  for (const auto &[Zone, Indices] : Zones) {
+    const bool IsOwn = Zone == Membership.Self.Zone;
+    if (!IsOwn && !Plan.Relay)
+      continue;
+    // A relay is one of its own zone's.
+    const std::size_t Enough =
+        IsOwn && Plan.Relay ? RelaysPerZone - 1 : RelaysPerZone;
+    std::ranges::copy(relaysAmong(Membership, Indices, Enough, Now),
+                      std::back_inserter(Plan.Targets));
+  }
+  return Plan;
+}
+
+std::vector<std::size_t> allRelays(const membership &Membership, instant Now) {
+  std::vector<std::size_t> Relays;
+  for (const auto &[Zone, Indices] : membersByZone(Membership))
+    std::ranges::copy(relaysAmong(Membership, Indices, RelaysPerZone, Now),
+                      std::back_inserter(Relays));
+  return Relays;
+}
+
+void noteAsked(const membership &Membership, member &Member, instant Now) {
+  const membership_limits &Limits = Membership.Limits;
+  if (!Member.UnansweredSince)
+    Member.UnansweredSince = Now;
+  if (Now - *Member.UnansweredSince < Limits.RelaySilence)
+    return;
+  Member.PassedOverUntil = Now + Limits.PassOverRelay;
+  Member.UnansweredSince.reset();
+}
+
+void noteAnswered(member &Member, instant Now) {
+  Member.DirectAt = Now;
+  Member.UnansweredSince.reset();
+  Member.PassedOverUntil.reset();
+}
+
+} // namespace redwinggw::control
--- a/packages/redwinggw/src/native_endpoints.cpp
+++ b/packages/redwinggw/src/native_endpoints.cpp
@@ -45,8 +45,8 @@
   const bool Unchanged = State.SentList == State.List && State.SentListAt &&
                          Now - *State.SentListAt < RelayAgain;
   if (Unchanged) {
-    State.Peers->sendReading(
-        {wire::reading_kind::EndpointsUnchanged, digestText(State.List)});
+    State.Peers->sendReading({wire::reading_kind::EndpointsUnchanged, false,
+                              digestText(State.List)});
     return;
   }
   const std::string Text = platform::writeReading(Rows);
@@ -56,7 +56,7 @@
                     {"limit", std::to_string(LongestReading)}});
     return;
   }
-  State.Peers->sendReading({wire::reading_kind::Endpoints, Text});
+  State.Peers->sendReading({wire::reading_kind::Endpoints, false, Text});
   State.SentList = State.List;
   State.SentListAt = Now;
 }
--- a/packages/redwinggw/src/native_following.cpp
+++ b/packages/redwinggw/src/native_following.cpp
@@ -1,6 +1,7 @@
 #include "native_state.hpp"
 
 #include "redwinggw/base/log.hpp"
+#include "redwinggw/control/relays.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -21,18 +22,14 @@
 constexpr std::string_view SecretKey = "fleet/secret";
 constexpr std::string_view InstancePrefix = "instance/";
 
-/// Fleets up to this size hear each other directly: rates, samples and the
-/// choice of the reader rest on reports of a moment ago, which gossip brings
-/// seconds late. An instance of 80 spends 1% of a core on it.
-constexpr std::size_t HeardDirectly = 128;
-
 std::string instanceKey(std::string_view Name) {
   return std::string(InstancePrefix).append(Name);
 }
 
 std::string instanceText(const native_state &State) {
   return json::serialize(json::object{{"zone", State.Settings.Zone},
-                                      {"peers", toText(State.Settings.Peers)}});
+                                      {"peers", toText(State.Settings.Peers)},
+                                      {"capacity", State.Settings.Capacity}});
 }
 
 /// Nothing for a row that is not an instance's.
@@ -46,6 +43,7 @@
     Instance.Name = Row.Key.substr(InstancePrefix.size());
     Instance.Zone = Value.at("zone").as_string();
     Instance.Peers = http::parseAddress(Value.at("peers").as_string()).value();
+    Instance.Capacity = Value.at("capacity").to_number<double>();
     return Instance;
   } catch (const std::exception &Fault) {
     base::log(log_level::Warning, log_part::Peers,
@@ -85,14 +83,14 @@
 void startPeers(native_state &State, const std::string &Secret) {
   const control::peer_identity Identity{
       State.Settings.Name, State.Settings.Zone,
-      static_cast<std::uint64_t>(base::wallMilliseconds())};
+      static_cast<std::uint64_t>(base::wallMilliseconds()),
+      State.Settings.Capacity};
   // An instance that has heard nothing for so long must not use a primary any
   // more; see handover_limits::ReadingCounts.
   control::currency_limits Currency;
   Currency.Bound = milliseconds(1000);
   control::membership_limits Members;
   Members.AcceptStrangers = true;
-  Members.DirectLimit = HeardDirectly;
   State.Peers = std::make_unique<control::peer_service>(
       State.Context.get_executor(), Identity, State.Settings.Peers, Secret,
       State.Store, Members, Currency);
@@ -136,6 +134,18 @@
   return State.Peers->hearsMajority(base::now()) ? Heard : Unheard;
 }
 
+/// How long a reading that news asks for waits after the last one: all
+/// instances hear of a new one at about the same time, and where many start at
+/// once each would read for each.
+milliseconds wantedReadInterval(const native_state &State) {
+  constexpr milliseconds ForEachMember{10};
+  constexpr milliseconds Longest{3000};
+  const std::size_t Members = State.Peers->view().Members.size();
+  const auto Spread = static_cast<std::int64_t>(Members) * ForEachMember;
+  return usesRelays(State.Peers->view()) ? std::min(Longest, Spread)
+                                         : milliseconds(0);
+}
+
 /// Removes rows of instances that were not heard for long: nothing in the
 /// store expires, and they would count for majorities and shares for good.
 base::task<void> removeDeadInstances(native_state &State) {
@@ -230,8 +240,9 @@
     const base::instant Since = base::now();
     const milliseconds Pause = Rows ? fleetReadInterval(*State) : RetryAfter;
     // News of a change or of a new instance ends the pause.
+    const milliseconds Wanted = wantedReadInterval(*State);
     while (!State->Stopped && base::now() - Since < Pause &&
-           !State->FleetReadWanted)
+           (!State->FleetReadWanted || base::now() - Since < Wanted))
       co_await pauseAbout(*State, NewsEvery);
   }
 }
--- a/packages/redwinggw/src/native_handover.cpp
+++ b/packages/redwinggw/src/native_handover.cpp
@@ -155,7 +155,7 @@
   const auto &Members = State.Peers->view().Members;
   const auto Count = static_cast<std::size_t>(
       std::ranges::count_if(Members, [&](const control::member &Member) {
-        return Member.Report.Version >= Claim.Epoch;
+        return Member.KnownVersion >= Claim.Epoch;
       }));
   Acknowledged.All = Count == Members.size();
   const bool Half = 2 * (Count + 1) >= Members.size() + 1;
@@ -246,9 +246,11 @@
     platform::promotion_order Order{Claim.Service, Target, Claim.Orderer,
                                     Claim.Token};
     State.Ordering.insert(Claim.Service);
+    State.Peers->passOn(false);
     const auto Outcome = co_await platform::orderPromotion(
         State.Promotions, std::move(Order), base::now() + OrderTime);
     State.Ordering.erase(Claim.Service);
+    State.OrderedAt = base::now();
     if (Outcome != platform::promotion_outcome::Unknown)
       co_return Outcome == platform::promotion_outcome::Accepted;
     co_await pauseAbout(State, 5 * StepPause);
--- a/packages/redwinggw/src/native_instance.cpp
+++ b/packages/redwinggw/src/native_instance.cpp
@@ -189,10 +189,6 @@
   Ports.PrimaryExpected = [&State](std::string_view Service) {
     return primaryExpected(State, Service);
   };
-  Ports.NoteSample = [&State](const session::primary_right &Right,
-                              session::freshness_sample Sample) {
-    State.OwnSamples.insert_or_assign(Right.Service, Sample);
-  };
   Ports.Relay = [&State](const session::endpoint_entry &Entry,
                          std::string_view Customer, unsigned Priority) {
     return relayTo(State, Entry, Customer, Priority);
--- a/packages/redwinggw/src/native_news.cpp
+++ b/packages/redwinggw/src/native_news.cpp
@@ -1,8 +1,11 @@
 #include "native_state.hpp"
 
 #include "redwinggw/base/log.hpp"
+#include "redwinggw/control/relays.hpp"
 
 #include <algorithm>
+#include <map>
+#include <utility>
 
 /// What instances tell each other in their heartbeats.
 namespace redwinggw {
@@ -11,19 +14,13 @@
 using base::instant;
 using base::milliseconds;
 
-/// A reader whose last answer of the store is older does not read for others.
-constexpr milliseconds ReadsWithin{2500};
-/// Reports that fit a heartbeat; more services move one after the other.
-constexpr std::size_t MostGroups = 16;
-
 bool isUp(const control::member &Member) {
   return Member.State == control::member_state::Alive;
 }
 
-bool readsStore(const control::member &Member, instant Now) {
-  const wire::age_ms Age = Member.Report.OwnContactAge;
-  return isUp(Member) && Member.ArrivedAt && Age != wire::NoAge &&
-         milliseconds(Age) + (Now - *Member.ArrivedAt) <= ReadsWithin;
+bool readsForOthers(const native_state &State, const control::member &Member,
+                    instant Now) {
+  return isUp(Member) && readsStore(State.Peers->view(), Member, Now);
 }
 
 std::vector<wire::group_report> groupReports(const native_state &State) {
@@ -33,7 +30,7 @@
   for (const auto &[Service, Limits] : State.Routes->Services) {
     const auto *Known = findClaim(State.Claims, Service);
     const bool Suspect = suspects(State, Service);
-    if ((Known == nullptr && !Suspect) || Reports.size() == MostGroups)
+    if (Known == nullptr && !Suspect)
       continue;
     wire::group_report &Report = Reports.emplace_back();
     Report.Group = Service;
@@ -48,50 +45,73 @@
   return Reports;
 }
 
+/// The newest sample of each service's log, whoever took it: a relay passes on
+/// those of the others.
 std::vector<wire::position_report> positionReports(const native_state &State) {
+  // Older than any bound in use: of no value to anybody.
+  constexpr milliseconds Oldest{3000};
   std::vector<wire::position_report> Reports;
   const instant Now = base::now();
-  for (const auto &[Service, Sample] : State.OwnSamples) {
-    const auto Age =
-        std::chrono::ceil<milliseconds>(Now - Sample.SentAt).count();
-    // Older than any bound in use: of no value to anybody.
-    constexpr std::int64_t Oldest = 3000;
+  for (const auto &[Service, Known] : State.Endpoints.Samples) {
+    if (Known.Samples.empty())
+      continue;
+    const session::freshness_sample &Sample = Known.Samples.back();
+    const auto Age = std::chrono::ceil<milliseconds>(Now - Sample.SentAt);
     if (Age <= Oldest)
       Reports.push_back({wire::hashOf(Service), Sample.Point.Term,
                          Sample.Point.Position,
-                         static_cast<wire::age_ms>(Age)});
+                         static_cast<wire::age_ms>(Age.count())});
   }
   return Reports;
 }
 
-/// Whether the next heartbeats carry demands and positions. They are two thirds
-/// of its bytes, and in a large fleet most of what crosses the zones.
-bool isFullDue(native_state &State) {
-  constexpr std::size_t AlwaysFull = 16;
-  ++State.HeartbeatRound;
-  const bool Large = State.Peers->view().Members.size() > AlwaysFull;
-  return !Large || State.HeartbeatRound % 2 == 0;
+/// How many of the instances that report here cannot work with each primary.
+std::vector<wire::suspicion_count> suspicionsHere(const native_state &State) {
+  std::map<std::pair<std::string, std::string>, std::uint16_t> Counts;
+  for (const control::member &Member : State.Peers->view().Members)
+    if (isUp(Member) && control::reportsHere(Member))
+      for (const wire::group_report &Report : Member.Report.Groups)
+        if (Report.Suspect)
+          ++Counts[{Report.Group, Report.Primary}];
+  std::vector<wire::suspicion_count> Suspicions;
+  for (const auto &[Place, Count] : Counts)
+    Suspicions.push_back({Place.first, Place.second, Count});
+  return Suspicions;
+}
+
+/// While an order to promote is on its way this instance takes in no later
+/// claim of the service, and must not tell that those who know of it are up:
+/// whoever counted them would not know what they know. Afterwards the claim is
+/// told again with the next heartbeats.
+bool passesOn(const native_state &State) {
+  constexpr milliseconds ToldAgainWithin{450};
+  return State.Ordering.empty() &&
+         (State.OrderedAt == instant::min() ||
+          base::now() - State.OrderedAt > ToldAgainWithin);
+}
+
+void completeDigests(native_state &State) {
+  wire::fleet_digest Zone;
+  wire::fleet_digest Fleet;
+  if (State.Peers->view().Relay && usesRelays(State.Peers->view())) {
+    Zone.Demands = zoneDemands(State.Shares);
+    Zone.Suspicions = suspicionsHere(State);
+    Fleet.Demands = fleetDemands(State.Shares);
+  }
+  State.Peers->setDigests(std::move(Zone), std::move(Fleet));
+  State.Peers->passOn(passesOn(State));
 }
 
 void completeHeartbeat(native_state &State, wire::peer_report &Report) {
   const instant Now = base::now();
-  const auto &View = State.Peers->view();
+  Report.Demands = announceDemand(State.Shares, Now);
+  Report.Positions = positionReports(State);
   // The parts follow at the pace of the heartbeats that carry the demands.
-  const bool Due =
-      !View.LastTick || Now - *View.LastTick >= View.Limits.Interval;
-  if (!Due)
-    return;
-  Report.Full = isFullDue(State);
-  if (Report.Full) {
-    Report.Demands = announceDemand(State.Shares, Now);
-    Report.Positions = positionReports(State);
-  } else {
-    Report.Demands.clear();
-    Report.Positions.clear();
-  }
-  divideRates(State.Shares, View, isInTouch(State), Now);
+  divideRates(State.Shares, State.Peers->view(), isInTouch(State), Now);
   Report.Groups = groupReports(State);
   Report.ConfigurationRow = State.Stored.Row;
+  Report.NewestRow = std::max(State.Stored.Row, newestConfigurationRow(State));
+  completeDigests(State);
 }
 
 /// An agreement that another instance knows of. The token is in the store only:
@@ -127,12 +147,20 @@
   for (const wire::group_report &Report : Member.Report.Groups)
     takeGroup(State, Report);
   takePositions(State, Member);
-  if (Member.Report.HeadVersion > State.Claims.Version)
+  if (Member.Report.HeadVersion > State.Claims.Version ||
+      State.Peers->view().ToldOfStrangers)
     State.FleetReadWanted = true;
 }
 
 } // namespace
 
+void tellClaims(native_state &State) {
+  if (!State.Peers)
+    return;
+  State.Peers->setVersion(State.Claims.Version);
+  State.Peers->tellGroups(groupReports(State));
+}
+
 void connectPeers(native_state &State) {
   State.Peers->completeHeartbeats([&State](wire::peer_report &Report) {
     completeHeartbeat(State, Report);
@@ -146,6 +174,18 @@
   State.Peers->onStranger([&State] { State.FleetReadWanted = true; });
 }
 
+namespace {
+
+/// This instance as a member, for its rank.
+control::member selfOf(const native_state &State) {
+  control::member Self;
+  Self.Name = State.Settings.Name;
+  Self.Capacity = State.Settings.Capacity;
+  return Self;
+}
+
+} // namespace
+
 bool isReader(const native_state &State) {
   if (!State.Peers)
     return true;
@@ -154,7 +194,8 @@
   const instant Now = base::now();
   const auto &View = State.Peers->view();
   return std::ranges::none_of(View.Members, [&](const control::member &Member) {
-    return Member.Name < View.Self.Name && readsStore(Member, Now);
+    return control::ranksBefore(Member, selfOf(State)) &&
+           readsForOthers(State, Member, Now);
   });
 }
 
@@ -164,8 +205,8 @@
   const instant Now = base::now();
   return std::ranges::any_of(
       State.Peers->view().Members, [&](const control::member &Member) {
-        const bool First = Member.Name < State.Settings.Name;
-        return (First || State.Draining) && readsStore(Member, Now);
+        const bool First = control::ranksBefore(Member, selfOf(State));
+        return (First || State.Draining) && readsForOthers(State, Member, Now);
       });
 }
 
@@ -173,10 +214,34 @@
   std::uint64_t Newest = 0;
   if (State.Peers)
     for (const control::member &Member : State.Peers->view().Members)
-      Newest = std::max(Newest, Member.Report.ConfigurationRow);
+      Newest = std::max(Newest, Member.Report.NewestRow);
   return Newest;
 }
 
+namespace {
+
+/// Suspicions of \p Primary that the relay of an availability zone counted.
+/// Both relays of a zone count the same ones.
+std::size_t countRelayedSuspects(const native_state &State,
+                                 std::string_view Service,
+                                 std::string_view Primary) {
+  std::map<base::zone_name, std::size_t> Zones;
+  for (const control::member &Member : State.Peers->view().Members) {
+    if (!isUp(Member) || Member.Zone == State.Settings.Zone)
+      continue;
+    for (const wire::suspicion_count &Told : Member.Report.Digest.Suspicions)
+      if (Told.Group == Service && Told.Primary == Primary)
+        Zones[Member.Zone] =
+            std::max<std::size_t>(Zones[Member.Zone], Told.Count);
+  }
+  std::size_t Count = 0;
+  for (const auto &[Zone, Most] : Zones)
+    Count += Most;
+  return Count;
+}
+
+} // namespace
+
 std::size_t countSuspects(const native_state &State, std::string_view Service) {
   std::size_t Count = suspects(State, Service) ? 1 : 0;
   // Reports may still speak of a primary that was replaced meanwhile.
@@ -193,7 +258,7 @@
                                          })
                  ? 1
                  : 0;
-  return Count;
+  return Count + countRelayedSuspects(State, Service, Primary);
 }
 
 } // namespace redwinggw
--- a/packages/redwinggw/src/native_rights.cpp
+++ b/packages/redwinggw/src/native_rights.cpp
@@ -83,8 +83,7 @@
     return false;
   if (!applyClaim(State.Claims, Claim, base::now()))
     return false;
-  if (State.Peers)
-    State.Peers->setVersion(State.Claims.Version);
+  tellClaims(State);
   base::logEvent(base::log_level::Info, base::log_part::Failover,
                  Claim.Moving ? "primary_given_up" : "primary_agreed",
                  {{"service", Claim.Service},
--- a/packages/redwinggw/src/native_state.hpp
+++ b/packages/redwinggw/src/native_state.hpp
@@ -74,12 +74,10 @@
   std::map<base::service_name, base::instant> OrderersGone;
   /// Services for which an order to promote is on its way.
   std::set<base::service_name> Ordering;
+  /// When the last such order ended.
+  base::instant OrderedAt = base::instant::min();
   /// Endpoints that are being probed.
   std::set<base::endpoint_name> Probing;
-  /// The newest own sample of each service's log.
-  std::map<base::service_name, session::freshness_sample> OwnSamples;
-  /// Counts the heartbeats to all.
-  std::uint64_t HeartbeatRound = 0;
   /// Versions of the other instances' rows, to remove those of dead ones.
   std::map<base::instance_name, std::uint64_t> InstanceRows;
   /// The last reading of the endpoints' list, own or relayed.
@@ -155,6 +153,8 @@
 /// @{
 /// Connects the peers' service with the rest.
 void connectPeers(native_state &State);
+/// Puts the agreements on primaries into the heartbeats from now on.
+void tellClaims(native_state &State);
 /// Whether this instance reads the store for the others: the first by name of
 /// those that are up and have had an answer of the store lately.
 bool isReader(const native_state &State);
--- a/packages/redwinggw/src/settings.cpp
+++ b/packages/redwinggw/src/settings.cpp
@@ -75,6 +75,18 @@
   return true;
 }
 
+bool setCapacity(double &Field, const std::string &Text) {
+  double Value = 0;
+  const char *Last = Text.data() + Text.size();
+  const auto [End, Code] = std::from_chars(Text.data(), Last, Value);
+  constexpr double Most = 1e6;
+  // Written so that a value that is no number is refused too.
+  if (Code != std::errc() || End != Last || !(Value >= 0 && Value <= Most))
+    return false;
+  Field = Value;
+  return true;
+}
+
 bool setText(std::string &Field, const std::string &Text) {
   Field = Text;
   return !Text.empty();
@@ -87,6 +99,7 @@
 
 constexpr const char *NameAllowed = "1 to 64 letters, digits, '-', '_', '.'";
 constexpr const char *AddressAllowed = "IP:port";
+constexpr const char *CapacityAllowed = "a number from 0 to 1000000";
 
 /// For which kind of platform a key without a default must be given.
 enum class needed { Always, Own, Native };
@@ -107,6 +120,11 @@
      [](settings &S, const std::string &T) { return setName(S.Name, T); }},
     {"instance.zone", "", NameAllowed, "availability zone",
      [](settings &S, const std::string &T) { return setName(S.Zone, T); }},
+    {"instance.capacity", "0", CapacityAllowed,
+     "how much work it can take compared with other instances",
+     [](settings &S, const std::string &T) {
+       return setCapacity(S.Capacity, T);
+     }},
     {"listen.callers", "", AddressAllowed, "where callers connect (TCP)",
      [](settings &S, const std::string &T) {
        return setAddress(S.Callers, T);
--- a/packages/redwinggw/src/settings.hpp
+++ b/packages/redwinggw/src/settings.hpp
@@ -27,6 +27,8 @@
 struct settings {
   std::string Name;
   std::string Zone;
+  /// How much work it can take compared with other instances.
+  double Capacity = 0;
   http::address Callers;
   http::address Operators;
   http::address Peers;
--- a/packages/session/include/redwinggw/session/handover.hpp
+++ b/packages/session/include/redwinggw/session/handover.hpp
@@ -48,7 +48,7 @@
   /// the last heartbeats of a majority count that did not know of the move.
   /// Both with some room for timers.
   base::milliseconds ReadingCounts{1250};
-  base::milliseconds HeartbeatsCount{850};
+  base::milliseconds HeartbeatsCount{1250};
   /// A replica is given so long to receive what the old primary had.
   base::milliseconds CatchUp{1500};
 };
--- a/packages/session/include/redwinggw/session/session_core.hpp
+++ b/packages/session/include/redwinggw/session/session_core.hpp
@@ -41,8 +41,6 @@
   /// not known.
   std::function<std::optional<base::milliseconds>(std::string_view Service)>
       PrimaryExpected;
-  /// A primary's answer shows what its log holds.
-  std::function<void(const primary_right &, freshness_sample)> NoteSample;
   /// A way to the endpoint through the instance that owns its connections;
   /// null when that is this instance, or when the owner cannot be used now.
   /// Unset: there are no owners.
--- a/packages/session/src/endpoint_owner.cpp
+++ b/packages/session/src/endpoint_owner.cpp
@@ -1,6 +1,6 @@
 #include "redwinggw/session/endpoint_owner.hpp"
 
-#include "redwinggw/control/membership_knowledge.hpp"
+#include "redwinggw/control/relays.hpp"
 #include "redwinggw/wire/message.hpp"
 
 #include <algorithm>
@@ -28,8 +28,8 @@
 bool mayOwn(const control::membership &Membership,
             const control::member &Member, base::instant Now) {
   using enum control::member_state;
-  if (isGossiping(Membership))
-    return Member.State == Alive || Member.State == Suspect;
+  if (usesRelays(Membership))
+    return Member.State == Alive;
   return Member.State == Alive && Member.ArrivedAt &&
          Now - *Member.ArrivedAt <= HeardWithin;
 }
--- a/packages/session/src/try_statement.cpp
+++ b/packages/session/src/try_statement.cpp
@@ -141,8 +141,6 @@
       !Core.Ports.StillHolds(*Placement.Right))
     return;
   notePoint(Core.Set, *Placement.Right, Exchange.SentAt, *Point);
-  if (Core.Ports.NoteSample)
-    Core.Ports.NoteSample(*Placement.Right, {Exchange.SentAt, *Point});
   const bool Committed =
       Request.Writes && Exchange.Answer.State == transaction_state::Idle;
   if (Committed) {
--- a/packages/storage/include/redwinggw/storage/store.hpp
+++ b/packages/storage/include/redwinggw/storage/store.hpp
@@ -50,6 +50,8 @@
   http::address Callers;
   http::address Operators;
   bool Leaving = false;
+  /// How much work it can take compared with others; 0: not told.
+  double Capacity = 0;
 };
 
 struct store;
--- a/packages/wire/include/redwinggw/wire/message.hpp
+++ b/packages/wire/include/redwinggw/wire/message.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "redwinggw/base/ids.hpp"
+#include "redwinggw/wire/fleet_digest.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -66,25 +67,6 @@
                          const position_report &) = default;
 };
 
-/// Which instances the sender knows to be up, half a byte each.
-struct heard_map {
-  /// Hash of the names on the sender's list; another list cannot be read.
-  std::uint32_t ListHash = 0;
-  /// Ages in the order of the sorted names, the lower half byte first, in
-  /// steps of MapStep, rounded up. Such an instance had read the store since
-  /// its start and knew the sender's HeadVersion. 0: nothing of the kind.
-  std::string Ages;
-
-  friend bool operator==(const heard_map &, const heard_map &) = default;
-};
-
-constexpr unsigned MapStepMs = 170;
-constexpr unsigned MaxMapAge = 15;
-
-/// Sets and reads the age of the instance at \p Index in the list.
-void setAge(heard_map &Map, std::size_t Index, unsigned Age);
-unsigned ageAt(const heard_map &Map, std::size_t Index);
-
 /// A heartbeat: what an instance says of itself and relays of others.
 struct peer_report {
   base::zone_name Zone;
@@ -106,14 +88,18 @@
   bool Leaving = false;
   /// The receiver shall answer at once.
   bool WantsReply = false;
-  /// Only groups that are suspect or changed a short while ago.
+  /// The receiver relays for the sender.
+  bool Reports = false;
+  /// The receiver shall pass readings of the store on to the sender.
+  bool WantsReadings = false;
+  /// Only groups that are suspect or were moved.
   std::vector<group_report> Groups;
   /// Only in fleets too large for each to hear each directly.
-  heard_map Heard;
-  /// Row of the operators' configuration in force at the sender; 0: unused.
+  fleet_digest Digest;
+  /// Row of the operators' configuration in force at the sender, and the newest
+  /// that it knows to exist; 0: unused.
   std::uint64_t ConfigurationRow = 0;
-  /// False: Demands and Positions are left out, and the former ones count on.
-  bool Full = true;
+  std::uint64_t NewestRow = 0;
   std::vector<demand_report> Demands;
   std::vector<position_report> Positions;
 };
@@ -129,6 +115,8 @@
 /// the store keeps it.
 struct store_reading {
   reading_kind Kind = reading_kind::Endpoints;
+  /// It has been passed on: the receiver keeps it for itself.
+  bool Relayed = false;
   std::string Text;
 };
 
--- a/packages/wire/src/message.cpp
+++ b/packages/wire/src/message.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 /// Bumped when the form of a datagram changes; others are dropped.
-constexpr std::uint8_t FormatVersion = 4;
+constexpr std::uint8_t FormatVersion = 5;
 
 /// Strings and lists travel with a length of 1 or 2 bytes: cereal's own take
 /// 8, which is most of a small heartbeat.
@@ -58,21 +58,31 @@
 }
 
 constexpr std::size_t MaxReading = 65'000;
-constexpr std::size_t AgesPerByte = 2;
-constexpr unsigned AgeBits = 4;
 
-template <typename Archive>
-void transferMap(Archive &Out, const heard_map &Map) {
-  const auto Length = static_cast<std::uint16_t>(Map.Ages.size());
-  Out(Map.ListHash, Length);
-  Out(cereal::binary_data(Map.Ages.data(), Length));
+template <typename Archive, typename Digest>
+void transferDemands(Archive &Ar, Digest &Value) {
+  Ar(Value.Heard, Value.Unknown);
+  transferAll(Ar, Value.Sums, [&](auto &Item) {
+    Ar(Item.Customer, Item.Rate, Item.Lender, Item.Spare);
+  });
+  transferAll(Ar, Value.Silent, [&](auto &Item) {
+    Ar(Item.Customer, Item.Rate, Item.Part, Item.Missed);
+  });
 }
 
-template <typename Archive> void transferMap(Archive &In, heard_map &Map) {
-  std::uint16_t Length = 0;
-  In(Map.ListHash, Length);
-  Map.Ages.resize(Length);
-  In(cereal::binary_data(Map.Ages.data(), Length));
+template <typename Archive, typename Digest>
+void transferDigest(Archive &Ar, Digest &Value) {
+  Ar(Value.Scope);
+  if (Value.Scope == digest_scope::None)
+    return;
+  transferAll(Ar, Value.Members,
+              [&](auto &Item) { Ar(Item.Instance, Item.Age, Item.Facts); });
+  transferDemands(Ar, Value.Demands);
+  transferAll(Ar, Value.Suspicions, [&](auto &Item) {
+    transfer(Ar, Item.Group);
+    transfer(Ar, Item.Primary);
+    Ar(Item.Count);
+  });
 }
 
 template <typename Archive, typename Report>
@@ -80,10 +90,11 @@
   transfer(Ar, Value.Zone);
   Ar(Value.Version, Value.StoreReadAge, Value.HeadVersion, Value.ProofAge,
      Value.OwnContactAge, Value.HeardContactAge, Value.EchoIncarnation,
-     Value.EchoSequence, Value.Leaving, Value.WantsReply);
+     Value.EchoSequence, Value.Leaving, Value.WantsReply, Value.Reports,
+     Value.WantsReadings);
   transferAll(Ar, Value.Groups, [&](auto &Item) { transferGroup(Ar, Item); });
-  transferMap(Ar, Value.Heard);
-  Ar(Value.ConfigurationRow, Value.Full);
+  transferDigest(Ar, Value.Digest);
+  Ar(Value.ConfigurationRow, Value.NewestRow);
   transferAll(Ar, Value.Demands,
               [&](auto &Item) { Ar(Item.Customer, Item.Rate, Item.Spare); });
   transferAll(Ar, Value.Positions, [&](auto &Item) {
@@ -94,14 +105,14 @@
 template <typename Archive>
 void transferReading(Archive &Out, const store_reading &Value) {
   const auto Length = static_cast<std::uint32_t>(Value.Text.size());
-  Out(Value.Kind, Length);
+  Out(Value.Kind, Value.Relayed, Length);
   Out(cereal::binary_data(Value.Text.data(), Length));
 }
 
 template <typename Archive>
 void transferReading(Archive &In, store_reading &Value) {
   std::uint32_t Length = 0;
-  In(Value.Kind, Length);
+  In(Value.Kind, Value.Relayed, Length);
   // A length beyond what a datagram can hold comes from a damaged one.
   if (Length > MaxReading)
     throw cereal::Exception("a reading is too long");
@@ -165,25 +176,6 @@
   return Hash;
 }
 
-void setAge(heard_map &Map, std::size_t Index, unsigned Age) {
-  const std::size_t Byte = Index / AgesPerByte;
-  if (Map.Ages.size() <= Byte)
-    Map.Ages.resize(Byte + 1);
-  const unsigned Shift = Index % AgesPerByte == 0 ? 0 : AgeBits;
-  const auto Before = static_cast<unsigned char>(Map.Ages[Byte]);
-  const unsigned Kept = Before & ~(MaxMapAge << Shift);
-  Map.Ages[Byte] =
-      static_cast<char>(Kept | (std::min(Age, MaxMapAge) << Shift));
-}
-
-unsigned ageAt(const heard_map &Map, std::size_t Index) {
-  const std::size_t Byte = Index / AgesPerByte;
-  if (Map.Ages.size() <= Byte)
-    return 0;
-  const unsigned Shift = Index % AgesPerByte == 0 ? 0 : AgeBits;
-  return (static_cast<unsigned char>(Map.Ages[Byte]) >> Shift) & MaxMapAge;
-}
-
 std::string encode(std::string_view FleetKey, const datagram &Datagram) {
   std::ostringstream Stream;
   cereal::BinaryOutputArchive Out(Stream);
--- a/tests/control/demand_fleet.hpp
+++ b/tests/control/demand_fleet.hpp
@@ -3,6 +3,7 @@
 #include "redwinggw/control/demand_shares.hpp"
 
 #include <algorithm>
+#include <cstdint>
 #include <random>
 #include <string>
 #include <vector>
@@ -15,15 +16,17 @@
 
 /// Instances that exchange heartbeats in passed time.
 struct demand_fleet {
-  /// \p DirectLimit: up to so many all hear each other directly.
+  /// \p DirectLimit: up to so many all hear each other directly; more are in
+  /// \p Zones availability zones in turn.
   explicit demand_fleet(std::size_t Count, double Rate = 100,
-                        double Burst = 100,
-                        std::size_t DirectLimit = SIZE_MAX) {
+                        double Burst = 100, std::size_t DirectLimit = SIZE_MAX,
+                        std::size_t Zones = 1) {
     for (std::size_t Index = 0; Index < Count; ++Index) {
       membership_limits Direct;
       Direct.DirectLimit = DirectLimit;
-      membership Member =
-          makeMembership({"i" + std::to_string(Index), "z", 1}, Direct);
+      membership Member = makeMembership(
+          {"i" + std::to_string(Index), "z" + std::to_string(Index % Zones), 1},
+          Direct);
       onStoreRead(Member, Now, Now, 0);
       Members.push_back(std::move(Member));
       Shares.emplace_back();
@@ -34,6 +37,7 @@
     for (const membership &Member : Members) {
       storage::listed_instance Instance;
       Instance.Name = Member.Self.Name;
+      Instance.Zone = Member.Self.Zone;
       Listed.push_back(Instance);
     }
     for (membership &Member : Members)
@@ -41,24 +45,34 @@
   }
 
   void deliver(const peer_send &Send, std::size_t From) {
-    for (std::size_t To = 0; To < Members.size(); ++To)
-      if (Members[To].Self.Name == Send.Datagram.Receiver && To != Dead &&
-          Cut[From] == Cut[To] && admitDatagram(Members[To], Send.Datagram))
-        onHeartbeat(Members[To], Send.Datagram, Now);
+    const std::size_t To = std::stoul(Send.Datagram.Receiver.substr(1));
+    if (isDead(To) || Cut[From] != Cut[To] ||
+        !admitDatagram(Members[To], Send.Datagram))
+      return;
+    for (const peer_send &Answer : onHeartbeat(Members[To], Send.Datagram, Now))
+      deliver(Answer, To);
+  }
+
+  bool isDead(std::size_t Index) const {
+    return Index == Dead ||
+           std::ranges::find(AlsoDead, Index) != AlsoDead.end();
   }
 
   void tick() {
     Now += milliseconds(50);
     for (std::size_t Index = 0; Index < Members.size(); ++Index) {
-      if (Dead == Index)
+      if (isDead(Index))
         continue;
       if (Ticks % 4 == 0)
         Members[Index].Local.Demands = announceDemand(Shares[Index], Now);
       for (const peer_send &Send : onTick(Members[Index], Now))
         deliver(Send, Index);
-      if (Ticks % 4 == 0)
+      if (Ticks % 4 == 0) {
         divideRates(Shares[Index], Members[Index],
                     StoreReached || hearsMajority(Members[Index], Now), Now);
+        Members[Index].ZoneDigest.Demands = zoneDemands(Shares[Index]);
+        Members[Index].FleetDigest.Demands = fleetDemands(Shares[Index]);
+      }
     }
     ++Ticks;
   }
@@ -93,7 +107,7 @@
       tick();
       for (std::size_t Index = 0; Index < Members.size(); ++Index) {
         std::poisson_distribution<int> Arrivals(Rates[Index] * 0.05);
-        for (int Left = Dead == Index ? 0 : Arrivals(Random); Left > 0; --Left)
+        for (int Left = isDead(Index) ? 0 : Arrivals(Random); Left > 0; --Left)
           Refused += ask(Index) ? 0 : 1;
       }
     }
@@ -107,6 +121,7 @@
   /// All reach the store, also where they do not hear each other.
   bool StoreReached = false;
   std::size_t Dead = SIZE_MAX;
+  std::vector<std::size_t> AlsoDead;
   std::size_t Ticks = 0;
   std::size_t Spent = 0;
   std::mt19937_64 Random{7};
--- a/tests/control/demand_shares_test.cpp
+++ b/tests/control/demand_shares_test.cpp
@@ -264,7 +264,7 @@
 }
 
 // Guards against refusing all callers where few are heard directly.
-Test(demand_shares, serve_a_fleet_that_gossips) {
+Test(demand_shares, serve_a_fleet_with_relays) {
   constexpr std::size_t Count = 60;
   demand_fleet Fleet(Count, 2000, 2000, 16);
   Fleet.StoreReached = true;
--- a/tests/control/membership_test.cpp
+++ b/tests/control/membership_test.cpp
@@ -95,17 +95,20 @@
   cr_assert(Receiver.Counters.Misaddressed == 1);
 }
 
-// Beyond DirectLimit each instance asks one other at a time; what it does not
-// hear itself comes by relay. With 64 instances all are heard, and the death
-// of a few is noticed.
+// Beyond DirectLimit an instance hears the others by relay. With 64 instances
+// all are heard, and a death is noticed by all.
 Test(membership, a_large_fleet_hears_a_majority_by_relay) {
   fleet Fleet = makeFleet(64);
-  run(Fleet, milliseconds(10000));
-  cr_assert(heardBy(Fleet, 0) > 50);
-  cr_assert(hearsMajority(Fleet.Instances[0].Membership, Fleet.Now));
+  run(Fleet, milliseconds(3000));
+  for (std::size_t Index = 0; Index < 64; ++Index) {
+    cr_assert(heardBy(Fleet, Index) == 63);
+    cr_assert(hearsMajority(Fleet.Instances[Index].Membership, Fleet.Now));
+  }
   Fleet.Instances[9].Up = false;
-  run(Fleet, milliseconds(9000));
-  cr_assert(stateSeen(Fleet, 0, 9) == member_state::Dead);
+  run(Fleet, milliseconds(4000));
+  for (std::size_t Index = 0; Index < 64; ++Index)
+    if (Index != 9)
+      cr_assert(stateSeen(Fleet, Index, 9) == member_state::Dead);
 }
 
 // A third instance joins right before the list cannot be read any more: the
@@ -134,30 +137,3 @@
   onList(Known, {listed(0), listed(1)}, Fleet.Now);
   cr_assert(findMember(Known, "i2") == nullptr);
 }
-
-// In a large fleet every second heartbeat leaves out the demands. Taken for "no
-// demand", it would hand the sender's part of each rate to the others.
-Test(membership, keeps_demands_that_a_heartbeat_leaves_out) {
-  const base::instant Now{std::chrono::seconds(100)};
-  membership Here = makeMembership({"a", "z", 1});
-  storage::listed_instance Other;
-  Other.Name = "b";
-  onList(Here, {Other}, Now);
-  const auto Hear = [&](std::uint64_t Sequence, bool Full) {
-    wire::peer_report Report;
-    Report.Full = Full;
-    if (Full)
-      Report.Demands.push_back({7, 3.0F});
-    wire::datagram Datagram;
-    Datagram.Sender = "b";
-    Datagram.Receiver = "a";
-    Datagram.Incarnation = 1;
-    Datagram.Sequence = Sequence;
-    Datagram.Body = Report;
-    cr_assert(admitDatagram(Here, Datagram));
-    onHeartbeat(Here, Datagram, Now);
-    return findMember(Here, "b")->Report.Demands.size();
-  };
-  cr_assert(Hear(1, true) == 1);
-  cr_assert(Hear(2, false) == 1);
-}
--- /dev/null
+++ b/tests/control/relays_test.cpp
@@ -0,0 +1,237 @@
+#include "redwinggw/control/relays.hpp"
+
+#include "membership_fleet.hpp"
+
+#include <algorithm>
+#include <map>
+
+#include "criterion_test.hpp"
+
+using namespace redwinggw;
+using namespace redwinggw::control;
+using namespace redwinggw::control::testing;
+
+namespace {
+
+std::vector<std::size_t> relaysOf(const fleet &Fleet) {
+  std::vector<std::size_t> Relays;
+  for (std::size_t Index = 0; Index < Fleet.Instances.size(); ++Index)
+    if (Fleet.Instances[Index].Up && Fleet.Instances[Index].Membership.Relay)
+      Relays.push_back(Index);
+  return Relays;
+}
+
+/// Heartbeats that an instance sends in a second, answers included; the most of
+/// those that are no relays, and of all.
+std::pair<std::uint64_t, std::uint64_t> sentInASecond(fleet &Fleet) {
+  std::vector<std::uint64_t> Before;
+  for (const fleet_instance &Instance : Fleet.Instances)
+    Before.push_back(Instance.Membership.Sequence);
+  run(Fleet, milliseconds(1000));
+  std::pair<std::uint64_t, std::uint64_t> Most;
+  for (std::size_t Index = 0; Index < Before.size(); ++Index) {
+    const membership &Membership = Fleet.Instances[Index].Membership;
+    const std::uint64_t Sent = Membership.Sequence - Before[Index];
+    Most.second = std::max(Most.second, Sent);
+    if (!Membership.Relay)
+      Most.first = std::max(Most.first, Sent);
+  }
+  return Most;
+}
+
+bool allHearAll(const fleet &Fleet) {
+  return std::ranges::all_of(
+      Fleet.Instances, [&](const fleet_instance &Instance) {
+        const membership &Membership = Instance.Membership;
+        return !Instance.Up ||
+               std::ranges::all_of(
+                   Membership.Members, [&](const member &Member) {
+                     return !Fleet.Instances[indexOf(Member.Name)].Up ||
+                            isHeard(Membership, Member, Fleet.Now);
+                   });
+      });
+}
+
+} // namespace
+
+Test(relays, are_two_in_each_zone_of_a_large_fleet) {
+  fleet Fleet = makeFleet(60);
+  run(Fleet, milliseconds(2000));
+  cr_assert(relaysOf(Fleet).size() == 4);
+  cr_assert(allHearAll(Fleet));
+}
+
+Test(relays, are_all_instances_of_a_small_fleet) {
+  fleet Fleet = makeFleet(9);
+  run(Fleet, milliseconds(2000));
+  cr_assert(relaysOf(Fleet).size() == 9);
+}
+
+Test(relays, are_those_with_the_most_capacity) {
+  fleet Fleet = makeFleet(30);
+  for (fleet_instance &Instance : Fleet.Instances) {
+    std::vector<storage::listed_instance> List;
+    for (std::size_t Index = 0; Index < 30; ++Index) {
+      List.push_back(listed(Index));
+      List.back().Capacity = Index >= 24 ? 0.5 : 0.1;
+    }
+    const std::size_t Own = indexOf(Instance.Membership.Self.Name);
+    Instance.Membership.Self.Capacity = List[Own].Capacity;
+    onList(Instance.Membership, List, Fleet.Now);
+  }
+  run(Fleet, milliseconds(2000));
+  cr_assert(relaysOf(Fleet) == std::vector<std::size_t>({24, 25, 26, 27}));
+}
+
+// Guards against heartbeats whose number grows with the fleet.
+Test(relays, keep_an_instances_heartbeats_the_same_at_any_size) {
+  fleet Small = makeFleet(30);
+  fleet Large = makeFleet(300);
+  run(Small, milliseconds(2000));
+  run(Large, milliseconds(2000));
+  cr_assert(sentInASecond(Large).first <= sentInASecond(Small).first);
+  cr_assert(allHearAll(Large));
+}
+
+Test(relays, are_replaced_when_they_die) {
+  fleet Fleet = makeFleet(60);
+  run(Fleet, milliseconds(2000));
+  for (const std::size_t Relay : relaysOf(Fleet))
+    Fleet.Instances[Relay].Up = false;
+  run(Fleet, milliseconds(3000));
+  cr_assert(relaysOf(Fleet).size() == 4);
+  cr_assert(allHearAll(Fleet));
+  for (const fleet_instance &Instance : Fleet.Instances)
+    cr_assert(!Instance.Up || hearsMajority(Instance.Membership, Fleet.Now));
+}
+
+// Guards against an instance that asks dead relays again and again in place of
+// live ones.
+Test(relays, stay_replaced_while_the_former_ones_are_dead) {
+  fleet Fleet = makeFleet(60);
+  run(Fleet, milliseconds(2000));
+  for (const std::size_t Relay : relaysOf(Fleet))
+    Fleet.Instances[Relay].Up = false;
+  run(Fleet, milliseconds(3000));
+  for (int Step = 0; Step < 200; ++Step) {
+    run(Fleet, milliseconds(50));
+    cr_assert(allHearAll(Fleet), "after %d ms", 50 * Step);
+  }
+}
+
+Test(relays, are_asked_again_when_they_are_back) {
+  fleet Fleet = makeFleet(60);
+  run(Fleet, milliseconds(2000));
+  const auto Before = relaysOf(Fleet);
+  Fleet.Instances[Before.front()].Up = false;
+  run(Fleet, milliseconds(3000));
+  Fleet.Instances[Before.front()].Up = true;
+  run(Fleet, milliseconds(6000));
+  cr_assert(relaysOf(Fleet) == Before);
+}
+
+Test(relays, give_up_their_place_when_they_leave) {
+  fleet Fleet = makeFleet(60);
+  run(Fleet, milliseconds(2000));
+  const std::size_t Leaving = relaysOf(Fleet).front();
+  deliver(Fleet, onLeave(Fleet.Instances[Leaving].Membership, Fleet.Now));
+  run(Fleet, milliseconds(1000));
+  const auto Relays = relaysOf(Fleet);
+  cr_assert(Relays.size() == 4 &&
+            std::ranges::find(Relays, Leaving) == Relays.end());
+  cr_assert(allHearAll(Fleet));
+  for (const fleet_instance &Instance : Fleet.Instances)
+    if (const member *Member = findMember(Instance.Membership, nameOf(Leaving)))
+      cr_assert(Member->State == member_state::Leaving);
+}
+
+// Guards against a zone that hears nobody while it cannot reach its relays.
+Test(relays, are_chosen_anew_by_a_part_of_a_zone_that_is_cut_off) {
+  fleet Fleet = makeFleet(60);
+  run(Fleet, milliseconds(2000));
+  // The second half of zone z1 reaches only itself.
+  const auto IsApart = [](std::size_t Index) {
+    return Index >= 30 && Index % 2 == 1;
+  };
+  Fleet.Connected = [&](std::size_t From, std::size_t To) {
+    return IsApart(From) == IsApart(To);
+  };
+  run(Fleet, milliseconds(4000));
+  cr_assert(!hearsMajority(Fleet.Instances[31].Membership, Fleet.Now));
+  cr_assert(hearsMajority(Fleet.Instances[1].Membership, Fleet.Now));
+  const membership &Apart = Fleet.Instances[35].Membership;
+  cr_assert(isHeard(Apart, *findMember(Apart, "i59"), Fleet.Now));
+  cr_assert(!isHeard(Apart, *findMember(Apart, "i1"), Fleet.Now));
+}
+
+// Guards against a relay that tells that an instance is up and not what that
+// instance knows.
+Test(relays, leave_out_whoever_knows_more_than_they_pass_on) {
+  fleet Fleet = makeFleet(60);
+  for (fleet_instance &Instance : Fleet.Instances)
+    Instance.Membership.Local.Version = 4;
+  run(Fleet, milliseconds(2000));
+  Fleet.Instances[41].Membership.Local.Version = 5;
+  run(Fleet, milliseconds(1500));
+  const membership &Far = Fleet.Instances[40].Membership;
+  cr_assert(!isHeard(Far, *findMember(Far, "i41"), Fleet.Now));
+  cr_assert(isHeard(Far, *findMember(Far, "i43"), Fleet.Now));
+  for (fleet_instance &Instance : Fleet.Instances)
+    Instance.Membership.Local.Version = 5;
+  run(Fleet, milliseconds(1000));
+  cr_assert(isHeard(Far, *findMember(Far, "i41"), Fleet.Now));
+  cr_assert(findMember(Far, "i41")->KnownVersion == 5);
+}
+
+// Guards against acknowledgements that are counted before they were given.
+Test(relays, pass_on_which_version_an_instance_has_in_force) {
+  fleet Fleet = makeFleet(60);
+  run(Fleet, milliseconds(2000));
+  for (std::size_t Index = 0; Index < 60; ++Index)
+    Fleet.Instances[Index].Membership.Local.Version = Index == 43 ? 0 : 7;
+  run(Fleet, milliseconds(1000));
+  const membership &Far = Fleet.Instances[40].Membership;
+  const auto Knowing =
+      std::ranges::count_if(Far.Members, [](const member &Member) {
+        return Member.KnownVersion >= 7;
+      });
+  cr_assert(Knowing == 58, "%td", Knowing);
+  cr_assert(findMember(Far, "i43")->KnownVersion == 0);
+}
+
+// Guards against counting as heard by way of a relay that takes in no claims.
+Test(relays, pass_on_nothing_when_told_so) {
+  fleet Fleet = makeFleet(60);
+  run(Fleet, milliseconds(2000));
+  for (const std::size_t Relay : relaysOf(Fleet))
+    Fleet.Instances[Relay].Membership.PassesOn = false;
+  run(Fleet, milliseconds(1500));
+  const membership &Far = Fleet.Instances[40].Membership;
+  cr_assert(!isHeard(Far, *findMember(Far, "i41"), Fleet.Now));
+}
+
+// Guards against reads of what is older than they ask for: an answer leaves
+// later than the positions in it were looked up.
+Test(relays, do_not_make_positions_look_younger) {
+  fleet Fleet = makeFleet(60);
+  run(Fleet, milliseconds(2000));
+  membership &Relay = Fleet.Instances[relaysOf(Fleet).front()].Membership;
+  Relay.Local.Positions = {{1, 1, 1, 40}};
+  Relay.LocalAt = Fleet.Now;
+  const std::size_t Asker = 40;
+  cr_assert(Relay.Self.Zone == Fleet.Instances[Asker].Membership.Self.Zone);
+  for (peer_send &Send : onTick(Fleet.Instances[Asker].Membership,
+                                Fleet.Now + milliseconds(200))) {
+    if (Send.Datagram.Receiver != Relay.Self.Name)
+      continue;
+    cr_assert(admitDatagram(Relay, Send.Datagram));
+    const auto Answers =
+        onHeartbeat(Relay, Send.Datagram, Fleet.Now + milliseconds(190));
+    cr_assert(Answers.size() == 1);
+    const auto &Report =
+        std::get<wire::peer_report>(Answers.front().Datagram.Body);
+    cr_assert(Report.Positions.front().Age == 230);
+    return;
+  }
+  cr_assert_fail("nobody was asked");
+}
--- a/tests/session/endpoint_owner_test.cpp
+++ b/tests/session/endpoint_owner_test.cpp
@@ -154,7 +154,7 @@
 }
 
 // Guards against many owners of an endpoint where few are heard directly.
-Test(endpoint_owner, agrees_in_a_fleet_that_gossips) {
+Test(endpoint_owner, agrees_in_a_fleet_with_relays) {
   talking_fleet Fleet(60, 16);
   Fleet.run(base::milliseconds(20'000));
   cr_assert(Fleet.disputed(20) == 0, "%zu", Fleet.disputed(20));
--- a/tests/wire/message_test.cpp
+++ b/tests/wire/message_test.cpp
@@ -27,9 +27,15 @@
   Report.HeadVersion = 13;
   Report.Leaving = true;
   Report.Groups.push_back({"orders", 4, "orders-1", true});
-  Report.Heard.ListHash = 5;
-  setAge(Report.Heard, 2, 7);
-  setAge(Report.Heard, 3, 99);
+  Report.NewestRow = 9;
+  Report.Digest.Scope = digest_scope::Fleet;
+  relayed_member Member{17, 5, 0};
+  setFact(Member, relayed_fact::KnowsVersion, true);
+  setFact(Member, relayed_fact::Informed, false);
+  Report.Digest.Members = {Member, {18, MaxAgeSteps, 0}};
+  Report.Digest.Demands = {
+      3, 1, {{7, 2.5F, 17, 4}}, {{8, 1.5F, 0.25F, 0.125F}}};
+  Report.Digest.Suspicions = {{"orders", "orders-1", 2}};
   Datagram.Body = Report;
   return Datagram;
 }
@@ -46,10 +52,11 @@
   const auto Sent = std::get<peer_report>(heartbeat().Body);
   cr_assert(Report.Version == 12 && Report.HeadVersion == 13);
   cr_assert(Report.StoreReadAge == NoAge && Report.Leaving);
-  cr_assert(Report.Groups == Sent.Groups && Report.Heard == Sent.Heard);
-  cr_assert(ageAt(Report.Heard, 1) == 0 && ageAt(Report.Heard, 2) == 7);
-  cr_assert(ageAt(Report.Heard, 3) == MaxMapAge);
-  cr_assert(ageAt(Report.Heard, 4) == 0);
+  cr_assert(Report.Groups == Sent.Groups && Report.NewestRow == 9);
+  cr_assert(Report.Digest == Sent.Digest);
+  const relayed_member &Member = Report.Digest.Members.front();
+  cr_assert(hasFact(Member, relayed_fact::KnowsVersion));
+  cr_assert(!hasFact(Member, relayed_fact::Informed));
 }
 
 Test(message, a_share_message_comes_back_as_it_was_sent) {
