Keep each customer's bucket at one instance of a large fleet

Cause: a part of a small customer's rate holds less than one operation at each of 85 instances. Such a customer was admitted freely while the fleet's demand was below 0.8 of its rate; chance carried the demand above that, refused callers came again, and their tries counted as demand, which kept it there.

Change: in a fleet with relays one instance, drawn by rendezvous hashing, keeps the whole bucket; the others ask it for each operation over a datagram (one round trip; 40 ms at most).

--- a/packages/control/include/redwinggw/control/demand_shares.hpp
+++ b/packages/control/include/redwinggw/control/demand_shares.hpp
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -149,11 +150,29 @@
   double FleetDemand = 0;
   /// FleetDemand is more than the rate.
   bool Pressed = false;
+  /// The whole bucket stands at one instance; here, if it is Kept. See
+  /// gathered_rates.hpp.
+  bool Gathered = false;
+  bool Kept = false;
+  /// hashOf the name of that instance; 0: not drawn yet.
+  std::uint32_t Keeper = 0;
+  /// When this instance, drawn in place of another one, begins to keep it.
+  base::instant KeepsFrom;
   /// The part serves chance arrivals well enough, or there is no fresh news of
   /// the others to go by instead.
   bool Divisible = true;
 };
 
+/// An instance that may keep buckets.
+struct keeper_candidate {
+  std::uint32_t Place = 0;
+  /// hashOf its name.
+  std::uint32_t Instance = 0;
+
+  friend bool operator==(const keeper_candidate &,
+                         const keeper_candidate &) = default;
+};
+
 /// Not thread safe.
 struct demand_shares {
   demand_limits Limits;
@@ -170,6 +189,10 @@
   std::size_t ZoneInstances = 0;
   std::size_t FleetInstances = 0;
   std::size_t UnknownInstances = 0;
+  /// When rates were gathered last; see gathered_rates.hpp.
+  std::optional<base::instant> GatheredAt;
+  /// Among which the keepers of buckets were drawn.
+  std::vector<keeper_candidate> KeeperCandidates;
 };
 
 /// Takes in the rates and bursts in force.
@@ -182,6 +205,13 @@
 /// each instance that it calls.
 double bucketDepth(const demand_shares &Shares, const demand_account &Account);
 
+/// Tokens a second that come into the bucket of \p Account.
+double fillSpeed(const demand_shares &Shares, const demand_account &Account);
+
+/// Tokens that an operation of \p Priority leaves to more urgent ones.
+double tokensReserved(const demand_shares &Shares,
+                      const demand_account &Account, unsigned Priority);
+
 /// Adds to the bucket what has come in up to \p Now.
 void fillBucket(const demand_shares &Shares, demand_account &Account,
                 base::instant Now);
--- a/packages/control/src/demand_shares.cpp
+++ b/packages/control/src/demand_shares.cpp
@@ -15,10 +15,6 @@
   return std::chrono::duration<double>(To - From).count();
 }
 
-double speedOf(const demand_shares &Shares, const demand_account &Account) {
-  return Account.Rate * Shares.Limits.RateSlack * Account.Part;
-}
-
 /// Lets the average decay to \p Now.
 void decay(const demand_shares &Shares, demand_account &Account, instant Now) {
   const double Window =
@@ -182,19 +178,6 @@
   return (Age < Limits.FirstHeartbeats ? 1 : Limits.IdlePart) / Instances;
 }
 
-/// Tokens that an operation of \p Priority leaves to more urgent ones.
-double reserveFor(const demand_shares &Shares, const demand_account &Account,
-                  unsigned Priority) {
-  if (!Account.Pressed)
-    return 0;
-  const demand_limits &Limits = Shares.Limits;
-  const double Part =
-      std::min(Limits.ReservePerPriority * Priority, Limits.MostReserved);
-  // A bucket too small to divide serves in the order of arrival.
-  const double Room = std::max(0.0, bucketDepth(Shares, Account) - 1);
-  return Part * Room;
-}
-
 /// Admits an operation after \p Wait. A bucket that holds hardly more than one
 /// token would give none while an operation runs, so it counts none back.
 demand_verdict take(demand_account &Account, base::microseconds Wait) {
@@ -215,6 +198,22 @@
 
 } // namespace
 
+double fillSpeed(const demand_shares &Shares, const demand_account &Account) {
+  return Account.Rate * Shares.Limits.RateSlack * Account.Part;
+}
+
+double tokensReserved(const demand_shares &Shares,
+                      const demand_account &Account, unsigned Priority) {
+  if (!Account.Pressed)
+    return 0;
+  const demand_limits &Limits = Shares.Limits;
+  const double Part =
+      std::min(Limits.ReservePerPriority * Priority, Limits.MostReserved);
+  // A bucket too small to divide serves in the order of arrival.
+  const double Room = std::max(0.0, bucketDepth(Shares, Account) - 1);
+  return Part * Room;
+}
+
 double bucketDepth(const demand_shares &Shares, const demand_account &Account) {
   const double Depth =
       (Account.Burst + Shares.Limits.ExtraTokens) * Account.Part;
@@ -224,7 +223,7 @@
 void fillBucket(const demand_shares &Shares, demand_account &Account,
                 instant Now) {
   const double Added =
-      speedOf(Shares, Account) * secondsBetween(Account.FilledAt, Now);
+      fillSpeed(Shares, Account) * secondsBetween(Account.FilledAt, Now);
   const double Room =
       bucketDepth(Shares, Account) - Account.Tokens - Account.Unsettled;
   Account.Tokens += std::clamp(Added, 0.0, std::max(0.0, Room));
@@ -289,7 +288,9 @@
     Account.Divisible =
         !Heard || Isolated || Most < 1 ||
         bucketDepth(Shares, Account) >= Shares.Limits.LeastDepth;
-    Account.Tokens = std::min(Account.Tokens, bucketDepth(Shares, Account));
+    // What a keeper has is clamped once it is known whether it still is one.
+    if (!Account.Gathered)
+      Account.Tokens = std::min(Account.Tokens, bucketDepth(Shares, Account));
   }
 }
 
@@ -381,10 +382,10 @@
     Account.Tokens = std::max(-Shares.Limits.MostOwed, Account.Tokens - 1);
     return {true, false, {}};
   }
-  const double Needed = 1 + reserveFor(Shares, Account, Priority);
+  const double Needed = 1 + tokensReserved(Shares, Account, Priority);
   if (Account.Tokens >= Needed)
     return take(Account, {});
-  const double Speed = speedOf(Shares, Account);
+  const double Speed = fillSpeed(Shares, Account);
   constexpr base::microseconds Never{1'000'000};
   if (Speed <= 0)
     return {false, false, Never};
--- a/packages/redwinggw/src/native_news.cpp
+++ b/packages/redwinggw/src/native_news.cpp
@@ -1,6 +1,7 @@
 #include "native_state.hpp"
 
 #include "redwinggw/base/log.hpp"
+#include "redwinggw/control/gathered_rates.hpp"
 #include "redwinggw/control/relays.hpp"
 
 #include <algorithm>
@@ -107,7 +108,9 @@
   Report.Demands = announceDemand(State.Shares, Now);
   Report.Positions = positionReports(State);
   // The parts follow at the pace of the heartbeats that carry the demands.
-  divideRates(State.Shares, State.Peers->view(), isInTouch(State), Now);
+  const bool InTouch = isInTouch(State);
+  divideRates(State.Shares, State.Peers->view(), InTouch, Now);
+  gatherRates(State.Shares, State.Peers->view(), InTouch, Now);
   Report.Groups = groupReports(State);
   Report.ConfigurationRow = State.Stored.Row;
   Report.NewestRow = std::max(State.Stored.Row, newestConfigurationRow(State));
--- a/packages/redwinggw/src/native_rates.cpp
+++ b/packages/redwinggw/src/native_rates.cpp
@@ -1,5 +1,9 @@
 #include "native_state.hpp"
 
+#include "redwinggw/control/gathered_rates.hpp"
+
+#include <algorithm>
+
 /// Admission by customers' rates, with tokens that instances lend each other.
 namespace redwinggw {
 namespace {
@@ -14,6 +18,10 @@
   return {Verdict.Admitted, Verdict.Counted, Verdict.Wait};
 }
 
+/// A keeper answers within a round trip; one that is slow or gone is not waited
+/// for.
+constexpr milliseconds KeeperTime{40};
+
 /// Counts tokens that went from one instance to another.
 void countLoan(native_state &State, const base::customer_name &Customer,
                std::string_view Step, double Tokens) {
@@ -59,6 +67,87 @@
   State.Peers->send(To, std::move(Grant));
 }
 
+/// Answers a request for an operation's token.
+void answerTake(native_state &State, const base::instance_name &To,
+                const wire::share_message &Request) {
+  wire::share_message Answer;
+  Answer.Kind = wire::share_kind::Moved;
+  Answer.Number = Request.Number;
+  for (const wire::share_entry &Entry : Request.Entries) {
+    const auto Given = giveToken(State.Shares, Entry.Customer, Entry.Priority,
+                                 base::microseconds(Entry.WaitUs), base::now());
+    if (!Given)
+      continue;
+    Answer.Kind = wire::share_kind::Grant;
+    countLoan(State, Entry.Customer, "given", Given->Given ? 1 : 0);
+    Answer.Entries.push_back({Entry.Customer, Given->Given ? 1.0F : 0.0F,
+                              static_cast<std::uint32_t>(Given->Wait.count()),
+                              0, Entry.Priority});
+  }
+  State.Peers->send(To, std::move(Answer));
+}
+
+/// Hands a keeper's answer to the operation that waits for it. True when there
+/// was one.
+bool takeKeeperAnswer(native_state &State, const wire::share_message &Answer) {
+  const bool Grants = Answer.Kind == wire::share_kind::Grant;
+  const auto Asked = State.KeeperAnswers.find(Answer.Number);
+  if (Asked == State.KeeperAnswers.end() ||
+      (!Grants && Answer.Kind != wire::share_kind::Moved))
+    return false;
+  if (Grants && Answer.Entries.size() == 1) {
+    const wire::share_entry &Entry = Answer.Entries.front();
+    Asked->second = control::keeper_answer{Entry.Tokens > 0,
+                                           base::microseconds(Entry.WaitUs)};
+  }
+  State.Loans.wake(Answer.Number);
+  return true;
+}
+
+/// Asks the keeper of the customer's bucket. Nothing when it did not answer, or
+/// does not keep it.
+base::task<std::optional<control::keeper_answer>>
+askKeeper(native_state &State, const control::member &Keeper,
+          const std::string &Customer, unsigned Priority,
+          base::microseconds Patience) {
+  wire::share_message Message;
+  Message.Kind = wire::share_kind::Take;
+  const std::uint64_t Number = State.Loans.nextNumber();
+  Message.Number = Number;
+  constexpr unsigned LeastUrgent = UINT8_MAX;
+  Message.Entries.push_back(
+      {Customer, 1, static_cast<std::uint32_t>(Patience.count()), 0,
+       static_cast<std::uint8_t>(std::min(Priority, LeastUrgent))});
+  State.KeeperAnswers[Number];
+  if (State.Peers->send(Keeper.Name, std::move(Message)))
+    co_await State.Loans.wait(Number, base::now() + KeeperTime);
+  const auto Answer = State.KeeperAnswers.extract(Number);
+  co_return Answer.mapped();
+}
+
+/// Admits an operation by the bucket that another instance keeps.
+base::task<control::demand_verdict>
+admitByKeeper(native_state &State, const std::string &Customer,
+              unsigned Priority, base::microseconds Patience,
+              control::demand_verdict Here) {
+  const control::member *Keeper =
+      State.Peers ? rateKeeper(State.Shares, State.Peers->view(), Customer)
+                  : nullptr;
+  // This instance keeps it, and it is empty.
+  if (Keeper == nullptr)
+    co_return Here;
+  const auto Answer =
+      co_await askKeeper(State, *Keeper, Customer, Priority, Patience);
+  if (!Answer) {
+    counterOf(State.Core.Metrics, base::metric::ShareTokensTotal,
+              {Customer, "unanswered"})
+        .Value += 1;
+    Here.Wait = control::NextKeeperWithin;
+    co_return Here;
+  }
+  co_return verdictOf(State.Shares, Customer, *Answer);
+}
+
 void takeGrant(native_state &State, const base::instance_name &From,
                const wire::share_message &Grant) {
   for (const wire::share_entry &Entry : Grant.Entries) {
@@ -79,6 +168,11 @@
   constexpr unsigned MostLenders = 2;
   auto Verdict =
       takeDemandToken(State.Shares, Customer, Priority, Patience, base::now());
+  if (!Verdict.Admitted && isGathered(State.Shares, Customer)) {
+    Verdict =
+        co_await admitByKeeper(State, Customer, Priority, Patience, Verdict);
+    co_return admissionOf(Verdict);
+  }
   for (unsigned Asked = 0; Asked < MostLenders && !Verdict.Admitted; ++Asked) {
     const bool Answered = co_await borrow(State, Customer, Verdict.Missing);
     if (!Answered)
@@ -92,6 +186,10 @@
 void connectLending(native_state &State) {
   State.Peers->onShareMessage([&State](const wire::datagram &Datagram,
                                        const wire::share_message &Message) {
+    if (takeKeeperAnswer(State, Message))
+      return;
+    if (Message.Kind == wire::share_kind::Take)
+      answerTake(State, Datagram.Sender, Message);
     if (Message.Kind == wire::share_kind::Request)
       lend(State, Datagram.Sender, Message);
     if (Message.Kind == wire::share_kind::Grant)
--- a/packages/redwinggw/src/native_state.hpp
+++ b/packages/redwinggw/src/native_state.hpp
@@ -6,6 +6,7 @@
 #include "platform/row_store.hpp"
 
 #include "redwinggw/control/demand_shares.hpp"
+#include "redwinggw/control/gathered_rates.hpp"
 #include "redwinggw/control/peer_service.hpp"
 #include "redwinggw/control/token_lending.hpp"
 #include "redwinggw/http/server.hpp"
@@ -64,6 +65,9 @@
   control::token_lending Lending;
   /// Operations that wait for tokens of another instance.
   session::wait_list Loans;
+  /// What keepers of buckets answered to requests, by number; nothing yet for
+  /// one that is open.
+  std::map<std::uint64_t, std::optional<control::keeper_answer>> KeeperAnswers;
   session::primary_claims Claims;
   session::handover_limits Handover;
   /// Services whose primary this instance is moving.
--- a/packages/session/src/endpoint_owner.cpp
+++ b/packages/session/src/endpoint_owner.cpp
@@ -1,6 +1,7 @@
 #include "redwinggw/session/endpoint_owner.hpp"
 
 #include "redwinggw/control/relays.hpp"
+#include "redwinggw/control/rendezvous.hpp"
 #include "redwinggw/wire/message.hpp"
 
 #include <algorithm>
@@ -13,16 +14,6 @@
 /// An instance that was not heard for so long is passed over: three heartbeats.
 constexpr base::milliseconds HeardWithin{650};
 
-/// Spreads the few differing bits of similar names over all bits: names of
-/// instances differ in their last letter, and one would own most endpoints.
-std::uint32_t spread(std::uint32_t Hash) {
-  constexpr std::uint32_t First = 0x85ebca6bU;
-  constexpr std::uint32_t Second = 0xc2b2ae35U;
-  Hash = (Hash ^ (Hash >> 16U)) * First;
-  Hash = (Hash ^ (Hash >> 13U)) * Second;
-  return Hash ^ (Hash >> 16U);
-}
-
 } // namespace
 
 bool mayOwn(const control::membership &Membership,
@@ -45,10 +36,10 @@
 
 const owner_candidate *ownerOf(std::string_view Endpoint, std::string_view Zone,
                                const std::vector<owner_candidate> &Candidates) {
-  const std::uint32_t Place = spread(wire::hashOf(Endpoint));
+  const std::uint32_t Place = control::rendezvousPlace(Endpoint);
   const auto Weight = [&](const owner_candidate &Candidate) {
-    const std::uint32_t Draw =
-        spread(Place ^ spread(wire::hashOf(Candidate.Name)));
+    const std::uint32_t Draw = control::rendezvousDraw(
+        Place, control::rendezvousPlace(Candidate.Name));
     return std::tuple(Candidate.Zone == Zone, Draw,
                       std::string_view(Candidate.Name));
   };
--- a/packages/wire/include/redwinggw/wire/message.hpp
+++ b/packages/wire/include/redwinggw/wire/message.hpp
@@ -122,9 +122,13 @@
 
 enum class share_kind : std::uint8_t {
   Request,  ///< Tokens: wanted
-  Grant,    ///< Tokens: given, for good where rates are divided by demand
+  Grant,    ///< Tokens: given, for good where rates are divided by demand;
+            ///< WaitUs: until they may be used, or until there are any
   Released, ///< the lease of the partition is free for the receiver
-  Moved,    ///< the receiver of the request gives no shares of this partition
+  Moved,    ///< the receiver of the request gives no shares of this partition,
+            ///< or does not keep the bucket
+  Take,     ///< asks the keeper of a bucket for an operation's token; WaitUs:
+            ///< how long the operation can wait for it
 };
 
 /// One customer's part of a share message.
@@ -135,6 +139,8 @@
   std::uint32_t WaitUs = 0;
   /// Microseconds for which a grant counts, from the sending of the request.
   std::uint32_t TtlUs = 0;
+  /// Of the operation that a request is for; 0 is the highest.
+  std::uint8_t Priority = 0;
 };
 
 /// A request for tokens, or the answer to one, which repeats its number.
--- a/packages/wire/src/message.cpp
+++ b/packages/wire/src/message.cpp
@@ -126,7 +126,7 @@
   transfer(Ar, Value.Giver);
   transferAll(Ar, Value.Entries, [&](auto &Item) {
     transfer(Ar, Item.Customer);
-    Ar(Item.Tokens, Item.WaitUs, Item.TtlUs);
+    Ar(Item.Tokens, Item.WaitUs, Item.TtlUs, Item.Priority);
   });
 }
 
--- a/tests/control/demand_fleet.hpp
+++ b/tests/control/demand_fleet.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "redwinggw/control/demand_shares.hpp"
+#include "redwinggw/control/gathered_rates.hpp"
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -70,6 +72,9 @@
       if (Ticks % 4 == 0) {
         divideRates(Shares[Index], Members[Index],
                     StoreReached || hearsMajority(Members[Index], Now), Now);
+        if (Gathers)
+          gatherRates(Shares[Index], Members[Index],
+                      StoreReached || hearsMajority(Members[Index], Now), Now);
         Members[Index].ZoneDigest.Demands = zoneDemands(Shares[Index]);
         Members[Index].FleetDigest.Demands = fleetDemands(Shares[Index]);
       }
@@ -94,9 +99,21 @@
 
   /// The same, but it stays open whether the operation runs.
   bool hold(std::size_t Index, unsigned Priority = 0) {
-    return takeDemandToken(Shares[Index], "acme", Priority, milliseconds(50),
-                           Now)
-        .Admitted;
+    const bool Here =
+        takeDemandToken(Shares[Index], "acme", Priority, milliseconds(50), Now)
+            .Admitted;
+    if (Here || !isGathered(Shares[Index], "acme"))
+      return Here;
+    const member *Keeper = rateKeeper(Shares[Index], Members[Index], "acme");
+    return Keeper != nullptr && askKeeper(Index, *Keeper, Priority);
+  }
+
+  bool askKeeper(std::size_t Index, const member &Keeper, unsigned Priority) {
+    const std::size_t To = std::stoul(Keeper.Name.substr(1));
+    std::optional<keeper_answer> Answer;
+    if (!isDead(To) && Cut[To] == Cut[Index])
+      Answer = giveToken(Shares[To], "acme", Priority, milliseconds(50), Now);
+    return Answer && verdictOf(Shares[Index], "acme", *Answer).Admitted;
   }
 
   /// Poisson arrivals at \p Rates, by instance, for \p Time. Answers the
@@ -122,6 +139,8 @@
   bool StoreReached = false;
   std::size_t Dead = SIZE_MAX;
   std::vector<std::size_t> AlsoDead;
+  /// Rates are gathered at keepers where the fleet has relays.
+  bool Gathers = false;
   std::size_t Ticks = 0;
   std::size_t Spent = 0;
   std::mt19937_64 Random{7};
--- /dev/null
+++ b/tests/control/gathered_rates_test.cpp
@@ -0,0 +1,194 @@
+#include "redwinggw/control/gathered_rates.hpp"
+
+#include "demand_fleet.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include "criterion_test.hpp"
+
+using namespace redwinggw;
+using namespace redwinggw::control;
+using namespace redwinggw::control::testing;
+
+namespace {
+
+constexpr std::size_t Count = 40;
+constexpr std::size_t Zones = 4;
+
+demand_fleet gatheringFleet(double Rate, double Burst) {
+  demand_fleet Fleet(Count, Rate, Burst, 16, Zones);
+  Fleet.Gathers = true;
+  return Fleet;
+}
+
+std::vector<std::size_t> keepersOf(const demand_fleet &Fleet) {
+  std::vector<std::size_t> Keepers;
+  for (std::size_t Index = 0; Index < Count; ++Index)
+    if (!Fleet.isDead(Index) && Fleet.Shares[Index].Accounts.at("acme").Kept)
+      Keepers.push_back(Index);
+  return Keepers;
+}
+
+std::vector<double> evenly(double Rate) {
+  return std::vector<double>(Count, Rate / Count);
+}
+
+/// Runs a flood and answers whether each five seconds of it kept the rate.
+bool keepsRate(demand_fleet &Fleet, double Rate, int Windows = 3) {
+  for (int Window = 0; Window < Windows; ++Window) {
+    const std::size_t Before = Fleet.Spent;
+    Fleet.load(evenly(6 * Rate), milliseconds(5000));
+    const auto Used = static_cast<double>(Fleet.Spent - Before);
+    if (Used > allowed(Rate, Rate, 5)) {
+      cr_log_error("%g used of %g in window %d", Used, allowed(Rate, Rate, 5),
+                   Window);
+      return false;
+    }
+  }
+  return true;
+}
+
+/// The share that is refused of what is asked at \p Rate for ten seconds.
+double refusedPart(demand_fleet &Fleet, double Rate) {
+  const std::size_t Before = Fleet.Spent;
+  const auto Refused =
+      static_cast<double>(Fleet.load(evenly(Rate), milliseconds(10'000)));
+  return Refused / (static_cast<double>(Fleet.Spent - Before) + Refused);
+}
+
+} // namespace
+
+// Guards against refusing small customers inside their rates: a part of such a
+// rate holds less than one operation.
+Test(gathered_rates, serve_small_customers_within_their_rates) {
+  for (const double Rate : {4.0, 8.0, 20.0, 100.0}) {
+    demand_fleet Divided(Count, Rate, Rate, 16, Zones);
+    demand_fleet Gathered = gatheringFleet(Rate, Rate);
+    Divided.load(evenly(Rate / 1.6), milliseconds(8000));
+    Gathered.load(evenly(Rate / 1.6), milliseconds(8000));
+    const double Before = refusedPart(Divided, Rate / 1.6);
+    const double After = refusedPart(Gathered, Rate / 1.6);
+    cr_assert(After < 0.01, "rate %g: %g refused, %g where divided", Rate,
+              After, Before);
+  }
+}
+
+Test(gathered_rates, have_one_keeper_for_each_customer) {
+  demand_fleet Fleet = gatheringFleet(100, 100);
+  Fleet.load(evenly(50), milliseconds(3000));
+  cr_assert(keepersOf(Fleet).size() == 1);
+}
+
+Test(gathered_rates, are_not_gathered_in_a_small_fleet) {
+  demand_fleet Fleet(9);
+  Fleet.Gathers = true;
+  Fleet.load(std::vector<double>(9, 5), milliseconds(3000));
+  cr_assert(!isGathered(Fleet.Shares[0], "acme"));
+}
+
+Test(gathered_rates, keep_a_flood_within_the_rate) {
+  for (const double Rate : {8.0, 100.0, 1000.0}) {
+    demand_fleet Fleet = gatheringFleet(Rate, Rate);
+    Fleet.load(evenly(Rate / 1.6), milliseconds(8000));
+    cr_assert(keepsRate(Fleet, Rate), "rate %g", Rate);
+  }
+}
+
+Test(gathered_rates, serve_a_flood_the_whole_rate) {
+  demand_fleet Fleet = gatheringFleet(100, 100);
+  Fleet.load(evenly(300), milliseconds(8000));
+  const std::size_t Before = Fleet.Spent;
+  Fleet.load(evenly(300), milliseconds(5000));
+  cr_assert(Fleet.Spent - Before >= 500, "%zu", Fleet.Spent - Before);
+}
+
+// Guards against a second bucket while another instance takes over as keeper.
+Test(gathered_rates, keep_a_flood_within_the_rate_when_the_keeper_dies) {
+  for (const double Rate : {8.0, 100.0, 1000.0}) {
+    demand_fleet Fleet = gatheringFleet(Rate, Rate);
+    Fleet.load(evenly(Rate / 1.6), milliseconds(8000));
+    Fleet.Dead = keepersOf(Fleet).front();
+    cr_assert(keepsRate(Fleet, Rate), "rate %g", Rate);
+    cr_assert(keepersOf(Fleet).size() == 1);
+  }
+}
+
+// Guards against a customer that stays refused when its keeper is gone.
+Test(gathered_rates, serve_on_two_seconds_after_the_keeper_died) {
+  demand_fleet Fleet = gatheringFleet(40, 40);
+  Fleet.load(evenly(20), milliseconds(8000));
+  Fleet.Dead = keepersOf(Fleet).front();
+  Fleet.load(evenly(20), milliseconds(2000));
+  cr_assert(refusedPart(Fleet, 20) < 0.01);
+}
+
+// Guards against two keepers, one on each side of a partition, with the store
+// in reach of both.
+Test(gathered_rates, keep_a_flood_within_the_rate_in_a_partition) {
+  for (std::size_t Border = 1; Border < Zones; ++Border) {
+    demand_fleet Fleet = gatheringFleet(200, 200);
+    Fleet.StoreReached = true;
+    Fleet.load(evenly(125), milliseconds(8000));
+    for (std::size_t Index = 0; Index < Count; ++Index)
+      Fleet.Cut[Index] = Index % Zones < Border;
+    cr_assert(keepsRate(Fleet, 200), "border %zu", Border);
+  }
+}
+
+// Guards against a keeper that was cut off and keeps the bucket beside the one
+// that was drawn in its place.
+Test(gathered_rates, keep_a_flood_within_the_rate_when_the_keeper_is_cut_off) {
+  demand_fleet Fleet = gatheringFleet(200, 200);
+  Fleet.StoreReached = true;
+  Fleet.load(evenly(125), milliseconds(8000));
+  const std::size_t Keeper = keepersOf(Fleet).front();
+  Fleet.Cut[Keeper] = true;
+  cr_assert(keepsRate(Fleet, 200));
+  Fleet.Cut[Keeper] = false;
+  cr_assert(keepsRate(Fleet, 200));
+  cr_assert(keepersOf(Fleet).size() == 1);
+}
+
+Test(gathered_rates, go_to_another_keeper_when_one_leaves) {
+  demand_fleet Fleet = gatheringFleet(100, 100);
+  Fleet.load(evenly(60), milliseconds(8000));
+  const std::size_t Keeper = keepersOf(Fleet).front();
+  Fleet.leave(Keeper);
+  cr_assert(keepsRate(Fleet, 100, 1));
+  const auto Keepers = keepersOf(Fleet);
+  cr_assert(Keepers.size() == 1 && Keepers.front() != Keeper);
+}
+
+Test(gathered_rates, give_urgent_operations_the_last_tokens) {
+  demand_fleet Fleet = gatheringFleet(100, 100);
+  Fleet.load(evenly(400), milliseconds(8000));
+  const std::size_t Keeper = keepersOf(Fleet).front();
+  demand_shares &Shares = Fleet.Shares[Keeper];
+  Shares.Accounts.at("acme").Tokens = 5;
+  cr_assert(Shares.Accounts.at("acme").Pressed);
+  cr_assert(!giveToken(Shares, "acme", 2, {}, Fleet.Now)->Given);
+  cr_assert(giveToken(Shares, "acme", 0, {}, Fleet.Now)->Given);
+}
+
+Test(gathered_rates, tell_when_there_is_a_token) {
+  demand_fleet Fleet = gatheringFleet(10, 10);
+  Fleet.load(evenly(40), milliseconds(8000));
+  const std::size_t Keeper = keepersOf(Fleet).front();
+  demand_shares &Shares = Fleet.Shares[Keeper];
+  Shares.Accounts.at("acme").Tokens = 0;
+  const auto Answer = giveToken(Shares, "acme", 0, {}, Fleet.Now);
+  cr_assert(!Answer->Given);
+  // One token at ten a second, and the slack above the rate.
+  cr_assert(Answer->Wait > milliseconds(90) &&
+            Answer->Wait < milliseconds(101));
+}
+
+Test(gathered_rates, are_given_by_the_keeper_only) {
+  demand_fleet Fleet = gatheringFleet(10, 10);
+  Fleet.load(evenly(5), milliseconds(8000));
+  const std::size_t Keeper = keepersOf(Fleet).front();
+  const std::size_t Other = Keeper == 0 ? 1 : 0;
+  cr_assert(!giveToken(Fleet.Shares[Other], "acme", 0, {}, Fleet.Now));
+  cr_assert(!giveToken(Fleet.Shares[Keeper], "unknown", 0, {}, Fleet.Now));
+}
