Join the fleet with one reading of the store; write only a new row

After a loss of all, callers of 295 instances got nothing for four seconds.

Cause, one part: each process that started read the secret, wrote its row and then read all rows; the store takes writes one after the other (200 a second), so 295 starts wait for each other.

Change: a starting process reads the rows once, takes secret, list and agreements from them, and writes its own row only if it is not there as it has to be.

--- a/packages/redwinggw/src/native_following.cpp
+++ b/packages/redwinggw/src/native_following.cpp
@@ -52,21 +52,24 @@
   }
 }
 
-/// The fleet's secret, made by the first instance that finds none. Nothing
-/// when the store did not answer.
-base::task<std::optional<std::string>> fleetSecret(native_state &State) {
-  std::vector<std::string> Keys(1, std::string(SecretKey));
-  const auto Rows = co_await storage::get(State.Store, std::move(Keys));
-  if (!Rows)
-    co_return std::nullopt;
-  if (Rows->front().Version != 0)
-    co_return Rows->front().Value;
+/// The value of the row at \p Key; nothing when there is none.
+std::optional<std::string> valueAt(const platform::table_rows &Rows,
+                                   std::string_view Key) {
+  const auto Found =
+      std::ranges::find(Rows.Rows, Key, &platform::table_row::Key);
+  if (Found == Rows.Rows.end())
+    return std::nullopt;
+  return Found->Value;
+}
+
+/// Makes the fleet's secret. Nothing when another instance was first or the
+/// store did not answer: the row tells whose secret it is.
+base::task<std::optional<std::string>> makeSecret(native_state &State) {
   std::string Secret = base::randomId();
   storage::commit_request Request;
   Request.Checks.push_back({std::string(SecretKey), 0});
   Request.Puts.push_back({std::string(SecretKey), Secret});
   const auto Made = co_await storage::commit(State.Store, std::move(Request));
-  // After a lost answer the row tells whose secret it is.
   if (!Made)
     co_return std::nullopt;
   co_return Secret;
@@ -121,6 +124,25 @@
                            &storage::listed_instance::Name) != Listed.end();
 }
 
+/// How long a reading that news asks for waits after the last one: all
+/// instances hear of a new one at about the same time, and where many start at
+/// once each would read for each.
+milliseconds wantedReadInterval(const native_state &State) {
+  constexpr milliseconds ForEachMember{5};
+  constexpr milliseconds Longest{1500};
+  const std::size_t Members = State.Peers->view().Members.size();
+  const auto Spread = static_cast<std::int64_t>(Members) * ForEachMember;
+  return usesRelays(State.Peers->view()) ? std::min(Longest, Spread)
+                                         : milliseconds(0);
+}
+
+bool hearsSomebody(const native_state &State) {
+  const auto &View = State.Peers->view();
+  return std::ranges::any_of(View.Members, [&](const control::member &Member) {
+    return isHeardDirectly(View, Member, base::now());
+  });
+}
+
 /// How often the system's own rows are read: rarely while a majority of the
 /// others is heard, whose heartbeats tell all that is in the rows. Without
 /// them the rows are the only way to learn of a promotion.
@@ -131,19 +153,11 @@
   const auto Share = static_cast<std::int64_t>(1 + Members / FewInstances);
   const milliseconds Heard = Share * milliseconds(3000);
   constexpr milliseconds Unheard{400};
-  return State.Peers->hearsMajority(base::now()) ? Heard : Unheard;
-}
-
-/// How long a reading that news asks for waits after the last one: all
-/// instances hear of a new one at about the same time, and where many start at
-/// once each would read for each.
-milliseconds wantedReadInterval(const native_state &State) {
-  constexpr milliseconds ForEachMember{10};
-  constexpr milliseconds Longest{3000};
-  const std::size_t Members = State.Peers->view().Members.size();
-  const auto Spread = static_cast<std::int64_t>(Members) * ForEachMember;
-  return usesRelays(State.Peers->view()) ? std::min(Longest, Spread)
-                                         : milliseconds(0);
+  if (State.Peers->hearsMajority(base::now()))
+    return Heard;
+  // A relay tells of the readings of others.
+  const bool Relayed = usesRelays(State.Peers->view()) && hearsSomebody(State);
+  return Relayed ? std::max(Unheard, wantedReadInterval(State)) : Unheard;
 }
 
 /// Removes rows of instances that were not heard for long: nothing in the
@@ -199,24 +213,9 @@
                   describe(Removed.error()));
 }
 
-base::task<void> joinFleet(native_ptr State) {
-  while (!State->Stopped) {
-    const auto Secret = co_await fleetSecret(*State);
-    bool Registered = false;
-    if (Secret)
-      Registered = co_await registerInstance(*State);
-    if (Registered) {
-      startPeers(*State, *Secret);
-      base::log(log_level::Info, log_part::Peers, "Joined the fleet.");
-      co_await followFleet(State);
-      co_return;
-    }
-    co_await pauseAbout(*State, RetryAfter);
-  }
-}
+namespace {
 
-base::task<std::optional<platform::table_rows>> readFleet(native_state &State) {
-  const base::instant Sent = base::now();
+base::task<std::optional<platform::table_rows>> readRows(native_state &State) {
   State.FleetReadWanted = false;
   auto Rows = co_await platform::readTable(State.Reader, platform::OwnTable,
                                            ReadSilence);
@@ -224,26 +223,89 @@
   noteStore(State, Rows.has_value(), Rows ? "" : describe(Rows.error()));
   if (!Rows)
     co_return std::nullopt;
-  const bool Listed = takeFleet(State, *Rows);
+  co_return std::move(*Rows);
+}
+
+/// Takes in rows that were asked for at \p Sent. True when this instance's row
+/// is among them.
+bool noteRows(native_state &State, const platform::table_rows &Rows,
+              base::instant Sent) {
+  const bool Listed = takeFleet(State, Rows);
   State.Peers->noteStoreRead(Sent, base::now(), State.Claims.Version);
   State.FleetReadAt = Sent;
+  return Listed;
+}
+
+/// Whether this instance's row is as it has to be. A process that starts again
+/// finds it so and writes nothing: the store takes writes one after the other,
+/// and where all start at once they would wait for each other.
+bool isRegistered(const native_state &State, const platform::table_rows &Rows) {
+  return valueAt(Rows, instanceKey(State.Settings.Name)) == instanceText(State);
+}
+
+base::task<bool> tryToJoin(native_state &State) {
+  const base::instant Sent = base::now();
+  const auto Rows = co_await readRows(State);
+  if (!Rows)
+    co_return false;
+  auto Secret = valueAt(*Rows, SecretKey);
+  if (!Secret)
+    Secret = co_await makeSecret(State);
+  if (!Secret)
+    co_return false;
+  bool Registered = isRegistered(State, *Rows);
+  if (!Registered)
+    Registered = co_await registerInstance(State);
+  if (!Registered)
+    co_return false;
+  startPeers(State, *Secret);
+  noteRows(State, *Rows, Sent);
+  co_return true;
+}
+
+/// Waits until the rows are due to be read again. News of a change or of a new
+/// instance makes them due sooner.
+base::task<void> pauseBetweenReads(native_state &State, bool Answered) {
+  const base::instant Since = base::now();
+  const milliseconds Pause = Answered ? fleetReadInterval(State) : RetryAfter;
+  const milliseconds Wanted = wantedReadInterval(State);
+  while (!State.Stopped && base::now() - Since < Pause &&
+         (!State.FleetReadWanted || base::now() - Since < Wanted))
+    co_await pauseAbout(State, NewsEvery);
+}
+
+} // namespace
+
+base::task<void> joinFleet(native_ptr State) {
+  bool Joined = false;
+  while (!Joined && !State->Stopped) {
+    Joined = co_await tryToJoin(*State);
+    if (!Joined)
+      co_await pauseAbout(*State, RetryAfter);
+  }
+  base::log(log_level::Info, log_part::Peers, "Joined the fleet.");
+  co_await followFleet(State);
+}
+
+base::task<std::optional<platform::table_rows>> readFleet(native_state &State) {
+  const base::instant Sent = base::now();
+  auto Rows = co_await readRows(State);
+  if (!Rows)
+    co_return std::nullopt;
+  const bool Listed = noteRows(State, *Rows, Sent);
   if (!Listed && !State.Stopped)
     co_await registerInstance(State);
-  co_return std::move(*Rows);
+  co_return std::move(Rows);
 }
 
 base::task<void> followFleet(native_ptr State) {
+  bool Answered = true;
   while (!State->Stopped) {
+    co_await pauseBetweenReads(*State, Answered);
     const auto Rows = co_await readFleet(*State);
-    if (Rows)
+    Answered = Rows.has_value();
+    if (Answered)
       co_await removeDeadInstances(*State);
-    const base::instant Since = base::now();
-    const milliseconds Pause = Rows ? fleetReadInterval(*State) : RetryAfter;
-    // News of a change or of a new instance ends the pause.
-    const milliseconds Wanted = wantedReadInterval(*State);
-    while (!State->Stopped && base::now() - Since < Pause &&
-           (!State->FleetReadWanted || base::now() - Since < Wanted))
-      co_await pauseAbout(*State, NewsEvery);
   }
 }
 
