--- a/packages/session/include/redwinggw/session/endpoint_owner.hpp
+++ b/packages/session/include/redwinggw/session/endpoint_owner.hpp
@@ -19,10 +19,8 @@
 };
 
 /// Whether statements may be passed on to \p Member: it is up, does not leave,
-/// and was heard a moment ago. Where instances gossip, each hears of others by
-/// chance, and of a part of them only within seconds; there all count that are
-/// not taken for dead, or each instance would have owners of its own. Thread
-/// safe.
+/// and was heard a moment ago; with relays, as long ago as their news takes.
+/// Thread safe.
 bool mayOwn(const control::membership &Membership,
             const control::member &Member, base::instant Now);
 
--- a/tests/bench/peers_bench.cpp
+++ b/tests/bench/peers_bench.cpp
@@ -74,8 +74,9 @@
   bench_fleet Fleet;
   std::vector<storage::listed_instance> List(Count);
   for (std::size_t Index = 0; Index < Count; ++Index) {
+    constexpr std::size_t Zones = 6;
     List[Index].Name = nodeName(Index);
-    List[Index].Zone = "zone-a";
+    List[Index].Zone = "zone-" + std::to_string(Index % Zones);
   }
   for (const storage::listed_instance &Self : List) {
     bench_node &Node = Fleet.Nodes.emplace_back();
--- a/tests/redwinggw/settings_test.cpp
+++ b/tests/redwinggw/settings_test.cpp
@@ -47,6 +47,16 @@
   cr_assert(Settings->Reads == data::read_policy::Replicas);
 }
 
+Test(settings, a_capacity_is_a_number_that_is_not_negative) {
+  const auto Read = [](const std::string &Text) {
+    return parseSettings(Valid, "i1.ini", {{"instance.capacity", Text}});
+  };
+  cr_assert(parseSettings(Valid, "i1.ini", {})->Capacity == 0);
+  cr_assert(Read("0.12")->Capacity == 0.12);
+  for (const char *Wrong : {"-1", "nan", "1e9", "much", "1 core", ""})
+    cr_assert(!Read(Wrong), "%s", Wrong);
+}
+
 Test(settings, an_option_goes_before_the_file) {
   const auto Settings =
       parseSettings(Valid, "i1.ini", {{"instance.zone", "b"}});
