--- a/packages/control/include/redwinggw/control/gathered_rates.hpp
+++ b/packages/control/include/redwinggw/control/gathered_rates.hpp
@@ -32,8 +32,7 @@
 /// - An instance that hears no majority divides rates by demand, see
 ///   demand_shares.hpp, from when the keepers have noticed that it is silent.
 /// - While the keeper does not answer, the customer is refused: nobody else
-/// knows
-///   what is left of its rate.
+///   knows what is left of its rate.
 namespace redwinggw::control {
 
 /// Works out which instance keeps each customer's bucket, if rates are gathered
@@ -67,8 +66,7 @@
 };
 
 /// Takes a token out of the bucket that this instance keeps, for an operation
-/// of
-/// \p Priority elsewhere that can wait \p Patience. Nothing when it does not
+/// elsewhere of \p Priority that can wait \p Patience. Nothing when it does not
 /// keep the bucket of \p Customer.
 std::optional<keeper_answer>
 giveToken(demand_shares &Shares, std::string_view Customer, unsigned Priority,
