--- a/packages/control/include/redwinggw/control/demand_shares.hpp
+++ b/packages/control/include/redwinggw/control/demand_shares.hpp
@@ -96,16 +96,6 @@
   base::milliseconds IsolatedAfter{1500};
 };
 
-/// What a relay passes on of a customer's demand.
-struct demand_total {
-  double Rate = 0;
-  double SilentRate = 0;
-  double SilentPart = 0;
-  double MissedPart = 0;
-  std::uint32_t Lender = 0;
-  std::uint8_t Spare = 0;
-};
-
 /// An instance that could lend tokens, as a relay told.
 struct told_lender {
   std::uint32_t Instance = 0;
@@ -138,8 +128,8 @@
   std::map<std::string, double, std::less<>> SilentParts;
   /// Sums to pass on: of the instances that report here, and of all with this
   /// one.
-  demand_total Zone;
-  demand_total Fleet;
+  source_demand Zone;
+  source_demand Fleet;
   /// Who could lend tokens, as relays told.
   std::vector<told_lender> Lenders;
   /// At the last division: the demand of all that were heard, this one
--- a/packages/control/include/redwinggw/control/demand_sources.hpp
+++ b/packages/control/include/redwinggw/control/demand_sources.hpp
@@ -43,7 +43,7 @@
   const wire::demand_digest *Summed = nullptr;
 };
 
-/// What a source has of one customer.
+/// What a source, or several, have of one customer.
 struct source_demand {
   double Rate = 0;
   /// Of silent instances among those that a relay counts.
--- a/packages/control/src/demand_shares.cpp
+++ b/packages/control/src/demand_shares.cpp
@@ -68,7 +68,7 @@
     Account.Lenders.push_back({Demand.Lender, Demand.Spare});
 }
 
-void addTo(demand_total &Total, const source_demand &Demand) {
+void addTo(source_demand &Total, const source_demand &Demand) {
   Total.Rate += Demand.Rate;
   Total.SilentRate += Demand.SilentRate;
   Total.SilentPart += Demand.SilentPart;
@@ -333,10 +333,10 @@
 namespace {
 
 wire::demand_digest digestOf(const demand_shares &Shares,
-                             demand_total demand_account::*Total) {
+                             source_demand demand_account::*Total) {
   wire::demand_digest Digest;
   for (const auto &[Name, Account] : Shares.Accounts) {
-    const demand_total &Sum = Account.*Total;
+    const source_demand &Sum = Account.*Total;
     const std::uint32_t Customer = wire::hashOf(Name);
     if (Sum.Rate > 0)
       Digest.Sums.push_back(
