Believe what a relay tells of others only while it tells it

Cause: an instance kept the last digest of a relay beside its later reports that carried none, and took it in again with each of them, as if it had just been told. When a partition made a relay report to others, all that it had told of before stayed alive there and "had" the version of its new reports in force.

Change: a report without a digest leaves none.

--- a/packages/control/src/membership.cpp
+++ b/packages/control/src/membership.cpp
@@ -85,14 +85,6 @@
                                                    : member_state::Alive;
 }
 
-/// What a relay passes on stays in force until it passes on something newer.
-void takeReport(member &Member, const wire::peer_report &Report) {
-  wire::fleet_digest Former = std::move(Member.Report.Digest);
-  Member.Report = Report;
-  if (Report.Digest.Scope == wire::digest_scope::None)
-    Member.Report.Digest = std::move(Former);
-}
-
 /// A member that started again knows nothing of what it knew before.
 void forgetFormerIncarnation(member &Member) {
   Member.Heartbeat = 0;
@@ -219,7 +211,7 @@
   Member->Heartbeat = Datagram.Sequence;
   Member->ArrivedAt = Now;
   noteAnswered(*Member, Now);
-  takeReport(*Member, Report);
+  Member->Report = Report;
   const std::optional<instant> MadeAt = Membership.Limits.AgeByEcho
                                             ? echoedAt(Membership, Report)
                                             : std::optional(Now);
