--- a/tests/control/demand_relays_test.cpp
+++ b/tests/control/demand_relays_test.cpp
@@ -78,8 +78,7 @@
   }
 }
 
-// Guards against a customer's usual demand hiding a flood for as long as the
-// news of it takes over relays.
+// Guards against a flood that is served until all relays tell of it.
 Test(demand_relays, keep_a_sudden_flood_of_eight_times_within_the_rate) {
   for (const double Rate : {20.0, 100.0}) {
     demand_fleet Fleet = relayedFleet(Rate, Rate);
--- a/tests/control/gathered_rates_test.cpp
+++ b/tests/control/gathered_rates_test.cpp
@@ -56,8 +56,7 @@
 
 } // namespace
 
-// Guards against refusing small customers inside their rates: a part of such a
-// rate holds less than one operation.
+// Guards against parts of a rate that hold less than one operation.
 Test(gathered_rates, serve_small_customers_within_their_rates) {
   for (const double Rate : {4.0, 8.0, 20.0, 100.0}) {
     demand_fleet Divided(Count, Rate, Rate, 16, Zones);
@@ -102,8 +101,7 @@
             Refused, Refused + Fleet.Spent - Before);
 }
 
-// Guards against a rate that is spent again by processes that have just
-// started: half a second passes until they run.
+// Guards against processes that start together and spend a rate again.
 Test(gathered_rates, keep_a_flood_within_the_rate_when_all_start_again) {
   for (const double Rate : {8.0, 100.0, 1000.0}) {
     demand_fleet Fleet = gatheringFleet(Rate, Rate);
@@ -165,8 +163,7 @@
   cr_assert(refusedPart(Fleet, 20) < 0.01);
 }
 
-// Guards against two keepers, one on each side of a partition, with the store
-// in reach of both.
+// Guards against a keeper, or most of a rate, on each side of a partition.
 Test(gathered_rates, keep_a_flood_within_the_rate_in_a_partition) {
   for (std::size_t Border = 1; Border < Zones; ++Border) {
     demand_fleet Fleet = gatheringFleet(200, 200);
@@ -178,8 +175,7 @@
   }
 }
 
-// Guards against a keeper that was cut off and keeps the bucket beside the one
-// that was drawn in its place.
+// Guards against a keeper that goes on beside the next one.
 Test(gathered_rates, keep_a_flood_within_the_rate_when_the_keeper_is_cut_off) {
   demand_fleet Fleet = gatheringFleet(200, 200);
   Fleet.StoreReached = true;
--- a/tests/control/membership_test.cpp
+++ b/tests/control/membership_test.cpp
@@ -95,8 +95,7 @@
   cr_assert(Receiver.Counters.Misaddressed == 1);
 }
 
-// Beyond DirectLimit an instance hears the others by relay. With 64 instances
-// all are heard, and a death is noticed by all.
+// Guards against a large fleet in which a part is not heard of.
 Test(membership, a_large_fleet_hears_a_majority_by_relay) {
   fleet Fleet = makeFleet(64);
   run(Fleet, milliseconds(3000));
--- a/tests/control/relays_test.cpp
+++ b/tests/control/relays_test.cpp
@@ -106,8 +106,7 @@
     cr_assert(!Instance.Up || hearsMajority(Instance.Membership, Fleet.Now));
 }
 
-// Guards against an instance that asks dead relays again and again in place of
-// live ones.
+// Guards against asking dead relays again and again in place of live ones.
 Test(relays, stay_replaced_while_the_former_ones_are_dead) {
   fleet Fleet = makeFleet(60);
   run(Fleet, milliseconds(2000));
@@ -165,8 +164,7 @@
   cr_assert(!isHeard(Apart, *findMember(Apart, "i1"), Fleet.Now));
 }
 
-// Guards against a relay that tells that an instance is up and not what that
-// instance knows.
+// Guards against telling that an instance is up, and not what it knows.
 Test(relays, leave_out_whoever_knows_more_than_they_pass_on) {
   fleet Fleet = makeFleet(60);
   for (fleet_instance &Instance : Fleet.Instances)
@@ -211,8 +209,7 @@
   cr_assert(!isHeard(Far, *findMember(Far, "i41"), Fleet.Now));
 }
 
-// Guards against reads of what is older than they ask for: an answer leaves
-// later than the positions in it were looked up.
+// Guards against positions that look younger by the time an answer waited.
 Test(relays, do_not_make_positions_look_younger) {
   fleet Fleet = makeFleet(60);
   run(Fleet, milliseconds(2000));
@@ -237,8 +234,7 @@
   cr_assert(false, "nobody was asked");
 }
 
-// Guards against the last words of a former relay, taken for new each time it
-// is heard: the dead stay alive by them, and acknowledge what they never heard.
+// Guards against taking a former relay's last digest for news of the dead.
 Test(relays, are_not_quoted_after_they_have_stopped_to_relay) {
   fleet Fleet = makeFleet(60);
   run(Fleet, milliseconds(2000));
