Write once what the change had twice; take loans out of the relays' sums

What callers get is unchanged; nothing was measured to be gained.

- Relays told in their sums who could lend tokens.
Since a customer's bucket stands at one instance in every fleet with relays, nobody asks for such a loan but for a moment after a start: the fields, told_lender and their search go, and token_lending is what it was before.
- "This instance as a member" stood in relays and in native_news; the two answers of a lender and a keeper had the same frame; a search by customer stood three times.
- The reason why a leaving instance counts as silent was lost; it is back at source_state::Missed. relays.hpp said that an instance sends the same in any fleet: it sends as many messages, its bytes grow.

--- a/packages/control/include/redwinggw/control/demand_shares.hpp
+++ b/packages/control/include/redwinggw/control/demand_shares.hpp
@@ -96,12 +96,6 @@
   base::milliseconds IsolatedAfter{1500};
 };
 
-/// An instance that could lend tokens, as a relay told.
-struct told_lender {
-  std::uint32_t Instance = 0;
-  std::uint8_t Spare = 0;
-};
-
 /// A customer's account in this instance. Tokens may be negative: operations
 /// that wait have taken theirs already.
 struct demand_account {
@@ -130,8 +124,6 @@
   /// one.
   source_demand Zone;
   source_demand Fleet;
-  /// Who could lend tokens, as relays told.
-  std::vector<told_lender> Lenders;
   /// At the last division: the demand of all that were heard, this one
   /// included, and the part of the rate that was divided among them.
   double HeardDemand = 0;
--- a/packages/control/include/redwinggw/control/demand_sources.hpp
+++ b/packages/control/include/redwinggw/control/demand_sources.hpp
@@ -18,7 +18,9 @@
   Heard,
   /// Not heard for a moment: its part of a rate stays as it was.
   Silent,
-  /// Silent for long: some of its part may be taken over.
+  /// Silent for long: some of its part may be taken over. So it is with one
+  /// that leaves: it serves until the balancer sends nobody any more, and its
+  /// part would else be spent twice.
   Missed,
   /// Never heard.
   Unknown,
@@ -35,8 +37,6 @@
   bool WithOwn = false;
   /// An instance that reports here as to its relay.
   bool ReportsHere = false;
-  /// hashOf the instance's name, for loans; 0 for several.
-  std::uint32_t Instance = 0;
   /// One of them, or none for an unknown source. They live as long as the
   /// membership stays as it is.
   const std::vector<wire::demand_report> *Told = nullptr;
@@ -50,11 +50,9 @@
   double SilentRate = 0;
   double SilentPart = 0;
   double MissedPart = 0;
-  /// hashOf the name of an instance that could lend tokens, and how many.
-  std::uint32_t Lender = 0;
-  std::uint8_t Spare = 0;
 };
 
+/// When a source turns from one state to the next, since it was heard.
 struct source_times {
   base::milliseconds HeardFor;
   base::milliseconds MissedAfter;
--- a/packages/control/include/redwinggw/control/relays.hpp
+++ b/packages/control/include/redwinggw/control/relays.hpp
@@ -13,7 +13,7 @@
 /// others. In a larger one an availability zone has two. The others of the zone
 /// report to both and learn of the fleet from their answers; the relays of all
 /// zones send each other heartbeats. So an instance that is no relay sends and
-/// receives the same in a fleet of any size.
+/// receives as many messages in a fleet of any size.
 ///
 /// Each instance chooses by itself: relays are the first in rank of those that
 /// answer. Whoever is asked answers, so instances that choose differently for a
@@ -27,6 +27,9 @@
 /// the store: by capacity, then by name.
 bool ranksBefore(const member &A, const member &B);
 
+/// This instance as a member, for its rank.
+member selfAsMember(const membership &Membership);
+
 /// Whether \p Member said something directly at \p Now - RelaySilence or later.
 bool isHeardDirectly(const membership &Membership, const member &Member,
                      base::instant Now);
--- a/packages/control/src/demand_shares.cpp
+++ b/packages/control/src/demand_shares.cpp
@@ -60,23 +60,11 @@
   return Source.WithOwn ? std::max(0.0, Rate - passedOnDemand(Account)) : Rate;
 }
 
-void addLender(demand_account &Account, const demand_source &Source,
-               const source_demand &Demand) {
-  // Those that are heard directly tell of their tokens themselves.
-  if (Source.Summed != nullptr && Demand.Spare > 0 &&
-      Source.State == source_state::Heard)
-    Account.Lenders.push_back({Demand.Lender, Demand.Spare});
-}
-
 void addTo(source_demand &Total, const source_demand &Demand) {
   Total.Rate += Demand.Rate;
   Total.SilentRate += Demand.SilentRate;
   Total.SilentPart += Demand.SilentPart;
   Total.MissedPart += Demand.MissedPart;
-  if (Demand.Spare > Total.Spare) {
-    Total.Lender = Demand.Lender;
-    Total.Spare = Demand.Spare;
-  }
 }
 
 /// \p Demand of a silent source, with all of it among the silent.
@@ -87,7 +75,6 @@
   Demand.SilentPart += Part;
   Demand.MissedPart += Source.State == source_state::Missed ? Part : 0;
   Demand.Rate = 0;
-  Demand.Spare = 0;
   return Demand;
 }
 
@@ -108,7 +95,6 @@
   others_view View;
   Account.Zone = {};
   Account.Fleet = {};
-  Account.Lenders.clear();
   for (const demand_source &Source : Sources) {
     const double Idle = IdleOfOne * Source.Instances;
     if (Source.State == source_state::Unknown) {
@@ -122,7 +108,6 @@
       Demand = asSilent(Account, Source, Demand, Idle);
     else
       View.Heard += Demand.Rate + Idle;
-    addLender(Account, Source, Demand);
     addTo(Account.Fleet, Demand);
     if (Source.ReportsHere)
       addTo(Account.Zone, Demand);
@@ -339,8 +324,7 @@
     const source_demand &Sum = Account.*Total;
     const std::uint32_t Customer = wire::hashOf(Name);
     if (Sum.Rate > 0)
-      Digest.Sums.push_back(
-          {Customer, static_cast<float>(Sum.Rate), Sum.Lender, Sum.Spare});
+      Digest.Sums.push_back({Customer, static_cast<float>(Sum.Rate)});
     if (Sum.SilentPart > 0)
       Digest.Silent.push_back({Customer, static_cast<float>(Sum.SilentRate),
                                static_cast<float>(Sum.SilentPart),
--- a/packages/control/src/demand_sources.cpp
+++ b/packages/control/src/demand_sources.cpp
@@ -28,7 +28,6 @@
   Source.Name = Member.Name;
   Source.State = stateAt(Member.DirectAt, Times, Now);
   Source.ReportsHere = reportsHere(Member);
-  Source.Instance = wire::hashOf(Member.Name);
   Source.Told = &Member.Report.Demands;
   return Source;
 }
@@ -151,30 +150,28 @@
   return Sources;
 }
 
+namespace {
+
+/// The entry of \p Customer; null when there is none.
+template <typename Entry>
+const Entry *entryOf(const std::vector<Entry> &Entries,
+                     std::uint32_t Customer) {
+  const auto Found = std::ranges::find(Entries, Customer, &Entry::Customer);
+  return Found == Entries.end() ? nullptr : &*Found;
+}
+
+} // namespace
+
 source_demand demandFrom(const demand_source &Source, std::uint32_t Customer) {
   source_demand Demand;
-  if (Source.Told != nullptr) {
-    const auto Found = std::ranges::find(*Source.Told, Customer,
-                                         &wire::demand_report::Customer);
-    if (Found == Source.Told->end())
-      return Demand;
-    Demand.Rate = Found->Rate;
-    Demand.Lender = Source.Instance;
-    Demand.Spare = Found->Spare;
-    return Demand;
-  }
+  if (Source.Told != nullptr)
+    if (const auto *Told = entryOf(*Source.Told, Customer))
+      Demand.Rate = Told->Rate;
   if (Source.Summed == nullptr)
     return Demand;
-  const auto Sum = std::ranges::find(Source.Summed->Sums, Customer,
-                                     &wire::demand_sum::Customer);
-  if (Sum != Source.Summed->Sums.end()) {
+  if (const auto *Sum = entryOf(Source.Summed->Sums, Customer))
     Demand.Rate = Sum->Rate;
-    Demand.Lender = Sum->Lender;
-    Demand.Spare = Sum->Spare;
-  }
-  const auto Silent = std::ranges::find(Source.Summed->Silent, Customer,
-                                        &wire::silent_sum::Customer);
-  if (Silent != Source.Summed->Silent.end()) {
+  if (const auto *Silent = entryOf(Source.Summed->Silent, Customer)) {
     Demand.SilentRate = Silent->Rate;
     Demand.SilentPart = Silent->Part;
     Demand.MissedPart = Silent->Missed;
--- a/packages/control/src/relays.cpp
+++ b/packages/control/src/relays.cpp
@@ -58,14 +58,6 @@
   return Relays;
 }
 
-/// This instance as a member, for its rank.
-member selfAsMember(const membership &Membership) {
-  member Self;
-  Self.Name = Membership.Self.Name;
-  Self.Capacity = Membership.Self.Capacity;
-  return Self;
-}
-
 bool relaysZone(const membership &Membership, const zone_members &Indices,
                 instant Now) {
   const member Self = selfAsMember(Membership);
@@ -94,6 +86,13 @@
   return A.Name < B.Name;
 }
 
+member selfAsMember(const membership &Membership) {
+  member Self;
+  Self.Name = Membership.Self.Name;
+  Self.Capacity = Membership.Self.Capacity;
+  return Self;
+}
+
 bool isHeardDirectly(const membership &Membership, const member &Member,
                      instant Now) {
   return Member.DirectAt &&
--- a/packages/control/src/token_lending.cpp
+++ b/packages/control/src/token_lending.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <vector>
 
 namespace redwinggw::control {
 namespace {
@@ -19,27 +18,6 @@
   return Found == Demands.end() ? 0U : Found->Spare;
 }
 
-struct lender {
-  const member *Member = nullptr;
-  unsigned Spare = 0;
-};
-
-/// Who may have spare tokens: those heard directly, and who relays told of.
-std::vector<lender> lendersOf(const membership &Membership,
-                              const demand_account &Account,
-                              std::uint32_t Customer) {
-  std::vector<lender> Lenders;
-  for (const member &Member : Membership.Members)
-    if (const unsigned Spare = spareOf(Member, Customer))
-      Lenders.push_back({&Member, Spare});
-  for (const told_lender &Told : Account.Lenders) {
-    const member *Member = findByHash(Membership, Told.Instance);
-    if (Member != nullptr && Member->State == member_state::Alive)
-      Lenders.push_back({Member, Told.Spare});
-  }
-  return Lenders;
-}
-
 } // namespace
 
 std::optional<loan_request> askForTokens(token_lending &Lending,
@@ -54,21 +32,20 @@
   if (Now < Loans.AskedUntil)
     return std::nullopt;
   const std::uint32_t Hash = wire::hashOf(Customer);
-  auto Lenders = lendersOf(Membership, Account->second, Hash);
-  std::erase_if(Lenders, [&](const lender &Lender) {
-    const auto Passed = Loans.PassedOver.find(Lender.Member->Name);
-    return Passed != Loans.PassedOver.end() && Now < Passed->second;
-  });
-  const auto Richest = std::ranges::max_element(Lenders, {}, &lender::Spare);
-  if (Richest == Lenders.end())
+  const auto Spare = [&](const member &Member) {
+    const auto Passed = Loans.PassedOver.find(Member.Name);
+    const bool Dry = Passed != Loans.PassedOver.end() && Now < Passed->second;
+    return Dry ? 0U : spareOf(Member, Hash);
+  };
+  const auto Richest = std::ranges::max_element(Membership.Members, {}, Spare);
+  if (Spare(*Richest) == 0)
     return std::nullopt;
   Loans.AskedUntil = Now + Lending.Limits.AnswerTime;
   const double Ahead =
       Account->second.Announced *
       std::chrono::duration<double>(Lending.Limits.Ahead).count();
   const double Wanted = std::ceil(Missing + Ahead);
-  return loan_request{Richest->Member->Name,
-                      std::min(Wanted, Lending.Limits.Most)};
+  return loan_request{Richest->Name, std::min(Wanted, Lending.Limits.Most)};
 }
 
 double lendTokens(demand_shares &Shares, std::string_view Customer,
--- a/packages/redwinggw/src/native_news.cpp
+++ b/packages/redwinggw/src/native_news.cpp
@@ -179,18 +179,6 @@
   State.Peers->onStranger([&State] { State.FleetReadWanted = true; });
 }
 
-namespace {
-
-/// This instance as a member, for its rank.
-control::member selfOf(const native_state &State) {
-  control::member Self;
-  Self.Name = State.Settings.Name;
-  Self.Capacity = State.Settings.Capacity;
-  return Self;
-}
-
-} // namespace
-
 bool isReader(const native_state &State) {
   if (!State.Peers)
     return true;
@@ -198,9 +186,9 @@
     return false;
   const instant Now = base::now();
   const auto &View = State.Peers->view();
+  const control::member Self = selfAsMember(View);
   return std::ranges::none_of(View.Members, [&](const control::member &Member) {
-    return control::ranksBefore(Member, selfOf(State)) &&
-           readsForOthers(State, Member, Now);
+    return ranksBefore(Member, Self) && readsForOthers(State, Member, Now);
   });
 }
 
@@ -208,11 +196,12 @@
   if (!State.Peers)
     return false;
   const instant Now = base::now();
-  return std::ranges::any_of(
-      State.Peers->view().Members, [&](const control::member &Member) {
-        const bool First = control::ranksBefore(Member, selfOf(State));
-        return (First || State.Draining) && readsForOthers(State, Member, Now);
-      });
+  const auto &View = State.Peers->view();
+  const control::member Self = selfAsMember(View);
+  return std::ranges::any_of(View.Members, [&](const control::member &Member) {
+    const bool First = ranksBefore(Member, Self);
+    return (First || State.Draining) && readsForOthers(State, Member, Now);
+  });
 }
 
 std::uint64_t newestConfigurationRow(const native_state &State) {
--- a/packages/redwinggw/src/native_rates.cpp
+++ b/packages/redwinggw/src/native_rates.cpp
@@ -51,13 +51,19 @@
   co_return co_await State.Loans.wait(Number, Now + LoanTime);
 }
 
+wire::share_message answerTo(const wire::share_message &Request,
+                             wire::share_kind Kind) {
+  wire::share_message Answer;
+  Answer.Kind = Kind;
+  Answer.Number = Request.Number;
+  return Answer;
+}
+
 /// Answers a request for tokens; also when there are none, so that nobody
 /// waits in vain.
 void lend(native_state &State, const base::instance_name &To,
           const wire::share_message &Request) {
-  wire::share_message Grant;
-  Grant.Kind = wire::share_kind::Grant;
-  Grant.Number = Request.Number;
+  wire::share_message Grant = answerTo(Request, wire::share_kind::Grant);
   for (const wire::share_entry &Entry : Request.Entries) {
     const double Given =
         lendTokens(State.Shares, Entry.Customer, Entry.Tokens, base::now());
@@ -70,21 +76,22 @@
 /// Answers a request for an operation's token.
 void answerTake(native_state &State, const base::instance_name &To,
                 const wire::share_message &Request) {
-  wire::share_message Answer;
-  Answer.Kind = wire::share_kind::Moved;
-  Answer.Number = Request.Number;
-  for (const wire::share_entry &Entry : Request.Entries) {
-    const auto Given = giveToken(State.Shares, Entry.Customer, Entry.Priority,
-                                 base::microseconds(Entry.WaitUs), base::now());
-    if (!Given)
-      continue;
-    Answer.Kind = wire::share_kind::Grant;
-    countLoan(State, Entry.Customer, "given", Given->Given ? 1 : 0);
-    Answer.Entries.push_back({Entry.Customer, Given->Given ? 1.0F : 0.0F,
-                              static_cast<std::uint32_t>(Given->Wait.count()),
-                              0, Entry.Priority});
+  if (Request.Entries.size() != 1)
+    return;
+  const wire::share_entry &Entry = Request.Entries.front();
+  const auto Answer = giveToken(State.Shares, Entry.Customer, Entry.Priority,
+                                base::microseconds(Entry.WaitUs), base::now());
+  if (!Answer) {
+    State.Peers->send(To, answerTo(Request, wire::share_kind::Moved));
+    return;
   }
-  State.Peers->send(To, std::move(Answer));
+  const float Given = Answer->Given ? 1 : 0;
+  countLoan(State, Entry.Customer, "given", Given);
+  wire::share_message Grant = answerTo(Request, wire::share_kind::Grant);
+  Grant.Entries.push_back({Entry.Customer, Given,
+                           static_cast<std::uint32_t>(Answer->Wait.count()), 0,
+                           Entry.Priority});
+  State.Peers->send(To, std::move(Grant));
 }
 
 /// Hands a keeper's answer to the operation that waits for it. True when there
--- a/packages/wire/include/redwinggw/wire/fleet_digest.hpp
+++ b/packages/wire/include/redwinggw/wire/fleet_digest.hpp
@@ -59,9 +59,6 @@
   std::uint32_t Customer = 0;
   /// Operations a second of those that are heard.
   float Rate = 0;
-  /// hashOf the name of an instance that could lend tokens, and how many.
-  std::uint32_t Lender = 0;
-  std::uint8_t Spare = 0;
 
   friend bool operator==(const demand_sum &, const demand_sum &) = default;
 };
--- a/packages/wire/src/message.cpp
+++ b/packages/wire/src/message.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 /// Bumped when the form of a datagram changes; others are dropped.
-constexpr std::uint8_t FormatVersion = 5;
+constexpr std::uint8_t FormatVersion = 6;
 
 /// Strings and lists travel with a length of 1 or 2 bytes: cereal's own take
 /// 8, which is most of a small heartbeat.
@@ -62,9 +62,8 @@
 template <typename Archive, typename Digest>
 void transferDemands(Archive &Ar, Digest &Value) {
   Ar(Value.Heard, Value.Unknown);
-  transferAll(Ar, Value.Sums, [&](auto &Item) {
-    Ar(Item.Customer, Item.Rate, Item.Lender, Item.Spare);
-  });
+  transferAll(Ar, Value.Sums,
+              [&](auto &Item) { Ar(Item.Customer, Item.Rate); });
   transferAll(Ar, Value.Silent, [&](auto &Item) {
     Ar(Item.Customer, Item.Rate, Item.Part, Item.Missed);
   });
--- a/tests/control/relays_test.cpp
+++ b/tests/control/relays_test.cpp
@@ -21,6 +21,13 @@
   return Relays;
 }
 
+/// Lets all relays die, and others take their place.
+void replaceRelays(fleet &Fleet) {
+  for (const std::size_t Relay : relaysOf(Fleet))
+    Fleet.Instances[Relay].Up = false;
+  run(Fleet, milliseconds(3000));
+}
+
 /// Heartbeats that an instance sends in a second, answers included; the most of
 /// those that are no relays, and of all.
 std::pair<std::uint64_t, std::uint64_t> sentInASecond(fleet &Fleet) {
@@ -97,9 +104,7 @@
 Test(relays, are_replaced_when_they_die) {
   fleet Fleet = makeFleet(60);
   run(Fleet, milliseconds(2000));
-  for (const std::size_t Relay : relaysOf(Fleet))
-    Fleet.Instances[Relay].Up = false;
-  run(Fleet, milliseconds(3000));
+  replaceRelays(Fleet);
   cr_assert(relaysOf(Fleet).size() == 4);
   cr_assert(allHearAll(Fleet));
   for (const fleet_instance &Instance : Fleet.Instances)
@@ -110,9 +115,7 @@
 Test(relays, stay_replaced_while_the_former_ones_are_dead) {
   fleet Fleet = makeFleet(60);
   run(Fleet, milliseconds(2000));
-  for (const std::size_t Relay : relaysOf(Fleet))
-    Fleet.Instances[Relay].Up = false;
-  run(Fleet, milliseconds(3000));
+  replaceRelays(Fleet);
   for (int Step = 0; Step < 200; ++Step) {
     run(Fleet, milliseconds(50));
     cr_assert(allHearAll(Fleet), "after %d ms", 50 * Step);
