Tell of every agreement on a primary, also without a configuration

Nobody saw a fault; it was found by reading the change.

Cause: an instance told the others only of agreements on services of the configuration in force there. One that has just started and has read the rows, but no configuration yet, told of none, and still said by its version that it knows them. Such an acknowledgement promises that whoever hears the instance learns of the move; as a relay it passes on that others are up, which makes the promise for all of them. Whoever heard a majority only in that way could go on with the old primary.

Change: reportsOf(primary_claims) tells all of them; suspicions come on top. The decision is now code of its own with a test (primary_claims_test); the former one sat in the shell and had none, so no test failed before.

Not measured: nothing changes while a configuration is in force.

--- a/packages/redwinggw/src/native_news.cpp
+++ b/packages/redwinggw/src/native_news.cpp
@@ -24,24 +24,22 @@
   return isUp(Member) && readsStore(State.Peers->view(), Member, Now);
 }
 
+/// The agreements on primaries, and this instance's suspicions.
 std::vector<wire::group_report> groupReports(const native_state &State) {
-  std::vector<wire::group_report> Reports;
+  auto Reports = session::reportsOf(State.Claims);
   if (!State.Routes)
     return Reports;
   for (const auto &[Service, Limits] : State.Routes->Services) {
-    const auto *Known = findClaim(State.Claims, Service);
-    const bool Suspect = suspects(State, Service);
-    if (Known == nullptr && !Suspect)
+    if (!suspects(State, Service))
       continue;
-    wire::group_report &Report = Reports.emplace_back();
-    Report.Group = Service;
-    Report.Suspect = Suspect;
-    Report.Primary = primaryOf(State, Service);
-    if (Known != nullptr) {
-      Report.Term = Known->Claim.Epoch;
-      Report.Moving = Known->Claim.Moving;
-      Report.Orderer = Known->Claim.Orderer;
+    auto Report =
+        std::ranges::find(Reports, Service, &wire::group_report::Group);
+    if (Report == Reports.end()) {
+      Report = Reports.emplace(Report);
+      Report->Group = Service;
     }
+    Report->Primary = primaryOf(State, Service);
+    Report->Suspect = true;
   }
   return Reports;
 }
--- a/packages/session/include/redwinggw/session/primary_claims.hpp
+++ b/packages/session/include/redwinggw/session/primary_claims.hpp
@@ -2,12 +2,14 @@
 
 #include "redwinggw/base/ids.hpp"
 #include "redwinggw/base/time.hpp"
+#include "redwinggw/wire/message.hpp"
 
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 /// Which endpoint is the primary of each service, as the fleet has agreed.
 namespace redwinggw::session {
@@ -52,6 +54,11 @@
 const primary_claims::known *findClaim(const primary_claims &Claims,
                                        std::string_view Service);
 
+/// What to tell the other instances of the agreements: all, also those on
+/// services that are not in the configuration in force here. Whoever hears that
+/// this instance knows of a move takes it that the move is told too.
+std::vector<wire::group_report> reportsOf(const primary_claims &Claims);
+
 /// The row's key, its value as JSON, and back. Nothing for what cannot be
 /// read. Thread safe.
 constexpr std::string_view ClaimPrefix = "group/";
--- a/packages/session/src/primary_claims.cpp
+++ b/packages/session/src/primary_claims.cpp
@@ -32,6 +32,17 @@
   return Found == Claims.Known.end() ? nullptr : &Found->second;
 }
 
+std::vector<wire::group_report> reportsOf(const primary_claims &Claims) {
+  std::vector<wire::group_report> Reports;
+  Reports.reserve(Claims.Known.size());
+  for (const auto &[Service, Known] : Claims.Known) {
+    const primary_claim &Claim = Known.Claim;
+    Reports.push_back({Service, Claim.Epoch, Claim.Primary, false, Claim.Moving,
+                       Claim.Orderer});
+  }
+  return Reports;
+}
+
 std::string claimKey(std::string_view Service) {
   return std::string(ClaimPrefix).append(Service);
 }
--- /dev/null
+++ b/tests/session/primary_claims_test.cpp
@@ -0,0 +1,42 @@
+#include "redwinggw/session/primary_claims.hpp"
+
+#include <string>
+
+#include "criterion_test.hpp"
+
+using namespace redwinggw;
+using namespace redwinggw::session;
+
+namespace {
+
+primary_claim claim(const std::string &Service, std::uint64_t Epoch,
+                    bool Moving) {
+  return {Service, Epoch, Service + "-1", Moving, "i1", 3};
+}
+
+} // namespace
+
+// Guards against acknowledging a move without telling the others of it.
+Test(primary_claims, are_told_whatever_services_are_configured) {
+  primary_claims Claims;
+  constexpr std::uint64_t Services = 20;
+  for (std::uint64_t Number = 1; Number <= Services; ++Number)
+    applyClaim(Claims, claim("s" + std::to_string(Number), Number, true), {});
+  const auto Reports = reportsOf(Claims);
+  cr_assert(Reports.size() == Services);
+  for (const wire::group_report &Report : Reports) {
+    const auto *Known = findClaim(Claims, Report.Group);
+    cr_assert(Known != nullptr && Report.Term == Known->Claim.Epoch);
+    cr_assert(Report.Primary == Known->Claim.Primary && Report.Moving);
+    cr_assert(Report.Orderer == "i1" && !Report.Suspect);
+  }
+}
+
+Test(primary_claims, keep_the_latest_of_a_service) {
+  primary_claims Claims;
+  cr_assert(applyClaim(Claims, claim("s", 5, true), {}));
+  cr_assert(!applyClaim(Claims, claim("s", 4, false), {}));
+  cr_assert(applyClaim(Claims, claim("s", 5, false), {}));
+  cr_assert(!applyClaim(Claims, claim("s", 5, true), {}));
+  cr_assert(!reportsOf(Claims).front().Moving);
+}
