Show that a customer's bucket never has two keepers

Reading the change again, with its guards switched off one by one, three of them were missed by no test: the pause before a new keeper begins, that only one that hears a majority keeps buckets, and that the pause is left out only in a fleet in which nobody has gathered rates. The floods in the other tests stay within the rate without them, as the parts of silent instances are held back too.

never_have_two_keepers cuts the keeper off, with the store in reach of both sides, at twenty moments between heartbeats, and heals the cut: at no tick do two keep the bucket, and the former one has it in the end. No product code changes.

--- a/tests/control/gathered_rates_test.cpp
+++ b/tests/control/gathered_rates_test.cpp
@@ -188,6 +188,27 @@
   cr_assert(keepersOf(Fleet).size() == 1);
 }
 
+// Guards against two keepers at the same time, however short.
+Test(gathered_rates, never_have_two_keepers) {
+  constexpr milliseconds Step{50};
+  for (std::size_t Start = 0; Start < 20; ++Start) {
+    demand_fleet Fleet = gatheringFleet(200, 200);
+    Fleet.StoreReached = true;
+    // The cut falls between heartbeats in another way each time.
+    Fleet.load(evenly(125), milliseconds(3000) + Start * Step);
+    const std::size_t Keeper = keepersOf(Fleet).front();
+    for (const bool Cut : {true, false}) {
+      Fleet.Cut[Keeper] = Cut;
+      for (milliseconds Past{0}; Past < milliseconds(4000); Past += Step) {
+        Fleet.load(evenly(125), Step);
+        cr_assert(keepersOf(Fleet).size() <= 1, "start %zu, cut %d, %ld ms",
+                  Start, Cut, static_cast<long>(Past.count()));
+      }
+    }
+    cr_assert(keepersOf(Fleet) == std::vector<std::size_t>(1, Keeper));
+  }
+}
+
 Test(gathered_rates, go_to_another_keeper_when_one_leaves) {
   demand_fleet Fleet = gatheringFleet(100, 100);
   Fleet.load(evenly(60), milliseconds(8000));
