--- a/tests/wire/message_test.cpp
+++ b/tests/wire/message_test.cpp
@@ -33,8 +33,7 @@
   setFact(Member, relayed_fact::KnowsVersion, true);
   setFact(Member, relayed_fact::Informed, false);
   Report.Digest.Members = {Member, {18, MaxAgeSteps, 0}};
-  Report.Digest.Demands = {
-      3, 1, {{7, 2.5F}}, {{8, 1.5F, 0.25F, 0.125F}}};
+  Report.Digest.Demands = {3, 1, {{7, 2.5F}}, {{8, 1.5F, 0.25F, 0.125F}}};
   Report.Digest.Suspicions = {{"orders", "orders-1", 2}};
   Datagram.Body = Report;
   return Datagram;
