Name a failed begin as the reason only after it has failed

The reason 'did not begin the transaction' was set before the endpoint's answer was known, so log lines of served transactions carried it. Set after the answer now; a test reads the log and failed before the change.

--- a/packages/session/src/transaction.cpp
+++ b/packages/session/src/transaction.cpp
@@ -52,8 +52,7 @@
     const exchange Begun = co_await beginOn(Core, Session, Request, *Placement,
                                             Transaction.ReadOnly);
     const bool Opened = isSuccess(Begun);
-    Request.LastProblem =
-        Placement->Link.Pool->entry().Name + " did not begin the transaction";
+    const base::endpoint_name Endpoint = Placement->Link.Pool->entry().Name;
     settle(Core, Session, Request, *Placement, Begun, Opened);
     if (Opened) {
       Transaction.Pool = Placement->Link.Pool;
@@ -62,6 +61,7 @@
       Transaction.Counted.settle(true);
       co_return true;
     }
+    Request.LastProblem = Endpoint + " did not begin the transaction";
     if (!mayRetry(Core, Request, *Placement))
       co_return false;
   }
