Keep what relays report of a member when its first datagram arrives

Cause: an instance that had never heard a member directly took the member's first datagram, such as a request for a token, for a restart (any incarnation is above 0), forgot all that relays had reported, and counted the member as dead until the next digest, 0.2 s later. For that time it chose other owners of connections and buckets.

Ruled out: ages near their bounds.

Change: a member is forgotten only if another incarnation was heard before. Safe: an instance that is not heard directly is known by digests alone, with the same bounds on their age.

The test failed before.

--- a/packages/control/src/membership.cpp
+++ b/packages/control/src/membership.cpp
@@ -177,7 +177,10 @@
     ++Counters.UnknownSender;
     return false;
   }
-  if (Datagram.Incarnation > Member->Window.Incarnation)
+  // In a fleet with relays most members are known by digests only, and then a
+  // first datagram of their own, such as a request for a token, is no restart.
+  const bool HeardBefore = Member->Window.Incarnation != 0;
+  if (HeardBefore && Datagram.Incarnation > Member->Window.Incarnation)
     forgetFormerIncarnation(*Member);
   switch (wire::recordDatagram(Member->Window, Datagram.Incarnation,
                                Datagram.Sequence)) {
--- a/tests/control/relays_test.cpp
+++ b/tests/control/relays_test.cpp
@@ -263,3 +263,19 @@
     cr_assert(Dead->KnownVersion < 7);
   }
 }
+
+// Guards against an instance that takes the first request for a token from
+// another one for its restart, and forgets what relays report of it.
+Test(relays, are_believed_after_a_first_datagram_of_a_member) {
+  fleet Fleet = makeFleet(60);
+  run(Fleet, milliseconds(4000));
+  membership &Receiver = Fleet.Instances[40].Membership;
+  membership &Sender = Fleet.Instances[51].Membership;
+  cr_assert(!findMember(Receiver, "i51")->DirectHeartbeatAt);
+  wire::datagram Request = nextDatagram(Sender, "i40", Fleet.Now);
+  Request.Body = wire::share_message{};
+  cr_assert(admitDatagram(Receiver, Request));
+  onTick(Receiver, Fleet.Now);
+  cr_assert(findMember(Receiver, "i51")->State == member_state::Alive);
+  cr_assert(isInContact(Receiver, *findMember(Receiver, "i51"), Fleet.Now));
+}
