Find the endpoints of a service without a scan of all endpoints

Each statement did the same scan, each read of the list compared every entry with every other, and the check of each service compared all instances anew.

Change: an index of endpoints by service, rebuilt with the list; one decision on the store reader per round of checks.

--- a/packages/redwinggw/src/platform_handover.cpp
+++ b/packages/redwinggw/src/platform_handover.cpp
@@ -381,15 +381,16 @@
   State->Moving.erase(Service);
 }
 
+/// \p ReadsStore: this instance is the store reader.
 void checkPrimary(platform_instance_ptr State,
-                  const base::service_name &Service) {
+                  const base::service_name &Service, bool ReadsStore) {
   const base::endpoint_name Primary = primaryOf(*State, Service);
   probeIfInDoubt(State, Primary);
   const auto *Known = findClaim(State->Claims, Service);
   const bool OwnMove = Known != nullptr && Known->Claim.Moving &&
                        Known->Claim.Orderer == State->Settings.Name;
   if (State->Draining || State->Moving.contains(Service) ||
-      (!isStoreReader(*State) && !OwnMove))
+      (!ReadsStore && !OwnMove))
     return;
   const auto View = viewOf(*State, Service);
   const move_cause Cause = causeToMove(View, State->Handover, base::now());
@@ -406,8 +407,10 @@
   while (!State->Stopped) {
     if (State->Peers && State->Routes && State->FleetReadAt) {
       const session::route_table_ptr Table = State->Routes;
+      // Compares all instances, so it is not decided for each service anew.
+      const bool ReadsStore = isStoreReader(*State);
       for (const auto &[Service, Limits] : Table->Services)
-        checkPrimary(State, Service);
+        checkPrimary(State, Service, ReadsStore);
     }
     co_await pauseWithJitter(*State, PrimaryCheckInterval);
   }
--- a/packages/session/include/redwinggw/session/directory.hpp
+++ b/packages/session/include/redwinggw/session/directory.hpp
@@ -66,6 +66,9 @@
 struct directory {
   directory_limits Limits;
   std::map<base::endpoint_name, known_endpoint, std::less<>> Endpoints;
+  /// The names of each service's endpoints, sorted; set by updateDirectory.
+  std::map<base::service_name, std::vector<base::endpoint_name>, std::less<>>
+      ByService;
   std::optional<base::instant> ReadAt;
   /// When the list could be read again after an outage.
   std::optional<base::instant> ReadableSince;
@@ -89,6 +92,11 @@
 std::vector<const endpoint_entry *> endpointsOf(const directory &Directory,
                                                 std::string_view Service);
 
+/// Those of them that may get new work.
+std::vector<const endpoint_entry *>
+workingEndpointsOf(const directory &Directory, std::string_view Service,
+                   base::instant Now);
+
 /// Whether \p Endpoint may get new work. One that was already draining when it
 /// was first seen may have been so for long, and gets none.
 bool acceptsWork(const directory &Directory, const known_endpoint &Endpoint,
--- a/packages/session/src/directory.cpp
+++ b/packages/session/src/directory.cpp
@@ -3,6 +3,9 @@
 #include "redwinggw/wire/message.hpp"
 
 #include <algorithm>
+#include <iterator>
+#include <set>
+#include <string_view>
 
 namespace redwinggw::session {
 namespace {
@@ -38,6 +41,12 @@
     Known.LeavingSince = New ? base::instant() : Now;
 }
 
+void indexByService(directory &Directory) {
+  Directory.ByService.clear();
+  for (const auto &[Name, Known] : Directory.Endpoints)
+    Directory.ByService[Known.Entry.Service].push_back(Name);
+}
+
 } // namespace
 
 std::uint32_t digestOf(const std::vector<endpoint_entry> &Entries) {
@@ -60,24 +69,39 @@
   for (const endpoint_entry &Entry : Entries)
     takeEntry(Directory, Entry, Now, Changes);
   const bool Trusted = isTrusted(Directory, Now);
+  std::set<std::string_view> Listed;
+  for (const endpoint_entry &Entry : Entries)
+    Listed.insert(Entry.Name);
   std::erase_if(Directory.Endpoints, [&](const auto &Item) {
-    const bool Listed =
-        std::ranges::find(Entries, Item.first, &endpoint_entry::Name) !=
-        Entries.end();
-    const bool Gone = !Listed && Trusted;
+    const bool Gone = Trusted && !Listed.contains(Item.first);
     if (Gone)
       Changes.Gone.push_back(Item.first);
     return Gone;
   });
+  indexByService(Directory);
   return Changes;
 }
 
 std::vector<const endpoint_entry *> endpointsOf(const directory &Directory,
                                                 std::string_view Service) {
   std::vector<const endpoint_entry *> Found;
-  for (const auto &[Name, Known] : Directory.Endpoints)
-    if (Known.Entry.Service == Service)
-      Found.push_back(&Known.Entry);
+  const auto Names = Directory.ByService.find(Service);
+  if (Names == Directory.ByService.end())
+    return Found;
+  std::ranges::transform(Names->second, std::back_inserter(Found),
+                         [&](const base::endpoint_name &Name) {
+                           return findEndpoint(Directory, Name);
+                         });
+  return Found;
+}
+
+std::vector<const endpoint_entry *>
+workingEndpointsOf(const directory &Directory, std::string_view Service,
+                   base::instant Now) {
+  auto Found = endpointsOf(Directory, Service);
+  std::erase_if(Found, [&](const endpoint_entry *Entry) {
+    return !acceptsWork(Directory, Directory.Endpoints.at(Entry->Name), Now);
+  });
   return Found;
 }
 
--- a/packages/session/src/endpoint_set.cpp
+++ b/packages/session/src/endpoint_set.cpp
@@ -65,14 +65,13 @@
                const std::optional<required_point> &Required,
                base::instant Now) {
   std::vector<choice_candidate> Candidates;
-  for (const auto &[Name, Known] : Set.Directory.Endpoints) {
-    const bool Serves = Known.Entry.Service == Service &&
-                        acceptsWork(Set.Directory, Known, Now);
-    const pool_ptr Pool = Serves ? poolOf(Set, Name) : nullptr;
+  for (const endpoint_entry *Entry :
+       workingEndpointsOf(Set.Directory, Service, Now)) {
+    const pool_ptr Pool = poolOf(Set, Entry->Name);
     if (Pool == nullptr)
       continue;
     const bool IsPrimary =
-        PrimaryLease != nullptr && PrimaryLease->Endpoint == Name;
+        PrimaryLease != nullptr && PrimaryLease->Endpoint == Entry->Name;
     choice_candidate &Candidate = Candidates.emplace_back(
         candidateOf(*Pool, Customer, Set.Zone, IsPrimary, Now));
     Candidate.ProbablyLags = !IsPrimary && Required &&
--- a/tests/session/directory_test.cpp
+++ b/tests/session/directory_test.cpp
@@ -98,3 +98,29 @@
   for (const std::vector<endpoint_entry> &Other : Others)
     cr_assert(digestOf(Other) != digestOf(List));
 }
+
+// Guards against an index of services that keeps endpoints that are gone, or
+// that have moved to another service.
+Test(directory, finds_the_endpoints_of_a_service_after_each_update) {
+  directory Directory;
+  const auto NamesOf = [&](std::string_view Service) {
+    std::vector<std::string> Names;
+    for (const endpoint_entry *Entry : endpointsOf(Directory, Service))
+      Names.push_back(Entry->Name);
+    return Names;
+  };
+  const auto EntryOf = [](std::string Name, std::string Service) {
+    endpoint_entry Entry = entry(std::move(Name));
+    Entry.Service = std::move(Service);
+    return Entry;
+  };
+  updateDirectory(Directory,
+                  {EntryOf("b", "s"), EntryOf("a", "s"), EntryOf("c", "t")},
+                  Start);
+  cr_assert(NamesOf("s") == std::vector<std::string>({"a", "b"}));
+  updateDirectory(Directory, {EntryOf("b", "t"), EntryOf("c", "t")},
+                  Start + milliseconds(1000));
+  cr_assert(NamesOf("s").empty());
+  cr_assert(NamesOf("t") == std::vector<std::string>({"b", "c"}));
+  cr_assert(NamesOf("u").empty());
+}
