Log in_touch as outage only while the store answers nobody

The rows of a large fleet are read every 18 s by each instance, so their freshness is confirmed by a majority nearly always, and was logged as outage although the store was well.

--- a/packages/redwinggw/src/platform_instance_state.hpp
+++ b/packages/redwinggw/src/platform_instance_state.hpp
@@ -100,7 +100,9 @@
   std::optional<base::instant> SentEndpointListAt;
   std::optional<base::instant> FleetReadAt;
   std::optional<base::instant> OutOfContactSince;
-  control::config_freshness Freshness = control::config_freshness::Isolated;
+  /// The freshness of the last in_touch line.
+  control::config_freshness LoggedFreshness =
+      control::config_freshness::Isolated;
   /// Whether the last request to the store was answered.
   bool StoreUp = true;
   bool FleetReadRequested = false;
--- a/packages/redwinggw/src/platform_primaries.cpp
+++ b/packages/redwinggw/src/platform_primaries.cpp
@@ -13,21 +13,36 @@
 /// the platform's promotion of up to a second.
 constexpr milliseconds ExpectedMoveTime{1300};
 
+/// The freshness to log. The rows of a large fleet are read so rarely that a
+/// majority confirms them most of the time. That is an outage only if the store
+/// answers nobody.
+control::config_freshness
+loggedFreshness(const control::store_observations &Store,
+                control::config_freshness Freshness, base::instant Now) {
+  using enum control::config_freshness;
+  constexpr milliseconds OutageAfter{2500};
+  const auto Contact = lastStoreContact(Store);
+  const bool StoreAnswers = Contact && Now - *Contact <= OutageAfter;
+  return Freshness == Outage && StoreAnswers ? Current : Freshness;
+}
+
 } // namespace
 
 bool mayTrustClaims(platform_instance_state &State) {
   if (!State.Peers)
     return false;
-  const control::config_freshness Now =
-      State.Peers->configFreshness(base::now());
-  // Logged for each change, also when the contact is lost.
-  if (Now != State.Freshness)
-    base::logEvent(base::log_level::Info, base::log_part::Peers, "in_touch",
-                   {{"was", std::string(configFreshnessName(State.Freshness))},
-                    {"is", std::string(configFreshnessName(Now))},
-                    {"claims", std::to_string(State.Claims.Version)}});
-  State.Freshness = Now;
-  return Now != control::config_freshness::Isolated;
+  const base::instant Now = base::now();
+  const control::config_freshness Freshness = State.Peers->configFreshness(Now);
+  const control::config_freshness Logged =
+      loggedFreshness(State.Peers->view().Store, Freshness, Now);
+  if (Logged != State.LoggedFreshness)
+    base::logEvent(
+        base::log_level::Info, base::log_part::Peers, "in_touch",
+        {{"was", std::string(configFreshnessName(State.LoggedFreshness))},
+         {"is", std::string(configFreshnessName(Logged))},
+         {"claims", std::to_string(State.Claims.Version)}});
+  State.LoggedFreshness = Logged;
+  return Freshness != control::config_freshness::Isolated;
 }
 
 void noteStoreResult(platform_instance_state &State, bool Answered,
