Send nothing to the endpoints of an evacuated zone

Change: the read of the configuration returns them too, so no further call is needed. Instances report the evacuated zones in their heartbeats with the store's version at the read, and the newest read wins: a removed row leaves no version of its own. Pools of endpoints in such zones grant no slot and no connection and close their idle ones; an open transaction there is aborted and its connection closed, which rolls back without a further statement; the instance that owns connections checks again. A primary there is moved if the service has an endpoint elsewhere (cause evacuated), by the planned path that keeps commits; otherwise what only it can run is refused. No probes go there.

Not done: return by degrees for cold endpoints, homes, the operators' command.

--- a/packages/redwinggw/src/platform_configuration.cpp
+++ b/packages/redwinggw/src/platform_configuration.cpp
@@ -88,7 +88,18 @@
   return {Row->Version, std::make_shared<const std::string>(Row->Value)};
 }
 
-/// Reads the configuration from the store; false when it did not answer.
+/// The zones that are evacuated by \p Rows, read as a whole.
+session::evacuations evacuationsIn(const platform::table_rows &Rows) {
+  session::evacuations Read;
+  Read.Version = Rows.Version;
+  for (const platform::table_row &Row : Rows.Rows)
+    if (Row.Key.starts_with(platform::EvacuationPrefix) && !Row.Removed)
+      Read.Zones.push_back(Row.Key.substr(platform::EvacuationPrefix.size()));
+  return Read;
+}
+
+/// Reads the configuration and the evacuations from the store; false when it
+/// did not answer.
 base::task<bool> readConfiguration(platform_instance_state &State) {
   const base::instant Sent = base::now();
   const auto Rows = co_await platform::readTable(
@@ -101,6 +112,7 @@
   }
   if (State.Peers)
     State.Peers->noteStoreContact();
+  acceptEvacuations(State, evacuationsIn(*Rows), "store");
   acceptConfiguration(State, storedConfiguration(*Rows), "store");
   co_return true;
 }
@@ -149,6 +161,20 @@
 
 } // namespace
 
+void acceptEvacuations(platform_instance_state &State,
+                       session::evacuations Read, std::string_view From) {
+  if (!applyEvacuations(State.Evacuations, std::move(Read)))
+    return;
+  std::string Zones;
+  for (const base::zone_name &Zone : State.Evacuations.Zones)
+    Zones.append(Zones.empty() ? "" : " ").append(Zone);
+  base::logEvent(log_level::Info, log_part::Endpoints, "evacuations_changed",
+                 {{"zones", Zones},
+                  {"version", std::to_string(State.Evacuations.Version)},
+                  {"from", std::string(From)}});
+  divideConnections(State);
+}
+
 base::task<void> followConfiguration(platform_instance_ptr State) {
   while (!State->Stopped) {
     // When another instance reads the store, its heartbeats report changes.
--- a/packages/redwinggw/src/platform_endpoint_owners.cpp
+++ b/packages/redwinggw/src/platform_endpoint_owners.cpp
@@ -117,6 +117,7 @@
     const auto Service = State.Routes->Services.find(Pool->entry().Service);
     if (Service == State.Routes->Services.end())
       continue;
+    Pool->setEvacuated(isEvacuated(State.Evacuations, Pool->entry().Zone));
     Pool->setOwnedElsewhere(!isOwn(State, Name));
     Pool->setLimits(
         limitsFor(State, Pool->entry(), Service->second.Connections));
--- a/packages/redwinggw/src/platform_handover.cpp
+++ b/packages/redwinggw/src/platform_handover.cpp
@@ -41,6 +41,20 @@
   return State.MissingPrimaries.try_emplace(Name, base::now()).first->second;
 }
 
+/// The endpoints of \p Service in zones that are not evacuated, without
+/// \p Primary.
+std::vector<session::endpoint_entry>
+replacementsFor(const platform_instance_state &State,
+                const base::service_name &Service,
+                const base::endpoint_name &Primary) {
+  std::vector<session::endpoint_entry> Entries;
+  for (const session::endpoint_entry *Entry :
+       endpointsOf(State.Endpoints.Directory, Service))
+    if (Entry->Name != Primary && !isEvacuated(State.Evacuations, Entry->Zone))
+      Entries.push_back(*Entry);
+  return Entries;
+}
+
 session::handover_view viewOf(platform_instance_state &State,
                               const base::service_name &Service) {
   session::handover_view View;
@@ -49,6 +63,10 @@
   View.Entry = findEndpoint(State.Endpoints.Directory, View.Primary);
   if (!View.Primary.empty())
     View.MissingSince = missingSince(State, View.Primary);
+  View.ReplaceableElsewhere =
+      View.Entry != nullptr &&
+      isEvacuated(State.Evacuations, View.Entry->Zone) &&
+      !replacementsFor(State, Service, View.Primary).empty();
   View.Suspects = countSuspects(State, Service);
   bool OrdererAlive = false;
   for (const control::member &Member : State.Peers->view().Members) {
@@ -197,11 +215,7 @@
 /// The endpoints that could take over and answer, with what they have received.
 base::task<std::vector<session::move_candidate>>
 askCandidates(platform_instance_state &State, const primary_claim &Claim) {
-  std::vector<session::endpoint_entry> Entries;
-  for (const session::endpoint_entry *Entry :
-       endpointsOf(State.Endpoints.Directory, Claim.Service))
-    if (Entry->Name != Claim.Primary)
-      Entries.push_back(*Entry);
+  const auto Entries = replacementsFor(State, Claim.Service, Claim.Primary);
   std::vector<session::move_candidate> Candidates;
   for (const session::endpoint_entry &Entry : Entries) {
     const auto Status = co_await askStatus(State, Entry, StatusTimeout);
--- a/packages/redwinggw/src/platform_heartbeats.cpp
+++ b/packages/redwinggw/src/platform_heartbeats.cpp
@@ -122,6 +122,8 @@
   centralizeBuckets(State.Shares, State.Peers->view(), InContact, Now);
   Report.CentralizesBuckets = hasCentralizedBuckets(State.Shares, Now);
   Report.Groups = groupReports(State);
+  Report.EvacuationVersion = State.Evacuations.Version;
+  Report.EvacuatedZones = State.Evacuations.Zones;
   Report.ConfigurationRow = State.Stored.Row;
   Report.NewestRow = std::max(State.Stored.Row, newestConfigurationRow(State));
   completeDigests(State);
@@ -164,6 +166,9 @@
   for (const wire::group_report &Report : Member.Report.Groups)
     acceptReportedClaim(State, Report);
   acceptReportedPositions(State, Member);
+  acceptEvacuations(
+      State, {Member.Report.EvacuationVersion, Member.Report.EvacuatedZones},
+      Member.Name);
   if (Member.Report.HeadVersion > State.Claims.Version ||
       State.Peers->view().UnlistedReported)
     State.FleetReadRequested = true;
--- a/packages/redwinggw/src/platform_instance_state.hpp
+++ b/packages/redwinggw/src/platform_instance_state.hpp
@@ -12,6 +12,7 @@
 #include "redwinggw/http/server.hpp"
 #include "redwinggw/kernel/life_cycle.hpp"
 #include "redwinggw/session/endpoint_owner.hpp"
+#include "redwinggw/session/evacuations.hpp"
 #include "redwinggw/session/forwarding_client.hpp"
 #include "redwinggw/session/forwarding_server.hpp"
 #include "redwinggw/session/handover.hpp"
@@ -46,6 +47,9 @@
   /// The text from which Routes was parsed, for instances that cannot read the
   /// store.
   session::stored_configuration Stored;
+  /// The evacuated availability zones, read from the store or reported by
+  /// another instance.
+  session::evacuations Evacuations;
   /// When this instance learned that another one has a newer configuration.
   std::optional<base::instant> BehindSince;
   session::endpoint_set Endpoints;
@@ -187,6 +191,9 @@
 bool isStoreReader(const platform_instance_state &State);
 /// Whether another instance that is alive reads the store for this one.
 bool hasStoreReader(const platform_instance_state &State);
+/// Applies the evacuations that \p From, "store" or an instance, reports.
+void acceptEvacuations(platform_instance_state &State,
+                       session::evacuations Read, std::string_view From);
 /// The highest row version of the configuration that another instance reports.
 std::uint64_t newestConfigurationRow(const platform_instance_state &State);
 /// How many instances suspect the primary of \p Service, this one included.
@@ -253,8 +260,8 @@
 /// Starts to run statements that other instances forward, and to forward own
 /// ones.
 void startForwarding(platform_instance_state &State, const std::string &Secret);
-/// Recomputes which instance owns each endpoint's connections, and how many
-/// this instance may hold.
+/// Recomputes which instance owns each endpoint's connections, how many this
+/// instance may hold, and which endpoints are evacuated.
 void divideConnections(platform_instance_state &State);
 /// A link to an endpoint through the instance that owns its connections; null
 /// when this instance is the owner or the owner cannot be used now.
--- a/packages/redwinggw/src/platform_probing.cpp
+++ b/packages/redwinggw/src/platform_probing.cpp
@@ -59,7 +59,7 @@
 void probeIfInDoubt(platform_instance_ptr State,
                     const base::endpoint_name &Name) {
   const auto Pool = poolOf(State->Endpoints, Name);
-  if (!Pool || State->Probing.contains(Name))
+  if (!Pool || Pool->isEvacuated() || State->Probing.contains(Name))
     return;
   const instant Now = base::now();
   const bool Busy = Pool->open() > Pool->idle();
--- a/packages/session/include/redwinggw/session/endpoint_pool.hpp
+++ b/packages/session/include/redwinggw/session/endpoint_pool.hpp
@@ -165,6 +165,12 @@
   /// Statements that run or wait at the endpoint, as far as is known here.
   std::size_t load(base::instant Now) const;
 
+  /// Whether the endpoint's availability zone is evacuated. From then on no
+  /// slot and no connection is granted, and idle connections are closed. A
+  /// connection that is checked out must not be used any more.
+  void setEvacuated(bool Evacuated);
+  bool isEvacuated() const { return Evacuated; }
+
   void setEntry(endpoint_entry Entry);
   void setLimits(pool_limits Limits);
 
@@ -204,6 +210,7 @@
   std::list<link_handle> Idle;
   std::size_t Open = 0;
   bool OwnedElsewhere = false;
+  bool Evacuated = false;
   /// Statements of this instance that the endpoint's owner runs.
   std::size_t Forwarded = 0;
   std::size_t OwnerLoad = 0;
--- a/packages/session/include/redwinggw/session/handover.hpp
+++ b/packages/session/include/redwinggw/session/handover.hpp
@@ -22,6 +22,9 @@
   None,
   /// It has announced that it shuts down.
   Draining,
+  /// Its availability zone is evacuated, and an endpoint elsewhere can replace
+  /// it.
+  Evacuated,
   /// It is no longer listed.
   Missing,
   /// It does not answer several instances.
@@ -78,6 +81,9 @@
   std::size_t Suspects = 0;
   /// Since when no heartbeat of an unfinished move's orderer has arrived.
   std::optional<base::instant> OrdererGoneSince;
+  /// The primary's availability zone is evacuated, and the service has
+  /// endpoints in zones that are not.
+  bool ReplaceableElsewhere = false;
 };
 
 move_cause causeToMove(const handover_view &View, const handover_limits &Limits,
--- a/packages/session/src/endpoint_pool.cpp
+++ b/packages/session/src/endpoint_pool.cpp
@@ -59,6 +59,12 @@
   Slots.MaxRunning = Entry.Slots == 0 ? 0 : Entry.Slots + ExtraInFlight;
 }
 
+void endpoint_pool::setEvacuated(bool Now) {
+  Evacuated = Now;
+  if (Evacuated)
+    closeIdle();
+}
+
 /// Whether the endpoint has left everything that runs there without an answer
 /// for long: no slot would get free, and it may be gone.
 bool endpoint_pool::isStalled(instant Now) const {
@@ -72,6 +78,8 @@
 base::task<bool> endpoint_pool::acquireSlot(slot_level Level,
                                             base::customer_name Customer,
                                             instant Until) {
+  if (Evacuated)
+    co_return false;
   if (tryStart(Slots))
     co_return true;
   const instant Now = base::now();
@@ -83,6 +91,11 @@
   const bool Started = co_await Waiters.wait(Ticket.Id, Until);
   if (!Started)
     cancel(Slots, Level, Ticket);
+  if (Started && Evacuated) {
+    --Slots.Running;
+    startQueued();
+    co_return false;
+  }
   co_return Started;
 }
 
@@ -188,7 +201,7 @@
                                             const session_values &Values,
                                             instant WaitUntil,
                                             instant Deadline) {
-  while (true) {
+  while (!Evacuated) {
     while (link_handle Link = takeIdle(Customer, Values)) {
       if (Link->Link->isUsable())
         co_return acquired{std::move(Link)};
@@ -200,6 +213,7 @@
     if (!co_await waitForConnection(Customer, WaitUntil))
       co_return acquired{nullptr, acquire_failure::Exhausted};
   }
+  co_return acquired{nullptr, acquire_failure::Exhausted};
 }
 
 base::task<bool>
--- a/packages/session/src/endpoint_set.cpp
+++ b/packages/session/src/endpoint_set.cpp
@@ -68,7 +68,7 @@
   for (const endpoint_entry *Entry :
        workingEndpointsOf(Set.Directory, Service, Now)) {
     const pool_ptr Pool = poolOf(Set, Entry->Name);
-    if (Pool == nullptr)
+    if (Pool == nullptr || Pool->isEvacuated())
       continue;
     const bool IsPrimary =
         PrimaryLease != nullptr && PrimaryLease->Endpoint == Entry->Name;
--- a/packages/session/src/handover.cpp
+++ b/packages/session/src/handover.cpp
@@ -11,6 +11,7 @@
 constexpr std::array CauseNames = std::to_array<base::enum_name<move_cause>>({
     {move_cause::None, "none"},
     {move_cause::Draining, "draining"},
+    {move_cause::Evacuated, "evacuated"},
     {move_cause::Missing, "missing"},
     {move_cause::Failed, "failed"},
     {move_cause::Unfinished, "unfinished"},
@@ -48,6 +49,8 @@
                : move_cause::None;
   if (View.Entry->Draining)
     return move_cause::Draining;
+  if (View.ReplaceableElsewhere)
+    return move_cause::Evacuated;
   const std::size_t Needed = std::min(Limits.SuspectsNeeded, View.Instances);
   return View.Suspects >= Needed && Needed > 0 ? move_cause::Failed
                                                : move_cause::None;
--- a/packages/session/src/serve_forwarded.cpp
+++ b/packages/session/src/serve_forwarded.cpp
@@ -29,6 +29,11 @@
                                               instant Arrived) {
   const bool Same = Pinned.Link.Pool->entry().Name == Request.Endpoint &&
                     Pinned.Link.Link->Customer == Request.Customer;
+  // Closing the connection rolls back, and sends the endpoint nothing.
+  if (Pinned.Link.Pool->isEvacuated()) {
+    Pinned.Link = checked_out_link();
+    co_return forwarding_failure::Refused;
+  }
   // A rollback needs no slot.
   if (Same && Request.Statement.Action == link_action::Rollback)
     co_return forwarding_failure::None;
--- a/packages/session/src/transaction.cpp
+++ b/packages/session/src/transaction.cpp
@@ -100,7 +100,8 @@
 
 /// Rolls back on a connection and returns it to its pool, or closes it.
 base::task<void> rollbackOn(checked_out_link Link) {
-  if (!Link)
+  // Closing the connection rolls back too; the endpoint must get nothing more.
+  if (!Link || Link.Pool->isEvacuated())
     co_return;
   link_statement Statement;
   Statement.Action = link_action::Rollback;
@@ -115,6 +116,15 @@
          !Core.Ports.StillHolds(*Transaction.PrimaryLease);
 }
 
+/// Whether the transaction cannot go on, since its endpoint must get nothing
+/// more.
+bool isEvacuated(const open_transaction &Transaction) {
+  return Transaction.Link && Transaction.Pool->isEvacuated();
+}
+
+constexpr std::string_view EvacuatedText =
+    "the endpoint's availability zone is evacuated; retry now";
+
 } // namespace
 
 base::task<void> rollback(caller_session &Session) {
@@ -141,6 +151,9 @@
   if (isLost(Core, Transaction))
     co_return failTransaction(Session, answer_code::Aborted,
                               "the primary was replaced; retry now");
+  if (isEvacuated(Transaction))
+    co_return failTransaction(Session, answer_code::Aborted,
+                              std::string(EvacuatedText));
   Transaction.Wrote = Transaction.Wrote || Request.Writes;
   placement Placement = takePlacement(Transaction, Request);
   exchange Done = co_await runOn(Core, Session, Request, Placement);
@@ -210,6 +223,10 @@
     co_return makeError(answer_code::Aborted,
                         "the primary was replaced; retry now");
   }
+  if (isEvacuated(Transaction)) {
+    co_await rollback(Session);
+    co_return makeError(answer_code::Aborted, std::string(EvacuatedText));
+  }
   const bool Wrote = Transaction.Wrote;
   Request.Writes = !Transaction.ReadOnly;
   placement Placement = takePlacement(Transaction, Request);
--- a/packages/session/src/try_statement.cpp
+++ b/packages/session/src/try_statement.cpp
@@ -81,6 +81,10 @@
                                     placement &Placement,
                                     link_statement Statement) {
   const pool_ptr Pool = Placement.Link.Pool;
+  if (Pool->isEvacuated()) {
+    Placement.Failure = forwarding_failure::NoConnection;
+    co_return exchange();
+  }
   const instant Sent = base::now();
   Pool->noteSent(Sent);
   exchange Exchange;
--- a/packages/wire/include/redwinggw/wire/message.hpp
+++ b/packages/wire/include/redwinggw/wire/message.hpp
@@ -107,6 +107,10 @@
   /// one that it knows of; 0: unused.
   std::uint64_t ConfigurationRow = 0;
   std::uint64_t NewestRow = 0;
+  /// The evacuated availability zones, as of this version of the store; 0:
+  /// unknown.
+  std::uint64_t EvacuationVersion = 0;
+  std::vector<std::string> EvacuatedZones;
   std::vector<demand_report> Demands;
   std::vector<position_report> Positions;
 };
--- a/packages/wire/src/message.cpp
+++ b/packages/wire/src/message.cpp
@@ -13,7 +13,7 @@
 
 /// Incremented when the datagram format changes; datagrams of other versions
 /// are dropped.
-constexpr std::uint8_t FormatVersion = 6;
+constexpr std::uint8_t FormatVersion = 7;
 
 /// Strings and lists are preceded by a length of 1 or 2 bytes. The length that
 /// cereal writes takes 8, which would be most of a small heartbeat.
@@ -94,7 +94,9 @@
      Value.WantsSharedReads, Value.CentralizesBuckets);
   archiveList(Ar, Value.Groups, [&](auto &Item) { archiveGroup(Ar, Item); });
   archiveDigest(Ar, Value.Digest);
-  Ar(Value.ConfigurationRow, Value.NewestRow);
+  Ar(Value.ConfigurationRow, Value.NewestRow, Value.EvacuationVersion);
+  archiveList(Ar, Value.EvacuatedZones,
+              [&](auto &Zone) { archiveText(Ar, Zone); });
   archiveList(Ar, Value.Demands,
               [&](auto &Item) { Ar(Item.Customer, Item.Rate, Item.Spare); });
   archiveList(Ar, Value.Positions, [&](auto &Item) {
--- a/tests/native/native_path_test.cpp
+++ b/tests/native/native_path_test.cpp
@@ -148,6 +148,48 @@
   cr_assert(Caller.run("READ a").Rows == std::vector<std::string>{"1"});
 }
 
+namespace {
+
+std::size_t statementsAt(native_fleet &Fleet, std::size_t Database) {
+  std::size_t Statements = 0;
+  Fleet.World.runOnThread([&](simulated_platform &World) {
+    Statements = World.Group.Databases[Database].Statements;
+  });
+  return Statements;
+}
+
+} // namespace
+
+// Guards against statements at endpoints of an evacuated zone, a primary among
+// them, and against a zone that stays unused after its evacuation has ended.
+Test(native_path, leaves_an_evacuated_zone_and_returns) {
+  native_fleet Fleet(2);
+  Fleet.World.placeIn("d1", "z2");
+  Fleet.World.placeIn("d2", "z2");
+  cr_assert(writeEventually(Fleet.Instances[0], "a", "1"));
+  Fleet.World.evacuate("z2");
+  cr_assert(eventually([&] {
+    bool Moved = false;
+    Fleet.World.runOnThread([&](simulated_platform &World) {
+      Moved = World.Group.Databases[2].Primary;
+    });
+    return Moved;
+  }));
+  cr_assert(writeEventually(Fleet.Instances[1], "b", "2"));
+  const std::size_t Before = statementsAt(Fleet, 0) + statementsAt(Fleet, 1);
+  line_client Caller(Fleet.Instances[0].Callers, "own", "key");
+  for (int Round = 0; Round < 20; ++Round) {
+    cr_assert(Caller.run("WRITE c 3").Error.empty());
+    cr_assert(Caller.run("READ a").Rows == std::vector<std::string>{"1"});
+  }
+  cr_assert(statementsAt(Fleet, 0) + statementsAt(Fleet, 1) == Before);
+  Fleet.World.endEvacuation("z2");
+  cr_assert(eventually([&] {
+    Caller.run("READ a");
+    return statementsAt(Fleet, 1) + statementsAt(Fleet, 0) > Before;
+  }));
+}
+
 // The store is down: instances keep serving by the configuration in force.
 Test(native_path, goes_on_while_the_store_is_down) {
   native_fleet Fleet(2);
--- a/tests/session/handover_test.cpp
+++ b/tests/session/handover_test.cpp
@@ -70,6 +70,16 @@
   cr_assert(causeToMove(View, Limits, Start) == move_cause::Draining);
 }
 
+// Guards against a primary that stays in an evacuated zone though another
+// endpoint can replace it, and against endless moves where none can.
+Test(handover, is_begun_for_an_evacuated_primary_that_can_be_replaced) {
+  const endpoint_entry Entry = entry(false);
+  handover_view View{nullptr, "p", &Entry, {}, 6, 0, {}};
+  cr_assert(causeToMove(View, Limits, Start) == move_cause::None);
+  View.ReplaceableElsewhere = true;
+  cr_assert(causeToMove(View, Limits, Start) == move_cause::Evacuated);
+}
+
 // The orderer is killed during a move: another one has to finish it, or the
 // service stays without a primary.
 Test(handover, is_finished_by_another_orderer) {
--- a/tests/standins/native/database_group.hpp
+++ b/tests/standins/native/database_group.hpp
@@ -24,6 +24,7 @@
 
 struct simulated_database {
   std::string Name;
+  std::string Zone = "z1";
   bool Primary = false;
   bool Draining = false;
   /// Refuses connections.
@@ -33,12 +34,13 @@
   /// Number of log entries received.
   std::size_t Received = 0;
   std::size_t Connections = 0;
+  /// Number of reads, writes and commits run here.
+  std::size_t Statements = 0;
 };
 
 /// Not thread safe.
 struct database_group {
   std::string Service;
-  std::string Zone = "z1";
   std::vector<simulated_database> Databases;
   std::vector<log_entry> Log;
   base::term_number Term = 1;
--- a/tests/standins/native/database_server.cpp
+++ b/tests/standins/native/database_server.cpp
@@ -223,6 +223,7 @@
   if (Writes && (!self().Primary || Client.ReadOnly))
     return fail(Client, "READONLY");
   ++Group.Runs[Id];
+  ++self().Statements;
   std::string Signature = "DONE sig." + Id + "\r\n";
   const std::string Item = takeWord(Operands);
   if (!Writes)
@@ -241,6 +242,7 @@
   if (Wrote && !self().Primary)
     return fail(Client, "READONLY");
   ++Group.Runs[Id];
+  ++self().Statements;
   for (log_entry &Entry : Client.Pending) {
     Entry.CommittedAt = base::now();
     Group.Log.push_back(Entry);
--- a/tests/standins/native/simulated_platform.cpp
+++ b/tests/standins/native/simulated_platform.cpp
@@ -91,7 +91,7 @@
               json::serialize(json::object{
                   {"service", Group.Service},
                   {"address", toText(Server->address())},
-                  {"zone", Group.Zone},
+                  {"zone", Database.Zone},
                   {"version", "v1"},
                   {"slots", 5},
                   {"state", Database.Draining ? "draining" : "ready"},
@@ -157,4 +157,25 @@
   });
 }
 
+void simulated_platform::placeIn(const std::string &Name,
+                                 const std::string &Zone) {
+  runOnThread([&](simulated_platform &World) {
+    simulated_database *Database = findDatabase(World.Group, Name);
+    Database->Zone = Zone;
+    publish(*Database);
+  });
+}
+
+void simulated_platform::evacuate(const std::string &Zone) {
+  runOnThread([&](simulated_platform &World) {
+    World.Store.put("op", "evacuate/" + Zone, "{}");
+  });
+}
+
+void simulated_platform::endEvacuation(const std::string &Zone) {
+  runOnThread([&](simulated_platform &World) {
+    World.Store.remove("op", "evacuate/" + Zone);
+  });
+}
+
 } // namespace redwinggw::standin
--- a/tests/standins/native/simulated_platform.hpp
+++ b/tests/standins/native/simulated_platform.hpp
@@ -40,6 +40,13 @@
   void crash(const std::string &Name);
   /// Marks \p Name as draining in the store.
   void drain(const std::string &Name);
+  /// Moves \p Name to another availability zone.
+  void placeIn(const std::string &Name, const std::string &Zone);
+  /// Begins and ends the evacuation of \p Zone, as an operator does.
+  /// @{
+  void evacuate(const std::string &Zone);
+  void endEvacuation(const std::string &Zone);
+  /// @}
   /// Publishes a configuration with these keys of the customer "acme" and with
   /// \p UnusedRoutes additional routes that no request uses.
   void configure(const std::vector<std::string> &Keys, double Rate = 1000,
--- a/tests/wire/message_test.cpp
+++ b/tests/wire/message_test.cpp
@@ -28,11 +28,13 @@
   Report.Leaving = true;
   Report.Groups.push_back({"orders", 4, "orders-1", true});
   Report.NewestRow = 9;
+  Report.EvacuationVersion = 31;
+  Report.EvacuatedZones = {"z1", "z3"};
   Report.Digest.Scope = digest_scope::Fleet;
-  relayed_member Member{17, 5, 3, 0};
+  relayed_member Member{17, 5, 0};
   setFact(Member, relayed_fact::KnowsVersion, true);
   setFact(Member, relayed_fact::ReadStoreSinceStart, false);
-  Report.Digest.Members = {Member, {18, MaxAgeSteps, MaxAgeSteps, 0}};
+  Report.Digest.Members = {Member, {18, MaxAgeSteps, 0}};
   Report.Digest.Demands = {3, 1, {{7, 2.5F}}, {{8, 1.5F, 0.25F, 0.125F}}};
   Report.Digest.Suspicions = {{"orders", "orders-1", 2}};
   Datagram.Body = Report;
@@ -53,6 +55,8 @@
   cr_assert(Report.StoreReadAge == NoAge && Report.Leaving);
   cr_assert(Report.Groups == Sent.Groups && Report.NewestRow == 9);
   cr_assert(Report.Digest == Sent.Digest);
+  cr_assert(Report.EvacuationVersion == 31);
+  cr_assert(Report.EvacuatedZones == Sent.EvacuatedZones);
   const relayed_member &Member = Report.Digest.Members.front();
   cr_assert(hasFact(Member, relayed_fact::KnowsVersion));
   cr_assert(!hasFact(Member, relayed_fact::ReadStoreSinceStart));
