Do the periodic work of an instance only for what changed

Change: suspicions and probes begin with the pools that have failures or unanswered statements; connections are divided after a change of candidates, list, configuration or evacuations; an unchanged list is only confirmed, and its digest is kept. Callers that wait for a connection are woken by the periodic check of the pools, which the division did before.

--- a/packages/redwinggw/src/platform_configuration.cpp
+++ b/packages/redwinggw/src/platform_configuration.cpp
@@ -75,6 +75,7 @@
     return;
   State.Routes = std::make_shared<session::route_table>(std::move(*Table));
   applyRates(State.Shares, State.Routes->Customers, base::now());
+  State.ConnectionsStale = true;
   divideConnections(State);
   noteInForce(State, From);
 }
@@ -172,6 +173,7 @@
                  {{"zones", Zones},
                   {"version", std::to_string(State.Evacuations.Version)},
                   {"from", std::string(From)}});
+  State.ConnectionsStale = true;
   divideConnections(State);
 }
 
--- a/packages/redwinggw/src/platform_endpoint_owners.cpp
+++ b/packages/redwinggw/src/platform_endpoint_owners.cpp
@@ -70,11 +70,13 @@
 
 /// Each instance computes the owners on its own, from the instances that it is
 /// in contact with. Recomputed only after a change, since it takes a hash for
-/// each endpoint and instance.
-void assignOwners(platform_instance_state &State) {
+/// each endpoint and instance; true if it was.
+bool assignOwners(platform_instance_state &State) {
   const instant Now = base::now();
   auto Candidates = ownerCandidates(State, Now);
   const bool Changed = Candidates != State.OwnerCandidates;
+  if (!Changed && !State.ConnectionsStale)
+    return false;
   for (const auto &[Name, Pool] : State.Endpoints.Pools)
     if (Changed || !State.Owners.contains(Name))
       noteOwner(State, Name, ownerOf(Name, Pool->entry().Zone, Candidates));
@@ -83,10 +85,11 @@
     return !State.Endpoints.Pools.contains(Item.first);
   });
   if (!State.Peers || !State.ForwardingClient)
-    return;
+    return true;
   for (const control::member &Member : State.Peers->view().Members)
     if (!session::mayOwn(State.Peers->view(), Member, Now))
       State.ForwardingClient->closeIdle(Member.Name);
+  return true;
 }
 
 } // namespace
@@ -112,7 +115,13 @@
 void divideConnections(platform_instance_state &State) {
   if (!State.Routes)
     return;
-  assignOwners(State);
+  const std::size_t Instances =
+      State.Peers ? instanceCount(State.Peers->view()) : 1;
+  const bool OwnersAssigned = assignOwners(State);
+  if (!OwnersAssigned && Instances == State.DividedAmong)
+    return;
+  State.ConnectionsStale = false;
+  State.DividedAmong = Instances;
   for (auto &[Name, Pool] : State.Endpoints.Pools) {
     const auto Service = State.Routes->Services.find(Pool->entry().Service);
     if (Service == State.Routes->Services.end())
--- a/packages/redwinggw/src/platform_endpoints.cpp
+++ b/packages/redwinggw/src/platform_endpoints.cpp
@@ -49,7 +49,7 @@
                          Now - *State.SentEndpointListAt < FullListInterval;
   if (Unchanged) {
     State.Peers->sendSharedRead({wire::shared_read_kind::EndpointsUnchanged,
-                                 false, digestText(State.EndpointList)});
+                                 false, State.EndpointListDigest});
     return;
   }
   const std::string Text = platform::encodeRows(Rows);
@@ -69,7 +69,11 @@
                         base::instant ReadAt) {
   const auto Changes = updateEndpoints(State.Endpoints, Entries, base::now());
   State.EndpointList = Entries;
+  State.EndpointListDigest = digestText(Entries);
   State.EndpointListAt = ReadAt;
+  const bool Changed = !Changes.Started.empty() || !Changes.Gone.empty() ||
+                       !Changes.Changed.empty();
+  State.ConnectionsStale = State.ConnectionsStale || Changed;
   for (const base::endpoint_name &Name : Changes.Started)
     base::log(log_level::Info, log_part::Endpoints,
               "Endpoint " + Name + " was added to the list.");
@@ -79,13 +83,24 @@
   divideConnections(State);
 }
 
+/// Records that the list is still the newest one.
+void confirmEndpointList(platform_instance_state &State) {
+  const base::instant Now = base::now();
+  // Endpoints that were missing after an outage may have to go now.
+  if (!confirmDirectory(State.Endpoints.Directory, State.EndpointList, Now)) {
+    acceptEndpointList(State, std::vector(State.EndpointList), Now);
+    return;
+  }
+  State.EndpointListAt = Now;
+}
+
 } // namespace
 
 void acceptSharedRead(platform_instance_state &State,
                       const wire::shared_store_read &Reading) {
   if (Reading.Kind == wire::shared_read_kind::EndpointsUnchanged) {
-    if (State.EndpointListAt && Reading.Text == digestText(State.EndpointList))
-      acceptEndpointList(State, std::vector(State.EndpointList), base::now());
+    if (State.EndpointListAt && Reading.Text == State.EndpointListDigest)
+      confirmEndpointList(State);
     return;
   }
   if (const auto Rows = platform::decodeRows(Reading.Text))
--- a/packages/redwinggw/src/platform_handover.cpp
+++ b/packages/redwinggw/src/platform_handover.cpp
@@ -395,16 +395,17 @@
   State->Moving.erase(Service);
 }
 
-/// \p ReadsStore: this instance is the store reader.
+bool ordersMove(const platform_instance_state &State,
+                const base::service_name &Service) {
+  const auto *Known = findClaim(State.Claims, Service);
+  return Known != nullptr && Known->Claim.Moving &&
+         Known->Claim.Orderer == State.Settings.Name;
+}
+
+/// Moves the primary of \p Service if there is a cause to.
 void checkPrimary(platform_instance_ptr State,
-                  const base::service_name &Service, bool ReadsStore) {
-  const base::endpoint_name Primary = primaryOf(*State, Service);
-  probeIfInDoubt(State, Primary);
-  const auto *Known = findClaim(State->Claims, Service);
-  const bool OwnMove = Known != nullptr && Known->Claim.Moving &&
-                       Known->Claim.Orderer == State->Settings.Name;
-  if (State->Draining || State->Moving.contains(Service) ||
-      (!ReadsStore && !OwnMove))
+                  const base::service_name &Service) {
+  if (State->Moving.contains(Service))
     return;
   const auto View = viewOf(*State, Service);
   const move_cause Cause = causeToMove(View, State->Handover, base::now());
@@ -420,11 +421,13 @@
 base::task<void> monitorPrimaries(platform_instance_ptr State) {
   while (!State->Stopped) {
     if (State->Peers && State->Routes && State->FleetReadAt) {
+      probePrimariesInDoubt(State);
       const session::route_table_ptr Table = State->Routes;
       // Compares all instances, so it is not decided for each service anew.
       const bool ReadsStore = isStoreReader(*State);
       for (const auto &[Service, Limits] : Table->Services)
-        checkPrimary(State, Service, ReadsStore);
+        if (!State->Draining && (ReadsStore || ordersMove(*State, Service)))
+          checkPrimary(State, Service);
     }
     co_await pauseWithJitter(*State, PrimaryCheckInterval);
   }
--- a/packages/redwinggw/src/platform_heartbeats.cpp
+++ b/packages/redwinggw/src/platform_heartbeats.cpp
@@ -31,9 +31,7 @@
   auto Reports = session::reportsOf(State.Claims);
   if (!State.Routes)
     return Reports;
-  for (const auto &[Service, Limits] : State.Routes->Services) {
-    if (!suspects(State, Service))
-      continue;
+  for (const base::service_name &Service : suspectServices(State)) {
     auto Report =
         std::ranges::find(Reports, Service, &wire::group_report::Group);
     if (Report == Reports.end()) {
--- a/packages/redwinggw/src/platform_instance_state.hpp
+++ b/packages/redwinggw/src/platform_instance_state.hpp
@@ -70,6 +70,11 @@
   std::map<base::endpoint_name, base::instance_name, std::less<>> Owners;
   /// The instances among which Owners was last divided.
   std::vector<session::owner_candidate> OwnerCandidates;
+  /// Connections have to be divided again: endpoints, configuration or
+  /// evacuations have changed.
+  bool ConnectionsStale = true;
+  /// The number of instances when connections were last divided.
+  std::size_t DividedAmong = 0;
   control::demand_shares Shares;
   control::token_transfers Transfers;
   /// Operations that wait for another instance's answer about tokens.
@@ -96,8 +101,9 @@
   /// removed.
   std::map<base::instance_name, std::uint64_t> InstanceRowVersions;
   /// The newest endpoint list, read from the store or received from the store
-  /// reader.
+  /// reader, and its digest.
   std::vector<session::endpoint_entry> EndpointList;
+  std::string EndpointListDigest;
   std::optional<base::instant> EndpointListAt;
   /// The list that this instance last sent to the others in full.
   std::vector<session::endpoint_entry> SentEndpointList;
@@ -173,9 +179,8 @@
 base::task<session::status_exchange> askStatus(platform_instance_state &State,
                                                session::endpoint_entry Entry,
                                                base::milliseconds Time);
-/// Probes a primary when statements at it failed or remain unanswered.
-void probeIfInDoubt(platform_instance_ptr State,
-                    const base::endpoint_name &Name);
+/// Probes the primaries at which statements failed or remain unanswered.
+void probePrimariesInDoubt(const platform_instance_ptr &State);
 /// @}
 
 /// \name Heartbeats
@@ -229,6 +234,10 @@
                  const session::primary_claim &Claim);
 /// Whether this instance suspects that the primary of \p Service has failed.
 bool suspects(const platform_instance_state &State, std::string_view Service);
+/// The services whose primary this instance suspects. Precondition: a
+/// configuration is in force.
+std::vector<base::service_name>
+suspectServices(const platform_instance_state &State);
 /// @}
 
 /// Applies what the store reader has read and sent to this instance.
--- a/packages/redwinggw/src/platform_primaries.cpp
+++ b/packages/redwinggw/src/platform_primaries.cpp
@@ -117,6 +117,20 @@
   return true;
 }
 
+std::vector<base::service_name>
+suspectServices(const platform_instance_state &State) {
+  std::vector<base::service_name> Services;
+  const base::instant Now = base::now();
+  for (const auto &[Name, Pool] : State.Endpoints.Pools) {
+    const base::service_name &Service = Pool->entry().Service;
+    if (isSuspect(Pool->health(), State.Handover, Now) &&
+        State.Routes->Services.contains(Service) &&
+        primaryOf(State, Service) == Name)
+      Services.push_back(Service);
+  }
+  return Services;
+}
+
 bool suspects(const platform_instance_state &State, std::string_view Service) {
   const auto Pool = State.Endpoints.Pools.find(primaryOf(State, Service));
   return Pool != State.Endpoints.Pools.end() &&
--- a/packages/redwinggw/src/platform_probing.cpp
+++ b/packages/redwinggw/src/platform_probing.cpp
@@ -56,20 +56,28 @@
   co_return co_await Link->command(session::status_command::Ask, 0, Deadline);
 }
 
-void probeIfInDoubt(platform_instance_ptr State,
-                    const base::endpoint_name &Name) {
-  const auto Pool = poolOf(State->Endpoints, Name);
-  if (!Pool || Pool->isEvacuated() || State->Probing.contains(Name))
-    return;
-  const instant Now = base::now();
-  const bool Busy = Pool->open() > Pool->idle();
-  const instant Oldest = Pool->oldestUnanswered().value_or(Now);
+namespace {
+
+bool isInDoubt(const session::endpoint_pool &Pool, instant Now) {
+  const bool Busy = Pool.open() > Pool.idle();
+  const instant Oldest = Pool.oldestUnanswered().value_or(Now);
   const bool Silent = Busy && Now - Oldest > ProbeAfter &&
-                      Now - Pool->health().LastSuccess > ProbeAfter;
-  if (Pool->health().Failures == 0 && !Silent)
-    return;
-  State->Probing.insert(Name);
-  asio::co_spawn(State->Context, probe(State, Name), asio::detached);
+                      Now - Pool.health().LastSuccess > ProbeAfter;
+  return Pool.health().Failures != 0 || Silent;
+}
+
+} // namespace
+
+void probePrimariesInDoubt(const platform_instance_ptr &State) {
+  const instant Now = base::now();
+  for (const auto &[Name, Pool] : State->Endpoints.Pools) {
+    if (!isInDoubt(*Pool, Now) || Pool->isEvacuated() ||
+        State->Probing.contains(Name) ||
+        primaryOf(*State, Pool->entry().Service) != Name)
+      continue;
+    State->Probing.insert(Name);
+    asio::co_spawn(State->Context, probe(State, Name), asio::detached);
+  }
 }
 
 } // namespace redwinggw
--- a/packages/session/include/redwinggw/session/directory.hpp
+++ b/packages/session/include/redwinggw/session/directory.hpp
@@ -88,6 +88,13 @@
                                   const std::vector<endpoint_entry> &Entries,
                                   base::instant Now);
 
+/// Records a read that returned the same \p Entries as the last one. False if
+/// they have to be applied with updateDirectory again, since an endpoint is
+/// known that they lack.
+bool confirmDirectory(directory &Directory,
+                      const std::vector<endpoint_entry> &Entries,
+                      base::instant Now);
+
 /// The endpoints of \p Service, sorted by name.
 std::vector<const endpoint_entry *> endpointsOf(const directory &Directory,
                                                 std::string_view Service);
--- a/packages/session/include/redwinggw/session/endpoint_pool.hpp
+++ b/packages/session/include/redwinggw/session/endpoint_pool.hpp
@@ -139,7 +139,9 @@
   /// would let one more statement time out.
   void closeIdle();
 
-  /// Closes connections that were idle for too long.
+  /// Closes connections that were idle for too long, and wakes a waiting caller
+  /// if a connection may be opened again since an earlier refusal. Call it
+  /// periodically.
   void closeUnused(base::instant Now);
 
   /// Records that a statement was sent, and that its exchange ended in any way.
--- a/packages/session/src/directory.cpp
+++ b/packages/session/src/directory.cpp
@@ -82,6 +82,15 @@
   return Changes;
 }
 
+bool confirmDirectory(directory &Directory,
+                      const std::vector<endpoint_entry> &Entries,
+                      base::instant Now) {
+  if (Directory.Endpoints.size() != Entries.size())
+    return false;
+  noteReading(Directory, Now);
+  return true;
+}
+
 std::vector<const endpoint_entry *> endpointsOf(const directory &Directory,
                                                 std::string_view Service) {
   std::vector<const endpoint_entry *> Found;
--- a/packages/session/src/endpoint_pool.cpp
+++ b/packages/session/src/endpoint_pool.cpp
@@ -230,7 +230,7 @@
 }
 
 void endpoint_pool::wakeNext() {
-  if (isExhausted())
+  if (Queue.Size == 0 || isExhausted())
     return;
   while (const auto Ticket = dequeue(Queue))
     if (Waiters.wake(Ticket->Id))
@@ -283,6 +283,7 @@
   };
   while (!Idle.empty() && IsOld(Idle.back()))
     evictOne();
+  wakeNext();
 }
 
 void endpoint_pool::noteOwnerLoad(std::size_t Load, instant Now) {
