Compute owners from what changed, and hash each name once

Change: services are found by a table of hashes that is filled with the configuration; members keep the hashes of their names; after a change of the candidates an endpoint's owner is compared with those that joined, and with all only if it left. A test plays orders of joining and leaving against ownerOf.

--- a/packages/control/include/redwinggw/control/membership.hpp
+++ b/packages/control/include/redwinggw/control/membership.hpp
@@ -72,6 +72,9 @@
 /// Another instance.
 struct member {
   base::instance_name Name;
+  /// wire::hashOf and rendezvousHash of the name; set by indexList.
+  std::uint32_t NameHash = 0;
+  std::uint32_t RendezvousHash = 0;
   base::zone_name Zone;
   http::address Address;
   bool ListedLeaving = false;
--- a/packages/control/src/centralized_buckets.cpp
+++ b/packages/control/src/centralized_buckets.cpp
@@ -32,14 +32,12 @@
 /// their names.
 std::vector<owner_candidate> candidates(const membership &Membership) {
   std::vector<owner_candidate> Found;
-  const auto Add = [&](const base::instance_name &Name) {
-    Found.push_back({rendezvousHash(Name), wire::hashOf(Name)});
-  };
   for (const member &Member : Membership.Members)
     if (Member.State == member_state::Alive)
-      Add(Member.Name);
+      Found.push_back({Member.RendezvousHash, Member.NameHash});
   if (!Membership.Local.Leaving)
-    Add(Membership.Self.Name);
+    Found.push_back({rendezvousHash(Membership.Self.Name),
+                     wire::hashOf(Membership.Self.Name)});
   return Found;
 }
 
--- a/packages/control/src/membership_reports.cpp
+++ b/packages/control/src/membership_reports.cpp
@@ -1,6 +1,7 @@
 #include "redwinggw/control/membership_reports.hpp"
 
 #include "redwinggw/control/relays.hpp"
+#include "redwinggw/control/rendezvous.hpp"
 
 #include <algorithm>
 #include <iterator>
@@ -134,7 +135,7 @@
   if (Steps > wire::MaxAgeSteps)
     return std::nullopt;
   wire::relayed_member Relayed;
-  Relayed.Instance = wire::hashOf(Member.Name);
+  Relayed.Instance = Member.NameHash;
   Relayed.Age = static_cast<std::uint8_t>(Steps);
   setFact(Relayed, ReadStoreSinceStart, Member.ReadStoreSinceStart);
   setFact(Relayed, KnowsHead, Member.KnownHead >= Membership.Store.HeadVersion);
@@ -178,9 +179,12 @@
 
 void indexList(membership &Membership) {
   Membership.ByHash.clear();
-  for (std::size_t Index = 0; Index < Membership.Members.size(); ++Index)
-    Membership.ByHash.emplace_back(wire::hashOf(Membership.Members[Index].Name),
-                                   Index);
+  for (std::size_t Index = 0; Index < Membership.Members.size(); ++Index) {
+    member &Member = Membership.Members[Index];
+    Member.NameHash = wire::hashOf(Member.Name);
+    Member.RendezvousHash = rendezvousHash(Member.Name);
+    Membership.ByHash.emplace_back(Member.NameHash, Index);
+  }
   std::ranges::sort(Membership.ByHash);
 }
 
--- a/packages/redwinggw/src/platform_configuration.cpp
+++ b/packages/redwinggw/src/platform_configuration.cpp
@@ -74,6 +74,9 @@
   if (State.Routes && Table->Version <= State.Routes->Version)
     return;
   State.Routes = std::make_shared<session::route_table>(std::move(*Table));
+  State.ServicesByHash.clear();
+  for (const auto &[Service, Limits] : State.Routes->Services)
+    State.ServicesByHash.emplace(wire::hashOf(Service), Service);
   applyRates(State.Shares, State.Routes->Customers, base::now());
   State.ConnectionsStale = true;
   divideConnections(State);
--- a/packages/redwinggw/src/platform_endpoint_owners.cpp
+++ b/packages/redwinggw/src/platform_endpoint_owners.cpp
@@ -25,8 +25,11 @@
   std::vector<session::owner_candidate> Candidates;
   if (State.Peers)
     Candidates = session::ownersAmong(State.Peers->view(), Now);
-  if (!State.Draining)
-    Candidates.push_back({State.Settings.Name, State.Settings.Zone});
+  if (State.Draining)
+    return Candidates;
+  const auto At = std::ranges::lower_bound(Candidates, State.Settings.Name, {},
+                                           &session::owner_candidate::Name);
+  Candidates.emplace(At, State.Settings.Name, State.Settings.Zone);
   return Candidates;
 }
 
@@ -69,17 +72,17 @@
 }
 
 /// Each instance computes the owners on its own, from the instances that it is
-/// in contact with. Recomputed only after a change, since it takes a hash for
-/// each endpoint and instance; true if it was.
+/// in contact with. Recomputed only after a change; true if it was.
 bool assignOwners(platform_instance_state &State) {
   const instant Now = base::now();
   auto Candidates = ownerCandidates(State, Now);
-  const bool Changed = Candidates != State.OwnerCandidates;
-  if (!Changed && !State.ConnectionsStale)
+  const auto Changes = changesBetween(State.OwnerCandidates, Candidates);
+  if (Changes.none() && !State.ConnectionsStale)
     return false;
   for (const auto &[Name, Pool] : State.Endpoints.Pools)
-    if (Changed || !State.Owners.contains(Name))
-      noteOwner(State, Name, ownerOf(Name, Pool->entry().Zone, Candidates));
+    noteOwner(State, Name,
+              ownerAfter(Name, Pool->entry().Zone, State.Owners[Name], Changes,
+                         Candidates));
   State.OwnerCandidates = std::move(Candidates);
   std::erase_if(State.Owners, [&](const auto &Item) {
     return !State.Endpoints.Pools.contains(Item.first);
--- a/packages/redwinggw/src/platform_heartbeats.cpp
+++ b/packages/redwinggw/src/platform_heartbeats.cpp
@@ -145,18 +145,20 @@
 
 void acceptReportedPositions(platform_instance_state &State,
                              const control::member &Member) {
-  if (!Member.ReportAt || !State.Routes)
+  if (!Member.ReportAt)
     return;
   const instant Now = base::now();
-  for (const wire::position_report &Report : Member.Report.Positions)
-    for (const auto &[Service, Limits] : State.Routes->Services)
-      if (wire::hashOf(Service) == Report.Group)
-        // ReportAt is the earliest time at which the report can have been made,
-        // so the sample never looks younger than it is.
-        addSample(State.Endpoints.Samples[Service],
-                  {*Member.ReportAt - milliseconds(Report.Age),
-                   {Report.Term, Report.Position}},
-                  Now);
+  for (const wire::position_report &Report : Member.Report.Positions) {
+    const auto Service = State.ServicesByHash.find(Report.Group);
+    if (Service == State.ServicesByHash.end())
+      continue;
+    // ReportAt is the earliest time at which the report can have been made, so
+    // the sample never looks younger than it is.
+    addSample(State.Endpoints.Samples[Service->second],
+              {*Member.ReportAt - milliseconds(Report.Age),
+               {Report.Term, Report.Position}},
+              Now);
+  }
 }
 
 void acceptReport(platform_instance_state &State,
--- a/packages/redwinggw/src/platform_instance_state.hpp
+++ b/packages/redwinggw/src/platform_instance_state.hpp
@@ -27,6 +27,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <unordered_map>
 
 /// State and services of one instance that runs on the users' platform, and the
 /// functions that work on them.
@@ -44,6 +45,8 @@
   /// instance that is called the store reader.
   platform::store_client StoreTables;
   session::route_table_ptr Routes;
+  /// The services of Routes by hashOf their names, as reports name them.
+  std::unordered_map<std::uint32_t, base::service_name> ServicesByHash;
   /// The text from which Routes was parsed, for instances that cannot read the
   /// store.
   session::stored_configuration Stored;
--- a/packages/session/include/redwinggw/session/endpoint_owner.hpp
+++ b/packages/session/include/redwinggw/session/endpoint_owner.hpp
@@ -3,6 +3,7 @@
 #include "redwinggw/base/ids.hpp"
 #include "redwinggw/control/membership.hpp"
 
+#include <cstdint>
 #include <string_view>
 #include <vector>
 
@@ -13,8 +14,12 @@
 /// An instance that could own connections to endpoints, unlike
 /// control::owner_candidate, which could own token buckets.
 struct owner_candidate {
+  owner_candidate(base::instance_name Name, base::zone_name Zone);
+
   base::instance_name Name;
   base::zone_name Zone;
+  /// rendezvousHash of the name.
+  std::uint32_t Hash;
 
   friend bool operator==(const owner_candidate &,
                          const owner_candidate &) = default;
@@ -26,7 +31,7 @@
 bool mayOwn(const control::membership &Membership,
             const control::member &Member, base::instant Now);
 
-/// The members that may own connections. Thread safe.
+/// The members that may own connections, sorted by name. Thread safe.
 std::vector<owner_candidate> ownersAmong(const control::membership &Membership,
                                          base::instant Now);
 
@@ -40,4 +45,25 @@
 const owner_candidate *ownerOf(std::string_view Endpoint, std::string_view Zone,
                                const std::vector<owner_candidate> &Candidates);
 
+/// How a list of candidates differs from an earlier one.
+struct candidate_changes {
+  std::vector<owner_candidate> Joined;
+  std::vector<owner_candidate> Left;
+
+  bool none() const { return Joined.empty() && Left.empty(); }
+};
+
+/// The changes from \p Before to \p After. Precondition: both are sorted by
+/// name. Thread safe.
+candidate_changes changesBetween(const std::vector<owner_candidate> &Before,
+                                 const std::vector<owner_candidate> &After);
+
+/// The same result as ownerOf, computed from the owner before \p Changes; empty
+/// if there was none. Compares that owner with those that joined only, unless
+/// it left. Thread safe.
+const owner_candidate *
+ownerAfter(std::string_view Endpoint, std::string_view Zone,
+           std::string_view OwnerBefore, const candidate_changes &Changes,
+           const std::vector<owner_candidate> &Candidates);
+
 } // namespace redwinggw::session
--- a/tests/session/endpoint_owner_test.cpp
+++ b/tests/session/endpoint_owner_test.cpp
@@ -28,6 +28,16 @@
       ->Name;
 }
 
+/// The candidates at \p Indices, sorted by name.
+std::vector<owner_candidate> some(const std::vector<owner_candidate> &All,
+                                  const std::vector<std::size_t> &Indices) {
+  std::vector<owner_candidate> Some;
+  for (const std::size_t Index : Indices)
+    Some.push_back(All[Index]);
+  std::ranges::sort(Some, {}, &owner_candidate::Name);
+  return Some;
+}
+
 /// Instances that exchange heartbeats in simulated time.
 struct heartbeat_fleet {
   heartbeat_fleet(std::size_t Count, std::size_t DirectLimit) {
@@ -161,3 +171,26 @@
   Fleet.run(base::milliseconds(20'000));
   cr_assert(Fleet.disputed(20) == 0, "%zu", Fleet.disputed(20));
 }
+
+// Guards against instances that disagree on an owner because they saw the
+// others join and leave in a different order.
+Test(endpoint_owner, is_the_same_whatever_changes_led_to_the_candidates) {
+  const auto All = fleet(12, 3);
+  const std::vector<std::vector<std::size_t>> Steps = {
+      {0}, {0, 3, 5}, {3, 5}, {1, 2, 3, 5, 8, 11}, {2, 8}, {}, {4, 7, 9}};
+  for (std::size_t Endpoint = 0; Endpoint < 60; ++Endpoint) {
+    const std::string Name = "i-" + std::to_string(Endpoint);
+    const std::string Zone = "z" + std::to_string(Endpoint % 4);
+    std::vector<owner_candidate> Before;
+    base::instance_name Owner;
+    for (const auto &Step : Steps) {
+      const auto After = some(All, Step);
+      const auto *Next =
+          ownerAfter(Name, Zone, Owner, changesBetween(Before, After), After);
+      const auto *Expected = ownerOf(Name, Zone, After);
+      cr_assert(Next == Expected);
+      Owner = Next == nullptr ? "" : Next->Name;
+      Before = After;
+    }
+  }
+}
