Let operations wait for the bucket owners of a fleet that has just started

Change: while an instance that has just started knows no owners, an operation waits if they are expected within twice its patience for a token, and is told the expected time otherwise. An owner that does not answer is asked again within the patience. Owners of a fleet in which nobody owned a bucket before begin with the rate of the time since the start, at most 0.8 s, and less than half of what operators tolerate beyond rate and burst that is unused: 0.1 s of the rate, 4% of the burst, 2.5 operations. Tried and dropped: four times as many heartbeats without contact; relays_test shows that relays then skip each other and a zone has three.

--- a/packages/control/include/redwinggw/control/centralized_buckets.hpp
+++ b/packages/control/include/redwinggw/control/centralized_buckets.hpp
@@ -57,6 +57,11 @@
 /// Whether one instance owns the whole bucket of \p Customer.
 bool isCentralized(const demand_shares &Shares, std::string_view Customer);
 
+/// How long this instance, which has just started, is expected to know no
+/// bucket owners from now on; nothing when it knows them. Not thread safe.
+std::optional<base::microseconds> ownersExpected(const demand_shares &Shares,
+                                                 base::instant Now);
+
 /// The member that owns the bucket of \p Customer; null when it is this
 /// instance or nobody.
 const member *bucketOwner(const demand_shares &Shares,
--- a/packages/control/include/redwinggw/control/demand_shares.hpp
+++ b/packages/control/include/redwinggw/control/demand_shares.hpp
@@ -187,6 +187,9 @@
   /// There was contact with a majority since the start, or MaxStartupTime is
   /// over.
   bool StartupDone = false;
+  /// This instance has started in a fleet with relays and is not yet in contact
+  /// with a majority: it knows no bucket owners.
+  bool AwaitsOwners = false;
   /// This instance has left its shares to the others.
   bool GaveUpShare = false;
   /// How many instances the sums to pass on cover.
--- a/packages/control/src/centralized_buckets.cpp
+++ b/packages/control/src/centralized_buckets.cpp
@@ -20,9 +20,20 @@
 /// time.
 constexpr base::milliseconds JointStartupTime{800};
 
-/// What owners start with in a fleet in which nobody owned a bucket before, in
-/// seconds of the rate: less than the time for which nobody was served.
-constexpr double InitialSeconds = 0.3;
+/// Instances that start together know the owners after about this time.
+constexpr base::milliseconds UsualStartupTime{400};
+
+/// \name What owners start with in a fleet in which nobody owned a bucket
+/// before The rate of the time since the start, in which nobody was served, and
+/// a part of what operators tolerate beyond rate and burst that RateSlack and
+/// ExtraTokens leave unused. Less than half of that part, since all may be lost
+/// twice within one window.
+/// @{
+constexpr base::milliseconds MaxInitialTime{800};
+constexpr double InitialSlackSeconds = 0.1;
+constexpr double InitialBurstFraction = 0.04;
+constexpr double InitialExtraTokens = 2.5;
+/// @}
 
 /// How long after its last contact with a majority an instance begins to divide
 /// rates.
@@ -71,6 +82,18 @@
          });
 }
 
+double initialTokens(const demand_shares &Shares, const demand_account &Account,
+                     instant Now) {
+  const auto Uptime = Now - Shares.StartedAt.value_or(Now);
+  const double Seconds =
+      std::chrono::duration<double>(
+          std::min<base::microseconds>(Uptime, MaxInitialTime))
+          .count() +
+      InitialSlackSeconds;
+  return Seconds * Account.Rate + InitialBurstFraction * Account.Burst +
+         InitialExtraTokens;
+}
+
 void setOwner(demand_account &Account, std::uint32_t Owner, instant From,
               double InitialTokens) {
   if (Account.Owner == Owner)
@@ -97,7 +120,8 @@
     const instant From =
         NoOwnersBefore || Stopped ? Now : Now + OwnerChangeDelay;
     setOwner(Account, ownerOf(Name, Candidates), From,
-             Begins && NoOwnersBefore ? InitialSeconds * Account.Rate : 0);
+             Begins && NoOwnersBefore ? initialTokens(Shares, Account, Now)
+                                      : 0);
   }
   Shares.OwnerCandidates = std::move(Candidates);
 }
@@ -135,6 +159,7 @@
 
 void centralizeBuckets(demand_shares &Shares, const membership &Membership,
                        bool InContact, instant Now) {
+  Shares.AwaitsOwners = usesRelays(Membership) && !Shares.StartupDone;
   const bool Centralizes = usesRelays(Membership) && Shares.StartupDone &&
                            InContact && inContactWithMajority(Membership, Now);
   if (Centralizes) {
@@ -147,8 +172,7 @@
   // The owners may not have noticed yet that this instance is silent.
   const bool Silent =
       Shares.LastCentralizedAt && Now - *Shares.LastCentralizedAt < DivideDelay;
-  const bool AdmitsNothing =
-      Silent || (usesRelays(Membership) && !Shares.StartupDone);
+  const bool AdmitsNothing = Silent || Shares.AwaitsOwners;
   const std::uint32_t Self = wire::hashOf(Membership.Self.Name);
   for (auto &[Name, Account] : Shares.Accounts) {
     if (Centralizes) {
@@ -169,6 +193,15 @@
          Now - *Shares.CentralizedSince > JointStartupTime;
 }
 
+std::optional<microseconds> ownersExpected(const demand_shares &Shares,
+                                           instant Now) {
+  if (!Shares.AwaitsOwners)
+    return std::nullopt;
+  constexpr base::milliseconds Min{100};
+  const auto Uptime = Now - Shares.StartedAt.value_or(Now);
+  return std::max<microseconds>(Min, UsualStartupTime - Uptime);
+}
+
 bool isCentralized(const demand_shares &Shares, std::string_view Customer) {
   const auto Found = Shares.Accounts.find(Customer);
   return Found != Shares.Accounts.end() && Found->second.Centralized;
--- a/packages/redwinggw/src/platform_rates.cpp
+++ b/packages/redwinggw/src/platform_rates.cpp
@@ -142,27 +142,51 @@
   co_return Answer.mapped();
 }
 
+/// Interval between two requests to a bucket's owner for one operation: the
+/// answer may have been lost, or the owner not have been chosen there yet.
+constexpr milliseconds OwnerRetryInterval{30};
+
 /// Admits an operation by a bucket that another instance owns.
 base::task<control::demand_verdict>
 admitByBucketOwner(platform_instance_state &State, const std::string &Customer,
                    unsigned Priority, base::microseconds Patience,
                    control::demand_verdict Here) {
-  const control::member *Owner =
-      State.Peers ? bucketOwner(State.Shares, State.Peers->view(), Customer)
-                  : nullptr;
-  // This instance owns the bucket, which is empty.
-  if (Owner == nullptr)
-    co_return Here;
-  const auto Answer =
-      co_await askBucketOwner(State, *Owner, Customer, Priority, Patience);
-  if (!Answer) {
+  const instant Until = base::now() + Patience;
+  while (true) {
+    const control::member *Owner =
+        State.Peers ? bucketOwner(State.Shares, State.Peers->view(), Customer)
+                    : nullptr;
+    // This instance owns the bucket, which is empty.
+    if (Owner == nullptr)
+      co_return Here;
+    const auto Answer =
+        co_await askBucketOwner(State, *Owner, Customer, Priority, Patience);
+    if (Answer)
+      co_return verdictFromOwner(State.Shares, Customer, *Answer);
     counterOf(State.Core.Metrics, base::metric::ShareTokensTotal,
               {Customer, "unanswered"})
         .Value += 1;
-    Here.Wait = control::NextOwnerWithin;
-    co_return Here;
+    if (base::now() + OwnerRetryInterval >= Until)
+      break;
+    co_await pauseWithJitter(State, OwnerRetryInterval);
+  }
+  Here.Wait = control::NextOwnerWithin;
+  co_return Here;
+}
+
+/// Waits until this instance, which has just started, knows the bucket owners.
+/// Returns how long that will still take if it is too long to wait for.
+base::task<std::optional<base::microseconds>>
+awaitBucketOwners(platform_instance_state &State, base::microseconds Patience) {
+  // Longer than for a token, which the customer may not get at all.
+  const auto StartupPatience = 2 * Patience;
+  const instant Until = base::now() + StartupPatience;
+  while (const auto Expected = ownersExpected(State.Shares, base::now())) {
+    if (base::now() + *Expected > Until)
+      co_return Expected;
+    co_await pauseWithJitter(State, OwnerRetryInterval);
   }
-  co_return verdictFromOwner(State.Shares, Customer, *Answer);
+  co_return std::nullopt;
 }
 
 void acceptGrant(platform_instance_state &State,
@@ -184,6 +208,9 @@
                                               base::microseconds Patience) {
   // The first instance asked may have sent its tokens elsewhere a moment ago.
   constexpr unsigned MaxSenders = 2;
+  const auto OwnersExpected = co_await awaitBucketOwners(State, Patience);
+  if (OwnersExpected)
+    co_return session::admission{false, false, *OwnersExpected};
   auto Verdict =
       takeDemandToken(State.Shares, Customer, Priority, Patience, base::now());
   if (!Verdict.Admitted && isCentralized(State.Shares, Customer)) {
--- a/tests/control/centralized_buckets_test.cpp
+++ b/tests/control/centralized_buckets_test.cpp
@@ -123,6 +123,44 @@
   }
 }
 
+// Guards against what a fleet starts with being spent twice in one window.
+Test(centralized_buckets,
+     keep_a_flood_within_the_rate_when_all_are_lost_twice) {
+  for (const double Rate : {2.0, 4.0, 8.0, 17.0, 100.0, 1000.0}) {
+    demand_fleet Fleet = centralizedFleet(Rate, Rate);
+    Fleet.load(evenly(Rate / 1.6), milliseconds(8000));
+    const std::size_t Spent = Fleet.Spent;
+    for (int Losses = 0; Losses < 2; ++Losses) {
+      Fleet.load(evenly(8 * Rate), milliseconds(1000));
+      restartAll(Fleet, Rate);
+      Fleet.Now += milliseconds(500);
+    }
+    Fleet.load(evenly(8 * Rate), milliseconds(2000));
+    const auto Used = static_cast<double>(Fleet.Spent - Spent);
+    cr_assert(Used <= allowed(Rate, Rate, 5), "%g of %g, rate %g", Used,
+              allowed(Rate, Rate, 5), Rate);
+  }
+}
+
+// Guards against refusals of the whole demand of the time without service.
+Test(centralized_buckets, begin_with_tokens_after_the_loss_of_all) {
+  demand_fleet Fleet = centralizedFleet(20, 20);
+  Fleet.load(evenly(12), milliseconds(8000));
+  restartAll(Fleet, 20);
+  Fleet.load(std::vector<double>(Count, 0), milliseconds(700));
+  const double Tokens = ownerShares(Fleet).Accounts.at("acme").Tokens;
+  cr_assert(Tokens >= 10, "%g", Tokens);
+}
+
+Test(centralized_buckets, tell_when_a_new_instance_knows_the_owners) {
+  demand_fleet Fleet = centralizedFleet(20, 20);
+  Fleet.tick();
+  const auto Expected = ownersExpected(Fleet.Shares[0], Fleet.Now);
+  cr_assert(Expected && *Expected <= milliseconds(500));
+  Fleet.load(evenly(12), milliseconds(2000));
+  cr_assert(!ownersExpected(Fleet.Shares[0], Fleet.Now));
+}
+
 Test(centralized_buckets, are_not_used_in_a_small_fleet) {
   demand_fleet Fleet(9);
   Fleet.Centralizes = true;
