Count instances as up by when a relay heard them

Cause: in a fleet with relays an instance counted as up by the age of what is proved to be known to it. A relay leaves out of its digests whoever knows a newer claim than itself, and everybody while it orders a promotion, so at each move of a primary many instances take many others for dead after 1.3 s.

Change: digests give the time since a member's report arrived at its relay, also for members that the relay must not vouch for (a flag). By it, and not by the proof, members are alive, suspect or dead. Contact with a majority, acknowledgements and all proofs are as before. Relays tell each other only what they heard themselves, so that a time cannot circulate. One byte more an entry.

The change of bucket owners becomes safer: an owner that is cut off at T has stopped by T + 1.2 s (contact of 1 s, a heartbeat), its successor begins at T - 0.25 s + 1.3 s + 0.6 s at the earliest; by the age of proofs that was T + 0.9 s at worst, kept apart by the fact that the owner's proofs age as well.

--- a/packages/control/include/redwinggw/control/membership.hpp
+++ b/packages/control/include/redwinggw/control/membership.hpp
@@ -90,6 +90,10 @@
   /// When its newest heartbeat arrived, here or at a relay, as far as is known.
   /// Empty before the first one.
   std::optional<base::instant> ArrivedAt;
+  /// When its newest heartbeat arrived, here or at a relay. A relayed time is
+  /// dated from the arrival of the relay's datagram: an estimate by which
+  /// instances count as up, and no proof of what they know.
+  std::optional<base::instant> HeardAt;
   /// When its newest heartbeat arrived here.
   std::optional<base::instant> DirectHeartbeatAt;
   /// \name State as a relay or a candidate for one
@@ -172,9 +176,9 @@
   std::vector<std::pair<std::uint32_t, std::size_t>> ByHash;
   /// Whether this instance acted as a relay when it last sent heartbeats.
   bool Relay = true;
-  /// Whether digests list other instances. False while this instance does not
-  /// accept everything that those report: an instance that counted them as
-  /// alive by its digests would not learn what it has not accepted.
+  /// Whether digests vouch for other instances. False while this instance does
+  /// not accept everything that those report: an instance that counted them as
+  /// in contact by its digests would not learn what it has not accepted.
   bool RelaysReports = true;
   /// A relay reported an instance that is not on the list.
   bool UnlistedReported = false;
--- a/packages/control/src/membership.cpp
+++ b/packages/control/src/membership.cpp
@@ -77,7 +77,8 @@
   const auto DeadAfter = Relayed ? Limits.RelayedDeadAfter : Limits.DeadAfter;
   const auto SuspectAfter =
       Relayed ? Limits.RelayedSuspectAfter : Limits.SuspectAfter;
-  const auto Silence = Now - Member.LastSeenAt.value_or(Member.ListedSince);
+  const auto &Heard = Relayed ? Member.HeardAt : Member.LastSeenAt;
+  const auto Silence = Now - Heard.value_or(Member.ListedSince);
   if (Silence > DeadAfter)
     return member_state::Dead;
   if (Member.ListedLeaving || Member.Report.Leaving || Member.RelayedLeaving)
@@ -90,6 +91,7 @@
 void forgetFormerIncarnation(member &Member) {
   Member.Heartbeat = 0;
   Member.LastSeenAt.reset();
+  Member.HeardAt.reset();
   Member.ReportAt.reset();
   Member.Report = {};
   Member.ReadStoreSinceStart = false;
@@ -216,6 +218,7 @@
   ++Membership.Counters.Heartbeats;
   Member->Heartbeat = Datagram.Sequence;
   Member->ArrivedAt = Now;
+  Member->HeardAt = Now;
   recordHeartbeatReceived(*Member, Now);
   Member->Report = Report;
   const std::optional<instant> MadeAt = Membership.Limits.AgeByEcho
--- a/packages/control/src/membership_reports.cpp
+++ b/packages/control/src/membership_reports.cpp
@@ -65,11 +65,26 @@
                                 Found - Membership.Members.data())];
 }
 
+/// Records when a relay last heard \p Member, by its datagram that arrives at
+/// \p Now.
+void applySilence(member &Member, const wire::relayed_member &Relayed,
+                  instant Now) {
+  if (Relayed.Silence == wire::MaxAgeSteps)
+    return;
+  const instant HeardAt = Now - Relayed.Silence * AgeStep;
+  if (Member.HeardAt.value_or(instant::min()) >= HeardAt)
+    return;
+  Member.HeardAt = HeardAt;
+  Member.RelayedLeaving = hasFact(Relayed, wire::relayed_fact::Leaving);
+}
+
 /// Applies what a relay reports about \p Member. Ages add up over relays and
 /// are rounded up at each, so relayed state never looks more recent than it is.
 void applyRelayedMember(member &Member, const wire::relayed_member &Relayed,
                         const wire::peer_report &Report, instant MadeAt) {
   using enum wire::relayed_fact;
+  if (hasFact(Relayed, AliveOnly))
+    return;
   if (hasFact(Relayed, KnowsHead))
     Member.KnownHead = std::max(Member.KnownHead, Report.HeadVersion);
   if (hasFact(Relayed, KnowsVersion))
@@ -88,7 +103,8 @@
 }
 
 void applyRelayedMembers(membership &Membership,
-                         const wire::peer_report &Report, instant MadeAt) {
+                         const wire::peer_report &Report, instant MadeAt,
+                         instant Now) {
   for (const wire::relayed_member &Relayed : Report.Digest.Members) {
     member *Member = findMutableByHash(Membership, Relayed.Instance);
     if (Member == nullptr) {
@@ -96,6 +112,7 @@
       Membership.UnlistedReported = Membership.UnlistedReported || !Self;
       continue;
     }
+    applySilence(*Member, Relayed, Now);
     applyRelayedMember(*Member, Relayed, Report, MadeAt);
   }
 }
@@ -124,19 +141,49 @@
 
 namespace {
 
-/// The digest entry for \p Member; empty when its last report is too old, or
-/// when it may know a version that is not known here yet.
-std::optional<wire::relayed_member>
-relayedMember(const membership &Membership, const member &Member, instant Now) {
+std::uint8_t stepsSince(const std::optional<instant> &At, instant Now) {
+  if (!At)
+    return wire::MaxAgeSteps;
+  return static_cast<std::uint8_t>(
+      std::clamp<std::int64_t>((Now - *At) / AgeStep, 0, wire::MaxAgeSteps));
+}
+
+/// The silence of \p Member to report. Relays tell each other only what they
+/// heard themselves: a time that circulated among them would look ever more
+/// recent.
+std::uint8_t silenceOf(const member &Member, wire::digest_scope Scope,
+                       instant Now) {
+  const bool ToRelay = Scope == wire::digest_scope::Zone;
+  return stepsSince(ToRelay ? Member.DirectHeartbeatAt : Member.HeardAt, Now);
+}
+
+/// Whether this instance may vouch for what \p Member knows: its last report
+/// is recent, and it knows no version that is not known here yet.
+bool mayVouchFor(const membership &Membership, const member &Member,
+                 instant Now) {
+  return Membership.RelaysReports && Member.LastSeenAt &&
+         Member.PossibleVersion <= Membership.Local.Version &&
+         stepsSince(Member.LastSeenAt, Now) < wire::MaxAgeSteps;
+}
+
+/// The digest entry for \p Member; empty when nothing recent is known of it.
+std::optional<wire::relayed_member> relayedMember(const membership &Membership,
+                                                  const member &Member,
+                                                  wire::digest_scope Scope,
+                                                  instant Now) {
   using enum wire::relayed_fact;
-  if (!Member.LastSeenAt || Member.PossibleVersion > Membership.Local.Version)
-    return std::nullopt;
-  const auto Steps = (Now - *Member.LastSeenAt) / AgeStep + 1;
-  if (Steps > wire::MaxAgeSteps)
-    return std::nullopt;
   wire::relayed_member Relayed;
   Relayed.Instance = Member.NameHash;
-  Relayed.Age = static_cast<std::uint8_t>(Steps);
+  Relayed.Silence = silenceOf(Member, Scope, Now);
+  setFact(Relayed, Leaving, Member.Report.Leaving || Member.RelayedLeaving);
+  if (!mayVouchFor(Membership, Member, Now)) {
+    if (Relayed.Silence == wire::MaxAgeSteps)
+      return std::nullopt;
+    setFact(Relayed, AliveOnly, true);
+    return Relayed;
+  }
+  constexpr std::uint8_t RoundedUp = 1;
+  Relayed.Age = stepsSince(Member.LastSeenAt, Now) + RoundedUp;
   setFact(Relayed, ReadStoreSinceStart, Member.ReadStoreSinceStart);
   setFact(Relayed, KnowsHead, Member.KnownHead >= Membership.Store.HeadVersion);
   setFact(Relayed, KnowsVersion,
@@ -144,7 +191,6 @@
   setFact(Relayed, RecentStoreContact,
           hasRecentStoreContact(Membership, Member, Now));
   setFact(Relayed, Counted, reportsHere(Member));
-  setFact(Relayed, Leaving, Member.Report.Leaving || Member.RelayedLeaving);
   setFact(Relayed, CentralizesBuckets, Member.CentralizesBuckets);
   return Relayed;
 }
@@ -158,13 +204,11 @@
   wire::fleet_digest Digest =
       Zone ? Membership.ZoneDigest : Membership.FleetDigest;
   Digest.Scope = Scope;
-  if (!Membership.RelaysReports)
-    return Digest;
   for (const member &Member : Membership.Members) {
     const bool Wanted = !Zone || Member.Zone == Membership.Self.Zone;
     if (!Wanted || Member.Name == Receiver.Name)
       continue;
-    if (const auto Relayed = relayedMember(Membership, Member, Now))
+    if (const auto Relayed = relayedMember(Membership, Member, Scope, Now))
       Digest.Members.push_back(*Relayed);
   }
   return Digest;
@@ -212,7 +256,7 @@
   raiseTo(Member.LastSeenAt, *MadeAt);
   Member.ReadStoreSinceStart = Report.StoreReadAge != wire::NoAge;
   Member.CentralizesBuckets = Report.CentralizesBuckets;
-  applyRelayedMembers(Membership, Report, *MadeAt);
+  applyRelayedMembers(Membership, Report, *MadeAt, Now);
 }
 
 void onStoreRead(membership &Membership, instant Sent, instant Answered,
--- a/packages/wire/include/redwinggw/wire/fleet_digest.hpp
+++ b/packages/wire/include/redwinggw/wire/fleet_digest.hpp
@@ -23,6 +23,9 @@
   Leaving = 32,
   /// It has used centralized buckets for a while.
   CentralizesBuckets = 64,
+  /// Only Silence and Leaving are valid: the sender must not vouch for what the
+  /// instance knows.
+  AliveOnly = 128,
 };
 
 /// What the sender knows of another instance.
@@ -32,6 +35,10 @@
   /// Upper bound of the age of its latest report, in steps of AgeStepMs,
   /// rounded up.
   std::uint8_t Age = 0;
+  /// Time since its latest report arrived at the relay that it reports to, in
+  /// the same steps, rounded down. Age is a proof and counts the way there and
+  /// back; this is the better estimate of whether the instance is up.
+  std::uint8_t Silence = 0;
   std::uint8_t Facts = 0;
 
   friend bool operator==(const relayed_member &,
--- a/packages/wire/src/message.cpp
+++ b/packages/wire/src/message.cpp
@@ -75,8 +75,9 @@
   Ar(Value.Scope);
   if (Value.Scope == digest_scope::None)
     return;
-  archiveList(Ar, Value.Members,
-              [&](auto &Item) { Ar(Item.Instance, Item.Age, Item.Facts); });
+  archiveList(Ar, Value.Members, [&](auto &Item) {
+    Ar(Item.Instance, Item.Age, Item.Silence, Item.Facts);
+  });
   archiveDemands(Ar, Value.Demands);
   archiveList(Ar, Value.Suspicions, [&](auto &Item) {
     archiveText(Ar, Item.Group);
--- a/tests/control/relays_test.cpp
+++ b/tests/control/relays_test.cpp
@@ -279,3 +279,22 @@
   cr_assert(findMember(Receiver, "i51")->State == member_state::Alive);
   cr_assert(isInContact(Receiver, *findMember(Receiver, "i51"), Fleet.Now));
 }
+
+// Guards against instances that take each other for dead because one of them
+// learned of a claim first; then each takes itself for the store reader, and
+// begins a move of its own.
+Test(relays, report_who_is_up_though_they_may_not_vouch_for_it) {
+  fleet Fleet = makeFleet(60);
+  run(Fleet, milliseconds(2000));
+  Fleet.Instances[41].Membership.Local.Version = 5;
+  for (const std::size_t Relay : relaysOf(Fleet))
+    Fleet.Instances[Relay].Membership.RelaysReports = false;
+  run(Fleet, milliseconds(3000));
+  const membership &Far = Fleet.Instances[40].Membership;
+  const member &Ahead = *findMember(Far, "i41");
+  cr_assert(!isInContact(Far, Ahead, Fleet.Now));
+  cr_assert(Ahead.State == member_state::Alive);
+  Fleet.Instances[41].Up = false;
+  run(Fleet, milliseconds(2000));
+  cr_assert(Ahead.State != member_state::Alive);
+}
--- a/tests/wire/message_test.cpp
+++ b/tests/wire/message_test.cpp
@@ -31,10 +31,10 @@
   Report.EvacuationVersion = 31;
   Report.EvacuatedZones = {"z1", "z3"};
   Report.Digest.Scope = digest_scope::Fleet;
-  relayed_member Member{17, 5, 0};
+  relayed_member Member{17, 5, 3, 0};
   setFact(Member, relayed_fact::KnowsVersion, true);
   setFact(Member, relayed_fact::ReadStoreSinceStart, false);
-  Report.Digest.Members = {Member, {18, MaxAgeSteps, 0}};
+  Report.Digest.Members = {Member, {18, MaxAgeSteps, MaxAgeSteps, 0}};
   Report.Digest.Demands = {3, 1, {{7, 2.5F}}, {{8, 1.5F, 0.25F, 0.125F}}};
   Report.Digest.Suspicions = {{"orders", "orders-1", 2}};
   Datagram.Body = Report;
