Show that a cut with instances that reach both sides has one bucket owner

Suspected: an owner on each side. Played with 4 to 20 of 40 instances that reach both, relays among them or not: each five seconds of a flood stay within the rate.

--- a/tests/control/centralized_buckets_test.cpp
+++ b/tests/control/centralized_buckets_test.cpp
@@ -251,6 +251,27 @@
   }
 }
 
+// Guards against an owner on each side of a cut, where instances that reach
+// both sides make either a majority.
+Test(centralized_buckets,
+     keep_a_flood_within_the_rate_in_a_cut_with_instances_that_reach_both) {
+  for (const bool RelaysReachBoth : {true, false})
+    for (const std::size_t Both : {4U, 8U, 12U, 20U}) {
+      demand_fleet Fleet = centralizedFleet(200, 200);
+      Fleet.StoreReached = true;
+      Fleet.load(evenly(125), milliseconds(8000));
+      // Relays are those whose names come first.
+      const std::size_t First = RelaysReachBoth ? 0 : Count - Both;
+      for (std::size_t Index = 0; Index < Count; ++Index) {
+        Fleet.Cut[Index] = Index / Zones % 2 == 0;
+        if (Index >= First && Index < First + Both)
+          Fleet.ReachesBoth.insert(Index);
+      }
+      cr_assert(keepsRate(Fleet, 200), "%zu reach both, relays %d", Both,
+                RelaysReachBoth);
+    }
+}
+
 Test(centralized_buckets, go_to_another_owner_when_one_leaves) {
   demand_fleet Fleet = centralizedFleet(100, 100);
   Fleet.load(evenly(60), milliseconds(8000));
--- a/tests/control/demand_fleet.hpp
+++ b/tests/control/demand_fleet.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -49,13 +50,18 @@
 
   void deliver(const peer_send &Send, std::size_t From) {
     const std::size_t To = std::stoul(Send.Datagram.Receiver.substr(1));
-    if (isDead(To) || Cut[From] != Cut[To] ||
+    if (isDead(To) || !reaches(From, To) ||
         !admitDatagram(Members[To], Send.Datagram))
       return;
     for (const peer_send &Answer : onHeartbeat(Members[To], Send.Datagram, Now))
       deliver(Answer, To);
   }
 
+  bool reaches(std::size_t From, std::size_t To) const {
+    return Cut[From] == Cut[To] || ReachesBoth.contains(From) ||
+           ReachesBoth.contains(To);
+  }
+
   bool isDead(std::size_t Index) const {
     return Index == Dead ||
            std::ranges::find(AlsoDead, Index) != AlsoDead.end();
@@ -116,7 +122,7 @@
   bool askOwner(std::size_t Index, const member &Owner, unsigned Priority) {
     const std::size_t To = std::stoul(Owner.Name.substr(1));
     std::optional<bucket_owner_answer> Answer;
-    if (!isDead(To) && Cut[To] == Cut[Index])
+    if (!isDead(To) && reaches(Index, To))
       Answer = grantToken(Shares[To], "acme", Priority, milliseconds(50), Now);
     return Answer && verdictFromOwner(Shares[Index], "acme", *Answer).Admitted;
   }
@@ -140,6 +146,8 @@
   std::vector<membership> Members;
   std::vector<demand_shares> Shares;
   std::vector<bool> Cut;
+  /// Instances that reach, and are reached by, both sides of a cut.
+  std::set<std::size_t> ReachesBoth;
   /// All reach the store, even where they are not in contact.
   bool StoreReached = false;
   std::size_t Dead = SIZE_MAX;
