--- a/packages/control/src/centralized_buckets.cpp
+++ b/packages/control/src/centralized_buckets.cpp
@@ -23,11 +23,12 @@
 /// Instances that start together know the owners after about this time.
 constexpr base::milliseconds UsualStartupTime{400};
 
-/// \name What owners start with in a fleet in which nobody owned a bucket
-/// before The rate of the time since the start, in which nobody was served, and
-/// a part of what operators tolerate beyond rate and burst that RateSlack and
-/// ExtraTokens leave unused. Less than half of that part, since all may be lost
-/// twice within one window.
+/// \name Initial tokens of a fleet in which nobody owned a bucket before
+///
+/// The rate of the time since the start, in which nobody was served, and a part
+/// of what operators tolerate beyond rate and burst that RateSlack and
+/// ExtraTokens leave unused: less than half of it, since all instances may be
+/// lost twice within one window.
 /// @{
 constexpr base::milliseconds MaxInitialTime{800};
 constexpr double InitialSlackSeconds = 0.1;
--- a/packages/session/include/redwinggw/session/endpoint_pool.hpp
+++ b/packages/session/include/redwinggw/session/endpoint_pool.hpp
@@ -170,7 +170,7 @@
   /// Whether the endpoint's availability zone is evacuated. From then on no
   /// slot and no connection is granted, and idle connections are closed. A
   /// connection that is checked out must not be used any more.
-  void setEvacuated(bool Evacuated);
+  void setEvacuated(bool IsEvacuated);
   bool isEvacuated() const { return Evacuated; }
 
   void setEntry(endpoint_entry Entry);
--- a/packages/session/src/endpoint_owner.cpp
+++ b/packages/session/src/endpoint_owner.cpp
@@ -16,6 +16,24 @@
 /// An instance whose last heartbeat is older owns nothing: three heartbeats.
 constexpr base::milliseconds MaxHeartbeatAge{650};
 
+/// An instance of the endpoint's zone goes first; names decide between equal
+/// hashes.
+auto weightOf(const owner_candidate &Candidate, std::uint32_t EndpointHash,
+              std::string_view Zone) {
+  return std::tuple(Candidate.Zone == Zone,
+                    control::rendezvousWeight(EndpointHash, Candidate.Hash),
+                    std::string_view(Candidate.Name));
+}
+
+/// Null when it is not among \p Candidates, which are sorted by name.
+const owner_candidate *
+findCandidate(const std::vector<owner_candidate> &Candidates,
+              std::string_view Name) {
+  const auto Found =
+      std::ranges::lower_bound(Candidates, Name, {}, &owner_candidate::Name);
+  return Found != Candidates.end() && Found->Name == Name ? &*Found : nullptr;
+}
+
 } // namespace
 
 owner_candidate::owner_candidate(base::instance_name Name, base::zone_name Zone)
@@ -43,13 +61,10 @@
 const owner_candidate *ownerOf(std::string_view Endpoint, std::string_view Zone,
                                const std::vector<owner_candidate> &Candidates) {
   const std::uint32_t EndpointHash = control::rendezvousHash(Endpoint);
-  const auto Weight = [&](const owner_candidate &Candidate) {
-    const std::uint32_t Draw =
-        control::rendezvousWeight(EndpointHash, Candidate.Hash);
-    return std::tuple(Candidate.Zone == Zone, Draw,
-                      std::string_view(Candidate.Name));
-  };
-  const auto Best = std::ranges::max_element(Candidates, {}, Weight);
+  const auto Best = std::ranges::max_element(
+      Candidates, {}, [&](const owner_candidate &Candidate) {
+        return weightOf(Candidate, EndpointHash, Zone);
+      });
   return Best == Candidates.end() ? nullptr : &*Best;
 }
 
@@ -70,19 +85,14 @@
 ownerAfter(std::string_view Endpoint, std::string_view Zone,
            std::string_view OwnerBefore, const candidate_changes &Changes,
            const std::vector<owner_candidate> &Candidates) {
-  const auto Present = std::ranges::lower_bound(Candidates, OwnerBefore, {},
-                                                &owner_candidate::Name);
-  const bool Stays =
-      Present != Candidates.end() && Present->Name == OwnerBefore &&
-      std::ranges::find(Changes.Joined, OwnerBefore, &owner_candidate::Name) ==
-          Changes.Joined.end();
-  if (!Stays)
+  const owner_candidate *Present = findCandidate(Candidates, OwnerBefore);
+  if (Present == nullptr || findCandidate(Changes.Joined, OwnerBefore))
     return ownerOf(Endpoint, Zone, Candidates);
-  std::vector<owner_candidate> Rivals = Changes.Joined;
-  Rivals.push_back(*Present);
-  const base::instance_name Winner = ownerOf(Endpoint, Zone, Rivals)->Name;
-  return &*std::ranges::lower_bound(Candidates, Winner, {},
-                                    &owner_candidate::Name);
+  const owner_candidate *Rival = ownerOf(Endpoint, Zone, Changes.Joined);
+  const std::uint32_t Hash = control::rendezvousHash(Endpoint);
+  const bool RivalWins = Rival != nullptr && weightOf(*Rival, Hash, Zone) >
+                                                 weightOf(*Present, Hash, Zone);
+  return RivalWins ? findCandidate(Candidates, Rival->Name) : Present;
 }
 
 } // namespace redwinggw::session
--- a/packages/session/src/endpoint_pool.cpp
+++ b/packages/session/src/endpoint_pool.cpp
@@ -59,8 +59,8 @@
   Slots.MaxRunning = Entry.Slots == 0 ? 0 : Entry.Slots + ExtraInFlight;
 }
 
-void endpoint_pool::setEvacuated(bool Now) {
-  Evacuated = Now;
+void endpoint_pool::setEvacuated(bool IsEvacuated) {
+  Evacuated = IsEvacuated;
   if (Evacuated)
     closeIdle();
 }
