Watch only services whose primary this instance may move

Only the store reader looks at all services now; others go through the claims, of which there is one for each service that was ever moved.

--- a/packages/redwinggw/src/platform_handover.cpp
+++ b/packages/redwinggw/src/platform_handover.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <iterator>
+#include <ranges>
 
 /// Replaces primaries that failed or leave; docs/PLATFORM-ADAPTER.md gives the
 /// steps and their reasons.
@@ -395,11 +397,23 @@
   State->Moving.erase(Service);
 }
 
-bool ordersMove(const platform_instance_state &State,
-                const base::service_name &Service) {
-  const auto *Known = findClaim(State.Claims, Service);
-  return Known != nullptr && Known->Claim.Moving &&
-         Known->Claim.Orderer == State.Settings.Name;
+/// The services whose primary this instance has to watch: all for the store
+/// reader, otherwise those whose move it has begun.
+std::vector<base::service_name>
+watchedServices(const platform_instance_state &State) {
+  std::vector<base::service_name> Services;
+  if (State.Draining)
+    return Services;
+  if (isStoreReader(State)) {
+    std::ranges::copy(State.Routes->Services | std::views::keys,
+                      std::back_inserter(Services));
+    return Services;
+  }
+  for (const auto &[Service, Known] : State.Claims.Known)
+    if (Known.Claim.Moving && Known.Claim.Orderer == State.Settings.Name &&
+        State.Routes->Services.contains(Service))
+      Services.push_back(Service);
+  return Services;
 }
 
 /// Moves the primary of \p Service if there is a cause to.
@@ -422,12 +436,8 @@
   while (!State->Stopped) {
     if (State->Peers && State->Routes && State->FleetReadAt) {
       probePrimariesInDoubt(State);
-      const session::route_table_ptr Table = State->Routes;
-      // Compares all instances, so it is not decided for each service anew.
-      const bool ReadsStore = isStoreReader(*State);
-      for (const auto &[Service, Limits] : Table->Services)
-        if (!State->Draining && (ReadsStore || ordersMove(*State, Service)))
-          checkPrimary(State, Service);
+      for (const base::service_name &Service : watchedServices(*State))
+        checkPrimary(State, Service);
     }
     co_await pauseWithJitter(*State, PrimaryCheckInterval);
   }
