Relay a list of endpoints that exceeds one datagram in parts

The list of its endpoints is larger than the 60 kB of a datagram, so nothing was relayed (list_not_relayed) and each instance read, parsed and applied the whole list each second.

Change: the list is sent in parts with the store's version at the read; a receiver puts a read together once all its parts have arrived, never two reads. Who loses a part ignores the digests that follow and reads the store itself, as before with a lost list. An unchanged list of n parts is sent in full n times less often.

--- a/packages/redwinggw/src/platform_endpoints.cpp
+++ b/packages/redwinggw/src/platform_endpoints.cpp
@@ -4,6 +4,9 @@
 
 #include "redwinggw/base/log.hpp"
 
+#include <algorithm>
+#include <iterator>
+
 /// The endpoint list: the store reader reads it from the platform's store and
 /// sends it to the other instances.
 namespace redwinggw {
@@ -20,8 +23,9 @@
 /// How long a list from the store reader is used before this instance reads the
 /// store itself.
 constexpr milliseconds SharedListValidFor{1700};
-/// How often an unchanged list is sent in full. An instance that lost the
-/// datagram with a change reads the store itself long before that.
+/// How often an unchanged list is sent in full, for each part that it is sent
+/// in. An instance that lost a datagram with a change reads the store itself
+/// long before that.
 constexpr milliseconds FullListInterval{5000};
 
 std::vector<session::endpoint_entry>
@@ -37,6 +41,27 @@
   return std::to_string(digestOf(List));
 }
 
+/// The rows as texts that each fit a datagram, as far as single rows do; at
+/// least one.
+std::vector<std::string> partsOf(const platform::table_rows &Rows) {
+  std::string Whole = platform::encodeRows(Rows);
+  if (Whole.size() <= MaxSharedReadBytes)
+    return {std::move(Whole)};
+  // Rows differ in size, so parts are planned below the limit.
+  constexpr std::size_t PlannedBytes = MaxSharedReadBytes * 3 / 4;
+  const std::size_t Count = Whole.size() / PlannedBytes + 1;
+  const std::size_t RowsEach = Rows.Rows.size() / Count + 1;
+  std::vector<std::string> Parts;
+  for (std::size_t First = 0; First < Rows.Rows.size(); First += RowsEach) {
+    const std::size_t Last = std::min(First + RowsEach, Rows.Rows.size());
+    platform::table_rows Part;
+    Part.Rows.assign(Rows.Rows.begin() + static_cast<std::ptrdiff_t>(First),
+                     Rows.Rows.begin() + static_cast<std::ptrdiff_t>(Last));
+    Parts.push_back(platform::encodeRows(Part));
+  }
+  return Parts;
+}
+
 /// Sends the list to the instances that do not read it themselves: in full
 /// after a change and every FullListInterval, otherwise a digest that tells
 /// that it is unchanged. An instance with another list ignores the digest, and
@@ -46,22 +71,35 @@
   const base::instant Now = base::now();
   const bool Unchanged = State.SentEndpointList == State.EndpointList &&
                          State.SentEndpointListAt &&
-                         Now - *State.SentEndpointListAt < FullListInterval;
+                         Now - *State.SentEndpointListAt <
+                             FullListInterval * State.SentEndpointListParts;
   if (Unchanged) {
-    State.Peers->sendSharedRead({wire::shared_read_kind::EndpointsUnchanged,
-                                 false, State.EndpointListDigest});
+    wire::shared_store_read Digest;
+    Digest.Kind = wire::shared_read_kind::EndpointsUnchanged;
+    Digest.Text = State.EndpointListDigest;
+    State.Peers->sendSharedRead(Digest);
     return;
   }
-  const std::string Text = platform::encodeRows(Rows);
-  if (Text.size() > MaxSharedReadBytes) {
+  const auto Parts = partsOf(Rows);
+  const auto Largest = std::ranges::max(Parts, {}, &std::string::size).size();
+  if (Largest > MaxSharedReadBytes) {
     base::logEvent(log_level::Warning, log_part::Endpoints, "list_not_relayed",
-                   {{"bytes", std::to_string(Text.size())},
+                   {{"bytes", std::to_string(Largest)},
                     {"limit", std::to_string(MaxSharedReadBytes)}});
     return;
   }
-  State.Peers->sendSharedRead({wire::shared_read_kind::Endpoints, false, Text});
+  for (std::size_t Part = 0; Part < Parts.size(); ++Part) {
+    wire::shared_store_read Read;
+    Read.Kind = wire::shared_read_kind::Endpoints;
+    Read.Version = Rows.Version;
+    Read.Part = static_cast<std::uint16_t>(Part);
+    Read.Parts = static_cast<std::uint16_t>(Parts.size());
+    Read.Text = Parts[Part];
+    State.Peers->sendSharedRead(Read);
+  }
   State.SentEndpointList = State.EndpointList;
   State.SentEndpointListAt = Now;
+  State.SentEndpointListParts = static_cast<std::int64_t>(Parts.size());
 }
 
 void acceptEndpointList(platform_instance_state &State,
@@ -103,8 +141,19 @@
       confirmEndpointList(State);
     return;
   }
-  if (const auto Rows = platform::decodeRows(Reading.Text))
-    acceptEndpointList(State, entriesOf(*Rows), base::now());
+  const auto Texts =
+      addPart(State.EndpointListParts,
+              {Reading.Version, Reading.Part, Reading.Parts, Reading.Text});
+  if (!Texts)
+    return;
+  std::vector<session::endpoint_entry> Entries;
+  for (const std::string &Text : *Texts) {
+    const auto Rows = platform::decodeRows(Text);
+    if (!Rows)
+      return;
+    std::ranges::move(entriesOf(*Rows), std::back_inserter(Entries));
+  }
+  acceptEndpointList(State, Entries, base::now());
 }
 
 namespace {
--- a/packages/redwinggw/src/platform_instance_state.hpp
+++ b/packages/redwinggw/src/platform_instance_state.hpp
@@ -16,6 +16,7 @@
 #include "redwinggw/session/forwarding_client.hpp"
 #include "redwinggw/session/forwarding_server.hpp"
 #include "redwinggw/session/handover.hpp"
+#include "redwinggw/session/list_parts.hpp"
 #include "redwinggw/session/session_core.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -107,10 +108,13 @@
   /// reader, and its digest.
   std::vector<session::endpoint_entry> EndpointList;
   std::string EndpointListDigest;
+  /// Parts of a list from the store reader that is not complete yet.
+  session::list_assembly EndpointListParts;
   std::optional<base::instant> EndpointListAt;
   /// The list that this instance last sent to the others in full.
   std::vector<session::endpoint_entry> SentEndpointList;
   std::optional<base::instant> SentEndpointListAt;
+  std::int64_t SentEndpointListParts = 1;
   std::optional<base::instant> FleetReadAt;
   std::optional<base::instant> OutOfContactSince;
   /// The freshness of the last in_touch line.
@@ -138,7 +142,7 @@
 /// A read fails when nothing arrives for this long. There is no limit on its
 /// whole duration, which depends on its size and on the link.
 constexpr base::milliseconds ReadIdleTimeout{1000};
-/// Largest shared read that fits a datagram.
+/// Largest part of a shared read that fits a datagram.
 constexpr std::size_t MaxSharedReadBytes = 60'000;
 constexpr base::instant LongAgo{-std::chrono::hours(1)};
 /// How often to check whether heartbeats have reported a change.
--- /dev/null
+++ b/packages/session/include/redwinggw/session/list_parts.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// A list that exceeds one datagram, sent in parts. Decisions without I/O.
+///
+/// Parts may be lost, repeated and reordered. A list is complete once all parts
+/// of one read have arrived; of two reads the newer one is put together. A list
+/// with a lost part is never completed: its receiver gets the next one, or
+/// reads the list itself.
+namespace redwinggw::session {
+
+struct list_part {
+  /// The same for all parts of one read, and higher for a later read.
+  std::uint64_t Version = 0;
+  std::size_t Part = 0;
+  std::size_t Parts = 1;
+  std::string Text;
+};
+
+/// The parts of the newest read that have arrived. Not thread safe.
+struct list_assembly {
+  std::uint64_t Version = 0;
+  std::vector<std::optional<std::string>> Texts;
+};
+
+/// Adds \p Part; returns the texts of all parts in order once none is missing.
+/// Ignores parts of an older read and numbers that make no sense. Not thread
+/// safe.
+std::optional<std::vector<std::string>> addPart(list_assembly &Assembly,
+                                                list_part Part);
+
+} // namespace redwinggw::session
--- a/packages/wire/src/message.cpp
+++ b/packages/wire/src/message.cpp
@@ -108,14 +108,15 @@
 template <typename Archive>
 void archiveSharedRead(Archive &Out, const shared_store_read &Value) {
   const auto Length = static_cast<std::uint32_t>(Value.Text.size());
-  Out(Value.Kind, Value.Relayed, Length);
+  Out(Value.Kind, Value.Relayed, Value.Version, Value.Part, Value.Parts,
+      Length);
   Out(cereal::binary_data(Value.Text.data(), Length));
 }
 
 template <typename Archive>
 void archiveSharedRead(Archive &In, shared_store_read &Value) {
   std::uint32_t Length = 0;
-  In(Value.Kind, Value.Relayed, Length);
+  In(Value.Kind, Value.Relayed, Value.Version, Value.Part, Value.Parts, Length);
   // A length beyond what a datagram can hold means a corrupt datagram.
   if (Length > MaxSharedRead)
     throw cereal::Exception("shared store read is too long");
--- a/tests/session/answer_record_test.cpp
+++ b/tests/session/answer_record_test.cpp
@@ -33,7 +33,7 @@
     ::close(Stdout);
     base::setLogLevel(base::log_level::Error);
     std::string Text;
-    std::rewind(File);
+    cr_assert(std::fseek(File, 0, SEEK_SET) == 0);
     for (int Byte = std::fgetc(File); Byte != EOF; Byte = std::fgetc(File))
       Text.push_back(static_cast<char>(Byte));
     return Text;
--- a/tests/session/endpoint_owner_test.cpp
+++ b/tests/session/endpoint_owner_test.cpp
@@ -1,6 +1,7 @@
 #include "redwinggw/session/endpoint_owner.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <string>
 
@@ -32,8 +33,8 @@
 std::vector<owner_candidate> some(const std::vector<owner_candidate> &All,
                                   const std::vector<std::size_t> &Indices) {
   std::vector<owner_candidate> Some;
-  for (const std::size_t Index : Indices)
-    Some.push_back(All[Index]);
+  std::ranges::transform(Indices, std::back_inserter(Some),
+                         [&](std::size_t Index) { return All[Index]; });
   std::ranges::sort(Some, {}, &owner_candidate::Name);
   return Some;
 }
