--- a/packages/wire/include/redwinggw/wire/message.hpp
+++ b/packages/wire/include/redwinggw/wire/message.hpp
@@ -129,9 +129,9 @@
   shared_read_kind Kind = shared_read_kind::Endpoints;
   /// It has been relayed already: the receiver does not relay it any further.
   bool Relayed = false;
-  /// A read that exceeds a datagram is sent in parts: the store's version at the
-  /// read, which is the same for all its parts, the number of this part from 0,
-  /// and how many there are.
+  /// A read that exceeds a datagram is sent in parts: the store's version at
+  /// the read, which is the same for all its parts, the number of this part
+  /// from 0, and how many there are.
   std::uint64_t Version = 0;
   std::uint16_t Part = 0;
   std::uint16_t Parts = 1;
