--- a/packages/session/include/redwinggw/session/endpoint_choice.hpp
+++ b/packages/session/include/redwinggw/session/endpoint_choice.hpp
@@ -21,7 +21,7 @@
   /// Statements of this instance that run or wait there.
   std::size_t Load = 0;
   unsigned Slots = 1;
-  /// Smoothed time of a statement; 0 if none was measured yet.
+  /// Smoothed time of a statement; 0 if none has ended here yet.
   double LatencyMs = 0;
   /// Consecutive failures and the time of the last one.
   unsigned Failures = 0;
