Relay the fields in use of a list of endpoints, not the store's rows

A relayed list was the store's rows as they are, about 300 bytes each, of which eight fields are used.

Change: entries are relayed as those fields (endpoint_list), about a third of a row. Parts are filled up to a datagram instead of planned. A list that cannot be read is logged (list_not_decoded) and ignored.

--- a/packages/redwinggw/src/platform_endpoints.cpp
+++ b/packages/redwinggw/src/platform_endpoints.cpp
@@ -3,6 +3,7 @@
 #include "platform/decoding.hpp"
 
 #include "redwinggw/base/log.hpp"
+#include "redwinggw/session/endpoint_list.hpp"
 
 #include <algorithm>
 #include <iterator>
@@ -41,33 +42,13 @@
   return std::to_string(digestOf(List));
 }
 
-/// The rows as texts that each fit a datagram, as far as single rows do; at
-/// least one.
-std::vector<std::string> partsOf(const platform::table_rows &Rows) {
-  std::string Whole = platform::encodeRows(Rows);
-  if (Whole.size() <= MaxSharedReadBytes)
-    return {std::move(Whole)};
-  // Rows differ in size, so parts are planned below the limit.
-  constexpr std::size_t PlannedBytes = MaxSharedReadBytes * 3 / 4;
-  const std::size_t Count = Whole.size() / PlannedBytes + 1;
-  const std::size_t RowsEach = Rows.Rows.size() / Count + 1;
-  std::vector<std::string> Parts;
-  for (std::size_t First = 0; First < Rows.Rows.size(); First += RowsEach) {
-    const std::size_t Last = std::min(First + RowsEach, Rows.Rows.size());
-    platform::table_rows Part;
-    Part.Rows.assign(Rows.Rows.begin() + static_cast<std::ptrdiff_t>(First),
-                     Rows.Rows.begin() + static_cast<std::ptrdiff_t>(Last));
-    Parts.push_back(platform::encodeRows(Part));
-  }
-  return Parts;
-}
-
 /// Sends the list to the instances that do not read it themselves: in full
 /// after a change and every FullListInterval, otherwise a digest that tells
 /// that it is unchanged. An instance with another list ignores the digest, and
 /// reads the store itself when nothing else arrives.
-void shareEndpointList(platform_instance_state &State,
-                       const platform::table_rows &Rows) {
+///
+/// \p Version: the store's version at the read of the list.
+void shareEndpointList(platform_instance_state &State, std::uint64_t Version) {
   const base::instant Now = base::now();
   const bool Unchanged = State.SentEndpointList == State.EndpointList &&
                          State.SentEndpointListAt &&
@@ -80,7 +61,7 @@
     State.Peers->sendSharedRead(Digest);
     return;
   }
-  const auto Parts = partsOf(Rows);
+  const auto Parts = encodeEndpoints(State.EndpointList, MaxSharedReadBytes);
   const auto Largest = std::ranges::max(Parts, {}, &std::string::size).size();
   if (Largest > MaxSharedReadBytes) {
     base::logEvent(log_level::Warning, log_part::Endpoints, "list_not_relayed",
@@ -91,7 +72,7 @@
   for (std::size_t Part = 0; Part < Parts.size(); ++Part) {
     wire::shared_store_read Read;
     Read.Kind = wire::shared_read_kind::Endpoints;
-    Read.Version = Rows.Version;
+    Read.Version = Version;
     Read.Part = static_cast<std::uint16_t>(Part);
     Read.Parts = static_cast<std::uint16_t>(Parts.size());
     Read.Text = Parts[Part];
@@ -148,10 +129,15 @@
     return;
   std::vector<session::endpoint_entry> Entries;
   for (const std::string &Text : *Texts) {
-    const auto Rows = platform::decodeRows(Text);
-    if (!Rows)
+    auto Decoded = session::decodeEndpoints(Text);
+    if (!Decoded) {
+      base::logEvent(log_level::Warning, log_part::Endpoints,
+                     "list_not_decoded",
+                     {{"version", std::to_string(Reading.Version)},
+                      {"bytes", std::to_string(Text.size())}});
       return;
-    std::ranges::move(entriesOf(*Rows), std::back_inserter(Entries));
+    }
+    std::ranges::move(*Decoded, std::back_inserter(Entries));
   }
   acceptEndpointList(State, Entries, base::now());
 }
@@ -165,7 +151,7 @@
     return;
   acceptEndpointList(State, entriesOf(Rows), Sent);
   if (isStoreReader(State) && State.Peers)
-    shareEndpointList(State, Rows);
+    shareEndpointList(State, Rows.Version);
 }
 
 } // namespace
--- a/packages/wire/include/redwinggw/wire/message.hpp
+++ b/packages/wire/include/redwinggw/wire/message.hpp
@@ -123,8 +123,7 @@
   EndpointsUnchanged = 2,
 };
 
-/// What one instance has read from the store on behalf of others, in the format
-/// of the store.
+/// What one instance has read from the store on behalf of others.
 struct shared_store_read {
   shared_read_kind Kind = shared_read_kind::Endpoints;
   /// It has been relayed already: the receiver does not relay it any further.
