Rename what a relay withholds; one constant for the store's silence

RelaysReports -> VouchesForOthers, setRelaysReports -> setVouchesForOthers, mayReportOthers -> mayVouchForOthers: a relay reports who is up in any case, and only withholds what it must not vouch for. The limit after which the store counts as silent stood twice (2.5 s); the log uses that of the membership. No behaviour changes, so nothing was measured.

--- a/packages/control/include/redwinggw/control/membership.hpp
+++ b/packages/control/include/redwinggw/control/membership.hpp
@@ -179,7 +179,7 @@
   /// Whether digests vouch for other instances. False while this instance does
   /// not accept everything that those report: an instance that counted them as
   /// in contact by its digests would not learn what it has not accepted.
-  bool RelaysReports = true;
+  bool VouchesForOthers = true;
   /// A relay reported an instance that is not on the list.
   bool UnlistedReported = false;
   /// What this instance relays about others in addition to their ages, as the
--- a/packages/control/include/redwinggw/control/peer_service.hpp
+++ b/packages/control/include/redwinggw/control/peer_service.hpp
@@ -131,8 +131,8 @@
   /// What this instance relays about others in addition to their ages; see
   /// membership.
   void setDigests(wire::fleet_digest Zone, wire::fleet_digest Fleet);
-  /// Whether the digests that this instance sends list other instances.
-  void setRelaysReports(bool Allowed);
+  /// Whether the digests that this instance sends vouch for other instances.
+  void setVouchesForOthers(bool Allowed);
 
   /// Called when a datagram with a valid signature arrives from an instance
   /// that is not listed: the list should be read again.
--- a/packages/control/src/membership_reports.cpp
+++ b/packages/control/src/membership_reports.cpp
@@ -161,7 +161,7 @@
 /// is recent, and it knows no version that is not known here yet.
 bool mayVouchFor(const membership &Membership, const member &Member,
                  instant Now) {
-  return Membership.RelaysReports && Member.LastSeenAt &&
+  return Membership.VouchesForOthers && Member.LastSeenAt &&
          Member.PossibleVersion <= Membership.Local.Version &&
          stepsSince(Member.LastSeenAt, Now) < wire::MaxAgeSteps;
 }
--- a/packages/control/src/peer_service.cpp
+++ b/packages/control/src/peer_service.cpp
@@ -351,8 +351,8 @@
   State->Membership.Local.Groups = std::move(Reports);
 }
 
-void peer_service::setRelaysReports(bool Allowed) {
-  State->Membership.RelaysReports = Allowed;
+void peer_service::setVouchesForOthers(bool Allowed) {
+  State->Membership.VouchesForOthers = Allowed;
 }
 
 void peer_service::setDigests(wire::fleet_digest Zone,
--- a/packages/redwinggw/src/platform_handover.cpp
+++ b/packages/redwinggw/src/platform_handover.cpp
@@ -271,7 +271,7 @@
     platform::promotion_order Order{Claim.Service, Target, Claim.Orderer,
                                     Claim.Token};
     State.PromotionsInFlight.insert(Claim.Service);
-    State.Peers->setRelaysReports(false);
+    State.Peers->setVouchesForOthers(false);
     const auto Outcome = co_await platform::orderPromotion(
         State.Promotions, std::move(Order), base::now() + PromotionTimeout);
     State.PromotionsInFlight.erase(Claim.Service);
--- a/packages/redwinggw/src/platform_heartbeats.cpp
+++ b/packages/redwinggw/src/platform_heartbeats.cpp
@@ -82,12 +82,12 @@
   return Suspicions;
 }
 
-/// Whether this instance may report other instances as alive. While a promotion
-/// order is unanswered it accepts no later claim of the service, and so must
-/// not report instances that know such a claim: an instance that counted them
-/// as alive would not learn the claim. Afterwards the claim arrives again with
-/// the next heartbeats.
-bool mayReportOthers(const platform_instance_state &State) {
+/// Whether digests may vouch for other instances. While a promotion order is
+/// unanswered this instance accepts no later claim of the service, and so must
+/// not vouch for instances that know such a claim: an instance that counted
+/// them as in contact would not learn the claim. Afterwards the claim arrives
+/// again with the next heartbeats.
+bool mayVouchForOthers(const platform_instance_state &State) {
   constexpr milliseconds ReannounceTime{450};
   return State.PromotionsInFlight.empty() &&
          (State.LastPromotionEndedAt == instant::min() ||
@@ -103,7 +103,7 @@
     Fleet.Demands = fleetDemands(State.Shares);
   }
   State.Peers->setDigests(std::move(Zone), std::move(Fleet));
-  State.Peers->setRelaysReports(mayReportOthers(State));
+  State.Peers->setVouchesForOthers(mayVouchForOthers(State));
 }
 
 /// Recomputes the shares of customers' rates and the centralized buckets, and
--- a/packages/redwinggw/src/platform_primaries.cpp
+++ b/packages/redwinggw/src/platform_primaries.cpp
@@ -16,13 +16,13 @@
 /// The freshness to log. The rows of a large fleet are read so rarely that a
 /// majority confirms them most of the time. That is an outage only if the store
 /// answers nobody.
-control::config_freshness
-loggedFreshness(const control::store_observations &Store,
-                control::config_freshness Freshness, base::instant Now) {
+control::config_freshness loggedFreshness(const control::membership &Membership,
+                                          control::config_freshness Freshness,
+                                          base::instant Now) {
   using enum control::config_freshness;
-  constexpr milliseconds OutageAfter{2500};
-  const auto Contact = lastStoreContact(Store);
-  const bool StoreAnswers = Contact && Now - *Contact <= OutageAfter;
+  const auto Contact = lastStoreContact(Membership.Store);
+  const bool StoreAnswers =
+      Contact && Now - *Contact <= Membership.Limits.MaxStoreContactAge;
   return Freshness == Outage && StoreAnswers ? Current : Freshness;
 }
 
@@ -34,7 +34,7 @@
   const base::instant Now = base::now();
   const control::config_freshness Freshness = State.Peers->configFreshness(Now);
   const control::config_freshness Logged =
-      loggedFreshness(State.Peers->view().Store, Freshness, Now);
+      loggedFreshness(State.Peers->view(), Freshness, Now);
   if (Logged != State.LoggedFreshness)
     base::logEvent(
         base::log_level::Info, base::log_part::Peers, "in_touch",
--- a/tests/control/relays_test.cpp
+++ b/tests/control/relays_test.cpp
@@ -209,7 +209,7 @@
   fleet Fleet = makeFleet(60);
   run(Fleet, milliseconds(2000));
   for (const std::size_t Relay : relaysOf(Fleet))
-    Fleet.Instances[Relay].Membership.RelaysReports = false;
+    Fleet.Instances[Relay].Membership.VouchesForOthers = false;
   run(Fleet, milliseconds(1500));
   const membership &Far = Fleet.Instances[40].Membership;
   cr_assert(!isInContact(Far, *findMember(Far, "i41"), Fleet.Now));
@@ -288,7 +288,7 @@
   run(Fleet, milliseconds(2000));
   Fleet.Instances[41].Membership.Local.Version = 5;
   for (const std::size_t Relay : relaysOf(Fleet))
-    Fleet.Instances[Relay].Membership.RelaysReports = false;
+    Fleet.Instances[Relay].Membership.VouchesForOthers = false;
   run(Fleet, milliseconds(3000));
   const membership &Far = Fleet.Instances[40].Membership;
   const member &Ahead = *findMember(Far, "i41");
