--- a/tests/session/forwarding_test.cpp
+++ b/tests/session/forwarding_test.cpp
@@ -313,3 +313,25 @@
   cr_assert(Fleet.Owner.Set.Pools.at("p")->health().Failures == 0);
   cr_assert(Instance.Set.Pools.at("p")->health().Failures == 0);
 }
+
+// Guards against an owner that runs what an instance forwards that has not
+// learned of an evacuation yet.
+Test(forwarding, sends_nothing_to_an_endpoint_that_the_owner_knows_evacuated) {
+  for (const bool InTransaction : {false, true}) {
+    forwarding_fleet Fleet;
+    core_fixture &Instance = Fleet.first();
+    caller_session Session = Instance.open("own");
+    if (InTransaction) {
+      Instance.run(Session, statement_kind::Begin, "BEGIN");
+      cr_assert(!Instance.write(Session).Error);
+    }
+    poolOf(Fleet.Owner.Set, "p")->setEvacuated(true);
+    const std::size_t Before = Fleet.Group.Received.size();
+    cr_assert(Instance.write(Session).Error);
+    if (InTransaction)
+      Instance.run(Session, statement_kind::Rollback, "ROLLBACK");
+    for (std::size_t Index = Before; Index < Fleet.Group.Received.size();
+         ++Index)
+      cr_assert(Fleet.Group.Received[Index].Endpoint != "p");
+  }
+}
