Measure heartbeats with the demand of 70 customers

peers_bench counted heartbeats without any demand, although the sums of demand are most of a relay's answer in a fleet with many customers. A table beside the others now gives the bytes that an instance sends with 70 customers, 18 operations per second at each instance and seven log positions: the mean, the most, and the mean size of each kind of heartbeat.

--- a/tests/bench/peers_bench.cpp
+++ b/tests/bench/peers_bench.cpp
@@ -3,6 +3,8 @@
 // and serialisation are the real code; time is simulated, so that a run takes
 // only as long as its work. --udp adds a few sizes over real sockets.
 
+#include "redwinggw/control/centralized_buckets.hpp"
+#include "redwinggw/control/demand_shares.hpp"
 #include "redwinggw/control/peer_service.hpp"
 #include "redwinggw/control/share_node.hpp"
 #include "redwinggw/http/server.hpp"
@@ -48,12 +50,16 @@
 struct bench_node {
   membership Membership;
   share_node Shares;
+  demand_shares Demands;
+  traffic Sent;
 };
 
 struct bench_fleet {
   std::vector<bench_node> Nodes;
   instant Now{milliseconds(100'000)};
   traffic Traffic;
+  /// Heartbeats by the scope of their digest.
+  std::map<wire::digest_scope, traffic> ByScope;
   std::uint64_t Spent = 0;
   std::uint64_t Waited = 0;
   std::map<std::string, storage::row> Table;
@@ -92,8 +98,15 @@
 /// Serialises, verifies and delivers a datagram.
 void deliver(bench_fleet &Fleet, const wire::datagram &Sent) {
   const std::string Bytes = wire::encode(Key, Sent);
-  Fleet.Traffic.Datagrams += 1;
-  Fleet.Traffic.Bytes += static_cast<double>(Bytes.size() + HeaderBytes);
+  const auto Size = static_cast<double>(Bytes.size() + HeaderBytes);
+  const auto Count = [&](traffic &Traffic) {
+    Traffic.Datagrams += 1;
+    Traffic.Bytes += Size;
+  };
+  Count(Fleet.Traffic);
+  Count(Fleet.Nodes[nodeIndex(Sent.Sender)].Sent);
+  if (const auto *Report = std::get_if<wire::peer_report>(&Sent.Body))
+    Count(Fleet.ByScope[Report->Digest.Scope]);
   const auto Datagram = wire::decode(Key, Bytes);
   const std::size_t To = nodeIndex(Sent.Receiver);
   bench_node &Node = Fleet.Nodes[To];
@@ -177,6 +190,89 @@
               100 * (cpuSeconds() - Before) / NodeSeconds, heardPart(Fleet));
 }
 
+constexpr std::size_t DemandCustomers = 70;
+
+std::string customerName(std::size_t Index) {
+  return "customer-" + std::to_string(Index);
+}
+
+/// What the instance reports in its next heartbeats: the demand of its callers,
+/// and the log positions of seven services.
+void completeHeartbeat(bench_node &Node, instant Now) {
+  membership &Membership = Node.Membership;
+  wire::peer_report &Report = Membership.Local;
+  Report.Demands = announceDemand(Node.Demands, Now);
+  const bool InContact = inContactWithMajority(Membership, Now);
+  divideRates(Node.Demands, Membership, InContact, Now);
+  centralizeBuckets(Node.Demands, Membership, InContact, Now);
+  Report.CentralizesBuckets = hasCentralizedBuckets(Node.Demands, Now);
+  Membership.ZoneDigest.Demands = zoneDemands(Node.Demands);
+  Membership.FleetDigest.Demands = fleetDemands(Node.Demands);
+  constexpr std::uint32_t Services = 7;
+  Report.Positions.clear();
+  for (std::uint32_t Service = 0; Service < Services; ++Service)
+    Report.Positions.push_back(
+        {Service, 1, static_cast<std::uint64_t>(Now.time_since_epoch().count()),
+         0});
+  Membership.LocalAt = Now;
+}
+
+/// One step of an instance whose callers have \p Rate operations per second.
+void stepWithDemand(bench_fleet &Fleet, std::mt19937 &Random, double Rate,
+                    milliseconds Step) {
+  std::poisson_distribution<> Arrivals(
+      Rate * std::chrono::duration<double>(Step).count());
+  for (bench_node &Node : Fleet.Nodes) {
+    for (int Left = Arrivals(Random); Left > 0; --Left)
+      takeDemandToken(Node.Demands, customerName(Random() % DemandCustomers), 0,
+                      {}, Fleet.Now);
+    if (isTickDue(Node.Membership, Fleet.Now))
+      completeHeartbeat(Node, Fleet.Now);
+  }
+  heartbeats(Fleet);
+}
+
+/// Heartbeats with the demand of DemandCustomers customers, 18 operations per
+/// second at each instance.
+void benchDemands(std::size_t Count) {
+  constexpr milliseconds Step{50};
+  constexpr milliseconds WarmUp{5000};
+  constexpr milliseconds Time{5000};
+  constexpr double Rate = 18;
+  bench_fleet Fleet = makeFleet(Count);
+  std::vector<customer> Customers(DemandCustomers);
+  for (std::size_t Index = 0; Index < Customers.size(); ++Index) {
+    Customers[Index].Name = customerName(Index);
+    Customers[Index].Rate = 2 * Rate * static_cast<double>(Count) /
+                            static_cast<double>(DemandCustomers);
+    Customers[Index].Burst = Customers[Index].Rate;
+  }
+  for (bench_node &Node : Fleet.Nodes)
+    applyRates(Node.Demands, Customers, Fleet.Now);
+  std::mt19937 Random(1);
+  const instant Start = Fleet.Now + WarmUp;
+  for (; Fleet.Now < Start; Fleet.Now += Step)
+    stepWithDemand(Fleet, Random, Rate, Step);
+  Fleet.Traffic = {};
+  Fleet.ByScope.clear();
+  for (bench_node &Node : Fleet.Nodes)
+    Node.Sent = {};
+  for (; Fleet.Now < Start + Time; Fleet.Now += Step)
+    stepWithDemand(Fleet, Random, Rate, Step);
+  const double Seconds = std::chrono::duration<double>(Time).count();
+  double Most = 0;
+  for (const bench_node &Node : Fleet.Nodes)
+    Most = std::max(Most, Node.Sent.Bytes / Seconds);
+  std::printf("%9zu %12.0f %12.0f", Count,
+              Fleet.Traffic.Bytes / Seconds / static_cast<double>(Count), Most);
+  for (const auto Scope : {wire::digest_scope::None, wire::digest_scope::Zone,
+                           wire::digest_scope::Fleet}) {
+    const traffic &Sent = Fleet.ByScope[Scope];
+    std::printf(" %12.0f", Sent.Bytes / std::max(1.0, Sent.Datagrams));
+  }
+  std::printf(" %10.2f\n", heardPart(Fleet));
+}
+
 struct share_load {
   std::size_t Instances = 8;
   std::size_t Customers = 8;
@@ -319,6 +415,14 @@
   std::puts("instances  datagrams/s      bytes/s  % of one core  heard part");
   for (const std::size_t Size : {2, 4, 8, 16, 17, 32, 64, 128, 256, 790})
     benchMembership(Size);
+  std::puts(
+      "\nmembership with the demand of 70 customers, bytes/s sent a node, "
+      "and mean bytes of a datagram by kind");
+  std::puts(
+      "instances         mean         most    heartbeat   zone state      "
+      " answer heard part");
+  for (const std::size_t Size : {16, 30, 58, 128, 300})
+    benchDemands(Size);
   std::puts("\nshares, sent a node, without heartbeats");
   std::puts("instances customers requests/s  datagrams/s      bytes/s  % of "
             "one core  waited/spent");
