Send changes of demands, and members without names, in heartbeats

The answers of relays are most of the traffic between instances: each repeats the sums of demand of all customers and names all instances, five times a second from two relays. Heartbeats and zone states repeat demands in the same way.

Demands and sums are now numbered by version. Each heartbeat names the versions that its sender holds, and what is sent to it is what changed after them. The sender keeps nothing for each receiver, a lost datagram delays a change by one heartbeat, and a receiver that restarted gets everything. While one instance owns each bucket, a rate is published when it changed by more than half and 0.6 operations per second, or after a second; otherwise at once, since then it decides what an instance admits.

Members are listed in the order of the list of instances, without names, to a receiver that reports the same hash of the list. One entry for a zone with the worst age of its members was ruled out: ages add up over two relays and come near the second for which an instance counts as in contact, so the worst age of a zone would take all of it out of contact. Ages and silences stay as exact as before; facts are sent as runs. A hash of 64 bits, since the ages are proofs.

The new fields come last in a heartbeat, where older builds ignore them, and only a receiver whose own heartbeats have them gets changes. Up to 16 others nothing changes.

--- a/packages/control/include/redwinggw/control/demand_shares.hpp
+++ b/packages/control/include/redwinggw/control/demand_shares.hpp
@@ -124,6 +124,9 @@
   /// newest first.
   double Announced = 0;
   std::array<double, 2> AnnouncedBefore{};
+  /// When Announced last changed, and the spare tokens announced with it.
+  base::instant AnnouncedAt;
+  std::uint8_t AnnouncedSpare = 0;
   double Tokens = 0;
   /// Tokens of operations for which it is not yet known whether they run.
   double Unsettled = 0;
--- a/packages/control/include/redwinggw/control/membership.hpp
+++ b/packages/control/include/redwinggw/control/membership.hpp
@@ -2,6 +2,7 @@
 
 #include "redwinggw/base/ids.hpp"
 #include "redwinggw/base/time.hpp"
+#include "redwinggw/control/demand_changes.hpp"
 #include "redwinggw/storage/store.hpp"
 #include "redwinggw/wire/message.hpp"
 #include "redwinggw/wire/replay_window.hpp"
@@ -174,6 +175,16 @@
   bool ListKnown = false;
   /// Hash of each member's name with its index in Members, sorted.
   std::vector<std::pair<std::uint32_t, std::size_t>> ByHash;
+  /// All instances, this one included, ordered by zone and name: wire::hashOf
+  /// their names. Digests list members in this order.
+  std::vector<std::uint32_t> ListOrder;
+  /// Position in ListOrder of the first instance of the own zone, and how many
+  /// there are.
+  std::size_t ZoneFirst = 0;
+  std::size_t ZoneCount = 0;
+  /// Hash of the zones and names in ListOrder; 0 without a list. Instances with
+  /// the same hash have the same order.
+  std::uint64_t ListHash = 0;
   /// Whether this instance acted as a relay when it last sent heartbeats.
   bool Relay = true;
   /// Whether digests vouch for other instances. False while this instance does
@@ -187,6 +198,10 @@
   /// for.
   wire::fleet_digest ZoneDigest;
   wire::fleet_digest FleetDigest;
+  /// What instances that read changes get of the demands, as of the last tick.
+  published_demands PublishedDemands;
+  published_sums PublishedZone;
+  published_sums PublishedFleet;
   store_observations Store;
   membership_counters Counters;
   /// What each heartbeat says about this instance itself, as the owner set it
--- a/packages/control/include/redwinggw/control/membership_reports.hpp
+++ b/packages/control/include/redwinggw/control/membership_reports.hpp
@@ -21,7 +21,23 @@
                              const member &Receiver, wire::digest_scope Scope,
                              base::instant Now);
 
-/// Rebuilds ByHash from Members.
+/// Publishes the demands and sums that the owner last set. While one instance
+/// owns each bucket, demands decide only when contact is lost, and a change
+/// that is small for its customer may wait for a second.
+void publishLists(membership &Membership, base::instant Now);
+
+/// Completes \p Report to \p Receiver with changes in place of whole lists, if
+/// the fleet uses relays; a receiver that does not read changes gets whole
+/// lists.
+void writeChanges(const membership &Membership, const member &Receiver,
+                  wire::peer_report &Report);
+
+/// Puts packed members back into Members of \p Digest. Ignores them if they
+/// refer to another list of instances than the one here: the sender learns of
+/// the difference from the next heartbeat.
+void unpackMembers(const membership &Membership, wire::fleet_digest &Digest);
+
+/// Rebuilds ByHash and the order of the list from Members.
 void indexList(membership &Membership);
 
 /// Applies the report that \p Member just sent. \p MadeAt is the earliest time
--- a/packages/control/src/demand_shares.cpp
+++ b/packages/control/src/demand_shares.cpp
@@ -305,22 +305,37 @@
   return static_cast<std::uint8_t>(std::min(Max, std::floor(Tokens)));
 }
 
+/// Whether one instance has owned each bucket for a while. Then a customer's
+/// own owner limits it, and demands decide only when contact is lost.
+bool demandsMayWait(const demand_shares &Shares, instant Now) {
+  constexpr base::milliseconds Settled{2000};
+  return Shares.CentralizedSince && Now - *Shares.CentralizedSince > Settled;
+}
+
 } // namespace
 
 std::vector<wire::demand_report> announceDemand(demand_shares &Shares,
                                                 instant Now) {
   // Less demand is not worth its bytes in a heartbeat.
   constexpr double MinDemand = 0.05;
+  publication_limits Limits;
+  Limits.Exact = Shares.GaveUpShare || !demandsMayWait(Shares, Now);
   std::vector<wire::demand_report> Reports;
   for (auto &[Name, Account] : Shares.Accounts) {
     decay(Shares, Account, Now);
     const bool Announces = Account.Demand > MinDemand && !Shares.GaveUpShare;
     Account.AnnouncedBefore = {Account.Announced, Account.AnnouncedBefore[0]};
-    Account.Announced = Announces ? Account.Demand : 0;
+    const double Demand = Announces ? Account.Demand : 0;
+    if (isChangeDue(Limits, Account.Announced, Demand, Account.AnnouncedAt,
+                    Now)) {
+      Account.Announced = Demand;
+      Account.AnnouncedAt = Now;
+      Account.AnnouncedSpare = wholeTokens(spareTokens(Shares, Account));
+    }
     if (Account.Announced > 0)
       Reports.push_back({wire::hashOf(Name),
                          static_cast<float>(Account.Announced),
-                         wholeTokens(spareTokens(Shares, Account))});
+                         Account.AnnouncedSpare});
   }
   return Reports;
 }
--- a/packages/control/src/membership.cpp
+++ b/packages/control/src/membership.cpp
@@ -53,6 +53,7 @@
   else if (Kind == heartbeat_kind::Relay && usesRelays(Membership))
     Report.Digest =
         digestFor(Membership, Member, wire::digest_scope::Zone, Now);
+  writeChanges(Membership, Member, Report);
   Send.Datagram.Body = std::move(Report);
   return Send;
 }
@@ -220,7 +221,8 @@
   Member->ArrivedAt = Now;
   Member->HeardAt = Now;
   recordHeartbeatReceived(*Member, Now);
-  Member->Report = Report;
+  Member->Report = mergeReport(std::move(Member->Report), Report);
+  unpackMembers(Membership, Member->Report.Digest);
   const std::optional<instant> MadeAt = Membership.Limits.AgeByEcho
                                             ? echoedAt(Membership, Report)
                                             : std::optional(Now);
@@ -272,6 +274,7 @@
   if (!isTickDue(Membership, Now))
     return {};
   Membership.LastTick = Now;
+  publishLists(Membership, Now);
   if (Membership.Members.empty())
     return {};
   const heartbeat_plan Plan = planHeartbeats(Membership, Now);
--- a/packages/control/src/membership_reports.cpp
+++ b/packages/control/src/membership_reports.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <iterator>
+#include <string_view>
+#include <utility>
 
 namespace redwinggw::control {
 namespace {
@@ -195,6 +197,46 @@
   return Relayed;
 }
 
+/// Stands for a member of which nothing recent is known.
+wire::relayed_member unknownMember() {
+  wire::relayed_member Unknown;
+  Unknown.Silence = wire::MaxAgeSteps;
+  setFact(Unknown, wire::relayed_fact::AliveOnly, true);
+  return Unknown;
+}
+
+bool isUnknown(const wire::relayed_member &Member) {
+  return Member.Silence == wire::MaxAgeSteps &&
+         hasFact(Member, wire::relayed_fact::AliveOnly);
+}
+
+/// The members in the order of the list, without their names.
+wire::packed_members packMembers(const membership &Membership,
+                                 const member &Receiver,
+                                 wire::digest_scope Scope, instant Now) {
+  const bool Zone = Scope == wire::digest_scope::Zone;
+  wire::packed_members Packed;
+  Packed.List = Membership.ListHash;
+  Packed.First = static_cast<std::uint16_t>(Zone ? Membership.ZoneFirst : 0);
+  const std::size_t Count =
+      Zone ? Membership.ZoneCount : Membership.ListOrder.size();
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    const member *Member =
+        findByHash(Membership, Membership.ListOrder[Packed.First + Index]);
+    std::optional<wire::relayed_member> Relayed;
+    if (Member != nullptr && Member != &Receiver)
+      Relayed = relayedMember(Membership, *Member, Scope, Now);
+    Packed.Entries.push_back(Relayed.value_or(unknownMember()));
+  }
+  return Packed;
+}
+
+/// Whether the positions in the list mean the same to \p Receiver.
+bool sharesList(const membership &Membership, const member &Receiver) {
+  return Receiver.Report.ReadsChanges && Membership.ListHash != 0 &&
+         Receiver.Report.List == Membership.ListHash;
+}
+
 } // namespace
 
 wire::fleet_digest digestFor(const membership &Membership,
@@ -204,6 +246,10 @@
   wire::fleet_digest Digest =
       Zone ? Membership.ZoneDigest : Membership.FleetDigest;
   Digest.Scope = Scope;
+  if (sharesList(Membership, Receiver)) {
+    Digest.Packed = packMembers(Membership, Receiver, Scope, Now);
+    return Digest;
+  }
   for (const member &Member : Membership.Members) {
     const bool Wanted = !Zone || Member.Zone == Membership.Self.Zone;
     if (!Wanted || Member.Name == Receiver.Name)
@@ -214,6 +260,55 @@
   return Digest;
 }
 
+void publishLists(membership &Membership, instant Now) {
+  if (!usesRelays(Membership))
+    return;
+  publishDemands(Membership.PublishedDemands, Membership.Local.Demands, Now);
+  publication_limits Limits;
+  Limits.Exact = !Membership.Local.CentralizesBuckets;
+  publishSums(Membership.PublishedZone, Membership.ZoneDigest.Demands, Limits,
+              Now);
+  publishSums(Membership.PublishedFleet, Membership.FleetDigest.Demands, Limits,
+              Now);
+}
+
+void writeChanges(const membership &Membership, const member &Receiver,
+                  wire::peer_report &Report) {
+  if (!usesRelays(Membership))
+    return;
+  const wire::peer_report &Last = Receiver.Report;
+  Report.ReadsChanges = true;
+  Report.List = Membership.ListHash;
+  writeHeld(Last, Report);
+  if (!Last.ReadsChanges)
+    return;
+  // What the receiver held of a former process says nothing about this one.
+  const bool Known = Last.EchoIncarnation == Membership.Self.Incarnation;
+  writeDemands(Membership.PublishedDemands, Known ? Last.HeldDemands : 0,
+               Report);
+  wire::fleet_digest &Digest = Report.Digest;
+  const std::uint32_t Held = Known ? heldSums(Last, Digest.Scope) : 0;
+  if (Digest.Scope == wire::digest_scope::Zone)
+    writeSums(Membership.PublishedZone, Held, Digest.Demands);
+  if (Digest.Scope == wire::digest_scope::Fleet)
+    writeSums(Membership.PublishedFleet, Held, Digest.Demands);
+}
+
+void unpackMembers(const membership &Membership, wire::fleet_digest &Digest) {
+  const wire::packed_members Packed = std::exchange(Digest.Packed, {});
+  const auto &Order = Membership.ListOrder;
+  if (Packed.List == 0 || Packed.List != Membership.ListHash ||
+      Packed.First + Packed.Entries.size() > Order.size())
+    return;
+  for (std::size_t Index = 0; Index < Packed.Entries.size(); ++Index) {
+    wire::relayed_member Member = Packed.Entries[Index];
+    if (isUnknown(Member))
+      continue;
+    Member.Instance = Order[Packed.First + Index];
+    Digest.Members.push_back(Member);
+  }
+}
+
 milliseconds listInterval(const membership &Membership) {
   constexpr std::size_t ReadsPerSecond = 32;
   constexpr milliseconds Second{1000};
@@ -221,6 +316,47 @@
   return Second * static_cast<std::int64_t>(Share);
 }
 
+namespace {
+
+/// FNV-1a with 64 bits: with fewer, two lists could have the same hash, and an
+/// instance would count as in contact by the report about another one.
+std::uint64_t hashOfList(
+    const std::vector<std::pair<std::string_view, std::string_view>> &List) {
+  constexpr std::uint64_t Basis = 14695981039346656037U;
+  constexpr std::uint64_t Prime = 1099511628211U;
+  std::uint64_t Hash = Basis;
+  const auto Add = [&](std::string_view Text) {
+    std::ranges::for_each(Text, [&](char Byte) {
+      Hash = (Hash ^ static_cast<unsigned char>(Byte)) * Prime;
+    });
+    Hash *= Prime;
+  };
+  for (const auto &[Zone, Name] : List) {
+    Add(Zone);
+    Add(Name);
+  }
+  return Hash;
+}
+
+void orderList(membership &Membership) {
+  std::vector<std::pair<std::string_view, std::string_view>> List;
+  List.emplace_back(Membership.Self.Zone, Membership.Self.Name);
+  for (const member &Member : Membership.Members)
+    List.emplace_back(Member.Zone, Member.Name);
+  std::ranges::sort(List);
+  Membership.ListOrder.clear();
+  for (const auto &[Zone, Name] : List)
+    Membership.ListOrder.push_back(wire::hashOf(Name));
+  const auto Own = std::ranges::equal_range(
+      List, std::string_view(Membership.Self.Zone), {},
+      &std::pair<std::string_view, std::string_view>::first);
+  Membership.ZoneFirst = static_cast<std::size_t>(Own.begin() - List.begin());
+  Membership.ZoneCount = Own.size();
+  Membership.ListHash = hashOfList(List);
+}
+
+} // namespace
+
 void indexList(membership &Membership) {
   Membership.ByHash.clear();
   for (std::size_t Index = 0; Index < Membership.Members.size(); ++Index) {
@@ -230,6 +366,7 @@
     Membership.ByHash.emplace_back(Member.NameHash, Index);
   }
   std::ranges::sort(Membership.ByHash);
+  orderList(Membership);
 }
 
 void applyReport(membership &Membership, member &Member,
--- a/packages/wire/include/redwinggw/wire/fleet_digest.hpp
+++ b/packages/wire/include/redwinggw/wire/fleet_digest.hpp
@@ -85,6 +85,16 @@
   friend bool operator==(const silent_sum &, const silent_sum &) = default;
 };
 
+/// Which entries of a list are sent: all (Base is 0), or those that changed
+/// after version Base, where an entry without demand stands for a removal. A
+/// list without a Version is sent as a whole.
+struct list_range {
+  std::uint32_t Base = 0;
+  std::uint32_t Version = 0;
+
+  friend bool operator==(const list_range &, const list_range &) = default;
+};
+
 /// Demand sums over several instances. A customer in neither list has no
 /// demand.
 struct demand_digest {
@@ -94,6 +104,8 @@
   std::uint16_t NeverSeen = 0;
   std::vector<demand_sum> Sums;
   std::vector<silent_sum> Silent;
+  /// Of Sums and Silent.
+  list_range Range;
 
   friend bool operator==(const demand_digest &,
                          const demand_digest &) = default;
@@ -118,11 +130,27 @@
   Fleet,
 };
 
+/// Members without their names, for a receiver that has the same list of
+/// instances.
+struct packed_members {
+  /// Hash of the list; 0: unused.
+  std::uint64_t List = 0;
+  /// Position of the first entry in the list.
+  std::uint16_t First = 0;
+  /// Instance is not sent.
+  std::vector<relayed_member> Entries;
+
+  friend bool operator==(const packed_members &,
+                         const packed_members &) = default;
+};
+
 struct fleet_digest {
   digest_scope Scope = digest_scope::None;
   std::vector<relayed_member> Members;
   demand_digest Demands;
   std::vector<suspicion_count> Suspicions;
+  /// In place of Members.
+  packed_members Packed;
 
   friend bool operator==(const fleet_digest &, const fleet_digest &) = default;
 };
--- a/packages/wire/include/redwinggw/wire/message.hpp
+++ b/packages/wire/include/redwinggw/wire/message.hpp
@@ -113,6 +113,21 @@
   std::vector<std::string> EvacuatedZones;
   std::vector<demand_report> Demands;
   std::vector<position_report> Positions;
+  /// \name Changes in place of whole lists
+  ///
+  /// Sent after everything else and only if ReadsChanges is set, so that builds
+  /// that do not know these fields ignore them. Such a receiver gets whole
+  /// lists.
+  /// @{
+  bool ReadsChanges = false;
+  /// Hash of the sender's list of instances; 0: it has none.
+  std::uint64_t List = 0;
+  list_range DemandRange;
+  /// The versions of the receiver's demands and sums that the sender holds.
+  std::uint32_t HeldDemands = 0;
+  digest_scope HeldScope = digest_scope::None;
+  std::uint32_t HeldSums = 0;
+  /// @}
 };
 
 /// The numbers are sent: a number that was used before must not be reused for
--- a/packages/wire/src/message.cpp
+++ b/packages/wire/src/message.cpp
@@ -105,6 +105,76 @@
   });
 }
 
+/// Most instances of a zone have the same facts, so these are sent as runs: how
+/// many entries, and their facts.
+struct fact_run {
+  std::uint16_t Count = 0;
+  std::uint8_t Facts = 0;
+};
+
+std::vector<fact_run> runsOf(const std::vector<relayed_member> &Entries) {
+  std::vector<fact_run> Runs;
+  for (const relayed_member &Entry : Entries) {
+    if (Runs.empty() || Runs.back().Facts != Entry.Facts)
+      Runs.push_back({0, Entry.Facts});
+    ++Runs.back().Count;
+  }
+  return Runs;
+}
+
+/// Sets the facts of \p Entries. Runs of another length mean a corrupt
+/// datagram.
+void applyRuns(const std::vector<fact_run> &Runs,
+               std::vector<relayed_member> &Entries) {
+  auto Next = Entries.begin();
+  for (const fact_run &Run : Runs) {
+    if (Run.Count > Entries.end() - Next)
+      throw cereal::Exception("too many facts");
+    for (std::uint16_t Index = 0; Index < Run.Count; ++Index, ++Next)
+      Next->Facts = Run.Facts;
+  }
+  if (Next != Entries.end())
+    throw cereal::Exception("too few facts");
+}
+
+template <typename Archive>
+void archiveRuns(Archive &Out, const std::vector<relayed_member> &Entries) {
+  const std::vector<fact_run> Runs = runsOf(Entries);
+  archiveList(Out, Runs, [&](const auto &Run) { Out(Run.Count, Run.Facts); });
+}
+
+template <typename Archive>
+void archiveRuns(Archive &In, std::vector<relayed_member> &Entries) {
+  std::vector<fact_run> Runs;
+  archiveList(In, Runs, [&](auto &Run) { In(Run.Count, Run.Facts); });
+  applyRuns(Runs, Entries);
+}
+
+template <typename Archive, typename Packed>
+void archivePacked(Archive &Ar, Packed &Value) {
+  Ar(Value.List);
+  if (Value.List == 0)
+    return;
+  Ar(Value.First);
+  archiveList(Ar, Value.Entries,
+              [&](auto &Item) { Ar(Item.Age, Item.Silence); });
+  archiveRuns(Ar, Value.Entries);
+}
+
+template <typename Archive, typename Range>
+void archiveRange(Archive &Ar, Range &Value) {
+  Ar(Value.Base, Value.Version);
+}
+
+/// The fields that older builds do not know.
+template <typename Archive, typename Report>
+void archiveChanges(Archive &Ar, Report &Value) {
+  Ar(Value.List, Value.HeldDemands, Value.HeldScope, Value.HeldSums);
+  archiveRange(Ar, Value.DemandRange);
+  archiveRange(Ar, Value.Digest.Demands.Range);
+  archivePacked(Ar, Value.Digest.Packed);
+}
+
 template <typename Archive>
 void archiveSharedRead(Archive &Out, const shared_store_read &Value) {
   const auto Length = static_cast<std::uint32_t>(Value.Text.size());
@@ -164,6 +234,12 @@
   if (Kind == SharedReadKind)
     Datagram.Body = shared_store_read{};
   archiveDatagram(In, Datagram);
+  auto *Report = std::get_if<peer_report>(&Datagram.Body);
+  const bool HasMore = Stream.peek() != std::istringstream::traits_type::eof();
+  if (Report != nullptr && HasMore) {
+    archiveChanges(In, *Report);
+    Report->ReadsChanges = true;
+  }
   return Datagram;
 }
 
@@ -186,6 +262,9 @@
   const auto Kind = static_cast<std::uint8_t>(Datagram.Body.index());
   Out(FormatVersion, Kind);
   archiveDatagram(Out, Datagram);
+  if (const auto *Report = std::get_if<peer_report>(&Datagram.Body);
+      Report != nullptr && Report->ReadsChanges)
+    archiveChanges(Out, *Report);
   return sign(FleetKey, std::move(Stream).str());
 }
 
--- a/tests/control/relays_test.cpp
+++ b/tests/control/relays_test.cpp
@@ -1,3 +1,4 @@
+#include "redwinggw/control/membership_reports.hpp"
 #include "redwinggw/control/relays.hpp"
 
 #include "membership_fleet.hpp"
@@ -298,3 +299,50 @@
   run(Fleet, milliseconds(2000));
   cr_assert(Ahead.State != member_state::Alive);
 }
+
+// Guards against ages that are applied to other instances than they are of,
+// while the list of a relay and that of an instance differ.
+Test(relays, name_members_to_whoever_has_another_list) {
+  fleet Fleet = makeFleet(60);
+  constexpr std::size_t Joined = 0;
+  constexpr std::size_t Other = 40;
+  std::vector<storage::listed_instance> List;
+  for (std::size_t Index = 1; Index < 60; ++Index)
+    List.push_back(listed(Index));
+  onList(Fleet.Instances[Other].Membership, List, Fleet.Now);
+  run(Fleet, milliseconds(2000));
+  cr_assert(allInContact(Fleet));
+  Fleet.Instances[Joined].Up = false;
+  Fleet.Instances[59].Up = false;
+  run(Fleet, milliseconds(1500));
+  cr_assert(allInContact(Fleet));
+  const membership &Membership = Fleet.Instances[Other].Membership;
+  cr_assert(Membership.ListHash != Fleet.Instances[1].Membership.ListHash);
+  const auto InContact =
+      std::ranges::count_if(Membership.Members, [&](const member &Member) {
+        return isInContact(Membership, Member, Fleet.Now);
+      });
+  cr_assert(InContact == 57, "%td", InContact);
+}
+
+// Guards against members that are listed by position for a list which the
+// receiver has replaced meanwhile.
+Test(relays, do_not_apply_positions_in_another_list) {
+  fleet Fleet = makeFleet(60);
+  run(Fleet, milliseconds(2000));
+  const membership &Relay = Fleet.Instances[relaysOf(Fleet).front()].Membership;
+  const member &Asker = *findMember(Relay, "i40");
+  wire::fleet_digest Digest =
+      digestFor(Relay, Asker, wire::digest_scope::Fleet, Fleet.Now);
+  cr_assert(Digest.Members.empty() && Digest.Packed.Entries.size() == 60);
+  membership &Receiver = Fleet.Instances[40].Membership;
+  wire::fleet_digest Same = Digest;
+  unpackMembers(Receiver, Same);
+  cr_assert(Same.Members.size() == 58, "%zu", Same.Members.size());
+  std::vector<storage::listed_instance> List;
+  for (std::size_t Index = 1; Index < 60; ++Index)
+    List.push_back(listed(Index));
+  onList(Receiver, List, Fleet.Now);
+  unpackMembers(Receiver, Digest);
+  cr_assert(Digest.Members.empty());
+}
--- a/tests/wire/message_test.cpp
+++ b/tests/wire/message_test.cpp
@@ -35,7 +35,7 @@
   setFact(Member, relayed_fact::KnowsVersion, true);
   setFact(Member, relayed_fact::ReadStoreSinceStart, false);
   Report.Digest.Members = {Member, {18, MaxAgeSteps, MaxAgeSteps, 0}};
-  Report.Digest.Demands = {3, 1, {{7, 2.5F}}, {{8, 1.5F, 0.25F, 0.125F}}};
+  Report.Digest.Demands = {3, 1, {{7, 2.5F}}, {{8, 1.5F, 0.25F, 0.125F}}, {}};
   Report.Digest.Suspicions = {{"orders", "orders-1", 2}};
   Datagram.Body = Report;
   return Datagram;
@@ -62,6 +62,31 @@
   cr_assert(!hasFact(Member, relayed_fact::ReadStoreSinceStart));
 }
 
+// Guards against builds that drop or misread the heartbeats of another build:
+// the older one does not read the fields at the end, and sends none.
+Test(message, the_changes_of_a_heartbeat_come_after_what_older_builds_read) {
+  datagram Sent = heartbeat();
+  const std::string Old(verify(Key, encode(Key, Sent)).value_or(""));
+  auto &Report = std::get<peer_report>(Sent.Body);
+  Report.ReadsChanges = true;
+  Report.List = 77;
+  Report.DemandRange = {3, 4};
+  Report.HeldDemands = 8;
+  Report.HeldScope = digest_scope::Zone;
+  Report.HeldSums = 9;
+  Report.Digest.Demands.Range = {5, 6};
+  Report.Digest.Packed = {77, 2, {{0, 1, 2, 3}, {0, 4, 5, 3}, {0, 6, 7, 8}}};
+  const std::string Bytes = encode(Key, Sent);
+  cr_assert(verify(Key, Bytes).value_or("").starts_with(Old));
+  const auto Read = decode(Key, Bytes);
+  cr_assert(Read.has_value());
+  const auto &Back = std::get<peer_report>(Read->Body);
+  cr_assert(Back.ReadsChanges && Back.List == 77 && Back.HeldDemands == 8);
+  cr_assert(Back.HeldScope == digest_scope::Zone && Back.HeldSums == 9);
+  cr_assert(Back.DemandRange == Report.DemandRange);
+  cr_assert(Back.Digest == Report.Digest);
+}
+
 Test(message, a_share_message_comes_back_as_it_was_sent) {
   datagram Datagram = heartbeat();
   share_message Message{share_kind::Grant, 3, 7, 99, "c", {}};
