Send log positions once to each instance, and only those it may lack

Each heartbeat repeated the newest log position of every service, 24 bytes each: a reporter sent back to its relays what they had just sent, and both relays of a zone sent the same positions.

An instance now gets positions with each answer of the one relay that it requests shared reads from, and a zone from the first relay of each other zone. The other relays repeat them every 750 ms, so that the loss of a relay leaves no gap in which reads with a staleness bound have no position to go by; leaving them out altogether was ruled out for that reason. A report leaves out a position of which a relay has sent a sample that is as recent. Receivers of builds that do not read changes get all of them, and up to 16 others nothing changes.

The bench now has positions as instances have them: an own sample in two heartbeats of five, otherwise the newest received. That changes nothing for the code before, which sent all seven each time.

--- a/packages/control/include/redwinggw/control/membership.hpp
+++ b/packages/control/include/redwinggw/control/membership.hpp
@@ -120,6 +120,8 @@
   bool ReadStoreSinceStart = false;
   /// Highest head version that it knows of, as far as it or a relay reported.
   base::config_version KnownHead = 0;
+  /// When log positions were last sent to it.
+  std::optional<base::instant> PositionsSentAt;
   /// Its last share message said that it reads the short form, or was in it.
   bool ReadsShortForm = false;
   /// When the first datagram of the short form was sent to it after its last
--- a/packages/control/include/redwinggw/control/relays.hpp
+++ b/packages/control/include/redwinggw/control/relays.hpp
@@ -55,6 +55,22 @@
 std::vector<std::size_t> allRelays(const membership &Membership,
                                    base::instant Now);
 
+/// Whether a heartbeat to \p Member at \p Now carries log positions. All do up
+/// to 16 others. In a larger fleet an instance gets them with each answer of
+/// the relay that it requests shared reads from, and a zone from the first
+/// relay of each other zone; the other relays repeat them less often, so that
+/// the loss of a relay leaves no long gap. \p Answers: the heartbeat answers a
+/// report of
+/// \p Member.
+bool carriesPositions(const membership &Membership, const member &Member,
+                      bool Answers, base::instant Now);
+
+/// Removes from \p Positions, of a report to a relay, those that a relay has
+/// sent here: all relays have them. Their ages are as of \p Now.
+void removeRelayedPositions(const membership &Membership,
+                            std::vector<wire::position_report> &Positions,
+                            base::instant Now);
+
 /// Records that a heartbeat to \p Member is sent at \p Now. A member that has
 /// not answered for RelayTimeout is skipped for RelaySkipTime.
 void recordHeartbeatSent(const membership &Membership, member &Member,
--- a/packages/control/src/membership.cpp
+++ b/packages/control/src/membership.cpp
@@ -36,7 +36,20 @@
   Answer,
 };
 
-peer_send heartbeatTo(membership &Membership, const member &Member,
+/// Removes log positions from \p Report that \p Member gets from others.
+void limitPositions(const membership &Membership, member &Member,
+                    heartbeat_kind Kind, wire::peer_report &Report,
+                    instant Now) {
+  if (usesRelays(Membership) && Kind == heartbeat_kind::Report)
+    removeRelayedPositions(Membership, Report.Positions, Now);
+  if (!carriesPositions(Membership, Member, Kind == heartbeat_kind::Answer,
+                        Now))
+    Report.Positions.clear();
+  else
+    Member.PositionsSentAt = Now;
+}
+
+peer_send heartbeatTo(membership &Membership, member &Member,
                       heartbeat_kind Kind, instant Now) {
   peer_send Send{Member.Address, nextDatagram(Membership, Member.Name, Now)};
   wire::peer_report Report = localReport(Membership, Now);
@@ -53,6 +66,7 @@
   else if (Kind == heartbeat_kind::Relay && usesRelays(Membership))
     Report.Digest =
         digestFor(Membership, Member, wire::digest_scope::Zone, Now);
+  limitPositions(Membership, Member, Kind, Report, Now);
   writeChanges(Membership, Member, Report);
   Send.Datagram.Body = std::move(Report);
   return Send;
@@ -354,7 +368,7 @@
   const heartbeat_plan Plan = planHeartbeats(Membership, Now);
   std::vector<peer_send> Sends;
   for (std::size_t Index = 0; Index < Membership.Members.size(); ++Index) {
-    const member &Member = Membership.Members[Index];
+    member &Member = Membership.Members[Index];
     const bool InPlan =
         std::ranges::find(Plan.Targets, Index) != Plan.Targets.end();
     if (InPlan || reportsHere(Member) ||
--- a/packages/control/src/relays.cpp
+++ b/packages/control/src/relays.cpp
@@ -140,6 +140,53 @@
   return Relays;
 }
 
+namespace {
+
+/// Whether a relay of the own zone that ranks before this instance is in direct
+/// contact.
+bool hasFirstRelay(const membership &Membership, instant Now) {
+  const member Self = selfAsMember(Membership);
+  return std::ranges::any_of(Membership.Members, [&](const member &Member) {
+    return Member.Zone == Membership.Self.Zone && ranksBefore(Member, Self) &&
+           isRelayCandidate(Member, Now) &&
+           isInDirectContact(Membership, Member, Now);
+  });
+}
+
+} // namespace
+
+bool carriesPositions(const membership &Membership, const member &Member,
+                      bool Answers, instant Now) {
+  // Half of the smallest staleness bound in use: a read finds a position that
+  // is recent enough.
+  constexpr base::milliseconds RepeatInterval{750};
+  if (!usesRelays(Membership) || !Membership.Relay ||
+      !Member.Report.ReadsChanges || !Member.PositionsSentAt ||
+      Now - *Member.PositionsSentAt >= RepeatInterval)
+    return true;
+  if (Answers)
+    return Member.Report.WantsSharedReads;
+  return Member.Zone != Membership.Self.Zone && !hasFirstRelay(Membership, Now);
+}
+
+void removeRelayedPositions(const membership &Membership,
+                            std::vector<wire::position_report> &Positions,
+                            instant Now) {
+  const auto SampledAt = [](instant ReportAt,
+                            const wire::position_report &Position) {
+    return ReportAt - base::milliseconds(Position.Age);
+  };
+  for (const member &Member : Membership.Members) {
+    if (!Member.ReportAt || Positions.empty())
+      continue;
+    for (const wire::position_report &Relayed : Member.Report.Positions)
+      std::erase_if(Positions, [&](const wire::position_report &Own) {
+        return Own.Group == Relayed.Group && Own.Term == Relayed.Term &&
+               SampledAt(Now, Own) <= SampledAt(*Member.ReportAt, Relayed);
+      });
+  }
+}
+
 void recordHeartbeatSent(const membership &Membership, member &Member,
                          instant Now) {
   const membership_limits &Limits = Membership.Limits;
--- a/tests/bench/peers_bench.cpp
+++ b/tests/bench/peers_bench.cpp
@@ -17,6 +17,7 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <array>
 #include <cstdio>
 #include <ctime>
 #include <deque>
@@ -47,10 +48,15 @@
   double Bytes = 0;
 };
 
+constexpr std::size_t Services = 7;
+
 struct bench_node {
   membership Membership;
   share_node Shares;
   demand_shares Demands;
+  /// When the newest log position of each service was sampled, here or
+  /// elsewhere.
+  std::array<instant, Services> SampledAt{};
   traffic Sent;
 };
 
@@ -196,9 +202,19 @@
   return "customer-" + std::to_string(Index);
 }
 
+void acceptPositions(bench_node &Node) {
+  for (const member &Member : Node.Membership.Members)
+    for (const wire::position_report &Position : Member.Report.Positions)
+      if (Member.ReportAt)
+        Node.SampledAt[Position.Group] =
+            std::max(Node.SampledAt[Position.Group],
+                     *Member.ReportAt - milliseconds(Position.Age));
+}
+
 /// What the instance reports in its next heartbeats: the demand of its callers,
 /// and the log positions of seven services.
-void completeHeartbeat(bench_node &Node, instant Now) {
+void completeHeartbeat(bench_node &Node, std::mt19937 &Random, instant Now) {
+  acceptPositions(Node);
   membership &Membership = Node.Membership;
   wire::peer_report &Report = Membership.Local;
   Report.Demands = announceDemand(Node.Demands, Now);
@@ -208,12 +224,17 @@
   Report.CentralizesBuckets = hasCentralizedBuckets(Node.Demands, Now);
   Membership.ZoneDigest.Demands = zoneDemands(Node.Demands);
   Membership.FleetDigest.Demands = fleetDemands(Node.Demands);
-  constexpr std::uint32_t Services = 7;
   Report.Positions.clear();
-  for (std::uint32_t Service = 0; Service < Services; ++Service)
-    Report.Positions.push_back(
-        {Service, 1, static_cast<std::uint64_t>(Now.time_since_epoch().count()),
-         0});
+  for (std::size_t Service = 0; Service < Services; ++Service) {
+    // Two heartbeats in five follow a statement of this instance that the
+    // service's primary has answered.
+    if (Random() % 5 < 2)
+      Node.SampledAt[Service] = Now;
+    const auto Age =
+        std::chrono::ceil<milliseconds>(Now - Node.SampledAt[Service]);
+    Report.Positions.push_back({static_cast<std::uint32_t>(Service), 1, 1,
+                                static_cast<wire::age_ms>(Age.count())});
+  }
   Membership.LocalAt = Now;
 }
 
@@ -227,7 +248,7 @@
       takeDemandToken(Node.Demands, customerName(Random() % DemandCustomers), 0,
                       {}, Fleet.Now);
     if (isTickDue(Node.Membership, Fleet.Now))
-      completeHeartbeat(Node, Fleet.Now);
+      completeHeartbeat(Node, Random, Fleet.Now);
   }
   heartbeats(Fleet);
 }
--- a/tests/control/relays_test.cpp
+++ b/tests/control/relays_test.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <utility>
 
 #include "criterion_test.hpp"
 
@@ -346,3 +347,72 @@
   unpackMembers(Receiver, Digest);
   cr_assert(Digest.Members.empty());
 }
+
+namespace {
+
+/// How often log positions arrive at instance \p At within \p Time, and the
+/// longest time between two of them.
+std::pair<std::size_t, milliseconds>
+positionsWithin(fleet &Fleet, std::size_t At, milliseconds Time) {
+  constexpr milliseconds Step{50};
+  std::map<std::string, std::uint64_t> Last;
+  std::size_t Count = 0;
+  milliseconds Gap{0};
+  milliseconds Longest{0};
+  for (milliseconds Past{0}; Past < Time; Past += Step) {
+    run(Fleet, Step);
+    Gap += Step;
+    for (const member &Member : Fleet.Instances[At].Membership.Members) {
+      const bool Arrived = std::exchange(Last[Member.Name], Member.Heartbeat) !=
+                               Member.Heartbeat &&
+                           !Member.Report.Positions.empty();
+      Count += Arrived ? 1 : 0;
+      if (Arrived)
+        Gap = {};
+    }
+    Longest = std::max(Longest, Gap);
+  }
+  return {Count, Longest};
+}
+
+} // namespace
+
+// Guards against positions that each instance gets twice, and against a long
+// time without any when the relay that sends them dies: reads that may be stale
+// would all go to the primary.
+Test(relays, send_positions_once_and_go_on_when_one_dies) {
+  fleet Fleet = makeFleet(60);
+  run(Fleet, milliseconds(2000));
+  for (const std::size_t Relay : relaysOf(Fleet))
+    Fleet.Instances[Relay].Membership.Local.Positions = {{1, 1, 1, 40}};
+  run(Fleet, milliseconds(1000));
+  constexpr std::size_t Reader = 40;
+  // Five answers a second of one relay, and a few of the other.
+  const auto [Count, Gap] = positionsWithin(Fleet, Reader, milliseconds(3000));
+  cr_assert(Count >= 15 && Count <= 20, "%zu", Count);
+  const auto Relays = relaysOf(Fleet);
+  const std::size_t OfOtherZone = 1;
+  cr_assert(Fleet.Instances[OfOtherZone].Membership.Relay);
+  cr_assert(positionsWithin(Fleet, OfOtherZone, milliseconds(3000)).first <=
+            25);
+  Fleet.Instances[Relays.front()].Up = false;
+  const auto After = positionsWithin(Fleet, Reader, milliseconds(3000));
+  cr_assert(After.second <= milliseconds(800), "%td",
+            static_cast<std::ptrdiff_t>(After.second.count()));
+}
+
+// Guards against reports that return to a relay what came from one, and against
+// leaving out what only the sender knows.
+Test(relays, get_only_positions_that_they_have_not_sent) {
+  fleet Fleet = makeFleet(60);
+  run(Fleet, milliseconds(2000));
+  membership &Reader = Fleet.Instances[40].Membership;
+  member &Relay = Reader.Members.front();
+  Relay.ReportAt = Fleet.Now - milliseconds(100);
+  Relay.Report.Positions = {{1, 1, 5, 40}, {2, 1, 5, 40}, {3, 1, 5, 40}};
+  std::vector<wire::position_report> Positions{
+      {1, 1, 5, 140}, {2, 1, 6, 139}, {3, 2, 5, 140}, {4, 1, 5, 140}};
+  removeRelayedPositions(Reader, Positions, Fleet.Now);
+  cr_assert(Positions == std::vector<wire::position_report>(
+                             {{2, 1, 6, 139}, {3, 2, 5, 140}, {4, 1, 5, 140}}));
+}
