Count bytes between instances by kind of message

The counters move out of peer_service into control/peer_traffic. Sums over all labels are as before.

--- a/packages/base/src/metrics_table.cpp
+++ b/packages/base/src/metrics_table.cpp
@@ -81,7 +81,7 @@
      "Other instances by state as seen here.",
      "Suspected ones: check the network between the zones."},
     {PeerBytesTotal, Counter, "redwinggw_peer_bytes_total", "bytes",
-     "direction", "Bytes of messages between instances.",
+     "direction,kind", "Bytes of messages between instances.",
      "Compare with CAPACITY.md; a rise without load is a fault."},
     {StoreReadsTotal, Counter, "redwinggw_store_reads_total", "requests",
      "service", "Reads from the platform's services.",
--- a/packages/control/include/redwinggw/control/peer_service.hpp
+++ b/packages/control/include/redwinggw/control/peer_service.hpp
@@ -4,6 +4,7 @@
 #include "redwinggw/base/time.hpp"
 #include "redwinggw/control/config_freshness.hpp"
 #include "redwinggw/control/membership.hpp"
+#include "redwinggw/control/peer_traffic.hpp"
 #include "redwinggw/storage/store.hpp"
 #include "redwinggw/wire/message.hpp"
 
@@ -29,14 +30,6 @@
   base::instant At;
 };
 
-/// Traffic since the start.
-struct peer_traffic {
-  std::uint64_t SentDatagrams = 0;
-  std::uint64_t SentBytes = 0;
-  std::uint64_t ReceivedDatagrams = 0;
-  std::uint64_t ReceivedBytes = 0;
-};
-
 /// Must be used from one thread, and outlive the executor's run.
 class peer_service {
 public:
--- a/packages/control/src/peer_service.cpp
+++ b/packages/control/src/peer_service.cpp
@@ -125,15 +125,15 @@
   // itself; the next heartbeat or request replaces it.
   Socket.send_to(asio::buffer(Bytes), udp::endpoint(Host, Send.To.Port), 0,
                  Error);
-  ++Traffic.SentDatagrams;
-  Traffic.SentBytes += Bytes.size();
+  countSent(Traffic, kindOf(Send.Datagram), Bytes.size());
 }
 
 void peer_service::state::receive(std::string_view Bytes,
                                   const udp::endpoint &From) {
-  ++Traffic.ReceivedDatagrams;
-  Traffic.ReceivedBytes += Bytes.size();
   auto Datagram = wire::decode(FleetKey, Bytes);
+  countReceived(Traffic,
+                Datagram ? kindOf(*Datagram) : peer_message_kind::Invalid,
+                Bytes.size());
   if (!Datagram) {
     ++Membership.Counters.UnknownSender;
     return;
--- a/packages/redwinggw/src/collect_metrics.cpp
+++ b/packages/redwinggw/src/collect_metrics.cpp
@@ -30,11 +30,7 @@
                 {std::string(control::memberStateName(Value))}),
         static_cast<double>(Count));
   }
-  const control::peer_traffic &Traffic = State.Peers.traffic();
-  counterOf(Metrics, metric::PeerBytesTotal, {"sent"}).Value =
-      static_cast<double>(Traffic.SentBytes);
-  counterOf(Metrics, metric::PeerBytesTotal, {"received"}).Value =
-      static_cast<double>(Traffic.ReceivedBytes);
+  observeTraffic(Metrics, State.Peers.traffic());
 }
 
 } // namespace
--- a/packages/redwinggw/src/platform_instance.cpp
+++ b/packages/redwinggw/src/platform_instance.cpp
@@ -63,11 +63,7 @@
     return;
   set(gaugeOf(Metrics, metric::Peers, {"listed"}),
       static_cast<double>(State.Peers->view().Members.size()));
-  const control::peer_traffic &Traffic = State.Peers->traffic();
-  counterOf(Metrics, metric::PeerBytesTotal, {"sent"}).Value =
-      static_cast<double>(Traffic.SentBytes);
-  counterOf(Metrics, metric::PeerBytesTotal, {"received"}).Value =
-      static_cast<double>(Traffic.ReceivedBytes);
+  observeTraffic(Metrics, State.Peers->traffic());
 }
 
 base::task<http::response> answerMetrics(platform_instance_state &State) {
