Send changes of the list of endpoints in fleets with relays

The store reader sent the whole list to all relays, and they to their zones, after each change and every five seconds.

It now sends the changes to the list that it had before, with the digests of both lists. A receiver applies them if it has the first, and checks the result against the second, so that they take effect as a whole or not at all. Any other receiver learns from the digest of the next second that its list is another one, and requests it in full from the sender of the digest, which is the relay of its zone; a request that is lost is repeated with the next digest, and after 1.7 s without a confirmation it reads the store itself as before. A list or changes of an older read than the own one are ignored. Older builds do not take changes or a request for a list, and read the store themselves. Up to 16 others nothing changes.

Numbering the lists was ruled out: two store readers would give one number to different lists. Not done: both relays of another zone still get each change, so it crosses between two zones twice.

--- a/packages/control/include/redwinggw/control/peer_service.hpp
+++ b/packages/control/include/redwinggw/control/peer_service.hpp
@@ -111,6 +111,9 @@
   /// Sends what this instance has read from the store to all live members,
   /// through relays if the fleet uses them.
   void sendSharedRead(const wire::shared_store_read &SharedRead);
+  /// Sends it to one member, which does not relay it.
+  void sendSharedReadTo(std::string_view Instance,
+                        wire::shared_store_read SharedRead);
   using shared_read_handler =
       std::function<void(const member &, const wire::shared_store_read &)>;
   /// Called for each shared read of another instance.
--- a/packages/control/src/peer_service.cpp
+++ b/packages/control/src/peer_service.cpp
@@ -351,6 +351,13 @@
   State->relaySharedRead({}, SharedRead);
 }
 
+void peer_service::sendSharedReadTo(std::string_view Instance,
+                                    wire::shared_store_read SharedRead) {
+  SharedRead.Relayed = true;
+  if (const member *Member = findMember(State->Membership, Instance))
+    State->sendSharedRead(*Member, SharedRead);
+}
+
 void peer_service::setAllGroupReports(std::vector<wire::group_report> Reports) {
   State->Membership.Local.Groups = std::move(Reports);
 }
--- a/packages/redwinggw/src/platform_endpoints.cpp
+++ b/packages/redwinggw/src/platform_endpoints.cpp
@@ -3,7 +3,9 @@
 #include "platform/decoding.hpp"
 
 #include "redwinggw/base/log.hpp"
+#include "redwinggw/control/relays.hpp"
 #include "redwinggw/session/endpoint_list.hpp"
+#include "redwinggw/session/list_changes.hpp"
 
 #include <algorithm>
 #include <iterator>
@@ -42,45 +44,82 @@
   return std::to_string(digestOf(List));
 }
 
-/// Sends the list to the instances that do not read it themselves: in full
-/// after a change and every FullListInterval, otherwise a digest that tells
-/// that it is unchanged. An instance with another list ignores the digest, and
-/// reads the store itself when nothing else arrives.
-///
-/// \p Version: the store's version at the read of the list.
-void shareEndpointList(platform_instance_state &State, std::uint64_t Version) {
+/// The parts of the list in full; none when an entry exceeds a datagram.
+std::vector<wire::shared_store_read>
+fullList(const platform_instance_state &State, std::uint64_t Version) {
+  const auto Parts = encodeEndpoints(State.EndpointList, MaxSharedReadBytes);
+  const auto Largest = std::ranges::max(Parts, {}, &std::string::size).size();
+  if (Largest > MaxSharedReadBytes) {
+    base::logEvent(log_level::Warning, log_part::Endpoints, "list_not_relayed",
+                   {{"bytes", std::to_string(Largest)},
+                    {"limit", std::to_string(MaxSharedReadBytes)}});
+    return {};
+  }
+  std::vector<wire::shared_store_read> Reads(Parts.size());
+  for (std::size_t Part = 0; Part < Parts.size(); ++Part) {
+    Reads[Part].Version = Version;
+    Reads[Part].Part = static_cast<std::uint16_t>(Part);
+    Reads[Part].Parts = static_cast<std::uint16_t>(Parts.size());
+    Reads[Part].Text = Parts[Part];
+  }
+  return Reads;
+}
+
+void shareUnchanged(platform_instance_state &State) {
+  wire::shared_store_read Digest;
+  Digest.Kind = wire::shared_read_kind::EndpointsUnchanged;
+  Digest.Text = State.EndpointListDigest;
+  State.Peers->sendSharedRead(Digest);
+}
+
+/// Sends the list in full after a change and every FullListInterval, otherwise
+/// a digest that tells that it is unchanged. An instance with another list
+/// ignores the digest, and reads the store itself when nothing else arrives.
+void shareWholeList(platform_instance_state &State, std::uint64_t Version) {
   const base::instant Now = base::now();
   const bool Unchanged = State.SentEndpointList == State.EndpointList &&
                          State.SentEndpointListAt &&
                          Now - *State.SentEndpointListAt <
                              FullListInterval * State.SentEndpointListParts;
   if (Unchanged) {
-    wire::shared_store_read Digest;
-    Digest.Kind = wire::shared_read_kind::EndpointsUnchanged;
-    Digest.Text = State.EndpointListDigest;
-    State.Peers->sendSharedRead(Digest);
+    shareUnchanged(State);
     return;
   }
-  const auto Parts = encodeEndpoints(State.EndpointList, MaxSharedReadBytes);
-  const auto Largest = std::ranges::max(Parts, {}, &std::string::size).size();
-  if (Largest > MaxSharedReadBytes) {
-    base::logEvent(log_level::Warning, log_part::Endpoints, "list_not_relayed",
-                   {{"bytes", std::to_string(Largest)},
-                    {"limit", std::to_string(MaxSharedReadBytes)}});
+  const auto Reads = fullList(State, Version);
+  if (Reads.empty())
     return;
-  }
-  for (std::size_t Part = 0; Part < Parts.size(); ++Part) {
-    wire::shared_store_read Read;
-    Read.Kind = wire::shared_read_kind::Endpoints;
-    Read.Version = Version;
-    Read.Part = static_cast<std::uint16_t>(Part);
-    Read.Parts = static_cast<std::uint16_t>(Parts.size());
-    Read.Text = Parts[Part];
+  for (const wire::shared_store_read &Read : Reads)
     State.Peers->sendSharedRead(Read);
-  }
   State.SentEndpointList = State.EndpointList;
   State.SentEndpointListAt = Now;
-  State.SentEndpointListParts = static_cast<std::int64_t>(Parts.size());
+  State.SentEndpointListParts = static_cast<std::int64_t>(Reads.size());
+}
+
+/// Sends the list to the instances that do not read it themselves. In a fleet
+/// with relays, as changes to \p Before, the list that they have. An instance
+/// that lacks them sees that by the next digest, and requests the list in full
+/// from whoever sent that.
+///
+/// \p Version: the store's version at the read of the list.
+void shareEndpointList(platform_instance_state &State,
+                       const std::vector<session::endpoint_entry> &Before,
+                       std::uint64_t Version) {
+  if (Before.empty() || !usesRelays(State.Peers->view())) {
+    shareWholeList(State, Version);
+    return;
+  }
+  if (Before == State.EndpointList) {
+    shareUnchanged(State);
+    return;
+  }
+  wire::shared_store_read Changes;
+  Changes.Kind = wire::shared_read_kind::EndpointChanges;
+  Changes.Version = Version;
+  Changes.Text = session::encodeChanges(Before, State.EndpointList);
+  if (Changes.Text.size() <= MaxSharedReadBytes)
+    State.Peers->sendSharedRead(Changes);
+  else
+    shareWholeList(State, Version);
 }
 
 void acceptEndpointList(platform_instance_state &State,
@@ -115,13 +154,67 @@
 
 } // namespace
 
-void acceptSharedRead(platform_instance_state &State,
-                      const wire::shared_store_read &Reading) {
-  if (Reading.Kind == wire::shared_read_kind::EndpointsUnchanged) {
-    if (State.EndpointListAt && Reading.Text == State.EndpointListDigest)
-      confirmEndpointList(State);
+namespace {
+
+/// Requests the list with \p Digest from \p From. An answer that is lost is
+/// requested again at the next digest.
+void requestList(platform_instance_state &State,
+                 const base::instance_name &From, std::string Digest) {
+  if (!usesRelays(State.Peers->view()))
+    return;
+  wire::shared_store_read Request;
+  Request.Kind = wire::shared_read_kind::EndpointsRequest;
+  Request.Text = std::move(Digest);
+  State.Peers->sendSharedReadTo(From, std::move(Request));
+}
+
+/// Answers a request for the list with \p Digest, if this instance has it.
+void answerRequest(platform_instance_state &State,
+                   const base::instance_name &From, std::string_view Digest) {
+  if (!State.EndpointListAt || Digest != State.EndpointListDigest)
+    return;
+  for (wire::shared_store_read &Read :
+       fullList(State, State.EndpointListVersion))
+    State.Peers->sendSharedReadTo(From, std::move(Read));
+}
+
+void acceptDigest(platform_instance_state &State,
+                  const base::instance_name &From, const std::string &Digest) {
+  if (!State.EndpointListAt)
+    return;
+  if (Digest == State.EndpointListDigest)
+    confirmEndpointList(State);
+  else
+    requestList(State, From, Digest);
+}
+
+void acceptChanges(platform_instance_state &State,
+                   const wire::shared_store_read &Reading) {
+  // The changes of a slower store reader must not undo a newer list.
+  if (!State.EndpointListAt || Reading.Version < State.EndpointListVersion)
+    return;
+  std::vector<session::endpoint_entry> List = State.EndpointList;
+  switch (session::applyChanges(List, Reading.Text)) {
+  case session::change_result::Applied:
+    State.EndpointListVersion = Reading.Version;
+    acceptEndpointList(State, List, base::now());
+    return;
+  case session::change_result::Known:
+    State.EndpointListVersion = Reading.Version;
+    confirmEndpointList(State);
+    return;
+  case session::change_result::Unusable:
+    // The next digest differs from the list here, which is then requested.
     return;
   }
+}
+
+void acceptPart(platform_instance_state &State,
+                const wire::shared_store_read &Reading) {
+  // An answer to a request must not undo changes that overtook it.
+  if (usesRelays(State.Peers->view()) &&
+      Reading.Version < State.EndpointListVersion)
+    return;
   const auto Texts =
       addPart(State.EndpointListParts,
               {Reading.Version, Reading.Part, Reading.Parts, Reading.Text});
@@ -139,9 +232,31 @@
     }
     std::ranges::move(*Decoded, std::back_inserter(Entries));
   }
+  State.EndpointListVersion = Reading.Version;
   acceptEndpointList(State, Entries, base::now());
 }
 
+} // namespace
+
+void acceptSharedRead(platform_instance_state &State,
+                      const base::instance_name &From,
+                      const wire::shared_store_read &Reading) {
+  switch (Reading.Kind) {
+  case wire::shared_read_kind::Endpoints:
+    acceptPart(State, Reading);
+    return;
+  case wire::shared_read_kind::EndpointsUnchanged:
+    acceptDigest(State, From, Reading.Text);
+    return;
+  case wire::shared_read_kind::EndpointChanges:
+    acceptChanges(State, Reading);
+    return;
+  case wire::shared_read_kind::EndpointsRequest:
+    answerRequest(State, From, Reading.Text);
+    return;
+  }
+}
+
 namespace {
 
 void acceptOwnRead(platform_instance_state &State,
@@ -149,9 +264,11 @@
   // A slow read must not undo a newer list that arrived meanwhile.
   if (State.EndpointListAt.value_or(LongAgo) > Sent)
     return;
+  const std::vector<session::endpoint_entry> Before = State.EndpointList;
+  State.EndpointListVersion = Rows.Version;
   acceptEndpointList(State, entriesOf(Rows), Sent);
   if (isStoreReader(State) && State.Peers)
-    shareEndpointList(State, Rows.Version);
+    shareEndpointList(State, Before, Rows.Version);
 }
 
 } // namespace
--- a/packages/redwinggw/src/platform_heartbeats.cpp
+++ b/packages/redwinggw/src/platform_heartbeats.cpp
@@ -189,9 +189,9 @@
   });
   State.Peers->onReport(
       [&State](const control::member &Member) { acceptReport(State, Member); });
-  State.Peers->onSharedRead([&State](const control::member &,
+  State.Peers->onSharedRead([&State](const control::member &Member,
                                      const wire::shared_store_read &Reading) {
-    acceptSharedRead(State, Reading);
+    acceptSharedRead(State, Member.Name, Reading);
   });
   State.Peers->onUnlistedInstance(
       [&State] { State.FleetReadRequested = true; });
--- a/packages/redwinggw/src/platform_instance_state.hpp
+++ b/packages/redwinggw/src/platform_instance_state.hpp
@@ -108,6 +108,8 @@
   /// reader, and its digest.
   std::vector<session::endpoint_entry> EndpointList;
   std::string EndpointListDigest;
+  /// The store's version at a read of that list.
+  std::uint64_t EndpointListVersion = 0;
   /// Parts of a list from the store reader that is not complete yet.
   session::list_assembly EndpointListParts;
   std::optional<base::instant> EndpointListAt;
@@ -249,6 +251,7 @@
 
 /// Applies what the store reader has read and sent to this instance.
 void acceptSharedRead(platform_instance_state &State,
+                      const base::instance_name &From,
                       const wire::shared_store_read &Reading);
 /// Reads the rows of the fleet and applies them. Nothing when the store did not
 /// answer.
--- /dev/null
+++ b/packages/session/src/list_changes.cpp
@@ -0,0 +1,102 @@
+#include "redwinggw/session/list_changes.hpp"
+
+#include "redwinggw/session/endpoint_list.hpp"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <cstdint>
+#include <exception>
+#include <limits>
+#include <set>
+#include <stdexcept>
+#include <utility>
+
+namespace redwinggw::session {
+namespace {
+
+namespace json = boost::json;
+
+bool isIn(const std::vector<endpoint_entry> &List,
+          const endpoint_entry &Entry) {
+  return std::ranges::find(List, Entry) != List.end();
+}
+
+/// The changed entries. Throws if they cannot be read.
+std::vector<endpoint_entry> entriesIn(const json::object &Changes) {
+  auto Entries = decodeEndpoints(json::serialize(Changes.at("entries")));
+  if (!Entries)
+    throw std::invalid_argument("entries");
+  return std::move(*Entries);
+}
+
+/// The list that results from \p Changes to \p List. Throws if they cannot be
+/// read.
+std::vector<endpoint_entry> changed(std::vector<endpoint_entry> List,
+                                    const json::object &Changes) {
+  const std::vector<endpoint_entry> Entries = entriesIn(Changes);
+  const json::array &Positions = Changes.at("at").as_array();
+  std::set<std::string_view> Replaced;
+  for (const json::value &Name : Changes.at("gone").as_array())
+    Replaced.insert(Name.as_string());
+  for (const endpoint_entry &Entry : Entries)
+    Replaced.insert(Entry.Name);
+  std::erase_if(List, [&](const endpoint_entry &Entry) {
+    return Replaced.contains(Entry.Name);
+  });
+  for (std::size_t Index = 0; Index < Entries.size(); ++Index) {
+    const auto At = Positions.at(Index).to_number<std::size_t>();
+    List.insert(List.begin() +
+                    static_cast<std::ptrdiff_t>(std::min(At, List.size())),
+                Entries[Index]);
+  }
+  return List;
+}
+
+} // namespace
+
+std::string encodeChanges(const std::vector<endpoint_entry> &From,
+                          const std::vector<endpoint_entry> &To) {
+  json::array Gone;
+  for (const endpoint_entry &Entry : From)
+    if (std::ranges::find(To, Entry.Name, &endpoint_entry::Name) == To.end())
+      Gone.emplace_back(Entry.Name);
+  json::array Positions;
+  std::vector<endpoint_entry> Entries;
+  for (std::size_t Index = 0; Index < To.size(); ++Index) {
+    if (isIn(From, To[Index]))
+      continue;
+    Positions.emplace_back(Index);
+    Entries.push_back(To[Index]);
+  }
+  const auto Texts =
+      encodeEndpoints(Entries, std::numeric_limits<std::size_t>::max());
+  return json::serialize(json::object{{"from", digestOf(From)},
+                                      {"to", digestOf(To)},
+                                      {"gone", std::move(Gone)},
+                                      {"at", std::move(Positions)},
+                                      {"entries", json::parse(Texts.front())}});
+}
+
+change_result applyChanges(std::vector<endpoint_entry> &List,
+                           std::string_view Text) {
+  try {
+    const json::value Parsed = json::parse(Text);
+    const json::object &Changes = Parsed.as_object();
+    const auto To = Changes.at("to").to_number<std::uint32_t>();
+    const std::uint32_t Held = digestOf(List);
+    if (Held == To)
+      return change_result::Known;
+    if (Held != Changes.at("from").to_number<std::uint32_t>())
+      return change_result::Unusable;
+    std::vector<endpoint_entry> Result = changed(List, Changes);
+    if (digestOf(Result) != To)
+      return change_result::Unusable;
+    List = std::move(Result);
+    return change_result::Applied;
+  } catch (const std::exception &) {
+    return change_result::Unusable;
+  }
+}
+
+} // namespace redwinggw::session
--- a/packages/wire/include/redwinggw/wire/message.hpp
+++ b/packages/wire/include/redwinggw/wire/message.hpp
@@ -136,6 +136,11 @@
   Endpoints = 0,
   /// The list of endpoints is unchanged; Text holds its digest.
   EndpointsUnchanged = 2,
+  /// Changes to the list that the sender sent or received last.
+  EndpointChanges = 3,
+  /// Requests the list of endpoints whose digest is Text, in full. A receiver
+  /// that has another one does not answer.
+  EndpointsRequest = 4,
 };
 
 /// What one instance has read from the store on behalf of others.
