Delay lists to other instances while a link is busy

An instance with a link of 10 Mbit/s that relays lists to a large zone sent all of them at once, before its next heartbeats.

With instance.link_mbps, all messages between instances are counted against a quarter of the link, and what is read from the store for others waits while they exceed it; an older waiting list is replaced by a newer one. Heartbeats and messages about tokens never wait: a late heartbeat makes an instance look dead, and a late token is of no use. What exceeds the limit is forgotten after a second, so that lists are sent even where heartbeats alone exceed it. Without the setting nothing changes. Only the kind native uses it.

--- a/packages/control/include/redwinggw/control/peer_service.hpp
+++ b/packages/control/include/redwinggw/control/peer_service.hpp
@@ -67,6 +67,10 @@
   /// The hybrid logical clock for datagrams; without one they carry zeros.
   void setClock(clock_port Clock);
 
+  /// The capacity of this instance's link; 0: unknown, and no limit on what is
+  /// sent to other instances.
+  void setLinkMbps(double Mbps);
+
   /// Applies an instance list that the caller has read. Only for a store
   /// without a list that this service can poll.
   void setList(const std::vector<storage::listed_instance> &Listed);
--- a/packages/control/src/peer_service.cpp
+++ b/packages/control/src/peer_service.cpp
@@ -2,6 +2,7 @@
 
 #include "redwinggw/base/log.hpp"
 #include "redwinggw/control/relays.hpp"
+#include "redwinggw/control/traffic_limit.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -60,6 +61,7 @@
                       const wire::shared_store_read &SharedRead);
   void relaySharedRead(const member &From,
                        const wire::shared_store_read &SharedRead);
+  void sendWaitingReads();
   void close();
 
   asio::any_io_executor Executor;
@@ -72,6 +74,7 @@
   membership Membership;
   config_freshness_state Freshness;
   peer_traffic Traffic;
+  traffic_limit Limit;
   report_handler ReportHandler;
   std::function<void(wire::peer_report &)> Fill;
   shared_read_handler SharedReadHandler;
@@ -109,6 +112,7 @@
   }
   for (peer_send &Send : onTick(Membership, base::now()))
     transmit(std::move(Send));
+  sendWaitingReads();
 }
 
 void peer_service::state::transmit(peer_send Send) {
@@ -126,6 +130,7 @@
   Socket.send_to(asio::buffer(Bytes), udp::endpoint(Host, Send.To.Port), 0,
                  Error);
   countSent(Traffic, kindOf(Send.Datagram), Bytes.size());
+  chargeTraffic(Limit, Bytes.size(), base::now());
 }
 
 void peer_service::state::receive(std::string_view Bytes,
@@ -177,9 +182,20 @@
 
 void peer_service::state::sendSharedRead(
     const member &To, const wire::shared_store_read &SharedRead) {
-  peer_send Send{To.Address, nextDatagram(Membership, To.Name, base::now())};
-  Send.Datagram.Body = SharedRead;
-  transmit(std::move(Send));
+  enqueueRead(Limit, {To.Name, SharedRead});
+  sendWaitingReads();
+}
+
+void peer_service::state::sendWaitingReads() {
+  while (auto Next = nextRead(Limit, base::now())) {
+    const member *To = findMember(Membership, Next->To);
+    if (To == nullptr)
+      continue;
+    peer_send Send{To->Address,
+                   nextDatagram(Membership, To->Name, base::now())};
+    Send.Datagram.Body = std::move(Next->Read);
+    transmit(std::move(Send));
+  }
 }
 
 /// Relays a shared store read to the instances that this one relays for.
@@ -280,6 +296,10 @@
   State->Clock = std::move(Clock);
 }
 
+void peer_service::setLinkMbps(double Mbps) {
+  State->Limit.BytesPerSecond = controlBytesPerSecond(Mbps);
+}
+
 void peer_service::setList(
     const std::vector<storage::listed_instance> &Listed) {
   onList(State->Membership, Listed, base::now());
--- a/packages/redwinggw/src/platform_fleet.cpp
+++ b/packages/redwinggw/src/platform_fleet.cpp
@@ -99,6 +99,7 @@
   State.Peers = std::make_unique<control::peer_service>(
       State.Context.get_executor(), Identity, State.Settings.Peers, Secret,
       State.Store, Members, Freshness);
+  State.Peers->setLinkMbps(State.Settings.LinkMbps);
   connectPeers(State);
   connectTokenTransfers(State);
   startForwarding(State, Secret);
--- a/packages/redwinggw/src/settings.cpp
+++ b/packages/redwinggw/src/settings.cpp
@@ -125,6 +125,12 @@
      [](settings &S, const std::string &T) {
        return setCapacity(S.Capacity, T);
      }},
+    {"instance.link_mbps", "0", CapacityAllowed,
+     "its link in Mbit/s, a quarter of which limits lists sent to other "
+     "instances (0: no limit)",
+     [](settings &S, const std::string &T) {
+       return setCapacity(S.LinkMbps, T);
+     }},
     {"listen.callers", "", AddressAllowed, "where callers connect (TCP)",
      [](settings &S, const std::string &T) {
        return setAddress(S.Callers, T);
--- a/packages/redwinggw/src/settings.hpp
+++ b/packages/redwinggw/src/settings.hpp
@@ -30,6 +30,8 @@
   std::string Zone;
   /// Capacity relative to other instances; 0 when it is not given.
   double Capacity = 0;
+  /// Capacity of its link in Mbit/s; 0 when it is not given.
+  double LinkMbps = 0;
   http::address Callers;
   http::address Operators;
   http::address Peers;
--- a/tests/redwinggw/settings_test.cpp
+++ b/tests/redwinggw/settings_test.cpp
@@ -57,6 +57,16 @@
     cr_assert(!Read(Wrong), "%s", Wrong);
 }
 
+Test(settings, a_link_is_a_number_that_is_not_negative) {
+  const auto Read = [](const std::string &Text) {
+    return parseSettings(Valid, "i1.ini", {{"instance.link_mbps", Text}});
+  };
+  cr_assert(parseSettings(Valid, "i1.ini", {})->LinkMbps == 0);
+  cr_assert(Read("10")->LinkMbps == 10);
+  for (const char *Wrong : {"-1", "nan", "10 Mbit/s", ""})
+    cr_assert(!Read(Wrong), "%s", Wrong);
+}
+
 Test(settings, an_option_goes_before_the_file) {
   const auto Settings =
       parseSettings(Valid, "i1.ini", {{"instance.zone", "b"}});
