--- a/packages/control/include/redwinggw/control/peer_service.hpp
+++ b/packages/control/include/redwinggw/control/peer_service.hpp
@@ -4,6 +4,7 @@
 #include "redwinggw/base/time.hpp"
 #include "redwinggw/control/config_freshness.hpp"
 #include "redwinggw/control/membership.hpp"
+#include "redwinggw/control/peer_traffic.hpp"
 #include "redwinggw/storage/store.hpp"
 #include "redwinggw/wire/message.hpp"
 
@@ -29,14 +30,6 @@
   base::instant At;
 };
 
-/// Traffic since the start.
-struct peer_traffic {
-  std::uint64_t SentDatagrams = 0;
-  std::uint64_t SentBytes = 0;
-  std::uint64_t ReceivedDatagrams = 0;
-  std::uint64_t ReceivedBytes = 0;
-};
-
 /// Must be used from one thread, and outlive the executor's run.
 class peer_service {
 public:
@@ -74,6 +67,10 @@
   /// The hybrid logical clock for datagrams; without one they carry zeros.
   void setClock(clock_port Clock);
 
+  /// The capacity of this instance's link; 0: unknown, and no limit on what is
+  /// sent to other instances.
+  void setLinkMbps(double Mbps);
+
   /// Applies an instance list that the caller has read. Only for a store
   /// without a list that this service can poll.
   void setList(const std::vector<storage::listed_instance> &Listed);
@@ -118,6 +115,9 @@
   /// Sends what this instance has read from the store to all live members,
   /// through relays if the fleet uses them.
   void sendSharedRead(const wire::shared_store_read &SharedRead);
+  /// Sends it to one member, which does not relay it.
+  void sendSharedReadTo(std::string_view Instance,
+                        wire::shared_store_read SharedRead);
   using shared_read_handler =
       std::function<void(const member &, const wire::shared_store_read &)>;
   /// Called for each shared read of another instance.
