Decide by demand which connection is closed for a new one

Under a burst, an owner with 6 slots refused statements after 200 ms while 58 of its 65 connections were idle. By reading: an idle connection can always be closed for a new one, so with idle ones no statement waits for a connection; a set-up that the endpoint rejects fails at once and not after the wait; the wait of half the target latency is that for a slot. The new test a_burst_waits_for_slots_while_connections_are_idle plays it without a network: 36 statements of one customer, 58 idle connections of others. 7 get a slot and a connection, 29 time out waiting for a slot, none waits for a connection, none is rejected. So the step that fails is the wait for slots. Set-ups hold a slot as long as statements do, and last use closes the connections of the customers that pay for the next set-ups.

Connections reserved for statements that wait for a slot: dropped, a queue of 29 would hold 29 connections. So a statement first waits, without a slot, until its customer can get a connection, then for the slot.

Changed. connection_plan decides which idle connection is closed (the least expected reuse), how many set-ups run, how long idle connections are kept and when a connection is expected. endpoint_pool applies it with connection_policy::Demand. check_out gets slot and connection for both kinds of statements, forwarded ones and those of callers. With connection_policy::Recent, the default, the order of steps and the deadlines are the former ones.

--- a/packages/session/include/redwinggw/session/endpoint_pool.hpp
+++ b/packages/session/include/redwinggw/session/endpoint_pool.hpp
@@ -2,6 +2,7 @@
 
 #include "redwinggw/base/task.hpp"
 #include "redwinggw/data/fair_queue.hpp"
+#include "redwinggw/session/connection_plan.hpp"
 #include "redwinggw/session/deadline_watch.hpp"
 #include "redwinggw/session/endpoint_link.hpp"
 #include "redwinggw/session/replica_lag.hpp"
@@ -9,6 +10,7 @@
 #include "redwinggw/session/statement_forwarding.hpp"
 #include "redwinggw/session/wait_list.hpp"
 
+#include <array>
 #include <deque>
 #include <list>
 #include <memory>
@@ -37,6 +39,8 @@
   /// Statements prepared on it, by their operand.
   prepared_names Prepared;
   base::instant UsedAt;
+  /// When it was checked out or set up for its current use.
+  base::instant TakenAt;
 };
 
 using link_handle = std::unique_ptr<pooled_link>;
@@ -47,8 +51,14 @@
   Unreachable,
   /// It is another endpoint than expected.
   Misrouted,
-  /// All connections are in use, by this or other instances.
+  /// All connections of this instance are in use, or it is evacuated.
   Exhausted,
+  /// The endpoint accepts no more connections at present.
+  EndpointRefused,
+  /// No slot got free in time.
+  NoSlot,
+  /// Returned by acquireByDemand only: see awaitConnection.
+  MustWait,
 };
 
 /// A connection, or why there is none.
@@ -69,13 +79,37 @@
   replica_lag Lag;
 };
 
+/// Why an idle connection was closed.
+enum class eviction : std::uint8_t {
+  /// For a connection of another customer.
+  Replaced,
+  /// It was above this instance's share of the endpoint's connections.
+  Spare,
+  /// It had been opened for a peak that is over.
+  Unneeded,
+  /// It was idle for IdleTime.
+  Unused,
+  /// An exchange on another connection got no answer, or the endpoint's zone
+  /// is evacuated.
+  Distrusted,
+};
+constexpr std::size_t Evictions = 5;
+
+/// The name of \p Reason in metrics. Thread safe.
+std::string_view evictionName(eviction Reason);
+
 struct pool_limits {
+  connection_policy Policy = connection_policy::Recent;
   /// This instance's even share of the endpoint's connections.
   std::size_t Connections = 4;
   /// While more connections than this are open, up to the even share, one is
   /// closed after it was idle for UnneededIdleTime. The last KeptConnections
   /// are kept for IdleTime.
   std::size_t KeptConnections = 4;
+  /// With connection_policy::Demand: while at most this many connections are
+  /// open, the last idle one of a customer with demand is kept for as long as
+  /// it is expected to be used (keptFor).
+  std::size_t SteadyConnections = 4;
   base::milliseconds UnneededIdleTime{1000};
   /// Connections that it may open while statements wait and the endpoint still
   /// accepts some: callers are spread unevenly over instances and customers.
@@ -113,6 +147,12 @@
                                base::instant Until);
   void releaseSlot(slot_level Level, std::string_view Customer,
                    base::microseconds Busy);
+  /// Returns a slot in which nothing was done: it does not count as a statement
+  /// in the times by which the queue is served.
+  void returnSlot();
+  /// Expected time until one more statement gets a slot.
+  base::microseconds expectedSlot(slot_level Level,
+                                  std::string_view Customer) const;
 
   /// A connection of \p Customer, preferably one with \p Values in force; waits
   /// for one until \p WaitUntil if all are in use. Opening one may continue
@@ -122,6 +162,30 @@
                                const session_values &Values,
                                base::instant WaitUntil, base::instant Deadline);
 
+  /// \name With connection_policy::Demand
+  /// @{
+  connection_policy policy() const { return Limits.Policy; }
+  /// How long to wait after the endpoint refused a connection.
+  base::milliseconds refusedPause() const { return Limits.FullPause; }
+  /// Records that a statement of \p Customer arrived.
+  void noteDemand(std::string_view Customer);
+  /// Whether acquireByDemand would get or open a connection now.
+  bool canConnect(slot_level Level, std::string_view Customer) const;
+  /// A connection of \p Customer, idle or opened until \p Deadline. MustWait
+  /// instead of waiting: the caller holds a slot, which a statement that waits
+  /// for a connection must not do.
+  base::task<acquired> acquireByDemand(slot_level Level,
+                                       base::customer_name Customer,
+                                       session_values Values,
+                                       base::instant Deadline);
+  /// Waits until \p Until for canConnect. False if that is not expected in
+  /// time, or was not in time.
+  base::task<bool> awaitConnection(slot_level Level,
+                                   base::customer_name Customer,
+                                   base::instant Until);
+  const connection_plan &plan() const { return Plan; }
+  /// @}
+
   /// Wraps a link that forwards to the endpoint's owner and takes no connection
   /// here. It is released or discarded like a connection.
   link_handle wrapForwarding(std::unique_ptr<forwarding_link> Forwarding,
@@ -183,23 +247,43 @@
   std::size_t idle() const { return Idle.size(); }
   /// Statements that hold a slot.
   std::size_t running() const { return Slots.Running; }
-  std::size_t waiting() const { return Queue.Size + queuedIn(Slots); }
+  std::size_t waiting() const {
+    return Queue.Size + DemandWaiters.size() + queuedIn(Slots);
+  }
   bool hasIdle(std::string_view Customer) const;
   /// All connections are open and in use.
   bool isExhausted() const { return Idle.empty() && !mayOpen(); }
   std::uint64_t connects() const { return Connects; }
+  std::uint64_t evictions(eviction Reason) const {
+    return Evicted.at(static_cast<std::size_t>(Reason));
+  }
 
 private:
   link_handle takeIdle(std::string_view Customer, const session_values &Values);
   bool wasRefused(base::milliseconds Within) const;
   bool mayOpen() const;
-  bool evictOne();
+  bool evictOldest(eviction Reason);
+  void closeOneOf(std::string_view Customer);
+  bool isOverdue(const pooled_link &Link, base::instant Now) const;
+  eviction reasonNow() const;
+  void closeUnusedByDemand(base::instant Now);
+  customer_use &useOf(std::string_view Customer);
+  void countEvicted(const pooled_link &Link, eviction Reason);
+  connection_decision decide(slot_level Level, std::string_view Customer) const;
   void wakeNext();
+  void wakeByDemand();
   base::task<acquired> connect(base::customer_name Customer,
                                base::instant Deadline);
   base::task<bool> waitForConnection(const base::customer_name &Customer,
                                      base::instant Deadline);
 
+  /// A statement that waits for a connection, with connection_policy::Demand.
+  struct demand_waiter {
+    std::uint64_t Id = 0;
+    base::customer_name Customer;
+    slot_level Level = slot_level::Normal;
+  };
+
   bool isStalled(base::instant Now) const;
   void startQueued();
 
@@ -222,6 +306,10 @@
   data::fair_queue Queue;
   wait_list Waiters;
   slot_queue Slots;
+  connection_plan Plan;
+  /// By level, then in the order of arrival.
+  std::list<demand_waiter> DemandWaiters;
+  std::array<std::uint64_t, Evictions> Evicted{};
   std::multiset<base::instant> Unanswered;
   std::uint64_t Connects = 0;
 };
--- a/packages/session/include/redwinggw/session/slot_grant.hpp
+++ b/packages/session/include/redwinggw/session/slot_grant.hpp
@@ -26,6 +26,11 @@
     if (Pool)
       Pool->releaseSlot(Level, Customer, base::now() - Since);
   }
+  /// Returns a slot in which nothing was done.
+  void giveBack() {
+    if (Pool)
+      std::exchange(Pool, nullptr)->returnSlot();
+  }
   explicit operator bool() const { return Pool != nullptr; }
 
 private:
--- a/packages/session/include/redwinggw/session/slot_queue.hpp
+++ b/packages/session/include/redwinggw/session/slot_queue.hpp
@@ -50,6 +50,10 @@
 data::enqueue_answer enqueue(slot_queue &Queue, slot_level Level,
                              data::queue_ticket Ticket, base::instant Now);
 
+/// Expected time until one more statement of \p Customer gets a slot.
+base::microseconds expectedWait(const slot_queue &Queue, slot_level Level,
+                                std::string_view Customer);
+
 /// Dequeues the next statement and takes a slot for it. Nothing if no slot is
 /// free or no statement waits.
 std::optional<data::queue_ticket> startNext(slot_queue &Queue);
--- /dev/null
+++ b/packages/session/src/check_out.cpp
@@ -0,0 +1,97 @@
+#include "redwinggw/session/check_out.hpp"
+
+#include <algorithm>
+
+namespace redwinggw::session {
+namespace {
+
+using base::instant;
+using base::milliseconds;
+
+instant setUpDeadline(const check_out_request &Request) {
+  return std::min(Request.Deadline, std::max(Request.SetUpUntil, base::now()));
+}
+
+/// When to retry after \p Failure.
+milliseconds retryTime(const endpoint_pool &Pool,
+                       const check_out_request &Request,
+                       acquire_failure Failure) {
+  switch (Failure) {
+  case acquire_failure::NoSlot:
+    return std::chrono::ceil<milliseconds>(
+        Pool.expectedSlot(Request.Level, Request.Customer));
+  case acquire_failure::Exhausted:
+    return std::chrono::ceil<milliseconds>(
+        expectedConnection(Pool.plan(), Request.Customer));
+  case acquire_failure::EndpointRefused:
+    return Pool.refusedPause();
+  default:
+    return milliseconds(0);
+  }
+}
+
+checked_out failed(const endpoint_pool &Pool, const check_out_request &Request,
+                   acquire_failure Failure) {
+  const bool Known =
+      Pool.policy() == connection_policy::Demand && !Pool.isEvacuated();
+  return {checked_out_link(), Failure,
+          Known ? retryTime(Pool, Request, Failure) : milliseconds(0)};
+}
+
+/// First the slot, then the connection; the slot is held while waiting for the
+/// connection.
+base::task<checked_out> checkOutRecent(pool_ptr Pool,
+                                       check_out_request Request) {
+  slot_grant Grant = co_await acquireSlot(Pool, Request.Level, Request.Customer,
+                                          Request.SlotUntil);
+  if (!Grant)
+    co_return failed(*Pool, Request, acquire_failure::NoSlot);
+  acquired Acquired =
+      co_await Pool->acquire(Request.Customer, Request.Values,
+                             Request.ConnectionUntil, setUpDeadline(Request));
+  if (!Acquired.Link)
+    co_return failed(*Pool, Request, Acquired.Failure);
+  checked_out_link Link(Pool, std::move(Acquired.Link));
+  Link.Grant = std::move(Grant);
+  co_return checked_out{std::move(Link)};
+}
+
+/// A statement waits for a connection without a slot, so that statements of
+/// customers that have one run meanwhile.
+base::task<checked_out> checkOutByDemand(pool_ptr Pool,
+                                         check_out_request Request) {
+  Pool->noteDemand(Request.Customer);
+  while (true) {
+    while (!Pool->canConnect(Request.Level, Request.Customer)) {
+      const bool Expected = co_await Pool->awaitConnection(
+          Request.Level, Request.Customer, Request.ConnectionUntil);
+      if (!Expected)
+        co_return failed(*Pool, Request, acquire_failure::Exhausted);
+    }
+    slot_grant Grant = co_await acquireSlot(
+        Pool, Request.Level, Request.Customer, Request.SlotUntil);
+    if (!Grant)
+      co_return failed(*Pool, Request, acquire_failure::NoSlot);
+    acquired Acquired =
+        co_await Pool->acquireByDemand(Request.Level, Request.Customer,
+                                       Request.Values, setUpDeadline(Request));
+    if (Acquired.Link) {
+      checked_out_link Link(Pool, std::move(Acquired.Link));
+      Link.Grant = std::move(Grant);
+      co_return checked_out{std::move(Link)};
+    }
+    if (Acquired.Failure != acquire_failure::MustWait)
+      co_return failed(*Pool, Request, Acquired.Failure);
+    Grant.giveBack();
+  }
+}
+
+} // namespace
+
+base::task<checked_out> checkOut(pool_ptr Pool, check_out_request Request) {
+  if (Pool->policy() == connection_policy::Demand)
+    co_return co_await checkOutByDemand(std::move(Pool), std::move(Request));
+  co_return co_await checkOutRecent(std::move(Pool), std::move(Request));
+}
+
+} // namespace redwinggw::session
--- a/packages/session/src/endpoint_pool.cpp
+++ b/packages/session/src/endpoint_pool.cpp
@@ -1,5 +1,7 @@
 #include "redwinggw/session/endpoint_pool.hpp"
 
+#include "redwinggw/base/enum_table.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <ranges>
@@ -9,6 +11,7 @@
 
 namespace asio = boost::asio;
 using base::instant;
+using base::microseconds;
 using base::milliseconds;
 
 /// Weight of the newest statement in the smoothed latency: about the last ten
@@ -38,11 +41,23 @@
   if (Code == answer_code::Misrouted)
     return acquire_failure::Misrouted;
   const bool Full = Code == answer_code::TooMany || Code == answer_code::Busy;
-  return Full ? acquire_failure::Exhausted : acquire_failure::Unreachable;
+  return Full ? acquire_failure::EndpointRefused : acquire_failure::Unreachable;
 }
 
+constexpr std::array EvictionNames = std::to_array<base::enum_name<eviction>>({
+    {eviction::Replaced, "replaced"},
+    {eviction::Spare, "spare"},
+    {eviction::Unneeded, "unneeded"},
+    {eviction::Unused, "unused"},
+    {eviction::Distrusted, "distrusted"},
+});
+
 } // namespace
 
+std::string_view evictionName(eviction Reason) {
+  return base::nameOf(EvictionNames, Reason);
+}
+
 endpoint_pool::endpoint_pool(asio::any_io_executor Executor,
                              deadline_watch &Watch, link_factory Factory,
                              endpoint_entry Entry)
@@ -105,6 +120,16 @@
   startQueued();
 }
 
+void endpoint_pool::returnSlot() {
+  --Slots.Running;
+  startQueued();
+}
+
+microseconds endpoint_pool::expectedSlot(slot_level Level,
+                                         std::string_view Customer) const {
+  return expectedWait(Slots, Level, Customer);
+}
+
 void endpoint_pool::startQueued() {
   while (const auto Ticket = startNext(Slots)) {
     if (Waiters.wake(Ticket->Id))
@@ -138,6 +163,10 @@
     return nullptr;
   link_handle Link = std::move(*Best);
   Idle.erase(Best);
+  Link->TakenAt = base::now();
+  customer_use &Use = useOf(Customer);
+  --Use.Idle;
+  ++Use.InUse;
   return Link;
 }
 
@@ -160,29 +189,58 @@
   return Open < Limits.MaxConnections && !wasRefused(Limits.RefusedPause);
 }
 
+customer_use &endpoint_pool::useOf(std::string_view Customer) {
+  return Plan.Customers.try_emplace(base::customer_name(Customer))
+      .first->second;
+}
+
+void endpoint_pool::countEvicted(const pooled_link &Link, eviction Reason) {
+  --useOf(Link.Customer).Idle;
+  --Open;
+  ++Evicted.at(static_cast<std::size_t>(Reason));
+}
+
 /// Closes the least recently used idle connection.
-bool endpoint_pool::evictOne() {
+bool endpoint_pool::evictOldest(eviction Reason) {
   if (Idle.empty())
     return false;
+  countEvicted(*Idle.back(), Reason);
   Idle.pop_back();
-  --Open;
   return true;
 }
 
+/// Closes the customer's least recently used idle connection. Precondition: it
+/// has one.
+void endpoint_pool::closeOneOf(std::string_view Customer) {
+  const auto At = std::ranges::find_if(
+      Idle.rbegin(), Idle.rend(),
+      [&](const link_handle &Link) { return Link->Customer == Customer; });
+  countEvicted(**At, eviction::Replaced);
+  Idle.erase(std::prev(At.base()));
+}
+
 base::task<acquired> endpoint_pool::connect(base::customer_name Customer,
                                             instant Deadline) {
   ++Open;
   ++Connects;
+  ++useOf(Customer).InUse;
+  ++Plan.SetUps;
   auto Link = std::make_unique<pooled_link>();
   Link->Link = Factory();
+  Link->TakenAt = base::now();
   Link->Customer = std::move(Customer);
   Link->ValuesKnown = true;
   const instant Latest = base::now() + Limits.ConnectTimeout;
   const exchange Opened = co_await Link->Link->open(Entry, Link->Customer,
                                                     std::min(Deadline, Latest));
   const bool Answered = Opened.Outcome == exchange_outcome::Answered;
-  if (Answered && !Opened.Answer.Error) {
+  const bool Succeeded = Answered && !Opened.Answer.Error;
+  noteSetUp(Plan, base::now() - Link->TakenAt, Succeeded);
+  if (Succeeded) {
     Link->UsedAt = base::now();
+    // Another set-up may begin.
+    if (Limits.Policy == connection_policy::Demand)
+      wakeNext();
     co_return acquired{std::move(Link)};
   }
   // A refusal shows that the endpoint is up; a caller's short deadline does
@@ -190,8 +248,9 @@
   if (!Answered && (Latest <= Deadline || base::now() < Deadline))
     noteFailure(base::now());
   --Open;
+  --useOf(Link->Customer).InUse;
   const acquire_failure Failure = failureOf(Opened);
-  if (Failure == acquire_failure::Exhausted)
+  if (Failure == acquire_failure::EndpointRefused)
     RefusedAt = base::now();
   wakeNext();
   co_return acquired{nullptr, Failure};
@@ -205,10 +264,11 @@
     while (link_handle Link = takeIdle(Customer, Values)) {
       if (Link->Link->isUsable())
         co_return acquired{std::move(Link)};
+      --useOf(Customer).InUse;
       --Open;
     }
     const bool Fits = Open < Limits.Connections && mayOpen();
-    if (Fits || evictOne() || mayOpen())
+    if (Fits || evictOldest(eviction::Replaced) || mayOpen())
       co_return co_await connect(std::move(Customer), Deadline);
     if (!co_await waitForConnection(Customer, WaitUntil))
       co_return acquired{nullptr, acquire_failure::Exhausted};
@@ -229,7 +289,89 @@
   co_return Woken;
 }
 
+void endpoint_pool::noteDemand(std::string_view Customer) {
+  session::noteDemand(Plan, Customer, base::now());
+}
+
+connection_decision endpoint_pool::decide(slot_level Level,
+                                          std::string_view Customer) const {
+  connection_room Room;
+  Room.Open = Open;
+  Room.Limit = Limits.Connections;
+  Room.Slots = Entry.Slots;
+  Room.MayOpen = mayOpen();
+  Room.Refused = wasRefused(Limits.FullPause);
+  return decideConnection(Plan, Room, Customer, Level, base::now());
+}
+
+bool endpoint_pool::canConnect(slot_level Level,
+                               std::string_view Customer) const {
+  // An evacuated endpoint's statements are woken to be refused.
+  return Evacuated || hasIdle(Customer) ||
+         decide(Level, Customer).Step != connection_step::Wait;
+}
+
+base::task<acquired>
+endpoint_pool::acquireByDemand(slot_level Level, base::customer_name Customer,
+                               session_values Values, instant Deadline) {
+  if (Evacuated)
+    co_return acquired{nullptr, acquire_failure::Exhausted};
+  while (link_handle Link = takeIdle(Customer, Values)) {
+    if (Link->Link->isUsable())
+      co_return acquired{std::move(Link)};
+    --useOf(Customer).InUse;
+    --Open;
+  }
+  const connection_decision Decision = decide(Level, Customer);
+  if (Decision.Step == connection_step::Wait)
+    co_return acquired{nullptr, acquire_failure::MustWait};
+  if (Decision.Step == connection_step::Replace)
+    closeOneOf(Decision.Victim);
+  co_return co_await connect(std::move(Customer), Deadline);
+}
+
+base::task<bool> endpoint_pool::awaitConnection(slot_level Level,
+                                                base::customer_name Customer,
+                                                instant Until) {
+  const bool InTime = base::now() + expectedConnection(Plan, Customer) <= Until;
+  if (!InTime || DemandWaiters.size() >= LongestQueue)
+    co_return false;
+  const std::uint64_t Id = Waiters.nextNumber();
+  const auto After =
+      std::ranges::upper_bound(DemandWaiters, Level, {}, &demand_waiter::Level);
+  DemandWaiters.insert(After, {Id, Customer, Level});
+  ++useOf(Customer).Waiting;
+  const bool Woken = co_await Waiters.wait(Id, Until);
+  --useOf(Customer).Waiting;
+  if (!Woken)
+    std::erase_if(DemandWaiters,
+                  [&](const demand_waiter &Waiter) { return Waiter.Id == Id; });
+  if (Evacuated)
+    wakeNext();
+  co_return Woken;
+}
+
+/// Wakes the first statement that can connect now. Customers are looked at
+/// once for each level, however many of their statements wait.
+void endpoint_pool::wakeByDemand() {
+  std::set<std::pair<slot_level, std::string_view>> Seen;
+  for (auto At = DemandWaiters.begin(); At != DemandWaiters.end();) {
+    const bool First = Seen.emplace(At->Level, At->Customer).second;
+    if (!First || !canConnect(At->Level, At->Customer)) {
+      ++At;
+      continue;
+    }
+    const bool Woken = Waiters.wake(At->Id);
+    Seen.clear();
+    At = DemandWaiters.erase(At);
+    if (Woken)
+      return;
+  }
+}
+
 void endpoint_pool::wakeNext() {
+  if (Limits.Policy == connection_policy::Demand)
+    return wakeByDemand();
   if (Queue.Size == 0 || isExhausted())
     return;
   while (const auto Ticket = dequeue(Queue))
@@ -253,6 +395,10 @@
     return;
   }
   Link->UsedAt = base::now();
+  customer_use &Use = useOf(Link->Customer);
+  --Use.InUse;
+  ++Use.Idle;
+  noteHeld(Plan, Link->Customer, Link->UsedAt - Link->TakenAt);
   Idle.push_front(std::move(Link));
   wakeNext();
 }
@@ -262,27 +408,56 @@
     --Forwarded;
     return;
   }
+  --useOf(Link->Customer).InUse;
   Link.reset();
   --Open;
   wakeNext();
 }
 
 void endpoint_pool::closeIdle() {
-  Open -= Idle.size();
-  Idle.clear();
+  while (evictOldest(eviction::Distrusted)) {
+  }
   wakeNext();
 }
 
-void endpoint_pool::closeUnused(instant Now) {
-  const auto IsOld = [&](const link_handle &Link) {
-    if (Open > Limits.Connections)
-      return Now - Link->UsedAt > Limits.SpareIdleTime;
-    if (Open > Limits.KeptConnections)
-      return Now - Link->UsedAt > Limits.UnneededIdleTime;
-    return Now - Link->UsedAt > Limits.IdleTime;
+bool endpoint_pool::isOverdue(const pooled_link &Link, instant Now) const {
+  if (Open > Limits.Connections)
+    return Now - Link.UsedAt > Limits.SpareIdleTime;
+  if (Open > Limits.KeptConnections)
+    return Now - Link.UsedAt > Limits.UnneededIdleTime;
+  return Now - Link.UsedAt > Limits.IdleTime;
+}
+
+/// Why a connection is overdue with as many open as now.
+eviction endpoint_pool::reasonNow() const {
+  if (Open > Limits.Connections)
+    return eviction::Spare;
+  return Open > Limits.KeptConnections ? eviction::Unneeded : eviction::Unused;
+}
+
+void endpoint_pool::closeUnusedByDemand(instant Now) {
+  const auto IsKept = [&](const pooled_link &Link) {
+    const customer_use &Use = useOf(Link.Customer);
+    return Use.Idle == 1 && Open <= Limits.SteadyConnections &&
+           Now - Link.UsedAt <=
+               std::min<microseconds>(Limits.IdleTime, keptFor(Use, Now));
   };
-  while (!Idle.empty() && IsOld(Idle.back()))
-    evictOne();
+  for (auto At = Idle.end(); At != Idle.begin();) {
+    --At;
+    if (!isOverdue(**At, Now) || IsKept(**At))
+      continue;
+    countEvicted(**At, reasonNow());
+    At = Idle.erase(At);
+  }
+}
+
+void endpoint_pool::closeUnused(instant Now) {
+  if (Limits.Policy == connection_policy::Demand)
+    closeUnusedByDemand(Now);
+  while (Limits.Policy == connection_policy::Recent && !Idle.empty() &&
+         isOverdue(*Idle.back(), Now))
+    evictOldest(reasonNow());
+  forgetUnused(Plan, Now);
   wakeNext();
 }
 
--- a/packages/session/src/placement.cpp
+++ b/packages/session/src/placement.cpp
@@ -1,6 +1,8 @@
 #include "core_parts.hpp"
 #include "link_setup.hpp"
 
+#include "redwinggw/session/check_out.hpp"
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -22,8 +24,7 @@
 instant setUpDeadline(const session_core &Core, const request &Request) {
   const auto Time = std::chrono::duration_cast<base::microseconds>(
       Request.Route.TargetLatency * Core.Limits.SetUpShare);
-  return std::min(Request.Deadline,
-                  std::max(Request.Arrived + Time, base::now()));
+  return Request.Arrived + Time;
 }
 
 /// Until when to wait for a primary that is expected at \p Expected. If that is
@@ -83,6 +84,15 @@
   return Core.Ports.Forward(Entry, Session.Customer, Request.Route.Priority);
 }
 
+std::string problemOf(acquire_failure Failure, const endpoint_pool &Pool) {
+  const std::string &Name = Pool.entry().Name;
+  const std::string Waiting = std::to_string(Pool.waiting()) + " waiting";
+  if (Failure == acquire_failure::NoSlot)
+    return "no turn at " + Name + " in time, " + Waiting;
+  return "no connection to " + Name + ", " + std::to_string(Pool.open()) +
+         " open, " + Waiting;
+}
+
 /// Tries to get a connection to \p Name. Nothing when that endpoint cannot
 /// serve now.
 base::task<std::optional<placement>>
@@ -98,26 +108,22 @@
         Pool, Pool->wrapForwarding(std::move(Forwarding), Session.Customer));
     co_return Placement;
   }
-  slot_grant Grant =
-      co_await acquireSlot(Pool, levelOf(Request.Route.Priority),
-                           Session.Customer, queueDeadline(Core, Request));
-  if (!Grant) {
-    Request.LastProblem = "no turn at " + Name + " in time, " +
-                          std::to_string(Pool->waiting()) + " waiting";
-    co_return std::nullopt;
-  }
-  acquired Acquired = co_await Pool->acquire(
-      Session.Customer, Session.Values, Latest, setUpDeadline(Core, Request));
-  if (!Acquired.Link) {
-    Request.LastProblem = "no connection to " + Name + ", " +
-                          std::to_string(Pool->open()) + " open, " +
-                          std::to_string(Pool->waiting()) + " waiting";
-    if (Acquired.Failure == acquire_failure::Unreachable)
+  check_out_request Wanted;
+  Wanted.Level = levelOf(Request.Route.Priority);
+  Wanted.Customer = Session.Customer;
+  Wanted.Values = Session.Values;
+  Wanted.SlotUntil = queueDeadline(Core, Request);
+  Wanted.ConnectionUntil = Latest;
+  Wanted.SetUpUntil = setUpDeadline(Core, Request);
+  Wanted.Deadline = Request.Deadline;
+  checked_out Out = co_await checkOut(Pool, std::move(Wanted));
+  if (!Out.Link) {
+    Request.LastProblem = problemOf(Out.Failure, *Pool);
+    if (Out.Failure == acquire_failure::Unreachable)
       Core.Ports.NoteEndpointProblem(Name);
     co_return std::nullopt;
   }
-  Placement.Link = checked_out_link(Pool, std::move(Acquired.Link));
-  Placement.Link.Grant = std::move(Grant);
+  Placement.Link = std::move(Out.Link);
   co_return Placement;
 }
 
--- a/packages/session/src/serve_forwarded.cpp
+++ b/packages/session/src/serve_forwarded.cpp
@@ -3,6 +3,8 @@
 #include "core_parts.hpp"
 #include "link_setup.hpp"
 
+#include "redwinggw/session/check_out.hpp"
+
 #include <algorithm>
 
 namespace redwinggw::session {
@@ -11,7 +13,9 @@
 using base::instant;
 
 forwarding_failure failureOf(acquire_failure Failure) {
-  return Failure == acquire_failure::Exhausted
+  return Failure == acquire_failure::Exhausted ||
+                 Failure == acquire_failure::EndpointRefused ||
+                 Failure == acquire_failure::NoSlot
              ? forwarding_failure::NoConnection
              : forwarding_failure::EndpointLost;
 }
@@ -62,19 +66,18 @@
   const pool_ptr Pool = poolOf(Core.Set, Request.Endpoint);
   if (Pool == nullptr || !mayUse(Core, Request.Statement))
     co_return forwarding_failure::Refused;
-  const session_values Values =
-      Request.Statement.Values.value_or(session_values());
-  const instant WaitUntil = Arrived + Request.SlotWait;
-  slot_grant Grant = co_await acquireSlot(Pool, levelOf(Request.Priority),
-                                          Request.Customer, WaitUntil);
-  if (!Grant)
-    co_return forwarding_failure::NoConnection;
-  acquired Acquired = co_await Pool->acquire(
-      Request.Customer, Values, WaitUntil, Arrived + Request.TimeLeft);
-  if (!Acquired.Link)
-    co_return failureOf(Acquired.Failure);
-  Pinned.Link = checked_out_link(Pool, std::move(Acquired.Link));
-  Pinned.Link.Grant = std::move(Grant);
+  check_out_request Wanted;
+  Wanted.Level = levelOf(Request.Priority);
+  Wanted.Customer = Request.Customer;
+  Wanted.Values = Request.Statement.Values.value_or(session_values());
+  Wanted.SlotUntil = Arrived + Request.SlotWait;
+  Wanted.ConnectionUntil = Wanted.SlotUntil;
+  Wanted.SetUpUntil = Arrived + Request.TimeLeft;
+  Wanted.Deadline = Wanted.SetUpUntil;
+  checked_out Out = co_await checkOut(Pool, std::move(Wanted));
+  if (!Out.Link)
+    co_return failureOf(Out.Failure);
+  Pinned.Link = std::move(Out.Link);
   co_return forwarding_failure::None;
 }
 
--- a/packages/session/src/slot_queue.cpp
+++ b/packages/session/src/slot_queue.cpp
@@ -79,6 +79,13 @@
                  Now + Earlier);
 }
 
+base::microseconds expectedWait(const slot_queue &Queue, slot_level Level,
+                                std::string_view Customer) {
+  const auto &Own = Queue.Levels.at(static_cast<std::size_t>(Level));
+  return waitForRunning(Queue) + waitForEarlier(Queue, Level) +
+         data::expectedWait(Own, Customer, std::max(1U, Queue.MaxRunning));
+}
+
 std::optional<data::queue_ticket> startNext(slot_queue &Queue) {
   const bool Free = Queue.MaxRunning == 0 || Queue.Running < Queue.MaxRunning;
   if (!Free || queuedIn(Queue) == 0)
--- a/tests/session/endpoint_pool_test.cpp
+++ b/tests/session/endpoint_pool_test.cpp
@@ -1,10 +1,14 @@
 #include "fake_endpoint.hpp"
 
-#include "redwinggw/session/endpoint_pool.hpp"
+#include "redwinggw/session/check_out.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
+#include <string>
+#include <vector>
+
 #include "criterion_test.hpp"
 
 using namespace redwinggw;
@@ -51,8 +55,68 @@
   Fixture.Pool->release(std::move(Acquired.Link));
 }
 
+/// Checks out and holds a connection until the end of the test.
+base::task<void> holdOne(pool_fixture &Fixture, std::string Customer,
+                         std::vector<checked_out> &Held) {
+  check_out_request Request;
+  Request.Customer = std::move(Customer);
+  Request.SlotUntil = base::now() + milliseconds(50);
+  Request.ConnectionUntil = Request.SlotUntil;
+  Request.SetUpUntil = Request.SlotUntil;
+  Request.Deadline = Request.SlotUntil;
+  checked_out Out = co_await checkOut(Fixture.Pool, std::move(Request));
+  Held.push_back(std::move(Out));
+}
+
+void hold(pool_fixture &Fixture, const std::string &Customer,
+          std::vector<checked_out> &Held) {
+  boost::asio::co_spawn(Fixture.Context, holdOne(Fixture, Customer, Held),
+                        boost::asio::detached);
+}
+
+std::ptrdiff_t countOf(const std::vector<checked_out> &Held,
+                       acquire_failure Failure) {
+  return std::ranges::count_if(Held, [&](const checked_out &Out) {
+    return !Out.Link && Out.Failure == Failure;
+  });
+}
+
+/// A pool with one idle connection of each of \p Customers customers.
+void openFor(pool_fixture &Fixture, int Customers) {
+  std::vector<checked_out> Held;
+  for (int Number = 0; Number < Customers; ++Number) {
+    hold(Fixture, "c" + std::to_string(Number), Held);
+    Fixture.Context.restart();
+    Fixture.Context.run();
+    Held.back().Link.release();
+    Held.clear();
+  }
+}
+
 } // namespace
 
+// A burst of one customer at an endpoint with 6 slots and many idle
+// connections of others. Shows what its statements wait for: all that are not
+// served wait for a slot, none for a connection.
+Test(endpoint_pool, a_burst_waits_for_slots_while_connections_are_idle) {
+  pool_fixture Fixture;
+  Fixture.Entry.Slots = 6;
+  Fixture.Pool->setEntry(Fixture.Entry);
+  pool_limits Limits;
+  Limits.Connections = 99;
+  Limits.MaxConnections = 117;
+  Fixture.Pool->setLimits(Limits);
+  openFor(Fixture, 58);
+  std::vector<checked_out> Held;
+  for (int Number = 0; Number < 36; ++Number)
+    hold(Fixture, "burst", Held);
+  Fixture.Context.restart();
+  Fixture.Context.run();
+  cr_assert(Fixture.Pool->idle() == 58 && Fixture.Pool->open() == 65);
+  cr_assert(countOf(Held, acquire_failure::NoSlot) == 29);
+  cr_assert(Fixture.Group.Refusals == 0);
+}
+
 // All instances were killed and restart; the endpoint still counts the dead
 // ones' connections and accepts hardly any new one. Guards against a statement
 // that arrives while the only connection is in use: five attempts to open
