Tell the caller's instance what the owner lacked, and until when

Every statement that an owner did not send was reported as "could not be asked", since the text of the attempt replaced the reason of the owner. Slot, connection, a refusing endpoint and a lost one had one failure, no_connection, or two, and the retry time was a constant.

New values of forwarding_failure: a build that does not know them cannot decode the reply, takes the owner for lost and reports a write as in doubt. So the reply gains two fields at its end, which earlier builds do not read, and whose absence is understood; later values of them count as none. Estimates alone as retry time: a statement that waited in vain has shown that the estimate was too short, so the time it waited is the least that is given. None is given for an endpoint that answers nothing.

Changed. owner_lack and RetryAfter in forwarding_reply; texts by what was lacking; "could not be asked" only for an owner that did not answer or where none was asked. Without a retry time the attempts are the former ones.

Conclusion. forwarding_test plays an owner without slots under both policies and an endpoint that accepts nothing; forwarding_codec_test replies of an earlier and a later build.

--- a/packages/session/include/redwinggw/session/endpoint_pool.hpp
+++ b/packages/session/include/redwinggw/session/endpoint_pool.hpp
@@ -236,6 +236,9 @@
   /// connection that is checked out must not be used any more.
   void setEvacuated(bool IsEvacuated);
   bool isEvacuated() const { return Evacuated; }
+  /// Whether the endpoint has left everything that runs there without an answer
+  /// for long: no slot would get free, and it may be gone.
+  bool isStalled(base::instant Now) const;
 
   void setEntry(endpoint_entry Entry);
   void setLimits(pool_limits Limits);
@@ -284,7 +287,6 @@
     slot_level Level = slot_level::Normal;
   };
 
-  bool isStalled(base::instant Now) const;
   void startQueued();
 
   boost::asio::any_io_executor Executor;
--- a/packages/session/include/redwinggw/session/statement_forwarding.hpp
+++ b/packages/session/include/redwinggw/session/statement_forwarding.hpp
@@ -35,6 +35,20 @@
   EndpointLost,
 };
 
+/// What the owner lacked when it did not run a statement.
+enum class owner_lack : std::uint8_t {
+  /// Nothing, or an owner that does not report it.
+  None,
+  /// No slot got free in time.
+  Slot,
+  /// All connections are in use.
+  Connection,
+  /// The endpoint accepts no more connections at present.
+  Acceptance,
+  /// The endpoint cannot be reached.
+  Endpoint,
+};
+
 struct forwarding_request {
   base::endpoint_name Endpoint;
   base::customer_name Customer;
@@ -55,6 +69,10 @@
   base::milliseconds Ran{0};
   /// Statements that run or wait at the owner for this endpoint.
   std::uint16_t Load = 0;
+  /// Not sent by older builds: None and zero then.
+  owner_lack Lack = owner_lack::None;
+  /// When the owner expects to have what it lacked; zero if it does not know.
+  base::milliseconds RetryAfter{0};
 };
 
 /// Forwards statements for one endpoint to its owner. It pins a connection
@@ -90,5 +108,6 @@
 
 /// The name of \p Failure in logs. Thread safe.
 std::string_view forwardingFailureName(forwarding_failure Failure);
+std::string_view ownerLackName(owner_lack Lack);
 
 } // namespace redwinggw::session
--- a/packages/session/src/check_out.cpp
+++ b/packages/session/src/check_out.cpp
@@ -6,23 +6,25 @@
 namespace {
 
 using base::instant;
+using base::microseconds;
 using base::milliseconds;
 
 instant setUpDeadline(const check_out_request &Request) {
   return std::min(Request.Deadline, std::max(Request.SetUpUntil, base::now()));
 }
 
-/// When to retry after \p Failure.
+/// When to retry after \p Failure. A statement that has waited in vain shows
+/// that the expectation was too short by as much.
 milliseconds retryTime(const endpoint_pool &Pool,
                        const check_out_request &Request,
-                       acquire_failure Failure) {
+                       acquire_failure Failure, microseconds Waited) {
   switch (Failure) {
   case acquire_failure::NoSlot:
     return std::chrono::ceil<milliseconds>(
-        Pool.expectedSlot(Request.Level, Request.Customer));
+        std::max(Waited, Pool.expectedSlot(Request.Level, Request.Customer)));
   case acquire_failure::Exhausted:
     return std::chrono::ceil<milliseconds>(
-        expectedConnection(Pool.plan(), Request.Customer));
+        std::max(Waited, expectedConnection(Pool.plan(), Request.Customer)));
   case acquire_failure::EndpointRefused:
     return Pool.refusedPause();
   default:
@@ -31,26 +33,29 @@
 }
 
 checked_out failed(const endpoint_pool &Pool, const check_out_request &Request,
-                   acquire_failure Failure) {
-  const bool Known =
-      Pool.policy() == connection_policy::Demand && !Pool.isEvacuated();
+                   acquire_failure Failure, instant Since) {
+  // An endpoint that answers nothing is not expected to have anything.
+  const bool Known = Pool.policy() == connection_policy::Demand &&
+                     !Pool.isEvacuated() && !Pool.isStalled(base::now());
   return {checked_out_link(), Failure,
-          Known ? retryTime(Pool, Request, Failure) : milliseconds(0)};
+          Known ? retryTime(Pool, Request, Failure, base::now() - Since)
+                : milliseconds(0)};
 }
 
 /// First the slot, then the connection; the slot is held while waiting for the
 /// connection.
 base::task<checked_out> checkOutRecent(pool_ptr Pool,
                                        check_out_request Request) {
+  const instant Since = base::now();
   slot_grant Grant = co_await acquireSlot(Pool, Request.Level, Request.Customer,
                                           Request.SlotUntil);
   if (!Grant)
-    co_return failed(*Pool, Request, acquire_failure::NoSlot);
+    co_return failed(*Pool, Request, acquire_failure::NoSlot, Since);
   acquired Acquired =
       co_await Pool->acquire(Request.Customer, Request.Values,
                              Request.ConnectionUntil, setUpDeadline(Request));
   if (!Acquired.Link)
-    co_return failed(*Pool, Request, Acquired.Failure);
+    co_return failed(*Pool, Request, Acquired.Failure, Since);
   checked_out_link Link(Pool, std::move(Acquired.Link));
   Link.Grant = std::move(Grant);
   co_return checked_out{std::move(Link)};
@@ -60,18 +65,19 @@
 /// customers that have one run meanwhile.
 base::task<checked_out> checkOutByDemand(pool_ptr Pool,
                                          check_out_request Request) {
+  const instant Since = base::now();
   Pool->noteDemand(Request.Customer);
   while (true) {
     while (!Pool->canConnect(Request.Level, Request.Customer)) {
       const bool Expected = co_await Pool->awaitConnection(
           Request.Level, Request.Customer, Request.ConnectionUntil);
       if (!Expected)
-        co_return failed(*Pool, Request, acquire_failure::Exhausted);
+        co_return failed(*Pool, Request, acquire_failure::Exhausted, Since);
     }
     slot_grant Grant = co_await acquireSlot(
         Pool, Request.Level, Request.Customer, Request.SlotUntil);
     if (!Grant)
-      co_return failed(*Pool, Request, acquire_failure::NoSlot);
+      co_return failed(*Pool, Request, acquire_failure::NoSlot, Since);
     acquired Acquired =
         co_await Pool->acquireByDemand(Request.Level, Request.Customer,
                                        Request.Values, setUpDeadline(Request));
@@ -81,7 +87,7 @@
       co_return checked_out{std::move(Link)};
     }
     if (Acquired.Failure != acquire_failure::MustWait)
-      co_return failed(*Pool, Request, Acquired.Failure);
+      co_return failed(*Pool, Request, Acquired.Failure, Since);
     Grant.giveBack();
   }
 }
--- a/packages/session/src/core_parts.hpp
+++ b/packages/session/src/core_parts.hpp
@@ -37,8 +37,12 @@
   bool OnPrimary = false;
   std::uint64_t Epoch = 0;
   std::optional<log_point> Required;
+  /// Endpoints that could serve it, at the last choice.
+  std::size_t Candidates = 0;
   /// Why the last attempt did not serve it; for logs and refusals.
   std::string LastProblem;
+  /// When what the last attempt lacked is expected; zero if that is not known.
+  base::milliseconds RetryAfter{0};
 };
 
 /// The connection on which a statement runs, and the conditions under which its
@@ -56,6 +60,9 @@
   /// Why the statement was not run by the endpoint's owner, or, where nothing
   /// was forwarded, NoConnection if it got no slot here.
   forwarding_failure Failure = forwarding_failure::None;
+  /// The owner answered that it sent nothing to the endpoint; the request's
+  /// LastProblem then says why.
+  bool OwnerSentNothing = false;
   /// When the owner sent the statement to the endpoint, by its report.
   std::optional<base::instant> RanSince;
 };
@@ -105,6 +112,10 @@
 bool mayRetry(const session_core &Core, const request &Request,
               const placement &Last);
 
+/// Whether trying another endpoint can help a statement that lacked a slot or a
+/// connection, by the time at which one is expected.
+bool mayTryElsewhere(const session_core &Core, const request &Request);
+
 /// Why no endpoint could serve the statement, and when to retry.
 answer_error refusal(const session_core &Core, const request &Request);
 
--- a/packages/session/src/endpoint_pool.cpp
+++ b/packages/session/src/endpoint_pool.cpp
@@ -80,8 +80,6 @@
     closeIdle();
 }
 
-/// Whether the endpoint has left everything that runs there without an answer
-/// for long: no slot would get free, and it may be gone.
 bool endpoint_pool::isStalled(instant Now) const {
   const auto Usual =
       milliseconds(static_cast<std::int64_t>(StalledFactor * Health.Latency));
@@ -334,7 +332,7 @@
                                                 base::customer_name Customer,
                                                 instant Until) {
   const bool InTime = base::now() + expectedConnection(Plan, Customer) <= Until;
-  if (!InTime || DemandWaiters.size() >= LongestQueue)
+  if (!InTime || DemandWaiters.size() >= LongestQueue || isStalled(base::now()))
     co_return false;
   const std::uint64_t Id = Waiters.nextNumber();
   const auto After =
--- a/packages/session/src/forwarding_codec.cpp
+++ b/packages/session/src/forwarding_codec.cpp
@@ -58,6 +58,12 @@
     Archive(static_cast<std::uint8_t>(Value));
   }
   void flag(bool Value) { Archive(Value); }
+  /// A choice of which a later build may know more values.
+  template <typename Enum> void openChoice(Enum Value, Enum /*Last*/) {
+    Archive(static_cast<std::uint8_t>(Value));
+  }
+  /// Fields at the end that an earlier build does not send.
+  template <typename Function> void added(Function Transfer) { Transfer(); }
   void time(base::milliseconds Value) {
     number(
         static_cast<std::uint64_t>(std::max<std::int64_t>(0, Value.count())));
@@ -83,7 +89,8 @@
 };
 
 struct reader {
-  cereal::BinaryInputArchive Archive;
+  std::istream &Stream;
+  cereal::BinaryInputArchive Archive{Stream};
 
   template <typename Number> void number(Number &Value) {
     Value = static_cast<Number>(readNumber(Archive));
@@ -103,6 +110,17 @@
     Value = static_cast<Enum>(Number);
   }
   void flag(bool &Value) { Archive(Value); }
+  template <typename Enum> void openChoice(Enum &Value, Enum Last) {
+    std::uint8_t Number = 0;
+    Archive(Number);
+    Value = Number > static_cast<std::uint8_t>(Last)
+                ? Enum()
+                : static_cast<Enum>(Number);
+  }
+  template <typename Function> void added(Function Transfer) {
+    if (Stream.peek() != std::istream::traits_type::eof())
+      Transfer();
+  }
   void time(base::milliseconds &Value) {
     constexpr std::uint64_t Longest = 3'600'000;
     const std::uint64_t Count = std::min(readNumber(Archive), Longest);
@@ -185,6 +203,10 @@
   transferAnswer(Ar, Value.Exchange.Answer);
   Ar.time(Value.Ran);
   Ar.number(Value.Load);
+  Ar.added([&] {
+    Ar.openChoice(Value.Lack, owner_lack::Endpoint);
+    Ar.time(Value.RetryAfter);
+  });
 }
 
 template <typename Side, typename Request>
@@ -229,7 +251,7 @@
     return std::nullopt;
   try {
     std::istringstream Stream{std::string(*Payload)};
-    reader Reader{cereal::BinaryInputArchive(Stream)};
+    reader Reader{Stream};
     std::uint8_t Form = 0;
     Reader.Archive(Form);
     if (Form != static_cast<std::uint8_t>(FormOf<Message>))
@@ -251,6 +273,14 @@
         {forwarding_failure::EndpointLost, "endpoint_lost"},
     });
 
+constexpr std::array LackNames = std::to_array<base::enum_name<owner_lack>>({
+    {owner_lack::None, "none"},
+    {owner_lack::Slot, "no_slot"},
+    {owner_lack::Connection, "no_connection"},
+    {owner_lack::Acceptance, "endpoint_refused"},
+    {owner_lack::Endpoint, "endpoint_lost"},
+});
+
 } // namespace
 
 std::string encodeRequest(std::string_view Secret,
@@ -297,4 +327,8 @@
   return base::nameOf(FailureNames, Failure);
 }
 
+std::string_view ownerLackName(owner_lack Lack) {
+  return base::nameOf(LackNames, Lack);
+}
+
 } // namespace redwinggw::session
--- a/packages/session/src/placement.cpp
+++ b/packages/session/src/placement.cpp
@@ -119,6 +119,7 @@
   checked_out Out = co_await checkOut(Pool, std::move(Wanted));
   if (!Out.Link) {
     Request.LastProblem = problemOf(Out.Failure, *Pool);
+    Request.RetryAfter = Out.RetryAfter;
     if (Out.Failure == acquire_failure::Unreachable)
       Core.Ports.NoteEndpointProblem(Name);
     co_return std::nullopt;
@@ -176,6 +177,8 @@
         std::optional<primary_lease> PrimaryLease,
         std::optional<required_point> Point) {
   const choice_candidate Chosen = nextUntried(Candidates, Request);
+  Request.Candidates = Candidates.size();
+  Request.RetryAfter = milliseconds(0);
   Request.Tried.push_back(Chosen.Name);
   auto Placement = co_await connectTo(Core, Session, Request, Chosen.Name,
                                       patienceDeadline(Core, Request));
@@ -199,6 +202,7 @@
   const instant Now = base::now();
   const base::service_name &Service = Request.Route.Service;
   Request.LastProblem = "no primary of " + Service;
+  Request.RetryAfter = milliseconds(0);
   const auto Expected = Core.Ports.PrimaryExpected(Service);
   const instant Latest =
       Expected ? primaryWaitDeadline(Core, Request, Now + *Expected)
@@ -211,8 +215,11 @@
 
 bool mayTryAgain(const session_core &Core, request &Request) {
   ++Request.Tries;
-  return Request.Tries < Core.Limits.MaxTries &&
-         base::now() < patienceDeadline(Core, Request);
+  if (Request.Tries >= Core.Limits.MaxTries)
+    return false;
+  if (Request.RetryAfter.count() != 0)
+    return mayTryElsewhere(Core, Request);
+  return base::now() < patienceDeadline(Core, Request);
 }
 
 } // namespace
--- a/packages/session/src/serve_forwarded.cpp
+++ b/packages/session/src/serve_forwarded.cpp
@@ -12,6 +12,19 @@
 
 using base::instant;
 
+owner_lack lackOf(acquire_failure Failure) {
+  switch (Failure) {
+  case acquire_failure::NoSlot:
+    return owner_lack::Slot;
+  case acquire_failure::Exhausted:
+    return owner_lack::Connection;
+  case acquire_failure::EndpointRefused:
+    return owner_lack::Acceptance;
+  default:
+    return owner_lack::Endpoint;
+  }
+}
+
 forwarding_failure failureOf(acquire_failure Failure) {
   return Failure == acquire_failure::Exhausted ||
                  Failure == acquire_failure::EndpointRefused ||
@@ -25,47 +38,58 @@
          Core.Ports.StillHolds(*Statement.PrimaryLease);
 }
 
+/// Whether a connection is pinned with a slot, and if not, why.
+struct pin_result {
+  forwarding_failure Failure = forwarding_failure::None;
+  owner_lack Lack = owner_lack::None;
+  base::milliseconds RetryAfter{0};
+};
+
 /// Gets a slot for the next statement of the transaction on the pinned
 /// connection. Without one the transaction cannot go on: its connection is
 /// closed, which rolls back.
-base::task<forwarding_failure> continuePinned(pinned_link &Pinned,
-                                              const forwarding_request &Request,
-                                              instant Arrived) {
+base::task<pin_result> continuePinned(pinned_link &Pinned,
+                                      const forwarding_request &Request,
+                                      instant Arrived) {
+  const pin_result Refused{forwarding_failure::Refused};
   const bool Same = Pinned.Link.Pool->entry().Name == Request.Endpoint &&
                     Pinned.Link.Link->Customer == Request.Customer;
   // Closing the connection rolls back, and sends the endpoint nothing.
   if (Pinned.Link.Pool->isEvacuated()) {
     Pinned.Link = checked_out_link();
-    co_return forwarding_failure::Refused;
+    co_return Refused;
   }
   // A rollback needs no slot.
   if (Same && Request.Statement.Action == link_action::Rollback)
-    co_return forwarding_failure::None;
+    co_return pin_result();
   if (Same) {
     slot_grant Grant =
         co_await acquireSlot(Pinned.Link.Pool, slot_level::InTransaction,
                              Request.Customer, Arrived + Request.TimeLeft);
     if (Grant) {
       Pinned.Link.Grant = std::move(Grant);
-      co_return forwarding_failure::None;
+      co_return pin_result();
     }
   }
   Pinned.Link = checked_out_link();
-  co_return forwarding_failure::NoConnection;
+  const pin_result NotPinned{forwarding_failure::NoConnection,
+                             Same ? owner_lack::Slot : owner_lack::None};
+  co_return NotPinned;
 }
 
 /// Gets a slot, and a connection unless one is pinned.
-base::task<forwarding_failure> pinLink(session_core &Core, pinned_link &Pinned,
-                                       const forwarding_request &Request,
-                                       instant Arrived) {
+base::task<pin_result> pinLink(session_core &Core, pinned_link &Pinned,
+                               const forwarding_request &Request,
+                               instant Arrived) {
+  const pin_result Refused{forwarding_failure::Refused};
   if (Pinned.Link)
     co_return co_await continuePinned(Pinned, Request, Arrived);
   // A transaction can be rolled back on its own connection only.
   if (Request.Statement.Action == link_action::Rollback)
-    co_return forwarding_failure::Refused;
+    co_return Refused;
   const pool_ptr Pool = poolOf(Core.Set, Request.Endpoint);
   if (Pool == nullptr || !mayUse(Core, Request.Statement))
-    co_return forwarding_failure::Refused;
+    co_return Refused;
   check_out_request Wanted;
   Wanted.Level = levelOf(Request.Priority);
   Wanted.Customer = Request.Customer;
@@ -75,10 +99,13 @@
   Wanted.SetUpUntil = Arrived + Request.TimeLeft;
   Wanted.Deadline = Wanted.SetUpUntil;
   checked_out Out = co_await checkOut(Pool, std::move(Wanted));
-  if (!Out.Link)
-    co_return failureOf(Out.Failure);
+  if (!Out.Link) {
+    const pin_result Failed{failureOf(Out.Failure), lackOf(Out.Failure),
+                            Out.RetryAfter};
+    co_return Failed;
+  }
   Pinned.Link = std::move(Out.Link);
-  co_return forwarding_failure::None;
+  co_return pin_result();
 }
 
 /// Records whether the endpoint answered, and returns the connection to its
@@ -115,7 +142,10 @@
                                             forwarding_request Request) {
   const instant Arrived = base::now();
   forwarding_reply Reply;
-  Reply.Failure = co_await pinLink(Core, Pinned, Request, Arrived);
+  const pin_result Pin = co_await pinLink(Core, Pinned, Request, Arrived);
+  Reply.Failure = Pin.Failure;
+  Reply.Lack = Pin.Lack;
+  Reply.RetryAfter = Pin.RetryAfter;
   if (Reply.Failure == forwarding_failure::None) {
     const pool_ptr Pool = Pinned.Link.Pool;
     const instant Sent = base::now();
--- a/packages/session/src/transaction.cpp
+++ b/packages/session/src/transaction.cpp
@@ -61,7 +61,8 @@
       Transaction.Counted.settle(true);
       co_return true;
     }
-    Request.LastProblem = Endpoint + " did not begin the transaction";
+    if (!Placement->OwnerSentNothing)
+      Request.LastProblem = Endpoint + " did not begin the transaction";
     if (!mayRetry(Core, Request, *Placement))
       co_return false;
   }
--- a/packages/session/src/try_statement.cpp
+++ b/packages/session/src/try_statement.cpp
@@ -34,6 +34,23 @@
   return !isSafeToRetry(Code) && Code != answer_code::UnknownName;
 }
 
+/// Why the owner did not run a statement.
+std::string problemOf(const forwarding_reply &Reply, std::string_view Owner,
+                      std::string_view Endpoint) {
+  const std::string Through =
+      std::string(Endpoint) + " through " + std::string(Owner);
+  switch (Reply.Lack) {
+  case owner_lack::Slot:
+    return "no turn at " + Through + " in time";
+  case owner_lack::Connection:
+    return "no connection to " + Through + " in time";
+  case owner_lack::Acceptance:
+    return "no connection to " + Through + ": it accepts no more at present";
+  default:
+    return Through + ": " + std::string(forwardingFailureName(Reply.Failure));
+  }
+}
+
 /// Lets the endpoint's owner run the statement.
 base::task<exchange> runByOwner(session_core &Core, request &Request,
                                 placement &Placement,
@@ -47,12 +64,18 @@
   forwarding_reply Reply =
       co_await Forwarding.run(Statement, WaitUntil, Placement.TryDeadline);
   Placement.Failure = Reply.Failure;
+  Placement.OwnerSentNothing =
+      Reply.Failure != forwarding_failure::OwnerLost &&
+      Reply.Exchange.Outcome == exchange_outcome::NotSent;
   Placement.RanSince = base::now() - Reply.Ran;
   if (Reply.Failure != forwarding_failure::OwnerLost)
     Pool.noteOwnerLoad(Reply.Load, base::now());
   if (Reply.Failure != forwarding_failure::None)
-    Request.LastProblem = Pool.entry().Name + " through " + Request.Via + ": " +
-                          std::string(forwardingFailureName(Reply.Failure));
+    Request.LastProblem = problemOf(Reply, Request.Via, Pool.entry().Name);
+  else if (Placement.OwnerSentNothing)
+    Request.LastProblem = Pool.entry().Name + " through " + Request.Via +
+                          ": the session could not be set up";
+  Request.RetryAfter = Reply.RetryAfter;
   co_return std::move(Reply.Exchange);
 }
 
@@ -193,10 +216,17 @@
   Core.Ports.NoteEndpointProblem(Pool.entry().Name);
 }
 
+bool mayTryElsewhere(const session_core &Core, const request &Request) {
+  return Request.Tried.size() < Request.Candidates &&
+         base::now() < queueDeadline(Core, Request);
+}
+
 bool mayRetry(const session_core &Core, const request &Request,
               const placement &Last) {
   const instant Now = base::now();
   const bool GotNoConnection = Last.Failure == forwarding_failure::NoConnection;
+  if (GotNoConnection && Request.RetryAfter.count() != 0)
+    return mayTryElsewhere(Core, Request);
   return Now <
          (GotNoConnection ? patienceDeadline(Core, Request) : Request.Deadline);
 }
@@ -215,8 +245,10 @@
   // If the end of the problem is not known, a caller does best to retry after
   // about the time in which a primary is replaced.
   constexpr milliseconds UnknownEnd{500};
+  const milliseconds Expected =
+      Request.RetryAfter.count() != 0 ? Request.RetryAfter : UnknownEnd;
   const milliseconds After =
-      Core.Ports.PrimaryExpected(Request.Route.Service).value_or(UnknownEnd);
+      Core.Ports.PrimaryExpected(Request.Route.Service).value_or(Expected);
   return {answer_code::Busy, Request.LastProblem + "; retry after " +
                                  std::to_string(After.count()) + " ms"};
 }
--- a/tests/session/forwarding_codec_test.cpp
+++ b/tests/session/forwarding_codec_test.cpp
@@ -39,6 +39,8 @@
   Reply.Exchange.Answer.State = transaction_state::Open;
   Reply.Exchange.Answer.Point = log_point{3, 300};
   Reply.Load = 700;
+  Reply.Lack = owner_lack::Acceptance;
+  Reply.RetryAfter = base::milliseconds(100);
   return Reply;
 }
 
@@ -62,6 +64,8 @@
 Test(forwarding_codec, round_trips_a_reply) {
   const auto Read = decodeReply(Secret, encodeReply(Secret, fullReply()));
   cr_assert(Read && Read->Load == 700);
+  cr_assert(Read->Lack == owner_lack::Acceptance);
+  cr_assert(Read->RetryAfter == base::milliseconds(100));
   const answer &Answer = Read->Exchange.Answer;
   cr_assert(Answer.Rows == fullReply().Exchange.Answer.Rows);
   cr_assert(Answer.Signature == "7.1f3.c" && !Answer.Error);
@@ -69,6 +73,24 @@
   cr_assert(Answer.Point == log_point({3, 300}));
 }
 
+// A fleet during an upgrade. Guards against taking a reply of another build for
+// a lost owner, which makes a write's outcome unknown: an earlier build does
+// not send the last fields, a later one may send more or other values of them.
+Test(forwarding_codec, understands_replies_of_other_builds) {
+  const std::string Signed = encodeReply(Secret, fullReply());
+  const std::string Payload(wire::verify(Secret, Signed).value());
+  constexpr std::size_t AddedBytes = 2;
+  const std::string Former = Payload.substr(0, Payload.size() - AddedBytes);
+  const auto Earlier = decodeReply(Secret, wire::sign(Secret, Former));
+  cr_assert(Earlier && Earlier->Load == 700);
+  cr_assert(Earlier->Lack == owner_lack::None);
+  cr_assert(Earlier->RetryAfter == base::milliseconds(0));
+  const auto Later = decodeReply(
+      Secret, wire::sign(Secret, Former + std::string("\x63\x05more")));
+  cr_assert(Later && Later->Lack == owner_lack::None);
+  cr_assert(Later->RetryAfter == base::milliseconds(5));
+}
+
 Test(forwarding_codec, round_trips_an_error) {
   forwarding_reply Reply;
   Reply.Exchange.Outcome = exchange_outcome::Answered;
--- a/tests/session/forwarding_test.cpp
+++ b/tests/session/forwarding_test.cpp
@@ -77,6 +77,17 @@
   return Answer.Error && Answer.Error->Code == Code;
 }
 
+bool hasReason(const answer &Answer, std::string_view Text) {
+  return Answer.Error && Answer.Error->Reason.find(Text) != std::string::npos;
+}
+
+void planByDemand(forwarding_fleet &Fleet) {
+  pool_limits Limits;
+  Limits.Policy = connection_policy::Demand;
+  for (auto &[Name, Pool] : Fleet.Owner.Set.Pools)
+    Pool->setLimits(Limits);
+}
+
 std::size_t connectionsOf(const fake_group &Group) {
   std::set<std::size_t> Numbers;
   for (const received_statement &Statement : Group.Received)
@@ -282,6 +293,40 @@
   cr_assert(Last.Customer == "bolt" && Last.Connection != Former);
 }
 
+// Guards against "could not be asked" about an owner that was asked and
+// answered that it got no slot.
+Test(forwarding, tells_the_caller_what_the_owner_lacked) {
+  for (const bool ByDemand : {false, true}) {
+    forwarding_fleet Fleet;
+    if (ByDemand)
+      planByDemand(Fleet);
+    const pool_ptr Pool = Fleet.Owner.Set.Pools.at("p");
+    constexpr unsigned AllSlots = 6;
+    std::vector<slot_grant> Taken;
+    for (unsigned Slot = 0; Slot < AllSlots; ++Slot)
+      Taken.push_back(Fleet.take(Pool));
+    caller_session Session = Fleet.first().open("strict");
+    const answer Answer = Fleet.first().write(Session);
+    cr_assert(failedWith(Answer, answer_code::Busy));
+    cr_assert(hasReason(Answer, "no turn at p through owner in time"));
+    cr_assert(hasReason(Answer, "retry after 500 ms") == !ByDemand);
+  }
+}
+
+// An endpoint that accepts no connection, since it counts those of instances
+// that died. Guards against trying it five times within a moment, and against a
+// refusal without the time at which it may accept one.
+Test(forwarding, tells_the_caller_when_the_endpoint_may_accept_a_connection) {
+  forwarding_fleet Fleet;
+  planByDemand(Fleet);
+  Fleet.Group.MaxConnections = 0;
+  caller_session Session = Fleet.first().open("strict");
+  const answer Answer = Fleet.first().write(Session);
+  cr_assert(failedWith(Answer, answer_code::Busy));
+  cr_assert(hasReason(Answer, "it accepts no more at present; retry after"));
+  cr_assert(Fleet.Group.Refusals <= 2);
+}
+
 // An instance has just started: the others know it and forward a transaction to
 // it before it has read the configuration.
 Test(forwarding, serves_transactions_before_the_owner_has_a_configuration) {
