Plan connections by demand where an endpoint fails; settings and metrics

The decisions of connection_plan met no failing endpoint yet: with no connection open, each statement tried a refusing endpoint again at once; waits ended by events of the pool only, and none shows that an endpoint accepts connections again; set-ups that an endpoint leaves unanswered counted as if they ended soon.

Waking by the periodic housekeeping (200 ms): later than most statements wait. So a wait ends when the pause after a refusal is over. Closing an idle connection after every refusal: would close them one after the other; each statement opens at most two connections. Counting set-ups among the statements without an answer: changes when an endpoint is suspected, also with connections = recent; they are kept separately and used with demand only. Keeping 85% of an endpoint's connections for steady customers: the next owner could open 15% until the endpoint has forgotten a dead one; 70% is kept.

Metrics of evictions by reason and of connections by customer and endpoint; set-ups are counted by redwinggw_endpoint_connects_total as before.

--- a/packages/base/include/redwinggw/base/metrics.hpp
+++ b/packages/base/include/redwinggw/base/metrics.hpp
@@ -29,6 +29,8 @@
   SlotSecondsTotal,
   EndpointConnections,
   EndpointConnectsTotal,
+  EndpointEvictionsTotal,
+  CustomerConnections,
   RelayedTotal,
   EndpointErrorsTotal,
   ReplicaAgeSeconds,
--- a/packages/redwinggw/src/platform_endpoint_owners.cpp
+++ b/packages/redwinggw/src/platform_endpoint_owners.cpp
@@ -20,6 +20,11 @@
 /// than half of them open, the next owner can still open as many as it needs.
 constexpr std::size_t KeptPercent = 45;
 
+/// Percentage up to which, with connection_policy::Demand, the connections of
+/// customers with steady demand are kept. The next owner can open the rest
+/// at once, while the endpoint still counts those of the former one.
+constexpr std::size_t SteadyPercent = 70;
+
 std::vector<session::owner_candidate>
 ownerCandidates(const platform_instance_state &State, instant Now) {
   std::vector<session::owner_candidate> Candidates;
@@ -42,6 +47,7 @@
                                const session::endpoint_entry &Entry,
                                std::size_t Accepted) {
   session::pool_limits Limits;
+  Limits.Policy = State.Settings.Connections;
   const std::size_t Instances =
       State.Peers ? instanceCount(State.Peers->view()) : 1;
   if (isOwn(State, Entry.Name)) {
@@ -49,6 +55,7 @@
     constexpr std::size_t Min = 1;
     Limits.Connections = std::max(Min, Accepted * OwnedPercent / Whole);
     Limits.KeptConnections = std::max(Min, Accepted * KeptPercent / Whole);
+    Limits.SteadyConnections = std::max(Min, Accepted * SteadyPercent / Whole);
     Limits.MaxConnections = std::max(Limits.Connections, Accepted);
     return Limits;
   }
--- a/packages/redwinggw/src/platform_instance.cpp
+++ b/packages/redwinggw/src/platform_instance.cpp
@@ -38,11 +38,31 @@
   co_return Response;
 }
 
+void collectConnections(base::metrics &Metrics, const std::string &Name,
+                        const session::endpoint_pool &Pool) {
+  using base::metric;
+  for (std::size_t Index = 0; Index < session::Evictions; ++Index) {
+    const auto Reason = static_cast<session::eviction>(Index);
+    counterOf(Metrics, metric::EndpointEvictionsTotal,
+              {Name, std::string(evictionName(Reason))})
+        .Value = static_cast<double>(Pool.evictions(Reason));
+  }
+  for (const auto &[Customer, Use] : Pool.plan().Customers) {
+    set(gaugeOf(Metrics, metric::CustomerConnections, {Name, Customer, "idle"}),
+        static_cast<double>(Use.Idle));
+    set(gaugeOf(Metrics, metric::CustomerConnections, {Name, Customer, "busy"}),
+        static_cast<double>(Use.InUse));
+  }
+}
+
 void collectPlatformMetrics(platform_instance_state &State) {
   using base::metric;
   base::metrics &Metrics = State.Core.Metrics;
   observeProcess(Metrics);
+  // Customers without connections are not listed.
+  Metrics.Gauges[metric::CustomerConnections].clear();
   for (const auto &[Name, Pool] : State.Endpoints.Pools) {
+    collectConnections(Metrics, Name, *Pool);
     const auto Idle = static_cast<double>(Pool->idle());
     const auto Open = static_cast<double>(Pool->open());
     set(gaugeOf(Metrics, metric::EndpointConnections, {Name, "idle"}), Idle);
--- a/packages/redwinggw/src/settings.cpp
+++ b/packages/redwinggw/src/settings.cpp
@@ -37,6 +37,12 @@
     {data::queue_policy::Fifo, "fifo"},
 });
 
+constexpr std::array ConnectionNames =
+    std::to_array<enum_name<session::connection_policy>>({
+        {session::connection_policy::Recent, "recent"},
+        {session::connection_policy::Demand, "demand"},
+    });
+
 constexpr std::array KindNames = std::to_array<enum_name<platform_kind>>({
     {platform_kind::Own, "own"},
     {platform_kind::Native, "native"},
@@ -199,6 +205,11 @@
      [](settings &S, const std::string &T) {
        return setEnum(S.Queue, base::valueOf(QueueNames, T));
      }},
+    {"policy.connections", "recent", "recent, demand",
+     "which idle connection to an endpoint is closed for a new one",
+     [](settings &S, const std::string &T) {
+       return setEnum(S.Connections, base::valueOf(ConnectionNames, T));
+     }},
     {"policy.try_timeout_ms", "1000", "50 to 60000",
      "timeout of a single try at an endpoint",
      [](settings &S, const std::string &T) {
--- a/packages/redwinggw/src/settings.hpp
+++ b/packages/redwinggw/src/settings.hpp
@@ -6,6 +6,7 @@
 #include "redwinggw/data/fair_queue.hpp"
 #include "redwinggw/data/routing.hpp"
 #include "redwinggw/http/address.hpp"
+#include "redwinggw/session/connection_plan.hpp"
 
 #include <string>
 #include <vector>
@@ -48,6 +49,7 @@
   data::read_policy Reads = data::read_policy::Replicas;
   rate_policy Rate = rate_policy::Shared;
   data::queue_policy Queue = data::queue_policy::Fair;
+  session::connection_policy Connections = session::connection_policy::Recent;
   base::milliseconds TryTimeout{1000};
   base::milliseconds ReplicaWait{80};
   base::milliseconds DrainTime{10000};
--- a/packages/session/include/redwinggw/session/endpoint_pool.hpp
+++ b/packages/session/include/redwinggw/session/endpoint_pool.hpp
@@ -178,8 +178,8 @@
                                        base::customer_name Customer,
                                        session_values Values,
                                        base::instant Deadline);
-  /// Waits until \p Until for canConnect. False if that is not expected in
-  /// time, or was not in time.
+  /// Waits until \p Until for canConnect, which the caller checks again. False
+  /// if that is not expected in time, or was not in time.
   base::task<bool> awaitConnection(slot_level Level,
                                    base::customer_name Customer,
                                    base::instant Until);
@@ -312,6 +312,8 @@
   /// By level, then in the order of arrival.
   std::list<demand_waiter> DemandWaiters;
   std::array<std::uint64_t, Evictions> Evicted{};
+  /// When the set-ups in progress began.
+  std::multiset<base::instant> SetUpStarts;
   std::multiset<base::instant> Unanswered;
   std::uint64_t Connects = 0;
 };
--- a/packages/session/src/check_out.cpp
+++ b/packages/session/src/check_out.cpp
@@ -62,17 +62,19 @@
 }
 
 /// A statement waits for a connection without a slot, so that statements of
-/// customers that have one run meanwhile.
+/// customers that have one run meanwhile. After a refusal by the endpoint it
+/// tries once more, when that may help.
 base::task<checked_out> checkOutByDemand(pool_ptr Pool,
                                          check_out_request Request) {
   const instant Since = base::now();
+  acquire_failure Lacked = acquire_failure::Exhausted;
   Pool->noteDemand(Request.Customer);
   while (true) {
     while (!Pool->canConnect(Request.Level, Request.Customer)) {
       const bool Expected = co_await Pool->awaitConnection(
           Request.Level, Request.Customer, Request.ConnectionUntil);
       if (!Expected)
-        co_return failed(*Pool, Request, acquire_failure::Exhausted, Since);
+        co_return failed(*Pool, Request, Lacked, Since);
     }
     slot_grant Grant = co_await acquireSlot(
         Pool, Request.Level, Request.Customer, Request.SlotUntil);
@@ -86,8 +88,12 @@
       Link.Grant = std::move(Grant);
       co_return checked_out{std::move(Link)};
     }
-    if (Acquired.Failure != acquire_failure::MustWait)
+    const bool First = Acquired.Failure == acquire_failure::EndpointRefused &&
+                       Lacked != acquire_failure::EndpointRefused;
+    if (!First && Acquired.Failure != acquire_failure::MustWait)
       co_return failed(*Pool, Request, Acquired.Failure, Since);
+    if (First)
+      Lacked = acquire_failure::EndpointRefused;
     Grant.giveBack();
   }
 }
--- a/packages/session/src/endpoint_pool.cpp
+++ b/packages/session/src/endpoint_pool.cpp
@@ -84,7 +84,9 @@
   const auto Usual =
       milliseconds(static_cast<std::int64_t>(StalledFactor * Health.Latency));
   const milliseconds Longest = std::max(StalledAfter, Usual);
-  const instant Oldest = oldestUnanswered().value_or(Now);
+  instant Oldest = oldestUnanswered().value_or(Now);
+  if (Limits.Policy == connection_policy::Demand && !SetUpStarts.empty())
+    Oldest = std::min(Oldest, *SetUpStarts.begin());
   return Now - Oldest > Longest && Now - Health.LastSuccess > Longest;
 }
 
@@ -226,6 +228,7 @@
   auto Link = std::make_unique<pooled_link>();
   Link->Link = Factory();
   Link->TakenAt = base::now();
+  const auto Started = SetUpStarts.insert(Link->TakenAt);
   Link->Customer = std::move(Customer);
   Link->ValuesKnown = true;
   const instant Latest = base::now() + Limits.ConnectTimeout;
@@ -233,6 +236,7 @@
                                                     std::min(Deadline, Latest));
   const bool Answered = Opened.Outcome == exchange_outcome::Answered;
   const bool Succeeded = Answered && !Opened.Answer.Error;
+  SetUpStarts.erase(Started);
   noteSetUp(Plan, base::now() - Link->TakenAt, Succeeded);
   if (Succeeded) {
     Link->UsedAt = base::now();
@@ -297,8 +301,8 @@
   Room.Open = Open;
   Room.Limit = Limits.Connections;
   Room.Slots = Entry.Slots;
-  Room.MayOpen = mayOpen();
   Room.Refused = wasRefused(Limits.FullPause);
+  Room.MayOpen = !Room.Refused && mayOpen();
   return decideConnection(Plan, Room, Customer, Level, base::now());
 }
 
@@ -331,22 +335,26 @@
 base::task<bool> endpoint_pool::awaitConnection(slot_level Level,
                                                 base::customer_name Customer,
                                                 instant Until) {
-  const bool InTime = base::now() + expectedConnection(Plan, Customer) <= Until;
-  if (!InTime || DemandWaiters.size() >= LongestQueue || isStalled(base::now()))
+  const instant Now = base::now();
+  // No event shows that the endpoint may accept connections again.
+  const instant Accepted = RefusedAt.value_or(Until) + Limits.FullPause;
+  const bool InTime = Now + expectedConnection(Plan, Customer) <= Until;
+  if (!InTime || DemandWaiters.size() >= LongestQueue || isStalled(Now))
     co_return false;
   const std::uint64_t Id = Waiters.nextNumber();
   const auto After =
       std::ranges::upper_bound(DemandWaiters, Level, {}, &demand_waiter::Level);
   DemandWaiters.insert(After, {Id, Customer, Level});
   ++useOf(Customer).Waiting;
-  const bool Woken = co_await Waiters.wait(Id, Until);
+  const bool Woken = co_await Waiters.wait(
+      Id, Accepted > Now ? std::min(Until, Accepted) : Until);
   --useOf(Customer).Waiting;
   if (!Woken)
     std::erase_if(DemandWaiters,
                   [&](const demand_waiter &Waiter) { return Waiter.Id == Id; });
   if (Evacuated)
     wakeNext();
-  co_return Woken;
+  co_return Woken || base::now() < Until;
 }
 
 /// Wakes the first statement that can connect now. Customers are looked at
--- a/tests/redwinggw/settings_test.cpp
+++ b/tests/redwinggw/settings_test.cpp
@@ -45,6 +45,7 @@
   cr_assert(Settings->Name == "i1");
   cr_assert(Settings->Peers.Port == 7003);
   cr_assert(Settings->Reads == data::read_policy::Replicas);
+  cr_assert(Settings->Connections == session::connection_policy::Recent);
 }
 
 Test(settings, a_capacity_is_a_number_that_is_not_negative) {
@@ -67,6 +68,7 @@
 Test(settings, each_fault_names_file_line_key_and_what_is_allowed) {
   const std::vector<broken_line> Broken{
       {"[policy]\nqueue = lifo", "fair, fifo"},
+      {"[policy]\nconnections = random", "recent, demand"},
       {"[policy]\ndrain_ms = 5 s", "0 to 600000"},
       {"[policy]\ndrain_ms = 600001", "0 to 600000"},
       {"[policy]\ndrain_ms = -1", "0 to 600000"},
--- a/tests/session/fake_endpoint.hpp
+++ b/tests/session/fake_endpoint.hpp
@@ -5,7 +5,11 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
@@ -34,6 +38,11 @@
   std::size_t MaxConnections = SIZE_MAX;
   std::size_t Connected = 0;
   std::size_t Refusals = 0;
+  /// How long a set-up takes; one that takes longer than its deadline has no
+  /// answer. The most set-ups at a time are counted.
+  base::milliseconds SetUpTime{0};
+  std::size_t SetUps = 0;
+  std::size_t MostSetUps = 0;
   log_point Point{1, 100};
   std::size_t Connections = 0;
 
@@ -78,9 +87,21 @@
   }
 
   base::task<exchange> open(const endpoint_entry &Entry,
-                            std::string_view Customer, base::instant) override {
+                            std::string_view Customer,
+                            base::instant Deadline) override {
     Endpoint = Entry.Name;
     this->Customer = Customer;
+    Group.MostSetUps = std::max(Group.MostSetUps, ++Group.SetUps);
+    const base::instant Ready = base::now() + Group.SetUpTime;
+    if (Group.SetUpTime.count() != 0) {
+      boost::asio::steady_timer Timer(
+          co_await boost::asio::this_coro::executor,
+          base::timerPoint(std::min(Ready, Deadline)));
+      co_await Timer.async_wait(boost::asio::use_awaitable);
+    }
+    --Group.SetUps;
+    if (Group.SetUpTime.count() != 0 && Deadline < Ready)
+      co_return ended(exchange_outcome::TimedOut);
     if (Group.Connected >= Group.MaxConnections) {
       ++Group.Refusals;
       co_return refused(answer_code::TooMany);
