--- a/packages/session/include/redwinggw/session/endpoint_owner.hpp
+++ b/packages/session/include/redwinggw/session/endpoint_owner.hpp
@@ -14,10 +14,14 @@
 /// An instance that could own connections to endpoints, unlike
 /// control::owner_candidate, which could own token buckets.
 struct owner_candidate {
-  owner_candidate(base::instance_name Name, base::zone_name Zone);
+  owner_candidate(base::instance_name Name, base::zone_name Zone,
+                  double Capacity = 0);
 
   base::instance_name Name;
   base::zone_name Zone;
+  /// Compared with other instances; 0 if it is not known. Used by
+  /// assignOwners only.
+  double Capacity;
   /// rendezvousHash of the name.
   std::uint32_t Hash;
 
--- a/packages/session/src/endpoint_owner.cpp
+++ b/packages/session/src/endpoint_owner.cpp
@@ -36,8 +36,9 @@
 
 } // namespace
 
-owner_candidate::owner_candidate(base::instance_name Name, base::zone_name Zone)
-    : Name(std::move(Name)), Zone(std::move(Zone)),
+owner_candidate::owner_candidate(base::instance_name Name, base::zone_name Zone,
+                                 double Capacity)
+    : Name(std::move(Name)), Zone(std::move(Zone)), Capacity(Capacity),
       Hash(control::rendezvousHash(this->Name)) {}
 
 bool mayOwn(const control::membership &Membership,
@@ -54,7 +55,7 @@
   std::vector<owner_candidate> Candidates;
   for (const control::member &Member : Membership.Members)
     if (mayOwn(Membership, Member, Now))
-      Candidates.push_back({Member.Name, Member.Zone});
+      Candidates.push_back({Member.Name, Member.Zone, Member.Capacity});
   return Candidates;
 }
 
