Let a standby owner run what a lost owner cannot

An owner that is killed, frozen or out of reach leaves each other instance to connect to the endpoint itself, over the few connections that are kept free for that, until a new owner is computed.

With policy.owners = capacity each endpoint has a standby owner, the next one in its order. Statements are forwarded to it while the owner is suspect or has left a statement without an answer, and a statement that the owner certainly did not get is forwarded again. What was sent to an owner that is not heard any more is ended at once: it may have run. Commits that were not sent are answered as aborted, not as in doubt.

The standby may open what the endpoint accepts beyond the 85 % of the owner, and keeps none of them when idle. Weighed: what is beyond the 45 % that the owner keeps. The owner may be alive and serve others, and would be refused.

Ruled out: ending all statements at an owner because one got no answer. An owner that is only late would leave many writes in doubt. An instance that was itself paused ends nothing, since answers may be waiting.

With policy.owners = hash, the default, owners, limits, messages and log lines stay as they were.

--- a/packages/redwinggw/src/platform_endpoint_owners.cpp
+++ b/packages/redwinggw/src/platform_endpoint_owners.cpp
@@ -2,8 +2,10 @@
 
 #include "redwinggw/base/log.hpp"
 #include "redwinggw/session/endpoint_owner.hpp"
+#include "redwinggw/session/standby_owner.hpp"
 
 #include <algorithm>
+#include <utility>
 
 /// Which instance owns the connections to each endpoint, and how many each
 /// instance may hold.
@@ -12,14 +14,6 @@
 
 using base::instant;
 
-/// Percentage of an endpoint's connections that its owner may open at any time.
-/// The rest is for instances that cannot reach the owner, and for probes.
-constexpr std::size_t OwnedPercent = 85;
-/// Percentage that the owner keeps open when idle. An endpoint counts the
-/// connections of an instance that lost power for three more seconds: with less
-/// than half of them open, the next owner can still open as many as it needs.
-constexpr std::size_t KeptPercent = 45;
-
 std::vector<session::owner_candidate>
 ownerCandidates(const platform_instance_state &State, instant Now) {
   std::vector<session::owner_candidate> Candidates;
@@ -29,46 +23,85 @@
     return Candidates;
   const auto At = std::ranges::lower_bound(Candidates, State.Settings.Name, {},
                                            &session::owner_candidate::Name);
-  Candidates.emplace(At, State.Settings.Name, State.Settings.Zone);
+  Candidates.emplace(At, State.Settings.Name, State.Settings.Zone,
+                     State.Settings.Capacity);
   return Candidates;
 }
 
-bool isOwn(const platform_instance_state &State, std::string_view Endpoint) {
-  const auto Owner = State.Owners.find(Endpoint);
-  return Owner == State.Owners.end() || Owner->second == State.Settings.Name;
+/// Empty names where they are not computed yet.
+session::connection_owners ownersOf(const platform_instance_state &State,
+                                    std::string_view Endpoint) {
+  const auto Found = State.Owners.find(Endpoint);
+  return Found == State.Owners.end() ? session::connection_owners()
+                                     : Found->second;
 }
 
-session::pool_limits limitsFor(const platform_instance_state &State,
-                               const session::endpoint_entry &Entry,
-                               std::size_t Accepted) {
-  session::pool_limits Limits;
-  const std::size_t Instances =
-      State.Peers ? instanceCount(State.Peers->view()) : 1;
-  if (isOwn(State, Entry.Name)) {
-    constexpr std::size_t Whole = 100;
-    constexpr std::size_t Min = 1;
-    Limits.Connections = std::max(Min, Accepted * OwnedPercent / Whole);
-    Limits.KeptConnections = std::max(Min, Accepted * KeptPercent / Whole);
-    Limits.MaxConnections = std::max(Limits.Connections, Accepted);
-    return Limits;
-  }
-  // Few, since only statements that the owner cannot run use them.
-  Limits.Connections = 1;
-  Limits.MaxConnections = std::max<std::size_t>(1, 2 * Accepted / Instances);
-  return Limits;
+session::owner_role ownRole(const platform_instance_state &State,
+                            std::string_view Endpoint) {
+  const auto Found = State.Owners.find(Endpoint);
+  return Found == State.Owners.end()
+             ? session::owner_role::Owner
+             : roleOf(Found->second, State.Settings.Name);
 }
 
-void noteOwner(platform_instance_state &State,
-               const base::endpoint_name &Endpoint,
-               const session::owner_candidate *Owner) {
-  const base::instance_name Name = Owner == nullptr ? "" : Owner->Name;
+void logOwner(const base::endpoint_name &Endpoint,
+              const base::instance_name &Before,
+              const session::connection_owners &Now, bool HasStandby) {
+  using base::log_field;
+  const log_field Name{"endpoint", Endpoint};
+  const log_field Was{"was", Before};
+  const log_field Is{"is", Now.Owner};
+  if (HasStandby)
+    base::logEvent(base::log_level::Info, base::log_part::Endpoints,
+                   "owner_changed", {Name, Was, Is, {"standby", Now.Standby}});
+  else
+    base::logEvent(base::log_level::Info, base::log_part::Endpoints,
+                   "owner_changed", {Name, Was, Is});
+}
+
+void noteOwners(platform_instance_state &State,
+                const base::endpoint_name &Endpoint,
+                session::connection_owners Owners) {
   auto &Known = State.Owners[Endpoint];
-  if (Known == Name)
+  if (Known.Owner != Owners.Owner)
+    logOwner(Endpoint, Known.Owner, Owners, State.Core.Limits.StandbyOwners);
+  Known = std::move(Owners);
+}
+
+void assignByHash(platform_instance_state &State,
+                  std::vector<session::owner_candidate> Candidates,
+                  const session::candidate_changes &Changes) {
+  for (const auto &[Name, Pool] : State.Endpoints.Pools) {
+    const auto *Owner =
+        ownerAfter(Name, Pool->entry().Zone, State.Owners[Name].Owner, Changes,
+                   Candidates);
+    noteOwners(State, Name, {Owner == nullptr ? "" : Owner->Name, ""});
+  }
+  State.OwnerCandidates = std::move(Candidates);
+}
+
+void assignByCapacity(platform_instance_state &State,
+                      std::vector<session::owner_candidate> Candidates) {
+  std::vector<session::owned_endpoint> Endpoints;
+  Endpoints.reserve(State.Endpoints.Pools.size());
+  for (const auto &[Name, Pool] : State.Endpoints.Pools)
+    Endpoints.push_back({Name, Pool->entry().Zone});
+  session::owner_assignment &Assignment = State.Assignment;
+  if (!updateAssignment(Assignment, std::move(Endpoints),
+                        std::move(Candidates)))
     return;
-  base::logEvent(base::log_level::Info, base::log_part::Endpoints,
-                 "owner_changed",
-                 {{"endpoint", Endpoint}, {"was", Known}, {"is", Name}});
-  Known = Name;
+  for (std::size_t Index = 0; Index < Assignment.Endpoints.size(); ++Index)
+    noteOwners(State, Assignment.Endpoints[Index].Name,
+               Assignment.Owners[Index]);
+}
+
+/// Forgets the owners of endpoints that are gone.
+void forgetFormerEndpoints(platform_instance_state &State) {
+  const auto IsFormer = [&](const auto &Item) {
+    return !State.Endpoints.Pools.contains(Item.first);
+  };
+  std::erase_if(State.Owners, IsFormer);
+  std::erase_if(State.StandbyLoggedAt, IsFormer);
 }
 
 /// Each instance computes the owners on its own, from the instances that it is
@@ -76,17 +109,17 @@
 bool assignOwners(platform_instance_state &State) {
   const instant Now = base::now();
   auto Candidates = ownerCandidates(State, Now);
-  const auto Changes = changesBetween(State.OwnerCandidates, Candidates);
-  if (Changes.none() && !State.ConnectionsStale)
-    return false;
-  for (const auto &[Name, Pool] : State.Endpoints.Pools)
-    noteOwner(State, Name,
-              ownerAfter(Name, Pool->entry().Zone, State.Owners[Name], Changes,
-                         Candidates));
-  State.OwnerCandidates = std::move(Candidates);
-  std::erase_if(State.Owners, [&](const auto &Item) {
-    return !State.Endpoints.Pools.contains(Item.first);
-  });
+  if (State.Settings.Owners == owner_policy::Capacity) {
+    if (Candidates == State.Assignment.Candidates && !State.ConnectionsStale)
+      return false;
+    assignByCapacity(State, std::move(Candidates));
+  } else {
+    const auto Changes = changesBetween(State.OwnerCandidates, Candidates);
+    if (Changes.none() && !State.ConnectionsStale)
+      return false;
+    assignByHash(State, std::move(Candidates), Changes);
+  }
+  forgetFormerEndpoints(State);
   if (!State.Peers || !State.ForwardingClient)
     return true;
   for (const control::member &Member : State.Peers->view().Members)
@@ -95,6 +128,49 @@
   return true;
 }
 
+/// Ends what was forwarded to instances that are not heard any more, so that
+/// its callers are told at once. One that leaves still answers. If this
+/// instance was paused, it has heard nobody, and answers may be waiting here.
+void abandonLostOwners(platform_instance_state &State) {
+  using enum control::member_state;
+  if (!State.Core.Limits.StandbyOwners || !State.Peers ||
+      !State.ForwardingClient)
+    return;
+  constexpr base::milliseconds PausedAfter{500};
+  const instant Now = base::now();
+  const instant Before = std::exchange(State.OwnersCheckedAt, Now);
+  if (Now - Before > PausedAfter)
+    return;
+  for (const control::member &Member : State.Peers->view().Members)
+    if (Member.State == Suspect || Member.State == Dead)
+      State.ForwardingClient->abandon(Member.Name);
+}
+
+bool mayForwardTo(const platform_instance_state &State,
+                  std::string_view Instance) {
+  const instant Now = base::now();
+  const control::member *Member = findMember(State.Peers->view(), Instance);
+  return Member != nullptr &&
+         session::mayOwn(State.Peers->view(), *Member, Now) &&
+         State.ForwardingClient->isUsable(Instance, Now);
+}
+
+void noteStandbyUsed(platform_instance_state &State,
+                     const base::endpoint_name &Endpoint,
+                     const session::connection_owners &Owners) {
+  constexpr std::chrono::seconds LogInterval{1};
+  const instant Now = base::now();
+  const auto [Last, First] = State.StandbyLoggedAt.try_emplace(Endpoint, Now);
+  if (!First && Now - Last->second < LogInterval)
+    return;
+  Last->second = Now;
+  base::logEvent(base::log_level::Warning, base::log_part::Endpoints,
+                 "standby_used",
+                 {{"endpoint", Endpoint},
+                  {"owner", Owners.Owner},
+                  {"standby", Owners.Standby}});
+}
+
 } // namespace
 
 void startForwarding(platform_instance_state &State,
@@ -116,6 +192,7 @@
 }
 
 void divideConnections(platform_instance_state &State) {
+  abandonLostOwners(State);
   if (!State.Routes)
     return;
   const std::size_t Instances =
@@ -130,9 +207,10 @@
     if (Service == State.Routes->Services.end())
       continue;
     Pool->setEvacuated(isEvacuated(State.Evacuations, Pool->entry().Zone));
-    Pool->setOwnedElsewhere(!isOwn(State, Name));
+    const session::owner_role Role = ownRole(State, Name);
+    Pool->setOwnedElsewhere(Role != session::owner_role::Owner);
     Pool->setLimits(
-        limitsFor(State, Pool->entry(), Service->second.Connections));
+        session::limitsFor(Role, Service->second.Connections, Instances));
   }
 }
 
@@ -140,16 +218,19 @@
 forwardingLinkTo(platform_instance_state &State,
                  const session::endpoint_entry &Entry,
                  std::string_view Customer, unsigned Priority) {
-  if (isOwn(State, Entry.Name) || !State.ForwardingClient || !State.Peers)
+  if (!State.ForwardingClient || !State.Peers)
     return nullptr;
-  const instant Now = base::now();
-  const base::instance_name &Owner = State.Owners.find(Entry.Name)->second;
-  const control::member *Member = findMember(State.Peers->view(), Owner);
-  if (Member == nullptr ||
-      !session::mayOwn(State.Peers->view(), *Member, Now) ||
-      !State.ForwardingClient->isUsable(Owner, Now))
+  const session::connection_owners Owners = ownersOf(State, Entry.Name);
+  const base::instance_name Runner = session::runnerOf(
+      Owners, State.Settings.Name, [&State](std::string_view Instance) {
+        return mayForwardTo(State, Instance);
+      });
+  if (!Runner.empty() && Runner == Owners.Standby)
+    noteStandbyUsed(State, Entry.Name, Owners);
+  if (Runner.empty() || Runner == State.Settings.Name)
     return nullptr;
-  return State.ForwardingClient->linkTo({Owner, Member->Address}, Entry.Name,
+  const control::member *Member = findMember(State.Peers->view(), Runner);
+  return State.ForwardingClient->linkTo({Runner, Member->Address}, Entry.Name,
                                         std::string(Customer), Priority);
 }
 
--- a/packages/redwinggw/src/platform_instance.cpp
+++ b/packages/redwinggw/src/platform_instance.cpp
@@ -163,6 +163,7 @@
   Endpoints.Factory =
       platform::databaseLinks(Context.get_executor(), Endpoints.Watch);
   platform::useRows(Store, Settings.Platform);
+  Core.Limits.StandbyOwners = Settings.Owners == owner_policy::Capacity;
   Core.Ports = sessionCorePorts(*this);
 }
 
--- a/packages/redwinggw/src/platform_instance_state.hpp
+++ b/packages/redwinggw/src/platform_instance_state.hpp
@@ -17,6 +17,7 @@
 #include "redwinggw/session/forwarding_server.hpp"
 #include "redwinggw/session/handover.hpp"
 #include "redwinggw/session/list_parts.hpp"
+#include "redwinggw/session/owner_assignment.hpp"
 #include "redwinggw/session/session_core.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -71,9 +72,16 @@
   std::unique_ptr<session::forwarding_server> ForwardingServer;
   std::unique_ptr<session::forwarding_client> ForwardingClient;
   /// The instance that owns the connections to each endpoint, as computed here.
-  std::map<base::endpoint_name, base::instance_name, std::less<>> Owners;
-  /// The instances among which Owners was last divided.
+  std::map<base::endpoint_name, session::connection_owners, std::less<>> Owners;
+  /// The instances among which Owners was last divided with
+  /// owner_policy::Hash.
   std::vector<session::owner_candidate> OwnerCandidates;
+  /// The basis of Owners with owner_policy::Capacity.
+  session::owner_assignment Assignment;
+  /// When it was last checked which owners are not heard any more.
+  base::instant OwnersCheckedAt;
+  /// When the use of each endpoint's standby owner was last logged.
+  std::map<base::endpoint_name, base::instant> StandbyLoggedAt;
   /// Connections have to be divided again: endpoints, configuration or
   /// evacuations have changed.
   bool ConnectionsStale = true;
@@ -279,8 +287,9 @@
 /// Recomputes which instance owns each endpoint's connections, how many this
 /// instance may hold, and which endpoints are evacuated.
 void divideConnections(platform_instance_state &State);
-/// A link to an endpoint through the instance that owns its connections; null
-/// when this instance is the owner or the owner cannot be used now.
+/// A link to an endpoint through the instance that owns its connections, or
+/// through the standby owner while the owner cannot be used; null when this
+/// instance is the one to use, or when neither can be used now.
 std::unique_ptr<session::forwarding_link>
 forwardingLinkTo(platform_instance_state &State,
                  const session::endpoint_entry &Entry,
--- a/packages/redwinggw/src/settings.cpp
+++ b/packages/redwinggw/src/settings.cpp
@@ -37,6 +37,11 @@
     {data::queue_policy::Fifo, "fifo"},
 });
 
+constexpr std::array OwnerNames = std::to_array<enum_name<owner_policy>>({
+    {owner_policy::Hash, "hash"},
+    {owner_policy::Capacity, "capacity"},
+});
+
 constexpr std::array KindNames = std::to_array<enum_name<platform_kind>>({
     {platform_kind::Own, "own"},
     {platform_kind::Native, "native"},
@@ -199,6 +204,11 @@
      [](settings &S, const std::string &T) {
        return setEnum(S.Queue, base::valueOf(QueueNames, T));
      }},
+    {"policy.owners", "hash", "hash, capacity",
+     "how endpoints are divided among the instances that own their connections",
+     [](settings &S, const std::string &T) {
+       return setEnum(S.Owners, base::valueOf(OwnerNames, T));
+     }},
     {"policy.try_timeout_ms", "1000", "50 to 60000",
      "timeout of a single try at an endpoint",
      [](settings &S, const std::string &T) {
--- a/packages/redwinggw/src/settings.hpp
+++ b/packages/redwinggw/src/settings.hpp
@@ -15,6 +15,14 @@
 
 enum class rate_policy { Shared, Static };
 
+/// How the instances divide the connections to endpoints among themselves.
+enum class owner_policy {
+  /// By name alone.
+  Hash,
+  /// By capacity, and with a standby owner for each endpoint.
+  Capacity,
+};
+
 /// Which protocols callers, endpoints and the platform speak.
 enum class platform_kind {
   /// Those defined by this project, served by class instance with
@@ -48,6 +56,7 @@
   data::read_policy Reads = data::read_policy::Replicas;
   rate_policy Rate = rate_policy::Shared;
   data::queue_policy Queue = data::queue_policy::Fair;
+  owner_policy Owners = owner_policy::Hash;
   base::milliseconds TryTimeout{1000};
   base::milliseconds ReplicaWait{80};
   base::milliseconds DrainTime{10000};
--- a/packages/session/include/redwinggw/session/forwarding_client.hpp
+++ b/packages/session/include/redwinggw/session/forwarding_client.hpp
@@ -50,6 +50,11 @@
   /// dropped them.
   void closeIdle(std::string_view Owner);
 
+  /// Ends what was forwarded to \p Owner, which does not answer any more:
+  /// statements that were sent may have run, the others have not; transactions
+  /// that are open there are rolled back.
+  void abandon(std::string_view Owner);
+
 private:
   struct state;
   std::shared_ptr<state> State;
--- a/packages/session/include/redwinggw/session/session_core.hpp
+++ b/packages/session/include/redwinggw/session/session_core.hpp
@@ -74,6 +74,10 @@
   double QueueShare = 0.5;
   /// Fraction of the target latency within which a connection has to be set up.
   double SetUpShare = 0.6;
+  /// Endpoints have standby owners: a statement whose owner is lost is
+  /// forwarded again, if it may be retried, before this instance connects to
+  /// the endpoint itself.
+  bool StandbyOwners = false;
 };
 
 /// Limits the log lines about single statements, so that the log costs little
--- a/packages/session/src/forwarding_client.cpp
+++ b/packages/session/src/forwarding_client.cpp
@@ -11,6 +11,8 @@
 #include <list>
 #include <map>
 #include <optional>
+#include <set>
+#include <utility>
 
 namespace redwinggw::session {
 namespace {
@@ -39,10 +41,14 @@
 } // namespace
 
 struct forwarding_client::state : std::enable_shared_from_this<state> {
-  /// An owner, its idle connections, and when it was last lost.
+  class link;
+
+  /// An owner, its idle connections, the links to it, and when it was last
+  /// lost.
   struct owner_connections {
     connection_owner Owner;
     std::list<std::unique_ptr<frame_stream>> Idle;
+    std::set<link *> Links;
     std::optional<instant> LostAt;
   };
 
@@ -51,8 +57,6 @@
       : Executor(std::move(Executor)), Watch(Watch), Secret(std::move(Secret)) {
   }
 
-  class link;
-
   std::unique_ptr<frame_stream> takeIdle(owner_connections &Connections);
   base::task<std::unique_ptr<frame_stream>>
   connect(const connection_owner &Owner, instant Deadline);
@@ -128,13 +132,25 @@
        unsigned Priority)
       : Client(std::move(Client)), Connections(std::move(Connections)),
         Endpoint(std::move(Endpoint)), Customer(std::move(Customer)),
-        Priority(Priority) {}
+        Priority(Priority) {
+    this->Connections->Links.insert(this);
+  }
+  ~link() override { Connections->Links.erase(this); }
 
   base::task<forwarding_reply> run(const link_statement &Statement,
                                    instant WaitUntil,
                                    instant Deadline) override;
   std::string_view owner() const override { return Connections->Owner.Name; }
 
+  /// The owner does not answer any more. False if that was known.
+  bool abandon() {
+    if (std::exchange(Abandoned, true))
+      return false;
+    if (Stream)
+      Stream->close();
+    return true;
+  }
+
 private:
   base::task<bool> open(instant Deadline);
   std::string requestFor(const link_statement &Statement, instant WaitUntil,
@@ -149,6 +165,7 @@
   std::unique_ptr<frame_stream> Stream;
   /// The owner has pinned a connection to the endpoint for an open transaction.
   bool Held = false;
+  bool Abandoned = false;
 };
 
 base::task<bool> forwarding_client::state::link::open(instant Deadline) {
@@ -191,7 +208,12 @@
                                     instant WaitUntil, instant Deadline) {
   forwarding_reply Lost;
   Lost.Failure = forwarding_failure::OwnerLost;
+  // What a transaction had pinned is gone with its connection.
+  if (Abandoned)
+    co_return Lost;
   const bool Opened = co_await open(Deadline);
+  if (Abandoned)
+    co_return Lost;
   if (!Opened) {
     Client->noteLost(*Connections, "cannot connect");
     co_return Lost;
@@ -202,8 +224,9 @@
   forwarding_reply Reply = co_await sendAndReceive(std::move(Bytes));
   if (Reply.Failure == forwarding_failure::OwnerLost) {
     Stream.reset();
-    Client->noteLost(*Connections,
-                     Guard.expired() ? "no answer" : "connection broke");
+    if (!Abandoned)
+      Client->noteLost(*Connections,
+                       Guard.expired() ? "no answer" : "connection broke");
     // It was sent, at least in part, and may have run.
     Reply.Exchange.Outcome =
         Guard.expired() ? exchange_outcome::TimedOut : exchange_outcome::Broken;
@@ -276,6 +299,18 @@
       std::make_shared<const std::string>(std::move(Assembly.Text))};
 }
 
+void forwarding_client::abandon(std::string_view Owner) {
+  const auto Found = State->Owners.find(Owner);
+  if (Found == State->Owners.end())
+    return;
+  const auto Connections = Found->second;
+  Connections->Idle.clear();
+  const auto Ended = std::ranges::count_if(
+      Connections->Links, [](state::link *Link) { return Link->abandon(); });
+  if (Ended > 0)
+    State->noteLost(*Connections, "not heard");
+}
+
 void forwarding_client::closeIdle(std::string_view Owner) {
   const auto Found = State->Owners.find(Owner);
   if (Found != State->Owners.end())
--- a/packages/session/src/try_statement.cpp
+++ b/packages/session/src/try_statement.cpp
@@ -183,8 +183,12 @@
       Placement.Link.release();
     return;
   }
-  // The next attempt bypasses an owner that could not be used.
-  Request.Direct = Placement.Failure != forwarding_failure::None &&
+  // The next attempt bypasses an owner that could not be used. The standby
+  // takes the place of one that is lost.
+  const bool ToStandby = Core.Limits.StandbyOwners &&
+                         Placement.Failure == forwarding_failure::OwnerLost;
+  Request.Direct = !ToStandby &&
+                   Placement.Failure != forwarding_failure::None &&
                    Placement.Failure != forwarding_failure::NoConnection;
   if (!endpointFailed(Core, Placement, Exchange))
     return;
--- a/tests/redwinggw/settings_test.cpp
+++ b/tests/redwinggw/settings_test.cpp
@@ -57,6 +57,15 @@
     cr_assert(!Read(Wrong), "%s", Wrong);
 }
 
+Test(settings, owners_are_chosen_by_hash_unless_told_otherwise) {
+  cr_assert(parseSettings(Valid, "i1.ini", {})->Owners == owner_policy::Hash);
+  cr_assert(
+      parseSettings(Valid, "i1.ini", {{"policy.owners", "capacity"}})->Owners ==
+      owner_policy::Capacity);
+  cr_assert(contains(faultsOf(Valid + "[policy]\nowners = random\n"),
+                     "allowed: hash, capacity"));
+}
+
 Test(settings, an_option_goes_before_the_file) {
   const auto Settings =
       parseSettings(Valid, "i1.ini", {{"instance.zone", "b"}});
--- a/tests/session/owner_assignment_test.cpp
+++ b/tests/session/owner_assignment_test.cpp
@@ -27,8 +27,8 @@
   std::vector<owned_endpoint> Endpoints;
   Endpoints.reserve(Count);
   for (std::size_t Index = 0; Index < Count; ++Index)
-    Endpoints.push_back(
-        {"i-" + std::to_string(Index), "z" + std::to_string(Index % 3)});
+    Endpoints.push_back({std::string("i-").append(std::to_string(Index)),
+                         std::string("z").append(std::to_string(Index % 3))});
   return Endpoints;
 }
 
