--- a/packages/redwinggw/src/settings.hpp
+++ b/packages/redwinggw/src/settings.hpp
@@ -16,6 +16,14 @@
 
 enum class rate_policy { Shared, Static };
 
+/// How the instances divide the connections to endpoints among themselves.
+enum class owner_policy {
+  /// By name alone.
+  Hash,
+  /// By capacity, and with a standby owner for each endpoint.
+  Capacity,
+};
+
 /// Which protocols callers, endpoints and the platform speak.
 enum class platform_kind {
   /// Those defined by this project, served by class instance with
@@ -52,6 +60,7 @@
   rate_policy Rate = rate_policy::Shared;
   data::queue_policy Queue = data::queue_policy::Fair;
   session::connection_policy Connections = session::connection_policy::Recent;
+  owner_policy Owners = owner_policy::Hash;
   base::milliseconds TryTimeout{1000};
   base::milliseconds ReplicaWait{80};
   base::milliseconds DrainTime{10000};
