Leave a relay's own demands out of answers while buckets are centralized

An answer carries the sums of demand of the fleet, which include the relay's own demands, and those demands once more. The latter only tell the receiver which instance has tokens to transfer. While one instance owns each bucket nobody transfers any, so they are left out then; the receiver keeps the version that it has and gets the changes after it when they are sent again.

--- a/packages/control/include/redwinggw/control/demand_changes.hpp
+++ b/packages/control/include/redwinggw/control/demand_changes.hpp
@@ -80,7 +80,10 @@
 void writeDemands(const published_demands &Published, std::uint32_t Held,
                   wire::peer_report &Report);
 
-/// The same for the sums in \p Digest.
+/// Leaves the demands out of \p Report: the receiver keeps version \p Held.
+void leaveDemands(std::uint32_t Held, wire::peer_report &Report);
+
+/// The same as writeDemands for the sums in \p Digest.
 void writeSums(const published_sums &Published, std::uint32_t Held,
                wire::demand_digest &Digest);
 
--- a/packages/control/src/demand_changes.cpp
+++ b/packages/control/src/demand_changes.cpp
@@ -161,6 +161,11 @@
   Report.Demands = changedAfter(Published.Demands, Base);
 }
 
+void leaveDemands(std::uint32_t Held, wire::peer_report &Report) {
+  Report.DemandRange = {Held, Held};
+  Report.Demands.clear();
+}
+
 void writeSums(const published_sums &Published, std::uint32_t Held,
                wire::demand_digest &Digest) {
   if (Published.Version == 0)
--- a/packages/control/src/membership_reports.cpp
+++ b/packages/control/src/membership_reports.cpp
@@ -284,9 +284,17 @@
     return;
   // What the receiver held of a former process says nothing about this one.
   const bool Known = Last.EchoIncarnation == Membership.Self.Incarnation;
-  writeDemands(Membership.PublishedDemands, Known ? Last.HeldDemands : 0,
-               Report);
+  const std::uint32_t HeldDemands = Known ? Last.HeldDemands : 0;
   wire::fleet_digest &Digest = Report.Digest;
+  // The sums include this instance's demands. By themselves they only tell
+  // which instance has tokens to transfer, and nobody transfers any while one
+  // instance owns each bucket.
+  const bool Needed = Digest.Scope != wire::digest_scope::Fleet ||
+                      !Membership.Local.CentralizesBuckets;
+  if (Needed)
+    writeDemands(Membership.PublishedDemands, HeldDemands, Report);
+  else
+    leaveDemands(HeldDemands, Report);
   const std::uint32_t Held = Known ? heldSums(Last, Digest.Scope) : 0;
   if (Digest.Scope == wire::digest_scope::Zone)
     writeSums(Membership.PublishedZone, Held, Digest.Demands);
--- a/tests/control/demand_changes_test.cpp
+++ b/tests/control/demand_changes_test.cpp
@@ -124,6 +124,29 @@
   cr_assert(allHold(Fleet, Reporter, Sender.Local.Demands));
 }
 
+// Guards against demands that a relay left out of its answers, and that are
+// missing when they decide again.
+Test(demand_changes, are_complete_after_some_were_left_out) {
+  fleet Fleet = runningFleet();
+  membership &Relay = Fleet.Instances[1].Membership;
+  cr_assert(Relay.Relay);
+  const auto Held = [&] {
+    const membership &Membership = Fleet.Instances[Reporter].Membership;
+    return findMember(Membership, nameOf(1))->Report.Demands;
+  };
+  Relay.Local.Demands = {{1, 4, 0}, {2, 5, 0}};
+  run(Fleet, milliseconds(600));
+  cr_assert(Held() == Relay.Local.Demands);
+  const demand_list Before = Relay.Local.Demands;
+  Relay.Local.CentralizesBuckets = true;
+  Relay.Local.Demands = {{2, 9, 0}, {3, 1, 0}};
+  run(Fleet, milliseconds(600));
+  cr_assert(Held() == Before);
+  Relay.Local.CentralizesBuckets = false;
+  run(Fleet, milliseconds(600));
+  cr_assert(Held() == Relay.Local.Demands);
+}
+
 // Guards against changes to an unknown version that are taken for all sums:
 // customers without an entry would count as idle.
 Test(demand_changes, to_sums_that_are_not_held_take_no_effect) {
