Read the list of the fleet only for short datagrams of unlisted senders

A short datagram for another instance had the effect of one from an instance that is not listed: the rows of the fleet were read again. Only the latter does now.

peer_service_test passes.

--- a/packages/control/src/peer_service.cpp
+++ b/packages/control/src/peer_service.cpp
@@ -144,7 +144,10 @@
     return;
   }
   if (!resolveNames(Membership, *Datagram)) {
-    if (UnlistedHandler)
+    const bool Unlisted =
+        Datagram->Hashes &&
+        findByHash(Membership, Datagram->Hashes->Sender) == nullptr;
+    if (Unlisted && UnlistedHandler)
       UnlistedHandler();
     return;
   }
