--- a/packages/session/include/redwinggw/session/check_out.hpp
+++ b/packages/session/include/redwinggw/session/check_out.hpp
@@ -9,8 +9,10 @@
   slot_level Level = slot_level::Normal;
   base::customer_name Customer;
   session_values Values;
-  /// Until when to wait for a slot, and for a connection.
+  /// Until when to wait for a slot. With connection_policy::Demand also for a
+  /// connection, since it is known when one is expected.
   base::instant SlotUntil;
+  /// Until when to wait for a connection with connection_policy::Recent.
   base::instant ConnectionUntil;
   /// Until when a connection may be set up; when this has passed, only without
   /// waiting, and never after Deadline.
