--- a/packages/redwinggw/src/platform_endpoint_owners.cpp
+++ b/packages/redwinggw/src/platform_endpoint_owners.cpp
@@ -63,7 +63,7 @@
                 const base::endpoint_name &Endpoint,
                 session::connection_owners Owners) {
   auto &Known = State.Owners[Endpoint];
-  if (Known.Owner != Owners.Owner)
+  if (Known != Owners)
     logOwner(Endpoint, Known.Owner, Owners, State.Core.Limits.StandbyOwners);
   Known = std::move(Owners);
 }
@@ -143,7 +143,7 @@
     return;
   for (const control::member &Member : State.Peers->view().Members)
     if (Member.State == Suspect || Member.State == Dead)
-      State.ForwardingClient->abandon(Member.Name);
+      State.ForwardingClient->abandon(Member.Name, Now);
 }
 
 bool mayForwardTo(const platform_instance_state &State,
--- a/packages/session/include/redwinggw/session/forwarding_client.hpp
+++ b/packages/session/include/redwinggw/session/forwarding_client.hpp
@@ -52,8 +52,9 @@
 
   /// Ends what was forwarded to \p Owner, which does not answer any more:
   /// statements that were sent may have run, the others have not; transactions
-  /// that are open there are rolled back.
-  void abandon(std::string_view Owner);
+  /// that are open there are rolled back. No effect while it has answered a
+  /// statement recently: then only its heartbeats are lost.
+  void abandon(std::string_view Owner, base::instant Now);
 
 private:
   struct state;
--- a/packages/session/src/forwarding_client.cpp
+++ b/packages/session/src/forwarding_client.cpp
@@ -25,6 +25,9 @@
 /// How long an owner is not used after it left a statement without an answer;
 /// by then its heartbeats show whether it is up.
 constexpr milliseconds LostPause{1000};
+/// How long an answer shows that an owner is up although its heartbeats are
+/// missing: as long as the heartbeats of one that is up may be missing.
+constexpr milliseconds AliveFor{650};
 /// A connection between instances is established within a few round trips.
 constexpr milliseconds ConnectTime{200};
 /// How much earlier the owner gives up than the caller's instance does, so that
@@ -44,12 +47,13 @@
   class link;
 
   /// An owner, its idle connections, the links to it, and when it was last
-  /// lost.
+  /// lost and answered last.
   struct owner_connections {
     connection_owner Owner;
     std::list<std::unique_ptr<frame_stream>> Idle;
     std::set<link *> Links;
     std::optional<instant> LostAt;
+    std::optional<instant> AnsweredAt;
   };
 
   state(asio::any_io_executor Executor, deadline_watch &Watch,
@@ -232,6 +236,7 @@
         Guard.expired() ? exchange_outcome::TimedOut : exchange_outcome::Broken;
     co_return Reply;
   }
+  Connections->AnsweredAt = base::now();
   // A connection is reused only if the owner certainly has nothing pinned for
   // it: that of a transaction is closed after every end but its commit or
   // rollback.
@@ -299,11 +304,14 @@
       std::make_shared<const std::string>(std::move(Assembly.Text))};
 }
 
-void forwarding_client::abandon(std::string_view Owner) {
+void forwarding_client::abandon(std::string_view Owner, instant Now) {
   const auto Found = State->Owners.find(Owner);
   if (Found == State->Owners.end())
     return;
   const auto Connections = Found->second;
+  const auto Answered = Connections->AnsweredAt;
+  if (Answered && Now - *Answered < AliveFor)
+    return;
   Connections->Idle.clear();
   const auto Ended = std::ranges::count_if(
       Connections->Links, [](state::link *Link) { return Link->abandon(); });
--- a/tests/session/standby_owner_test.cpp
+++ b/tests/session/standby_owner_test.cpp
@@ -88,7 +88,7 @@
     Timer.expires_after(std::chrono::milliseconds(30));
     Timer.async_wait([this](boost::system::error_code) {
       First.Suspect = "owner";
-      First.Client.abandon("owner");
+      First.Client.abandon("owner", base::now());
     });
   }
 
@@ -189,7 +189,11 @@
   caller_session Session = Core.open("strict");
   Core.run(Session, statement_kind::Begin, "BEGIN");
   cr_assert(!Core.write(Session).Error);
-  Fleet.First.Client.abandon("owner");
+  // Guards against the loss of what a living owner runs when only its
+  // heartbeats are missing.
+  Fleet.First.Client.abandon("owner", base::now());
+  cr_assert(!Core.write(Session).Error);
+  Fleet.First.Client.abandon("owner", base::now() + std::chrono::seconds(1));
   const std::size_t Before = Fleet.Group.Received.size();
   cr_assert(failedWith(Core.run(Session, statement_kind::Commit, "COMMIT"),
                        answer_code::Aborted));
