Grant from a successor's reserve while a bucket owner does not answer

Cause: for up to two seconds after the loss of a bucket owner nobody knows what is left of its customers' rates, so they are refused within them.

Weighed: admitting by the fleet's demand (spends more than the rate when a flood begins as the owner dies) and tokens that the owner hands out in advance (lost with the successor, and unused most of the time). A part of the excess that operators tolerate needs no agreement with the owner: it may be spent whether the owner is alive or not.

Changed: bucket_reserve has the bound as a proof, from which the owner's constants beside a reserve follow; the second candidate by rendezvous weight grants a fraction of the excess in any window, once it has held that place for longer than a window. bucket_requests has the order in which an instance asks. The messages about centralized buckets move to platform_buckets.cpp. New wire kind TakeReserve, metric step "reserve", log line bucket_reserve_used, settings policy.bucket_reserve and rates.*. A process that was frozen grants nothing from a centralized bucket before it has recomputed the owners, where reserves are on: it kept a full bucket beside the next owner's.

With policy.bucket_reserve = 0 limits, decisions and datagrams are as before.

Conclusion: every window stays within the bound in the tests of a dead, frozen, partly unreachable and cut-off owner, owners that die in turn, and the loss of all twice, also when all that reserves grant is used up. With the owner's part unshrunk, the reserve doubled, the hold time 0 or the frozen process unchecked, one of these tests or of the unit tests fails.

--- a/packages/control/include/redwinggw/control/demand_shares.hpp
+++ b/packages/control/include/redwinggw/control/demand_shares.hpp
@@ -110,6 +110,21 @@
   base::milliseconds MaxStartupTime{10000};
   /// An instance that was isolated for this long admits half of its share.
   base::milliseconds IsolatedAfter{1500};
+  /// \name Initial tokens of a fleet in which nobody owned a bucket before
+  ///
+  /// In addition to the rate of the time since the start, a part of what
+  /// operators tolerate beyond rate and burst that RateSlack and ExtraTokens
+  /// leave unused: less than half of it, since all instances may be lost twice
+  /// within one window.
+  /// @{
+  double InitialSlackSeconds = 0.1;
+  double InitialBurstFraction = 0.04;
+  double InitialExtraTokens = 2.5;
+  /// @}
+  /// A centralized bucket grants nothing when the shares were last recomputed
+  /// longer ago than this: the process was frozen and may not own it any more.
+  /// It then chooses owners as if it had lost contact. Nothing: no limit.
+  std::optional<base::milliseconds> MaxUpdateAge;
 };
 
 /// The account of one customer in this instance. Tokens may be negative:
@@ -235,6 +250,11 @@
 void divideRates(demand_shares &Shares, const membership &Membership,
                  bool InContact, base::instant Now);
 
+/// Whether \p Account is centralized and the shares were last recomputed too
+/// long ago to know who owns its bucket; see demand_limits::MaxUpdateAge.
+bool isOutdated(const demand_shares &Shares, const demand_account &Account,
+                base::instant Now);
+
 /// Leaves this instance's shares to the others: from now on it announces no
 /// demand and admits the idle share only. For an instance that sends its
 /// callers away.
--- a/packages/control/src/centralized_buckets.cpp
+++ b/packages/control/src/centralized_buckets.cpp
@@ -23,18 +23,9 @@
 /// Instances that start together know the owners after about this time.
 constexpr base::milliseconds UsualStartupTime{400};
 
-/// \name Initial tokens of a fleet in which nobody owned a bucket before
-///
-/// The rate of the time since the start, in which nobody was served, and a part
-/// of what operators tolerate beyond rate and burst that RateSlack and
-/// ExtraTokens leave unused: less than half of it, since all instances may be
-/// lost twice within one window.
-/// @{
+/// A new owner of a fleet in which nobody owned a bucket before starts with the
+/// rate of the time since the start, in which nobody was served, up to this.
 constexpr base::milliseconds MaxInitialTime{800};
-constexpr double InitialSlackSeconds = 0.1;
-constexpr double InitialBurstFraction = 0.04;
-constexpr double InitialExtraTokens = 2.5;
-/// @}
 
 /// How long after its last contact with a majority an instance begins to divide
 /// rates.
@@ -90,9 +81,10 @@
       std::chrono::duration<double>(
           std::min<base::microseconds>(Uptime, MaxInitialTime))
           .count() +
-      InitialSlackSeconds;
-  return Seconds * Account.Rate + InitialBurstFraction * Account.Burst +
-         InitialExtraTokens;
+      Shares.Limits.InitialSlackSeconds;
+  return Seconds * Account.Rate +
+         Shares.Limits.InitialBurstFraction * Account.Burst +
+         Shares.Limits.InitialExtraTokens;
 }
 
 void setOwner(demand_account &Account, std::uint32_t Owner, instant From,
@@ -156,6 +148,11 @@
   return Found == Shares.Accounts.end() ? nullptr : &Found->second;
 }
 
+bool wasFrozen(const demand_shares &Shares, instant Now) {
+  return Shares.Limits.MaxUpdateAge && Shares.LastCentralizedAt &&
+         Now - *Shares.LastCentralizedAt > *Shares.Limits.MaxUpdateAge;
+}
+
 } // namespace
 
 void centralizeBuckets(demand_shares &Shares, const membership &Membership,
@@ -163,6 +160,10 @@
   Shares.AwaitsOwners = usesRelays(Membership) && !Shares.StartupDone;
   const bool Centralizes = usesRelays(Membership) && Shares.StartupDone &&
                            InContact && inContactWithMajority(Membership, Now);
+  // Another owner may have been chosen while this process was frozen: begin
+  // again, without the tokens from before.
+  if (wasFrozen(Shares, Now))
+    Shares.CentralizedSince.reset();
   if (Centralizes) {
     chooseOwners(Shares, Membership, Now);
     Shares.LastCentralizedAt = Now;
@@ -221,7 +222,8 @@
 grantToken(demand_shares &Shares, std::string_view Customer, unsigned Priority,
            microseconds MaxWait, instant Now) {
   demand_account *Account = accountOf(Shares, Customer);
-  if (Account == nullptr || !Account->OwnedHere)
+  if (Account == nullptr || !Account->OwnedHere ||
+      isOutdated(Shares, *Account, Now))
     return std::nullopt;
   fillBucket(Shares, *Account, Now);
   const double Needed = 1 + tokensReserved(Shares, *Account, Priority);
--- a/packages/control/src/demand_shares.cpp
+++ b/packages/control/src/demand_shares.cpp
@@ -296,6 +296,13 @@
   return std::max(0.0, Account.Tokens - OwnReserve);
 }
 
+bool isOutdated(const demand_shares &Shares, const demand_account &Account,
+                instant Now) {
+  return Shares.Limits.MaxUpdateAge && Account.Centralized &&
+         Shares.LastCentralizedAt &&
+         Now - *Shares.LastCentralizedAt > *Shares.Limits.MaxUpdateAge;
+}
+
 void yieldRates(demand_shares &Shares) { Shares.GaveUpShare = true; }
 
 namespace {
@@ -371,6 +378,9 @@
     return {};
   demand_account &Account = Found->second;
   countDemand(Shares, Account, Now);
+  constexpr base::microseconds Never{1'000'000};
+  if (isOutdated(Shares, Account, Now))
+    return {false, false, Never};
   fillBucket(Shares, Account, Now);
   if (hasLowDemand(Shares, Account)) {
     Account.Tokens = std::max(-Shares.Limits.MaxDebt, Account.Tokens - 1);
@@ -380,7 +390,6 @@
   if (Account.Tokens >= Needed)
     return take(Account, {});
   const double FillRate = fillRate(Shares, Account);
-  constexpr base::microseconds Never{1'000'000};
   if (FillRate <= 0)
     return {false, false, Never};
   const base::microseconds Wait(
--- a/packages/control/src/token_transfer.cpp
+++ b/packages/control/src/token_transfer.cpp
@@ -54,7 +54,8 @@
 double withdrawSpareTokens(demand_shares &Shares, std::string_view Customer,
                            double Wanted, instant Now) {
   const auto Found = Shares.Accounts.find(Customer);
-  if (Found == Shares.Accounts.end() || !Found->second.EnforcesShare)
+  if (Found == Shares.Accounts.end() || !Found->second.EnforcesShare ||
+      isOutdated(Shares, Found->second, Now))
     return 0;
   demand_account &Account = Found->second;
   fillBucket(Shares, Account, Now);
--- /dev/null
+++ b/packages/redwinggw/src/platform_buckets.cpp
@@ -0,0 +1,257 @@
+#include "platform_instance_state.hpp"
+
+#include "redwinggw/base/log.hpp"
+
+#include <algorithm>
+#include <utility>
+
+/// Admission by a customer's bucket that one instance owns, and by the reserve
+/// of the owner's successor.
+///
+/// Take asks a bucket's owner for one operation's token, and TakeReserve its
+/// successor. Grant answers either, also where there is no token; Moved does
+/// when the receiver has neither the bucket nor a reserve. Number identifies
+/// the request.
+namespace redwinggw {
+namespace {
+
+using base::instant;
+using base::milliseconds;
+using control::bucket_owner_answer;
+using control::token_source;
+
+/// An instance answers within a round trip; one that is slow or gone is not
+/// waited for.
+constexpr milliseconds AnswerTimeout{40};
+
+/// Interval between two attempts for one operation: the answer may have been
+/// lost, or the owner not have been chosen there yet.
+constexpr milliseconds RetryInterval{30};
+
+/// The operation that a token is for.
+struct token_need {
+  std::string Customer;
+  unsigned Priority = 0;
+  base::microseconds Patience{0};
+};
+
+/// The instances that may have a token of a customer. Copies of their names:
+/// members may go while an answer is awaited.
+struct token_sources {
+  base::instance_name Owner;
+  /// Empty when this instance is the successor, or nobody is.
+  base::instance_name Successor;
+  std::vector<token_source> Plan;
+};
+
+wire::share_message answerTo(const wire::share_message &Request,
+                             wire::share_kind Kind) {
+  wire::share_message Answer;
+  Answer.Kind = Kind;
+  Answer.Number = Request.Number;
+  return Answer;
+}
+
+/// Takes a token out of the reserve that this instance has for \p Customer, if
+/// it has one.
+std::optional<bucket_owner_answer>
+takeFromReserve(platform_instance_state &State,
+                const base::customer_name &Customer) {
+  const auto Answer =
+      grantFromReserve(State.Reserves, State.Shares, Customer, base::now());
+  if (Answer && Answer->Granted) {
+    countTokens(State, Customer, "reserve", 1);
+    ++State.ReserveUse[Customer].Granted;
+  }
+  return Answer;
+}
+
+/// A token of the bucket that this instance owns; out of its reserve while it
+/// is only the next owner.
+std::optional<bucket_owner_answer>
+takeForOther(platform_instance_state &State, wire::share_kind Kind,
+             const wire::share_entry &Entry) {
+  std::optional<bucket_owner_answer> Answer;
+  if (Kind == wire::share_kind::Take)
+    Answer = grantToken(State.Shares, Entry.Customer, Entry.Priority,
+                        base::microseconds(Entry.WaitUs), base::now());
+  if (!Answer)
+    return takeFromReserve(State, Entry.Customer);
+  countTokens(State, Entry.Customer, "given", Answer->Granted ? 1 : 0);
+  return Answer;
+}
+
+/// Answers a request for one operation's token.
+void answerTake(platform_instance_state &State, const base::instance_name &To,
+                const wire::share_message &Request) {
+  if (Request.Entries.size() != 1)
+    return;
+  const wire::share_entry &Entry = Request.Entries.front();
+  const auto Answer = takeForOther(State, Request.Kind, Entry);
+  if (!Answer) {
+    State.Peers->send(To, answerTo(Request, wire::share_kind::Moved));
+    return;
+  }
+  wire::share_message Grant = answerTo(Request, wire::share_kind::Grant);
+  const float Given = Answer->Granted ? 1 : 0;
+  Grant.Entries.push_back({Entry.Customer, Given,
+                           static_cast<std::uint32_t>(Answer->Wait.count()), 0,
+                           Entry.Priority});
+  State.Peers->send(To, std::move(Grant));
+}
+
+/// Hands an answer to the operation that waits for it. True when there was one.
+bool acceptAnswer(platform_instance_state &State,
+                  const wire::share_message &Answer) {
+  const bool Grants = Answer.Kind == wire::share_kind::Grant;
+  const auto Asked = State.BucketOwnerAnswers.find(Answer.Number);
+  if (Asked == State.BucketOwnerAnswers.end() ||
+      (!Grants && Answer.Kind != wire::share_kind::Moved))
+    return false;
+  if (Grants && Answer.Entries.size() == 1) {
+    const wire::share_entry &Entry = Answer.Entries.front();
+    Asked->second =
+        bucket_owner_answer{Entry.Tokens > 0, base::microseconds(Entry.WaitUs)};
+  }
+  State.TokenWaits.wake(Answer.Number);
+  return true;
+}
+
+wire::share_message requestFor(const token_need &Need, wire::share_kind Kind,
+                               std::uint64_t Number) {
+  wire::share_message Message;
+  Message.Kind = Kind;
+  Message.Number = Number;
+  constexpr unsigned LeastUrgent = UINT8_MAX;
+  Message.Entries.push_back(
+      {Need.Customer, 1, static_cast<std::uint32_t>(Need.Patience.count()), 0,
+       static_cast<std::uint8_t>(std::min(Need.Priority, LeastUrgent))});
+  return Message;
+}
+
+/// Asks \p Instance for a token. Nothing when it did not answer or has neither
+/// the bucket nor a reserve.
+base::task<std::optional<bucket_owner_answer>>
+requestToken(platform_instance_state &State, std::string Instance,
+             wire::share_kind Kind, token_need Need) {
+  const std::uint64_t Number = State.TokenWaits.nextNumber();
+  const instant Sent = base::now();
+  State.BucketOwnerAnswers[Number];
+  bool Answered = false;
+  if (State.Peers->send(Instance, requestFor(Need, Kind, Number)))
+    Answered = co_await State.TokenWaits.wait(Number, Sent + AnswerTimeout);
+  noteRequest(State.BucketRequests, Instance, Answered, Sent);
+  const auto Answer = State.BucketOwnerAnswers.extract(Number);
+  co_return Answer.mapped();
+}
+
+/// Where to ask for a token; no owner when this instance is the owner or the
+/// next one.
+token_sources sourcesOf(const platform_instance_state &State,
+                        const std::string &Customer) {
+  token_sources Sources;
+  if (!State.Peers)
+    return Sources;
+  const auto &View = State.Peers->view();
+  const control::member *Owner = bucketOwner(State.Shares, View, Customer);
+  if (Owner == nullptr)
+    return Sources;
+  Sources.Owner = Owner->Name;
+  Sources.Plan = {token_source::Owner};
+  if (!usesReserves(State.Reserves.Limits))
+    return Sources;
+  const control::member *Successor =
+      bucketSuccessor(State.Reserves, View, Customer);
+  Sources.Successor = Successor == nullptr ? "" : Successor->Name;
+  Sources.Plan =
+      planRequests(State.BucketRequests, *Owner, Successor, base::now());
+  return Sources;
+}
+
+base::task<std::optional<bucket_owner_answer>>
+requestFrom(platform_instance_state &State, token_source Source,
+            token_sources Sources, token_need Need) {
+  if (Source == token_source::Owner)
+    co_return co_await requestToken(State, Sources.Owner,
+                                    wire::share_kind::Take, Need);
+  if (Sources.Successor.empty())
+    co_return takeFromReserve(State, Need.Customer);
+  co_return co_await requestToken(State, Sources.Successor,
+                                  wire::share_kind::TakeReserve, Need);
+}
+
+/// Asks those that may have a token in turn, until one has answered.
+base::task<std::optional<bucket_owner_answer>>
+requestInTurn(platform_instance_state &State, token_sources Sources,
+              token_need Need) {
+  for (const token_source Source : Sources.Plan) {
+    const auto Answer = co_await requestFrom(State, Source, Sources, Need);
+    if (Answer)
+      co_return Answer;
+  }
+  co_return std::nullopt;
+}
+
+void countUnanswered(platform_instance_state &State,
+                     const base::customer_name &Customer) {
+  countTokens(State, Customer, "unanswered", 1);
+}
+
+} // namespace
+
+base::task<control::demand_verdict>
+admitByBucketOwner(platform_instance_state &State, std::string Customer,
+                   unsigned Priority, base::microseconds Patience,
+                   control::demand_verdict Here) {
+  const token_need Need{Customer, Priority, Patience};
+  const instant Until = base::now() + Patience;
+  while (true) {
+    const token_sources Sources = sourcesOf(State, Customer);
+    if (Sources.Owner.empty()) {
+      // This instance owns the bucket, which is empty, or is the next owner.
+      const auto Answer = takeFromReserve(State, Customer);
+      co_return Answer ? verdictFromOwner(State.Shares, Customer, *Answer)
+                       : Here;
+    }
+    const auto Answer = co_await requestInTurn(State, Sources, Need);
+    if (Answer)
+      co_return verdictFromOwner(State.Shares, Customer, *Answer);
+    countUnanswered(State, Customer);
+    if (base::now() + RetryInterval >= Until)
+      break;
+    co_await pauseWithJitter(State, RetryInterval);
+  }
+  Here.Wait = control::NextOwnerWithin;
+  co_return Here;
+}
+
+bool acceptBucketMessage(platform_instance_state &State,
+                         const wire::datagram &Datagram,
+                         const wire::share_message &Message) {
+  if (acceptAnswer(State, Message))
+    return true;
+  if (Message.Kind != wire::share_kind::Take &&
+      Message.Kind != wire::share_kind::TakeReserve)
+    return false;
+  answerTake(State, Datagram.Sender, Message);
+  return true;
+}
+
+void logReserveUse(platform_instance_state &State) {
+  constexpr milliseconds LogInterval{1000};
+  const instant Now = base::now();
+  for (auto &[Customer, Use] : State.ReserveUse) {
+    if (Use.Granted == 0 || (Use.LoggedAt && Now - *Use.LoggedAt < LogInterval))
+      continue;
+    const control::member *Owner =
+        bucketOwner(State.Shares, State.Peers->view(), Customer);
+    base::logEvent(
+        base::log_level::Info, base::log_part::Shares, "bucket_reserve_used",
+        {{"customer", Customer},
+         {"owner", Owner == nullptr ? State.Settings.Name : Owner->Name},
+         {"granted", std::to_string(Use.Granted)}});
+    Use = {0, Now};
+  }
+}
+
+} // namespace redwinggw
--- a/packages/redwinggw/src/platform_heartbeats.cpp
+++ b/packages/redwinggw/src/platform_heartbeats.cpp
@@ -118,6 +118,8 @@
   const bool InContact = mayTrustClaims(State);
   divideRates(State.Shares, State.Peers->view(), InContact, Now);
   centralizeBuckets(State.Shares, State.Peers->view(), InContact, Now);
+  updateReserves(State.Reserves, State.Shares, State.Peers->view(), Now);
+  logReserveUse(State);
   Report.CentralizesBuckets = hasCentralizedBuckets(State.Shares, Now);
   Report.Groups = groupReports(State);
   Report.EvacuationVersion = State.Evacuations.Version;
--- a/packages/redwinggw/src/platform_instance.cpp
+++ b/packages/redwinggw/src/platform_instance.cpp
@@ -163,6 +163,9 @@
   Endpoints.Factory =
       platform::databaseLinks(Context.get_executor(), Endpoints.Watch);
   platform::useRows(Store, Settings.Platform);
+  Reserves.Limits.Bound = Settings.RateBound;
+  Reserves.Limits.Fraction = Settings.BucketReserve;
+  Shares.Limits = limitsBesideReserve(Reserves.Limits, Shares.Limits);
   Core.Ports = sessionCorePorts(*this);
 }
 
--- a/packages/redwinggw/src/platform_instance_state.hpp
+++ b/packages/redwinggw/src/platform_instance_state.hpp
@@ -5,6 +5,8 @@
 #include "platform/caller_listener.hpp"
 #include "platform/row_store.hpp"
 
+#include "redwinggw/control/bucket_requests.hpp"
+#include "redwinggw/control/bucket_reserve.hpp"
 #include "redwinggw/control/centralized_buckets.hpp"
 #include "redwinggw/control/demand_shares.hpp"
 #include "redwinggw/control/peer_service.hpp"
@@ -87,6 +89,15 @@
   /// unanswered.
   std::map<std::uint64_t, std::optional<control::bucket_owner_answer>>
       BucketOwnerAnswers;
+  control::bucket_reserves Reserves;
+  control::bucket_requests BucketRequests;
+  /// Tokens granted from reserves that no log line has reported yet, and when
+  /// the last line was written.
+  struct reserve_use {
+    std::uint64_t Granted = 0;
+    std::optional<base::instant> LoggedAt;
+  };
+  std::map<base::customer_name, reserve_use, std::less<>> ReserveUse;
   session::primary_claims Claims;
   session::handover_limits Handover;
   /// Services whose primary this instance is replacing.
@@ -269,6 +280,23 @@
                                               base::microseconds Patience);
 /// Registers the handler of messages about tokens with the peer service.
 void connectTokenTransfers(platform_instance_state &State);
+/// Admits an operation by a bucket that another instance owns, or by a reserve.
+/// \p Here is the verdict of this instance's own bucket.
+base::task<control::demand_verdict>
+admitByBucketOwner(platform_instance_state &State, std::string Customer,
+                   unsigned Priority, base::microseconds Patience,
+                   control::demand_verdict Here);
+/// Handles a message about a centralized bucket; false when it is another one.
+bool acceptBucketMessage(platform_instance_state &State,
+                         const wire::datagram &Datagram,
+                         const wire::share_message &Message);
+/// Logs which customers were granted tokens from a reserve, at most once a
+/// second for each.
+void logReserveUse(platform_instance_state &State);
+/// Counts tokens that were transferred between instances or granted.
+void countTokens(platform_instance_state &State,
+                 const base::customer_name &Customer, std::string_view Step,
+                 double Tokens);
 /// @}
 
 /// \name Connections to endpoints
--- a/packages/redwinggw/src/settings.cpp
+++ b/packages/redwinggw/src/settings.cpp
@@ -75,18 +75,27 @@
   return true;
 }
 
-bool setCapacity(double &Field, const std::string &Text) {
+bool setNumber(double &Field, const std::string &Text, double Min, double Max) {
   double Value = 0;
   const char *Last = Text.data() + Text.size();
   const auto [End, Code] = std::from_chars(Text.data(), Last, Value);
-  constexpr double Max = 1e6;
   // Written so that NaN is refused too.
-  if (Code != std::errc() || End != Last || !(Value >= 0 && Value <= Max))
+  if (Code != std::errc() || End != Last || !(Value >= Min && Value <= Max))
     return false;
   Field = Value;
   return true;
 }
 
+bool setSeconds(base::milliseconds &Field, const std::string &Text, double Min,
+                double Max) {
+  double Value = 0;
+  if (!setNumber(Value, Text, Min, Max))
+    return false;
+  Field = std::chrono::round<base::milliseconds>(
+      std::chrono::duration<double>(Value));
+  return true;
+}
+
 bool setText(std::string &Field, const std::string &Text) {
   Field = Text;
   return !Text.empty();
@@ -123,7 +132,7 @@
     {"instance.capacity", "0", CapacityAllowed,
      "how much work it can take compared with other instances",
      [](settings &S, const std::string &T) {
-       return setCapacity(S.Capacity, T);
+       return setNumber(S.Capacity, T, 0, 1e6);
      }},
     {"listen.callers", "", AddressAllowed, "where callers connect (TCP)",
      [](settings &S, const std::string &T) {
@@ -214,6 +223,27 @@
      [](settings &S, const std::string &T) {
        return setMilliseconds(S.DrainTime, T, 0, 600000);
      }},
+    {"policy.bucket_reserve", "0", "a number from 0 to 0.5",
+     "part of the tolerated excess that is granted while a bucket owner does "
+     "not answer; the same at all instances",
+     [](settings &S, const std::string &T) {
+       return setNumber(S.BucketReserve, T, 0, 0.5);
+     }},
+    {"rates.window_s", "5", "empty, or a number of seconds from 0.1 to 3600",
+     "a customer's operations are bounded in any window of this length",
+     [](settings &S, const std::string &T) {
+       return T.empty() || setSeconds(S.RateBound.Window, T, 0.1, 3600);
+     }},
+    {"rates.overshoot", "0.1", "empty, or a number from 0 to 10",
+     "part of rate x window + burst that is tolerated in addition to it",
+     [](settings &S, const std::string &T) {
+       return T.empty() || setNumber(S.RateBound.Overshoot, T, 0, 10);
+     }},
+    {"rates.extra_tokens", "20", "empty, or a number from 0 to 1000000",
+     "operations that are tolerated in a window in addition to that",
+     [](settings &S, const std::string &T) {
+       return T.empty() || setNumber(S.RateBound.ExtraTokens, T, 0, 1e6);
+     }},
 });
 
 /// A line of the file that sets a key.
--- a/packages/redwinggw/src/settings.hpp
+++ b/packages/redwinggw/src/settings.hpp
@@ -3,6 +3,7 @@
 #include "redwinggw/base/error.hpp"
 #include "redwinggw/base/log.hpp"
 #include "redwinggw/base/time.hpp"
+#include "redwinggw/control/rate_bound.hpp"
 #include "redwinggw/data/fair_queue.hpp"
 #include "redwinggw/data/routing.hpp"
 #include "redwinggw/http/address.hpp"
@@ -51,6 +52,10 @@
   base::milliseconds TryTimeout{1000};
   base::milliseconds ReplicaWait{80};
   base::milliseconds DrainTime{10000};
+  /// Fraction of the excess that RateBound tolerates which the successor of a
+  /// bucket owner grants while the owner does not answer; 0: nothing.
+  double BucketReserve = 0;
+  control::rate_bound RateBound;
 };
 
 /// A value that replaces one of the file; Key is "section.key".
--- a/packages/wire/include/redwinggw/wire/message.hpp
+++ b/packages/wire/include/redwinggw/wire/message.hpp
@@ -146,6 +146,8 @@
             ///< partition, or not the bucket owner
   Take,     ///< asks the bucket owner for the token of one operation; WaitUs:
             ///< how long the operation can wait for it
+  TakeReserve, ///< the same, of the successor of a bucket owner that does not
+               ///< answer; the token comes out of its reserve
 };
 
 /// The entry of one customer in a share message.
--- /dev/null
+++ b/tests/control/bucket_reserve_test.cpp
@@ -0,0 +1,242 @@
+#include "reserve_fleet.hpp"
+
+#include <functional>
+
+using namespace redwinggw;
+using namespace redwinggw::control;
+using namespace redwinggw::control::testing;
+
+namespace {
+
+constexpr milliseconds Long{8000};
+
+void flood(reserve_fleet &Fleet, milliseconds Time) {
+  Fleet.play(6 * Fleet.Rate, Time);
+}
+
+/// Restarts all instances: nobody remembers what was granted.
+void restartAll(reserve_fleet &Fleet) {
+  reserve_fleet Next(Fleet.Rate, Fleet.Burst,
+                     Fleet.Reserves.front().Limits.Fraction);
+  for (membership &Membership : Next.Members)
+    for (member &Member : Membership.Members)
+      Member.ListedSince = Fleet.Now;
+  Next.Now = Fleet.Now + milliseconds(500);
+  Next.Random = Fleet.Random;
+  Next.Runs = Fleet.Runs;
+  Next.FromReserve = Fleet.FromReserve;
+  Fleet = std::move(Next);
+}
+
+/// Plays \p Trouble during a flood that begins with it, for customers of
+/// different size, and checks every window: with the requests that instances
+/// send, and with all that the reserves grant used up.
+void checkEveryWindow(const char *Name,
+                      const std::function<void(reserve_fleet &)> &Trouble,
+                      bool UsesReserve = true) {
+  for (const double Fraction : {0.4, 0.5})
+    for (const double Rate : {4.0, 30.0, 120.0}) {
+      reserve_fleet Ready(Rate, Rate, Fraction);
+      Ready.StoreReached = true;
+      Ready.play(Rate / 1.6, ReservesReady);
+      for (const bool Drains : {false, true}) {
+        reserve_fleet Fleet = Ready;
+        Fleet.DrainsReserves = Drains;
+        Trouble(Fleet);
+        cr_assert(Fleet.busiestWindow() <= 1,
+                  "%s, rate %g, fraction %g, all of the reserves %d: %g", Name,
+                  Rate, Fraction, Drains, Fleet.busiestWindow());
+        cr_assert(!UsesReserve || Fleet.FromReserve > 0, "%s", Name);
+      }
+    }
+}
+
+} // namespace
+
+// Guards against tokens of the reserve that the bound has no room for.
+Test(bucket_reserve, keeps_every_window_when_the_owner_dies) {
+  checkEveryWindow("death", [](reserve_fleet &Fleet) {
+    Fleet.Dead = Fleet.owner();
+    flood(Fleet, Long);
+  });
+}
+
+// Guards against a bucket that is spent again by a process that was frozen.
+Test(bucket_reserve, keeps_every_window_when_the_owner_is_frozen) {
+  for (const int Frozen : {600, 1500, 2500, 6000})
+    checkEveryWindow("freeze", [&](reserve_fleet &Fleet) {
+      const std::size_t Owner = Fleet.owner();
+      Fleet.Dead = Owner;
+      flood(Fleet, milliseconds(Frozen));
+      Fleet.Dead = SIZE_MAX;
+      // Its callers' requests may be read before its heartbeat is due.
+      for (int Left = 3 * static_cast<int>(Fleet.Burst); Left > 0; --Left)
+        Fleet.ask(Owner);
+      flood(Fleet, Long);
+    });
+}
+
+// Guards against a full bucket of a frozen owner beside that of the next one,
+// where its callers' requests are read before its heartbeat is due.
+Test(bucket_reserve, keeps_every_window_when_a_frozen_owner_has_a_full_bucket) {
+  checkEveryWindow(
+      "full bucket",
+      [](reserve_fleet &Fleet) {
+        const std::size_t Owner = Fleet.owner();
+        Fleet.Dead = Owner;
+        Fleet.play(0, 2 * Long);
+        flood(Fleet, milliseconds(1000));
+        for (int Left = 3 * static_cast<int>(Fleet.Burst); Left > 0; --Left)
+          Fleet.ask(Owner);
+        flood(Fleet, milliseconds(5000));
+        Fleet.Dead = SIZE_MAX;
+        flood(Fleet, Long);
+      },
+      false);
+}
+
+// Guards against a reserve that counts on an owner which grants nothing.
+Test(bucket_reserve, keeps_every_window_when_some_do_not_reach_the_owner) {
+  for (const std::size_t Unreached : {2U, 20U, 38U})
+    checkEveryWindow("unreachable", [&](reserve_fleet &Fleet) {
+      for (std::size_t Index = 0; Index < Unreached; ++Index)
+        Fleet.Blocked.insert({Index, Fleet.owner()});
+      flood(Fleet, Long);
+    });
+}
+
+Test(bucket_reserve, keeps_every_window_when_owner_and_successor_die) {
+  checkEveryWindow(
+      "both",
+      [](reserve_fleet &Fleet) {
+        Fleet.AlsoDead = {Fleet.owner(), Fleet.successor()};
+        flood(Fleet, Long);
+      },
+      false);
+}
+
+// Guards against a third reserve in the window in which owners die in turn.
+Test(bucket_reserve, keeps_every_window_when_owners_die_in_turn) {
+  for (const int Between : {1000, 1500, 2500})
+    checkEveryWindow("in turn", [&](reserve_fleet &Fleet) {
+      std::size_t Next = Fleet.owner();
+      for (int Deaths = 0; Deaths < 3; ++Deaths) {
+        Fleet.AlsoDead.push_back(Next);
+        Next = std::stoul(
+            findByHash(Fleet.Members[Next == 0 ? 1 : 0],
+                       Fleet.Reserves[Next].Customers.at("acme").Second)
+                ->Name.substr(1));
+        flood(Fleet, milliseconds(Between));
+      }
+      flood(Fleet, Long);
+    });
+}
+
+// Guards against initial tokens beside what reserves granted before.
+Test(bucket_reserve, keeps_every_window_when_all_are_lost_twice) {
+  checkEveryWindow("loss of all", [](reserve_fleet &Fleet) {
+    Fleet.Dead = Fleet.owner();
+    flood(Fleet, milliseconds(1000));
+    restartAll(Fleet);
+    flood(Fleet, milliseconds(1000));
+    restartAll(Fleet);
+    flood(Fleet, Long);
+  });
+}
+
+// Guards against a successor on each side of a cut beside an owner.
+Test(bucket_reserve, keeps_every_window_in_a_cut_with_some_on_both_sides) {
+  for (const std::size_t Both : {0U, 4U, 12U})
+    for (const bool MovesOwner : {true, false})
+      checkEveryWindow(
+          "cut",
+          [&](reserve_fleet &Fleet) {
+            const std::size_t Owner = Fleet.owner();
+            for (std::size_t Index = 0; Index < Count; ++Index)
+              Fleet.Cut[Index] = Index / Zones % 2 == 0;
+            for (std::size_t Index = Count - Both; Index < Count; ++Index)
+              Fleet.ReachesBoth.insert(Index);
+            if (MovesOwner)
+              Fleet.Cut[Owner] = !Fleet.Cut[Owner];
+            flood(Fleet, 2 * Long);
+            Fleet.Cut.assign(Count, false);
+            flood(Fleet, Long);
+          },
+          false);
+}
+
+// Guards against a reserve that is of no use to customers within their rates,
+// where it holds what they need.
+Test(bucket_reserve, serves_on_while_a_dead_owner_is_replaced) {
+  constexpr double Fraction = 0.4;
+  constexpr int Rounds = 20;
+  for (const auto &[Rate, Burst] : std::vector<std::pair<double, double>>{
+           {2, 2}, {4, 4}, {6, 6}, {10, 100}, {30, 600}}) {
+    cr_assert(Fraction * toleratedExcess({}, Rate, Burst) >= 0.6 * Rate * 2);
+    double Served = 0;
+    for (int Round = 0; Round < Rounds; ++Round) {
+      reserve_fleet Fleet(Rate, Burst, Fraction);
+      Fleet.Random.seed(Round);
+      Fleet.play(0.6 * Rate, ReservesReady);
+      Fleet.Dead = Fleet.owner();
+      Served += Fleet.play(0.6 * Rate, milliseconds(2000)) / Rounds;
+    }
+    cr_assert(Served >= 0.9, "rate %g: %g served", Rate, Served);
+  }
+}
+
+// Guards against a customer that lives on the reserve for good.
+Test(bucket_reserve, ends_when_the_successor_owns_the_bucket) {
+  reserve_fleet Fleet(30, 30, 0.4);
+  Fleet.play(18, ReservesReady);
+  const std::size_t Successor = Fleet.successor();
+  Fleet.Dead = Fleet.owner();
+  Fleet.play(18, milliseconds(2500));
+  cr_assert(Fleet.owner() == Successor && Fleet.FromReserve > 0);
+  const std::size_t Before = Fleet.FromReserve;
+  cr_assert(Fleet.play(18, milliseconds(2000)) > 0.99);
+  cr_assert(Fleet.FromReserve == Before);
+  cr_assert(!grantFromReserve(Fleet.Reserves[Successor],
+                              Fleet.Shares[Successor], "acme", Fleet.Now));
+}
+
+// Guards against grants of an instance that has just become the successor, or
+// does not know whether it is.
+Test(bucket_reserve, is_granted_by_an_instance_that_was_successor_for_long) {
+  reserve_fleet Fleet(30, 30, 0.4);
+  const auto Grants = [&](std::size_t Index) {
+    return grantFromReserve(Fleet.Reserves[Index], Fleet.Shares[Index], "acme",
+                            Fleet.Now)
+        .has_value();
+  };
+  Fleet.play(18, milliseconds(5000));
+  const std::size_t Successor = Fleet.successor();
+  cr_assert(!Grants(Successor));
+  Fleet.play(18, ReservesReady - milliseconds(5000));
+  cr_assert(Grants(Successor));
+  cr_assert(!Grants(Fleet.owner()));
+  Fleet.Dead = Successor;
+  Fleet.play(18, milliseconds(1200));
+  cr_assert(!Grants(Successor));
+  Fleet.Dead = SIZE_MAX;
+  Fleet.play(18, ReservesReady);
+  cr_assert(Grants(Successor));
+  Fleet.Cut[Successor] = true;
+  Fleet.play(18, milliseconds(1500));
+  cr_assert(!Grants(Successor));
+  Fleet.Cut[Successor] = false;
+  Fleet.play(18, milliseconds(3000));
+  cr_assert(Fleet.successor() == Successor && !Grants(Successor));
+}
+
+Test(bucket_reserve, leaves_the_limits_of_rates_alone_when_it_is_off) {
+  const demand_limits Before;
+  const demand_limits After = limitsBesideReserve({}, Before);
+  cr_assert(After.RateSlack == Before.RateSlack &&
+            After.ExtraTokens == Before.ExtraTokens && !After.MaxUpdateAge);
+  reserve_fleet Fleet(30, 30, 0);
+  Fleet.play(18, ReservesReady);
+  Fleet.Dead = Fleet.owner();
+  Fleet.play(18, milliseconds(1000));
+  cr_assert(Fleet.FromReserve == 0);
+}
--- a/tests/redwinggw/settings_test.cpp
+++ b/tests/redwinggw/settings_test.cpp
@@ -57,6 +57,32 @@
     cr_assert(!Read(Wrong), "%s", Wrong);
 }
 
+// Guards against an instance that does not start because the platform leaves a
+// bound of its template empty.
+Test(settings, the_bound_of_rates_is_read_or_is_the_default) {
+  const auto Read = [](const std::string &Key, const std::string &Text) {
+    return parseSettings(Valid, "i1.ini", {{Key, Text}});
+  };
+  const auto Plain = parseSettings(Valid, "i1.ini", {});
+  cr_assert(Plain->BucketReserve == 0 &&
+            Plain->RateBound.Window == base::milliseconds(5000));
+  cr_assert(Plain->RateBound.Overshoot == 0.1 &&
+            Plain->RateBound.ExtraTokens == 20);
+  cr_assert(Read("rates.window_s", "2.5")->RateBound.Window ==
+            base::milliseconds(2500));
+  for (const char *Key :
+       {"rates.window_s", "rates.overshoot", "rates.extra_tokens"}) {
+    cr_assert(Read(Key, "")->RateBound.Window == base::milliseconds(5000));
+    for (const char *Wrong : {"-1", "nan", "1e9", "much", "5 s"})
+      cr_assert(!Read(Key, Wrong), "%s %s", Key, Wrong);
+  }
+  cr_assert(Read("policy.bucket_reserve", "0.5")->BucketReserve == 0.5);
+  for (const char *Wrong : {"0.51", "-0.1", "", "half"}) {
+    const auto Faulty = Read("policy.bucket_reserve", Wrong);
+    cr_assert(!Faulty && contains(Faulty.error().Detail, "0 to 0.5"));
+  }
+}
+
 Test(settings, an_option_goes_before_the_file) {
   const auto Settings =
       parseSettings(Valid, "i1.ini", {{"instance.zone", "b"}});
