Tell callers when the next bucket owner can have a token

Cause: callers of a lost bucket owner were told to retry after 900 ms, while a change of owner takes about 1.9 s from its last report on, so they were refused again.

Weighed: a constant of 1.9 s, which is too long for most callers, as the time counts from the owner's last report and not from their request; asking the next owner, which knows no more than the reports that reach everybody.

Changed: where reserves are on, the time is computed from when the owner was last heard, or from the start of the one already chosen, and the first token of an empty bucket. What relays tell of the last report lags by up to three heartbeats, so the first unanswered request counts too. A reserve that refuses names the sooner of its own time and this one.

Conclusion: in the test, the time told is at most 200 ms before, and 400 ms after, the first token, at every moment between the owner's death and then.

--- a/packages/control/include/redwinggw/control/bucket_requests.hpp
+++ b/packages/control/include/redwinggw/control/bucket_requests.hpp
@@ -2,6 +2,7 @@
 
 #include "redwinggw/base/ids.hpp"
 #include "redwinggw/base/time.hpp"
+#include "redwinggw/control/demand_shares.hpp"
 #include "redwinggw/control/membership.hpp"
 
 #include <map>
@@ -48,4 +49,11 @@
                                        const member *Successor,
                                        base::instant Now);
 
+/// How long it takes from now until a token of \p Customer can be expected,
+/// where neither its bucket's owner nor a reserve has granted one.
+base::microseconds tokenExpected(const bucket_requests &Requests,
+                                 const demand_shares &Shares,
+                                 const membership &Membership,
+                                 std::string_view Customer, base::instant Now);
+
 } // namespace redwinggw::control
--- a/packages/control/include/redwinggw/control/centralized_buckets.hpp
+++ b/packages/control/include/redwinggw/control/centralized_buckets.hpp
@@ -57,6 +57,9 @@
 /// Whether one instance owns the whole bucket of \p Customer.
 bool isCentralized(const demand_shares &Shares, std::string_view Customer);
 
+/// Whether this instance owns the bucket of \p Customer.
+bool ownsBucket(const demand_shares &Shares, std::string_view Customer);
+
 /// How long this instance, which has just started, is expected to know no
 /// bucket owners from now on; nothing when it knows them. Not thread safe.
 std::optional<base::microseconds> ownersExpected(const demand_shares &Shares,
@@ -69,11 +72,21 @@
                           std::string_view Customer);
 
 /// The time after which callers are told to retry when the owner did not
-/// answer: another one may have been chosen then if it is gone. The change
-/// takes longer from its last report on: RelayedSuspectAfter, and the delay of
-/// the new owner.
+/// answer, in a fleet without reserves: another one may have been chosen then
+/// if it is gone. The change takes longer from its last report on; see
+/// nextOwnerExpected.
 constexpr base::milliseconds NextOwnerWithin{900};
 
+/// How long it takes from now until the next owner of the bucket of \p Customer
+/// has its first token, if the owner that is seen here is gone: it becomes
+/// suspect, the next one starts after its delay, with an empty bucket. \p
+/// UnansweredSince: when the first request was sent that it did not answer.
+base::microseconds
+nextOwnerExpected(const demand_shares &Shares, const membership &Membership,
+                  std::string_view Customer,
+                  std::optional<base::instant> UnansweredSince,
+                  base::instant Now);
+
 /// An owner's answer to a request for one operation's token.
 struct bucket_owner_answer {
   bool Granted = false;
--- a/packages/control/src/centralized_buckets.cpp
+++ b/packages/control/src/centralized_buckets.cpp
@@ -153,6 +153,20 @@
          Now - *Shares.LastCentralizedAt > *Shares.Limits.MaxUpdateAge;
 }
 
+/// When the last heartbeat of \p Owner arrived at a relay, as this will be
+/// known here. What relays tell is up to three heartbeats old: until then it is
+/// likely that the last one was sent an interval before the first unanswered
+/// request.
+instant lastHeard(const membership &Membership, const member &Owner,
+                  std::optional<instant> UnansweredSince, instant Now) {
+  const instant Known = Owner.HeardAt.value_or(Owner.ListedSince);
+  const auto Interval = Membership.Limits.Interval;
+  const auto MaxAge = 3 * Interval;
+  const bool MayChange = UnansweredSince && Now - *UnansweredSince < MaxAge &&
+                         *UnansweredSince - Known < MaxAge;
+  return MayChange ? std::max(Known, *UnansweredSince - Interval) : Known;
+}
+
 } // namespace
 
 void centralizeBuckets(demand_shares &Shares, const membership &Membership,
@@ -209,6 +223,11 @@
   return Found != Shares.Accounts.end() && Found->second.Centralized;
 }
 
+bool ownsBucket(const demand_shares &Shares, std::string_view Customer) {
+  const auto Found = Shares.Accounts.find(Customer);
+  return Found != Shares.Accounts.end() && Found->second.OwnedHere;
+}
+
 const member *bucketOwner(const demand_shares &Shares,
                           const membership &Membership,
                           std::string_view Customer) {
@@ -218,6 +237,29 @@
   return findByHash(Membership, Found->second.Owner);
 }
 
+microseconds nextOwnerExpected(const demand_shares &Shares,
+                               const membership &Membership,
+                               std::string_view Customer,
+                               std::optional<instant> UnansweredSince,
+                               instant Now) {
+  constexpr microseconds Never{1'000'000};
+  const auto Found = Shares.Accounts.find(Customer);
+  if (Found == Shares.Accounts.end() || Found->second.Rate <= 0)
+    return Never;
+  const demand_account &Account = Found->second;
+  const membership_limits &Limits = Membership.Limits;
+  const microseconds FirstToken(static_cast<std::int64_t>(1e6 / Account.Rate));
+  instant Starts = Account.OwnsFrom;
+  const member *Owner = findByHash(Membership, Account.Owner);
+  if (Starts <= Now && Owner != nullptr)
+    Starts = lastHeard(Membership, *Owner, UnansweredSince, Now) +
+             Limits.RelayedSuspectAfter + OwnerChangeDelay;
+  // Owners are chosen with the heartbeats.
+  return std::max<microseconds>(Limits.Interval,
+                                Starts + Limits.Interval - Now) +
+         FirstToken;
+}
+
 std::optional<bucket_owner_answer>
 grantToken(demand_shares &Shares, std::string_view Customer, unsigned Priority,
            microseconds MaxWait, instant Now) {
--- a/packages/redwinggw/src/platform_buckets.cpp
+++ b/packages/redwinggw/src/platform_buckets.cpp
@@ -52,16 +52,26 @@
   return Answer;
 }
 
+base::microseconds expectedAt(const platform_instance_state &State,
+                              const base::customer_name &Customer) {
+  return tokenExpected(State.BucketRequests, State.Shares, State.Peers->view(),
+                       Customer, base::now());
+}
+
 /// Takes a token out of the reserve that this instance has for \p Customer, if
-/// it has one.
+/// it has one. The next owner may have a token before the reserve.
 std::optional<bucket_owner_answer>
 takeFromReserve(platform_instance_state &State,
                 const base::customer_name &Customer) {
-  const auto Answer =
+  auto Answer =
       grantFromReserve(State.Reserves, State.Shares, Customer, base::now());
-  if (Answer && Answer->Granted) {
+  if (!Answer)
+    return Answer;
+  if (Answer->Granted) {
     countTokens(State, Customer, "reserve", 1);
     ++State.ReserveUse[Customer].Granted;
+  } else {
+    Answer->Wait = std::min(Answer->Wait, expectedAt(State, Customer));
   }
   return Answer;
 }
@@ -176,8 +186,11 @@
                                     wire::share_kind::Take, Need);
   if (Sources.Successor.empty())
     co_return takeFromReserve(State, Need.Customer);
-  co_return co_await requestToken(State, Sources.Successor,
-                                  wire::share_kind::TakeReserve, Need);
+  auto Answer = co_await requestToken(State, Sources.Successor,
+                                      wire::share_kind::TakeReserve, Need);
+  if (Answer && !Answer->Granted)
+    Answer->Wait = std::min(Answer->Wait, expectedAt(State, Need.Customer));
+  co_return Answer;
 }
 
 /// Asks those that may have a token in turn, until one has answered.
@@ -192,9 +205,18 @@
   co_return std::nullopt;
 }
 
-void countUnanswered(platform_instance_state &State,
-                     const base::customer_name &Customer) {
-  countTokens(State, Customer, "unanswered", 1);
+/// The verdict of the owner, or of the next one, which may have a reserve. \p
+/// Here is that of its bucket.
+control::demand_verdict admitHere(platform_instance_state &State,
+                                  const std::string &Customer,
+                                  control::demand_verdict Here) {
+  if (!State.Peers || !usesReserves(State.Reserves.Limits) ||
+      ownsBucket(State.Shares, Customer))
+    return Here;
+  if (const auto Answer = takeFromReserve(State, Customer))
+    return verdictFromOwner(State.Shares, Customer, *Answer);
+  Here.Wait = expectedAt(State, Customer);
+  return Here;
 }
 
 } // namespace
@@ -207,21 +229,18 @@
   const instant Until = base::now() + Patience;
   while (true) {
     const token_sources Sources = sourcesOf(State, Customer);
-    if (Sources.Owner.empty()) {
-      // This instance owns the bucket, which is empty, or is the next owner.
-      const auto Answer = takeFromReserve(State, Customer);
-      co_return Answer ? verdictFromOwner(State.Shares, Customer, *Answer)
-                       : Here;
-    }
+    if (Sources.Owner.empty())
+      co_return admitHere(State, Customer, Here);
     const auto Answer = co_await requestInTurn(State, Sources, Need);
     if (Answer)
       co_return verdictFromOwner(State.Shares, Customer, *Answer);
-    countUnanswered(State, Customer);
+    countTokens(State, Customer, "unanswered", 1);
     if (base::now() + RetryInterval >= Until)
       break;
     co_await pauseWithJitter(State, RetryInterval);
   }
-  Here.Wait = control::NextOwnerWithin;
+  Here.Wait = usesReserves(State.Reserves.Limits) ? expectedAt(State, Customer)
+                                                  : control::NextOwnerWithin;
   co_return Here;
 }
 
--- a/tests/control/bucket_reserve_test.cpp
+++ b/tests/control/bucket_reserve_test.cpp
@@ -229,6 +229,28 @@
   cr_assert(Fleet.successor() == Successor && !Grants(Successor));
 }
 
+// Guards against callers who are told to come back long before there is a
+// token, or long after that.
+Test(bucket_reserve, tells_when_the_next_owner_has_a_token) {
+  constexpr std::size_t Asker = 7;
+  constexpr bucket_owner_answer None;
+  for (const int Phase : {0, 50, 100, 150}) {
+    reserve_fleet Fleet(30, 30, 0.4);
+    Fleet.play(18, ReservesReady + milliseconds(Phase));
+    Fleet.AlsoDead = {Fleet.owner(), Fleet.successor()};
+    std::vector<instant> Told;
+    while (!Fleet.requestPlanned(Asker).value_or(None).Granted) {
+      Told.push_back(Fleet.Now +
+                     tokenExpected(Fleet.Requests[Asker], Fleet.Shares[Asker],
+                                   Fleet.Members[Asker], "acme", Fleet.Now));
+      Fleet.step();
+    }
+    const auto [First, Last] = std::ranges::minmax(Told);
+    cr_assert(First >= Fleet.Now - milliseconds(200));
+    cr_assert(Last <= Fleet.Now + milliseconds(400));
+  }
+}
+
 Test(bucket_reserve, leaves_the_limits_of_rates_alone_when_it_is_off) {
   const demand_limits Before;
   const demand_limits After = limitsBesideReserve({}, Before);
