--- a/packages/redwinggw/src/platform_heartbeats.cpp
+++ b/packages/redwinggw/src/platform_heartbeats.cpp
@@ -116,8 +116,13 @@
   // Shares are recomputed with each heartbeat, since heartbeats carry the
   // demands.
   const bool InContact = mayTrustClaims(State);
+  State.Shares.Limits = usesRelays(State.Peers->view())
+                            ? State.CentralizedRateLimits
+                            : State.DividedRateLimits;
   divideRates(State.Shares, State.Peers->view(), InContact, Now);
   centralizeBuckets(State.Shares, State.Peers->view(), InContact, Now);
+  updateReserves(State.Reserves, State.Shares, State.Peers->view(), Now);
+  logReserveUse(State);
   Report.CentralizesBuckets = hasCentralizedBuckets(State.Shares, Now);
   Report.Groups = groupReports(State);
   Report.EvacuationVersion = State.Evacuations.Version;
--- a/packages/redwinggw/src/platform_instance.cpp
+++ b/packages/redwinggw/src/platform_instance.cpp
@@ -180,6 +180,10 @@
       platform::databaseLinks(Context.get_executor(), Endpoints.Watch);
   platform::useRows(Store, Settings.Platform);
   Core.Limits.StandbyOwners = Settings.Owners == owner_policy::Capacity;
+  Reserves.Limits.Bound = Settings.RateBound;
+  Reserves.Limits.Fraction = Settings.BucketReserve;
+  DividedRateLimits = Shares.Limits;
+  CentralizedRateLimits = limitsBesideReserve(Reserves.Limits, Shares.Limits);
   Core.Ports = sessionCorePorts(*this);
 }
 
