--- a/tests/control/traffic_limit_test.cpp
+++ b/tests/control/traffic_limit_test.cpp
@@ -66,7 +66,8 @@
   enqueueRead(Limit, part(0, 2));
   enqueueRead(Limit, part(1, 2));
   cr_assert(Limit.Waiting.size() == 2);
-  cr_assert(nextRead(Limit, Start)->Read.Version == 2);
+  const auto Next = nextRead(Limit, Start);
+  cr_assert(Next && Next->Read.Version == 2);
   for (int Count = 0; Count < 3000; ++Count) {
     waiting_read Read = part(0);
     Read.To = std::to_string(Count);
