Drop the first place for statements that gave their slot back

The rule was argued by reading only.

The rule and its code are gone.

The tests of the pool, the core and the forwarding pass, and native_path_test.

--- a/packages/session/include/redwinggw/session/endpoint_pool.hpp
+++ b/packages/session/include/redwinggw/session/endpoint_pool.hpp
@@ -171,9 +171,6 @@
   void noteDemand(std::string_view Customer);
   /// Whether acquireByDemand would get or open a connection now.
   bool canConnect(slot_level Level, std::string_view Customer) const;
-  /// An idle connection of \p Customer; null if there is none.
-  link_handle takeUsable(std::string_view Customer,
-                         const session_values &Values);
   /// A connection of \p Customer, idle or opened until \p Deadline. MustWait
   /// instead of waiting: the caller holds a slot, which a statement that waits
   /// for a connection must not do.
--- a/packages/session/src/check_out.cpp
+++ b/packages/session/src/check_out.cpp
@@ -61,19 +61,6 @@
   co_return checked_out{std::move(Link)};
 }
 
-/// Gets a slot. \p HadTurn: the statement gave its slot back for lack of a
-/// connection. It then goes first, or later statements of its customer would
-/// always be ahead of it; the time still counts for its own level.
-base::task<slot_grant> acquireTurn(pool_ptr Pool, check_out_request Request,
-                                   bool HadTurn) {
-  const slot_level Level = HadTurn ? slot_level::InTransaction : Request.Level;
-  const bool Entered =
-      co_await Pool->acquireSlot(Level, Request.Customer, Request.SlotUntil);
-  if (!Entered)
-    co_return slot_grant();
-  co_return slot_grant(std::move(Pool), Request.Level, Request.Customer);
-}
-
 /// Waits, without a slot, until the customer can get a connection. False if
 /// that takes too long.
 base::task<bool> awaitChance(pool_ptr Pool, check_out_request Request) {
@@ -93,41 +80,29 @@
                                          check_out_request Request) {
   const instant Since = base::now();
   acquire_failure Lacked = acquire_failure::Exhausted;
-  bool HadTurn = false;
   Pool->noteDemand(Request.Customer);
   while (true) {
     const bool Chance = co_await awaitChance(Pool, Request);
     if (!Chance)
       co_return failed(*Pool, Request, Lacked, Since);
-    checked_out_link Link;
-    if (HadTurn)
-      Link = checked_out_link(
-          Pool, Pool->takeUsable(Request.Customer, Request.Values));
-    slot_grant Grant = co_await acquireTurn(Pool, Request, HadTurn);
-    if (!Grant) {
-      if (Link)
-        Link.release();
+    slot_grant Grant = co_await acquireSlot(
+        Pool, Request.Level, Request.Customer, Request.SlotUntil);
+    if (!Grant)
       co_return failed(*Pool, Request, acquire_failure::NoSlot, Since);
-    }
-    acquire_failure Failure = acquire_failure::Exhausted;
-    if (!Link) {
-      acquired Acquired = co_await Pool->acquireByDemand(
-          Request.Level, Request.Customer, Request.Values,
-          setUpDeadline(Request));
-      Failure = Acquired.Failure;
-      Link = checked_out_link(Pool, std::move(Acquired.Link));
-    }
-    if (Link) {
+    acquired Acquired =
+        co_await Pool->acquireByDemand(Request.Level, Request.Customer,
+                                       Request.Values, setUpDeadline(Request));
+    if (Acquired.Link) {
+      checked_out_link Link(Pool, std::move(Acquired.Link));
       Link.Grant = std::move(Grant);
       co_return checked_out{std::move(Link)};
     }
-    const bool First = Failure == acquire_failure::EndpointRefused &&
+    const bool First = Acquired.Failure == acquire_failure::EndpointRefused &&
                        Lacked != acquire_failure::EndpointRefused;
-    if (!First && Failure != acquire_failure::MustWait)
-      co_return failed(*Pool, Request, Failure, Since);
+    if (!First && Acquired.Failure != acquire_failure::MustWait)
+      co_return failed(*Pool, Request, Acquired.Failure, Since);
     if (First)
       Lacked = acquire_failure::EndpointRefused;
-    HadTurn = true;
     Grant.giveBack();
   }
 }
--- a/packages/session/src/endpoint_pool.cpp
+++ b/packages/session/src/endpoint_pool.cpp
@@ -313,24 +313,17 @@
          decide(Level, Customer).Step != connection_step::Wait;
 }
 
-link_handle endpoint_pool::takeUsable(std::string_view Customer,
-                                      const session_values &Values) {
-  while (link_handle Link = takeIdle(Customer, Values)) {
-    if (Link->Link->isUsable())
-      return Link;
-    --useOf(Customer).InUse;
-    --Open;
-  }
-  return nullptr;
-}
-
 base::task<acquired>
 endpoint_pool::acquireByDemand(slot_level Level, base::customer_name Customer,
                                session_values Values, instant Deadline) {
   if (Evacuated)
     co_return acquired{nullptr, acquire_failure::Exhausted};
-  if (link_handle Link = takeUsable(Customer, Values))
-    co_return acquired{std::move(Link)};
+  while (link_handle Link = takeIdle(Customer, Values)) {
+    if (Link->Link->isUsable())
+      co_return acquired{std::move(Link)};
+    --useOf(Customer).InUse;
+    --Open;
+  }
   const connection_decision Decision = decide(Level, Customer);
   if (Decision.Step == connection_step::Wait)
     co_return acquired{nullptr, acquire_failure::MustWait};
