Limit the requests to cold endpoints over all instances

An endpoint that returns after an evacuation or a restart is slow until it is warm, and operators bound the requests that it may get in any second. Nothing kept that bound: all load returned at once.

Who may send was to be decided by contact with a majority and a delay of the next owner, as for the owners of buckets. That does not hold in any partition: two instances that do not reach each other can both be in contact with a majority, so each considers itself the owner and neither stops. It also fails where two majorities of different lists share no instance. Considered instead: votes in heartbeats (a field that relays would have to pass on for each endpoint, and the same lists), and a row of the store that names the sender. Chosen: the row. Contact with a majority and ownership are asked for in addition.

Each request takes a token right before it is sent, set-ups and internal statements included. Status inquiries of probes take no token. A cold endpoint is ranked behind warm ones, is never connected to around its owner, and refuses with a retry time.

An unchanged remaining time is counted from its first read, and the store reader passes on the first value while the time only runs on, so the list does not change with each read. The list between instances has the cold time as a ninth field, only where it is not 0: other builds read the first eight.

Without endpoints.cold_overshoot and endpoints.cold_slack nothing changes.

--- a/packages/base/include/redwinggw/base/metrics.hpp
+++ b/packages/base/include/redwinggw/base/metrics.hpp
@@ -30,6 +30,7 @@
   EndpointConnections,
   EndpointConnectsTotal,
   RelayedTotal,
+  ColdRefusalsTotal,
   EndpointErrorsTotal,
   ReplicaAgeSeconds,
   FailoversTotal,
--- a/packages/redwinggw/src/platform_endpoint_owners.cpp
+++ b/packages/redwinggw/src/platform_endpoint_owners.cpp
@@ -8,6 +8,12 @@
 /// Which instance owns the connections to each endpoint, and how many each
 /// instance may hold.
 namespace redwinggw {
+
+bool isOwn(const platform_instance_state &State, std::string_view Endpoint) {
+  const auto Owner = State.Owners.find(Endpoint);
+  return Owner == State.Owners.end() || Owner->second == State.Settings.Name;
+}
+
 namespace {
 
 using base::instant;
@@ -33,11 +39,6 @@
   return Candidates;
 }
 
-bool isOwn(const platform_instance_state &State, std::string_view Endpoint) {
-  const auto Owner = State.Owners.find(Endpoint);
-  return Owner == State.Owners.end() || Owner->second == State.Settings.Name;
-}
-
 session::pool_limits limitsFor(const platform_instance_state &State,
                                const session::endpoint_entry &Entry,
                                std::size_t Accepted) {
@@ -129,6 +130,8 @@
     const auto Service = State.Routes->Services.find(Pool->entry().Service);
     if (Service == State.Routes->Services.end())
       continue;
+    configure(Pool->cold(), coldLimits(State.Settings),
+              Service->second.ColdPerSecond, Service->second.ColdStart);
     Pool->setEvacuated(isEvacuated(State.Evacuations, Pool->entry().Zone));
     Pool->setOwnedElsewhere(!isOwn(State, Name));
     Pool->setLimits(
--- a/packages/redwinggw/src/platform_endpoints.cpp
+++ b/packages/redwinggw/src/platform_endpoints.cpp
@@ -149,7 +149,13 @@
   // A slow read must not undo a newer list that arrived meanwhile.
   if (State.EndpointListAt.value_or(LongAgo) > Sent)
     return;
-  acceptEndpointList(State, entriesOf(Rows), Sent);
+  auto Entries = entriesOf(Rows);
+  if (coldLimits(State.Settings))
+    keepColdTimes(State.Endpoints.Directory, Entries, base::now());
+  else
+    for (session::endpoint_entry &Entry : Entries)
+      Entry.ColdRemaining = milliseconds(0);
+  acceptEndpointList(State, Entries, Sent);
   if (isStoreReader(State) && State.Peers)
     shareEndpointList(State, Rows.Version);
 }
--- a/packages/redwinggw/src/platform_instance.cpp
+++ b/packages/redwinggw/src/platform_instance.cpp
@@ -158,6 +158,7 @@
                 return answerMetrics(*this);
               }),
       Promotions(Context.get_executor(), Settings.Promotions),
+      ColdHolder(this->Settings.Name + " " + base::randomId()),
       TokenWaits(Context.get_executor(), Endpoints.Watch), Life(noteLifeState),
       Random(std::random_device()()) {
   Endpoints.Factory =
@@ -266,6 +267,7 @@
   asio::co_spawn(Executor, joinFleet(State), asio::detached);
   asio::co_spawn(Executor, followConfiguration(State), asio::detached);
   asio::co_spawn(Executor, followEndpoints(State), asio::detached);
+  asio::co_spawn(Executor, followColdEndpoints(State), asio::detached);
   asio::co_spawn(Executor, monitorPrimaries(State), asio::detached);
   asio::co_spawn(Executor, runPlatformHousekeeping(State), asio::detached);
   State->Life.process(kernel::life_event::Ready);
--- a/packages/redwinggw/src/platform_instance_state.hpp
+++ b/packages/redwinggw/src/platform_instance_state.hpp
@@ -34,6 +34,15 @@
 /// functions that work on them.
 namespace redwinggw {
 
+/// The cold permission of an endpoint, as far as this instance deals with it.
+struct held_permission {
+  session::cold_permission Permission;
+  /// A request to the store is under way.
+  bool Busy = false;
+  /// It was cold at the last check.
+  bool WasCold = false;
+};
+
 struct platform_instance_state
     : std::enable_shared_from_this<platform_instance_state> {
   platform_instance_state(boost::asio::io_context &Context, settings Settings);
@@ -74,6 +83,10 @@
   std::map<base::endpoint_name, base::instance_name, std::less<>> Owners;
   /// The instances among which Owners was last divided.
   std::vector<session::owner_candidate> OwnerCandidates;
+  /// The cold permissions of endpoints, see session/cold_rates.hpp, by which
+  /// this instance may send to them, and the text of its rows.
+  std::map<base::endpoint_name, held_permission, std::less<>> ColdPermissions;
+  std::string ColdHolder;
   /// Connections have to be divided again: endpoints, configuration or
   /// evacuations have changed.
   bool ConnectionsStale = true;
@@ -175,6 +188,8 @@
 /// Probes primaries that may have failed, and replaces those that failed or
 /// leave.
 base::task<void> monitorPrimaries(platform_instance_ptr State);
+/// Acquires, renews and releases the permissions to send to cold endpoints.
+base::task<void> followColdEndpoints(platform_instance_ptr State);
 /// Checks the contact with the fleet, opens the callers' address, divides
 /// connections and closes unused ones.
 base::task<void> runPlatformHousekeeping(platform_instance_ptr State);
@@ -279,6 +294,10 @@
 /// Recomputes which instance owns each endpoint's connections, how many this
 /// instance may hold, and which endpoints are evacuated.
 void divideConnections(platform_instance_state &State);
+/// The bound on requests to cold endpoints; nothing if there is none.
+std::optional<session::cold_limits> coldLimits(const settings &Settings);
+/// Whether this instance owns the connections to \p Endpoint.
+bool isOwn(const platform_instance_state &State, std::string_view Endpoint);
 /// A link to an endpoint through the instance that owns its connections; null
 /// when this instance is the owner or the owner cannot be used now.
 std::unique_ptr<session::forwarding_link>
--- a/packages/redwinggw/src/settings.cpp
+++ b/packages/redwinggw/src/settings.cpp
@@ -87,6 +87,21 @@
   return true;
 }
 
+/// Empty: not set.
+bool setBound(std::optional<double> &Field, const std::string &Text) {
+  constexpr double Max = 1e6;
+  Field.reset();
+  if (Text.empty())
+    return true;
+  double Value = 0;
+  const char *Last = Text.data() + Text.size();
+  const auto [End, Code] = std::from_chars(Text.data(), Last, Value);
+  if (Code != std::errc() || End != Last || !(Value >= 0 && Value <= Max))
+    return false;
+  Field = Value;
+  return true;
+}
+
 bool setText(std::string &Field, const std::string &Text) {
   Field = Text;
   return !Text.empty();
@@ -99,6 +114,7 @@
 
 constexpr const char *NameAllowed = "1 to 64 letters, digits, '-', '_', '.'";
 constexpr const char *AddressAllowed = "IP:port";
+constexpr const char *BoundAllowed = "a number from 0 to 1000000, or empty";
 constexpr const char *CapacityAllowed = "a number from 0 to 1000000";
 
 /// With which kind of platform a key without a default is required.
@@ -125,6 +141,16 @@
      [](settings &S, const std::string &T) {
        return setCapacity(S.Capacity, T);
      }},
+    {"endpoints.cold_overshoot", "none", BoundAllowed,
+     "cold endpoints get at most their rate times this, plus cold_slack",
+     [](settings &S, const std::string &T) {
+       return setBound(S.ColdOvershoot, T);
+     }},
+    {"endpoints.cold_slack", "none", BoundAllowed,
+     "requests in any second beyond that; none: cold endpoints are not limited",
+     [](settings &S, const std::string &T) {
+       return setBound(S.ColdSlack, T);
+     }},
     {"listen.callers", "", AddressAllowed, "where callers connect (TCP)",
      [](settings &S, const std::string &T) {
        return setAddress(S.Callers, T);
@@ -321,6 +347,10 @@
   for (const assignment &Assignment : State.Assignments)
     apply(State, Settings, Given, Assignment);
   reportMissing(State, Given, Name, Settings.Kind);
+  if (Settings.ColdOvershoot.has_value() != Settings.ColdSlack.has_value())
+    State.Faults.push_back(
+        Name + ": 'endpoints.cold_overshoot' and 'endpoints.cold_slack' belong "
+               "together; give both or leave both empty");
   if (!State.Faults.empty())
     return failure(errc::BadSettings, joined(State.Faults));
   return Settings;
--- a/packages/redwinggw/src/settings.hpp
+++ b/packages/redwinggw/src/settings.hpp
@@ -7,6 +7,7 @@
 #include "redwinggw/data/routing.hpp"
 #include "redwinggw/http/address.hpp"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,9 @@
   std::string Zone;
   /// Capacity relative to other instances; 0 when it is not given.
   double Capacity = 0;
+  /// The operators' bound on requests to cold endpoints; both or neither.
+  std::optional<double> ColdOvershoot;
+  std::optional<double> ColdSlack;
   http::address Callers;
   http::address Operators;
   http::address Peers;
--- a/packages/session/include/redwinggw/session/directory.hpp
+++ b/packages/session/include/redwinggw/session/directory.hpp
@@ -30,6 +30,8 @@
   /// Unix milliseconds of its start: another value under the same name is
   /// another process, without the state of the earlier one.
   std::int64_t StartedAt = 0;
+  /// Time for which it will still be slow; 0 if it is warm.
+  base::milliseconds ColdRemaining{0};
 
   friend bool operator==(const endpoint_entry &,
                          const endpoint_entry &) = default;
@@ -44,6 +46,8 @@
   /// When it was first seen draining; the clock's epoch if it already was
   /// draining when it was first seen here.
   std::optional<base::instant> LeavingSince;
+  /// Until when its entry says that it is cold, see cold_rates.hpp.
+  std::optional<base::instant> ColdUntil;
 };
 
 struct directory_limits {
@@ -95,6 +99,12 @@
                       const std::vector<endpoint_entry> &Entries,
                       base::instant Now);
 
+/// Replaces the remaining cold times in \p Entries, a read at \p Now, by those
+/// known already where they only have run on: a list is sent in full after each
+/// change, and these would change with each read.
+void keepColdTimes(const directory &Directory,
+                   std::vector<endpoint_entry> &Entries, base::instant Now);
+
 /// The endpoints of \p Service, sorted by name.
 std::vector<const endpoint_entry *> endpointsOf(const directory &Directory,
                                                 std::string_view Service);
--- a/packages/session/include/redwinggw/session/endpoint_choice.hpp
+++ b/packages/session/include/redwinggw/session/endpoint_choice.hpp
@@ -14,6 +14,8 @@
   bool IsPrimary = false;
   bool SameZone = false;
   bool Draining = false;
+  /// It is slow until it has warmed up, and few requests are sent there.
+  bool Cold = false;
   /// The customer has an idle connection to it.
   bool HasIdle = false;
   /// No connection can be opened and none is idle.
@@ -53,8 +55,9 @@
 double expectedMs(const choice_candidate &Candidate,
                   const choice_limits &Limits);
 
-/// The candidates in the order in which to try them. Draining ones and those
-/// that failed recently come last; they are kept, as no better one may be left.
+/// The candidates in the order in which to try them. Draining and cold ones and
+/// those that failed recently come last; they are kept, as no better one may be
+/// left.
 std::vector<choice_candidate> rank(std::vector<choice_candidate> Candidates,
                                    const choice_limits &Limits,
                                    base::instant Now);
--- a/packages/session/include/redwinggw/session/endpoint_pool.hpp
+++ b/packages/session/include/redwinggw/session/endpoint_pool.hpp
@@ -2,6 +2,7 @@
 
 #include "redwinggw/base/task.hpp"
 #include "redwinggw/data/fair_queue.hpp"
+#include "redwinggw/session/cold_rates.hpp"
 #include "redwinggw/session/deadline_watch.hpp"
 #include "redwinggw/session/endpoint_link.hpp"
 #include "redwinggw/session/replica_lag.hpp"
@@ -37,6 +38,10 @@
   /// Statements prepared on it, by their operand.
   prepared_names Prepared;
   base::instant UsedAt;
+  /// Limits what is sent on it while the endpoint is cold; null: no limit.
+  cold_rate_ptr Cold;
+  /// Set while a transaction is open that began while the endpoint was cold.
+  end_reserve End;
 };
 
 using link_handle = std::unique_ptr<pooled_link>;
@@ -173,6 +178,10 @@
   void setEvacuated(bool IsEvacuated);
   bool isEvacuated() const { return Evacuated; }
 
+  /// Limits what is sent to the endpoint while it is cold.
+  cold_rate &cold() { return *Cold; }
+  const cold_rate &cold() const { return *Cold; }
+
   void setEntry(endpoint_entry Entry);
   void setLimits(pool_limits Limits);
 
@@ -209,6 +218,7 @@
   endpoint_entry Entry;
   pool_limits Limits;
   endpoint_health Health;
+  cold_rate_ptr Cold = std::make_shared<cold_rate>();
   std::list<link_handle> Idle;
   std::size_t Open = 0;
   bool OwnedElsewhere = false;
--- a/packages/session/include/redwinggw/session/route_table.hpp
+++ b/packages/session/include/redwinggw/session/route_table.hpp
@@ -51,6 +51,10 @@
   unsigned Connections = 0;
   /// Replicas that hold a commit before it is acknowledged.
   unsigned SynchronousReplicas = 0;
+  /// How long an endpoint is cold after a start, and the requests per second
+  /// that a cold one should get from all instances together; 0: no limit.
+  base::milliseconds ColdStart{0};
+  double ColdPerSecond = 0;
 };
 
 /// Lets maps with std::string keys be searched by std::string_view.
--- a/packages/session/src/core_parts.hpp
+++ b/packages/session/src/core_parts.hpp
@@ -39,6 +39,8 @@
   std::optional<log_point> Required;
   /// Why the last attempt did not serve it; for logs and refusals.
   std::string LastProblem;
+  /// When to retry if that was a cold endpoint.
+  std::optional<base::milliseconds> ColdRetry;
 };
 
 /// The connection on which a statement runs, and the conditions under which its
@@ -67,6 +69,15 @@
   return Placement.Required->Point;
 }
 
+/// Whether a statement at \p Pool's endpoint, which may be cold, would not get
+/// a token before \p Until. Counts it then.
+bool refusesAsCold(session_core &Core, const endpoint_pool &Pool, cold_use Use,
+                   base::instant Until);
+
+/// Whether a statement was not sent since the endpoint is cold, which is no
+/// failure of the endpoint.
+bool isHeldBack(const endpoint_pool &Pool, const exchange &Exchange);
+
 /// Finds an endpoint and a connection for \p Request, waiting if that can help.
 /// \p NeedsPrimary: only the primary may serve it.
 base::task<std::optional<placement>> findPlacement(session_core &Core,
--- a/packages/session/src/directory.cpp
+++ b/packages/session/src/directory.cpp
@@ -1,5 +1,6 @@
 #include "redwinggw/session/directory.hpp"
 
+#include "redwinggw/session/cold_rates.hpp"
 #include "redwinggw/wire/message.hpp"
 
 #include <algorithm>
@@ -25,6 +26,20 @@
   Directory.ReadAt = Now;
 }
 
+base::instant coldEndOf(const endpoint_entry &Entry, base::instant Now) {
+  return Now + Entry.ColdRemaining + ColdMargin;
+}
+
+/// An unchanged remaining time is counted from its first read: the time runs on
+/// while the entry stays the same.
+void takeColdTime(known_endpoint &Known, const endpoint_entry &Entry,
+                  bool Unchanged, base::instant Now) {
+  if (Entry.ColdRemaining.count() <= 0)
+    Known.ColdUntil.reset();
+  else if (!Unchanged || !Known.ColdUntil)
+    Known.ColdUntil = coldEndOf(Entry, Now);
+}
+
 void takeEntry(directory &Directory, const endpoint_entry &Entry,
                base::instant Now, directory_changes &Changes) {
   const auto [At, New] =
@@ -34,6 +49,9 @@
     Changes.Started.push_back(Entry.Name);
   else if (Known.Entry != Entry)
     Changes.Changed.push_back(Entry.Name);
+  const bool SameColdTime = !New && Known.Entry.StartedAt == Entry.StartedAt &&
+                            Known.Entry.ColdRemaining == Entry.ColdRemaining;
+  takeColdTime(Known, Entry, SameColdTime, Now);
   Known.Entry = Entry;
   if (!Entry.Draining)
     Known.LeavingSince.reset();
@@ -56,7 +74,10 @@
     Text += toText(Entry.Address) + "/" + std::to_string(Entry.Slots) + "/";
     Text += std::to_string(static_cast<int>(Entry.Role)) + "/";
     Text += std::to_string(static_cast<int>(Entry.Draining)) + "/";
-    Text += std::to_string(Entry.StartedAt) + "\n";
+    Text += std::to_string(Entry.StartedAt);
+    if (Entry.ColdRemaining.count() != 0)
+      Text += "/" + std::to_string(Entry.ColdRemaining.count());
+    Text += "\n";
   }
   return wire::hashOf(Text);
 }
@@ -104,6 +125,27 @@
   return Found;
 }
 
+void keepColdTimes(const directory &Directory,
+                   std::vector<endpoint_entry> &Entries, base::instant Now) {
+  // Reads arrive up to this much earlier or later than the time that they are
+  // about. ColdMargin covers an end that is later by less.
+  constexpr base::milliseconds Later{500};
+  constexpr base::milliseconds Earlier{2000};
+  static_assert(Later < ColdMargin);
+  for (endpoint_entry &Entry : Entries) {
+    const auto Found = Directory.Endpoints.find(Entry.Name);
+    if (Entry.ColdRemaining.count() <= 0 ||
+        Found == Directory.Endpoints.end() ||
+        Found->second.Entry.StartedAt != Entry.StartedAt)
+      continue;
+    const base::instant End = coldEndOf(Entry, Now);
+    const base::instant Known =
+        Found->second.ColdUntil.value_or(base::instant());
+    if (End <= Known + Later && End >= Known - Earlier)
+      Entry.ColdRemaining = Found->second.Entry.ColdRemaining;
+  }
+}
+
 std::vector<const endpoint_entry *>
 workingEndpointsOf(const directory &Directory, std::string_view Service,
                    base::instant Now) {
--- a/packages/session/src/endpoint_choice.cpp
+++ b/packages/session/src/endpoint_choice.cpp
@@ -38,7 +38,7 @@
                                    base::instant Now) {
   const auto Key = [&](const choice_candidate &Candidate) {
     const bool Last = Candidate.Draining || isPaused(Candidate, Limits, Now);
-    return std::pair(Last, expectedMs(Candidate, Limits));
+    return std::pair(Last || Candidate.Cold, expectedMs(Candidate, Limits));
   };
   std::ranges::sort(Candidates, std::less{}, Key);
   return Candidates;
--- a/packages/session/src/endpoint_list.cpp
+++ b/packages/session/src/endpoint_list.cpp
@@ -11,9 +11,15 @@
 namespace json = boost::json;
 
 std::string entryText(const endpoint_entry &Entry) {
-  return json::serialize(json::array{
-      Entry.Name, Entry.Service, toText(Entry.Address), Entry.Zone, Entry.Slots,
-      Entry.Role == endpoint_role::Primary, Entry.Draining, Entry.StartedAt});
+  json::array Fields{
+      Entry.Name,     Entry.Service,  toText(Entry.Address),
+      Entry.Zone,     Entry.Slots,    Entry.Role == endpoint_role::Primary,
+      Entry.Draining, Entry.StartedAt};
+  // Other builds that do not know the cold time encode and read the other
+  // fields only.
+  if (Entry.ColdRemaining.count() != 0)
+    Fields.push_back(Entry.ColdRemaining.count());
+  return json::serialize(Fields);
 }
 
 /// Throws if \p Value is not an entry.
@@ -29,6 +35,8 @@
   Entry.Role = IsPrimary ? endpoint_role::Primary : endpoint_role::Replica;
   Entry.Draining = Fields.at(6).as_bool();
   Entry.StartedAt = Fields.at(7).to_number<std::int64_t>();
+  if (const json::value *Cold = Fields.if_contains(8))
+    Entry.ColdRemaining = base::milliseconds(Cold->to_number<std::int64_t>());
   return Entry;
 }
 
--- a/packages/session/src/endpoint_pool.cpp
+++ b/packages/session/src/endpoint_pool.cpp
@@ -1,5 +1,7 @@
 #include "redwinggw/session/endpoint_pool.hpp"
 
+#include "cold_wait.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <ranges>
@@ -60,7 +62,11 @@
 }
 
 void endpoint_pool::setEvacuated(bool IsEvacuated) {
+  // The list may not say yet that the endpoint returns cold.
+  if (Evacuated && !IsEvacuated)
+    presumeCold(*Cold, base::now());
   Evacuated = IsEvacuated;
+  Cold->Suspended = IsEvacuated;
   if (Evacuated)
     closeIdle();
 }
@@ -177,6 +183,13 @@
   Link->Link = Factory();
   Link->Customer = std::move(Customer);
   Link->ValuesKnown = true;
+  Link->Cold = Cold;
+  const token Token = co_await awaitToken(Cold, cold_use::Single, Deadline);
+  if (Token == token::None) {
+    --Open;
+    wakeNext();
+    co_return acquired{nullptr, acquire_failure::Exhausted};
+  }
   const instant Latest = base::now() + Limits.ConnectTimeout;
   const exchange Opened = co_await Link->Link->open(Entry, Link->Customer,
                                                     std::min(Deadline, Latest));
@@ -185,6 +198,10 @@
     Link->UsedAt = base::now();
     co_return acquired{std::move(Link)};
   }
+  // It may restart, and be cold before the list says so.
+  if (Opened.Outcome == exchange_outcome::NotSent ||
+      Opened.Outcome == exchange_outcome::Broken)
+    presumeCold(*Cold, base::now());
   // A refusal shows that the endpoint is up; a caller's short deadline does
   // not show that it is down.
   if (!Answered && (Latest <= Deadline || base::now() < Deadline))
@@ -253,6 +270,7 @@
     return;
   }
   Link->UsedAt = base::now();
+  Link->End = end_reserve();
   Idle.push_front(std::move(Link));
   wakeNext();
 }
--- a/packages/session/src/endpoint_set.cpp
+++ b/packages/session/src/endpoint_set.cpp
@@ -15,6 +15,7 @@
   Candidate.IsPrimary = IsPrimary;
   Candidate.SameZone = Entry.Zone == Zone;
   Candidate.Draining = Entry.Draining;
+  Candidate.Cold = isCold(Pool.cold(), Now);
   const bool Forwarded = Pool.isOwnedElsewhere();
   Candidate.HasIdle = Forwarded || Pool.hasIdle(Customer);
   Candidate.Exhausted = !Forwarded && Pool.isExhausted();
@@ -26,9 +27,15 @@
   return Candidate;
 }
 
-void openPool(endpoint_set &Set, const base::endpoint_name &Name) {
+void openPool(endpoint_set &Set, const base::endpoint_name &Name,
+              base::instant Now) {
   const endpoint_entry *Entry = findEndpoint(Set.Directory, Name);
-  // A former pool stays alive while statements use its connections.
+  // A former pool stays alive while statements use its connections. It must not
+  // send to the restarted endpoint beside the new one.
+  if (const pool_ptr Former = poolOf(Set, Name)) {
+    Former->cold().SendUntil.reset();
+    presumeCold(Former->cold(), Now);
+  }
   Set.Pools[Name] = std::make_shared<endpoint_pool>(Set.Executor, Set.Watch,
                                                     Set.Factory, *Entry);
 }
@@ -47,10 +54,12 @@
   for (const base::endpoint_name &Name : Changes.Gone)
     Set.Pools.erase(Name);
   for (const base::endpoint_name &Name : Changes.Started)
-    openPool(Set, Name);
+    openPool(Set, Name, Now);
   for (const base::endpoint_name &Name : Changes.Changed)
     if (const pool_ptr Pool = poolOf(Set, Name))
       Pool->setEntry(*findEndpoint(Set.Directory, Name));
+  for (const auto &[Name, Pool] : Set.Pools)
+    setColdUntil(Pool->cold(), Set.Directory.Endpoints.at(Name).ColdUntil, Now);
   return Changes;
 }
 
--- a/packages/session/src/link_setup.cpp
+++ b/packages/session/src/link_setup.cpp
@@ -1,5 +1,7 @@
 #include "link_setup.hpp"
 
+#include "cold_wait.hpp"
+
 namespace redwinggw::session {
 namespace {
 
@@ -8,8 +10,50 @@
          !Exchange.Answer.Error;
 }
 
+/// What a request on \p Link is for. Of the callers' statements only a commit
+/// leaves the session values as they are.
+cold_use useOf(const pooled_link &Link, const link_statement &Statement) {
+  switch (Statement.Action) {
+  case link_action::Begin:
+  case link_action::BeginReadOnly:
+    return cold_use::Begin;
+  case link_action::Rollback:
+    return cold_use::End;
+  case link_action::Caller:
+    break;
+  }
+  if (!Link.End)
+    return cold_use::Single;
+  return Statement.Values ? cold_use::InTransaction : cold_use::End;
+}
+
+/// Waits until a request may be sent to an endpoint that may be cold. After
+/// true it must be sent at once.
+base::task<bool> awaitTurn(pooled_link &Link, cold_use Use,
+                           base::instant Deadline) {
+  if (!Link.Cold)
+    co_return true;
+  if (Use == cold_use::End && Link.End.spend(base::now()))
+    co_return true;
+  const token Token = co_await awaitToken(Link.Cold, Use, Deadline);
+  if (Token == token::Taken && Use == cold_use::Begin)
+    Link.End = end_reserve(Link.Cold);
+  co_return Token != token::None;
+}
+
+/// A connection that broke may be the first sign of a restart.
+exchange noteBroken(const pooled_link &Link, exchange Exchange) {
+  if (Link.Cold && Exchange.Outcome == exchange_outcome::Broken)
+    presumeCold(*Link.Cold, base::now());
+  return Exchange;
+}
+
 base::task<bool> runInternal(pooled_link &Link, std::string Text,
                              base::instant Deadline) {
+  const cold_use Use = Link.End ? cold_use::InTransaction : cold_use::Single;
+  const bool Allowed = co_await awaitTurn(Link, Use, Deadline);
+  if (!Allowed)
+    co_return false;
   const exchange Exchange =
       co_await Link.Link->run({}, Text, std::nullopt, Deadline);
   co_return isDone(Exchange);
@@ -108,10 +152,15 @@
   const std::string Text = co_await textOf(Link, Statement, Deadline);
   if (Text.empty())
     co_return NotRun;
+  const bool Allowed =
+      co_await awaitTurn(Link, useOf(Link, Statement), Deadline);
+  if (!Allowed)
+    co_return NotRun;
   if (Statement.PrimaryLease && !StillHolds(*Statement.PrimaryLease))
     co_return NotRun;
-  co_return co_await Link.Link->run(Statement.Id, Text, Statement.After,
-                                    Deadline);
+  exchange Done =
+      co_await Link.Link->run(Statement.Id, Text, Statement.After, Deadline);
+  co_return noteBroken(Link, std::move(Done));
 }
 
 } // namespace redwinggw::session
--- a/packages/session/src/placement.cpp
+++ b/packages/session/src/placement.cpp
@@ -98,6 +98,12 @@
         Pool, Pool->wrapForwarding(std::move(Forwarding), Session.Customer));
     co_return Placement;
   }
+  const cold_use Use = Session.Transaction ? cold_use::Begin : cold_use::Single;
+  if (refusesAsCold(Core, *Pool, Use, queueDeadline(Core, Request))) {
+    Request.LastProblem = Name + " is cold";
+    Request.ColdRetry = coldRetryAfter(Pool->cold(), Use, base::now());
+    co_return std::nullopt;
+  }
   slot_grant Grant =
       co_await acquireSlot(Pool, levelOf(Request.Route.Priority),
                            Session.Customer, queueDeadline(Core, Request));
@@ -153,6 +159,17 @@
 
 } // namespace
 
+bool refusesAsCold(session_core &Core, const endpoint_pool &Pool, cold_use Use,
+                   instant Until) {
+  const instant Now = base::now();
+  const auto Expected = tokenExpected(Pool.cold(), Use, Now);
+  const bool Refused = !Expected || Now + *Expected > Until;
+  if (Refused)
+    add(counterOf(Core.Metrics, base::metric::ColdRefusalsTotal,
+                  {Pool.entry().Name}));
+  return Refused;
+}
+
 base::task<void> pauseFor(session_core &Core, base::microseconds Time) {
   boost::asio::steady_timer Timer(Core.Set.Executor, Time);
   boost::system::error_code Ignored;
@@ -171,6 +188,7 @@
         std::optional<required_point> Point) {
   const choice_candidate Chosen = nextUntried(Candidates, Request);
   Request.Tried.push_back(Chosen.Name);
+  Request.ColdRetry.reset();
   auto Placement = co_await connectTo(Core, Session, Request, Chosen.Name,
                                       patienceDeadline(Core, Request));
   if (!Placement)
--- a/packages/session/src/serve_forwarded.cpp
+++ b/packages/session/src/serve_forwarded.cpp
@@ -65,6 +65,10 @@
   const session_values Values =
       Request.Statement.Values.value_or(session_values());
   const instant WaitUntil = Arrived + Request.SlotWait;
+  const bool Begins = Request.Statement.Action != link_action::Caller;
+  if (refusesAsCold(Core, *Pool, Begins ? cold_use::Begin : cold_use::Single,
+                    WaitUntil))
+    co_return forwarding_failure::NoConnection;
   slot_grant Grant = co_await acquireSlot(Pool, levelOf(Request.Priority),
                                           Request.Customer, WaitUntil);
   if (!Grant)
@@ -89,8 +93,9 @@
       Pinned.Link.release();
     return;
   }
-  // A lease that was lost during the set-up is not the endpoint's failure.
-  if (Reply.Failure != forwarding_failure::Refused) {
+  // A lease that was lost during the set-up is not the endpoint's failure, nor
+  // a statement that was held back since the endpoint is cold.
+  if (Reply.Failure == forwarding_failure::None) {
     Pool.noteFailure(base::now());
     Pool.closeIdle();
   }
@@ -126,6 +131,8 @@
     if (!mayUse(Core, Request.Statement) &&
         Reply.Exchange.Outcome == exchange_outcome::NotSent)
       Reply.Failure = forwarding_failure::Refused;
+    else if (isHeldBack(*Pool, Reply.Exchange))
+      Reply.Failure = forwarding_failure::NoConnection;
     settlePinned(Pinned, Reply);
   }
   Reply.Load = loadOf(Core, Request.Endpoint);
--- a/packages/session/src/try_statement.cpp
+++ b/packages/session/src/try_statement.cpp
@@ -22,6 +22,11 @@
   return std::min(Request.Deadline, Request.Arrived + Time);
 }
 
+bool isHeldBack(const endpoint_pool &Pool, const exchange &Exchange) {
+  return Exchange.Outcome == exchange_outcome::NotSent &&
+         isCold(Pool.cold(), base::now());
+}
+
 namespace {
 
 /// Whether the endpoint has run the statement, or may have.
@@ -50,6 +55,10 @@
   Placement.RanSince = base::now() - Reply.Ran;
   if (Reply.Failure != forwarding_failure::OwnerLost)
     Pool.noteOwnerLoad(Reply.Load, base::now());
+  if (Reply.Failure == forwarding_failure::NoConnection &&
+      isCold(Pool.cold(), base::now()))
+    Request.ColdRetry =
+        coldRetryAfter(Pool.cold(), cold_use::Single, base::now());
   if (Reply.Failure != forwarding_failure::None)
     Request.LastProblem = Pool.entry().Name + " through " + Request.Via + ": " +
                           std::string(forwardingFailureName(Reply.Failure));
@@ -71,8 +80,11 @@
     Placement.Failure = forwarding_failure::NoConnection;
     co_return exchange();
   }
-  co_return co_await runOnLink(*Link.Link, Statement, Core.Ports.StillHolds,
-                               Placement.TryDeadline);
+  exchange Done = co_await runOnLink(
+      *Link.Link, Statement, Core.Ports.StillHolds, Placement.TryDeadline);
+  if (isHeldBack(*Link.Pool, Done))
+    Placement.Failure = forwarding_failure::NoConnection;
+  co_return Done;
 }
 
 } // namespace
@@ -212,6 +224,10 @@
 }
 
 answer_error refusal(const session_core &Core, const request &Request) {
+  if (Request.ColdRetry)
+    return {answer_code::Busy, Request.LastProblem + "; retry after " +
+                                   std::to_string(Request.ColdRetry->count()) +
+                                   " ms"};
   // If the end of the problem is not known, a caller does best to retry after
   // about the time in which a primary is replaced.
   constexpr milliseconds UnknownEnd{500};
--- a/tests/platform/decoding_test.cpp
+++ b/tests/platform/decoding_test.cpp
@@ -27,6 +27,10 @@
   cr_assert(Read && Read->Slots == 5 && !Read->Draining);
   cr_assert(Read && Read->Role == session::endpoint_role::Replica);
   cr_assert(Read && Read->StartedAt == 1772910598021);
+  cr_assert(Read && Read->ColdRemaining.count() == 0);
+  const auto Cold = readEntry(
+      "i-1", replaced(Entry, R"(remaining_ms":0)", R"(remaining_ms":7800.5)"));
+  cr_assert(Cold && Cold->ColdRemaining == base::milliseconds(7800));
   const auto Leaving =
       readEntry("i-1", replaced(Entry, R"("ready")", R"("draining")"));
   cr_assert(Leaving && Leaving->Draining);
@@ -51,7 +55,7 @@
       R"("kind":"bounded_staleness","timeout_ms":3000,"target_latency_ms":800,)"
       R"("priority":2,"service":"s","max_attempts":2,"max_staleness_ms":1500,)"
       R"("public":false}],"services":[{"name":"s","connection_limit":50,)"
-      R"("sync_replicas":0}],"limits":{"transaction_idle_ms":2500},)"
+      R"("sync_replicas":0,"cold_start_s":8,"cold_per_s":12.5}],"limits":{"transaction_idle_ms":2500},)"
       R"("tenants":[{"name":"acme","api_keys":["k1","k2"],"priority":1,)"
       R"("rate_per_s":123,"burst":60.5}]})");
   cr_assert(Table && Table->Version == 7);
@@ -61,6 +65,8 @@
   cr_assert(Route != nullptr &&
             Route->MaxStaleness == base::milliseconds(1500));
   cr_assert(findRoute(*Table, "r") == nullptr);
+  cr_assert(Table->Services.at("s").ColdStart == base::milliseconds(8000));
+  cr_assert(Table->Services.at("s").ColdPerSecond == 12.5);
   const auto *Customer = findCustomer(*Table, "k2");
   cr_assert(Customer != nullptr && *Customer == "acme");
   cr_assert(findCustomer(*Table, "k3") == nullptr);
--- a/tests/redwinggw/settings_test.cpp
+++ b/tests/redwinggw/settings_test.cpp
@@ -57,6 +57,21 @@
     cr_assert(!Read(Wrong), "%s", Wrong);
 }
 
+// Guards against a bound that is half given, which would limit nothing, and
+// against a template whose deployment has none.
+Test(settings, the_bound_on_cold_endpoints_is_given_whole_or_not_at_all) {
+  const auto Read = [](const std::string &Overshoot, const std::string &Slack) {
+    return parseSettings(Valid, "i1.ini",
+                         {{"endpoints.cold_overshoot", Overshoot},
+                          {"endpoints.cold_slack", Slack}});
+  };
+  cr_assert(!parseSettings(Valid, "i1.ini", {})->ColdOvershoot);
+  cr_assert(!Read("", "")->ColdOvershoot && !Read("", "")->ColdSlack);
+  cr_assert(Read("1.5", "5")->ColdSlack == 5);
+  cr_assert(contains(Read("1.5", "").error().Detail, "give both"));
+  cr_assert(!Read("-1", "5") && !Read("1.5", "much"));
+}
+
 Test(settings, an_option_goes_before_the_file) {
   const auto Settings =
       parseSettings(Valid, "i1.ini", {{"instance.zone", "b"}});
--- a/tests/session/endpoint_list_test.cpp
+++ b/tests/session/endpoint_list_test.cpp
@@ -23,6 +23,7 @@
         Index % 3 == 0 ? endpoint_role::Primary : endpoint_role::Replica;
     Entry.Draining = Index % 7 == 0;
     Entry.StartedAt = 1'768'746'983'149;
+    Entry.ColdRemaining = base::milliseconds(Index % 5 == 0 ? 7800 : 0);
   }
   return Entries;
 }
@@ -52,6 +53,16 @@
   }
 }
 
+// Guards against builds that ignore each other's lists: one without the cold
+// time sends eight fields and reads the first eight.
+Test(endpoint_list, is_read_from_a_build_without_the_cold_time) {
+  const auto Old =
+      decodeEndpoints(R"([["a","s","10.0.0.1:80","z",5,true,false,1]])");
+  cr_assert(Old && Old->front().ColdRemaining.count() == 0);
+  cr_assert(encodeEndpoints(*Old, 1000).front() ==
+            R"([["a","s","10.0.0.1:80","z",5,true,false,1]])");
+}
+
 Test(endpoint_list, without_entries_is_one_text) {
   const auto Texts = encodeEndpoints({}, 1000);
   cr_assert(Texts.size() == 1);
--- a/tests/session/forwarding_test.cpp
+++ b/tests/session/forwarding_test.cpp
@@ -335,3 +335,29 @@
       cr_assert(Fleet.Group.Received[Index].Endpoint != "p");
   }
 }
+
+// Guards against statements that reach a cold endpoint around the one instance
+// that may send there: because its owner has no permission yet, or cannot be
+// reached.
+Test(forwarding, sends_nothing_to_a_cold_endpoint_without_permission) {
+  forwarding_fleet Fleet;
+  caller_session Session = Fleet.first().open("strict");
+  cr_assert(!Fleet.first().write(Session).Error);
+  const base::instant Now = base::now();
+  for (core_fixture *Instance : {&Fleet.Owner, &Fleet.first()}) {
+    cold_rate &Cold = poolOf(Instance->Set, "p")->cold();
+    configure(Cold, cold_limits{1.5, 5}, 20);
+    presumeCold(Cold, Now);
+  }
+  const std::size_t Before = Fleet.Group.Received.size();
+  const auto IsRefused = [&] {
+    const answer Answer = Fleet.first().write(Session);
+    return failedWith(Answer, answer_code::Busy) &&
+           Fleet.Group.Received.size() == Before;
+  };
+  cr_assert(IsRefused());
+  cr_assert(poolOf(Fleet.Owner.Set, "p")->health().Failures == 0);
+  cr_assert(poolOf(Fleet.first().Set, "p")->health().Failures == 0);
+  Fleet.first().Core.Ports.Forward = {};
+  cr_assert(IsRefused());
+}
