Run and forward statements in their home regions only

Operators say for routes and customers in which regions their statements may run. The field was not read.

A statement now runs only at endpoints in the home regions of its route and of its customer, and its text goes only to an owner in them; with another owner the instance connects to the endpoint itself. The rule is looked up when a statement arrives, also in a transaction, which is aborted when a newer configuration does not allow its endpoint or its owner any more. What no endpoint can run is refused at once with the reason and a retry time. Considered: the code for denied keys, which callers do not retry, although a move of a primary or a change of the configuration ends the state; and a check by the owner, which does not know the route. An empty list counts as no restriction, any other type makes the configuration unreadable, since data would leave its regions otherwise.

Zones belong to regions by [zones] and instance.region; two regions for one zone are refused. A zone that is not named is in no home region.

--- a/packages/redwinggw/src/platform_endpoint_owners.cpp
+++ b/packages/redwinggw/src/platform_endpoint_owners.cpp
@@ -152,8 +152,9 @@
       !session::mayOwn(State.Peers->view(), *Member, Now) ||
       !State.ForwardingClient->isUsable(Owner, Now))
     return nullptr;
-  return State.ForwardingClient->linkTo({Owner, Member->Address}, Entry.Name,
-                                        std::string(Customer), Priority);
+  return State.ForwardingClient->linkTo({Owner, Member->Address, Member->Zone},
+                                        Entry.Name, std::string(Customer),
+                                        Priority);
 }
 
 } // namespace redwinggw
--- a/packages/redwinggw/src/platform_instance.cpp
+++ b/packages/redwinggw/src/platform_instance.cpp
@@ -165,6 +165,7 @@
       platform::databaseLinks(Context.get_executor(), Endpoints.Watch);
   platform::useRows(Store, Settings.Platform);
   Core.Ports = sessionCorePorts(*this);
+  Core.Regions.ByZone = this->Settings.Zones;
 }
 
 bool isCutOff(const platform_instance_state &State) {
--- a/packages/redwinggw/src/settings.cpp
+++ b/packages/redwinggw/src/settings.cpp
@@ -56,6 +56,11 @@
   return true;
 }
 
+bool setOptionalName(std::string &Field, const std::string &Text) {
+  Field.clear();
+  return Text.empty() || setName(Field, Text);
+}
+
 bool setAddress(http::address &Field, const std::string &Text) {
   const auto Address = http::parseAddress(Text);
   if (!Address)
@@ -113,6 +118,8 @@
 }
 
 constexpr const char *NameAllowed = "1 to 64 letters, digits, '-', '_', '.'";
+constexpr const char *OptionalNameAllowed =
+    "1 to 64 letters, digits, '-', '_', '.', or empty";
 constexpr const char *AddressAllowed = "IP:port";
 constexpr const char *BoundAllowed = "a number from 0 to 1000000, or empty";
 constexpr const char *CapacityAllowed = "a number from 0 to 1000000";
@@ -136,6 +143,11 @@
      [](settings &S, const std::string &T) { return setName(S.Name, T); }},
     {"instance.zone", "", NameAllowed, "availability zone",
      [](settings &S, const std::string &T) { return setName(S.Zone, T); }},
+    {"instance.region", "none", OptionalNameAllowed,
+     "region of the availability zone, see [zones]",
+     [](settings &S, const std::string &T) {
+       return setOptionalName(S.Region, T);
+     }},
     {"instance.capacity", "0", CapacityAllowed,
      "how much work it can take compared with other instances",
      [](settings &S, const std::string &T) {
@@ -290,8 +302,46 @@
   }
 }
 
+constexpr std::string_view ZoneSection = "zones.";
+
+/// A line of [zones].
+void applyZone(parse_state &State, settings &Settings,
+               const assignment &Assignment) {
+  std::string Zone;
+  std::string Region;
+  const std::string Name = Assignment.Key.substr(ZoneSection.size());
+  if (!setName(Zone, Name) || !setName(Region, Assignment.Value)) {
+    State.Faults.push_back(
+        Assignment.Location + ": '" + Name + " = " + Assignment.Value +
+        "' is not allowed in [zones]; allowed: NAME = REGION, each " +
+        std::string(NameAllowed));
+    return;
+  }
+  const bool New = Settings.Zones.insert_or_assign(Zone, Region).second;
+  if (!New && Assignment.Location != "option")
+    State.Faults.push_back(Assignment.Location + ": zone '" + Zone +
+                           "' is given twice; keep one");
+}
+
+/// The region of this instance's zone may be given in two places.
+void joinRegions(parse_state &State, settings &Settings,
+                 const std::string &Name) {
+  if (Settings.Region.empty())
+    return;
+  const auto [At, New] = Settings.Zones.emplace(Settings.Zone, Settings.Region);
+  if (!New && At->second != Settings.Region)
+    State.Faults.push_back(Name + ": 'instance.region' is '" + Settings.Region +
+                           "', but [zones] has '" + At->second +
+                           "' for zone '" + Settings.Zone +
+                           "'; give the same region, or leave one out");
+}
+
 void apply(parse_state &State, settings &Settings,
            std::set<std::string_view> &Given, const assignment &Assignment) {
+  if (Assignment.Key.starts_with(ZoneSection)) {
+    applyZone(State, Settings, Assignment);
+    return;
+  }
   const auto *Row =
       std::ranges::find(Keys, std::string_view(Assignment.Key), &key_row::Key);
   if (Row == Keys.end()) {
@@ -347,6 +397,7 @@
   for (const assignment &Assignment : State.Assignments)
     apply(State, Settings, Given, Assignment);
   reportMissing(State, Given, Name, Settings.Kind);
+  joinRegions(State, Settings, Name);
   if (Settings.ColdOvershoot.has_value() != Settings.ColdSlack.has_value())
     State.Faults.push_back(
         Name + ": 'endpoints.cold_overshoot' and 'endpoints.cold_slack' belong "
@@ -377,6 +428,8 @@
             "): " + std::string(Row.Meaning) + "; " + std::string(Row.Allowed) +
             "\n";
   }
+  Text += "  zones.NAME (none): region of the availability zone NAME; " +
+          std::string(NameAllowed) + "\n";
   return Text;
 }
 
--- a/packages/redwinggw/src/settings.hpp
+++ b/packages/redwinggw/src/settings.hpp
@@ -7,6 +7,7 @@
 #include "redwinggw/data/routing.hpp"
 #include "redwinggw/http/address.hpp"
 
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -31,6 +32,11 @@
   std::string Zone;
   /// Capacity relative to other instances; 0 when it is not given.
   double Capacity = 0;
+  /// The region of this instance's zone; empty when it is not given.
+  std::string Region;
+  /// The region of each availability zone, this instance's included if Region
+  /// is given.
+  std::map<std::string, std::string, std::less<>> Zones;
   /// The operators' bound on requests to cold endpoints; both or neither.
   std::optional<double> ColdOvershoot;
   std::optional<double> ColdSlack;
--- a/packages/session/include/redwinggw/session/forwarding_client.hpp
+++ b/packages/session/include/redwinggw/session/forwarding_client.hpp
@@ -19,6 +19,7 @@
 struct connection_owner {
   base::instance_name Name;
   http::address Address;
+  base::zone_name Zone;
 };
 
 /// Used from one thread. \p Watch outlives it; links may outlive it.
--- a/packages/session/include/redwinggw/session/route_table.hpp
+++ b/packages/session/include/redwinggw/session/route_table.hpp
@@ -3,6 +3,7 @@
 #include "redwinggw/base/ids.hpp"
 #include "redwinggw/base/time.hpp"
 #include "redwinggw/control/configuration.hpp"
+#include "redwinggw/session/homes.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -41,6 +42,7 @@
   unsigned Priority = 0;
   /// Anybody may use it, without a key.
   bool Public = false;
+  home_regions Homes;
 
   friend bool operator==(const route &, const route &) = default;
 };
@@ -74,6 +76,8 @@
   text_map<route> Routes;
   text_map<service_limits> Services;
   std::vector<control::customer> Customers;
+  /// The home regions of the customers that have any.
+  text_map<home_regions> CustomerHomes;
   /// Customer by key. Keys are looked up here and stored nowhere else.
   text_map<base::customer_name> Keys;
   /// A transaction that is idle for longer may be rolled back.
@@ -85,6 +89,11 @@
 /// Null when there is none of that name. Thread safe.
 const route *findRoute(const route_table &Table, std::string_view Database);
 
+/// The home regions for statements of \p Customer to \p Database. Valid as long
+/// as \p Table is unchanged. Thread safe.
+home_rule homesFor(const route_table &Table, std::string_view Database,
+                   std::string_view Customer);
+
 /// The customer whose key it is, null when the key is not in force.
 const base::customer_name *findCustomer(const route_table &Table,
                                         std::string_view Key);
--- a/packages/session/include/redwinggw/session/session_core.hpp
+++ b/packages/session/include/redwinggw/session/session_core.hpp
@@ -98,6 +98,7 @@
   endpoint_set &Set;
   core_ports Ports;
   core_limits Limits;
+  zone_regions Regions;
   base::metrics Metrics;
   log_budget LogBudget;
   /// The instance shuts down: sessions end as soon as they are idle.
--- a/packages/session/include/redwinggw/session/statement_forwarding.hpp
+++ b/packages/session/include/redwinggw/session/statement_forwarding.hpp
@@ -75,6 +75,9 @@
 
   /// The owner's name, for logs.
   virtual std::string_view owner() const = 0;
+
+  /// The owner's availability zone.
+  virtual std::string_view zone() const = 0;
 };
 
 /// Encoding and decoding of the messages, which are signed with the fleet's
--- a/packages/session/src/core_parts.hpp
+++ b/packages/session/src/core_parts.hpp
@@ -21,6 +21,8 @@
   /// Set for Execute: the prepared statement that is run.
   const prepared_statement *Prepared = nullptr;
   bool Writes = false;
+  /// By the configuration in force when it arrived.
+  home_rule Homes;
   /// An endpoint has run something of it, or may have.
   bool Ran = false;
   unsigned Tries = 0;
@@ -39,8 +41,8 @@
   std::optional<log_point> Required;
   /// Why the last attempt did not serve it; for logs and refusals.
   std::string LastProblem;
-  /// When to retry if that was a cold endpoint.
-  std::optional<base::milliseconds> ColdRetry;
+  /// When to retry, if that is known from the last attempt.
+  std::optional<base::milliseconds> RetryAfter;
 };
 
 /// The connection on which a statement runs, and the conditions under which its
--- a/packages/session/src/forwarding_client.cpp
+++ b/packages/session/src/forwarding_client.cpp
@@ -134,6 +134,7 @@
                                    instant WaitUntil,
                                    instant Deadline) override;
   std::string_view owner() const override { return Connections->Owner.Name; }
+  std::string_view zone() const override { return Connections->Owner.Zone; }
 
 private:
   base::task<bool> open(instant Deadline);
@@ -244,7 +245,8 @@
                           base::endpoint_name Endpoint,
                           base::customer_name Customer, unsigned Priority) {
   auto &Connections = State->Owners[Owner.Name];
-  if (!Connections || Connections->Owner.Address != Owner.Address) {
+  if (!Connections || Connections->Owner.Address != Owner.Address ||
+      Connections->Owner.Zone != Owner.Zone) {
     // Another process under the name, or the first statement for this owner.
     Connections = std::make_shared<state::owner_connections>();
     Connections->Owner = Owner;
--- a/packages/session/src/placement.cpp
+++ b/packages/session/src/placement.cpp
@@ -73,14 +73,18 @@
 }
 
 /// A link that forwards to the endpoint's owner; null if this instance connects
-/// to the endpoint itself.
+/// to the endpoint itself, as it does for an owner outside the home regions.
 std::unique_ptr<forwarding_link> forwardingLinkTo(const session_core &Core,
                                                   const caller_session &Session,
                                                   const request &Request,
                                                   const endpoint_entry &Entry) {
   if (Request.Direct || !Core.Ports.Forward)
     return nullptr;
-  return Core.Ports.Forward(Entry, Session.Customer, Request.Route.Priority);
+  auto Link =
+      Core.Ports.Forward(Entry, Session.Customer, Request.Route.Priority);
+  const bool Home =
+      Link == nullptr || isHome(Core.Regions, Request.Homes, Link->zone());
+  return Home ? std::move(Link) : nullptr;
 }
 
 /// Tries to get a connection to \p Name. Nothing when that endpoint cannot
@@ -101,7 +105,7 @@
   const cold_use Use = Session.Transaction ? cold_use::Begin : cold_use::Single;
   if (refusesAsCold(Core, *Pool, Use, queueDeadline(Core, Request))) {
     Request.LastProblem = Name + " is cold";
-    Request.ColdRetry = coldRetryAfter(Pool->cold(), Use, base::now());
+    Request.RetryAfter = coldRetryAfter(Pool->cold(), Use, base::now());
     co_return std::nullopt;
   }
   slot_grant Grant =
@@ -143,6 +147,29 @@
   return Candidates;
 }
 
+/// Removes the endpoints outside the statement's home regions. False, with the
+/// problem in \p Request, if no other one can serve it.
+bool keepHome(const session_core &Core, request &Request,
+              std::vector<choice_candidate> &Candidates) {
+  if (Candidates.empty() || !isRestricted(Request.Homes))
+    return true;
+  std::erase_if(Candidates, [&](const choice_candidate &Candidate) {
+    const endpoint_entry *Entry =
+        findEndpoint(Core.Set.Directory, Candidate.Name);
+    return Entry == nullptr ||
+           !isHome(Core.Regions, Request.Homes, Entry->Zone);
+  });
+  if (!Candidates.empty())
+    return true;
+  // A primary that is moved back, or a new configuration, takes about as long.
+  constexpr milliseconds NextChange{2000};
+  Request.LastProblem = "no endpoint of " + Request.Route.Service +
+                        " that can serve this is in a home region (" +
+                        textOf(Request.Homes) + ")";
+  Request.RetryAfter = NextChange;
+  return false;
+}
+
 /// The best endpoint that was not tried yet; when all were, the best one.
 const choice_candidate &
 nextUntried(const std::vector<choice_candidate> &Candidates, request &Request) {
@@ -188,7 +215,7 @@
         std::optional<required_point> Point) {
   const choice_candidate Chosen = nextUntried(Candidates, Request);
   Request.Tried.push_back(Chosen.Name);
-  Request.ColdRetry.reset();
+  Request.RetryAfter.reset();
   auto Placement = co_await connectTo(Core, Session, Request, Chosen.Name,
                                       patienceDeadline(Core, Request));
   if (!Placement)
@@ -240,6 +267,8 @@
                                     : pointFor(Core, Session, Request, Now);
     auto Candidates = candidatesFor(Core, Session, Request, NeedsPrimary,
                                     PrimaryLease, Point, Now);
+    if (!keepHome(Core, Request, Candidates))
+      co_return std::nullopt;
     if (Candidates.empty()) {
       const bool Again = co_await awaitPrimary(Core, Request);
       if (!Again)
--- a/packages/session/src/route_table.cpp
+++ b/packages/session/src/route_table.cpp
@@ -13,4 +13,15 @@
   return Found == Table.Keys.end() ? nullptr : &Found->second;
 }
 
+home_rule homesFor(const route_table &Table, std::string_view Database,
+                   std::string_view Customer) {
+  home_rule Rule;
+  if (const route *Route = findRoute(Table, Database))
+    Rule.Route = &Route->Homes;
+  if (const auto Found = Table.CustomerHomes.find(Customer);
+      Found != Table.CustomerHomes.end())
+    Rule.Customer = &Found->second;
+  return Rule;
+}
+
 } // namespace redwinggw::session
--- a/packages/session/src/session_core.cpp
+++ b/packages/session/src/session_core.cpp
@@ -237,6 +237,8 @@
   const route Copy = *Route;
   request Request{Statement, Copy, Arrived, Arrived + Copy.Timeout};
   Request.Writes = Statement.Kind == statement_kind::Write;
+  // Also in a transaction, whose route is that of its begin.
+  Request.Homes = homesFor(*Table, Session.Database, Session.Customer);
   answer Answer = co_await dispatch(Core, Session, Request);
   if (Session.Transaction)
     Session.Transaction->UsedAt = base::now();
--- a/packages/session/src/transaction.cpp
+++ b/packages/session/src/transaction.cpp
@@ -122,6 +122,23 @@
   return Transaction.Link && Transaction.Pool->isEvacuated();
 }
 
+/// The same, since the endpoint or the instance that runs the statements there
+/// is outside the home regions by a newer configuration.
+bool isAway(const session_core &Core, const request &Request,
+            const open_transaction &Transaction) {
+  if (!Transaction.Link)
+    return false;
+  const auto &Forwarding = Transaction.Link->Forwarding;
+  const base::zone_name &Zone = Transaction.Pool->entry().Zone;
+  return !isHome(Core.Regions, Request.Homes, Zone) ||
+         (Forwarding &&
+          !isHome(Core.Regions, Request.Homes, Forwarding->zone()));
+}
+
+constexpr std::string_view AwayText =
+    "the home regions have changed and do not allow the endpoint of this "
+    "transaction; retry now";
+
 constexpr std::string_view EvacuatedText =
     "the endpoint's availability zone is evacuated; retry now";
 
@@ -154,6 +171,9 @@
   if (isEvacuated(Transaction))
     co_return failTransaction(Session, answer_code::Aborted,
                               std::string(EvacuatedText));
+  if (isAway(Core, Request, Transaction))
+    co_return failTransaction(Session, answer_code::Aborted,
+                              std::string(AwayText));
   Transaction.Wrote = Transaction.Wrote || Request.Writes;
   placement Placement = takePlacement(Transaction, Request);
   exchange Done = co_await runOn(Core, Session, Request, Placement);
@@ -227,6 +247,10 @@
     co_await rollback(Session);
     co_return makeError(answer_code::Aborted, std::string(EvacuatedText));
   }
+  if (isAway(Core, Request, Transaction)) {
+    co_await rollback(Session);
+    co_return makeError(answer_code::Aborted, std::string(AwayText));
+  }
   const bool Wrote = Transaction.Wrote;
   Request.Writes = !Transaction.ReadOnly;
   placement Placement = takePlacement(Transaction, Request);
--- a/packages/session/src/try_statement.cpp
+++ b/packages/session/src/try_statement.cpp
@@ -57,7 +57,7 @@
     Pool.noteOwnerLoad(Reply.Load, base::now());
   if (Reply.Failure == forwarding_failure::NoConnection &&
       isCold(Pool.cold(), base::now()))
-    Request.ColdRetry =
+    Request.RetryAfter =
         coldRetryAfter(Pool.cold(), cold_use::Single, base::now());
   if (Reply.Failure != forwarding_failure::None)
     Request.LastProblem = Pool.entry().Name + " through " + Request.Via + ": " +
@@ -224,9 +224,9 @@
 }
 
 answer_error refusal(const session_core &Core, const request &Request) {
-  if (Request.ColdRetry)
+  if (Request.RetryAfter)
     return {answer_code::Busy, Request.LastProblem + "; retry after " +
-                                   std::to_string(Request.ColdRetry->count()) +
+                                   std::to_string(Request.RetryAfter->count()) +
                                    " ms"};
   // If the end of the problem is not known, a caller does best to retry after
   // about the time in which a primary is replaced.
--- a/tests/platform/decoding_test.cpp
+++ b/tests/platform/decoding_test.cpp
@@ -74,6 +74,30 @@
   cr_assert(Table->TransactionIdle == base::milliseconds(2500));
 }
 
+// Guards against home regions that are ignored because they cannot be read.
+Test(decoding, reads_home_regions) {
+  const auto Read = [](const std::string &OfRoute,
+                       const std::string &OfTenant) {
+    return readConfiguration(
+        R"({"version":7,"services":[],"limits":{},"routes":[{"name":"r",)"
+        R"("host":"db","kind":"primary","timeout_ms":3000,"service":"s",)"
+        R"("target_latency_ms":800,"home_regions":)" +
+        OfRoute +
+        R"(}],"tenants":[{"name":"acme","api_keys":[],"rate_per_s":1,)"
+        R"("burst":1,"home_regions":)" +
+        OfTenant + "}]}");
+  };
+  const auto Table = Read(R"(["eu","us"])", R"(["eu"])");
+  cr_assert(Table.has_value());
+  const session::home_rule Rule = homesFor(*Table, "db", "acme");
+  cr_assert(*Rule.Route == session::home_regions({"eu", "us"}));
+  cr_assert(*Rule.Customer == session::home_regions({"eu"}));
+  cr_assert(homesFor(*Table, "db", "bolt").Customer == nullptr);
+  cr_assert(!isRestricted(homesFor(*Read("null", "[]"), "db", "acme")));
+  for (const char *Wrong : {R"("eu")", "[1]", "{}"})
+    cr_assert(!Read(Wrong, "[]") && !Read("[]", Wrong), "%s", Wrong);
+}
+
 Test(decoding, refuses_a_malformed_configuration) {
   cr_assert(!readConfiguration("{}"));
   cr_assert(!readConfiguration(R"({"version":"seven"})"));
--- a/tests/redwinggw/settings_test.cpp
+++ b/tests/redwinggw/settings_test.cpp
@@ -57,6 +57,25 @@
     cr_assert(!Read(Wrong), "%s", Wrong);
 }
 
+// Guards against a zone without its region: nothing that has home regions would
+// be served there, or two places would name different ones.
+Test(settings, zones_have_one_region_each) {
+  const std::string Zones = "[zones]\na = eu\nb = us-east\n";
+  const auto Settings = parseSettings(Valid + Zones, "i1.ini", {});
+  cr_assert(Settings->Zones.at("a") == "eu" &&
+            Settings->Zones.at("b") == "us-east");
+  const auto Own = parseSettings(Valid, "i1.ini", {{"instance.region", "eu"}});
+  cr_assert(Own->Zones.size() == 1 && Own->Zones.at("a") == "eu");
+  const auto Empty = parseSettings(Valid, "i1.ini", {{"instance.region", ""}});
+  cr_assert(Empty->Zones.empty());
+  const auto Other =
+      parseSettings(Valid + Zones, "i1.ini", {{"instance.region", "us"}});
+  cr_assert(contains(Other.error().Detail, "give the same region"));
+  cr_assert(contains(faultsOf(Valid + Zones + "b = eu\n"), "keep one"));
+  cr_assert(contains(faultsOf(Valid + "[zones]\nb c = eu\n"), "NAME = REGION"));
+  cr_assert(contains(faultsOf(Valid + "[zones]\nb =\n"), "NAME = REGION"));
+}
+
 // Guards against a bound that is half given, which would limit nothing, and
 // against a template whose deployment has none.
 Test(settings, the_bound_on_cold_endpoints_is_given_whole_or_not_at_all) {
