--- a/tests/native/native_fleet.hpp
+++ b/tests/native/native_fleet.hpp
@@ -22,7 +22,9 @@
 /// reaches the store through the stand-in's second address. Used from one
 /// thread.
 struct native_fleet {
-  explicit native_fleet(std::size_t Instances);
+  /// \p MoreSettings: further lines of each instance's settings.
+  explicit native_fleet(std::size_t Instances,
+                        const std::string &MoreSettings = {});
   ~native_fleet();
   native_fleet(const native_fleet &) = delete;
   native_fleet &operator=(const native_fleet &) = delete;
--- a/tests/standins/native/database_group.hpp
+++ b/tests/standins/native/database_group.hpp
@@ -34,6 +34,10 @@
   /// Number of log entries received.
   std::size_t Received = 0;
   std::size_t Connections = 0;
+  /// Time for which its entry says that it is still cold.
+  base::milliseconds ColdRemaining{0};
+  /// Number of connections and statements of all kinds that it received.
+  std::size_t Requests = 0;
   /// Number of reads, writes and commits run here.
   std::size_t Statements = 0;
 };
--- a/tests/standins/native/database_server.cpp
+++ b/tests/standins/native/database_server.cpp
@@ -108,6 +108,7 @@
     const std::string Word = takeWord(Line);
     if (Word == "BYE")
       break;
+    ++self().Requests;
     bool Lost = false;
     const std::string Answer =
         Client->Started ? query(*Client, Line, Lost) : start(*Client, Line);
--- a/tests/standins/native/simulated_platform.cpp
+++ b/tests/standins/native/simulated_platform.cpp
@@ -95,7 +95,7 @@
                   {"version", "v1"},
                   {"slots", 5},
                   {"state", Database.Draining ? "draining" : "ready"},
-                  {"cold_remaining_ms", 0},
+                  {"cold_remaining_ms", Database.ColdRemaining.count()},
                   {"database_role", Database.Primary ? "primary" : "replica"},
                   {"sequence", 1},
                   {"born", 1}}));
@@ -114,8 +114,11 @@
                               {"priority", 1},
                               {"rate_per_s", Rate},
                               {"burst", Rate}};
-  const json::object Service{
-      {"name", "s"}, {"connection_limit", 50}, {"sync_replicas", 0}};
+  const json::object Service{{"name", "s"},
+                             {"connection_limit", 50},
+                             {"sync_replicas", 0},
+                             {"cold_start_s", 20},
+                             {"cold_per_s", 20}};
   Store.put("op", "config",
             json::serialize(json::object{
                 {"version", ++ConfigurationVersion},
@@ -178,4 +181,13 @@
   });
 }
 
+void simulated_platform::makeCold(const std::string &Name,
+                                  base::milliseconds Remaining) {
+  runOnThread([&](simulated_platform &World) {
+    simulated_database *Database = findDatabase(World.Group, Name);
+    Database->ColdRemaining = Remaining;
+    publish(*Database);
+  });
+}
+
 } // namespace redwinggw::standin
--- a/tests/standins/native/simulated_platform.hpp
+++ b/tests/standins/native/simulated_platform.hpp
@@ -47,6 +47,8 @@
   void evacuate(const std::string &Zone);
   void endEvacuation(const std::string &Zone);
   /// @}
+  /// Publishes that \p Name is cold for \p Remaining.
+  void makeCold(const std::string &Name, base::milliseconds Remaining);
   /// Publishes a configuration with these keys of the customer "acme" and with
   /// \p UnusedRoutes additional routes that no request uses.
   void configure(const std::vector<std::string> &Keys, double Rate = 1000,
