--- a/packages/base/include/redwinggw/base/metrics.hpp
+++ b/packages/base/include/redwinggw/base/metrics.hpp
@@ -32,6 +32,7 @@
   EndpointEvictionsTotal,
   CustomerConnections,
   RelayedTotal,
+  ColdRefusalsTotal,
   EndpointErrorsTotal,
   ReplicaAgeSeconds,
   FailoversTotal,
--- a/packages/redwinggw/src/platform_endpoint_owners.cpp
+++ b/packages/redwinggw/src/platform_endpoint_owners.cpp
@@ -10,6 +10,23 @@
 /// Which instance owns the connections to each endpoint, and how many each
 /// instance may hold.
 namespace redwinggw {
+
+namespace {
+
+session::owner_role ownRole(const platform_instance_state &State,
+                            std::string_view Endpoint) {
+  const auto Found = State.Owners.find(Endpoint);
+  return Found == State.Owners.end()
+             ? session::owner_role::Owner
+             : roleOf(Found->second, State.Settings.Name);
+}
+
+} // namespace
+
+bool isOwn(const platform_instance_state &State, std::string_view Endpoint) {
+  return ownRole(State, Endpoint) == session::owner_role::Owner;
+}
+
 namespace {
 
 using base::instant;
@@ -36,14 +53,6 @@
                                      : Found->second;
 }
 
-session::owner_role ownRole(const platform_instance_state &State,
-                            std::string_view Endpoint) {
-  const auto Found = State.Owners.find(Endpoint);
-  return Found == State.Owners.end()
-             ? session::owner_role::Owner
-             : roleOf(Found->second, State.Settings.Name);
-}
-
 void logOwner(const base::endpoint_name &Endpoint,
               const base::instance_name &Before,
               const session::connection_owners &Now, bool HasStandby) {
@@ -206,6 +215,8 @@
     const auto Service = State.Routes->Services.find(Pool->entry().Service);
     if (Service == State.Routes->Services.end())
       continue;
+    configure(Pool->cold(), coldLimits(State.Settings),
+              Service->second.ColdPerSecond, Service->second.ColdStart);
     Pool->setEvacuated(isEvacuated(State.Evacuations, Pool->entry().Zone));
     const session::owner_role Role = ownRole(State, Name);
     Pool->setOwnedElsewhere(Role != session::owner_role::Owner);
@@ -232,8 +243,9 @@
   if (Runner.empty() || Runner == State.Settings.Name)
     return nullptr;
   const control::member *Member = findMember(State.Peers->view(), Runner);
-  return State.ForwardingClient->linkTo({Runner, Member->Address}, Entry.Name,
-                                        std::string(Customer), Priority);
+  return State.ForwardingClient->linkTo({Runner, Member->Address, Member->Zone},
+                                        Entry.Name, std::string(Customer),
+                                        Priority);
 }
 
 } // namespace redwinggw
--- a/packages/redwinggw/src/platform_endpoints.cpp
+++ b/packages/redwinggw/src/platform_endpoints.cpp
@@ -266,7 +266,13 @@
     return;
   const std::vector<session::endpoint_entry> Before = State.EndpointList;
   State.EndpointListVersion = Rows.Version;
-  acceptEndpointList(State, entriesOf(Rows), Sent);
+  auto Entries = entriesOf(Rows);
+  if (coldLimits(State.Settings))
+    keepColdTimes(State.Endpoints.Directory, Entries, base::now());
+  else
+    for (session::endpoint_entry &Entry : Entries)
+      Entry.ColdRemaining = milliseconds(0);
+  acceptEndpointList(State, Entries, Sent);
   if (isStoreReader(State) && State.Peers)
     shareEndpointList(State, Before, Rows.Version);
 }
--- a/packages/redwinggw/src/platform_instance_state.hpp
+++ b/packages/redwinggw/src/platform_instance_state.hpp
@@ -37,6 +37,15 @@
 /// functions that work on them.
 namespace redwinggw {
 
+/// The cold permission of an endpoint, as far as this instance deals with it.
+struct held_permission {
+  session::cold_permission Permission;
+  /// A request to the store is under way.
+  bool Busy = false;
+  /// It was cold at the last check.
+  bool WasCold = false;
+};
+
 struct platform_instance_state
     : std::enable_shared_from_this<platform_instance_state> {
   platform_instance_state(boost::asio::io_context &Context, settings Settings);
@@ -84,6 +93,10 @@
   base::instant OwnersCheckedAt;
   /// When the use of each endpoint's standby owner was last logged.
   std::map<base::endpoint_name, base::instant> StandbyLoggedAt;
+  /// The cold permissions of endpoints, see session/cold_rates.hpp, by which
+  /// this instance may send to them, and the text of its rows.
+  std::map<base::endpoint_name, held_permission, std::less<>> ColdPermissions;
+  std::string ColdHolder;
   /// Connections have to be divided again: endpoints, configuration or
   /// evacuations have changed.
   bool ConnectionsStale = true;
@@ -200,6 +213,8 @@
 /// Probes primaries that may have failed, and replaces those that failed or
 /// leave.
 base::task<void> monitorPrimaries(platform_instance_ptr State);
+/// Acquires, renews and releases the permissions to send to cold endpoints.
+base::task<void> followColdEndpoints(platform_instance_ptr State);
 /// Checks the contact with the fleet, opens the callers' address, divides
 /// connections and closes unused ones.
 base::task<void> runPlatformHousekeeping(platform_instance_ptr State);
@@ -322,6 +337,10 @@
 /// Recomputes which instance owns each endpoint's connections, how many this
 /// instance may hold, and which endpoints are evacuated.
 void divideConnections(platform_instance_state &State);
+/// The bound on requests to cold endpoints; nothing if there is none.
+std::optional<session::cold_limits> coldLimits(const settings &Settings);
+/// Whether this instance owns the connections to \p Endpoint.
+bool isOwn(const platform_instance_state &State, std::string_view Endpoint);
 /// A link to an endpoint through the instance that owns its connections, or
 /// through the standby owner while the owner cannot be used; null when this
 /// instance is the one to use, or when neither can be used now.
--- a/packages/redwinggw/src/settings.cpp
+++ b/packages/redwinggw/src/settings.cpp
@@ -67,6 +67,11 @@
   return true;
 }
 
+bool setOptionalName(std::string &Field, const std::string &Text) {
+  Field.clear();
+  return Text.empty() || setName(Field, Text);
+}
+
 bool setAddress(http::address &Field, const std::string &Text) {
   const auto Address = http::parseAddress(Text);
   if (!Address)
@@ -107,6 +112,19 @@
   return true;
 }
 
+/// Empty: not set.
+bool setBound(std::optional<double> &Field, const std::string &Text) {
+  constexpr double Max = 1e6;
+  Field.reset();
+  if (Text.empty())
+    return true;
+  double Value = 0;
+  if (!setNumber(Value, Text, 0, Max))
+    return false;
+  Field = Value;
+  return true;
+}
+
 bool setText(std::string &Field, const std::string &Text) {
   Field = Text;
   return !Text.empty();
@@ -118,7 +136,10 @@
 }
 
 constexpr const char *NameAllowed = "1 to 64 letters, digits, '-', '_', '.'";
+constexpr const char *OptionalNameAllowed =
+    "1 to 64 letters, digits, '-', '_', '.', or empty";
 constexpr const char *AddressAllowed = "IP:port";
+constexpr const char *BoundAllowed = "a number from 0 to 1000000, or empty";
 constexpr const char *CapacityAllowed = "a number from 0 to 1000000";
 
 /// With which kind of platform a key without a default is required.
@@ -140,6 +161,11 @@
      [](settings &S, const std::string &T) { return setName(S.Name, T); }},
     {"instance.zone", "", NameAllowed, "availability zone",
      [](settings &S, const std::string &T) { return setName(S.Zone, T); }},
+    {"instance.region", "none", OptionalNameAllowed,
+     "region of the availability zone, see [zones]",
+     [](settings &S, const std::string &T) {
+       return setOptionalName(S.Region, T);
+     }},
     {"instance.capacity", "0", CapacityAllowed,
      "how much work it can take compared with other instances",
      [](settings &S, const std::string &T) {
@@ -151,6 +177,16 @@
      [](settings &S, const std::string &T) {
        return setNumber(S.LinkMbps, T, 0, 1e6);
      }},
+    {"endpoints.cold_overshoot", "none", BoundAllowed,
+     "cold endpoints get at most their rate times this, plus cold_slack",
+     [](settings &S, const std::string &T) {
+       return setBound(S.ColdOvershoot, T);
+     }},
+    {"endpoints.cold_slack", "none", BoundAllowed,
+     "requests in any second beyond that; none: cold endpoints are not limited",
+     [](settings &S, const std::string &T) {
+       return setBound(S.ColdSlack, T);
+     }},
     {"listen.callers", "", AddressAllowed, "where callers connect (TCP)",
      [](settings &S, const std::string &T) {
        return setAddress(S.Callers, T);
@@ -321,8 +357,46 @@
   }
 }
 
+constexpr std::string_view ZoneSection = "zones.";
+
+/// A line of [zones].
+void applyZone(parse_state &State, settings &Settings,
+               const assignment &Assignment) {
+  std::string Zone;
+  std::string Region;
+  const std::string Name = Assignment.Key.substr(ZoneSection.size());
+  if (!setName(Zone, Name) || !setName(Region, Assignment.Value)) {
+    State.Faults.push_back(
+        Assignment.Location + ": '" + Name + " = " + Assignment.Value +
+        "' is not allowed in [zones]; allowed: NAME = REGION, each " +
+        std::string(NameAllowed));
+    return;
+  }
+  const bool New = Settings.Zones.insert_or_assign(Zone, Region).second;
+  if (!New && Assignment.Location != "option")
+    State.Faults.push_back(Assignment.Location + ": zone '" + Zone +
+                           "' is given twice; keep one");
+}
+
+/// The region of this instance's zone may be given in two places.
+void joinRegions(parse_state &State, settings &Settings,
+                 const std::string &Name) {
+  if (Settings.Region.empty())
+    return;
+  const auto [At, New] = Settings.Zones.emplace(Settings.Zone, Settings.Region);
+  if (!New && At->second != Settings.Region)
+    State.Faults.push_back(Name + ": 'instance.region' is '" + Settings.Region +
+                           "', but [zones] has '" + At->second +
+                           "' for zone '" + Settings.Zone +
+                           "'; give the same region, or leave one out");
+}
+
 void apply(parse_state &State, settings &Settings,
            std::set<std::string_view> &Given, const assignment &Assignment) {
+  if (Assignment.Key.starts_with(ZoneSection)) {
+    applyZone(State, Settings, Assignment);
+    return;
+  }
   const auto *Row =
       std::ranges::find(Keys, std::string_view(Assignment.Key), &key_row::Key);
   if (Row == Keys.end()) {
@@ -378,6 +452,11 @@
   for (const assignment &Assignment : State.Assignments)
     apply(State, Settings, Given, Assignment);
   reportMissing(State, Given, Name, Settings.Kind);
+  joinRegions(State, Settings, Name);
+  if (Settings.ColdOvershoot.has_value() != Settings.ColdSlack.has_value())
+    State.Faults.push_back(
+        Name + ": 'endpoints.cold_overshoot' and 'endpoints.cold_slack' belong "
+               "together; give both or leave both empty");
   if (!State.Faults.empty())
     return failure(errc::BadSettings, joined(State.Faults));
   return Settings;
@@ -404,6 +483,8 @@
             "): " + std::string(Row.Meaning) + "; " + std::string(Row.Allowed) +
             "\n";
   }
+  Text += "  zones.NAME (none): region of the availability zone NAME; " +
+          std::string(NameAllowed) + "\n";
   return Text;
 }
 
--- a/packages/redwinggw/src/settings.hpp
+++ b/packages/redwinggw/src/settings.hpp
@@ -9,6 +9,8 @@
 #include "redwinggw/http/address.hpp"
 #include "redwinggw/session/connection_plan.hpp"
 
+#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,6 +44,14 @@
   double Capacity = 0;
   /// Capacity of its link in Mbit/s; 0 when it is not given.
   double LinkMbps = 0;
+  /// The region of this instance's zone; empty when it is not given.
+  std::string Region;
+  /// The region of each availability zone, this instance's included if Region
+  /// is given.
+  std::map<std::string, std::string, std::less<>> Zones;
+  /// The operators' bound on requests to cold endpoints; both or neither.
+  std::optional<double> ColdOvershoot;
+  std::optional<double> ColdSlack;
   http::address Callers;
   http::address Operators;
   http::address Peers;
--- a/packages/session/include/redwinggw/session/endpoint_pool.hpp
+++ b/packages/session/include/redwinggw/session/endpoint_pool.hpp
@@ -2,6 +2,7 @@
 
 #include "redwinggw/base/task.hpp"
 #include "redwinggw/data/fair_queue.hpp"
+#include "redwinggw/session/cold_rates.hpp"
 #include "redwinggw/session/connection_plan.hpp"
 #include "redwinggw/session/deadline_watch.hpp"
 #include "redwinggw/session/endpoint_link.hpp"
@@ -41,6 +42,10 @@
   base::instant UsedAt;
   /// When it was checked out or set up for its current use.
   base::instant TakenAt;
+  /// Limits what is sent on it while the endpoint is cold; null: no limit.
+  cold_rate_ptr Cold;
+  /// Set while a transaction is open that began while the endpoint was cold.
+  end_reserve End;
 };
 
 using link_handle = std::unique_ptr<pooled_link>;
@@ -240,6 +245,10 @@
   /// for long: no slot would get free, and it may be gone.
   bool isStalled(base::instant Now) const;
 
+  /// Limits what is sent to the endpoint while it is cold.
+  cold_rate &cold() { return *Cold; }
+  const cold_rate &cold() const { return *Cold; }
+
   void setEntry(endpoint_entry Entry);
   void setLimits(pool_limits Limits);
 
@@ -295,6 +304,7 @@
   endpoint_entry Entry;
   pool_limits Limits;
   endpoint_health Health;
+  cold_rate_ptr Cold = std::make_shared<cold_rate>();
   std::list<link_handle> Idle;
   std::size_t Open = 0;
   bool OwnedElsewhere = false;
--- a/packages/session/include/redwinggw/session/statement_forwarding.hpp
+++ b/packages/session/include/redwinggw/session/statement_forwarding.hpp
@@ -47,6 +47,8 @@
   Acceptance,
   /// The endpoint cannot be reached.
   Endpoint,
+  /// The endpoint is cold and gets no more requests at present.
+  ColdToken,
 };
 
 struct forwarding_request {
@@ -93,6 +95,9 @@
 
   /// The owner's name, for logs.
   virtual std::string_view owner() const = 0;
+
+  /// The owner's availability zone.
+  virtual std::string_view zone() const = 0;
 };
 
 /// Encoding and decoding of the messages, which are signed with the fleet's
--- a/packages/session/src/core_parts.hpp
+++ b/packages/session/src/core_parts.hpp
@@ -21,6 +21,8 @@
   /// Set for Execute: the prepared statement that is run.
   const prepared_statement *Prepared = nullptr;
   bool Writes = false;
+  /// By the configuration in force when it arrived.
+  home_rule Homes;
   /// An endpoint has run something of it, or may have.
   bool Ran = false;
   unsigned Tries = 0;
@@ -74,6 +76,15 @@
   return Placement.Required->Point;
 }
 
+/// Whether a statement at \p Pool's endpoint, which may be cold, would not get
+/// a token before \p Until. Counts it then.
+bool refusesAsCold(session_core &Core, const endpoint_pool &Pool, cold_use Use,
+                   base::instant Until);
+
+/// Whether a statement was not sent since the endpoint is cold, which is no
+/// failure of the endpoint.
+bool isHeldBack(const endpoint_pool &Pool, const exchange &Exchange);
+
 /// Finds an endpoint and a connection for \p Request, waiting if that can help.
 /// \p NeedsPrimary: only the primary may serve it.
 base::task<std::optional<placement>> findPlacement(session_core &Core,
--- a/packages/session/src/endpoint_pool.cpp
+++ b/packages/session/src/endpoint_pool.cpp
@@ -1,5 +1,7 @@
 #include "redwinggw/session/endpoint_pool.hpp"
 
+#include "cold_wait.hpp"
+
 #include "redwinggw/base/enum_table.hpp"
 
 #include <algorithm>
@@ -75,7 +77,11 @@
 }
 
 void endpoint_pool::setEvacuated(bool IsEvacuated) {
+  // The list may not say yet that the endpoint returns cold.
+  if (Evacuated && !IsEvacuated)
+    presumeCold(*Cold, base::now());
   Evacuated = IsEvacuated;
+  Cold->Suspended = IsEvacuated;
   if (Evacuated)
     closeIdle();
 }
@@ -222,6 +228,12 @@
 base::task<acquired> endpoint_pool::connect(base::customer_name Customer,
                                             instant Deadline) {
   ++Open;
+  const token Token = co_await awaitToken(Cold, cold_use::Single, Deadline);
+  if (Token == token::None) {
+    --Open;
+    wakeNext();
+    co_return acquired{nullptr, acquire_failure::Exhausted};
+  }
   ++Connects;
   ++useOf(Customer).InUse;
   ++Plan.SetUps;
@@ -231,6 +243,7 @@
   const auto Started = SetUpStarts.insert(Link->TakenAt);
   Link->Customer = std::move(Customer);
   Link->ValuesKnown = true;
+  Link->Cold = Cold;
   const instant Latest = base::now() + Limits.ConnectTimeout;
   const exchange Opened = co_await Link->Link->open(Entry, Link->Customer,
                                                     std::min(Deadline, Latest));
@@ -245,6 +258,10 @@
       wakeNext();
     co_return acquired{std::move(Link)};
   }
+  // It may restart, and be cold before the list says so.
+  if (Opened.Outcome == exchange_outcome::NotSent ||
+      Opened.Outcome == exchange_outcome::Broken)
+    presumeCold(*Cold, base::now());
   // A refusal shows that the endpoint is up; a caller's short deadline does
   // not show that it is down.
   if (!Answered && (Latest <= Deadline || base::now() < Deadline))
@@ -405,6 +422,7 @@
   --Use.InUse;
   ++Use.Idle;
   noteHeld(Plan, Link->Customer, Link->UsedAt - Link->TakenAt);
+  Link->End = end_reserve();
   Idle.push_front(std::move(Link));
   wakeNext();
 }
--- a/packages/session/src/forwarding_codec.cpp
+++ b/packages/session/src/forwarding_codec.cpp
@@ -204,7 +204,7 @@
   Ar.time(Value.Ran);
   Ar.number(Value.Load);
   Ar.added([&] {
-    Ar.openChoice(Value.Lack, owner_lack::Endpoint);
+    Ar.openChoice(Value.Lack, owner_lack::ColdToken);
     Ar.time(Value.RetryAfter);
   });
 }
@@ -279,6 +279,7 @@
     {owner_lack::Connection, "no_connection"},
     {owner_lack::Acceptance, "endpoint_refused"},
     {owner_lack::Endpoint, "endpoint_lost"},
+    {owner_lack::ColdToken, "endpoint_cold"},
 });
 
 } // namespace
--- a/packages/session/src/placement.cpp
+++ b/packages/session/src/placement.cpp
@@ -74,14 +74,18 @@
 }
 
 /// A link that forwards to the endpoint's owner; null if this instance connects
-/// to the endpoint itself.
+/// to the endpoint itself, as it does for an owner outside the home regions.
 std::unique_ptr<forwarding_link> forwardingLinkTo(const session_core &Core,
                                                   const caller_session &Session,
                                                   const request &Request,
                                                   const endpoint_entry &Entry) {
   if (Request.Direct || !Core.Ports.Forward)
     return nullptr;
-  return Core.Ports.Forward(Entry, Session.Customer, Request.Route.Priority);
+  auto Link =
+      Core.Ports.Forward(Entry, Session.Customer, Request.Route.Priority);
+  const bool Home =
+      Link == nullptr || isHome(Core.Regions, Request.Homes, Link->zone());
+  return Home ? std::move(Link) : nullptr;
 }
 
 std::string problemOf(acquire_failure Failure, const endpoint_pool &Pool) {
@@ -108,6 +112,12 @@
         Pool, Pool->wrapForwarding(std::move(Forwarding), Session.Customer));
     co_return Placement;
   }
+  const cold_use Use = Session.Transaction ? cold_use::Begin : cold_use::Single;
+  if (refusesAsCold(Core, *Pool, Use, queueDeadline(Core, Request))) {
+    Request.LastProblem = Name + " is cold";
+    Request.RetryAfter = coldRetryAfter(Pool->cold(), Use, base::now());
+    co_return std::nullopt;
+  }
   check_out_request Wanted;
   Wanted.Level = levelOf(Request.Route.Priority);
   Wanted.Customer = Session.Customer;
@@ -144,6 +154,29 @@
   return Candidates;
 }
 
+/// Removes the endpoints outside the statement's home regions. False, with the
+/// problem in \p Request, if no other one can serve it.
+bool keepHome(const session_core &Core, request &Request,
+              std::vector<choice_candidate> &Candidates) {
+  if (Candidates.empty() || !isRestricted(Request.Homes))
+    return true;
+  std::erase_if(Candidates, [&](const choice_candidate &Candidate) {
+    const endpoint_entry *Entry =
+        findEndpoint(Core.Set.Directory, Candidate.Name);
+    return Entry == nullptr ||
+           !isHome(Core.Regions, Request.Homes, Entry->Zone);
+  });
+  if (!Candidates.empty())
+    return true;
+  // A primary that is moved back, or a new configuration, takes about as long.
+  constexpr milliseconds NextChange{2000};
+  Request.LastProblem = "no endpoint of " + Request.Route.Service +
+                        " that can serve this is in a home region (" +
+                        textOf(Request.Homes) + ")";
+  Request.RetryAfter = NextChange;
+  return false;
+}
+
 /// The best endpoint that was not tried yet; when all were, the best one.
 const choice_candidate &
 nextUntried(const std::vector<choice_candidate> &Candidates, request &Request) {
@@ -160,6 +193,17 @@
 
 } // namespace
 
+bool refusesAsCold(session_core &Core, const endpoint_pool &Pool, cold_use Use,
+                   instant Until) {
+  const instant Now = base::now();
+  const auto Expected = tokenExpected(Pool.cold(), Use, Now);
+  const bool Refused = !Expected || Now + *Expected > Until;
+  if (Refused)
+    add(counterOf(Core.Metrics, base::metric::ColdRefusalsTotal,
+                  {Pool.entry().Name}));
+  return Refused;
+}
+
 base::task<void> pauseFor(session_core &Core, base::microseconds Time) {
   boost::asio::steady_timer Timer(Core.Set.Executor, Time);
   boost::system::error_code Ignored;
@@ -235,6 +279,8 @@
                                     : pointFor(Core, Session, Request, Now);
     auto Candidates = candidatesFor(Core, Session, Request, NeedsPrimary,
                                     PrimaryLease, Point, Now);
+    if (!keepHome(Core, Request, Candidates))
+      co_return std::nullopt;
     if (Candidates.empty()) {
       const bool Again = co_await awaitPrimary(Core, Request);
       if (!Again)
--- a/packages/session/src/serve_forwarded.cpp
+++ b/packages/session/src/serve_forwarded.cpp
@@ -90,6 +90,15 @@
   const pool_ptr Pool = poolOf(Core.Set, Request.Endpoint);
   if (Pool == nullptr || !mayUse(Core, Request.Statement))
     co_return Refused;
+  const instant WaitUntil = Arrived + Request.SlotWait;
+  const bool Begins = Request.Statement.Action != link_action::Caller;
+  const cold_use Use = Begins ? cold_use::Begin : cold_use::Single;
+  if (refusesAsCold(Core, *Pool, Use, WaitUntil)) {
+    const pin_result Failed{forwarding_failure::NoConnection,
+                            owner_lack::ColdToken,
+                            coldRetryAfter(Pool->cold(), Use, base::now())};
+    co_return Failed;
+  }
   check_out_request Wanted;
   Wanted.Level = levelOf(Request.Priority);
   Wanted.Customer = Request.Customer;
@@ -119,8 +128,9 @@
       Pinned.Link.release();
     return;
   }
-  // A lease that was lost during the set-up is not the endpoint's failure.
-  if (Reply.Failure != forwarding_failure::Refused) {
+  // A lease that was lost during the set-up is not the endpoint's failure, nor
+  // a statement that was held back since the endpoint is cold.
+  if (Reply.Failure == forwarding_failure::None) {
     Pool.noteFailure(base::now());
     Pool.closeIdle();
   }
@@ -159,6 +169,8 @@
     if (!mayUse(Core, Request.Statement) &&
         Reply.Exchange.Outcome == exchange_outcome::NotSent)
       Reply.Failure = forwarding_failure::Refused;
+    else if (isHeldBack(*Pool, Reply.Exchange))
+      Reply.Failure = forwarding_failure::NoConnection;
     settlePinned(Pinned, Reply);
   }
   Reply.Load = loadOf(Core, Request.Endpoint);
--- a/packages/session/src/try_statement.cpp
+++ b/packages/session/src/try_statement.cpp
@@ -22,6 +22,11 @@
   return std::min(Request.Deadline, Request.Arrived + Time);
 }
 
+bool isHeldBack(const endpoint_pool &Pool, const exchange &Exchange) {
+  return Exchange.Outcome == exchange_outcome::NotSent &&
+         isCold(Pool.cold(), base::now());
+}
+
 namespace {
 
 /// Whether the endpoint has run the statement, or may have.
@@ -44,6 +49,8 @@
     return "no turn at " + Through + " in time";
   case owner_lack::Connection:
     return "no connection to " + Through + " in time";
+  case owner_lack::ColdToken:
+    return Through + ": the endpoint is cold";
   case owner_lack::Acceptance:
     return "no connection to " + Through + ": it accepts no more at present";
   default:
@@ -94,8 +101,11 @@
     Placement.Failure = forwarding_failure::NoConnection;
     co_return exchange();
   }
-  co_return co_await runOnLink(*Link.Link, Statement, Core.Ports.StillHolds,
-                               Placement.TryDeadline);
+  exchange Done = co_await runOnLink(
+      *Link.Link, Statement, Core.Ports.StillHolds, Placement.TryDeadline);
+  if (isHeldBack(*Link.Pool, Done))
+    Placement.Failure = forwarding_failure::NoConnection;
+  co_return Done;
 }
 
 } // namespace
