--- a/packages/redwinggw/src/platform_instance.cpp
+++ b/packages/redwinggw/src/platform_instance.cpp
@@ -162,6 +162,8 @@
       Random(std::random_device()()) {
   Endpoints.Factory =
       platform::databaseLinks(Context.get_executor(), Endpoints.Watch);
+  Endpoints.Choice.CrossZoneMs =
+      static_cast<double>(Settings.CrossZone.count());
   platform::useRows(Store, Settings.Platform);
   Core.Ports = sessionCorePorts(*this);
 }
