--- a/packages/redwinggw/src/platform_instance.cpp
+++ b/packages/redwinggw/src/platform_instance.cpp
@@ -162,8 +162,6 @@
       Random(std::random_device()()) {
   Endpoints.Factory =
       platform::databaseLinks(Context.get_executor(), Endpoints.Watch);
-  Endpoints.Choice.CrossZoneMs =
-      static_cast<double>(Settings.CrossZone.count());
   platform::useRows(Store, Settings.Platform);
   Core.Ports = sessionCorePorts(*this);
 }
--- a/packages/redwinggw/src/settings.cpp
+++ b/packages/redwinggw/src/settings.cpp
@@ -209,11 +209,6 @@
      [](settings &S, const std::string &T) {
        return setMilliseconds(S.ReplicaWait, T, 0, 1000);
      }},
-    {"policy.cross_zone_ms", "3", "0 to 1000",
-     "what a crossing to another zone counts when endpoints are compared",
-     [](settings &S, const std::string &T) {
-       return setMilliseconds(S.CrossZone, T, 0, 1000);
-     }},
     {"policy.drain_ms", "10000", "0 to 600000",
      "time that running requests get at a graceful stop",
      [](settings &S, const std::string &T) {
--- a/packages/redwinggw/src/settings.hpp
+++ b/packages/redwinggw/src/settings.hpp
@@ -50,9 +50,6 @@
   data::queue_policy Queue = data::queue_policy::Fair;
   base::milliseconds TryTimeout{1000};
   base::milliseconds ReplicaWait{80};
-  /// Used with platform_kind::Native only: what a crossing to another
-  /// availability zone counts when endpoints are compared.
-  base::milliseconds CrossZone{3};
   base::milliseconds DrainTime{10000};
 };
 
--- a/packages/session/include/redwinggw/session/endpoint_choice.hpp
+++ b/packages/session/include/redwinggw/session/endpoint_choice.hpp
@@ -35,9 +35,7 @@
   double UnknownLatencyMs = 30;
   /// What setting up a connection costs a statement and the endpoint.
   double ConnectMs = 12;
-  /// What the round trip to another zone adds, and what the traffic costs. A
-  /// higher value keeps reads in the zone until its endpoint is that much
-  /// slower.
+  /// What the round trip to another zone adds, and what the traffic costs.
   double CrossZoneMs = 3;
   /// Reads that may go to a replica go to the primary only if that is this much
   /// faster, since writes can go nowhere else.
