Share the attempts of an instance while the store is silent

Change: store_pacing lets one loop ask per interval, 250 ms, or 1 s where relays connect the instance with a majority; the first answer ends the limit for all. An instance that is behind and gets no answer asks another instance first. An instance that finds no secret waits for a random time, up to 400 ms, before it tries to create one.

Ruled out: a longer interval for isolated instances, whose only way to learn of a promotion is the store.

--- a/packages/redwinggw/src/platform_configuration.cpp
+++ b/packages/redwinggw/src/platform_configuration.cpp
@@ -187,7 +187,10 @@
       co_await pauseWithJitter(*State, UpdateCheckInterval);
       continue;
     }
+    if (!State->StorePacing.Answers && isBehind(*State))
+      co_await fetchFromPeer(*State);
     const std::uint64_t Before = State->Stored.Row;
+    co_await awaitStoreAttempt(*State);
     const bool Answered = co_await readConfiguration(*State);
     if (State->Stored.Row == Before && isBehind(*State))
       co_await fetchFromPeer(*State);
--- a/packages/redwinggw/src/platform_endpoints.cpp
+++ b/packages/redwinggw/src/platform_endpoints.cpp
@@ -164,6 +164,7 @@
       co_await pauseWithJitter(*State, UpdateCheckInterval);
       continue;
     }
+    co_await awaitStoreAttempt(*State);
     const base::instant Sent = base::now();
     const auto Rows = co_await platform::readTable(
         State->StoreTables, platform::EndpointTable, ReadIdleTimeout);
--- a/packages/redwinggw/src/platform_fleet.cpp
+++ b/packages/redwinggw/src/platform_fleet.cpp
@@ -207,6 +207,19 @@
   co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
+base::task<void> awaitStoreAttempt(platform_instance_state &State) {
+  constexpr milliseconds CheckInterval{50};
+  while (!State.Stopped) {
+    const base::instant Now = base::now();
+    const bool Connected = State.Peers && usesRelays(State.Peers->view()) &&
+                           State.Peers->inContactWithMajority(Now);
+    if (mayAttempt(State.StorePacing, Connected, Now))
+      break;
+    co_await pauseWithJitter(State, CheckInterval);
+  }
+  State.StorePacing.AttemptedAt = base::now();
+}
+
 base::task<void> removeInstance(platform_instance_state &State) {
   // Keeps a read of the rows from registering the instance again.
   State.Stopped = true;
@@ -252,12 +265,26 @@
   return valueAt(Rows, instanceKey(State.Settings.Name)) == instanceText(State);
 }
 
+/// Waits for a random time, in which another instance may create the secret: if
+/// all instances of a fleet that starts for the first time tried to, the store
+/// would serialize as many commits, of which one succeeds.
+base::task<void> leaveSecretToOthers(platform_instance_state &State) {
+  constexpr std::int64_t MaxMilliseconds = 400;
+  State.SecretLeftToOthers = true;
+  std::uniform_int_distribution<std::int64_t> Time(0, MaxMilliseconds);
+  co_await pauseWithJitter(State, milliseconds(Time(State.Random)));
+}
+
 base::task<bool> tryToJoin(platform_instance_state &State) {
   const base::instant Sent = base::now();
   const auto Rows = co_await readRows(State);
   if (!Rows)
     co_return false;
   auto Secret = valueAt(*Rows, SecretKey);
+  if (!Secret && !State.SecretLeftToOthers) {
+    co_await leaveSecretToOthers(State);
+    co_return false;
+  }
   if (!Secret)
     Secret = co_await makeSecret(State);
   if (!Secret)
@@ -289,6 +316,7 @@
 base::task<void> joinFleet(platform_instance_ptr State) {
   bool Joined = false;
   while (!Joined && !State->Stopped) {
+    co_await awaitStoreAttempt(*State);
     Joined = co_await tryToJoin(*State);
     if (!Joined)
       co_await pauseWithJitter(*State, RetryDelay);
@@ -313,6 +341,7 @@
   bool Answered = true;
   while (!State->Stopped) {
     co_await pauseBetweenReads(*State, Answered);
+    co_await awaitStoreAttempt(*State);
     const auto Rows = co_await readFleet(*State);
     Answered = Rows.has_value();
     if (Answered)
--- a/packages/redwinggw/src/platform_instance_state.hpp
+++ b/packages/redwinggw/src/platform_instance_state.hpp
@@ -8,6 +8,7 @@
 #include "redwinggw/control/centralized_buckets.hpp"
 #include "redwinggw/control/demand_shares.hpp"
 #include "redwinggw/control/peer_service.hpp"
+#include "redwinggw/control/store_pacing.hpp"
 #include "redwinggw/control/token_transfer.hpp"
 #include "redwinggw/http/server.hpp"
 #include "redwinggw/kernel/life_cycle.hpp"
@@ -120,8 +121,10 @@
   /// The freshness of the last in_touch line.
   control::config_freshness LoggedFreshness =
       control::config_freshness::Isolated;
-  /// Whether the last request to the store was answered.
-  bool StoreUp = true;
+  control::store_pacing StorePacing;
+  /// This instance found no secret of the fleet and left it to others to create
+  /// one.
+  bool SecretLeftToOthers = false;
   bool FleetReadRequested = false;
   kernel::life_cycle Life;
   std::mt19937_64 Random;
@@ -247,6 +250,10 @@
 suspectServices(const platform_instance_state &State);
 /// @}
 
+/// Waits until a loop may read the store, see store_pacing.hpp; the read must
+/// follow at once.
+base::task<void> awaitStoreAttempt(platform_instance_state &State);
+
 /// Applies what the store reader has read and sent to this instance.
 void acceptSharedRead(platform_instance_state &State,
                       const wire::shared_store_read &Reading);
--- a/packages/redwinggw/src/platform_primaries.cpp
+++ b/packages/redwinggw/src/platform_primaries.cpp
@@ -47,9 +47,9 @@
 
 void noteStoreResult(platform_instance_state &State, bool Answered,
                      std::string_view Reason) {
-  if (Answered == State.StoreUp)
+  if (Answered == State.StorePacing.Answers)
     return;
-  State.StoreUp = Answered;
+  State.StorePacing.Answers = Answered;
   base::logEvent(Answered ? base::log_level::Info : base::log_level::Warning,
                  base::log_part::Platform,
                  Answered ? "store_regained" : "store_lost",
