Test three guards of cold rates that no test showed

With each guard switched off alone, cold_rates_test and homes_test passed without the empty bucket of a new holder, without the failure of a statement that is held back after its connection was set up, and without the rank of cold endpoints behind warm ones. The last test compared nothing: the other replica was chosen anyway, and the cold one had no permission.

Two tests are new, one is stricter. Each of the three guards now makes one fail when it is off. Still not shown: that tokens reserved for the ends of transactions count within the depth; cold_rates_test passed without it.

--- a/tests/session/cold_rates_test.cpp
+++ b/tests/session/cold_rates_test.cpp
@@ -216,6 +216,18 @@
             permission_step::Read);
 }
 
+// Guards against tokens of a former permission that are spent right after
+// another holder has spent its own.
+Test(cold_rates, begin_each_permission_with_an_empty_bucket) {
+  cold_rate Rate = coldRate(20);
+  permitSending(Rate, Start + milliseconds(2500), Start);
+  const instant Later = Start + std::chrono::seconds(2);
+  cr_assert(takeToken(Rate, cold_use::Single, Later) == token::Taken);
+  const instant Again = Start + std::chrono::seconds(4);
+  permitSending(Rate, Again + milliseconds(2500), Again);
+  cr_assert(takeToken(Rate, cold_use::Single, Again) == token::None);
+}
+
 // Guards against transactions that can begin and not end, and against reserved
 // tokens that come on top of a full bucket.
 Test(cold_rates, keep_a_token_for_the_end_of_a_transaction) {
@@ -326,6 +338,24 @@
   cr_assert(!Fixture.write(Session).Error);
 }
 
+// Guards against a statement that is held back after the set-up of its
+// connection has taken the last token, and counts as the endpoint's failure.
+Test(cold_rates, hold_back_without_blaming_the_endpoint) {
+  testing::core_fixture Fixture;
+  caller_session Session = Fixture.open("strict");
+  const pool_ptr Pool = poolOf(Fixture.Set, "p");
+  configure(Pool->cold(), Limits, 20);
+  const instant Now = base::now();
+  presumeCold(Pool->cold(), Now);
+  permitSending(Pool->cold(), Now + std::chrono::seconds(60), Now);
+  Pool->cold().Tokens = 1;
+  Pool->cold().Rate = 1e-9;
+  const answer Refused = Fixture.write(Session);
+  cr_assert(Refused.Error && Refused.Error->Code == answer_code::Busy);
+  cr_assert(Pool->connects() == 1 && Fixture.Group.Received.empty());
+  cr_assert(Pool->health().Failures == 0 && Fixture.Problems.empty());
+}
+
 // Guards against requests beyond the tokens by a transaction: its begin, its
 // statements and its commit count, and the commit is not held back.
 Test(cold_rates, count_all_requests_of_a_transaction) {
@@ -364,6 +394,11 @@
   Pool->setEvacuated(true);
   Pool->setEvacuated(false);
   cr_assert(isCold(Pool->cold(), base::now()));
+  permitSending(Pool->cold(), base::now() + std::chrono::seconds(60),
+                base::now());
+  Pool->cold().Tokens = Pool->cold().Depth;
+  // The cold one would be chosen by its expected time.
+  poolOf(Fixture.Set, "r2")->health().Latency = 500;
   for (int Reads = 0; Reads < 20; ++Reads)
     cr_assert(!Fixture.read(Session).Error);
   cr_assert(std::ranges::none_of(
