Ask an unreachable bucket owner through a relay

Cause: instances that are in contact with the fleet through relays, but cannot reach a bucket's owner themselves, were refused for as long as the owner stayed alive; a reserve ends after a part of the tolerated excess.

Weighed: going through relays whenever an owner does not answer, which makes every operation wait for a second timeout after the owner's death. A relay that has heard the owner since the first unanswered request proves that it is alive. Only relays that the instance hears itself were considered too: those of its own zone may be behind the same cut, so one of another zone follows after one unanswered attempt.

Changed: a Take that names the owner in Allocator is forwarded once, without the name, and its answer passed back. The relay that answered last is asked again, and the owner itself every two seconds. Only where reserves are on.

Conclusion: in the test, where half of the instances cannot send requests to the owner, more than 0.99 of a demand of 60% of the rate is served once each instance has found its relay, with fewer than 10 of 300 tokens from the reserve; no relay is asked for a dead owner. The forwarding itself is not tested over sockets.

--- a/packages/control/include/redwinggw/control/bucket_requests.hpp
+++ b/packages/control/include/redwinggw/control/bucket_requests.hpp
@@ -6,7 +6,9 @@
 #include "redwinggw/control/membership.hpp"
 
 #include <map>
+#include <optional>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 /// Where an instance asks for a token of a centralized bucket when the owner
@@ -18,6 +20,8 @@
 enum class token_source {
   /// The bucket's owner.
   Owner,
+  /// The owner, through a relay that hears it.
+  Relay,
   /// The owner's successor, which may be this instance.
   Reserve,
 };
@@ -28,24 +32,55 @@
   /// last answer.
   base::instant Since;
   base::instant LastAt;
+  /// When it last answered through a relay since then, and through which one.
+  std::optional<base::instant> RelayedAt;
+  base::instance_name RelayedBy;
 };
 
 /// Not thread safe.
 struct bucket_requests {
   std::map<base::instance_name, unanswered_requests, std::less<>> Unanswered;
+  /// When the last request to an owner through a relay was sent that was not
+  /// answered, by the names of the relay and the owner.
+  std::map<std::pair<base::instance_name, base::instance_name>, base::instant>
+      UnansweredRelays;
 };
 
 /// For this long after an unanswered request others are asked first.
 constexpr base::milliseconds OwnerSkipTime{200};
 
+/// The same while the owner answers through a relay.
+constexpr base::milliseconds RelayedOwnerSkipTime{2000};
+
+/// For this long a relay through which there was no answer is not asked for the
+/// same owner.
+constexpr base::milliseconds RelaySkipTime{2000};
+
 /// Records whether \p Instance answered a request that was sent at \p Sent.
 void noteRequest(bucket_requests &Requests, std::string_view Instance,
                  bool Answered, base::instant Sent);
 
-/// Whom to ask in turn until one has answered. \p Successor is null when this
-/// instance is the successor, or nobody is.
+/// Records whether \p Owner answered a request that was sent through \p Relay
+/// at \p Sent.
+void noteRelayedRequest(bucket_requests &Requests, std::string_view Relay,
+                        std::string_view Owner, bool Answered,
+                        base::instant Sent);
+
+/// The relay through which to ask \p Owner; null unless a relay has heard the
+/// owner since it left a request of this instance without an answer: the way to
+/// a dead owner would only delay operations. Relays that this instance hears
+/// itself come first, then those of other zones, and those of the owner's zone
+/// last; where one of a zone got no answer, the whole zone may be cut off from
+/// the owner, and its others come last. The one that got the last answer is
+/// asked again.
+const member *bucketRelay(const bucket_requests &Requests,
+                          const membership &Membership, const member &Owner,
+                          base::instant Now);
+
+/// Whom to ask in turn until one has answered. \p Relay may be null; \p
+/// Successor is null when this instance is the successor, or nobody is.
 std::vector<token_source> planRequests(const bucket_requests &Requests,
-                                       const member &Owner,
+                                       const member &Owner, const member *Relay,
                                        const member *Successor,
                                        base::instant Now);
 
--- a/packages/control/src/bucket_requests.cpp
+++ b/packages/control/src/bucket_requests.cpp
@@ -1,17 +1,67 @@
 #include "redwinggw/control/bucket_requests.hpp"
 
 #include "redwinggw/control/centralized_buckets.hpp"
+#include "redwinggw/control/relays.hpp"
+
+#include <algorithm>
+#include <set>
 
 namespace redwinggw::control {
 namespace {
 
 using base::instant;
 
+/// Whether an owner that does not answer directly does so through a relay.
+bool isRelayed(const unanswered_requests &Unanswered, instant Now) {
+  return Unanswered.RelayedAt &&
+         Now - *Unanswered.RelayedAt < RelayedOwnerSkipTime;
+}
+
 bool isSkipped(const bucket_requests &Requests, std::string_view Instance,
                instant Now) {
   const auto Found = Requests.Unanswered.find(Instance);
-  return Found != Requests.Unanswered.end() &&
-         Now - Found->second.LastAt < OwnerSkipTime;
+  if (Found == Requests.Unanswered.end())
+    return false;
+  const unanswered_requests &Unanswered = Found->second;
+  return Now - Unanswered.LastAt <
+         (isRelayed(Unanswered, Now) ? RelayedOwnerSkipTime : OwnerSkipTime);
+}
+
+bool isRelaySkipped(const bucket_requests &Requests, const member &Relay,
+                    const member &Owner, instant Now) {
+  const auto Found = Requests.UnansweredRelays.find({Relay.Name, Owner.Name});
+  return Found != Requests.UnansweredRelays.end() &&
+         Now - Found->second < RelaySkipTime;
+}
+
+/// The place of \p Relay in the order in which relays are tried.
+int relayOrder(const membership &Membership, const member &Relay,
+               const member &Owner, instant Now) {
+  const bool OwnersZone = Relay.Zone == Owner.Zone;
+  if (isInDirectContact(Membership, Relay, Now))
+    return OwnersZone ? 0 : 1;
+  return OwnersZone ? 3 : 2;
+}
+
+/// The relays that can be asked for a token of \p Owner, those first that are
+/// tried first.
+std::vector<const member *> relaysTo(const bucket_requests &Requests,
+                                     const membership &Membership,
+                                     const member &Owner, instant Now) {
+  std::vector<const member *> Relays;
+  std::set<std::string_view> FailedZones;
+  for (const std::size_t Index : allRelays(Membership, Now)) {
+    const member &Relay = Membership.Members[Index];
+    if (isRelaySkipped(Requests, Relay, Owner, Now))
+      FailedZones.insert(Relay.Zone);
+    else if (Relay.State == member_state::Alive && Relay.Name != Owner.Name)
+      Relays.push_back(&Relay);
+  }
+  std::ranges::stable_sort(Relays, {}, [&](const member *Relay) {
+    return std::pair(FailedZones.contains(Relay->Zone),
+                     relayOrder(Membership, *Relay, Owner, Now));
+  });
+  return Relays;
 }
 
 std::optional<instant> unansweredSince(const bucket_requests &Requests,
@@ -45,8 +95,38 @@
     Requests.Unanswered.emplace(Instance, unanswered_requests{Sent, Sent});
 }
 
+void noteRelayedRequest(bucket_requests &Requests, std::string_view Relay,
+                        std::string_view Owner, bool Answered, instant Sent) {
+  const std::pair<base::instance_name, base::instance_name> Path(Relay, Owner);
+  if (!Answered) {
+    Requests.UnansweredRelays[Path] = Sent;
+    return;
+  }
+  Requests.UnansweredRelays.erase(Path);
+  const auto Found = Requests.Unanswered.find(Owner);
+  if (Found == Requests.Unanswered.end())
+    return;
+  Found->second.RelayedAt = Sent;
+  Found->second.RelayedBy = Relay;
+}
+
+const member *bucketRelay(const bucket_requests &Requests,
+                          const membership &Membership, const member &Owner,
+                          instant Now) {
+  if (Owner.State != member_state::Alive || !isHeardSince(Requests, Owner))
+    return nullptr;
+  const unanswered_requests &Unanswered =
+      Requests.Unanswered.find(Owner.Name)->second;
+  const auto Relays = relaysTo(Requests, Membership, Owner, Now);
+  const auto Last =
+      std::ranges::find(Relays, Unanswered.RelayedBy, &member::Name);
+  if (Last != Relays.end())
+    return *Last;
+  return Relays.empty() ? nullptr : Relays.front();
+}
+
 std::vector<token_source> planRequests(const bucket_requests &Requests,
-                                       const member &Owner,
+                                       const member &Owner, const member *Relay,
                                        const member *Successor, instant Now) {
   std::vector<token_source> Plan;
   const bool OwnerLast = isSkipped(Requests, Owner.Name, Now);
@@ -54,6 +134,8 @@
       Successor == nullptr || !isSkipped(Requests, Successor->Name, Now);
   if (!OwnerLast)
     Plan.push_back(token_source::Owner);
+  if (Relay != nullptr)
+    Plan.push_back(token_source::Relay);
   if (AsksReserve)
     Plan.push_back(token_source::Reserve);
   if (OwnerLast)
--- a/packages/redwinggw/src/platform_buckets.cpp
+++ b/packages/redwinggw/src/platform_buckets.cpp
@@ -9,9 +9,10 @@
 /// of the owner's successor.
 ///
 /// Take asks a bucket's owner for one operation's token, and TakeReserve its
-/// successor. Grant answers either, also where there is no token; Moved does
-/// when the receiver has neither the bucket nor a reserve. Number identifies
-/// the request.
+/// successor. A Take that names the owner goes to a relay, which sends it to
+/// the owner once, without that name, and passes on the answer. Grant answers
+/// either, also where there is no token; Moved does when the receiver has
+/// neither the bucket nor a reserve. Number identifies the request.
 namespace redwinggw {
 namespace {
 
@@ -39,6 +40,8 @@
 /// members may go while an answer is awaited.
 struct token_sources {
   base::instance_name Owner;
+  /// Empty when there is none to ask.
+  base::instance_name Relay;
   /// Empty when this instance is the successor, or nobody is.
   base::instance_name Successor;
   std::vector<token_source> Plan;
@@ -110,14 +113,43 @@
   State.Peers->send(To, std::move(Grant));
 }
 
+/// Relays a request for a token to the bucket's owner that it names.
+void relayTake(platform_instance_state &State, const base::instance_name &From,
+               const wire::share_message &Request) {
+  const instant Now = base::now();
+  auto &Relayed = State.RelayedTakes;
+  // The asker does not wait any longer. Numbers grow with time.
+  while (!Relayed.empty() && Now - Relayed.begin()->second.At > AnswerTimeout)
+    Relayed.erase(Relayed.begin());
+  wire::share_message Forwarded = Request;
+  Forwarded.Number = State.TokenWaits.nextNumber();
+  Forwarded.Allocator.clear();
+  Relayed[Forwarded.Number] = {From, Request.Number, Now};
+  State.Peers->send(Request.Allocator, std::move(Forwarded));
+}
+
+/// Passes on the answer to a request that this instance has relayed. True when
+/// it was one.
+bool relayAnswer(platform_instance_state &State,
+                 const wire::share_message &Answer) {
+  const auto Relayed = State.RelayedTakes.extract(Answer.Number);
+  if (!Relayed)
+    return false;
+  wire::share_message Back = Answer;
+  Back.Number = Relayed.mapped().Number;
+  State.Peers->send(Relayed.mapped().Asker, std::move(Back));
+  return true;
+}
+
 /// Hands an answer to the operation that waits for it. True when there was one.
 bool acceptAnswer(platform_instance_state &State,
                   const wire::share_message &Answer) {
   const bool Grants = Answer.Kind == wire::share_kind::Grant;
-  const auto Asked = State.BucketOwnerAnswers.find(Answer.Number);
-  if (Asked == State.BucketOwnerAnswers.end() ||
-      (!Grants && Answer.Kind != wire::share_kind::Moved))
+  if (!Grants && Answer.Kind != wire::share_kind::Moved)
     return false;
+  const auto Asked = State.BucketOwnerAnswers.find(Answer.Number);
+  if (Asked == State.BucketOwnerAnswers.end())
+    return relayAnswer(State, Answer);
   if (Grants && Answer.Entries.size() == 1) {
     const wire::share_entry &Entry = Answer.Entries.front();
     Asked->second =
@@ -139,20 +171,53 @@
   return Message;
 }
 
-/// Asks \p Instance for a token. Nothing when it did not answer or has neither
-/// the bucket nor a reserve.
+/// What became of a request for a token.
+struct token_reply {
+  instant Sent;
+  bool Answered = false;
+  /// Nothing when there was no answer, or the receiver has neither the bucket
+  /// nor a reserve.
+  std::optional<bucket_owner_answer> Answer;
+};
+
+/// Sends \p Message to \p Instance and waits for the answer.
+base::task<token_reply> exchange(platform_instance_state &State,
+                                 std::string Instance,
+                                 wire::share_message Message) {
+  const std::uint64_t Number = Message.Number;
+  token_reply Reply;
+  Reply.Sent = base::now();
+  State.BucketOwnerAnswers[Number];
+  if (State.Peers->send(Instance, std::move(Message)))
+    Reply.Answered =
+        co_await State.TokenWaits.wait(Number, Reply.Sent + AnswerTimeout);
+  const auto Answer = State.BucketOwnerAnswers.extract(Number);
+  Reply.Answer = Answer.mapped();
+  co_return Reply;
+}
+
+/// Asks \p Instance for a token.
 base::task<std::optional<bucket_owner_answer>>
 requestToken(platform_instance_state &State, std::string Instance,
              wire::share_kind Kind, token_need Need) {
-  const std::uint64_t Number = State.TokenWaits.nextNumber();
-  const instant Sent = base::now();
-  State.BucketOwnerAnswers[Number];
-  bool Answered = false;
-  if (State.Peers->send(Instance, requestFor(Need, Kind, Number)))
-    Answered = co_await State.TokenWaits.wait(Number, Sent + AnswerTimeout);
-  noteRequest(State.BucketRequests, Instance, Answered, Sent);
-  const auto Answer = State.BucketOwnerAnswers.extract(Number);
-  co_return Answer.mapped();
+  const wire::share_message Message =
+      requestFor(Need, Kind, State.TokenWaits.nextNumber());
+  const token_reply Reply = co_await exchange(State, Instance, Message);
+  noteRequest(State.BucketRequests, Instance, Reply.Answered, Reply.Sent);
+  co_return Reply.Answer;
+}
+
+/// Asks the owner for a token through a relay.
+base::task<std::optional<bucket_owner_answer>>
+requestThroughRelay(platform_instance_state &State, token_sources Sources,
+                    token_need Need) {
+  wire::share_message Message =
+      requestFor(Need, wire::share_kind::Take, State.TokenWaits.nextNumber());
+  Message.Allocator = Sources.Owner;
+  const token_reply Reply = co_await exchange(State, Sources.Relay, Message);
+  noteRelayedRequest(State.BucketRequests, Sources.Relay, Sources.Owner,
+                     Reply.Answered, Reply.Sent);
+  co_return Reply.Answer;
 }
 
 /// Where to ask for a token; no owner when this instance is the owner or the
@@ -170,11 +235,15 @@
   Sources.Plan = {token_source::Owner};
   if (!usesReserves(State.Reserves.Limits))
     return Sources;
+  const instant Now = base::now();
+  const control::member *Relay =
+      bucketRelay(State.BucketRequests, View, *Owner, Now);
   const control::member *Successor =
       bucketSuccessor(State.Reserves, View, Customer);
+  Sources.Relay = Relay == nullptr ? "" : Relay->Name;
   Sources.Successor = Successor == nullptr ? "" : Successor->Name;
   Sources.Plan =
-      planRequests(State.BucketRequests, *Owner, Successor, base::now());
+      planRequests(State.BucketRequests, *Owner, Relay, Successor, Now);
   return Sources;
 }
 
@@ -184,6 +253,8 @@
   if (Source == token_source::Owner)
     co_return co_await requestToken(State, Sources.Owner,
                                     wire::share_kind::Take, Need);
+  if (Source == token_source::Relay)
+    co_return co_await requestThroughRelay(State, Sources, Need);
   if (Sources.Successor.empty())
     co_return takeFromReserve(State, Need.Customer);
   auto Answer = co_await requestToken(State, Sources.Successor,
@@ -252,7 +323,12 @@
   if (Message.Kind != wire::share_kind::Take &&
       Message.Kind != wire::share_kind::TakeReserve)
     return false;
-  answerTake(State, Datagram.Sender, Message);
+  const bool IsForOther =
+      !Message.Allocator.empty() && Message.Allocator != State.Settings.Name;
+  if (IsForOther)
+    relayTake(State, Datagram.Sender, Message);
+  else
+    answerTake(State, Datagram.Sender, Message);
   return true;
 }
 
--- a/packages/redwinggw/src/platform_instance_state.hpp
+++ b/packages/redwinggw/src/platform_instance_state.hpp
@@ -91,6 +91,15 @@
       BucketOwnerAnswers;
   control::bucket_reserves Reserves;
   control::bucket_requests BucketRequests;
+  /// Requests for a token that this instance has relayed to a bucket's owner, by
+  /// its own number for them.
+  struct relayed_take {
+    base::instance_name Asker;
+    /// The asker's number.
+    std::uint64_t Number = 0;
+    base::instant At;
+  };
+  std::map<std::uint64_t, relayed_take> RelayedTakes;
   /// Tokens granted from reserves that no log line has reported yet, and when
   /// the last line was written.
   struct reserve_use {
--- a/packages/wire/include/redwinggw/wire/message.hpp
+++ b/packages/wire/include/redwinggw/wire/message.hpp
@@ -171,6 +171,8 @@
   std::uint64_t Incarnation = 0;
   std::uint64_t Number = 0;
   /// Moved: the share allocator of the partition, if the sender knows it.
+  /// Take: the bucket owner to which the receiver relays the request; empty:
+  /// the receiver itself.
   base::instance_name Allocator;
   std::vector<share_entry> Entries;
 };
--- /dev/null
+++ b/tests/control/bucket_requests_test.cpp
@@ -0,0 +1,104 @@
+#include "reserve_fleet.hpp"
+
+using namespace redwinggw;
+using namespace redwinggw::control;
+using namespace redwinggw::control::testing;
+
+namespace {
+
+/// A fleet in which half of the instances cannot send requests to the owner,
+/// and one of these, which is no relay.
+struct half_blocked {
+  half_blocked() {
+    Fleet.play(60, ReservesReady);
+    const std::size_t Owner = Fleet.owner();
+    for (std::size_t Index = 0; Index < Count; ++Index)
+      if (Index % 2 != Owner % 2) {
+        Fleet.Blocked.insert({Index, Owner});
+        Asker = Index;
+      }
+  }
+
+  const member *relay() {
+    const member *Owner =
+        bucketOwner(Fleet.Shares[Asker], Fleet.Members[Asker], "acme");
+    return Owner == nullptr
+               ? nullptr
+               : bucketRelay(Fleet.Requests[Asker], Fleet.Members[Asker],
+                             *Owner, Fleet.Now);
+  }
+
+  reserve_fleet Fleet{100, 100, 0.4};
+  std::size_t Asker = 0;
+};
+
+} // namespace
+
+// Guards against refusals, and a reserve used up, where the owner is alive and
+// only the way to it is lost.
+Test(bucket_requests, reach_an_owner_through_a_relay) {
+  half_blocked Half;
+  // Each instance has a few operations by then.
+  Half.Fleet.play(60, milliseconds(5000));
+  const std::size_t FromReserve = Half.Fleet.FromReserve;
+  cr_assert(FromReserve > 0);
+  const double Served = Half.Fleet.play(60, milliseconds(5000));
+  cr_assert(Served > 0.99, "%g", Served);
+  // Half of 300 operations came through a relay; a few instances learn late.
+  const std::size_t Later = Half.Fleet.FromReserve - FromReserve;
+  cr_assert(Later < 10, "%zu", Later);
+  cr_assert(Half.relay() != nullptr);
+  Half.Fleet.Blocked.clear();
+  Half.Fleet.play(60, 2 * RelayedOwnerSkipTime);
+  cr_assert(Half.relay() == nullptr);
+}
+
+// Guards against operations that wait for an answer through a relay although
+// the owner is dead.
+Test(bucket_requests, do_not_go_through_relays_to_a_dead_owner) {
+  half_blocked Half;
+  Half.Fleet.Dead = Half.Fleet.owner();
+  for (int Step = 0; Step < 30; ++Step) {
+    Half.Fleet.play(60, milliseconds(50));
+    cr_assert(Half.relay() == nullptr, "step %d", Step);
+  }
+}
+
+// Guards against a relay that does not reach the owner and is asked for each
+// operation.
+Test(bucket_requests, try_another_relay) {
+  half_blocked Half;
+  Half.Fleet.play(60, milliseconds(1500));
+  const member *First = Half.relay();
+  cr_assert(First != nullptr);
+  const base::instance_name Name = First->Name;
+  noteRelayedRequest(Half.Fleet.Requests[Half.Asker], Name,
+                     "i" + std::to_string(Half.Fleet.owner()), false,
+                     Half.Fleet.Now);
+  cr_assert(Half.relay() == nullptr || Half.relay()->Name != Name);
+}
+
+// Guards against a wait for a lost instance by each operation.
+Test(bucket_requests, skip_an_instance_that_left_a_request_unanswered) {
+  bucket_requests Requests;
+  member Owner;
+  member Successor;
+  Owner.Name = "a";
+  Successor.Name = "b";
+  const instant Now{std::chrono::seconds(1000)};
+  const auto Plan = [&](milliseconds Later) {
+    return planRequests(Requests, Owner, nullptr, &Successor, Now + Later);
+  };
+  using plan = std::vector<token_source>;
+  const plan OwnerFirst{token_source::Owner, token_source::Reserve};
+  const plan ReserveFirst{token_source::Reserve, token_source::Owner};
+  cr_assert(Plan({}) == OwnerFirst);
+  noteRequest(Requests, "a", false, Now);
+  cr_assert(Plan(milliseconds(199)) == ReserveFirst);
+  cr_assert(Plan(milliseconds(200)) == OwnerFirst);
+  noteRequest(Requests, "b", false, Now);
+  cr_assert(Plan(milliseconds(1)) == plan{token_source::Owner});
+  noteRequest(Requests, "a", true, Now);
+  noteRequest(Requests, "b", true, Now);
+  cr_assert(Plan({}) == OwnerFirst);
+}
--- a/tests/control/reserve_fleet.hpp
+++ b/tests/control/reserve_fleet.hpp
@@ -57,12 +57,25 @@
     return Answer;
   }
 
+  bool arrives(std::size_t From, std::size_t To) const {
+    return !isDead(To) && reaches(From, To) && !Blocked.contains({From, To});
+  }
+
+  /// The answer of \p Owner to a request of \p Index through \p Relay.
+  std::optional<bucket_owner_answer>
+  requestThrough(std::size_t Index, const member &Relay, const member &Owner) {
+    const std::size_t By = std::stoul(Relay.Name.substr(1));
+    const std::size_t To = std::stoul(Owner.Name.substr(1));
+    const bool Arrives = arrives(Index, By) && arrives(By, To);
+    noteRelayedRequest(Requests[Index], Relay.Name, Owner.Name, Arrives, Now);
+    return Arrives ? answerOf(To, true) : std::nullopt;
+  }
+
   /// The answer of \p To to a request of \p Index.
   std::optional<bucket_owner_answer> request(std::size_t Index,
                                              const member &To, bool OwnBucket) {
     const std::size_t Asked = std::stoul(To.Name.substr(1));
-    const bool Arrives = !isDead(Asked) && reaches(Index, Asked) &&
-                         !Blocked.contains({Index, Asked});
+    const bool Arrives = arrives(Index, Asked);
     noteRequest(Requests[Index], To.Name, Arrives, Now);
     return Arrives ? answerOf(Asked, OwnBucket) : std::nullopt;
   }
@@ -73,11 +86,15 @@
         bucketSuccessor(Reserves[Index], Members[Index], "acme");
     if (Owner == nullptr)
       return answerOf(Index, false);
+    const member *Relay =
+        bucketRelay(Requests[Index], Members[Index], *Owner, Now);
     for (const token_source Source :
-         planRequests(Requests[Index], *Owner, Successor, Now)) {
+         planRequests(Requests[Index], *Owner, Relay, Successor, Now)) {
       std::optional<bucket_owner_answer> Answer;
       if (Source == token_source::Owner)
         Answer = request(Index, *Owner, true);
+      else if (Source == token_source::Relay)
+        Answer = requestThrough(Index, *Relay, *Owner);
       else
         Answer = Successor == nullptr ? answerOf(Index, false)
                                       : request(Index, *Successor, false);
