Shrink the owner's part only in fleets that have bucket owners

Cause: the smaller slack beside reserves was in force at any size of the fleet. Up to 16 others divide rates by demand, where there is no reserve and the slack serves arrivals that do not fit the shares.

Ruled out: switching back at once when a fleet becomes small, as reserves may have granted within the last window.

Changed: the limits are set with each heartbeat, by whether the fleet uses relays, and stay small for the wait of a successor after buckets were last centralized.

--- a/packages/control/include/redwinggw/control/bucket_reserve.hpp
+++ b/packages/control/include/redwinggw/control/bucket_reserve.hpp
@@ -149,6 +149,14 @@
   std::optional<base::instant> UpdatedAt;
 };
 
+/// Sets the limits of \p Shares: limitsBesideReserve in a fleet with relays, as
+/// buckets are centralized there only, and until HoldTime after they were;
+/// otherwise \p Shared. Reserves grant nothing before the smaller limits have
+/// been in force for longer than a window. Call before each divideRates.
+void applyReserveLimits(demand_shares &Shares, const reserve_limits &Limits,
+                        const membership &Membership, base::instant Now,
+                        const demand_limits &Shared = {});
+
 /// Recomputes the successors. Call after each centralizeBuckets.
 void updateReserves(bucket_reserves &Reserves, const demand_shares &Shares,
                     const membership &Membership, base::instant Now);
--- a/packages/control/src/bucket_reserve.cpp
+++ b/packages/control/src/bucket_reserve.cpp
@@ -1,5 +1,6 @@
 #include "redwinggw/control/bucket_reserve.hpp"
 
+#include "redwinggw/control/relays.hpp"
 #include "redwinggw/control/rendezvous.hpp"
 
 #include <algorithm>
@@ -35,6 +36,11 @@
   return std::max(microseconds(1), microseconds(Bound.Window) / SlotsPerWindow);
 }
 
+/// How long an instance is the successor before it grants.
+base::milliseconds holdTime(const reserve_limits &Limits) {
+  return Limits.Bound.Window + Limits.ViewsAgreeWithin;
+}
+
 double usedOvershoot(const rate_bound &Bound) {
   return std::min(Bound.Overshoot, MaxOvershoot);
 }
@@ -118,9 +124,8 @@
 bool mayGrant(const bucket_reserves &Reserves, const demand_account &Account,
               const customer_reserve &Reserve, instant Now) {
   const reserve_limits &Limits = Reserves.Limits;
-  const auto HoldTime = Limits.Bound.Window + Limits.ViewsAgreeWithin;
   return usesReserves(Limits) && Account.Centralized && !Account.OwnedHere &&
-         Reserve.HeldSince && Now - *Reserve.HeldSince >= HoldTime &&
+         Reserve.HeldSince && Now - *Reserve.HeldSince >= holdTime(Limits) &&
          Reserves.UpdatedAt && Now - *Reserves.UpdatedAt <= Limits.MaxUpdateAge;
 }
 
@@ -163,6 +168,16 @@
   return Shared;
 }
 
+void applyReserveLimits(demand_shares &Shares, const reserve_limits &Limits,
+                        const membership &Membership, instant Now,
+                        const demand_limits &Shared) {
+  const bool HadReserves = Shares.LastCentralizedAt &&
+                           Now - *Shares.LastCentralizedAt < holdTime(Limits);
+  Shares.Limits = usesRelays(Membership) || HadReserves
+                      ? limitsBesideReserve(Limits, Shared)
+                      : Shared;
+}
+
 void updateReserves(bucket_reserves &Reserves, const demand_shares &Shares,
                     const membership &Membership, instant Now) {
   const reserve_limits &Limits = Reserves.Limits;
--- a/packages/redwinggw/src/platform_heartbeats.cpp
+++ b/packages/redwinggw/src/platform_heartbeats.cpp
@@ -116,6 +116,8 @@
   // Shares are recomputed with each heartbeat, since heartbeats carry the
   // demands.
   const bool InContact = mayTrustClaims(State);
+  applyReserveLimits(State.Shares, State.Reserves.Limits, State.Peers->view(),
+                     Now);
   divideRates(State.Shares, State.Peers->view(), InContact, Now);
   centralizeBuckets(State.Shares, State.Peers->view(), InContact, Now);
   updateReserves(State.Reserves, State.Shares, State.Peers->view(), Now);
--- a/packages/redwinggw/src/platform_instance.cpp
+++ b/packages/redwinggw/src/platform_instance.cpp
@@ -165,7 +165,6 @@
   platform::useRows(Store, Settings.Platform);
   Reserves.Limits.Bound = Settings.RateBound;
   Reserves.Limits.Fraction = Settings.BucketReserve;
-  Shares.Limits = limitsBesideReserve(Reserves.Limits, Shares.Limits);
   Core.Ports = sessionCorePorts(*this);
 }
 
--- a/tests/control/bucket_reserve_test.cpp
+++ b/tests/control/bucket_reserve_test.cpp
@@ -251,6 +251,28 @@
   }
 }
 
+// Guards against a small fleet, whose buckets are not centralized, that loses
+// the slack of its shares to reserves which it does not have.
+Test(bucket_reserve, leaves_the_limits_of_rates_alone_in_a_small_fleet) {
+  reserve_limits Limits;
+  Limits.Fraction = 0.4;
+  const demand_limits Shared;
+  const demand_fleet Small(9);
+  const demand_fleet Large = relayedFleet(30, 30);
+  demand_shares Shares;
+  applyReserveLimits(Shares, Limits, Small.Members[0], Small.Now);
+  cr_assert(Shares.Limits.RateSlack == Shared.RateSlack);
+  applyReserveLimits(Shares, Limits, Large.Members[0], Large.Now);
+  cr_assert(Shares.Limits.RateSlack < Shared.RateSlack);
+  Shares.LastCentralizedAt = Small.Now;
+  applyReserveLimits(Shares, Limits, Small.Members[0],
+                     Small.Now + milliseconds(6900));
+  cr_assert(Shares.Limits.RateSlack < Shared.RateSlack);
+  applyReserveLimits(Shares, Limits, Small.Members[0],
+                     Small.Now + milliseconds(7000));
+  cr_assert(Shares.Limits.RateSlack == Shared.RateSlack);
+}
+
 Test(bucket_reserve, leaves_the_limits_of_rates_alone_when_it_is_off) {
   const demand_limits Before;
   const demand_limits After = limitsBesideReserve({}, Before);
--- a/tests/native/native_fleet.cpp
+++ b/tests/native/native_fleet.cpp
@@ -28,7 +28,8 @@
   return statusOfGet(Instance.Readiness, "/v1/readiness") == Ok;
 }
 
-native_fleet::native_fleet(std::size_t Count) : Directory(makeDirectory()) {
+native_fleet::native_fleet(std::size_t Count, const std::string &Settings)
+    : Directory(makeDirectory()) {
   for (std::size_t Index = 0; Index < Count; ++Index) {
     native_process &Instance = Instances.emplace_back();
     Instance.Name = "i" + std::to_string(Index + 1);
@@ -47,7 +48,8 @@
                                     : World.SecondStoreAddress)
         << "\n"
         << "promotions = " << toText(World.PromotionAddress) << "\n"
-        << "[log]\nformat = json\n";
+        << "[log]\nformat = json\n"
+        << Settings;
     start(Instance);
   }
   for (const native_process &Instance : Instances)
--- a/tests/native/native_fleet.hpp
+++ b/tests/native/native_fleet.hpp
@@ -22,7 +22,9 @@
 /// reaches the store through the stand-in's second address. Used from one
 /// thread.
 struct native_fleet {
-  explicit native_fleet(std::size_t Instances);
+  /// \p Settings: lines to add to the settings of each instance.
+  explicit native_fleet(std::size_t Instances,
+                        const std::string &Settings = "");
   ~native_fleet();
   native_fleet(const native_fleet &) = delete;
   native_fleet &operator=(const native_fleet &) = delete;
