--- a/tests/native/bucket_reserve_path_test.cpp
+++ b/tests/native/bucket_reserve_path_test.cpp
@@ -6,6 +6,9 @@
 #include <algorithm>
 #include <chrono>
 #include <csignal>
+#include <functional>
+#include <iterator>
+#include <vector>
 
 #include "criterion_test.hpp"
 
@@ -17,8 +20,8 @@
 /// The instances in the order in which they own the customer's bucket.
 std::vector<native_process *> candidates(native_fleet &Fleet) {
   std::vector<native_process *> Candidates;
-  for (native_process &Instance : Fleet.Instances)
-    Candidates.push_back(&Instance);
+  std::ranges::transform(Fleet.Instances, std::back_inserter(Candidates),
+                         [](native_process &Instance) { return &Instance; });
   std::ranges::sort(Candidates, std::ranges::greater{},
                     [](const native_process *Instance) {
                       return control::rendezvousWeight(
