--- a/packages/control/include/redwinggw/control/bucket_reserve.hpp
+++ b/packages/control/include/redwinggw/control/bucket_reserve.hpp
@@ -69,6 +69,11 @@
 ///
 /// By (1) to (3) at most RW + B + kE + 2fE = RW + B + E run in any window.
 ///
+/// Operations count when their tokens are granted, or at the end of the wait
+/// that comes with a token. Time that they spend in queues after that is in the
+/// bound of neither the buckets nor the reserves; what (3) leaves of kE, and
+/// the reserve that grants nothing where there is no cut, absorb it.
+///
 /// \name Cases
 /// - The owner is alive and unreachable for some: it grants its part, and the
 ///   reserve its own, by (1).
