--- a/packages/control/include/redwinggw/control/bucket_reserve.hpp
+++ b/packages/control/include/redwinggw/control/bucket_reserve.hpp
@@ -69,6 +69,11 @@
 ///
 /// By (1) to (3) at most RW + B + kE + 2fE = RW + B + E run in any window.
 ///
+/// Operations count when their tokens are granted, or at the end of the wait
+/// that comes with a token. Time that they spend in queues after that is in the
+/// bound of neither the buckets nor the reserves; what (3) leaves of kE, and
+/// the reserve that grants nothing where there is no cut, absorb it.
+///
 /// \name Cases
 /// - The owner is alive and unreachable for some: it grants its part, and the
 ///   reserve its own, by (1).
@@ -149,6 +154,14 @@
   std::optional<base::instant> UpdatedAt;
 };
 
+/// Sets the limits of \p Shares: limitsBesideReserve in a fleet with relays, as
+/// buckets are centralized there only, and until HoldTime after they were;
+/// otherwise \p Shared. Reserves grant nothing before the smaller limits have
+/// been in force for longer than a window. Call before each divideRates.
+void applyReserveLimits(demand_shares &Shares, const reserve_limits &Limits,
+                        const membership &Membership, base::instant Now,
+                        const demand_limits &Shared = {});
+
 /// Recomputes the successors. Call after each centralizeBuckets.
 void updateReserves(bucket_reserves &Reserves, const demand_shares &Shares,
                     const membership &Membership, base::instant Now);
--- a/packages/redwinggw/src/platform_instance.cpp
+++ b/packages/redwinggw/src/platform_instance.cpp
@@ -183,8 +183,6 @@
   Core.Limits.StandbyOwners = Settings.Owners == owner_policy::Capacity;
   Reserves.Limits.Bound = Settings.RateBound;
   Reserves.Limits.Fraction = Settings.BucketReserve;
-  DividedRateLimits = Shares.Limits;
-  CentralizedRateLimits = limitsBesideReserve(Reserves.Limits, Shares.Limits);
   Core.Ports = sessionCorePorts(*this);
   Core.Regions.ByZone = this->Settings.Zones;
 }
--- a/packages/redwinggw/src/platform_instance_state.hpp
+++ b/packages/redwinggw/src/platform_instance_state.hpp
@@ -104,10 +104,6 @@
   /// The number of instances when connections were last divided.
   std::size_t DividedAmong = 0;
   control::demand_shares Shares;
-  /// Limits of rates in a fleet that divides them among all instances, which
-  /// has no reserves, and in one with bucket owners.
-  control::demand_limits DividedRateLimits;
-  control::demand_limits CentralizedRateLimits;
   control::token_transfers Transfers;
   /// Operations that wait for another instance's answer about tokens.
   session::wait_list TokenWaits;
@@ -117,6 +113,15 @@
       BucketOwnerAnswers;
   control::bucket_reserves Reserves;
   control::bucket_requests BucketRequests;
+  /// Requests for a token that this instance has relayed to a bucket's owner,
+  /// by its own number for them.
+  struct relayed_take {
+    base::instance_name Asker;
+    /// The asker's number.
+    std::uint64_t Number = 0;
+    base::instant At;
+  };
+  std::map<std::uint64_t, relayed_take> RelayedTakes;
   /// Tokens granted from reserves that no log line has reported yet, and when
   /// the last line was written.
   struct reserve_use {
