Take a slow instance for frozen no sooner than the others do

Cause: an instance whose heartbeats came more than a second late chose owners again and lost its buckets for the delay of a new owner, though the others suspect it only after 1.3 s. Instances with little processor time may be late.

Changed: the limit is the time after which others suspect an instance; the next owner starts 0.6 s after that.

Conclusion: the tests of a frozen owner and successor pass with it; no slow instance was measured.

--- a/packages/control/include/redwinggw/control/bucket_reserve.hpp
+++ b/packages/control/include/redwinggw/control/bucket_reserve.hpp
@@ -113,8 +113,9 @@
   base::milliseconds DepthTime{500};
   double MinDepth = 3;
   /// An instance whose last heartbeat is older was frozen, and does not know
-  /// the state of the others.
-  base::milliseconds MaxUpdateAge{1000};
+  /// the state of the others. They suspect it no sooner than this, so a slow
+  /// instance that is not suspect goes on.
+  base::milliseconds MaxUpdateAge = membership_limits{}.RelayedSuspectAfter;
 };
 
 bool usesReserves(const reserve_limits &Limits);
