Tell an unknown rate from an exceeded one in refusals

Cause: an operation that is refused because no instance that knows its bucket answered had the same reason as one of a customer over its rate, so an account of refusals could not tell them apart.

--- a/packages/control/include/redwinggw/control/demand_shares.hpp
+++ b/packages/control/include/redwinggw/control/demand_shares.hpp
@@ -282,6 +282,9 @@
   base::microseconds Wait{0};
   /// Refused: how many tokens were missing.
   double Missing = 0;
+  /// Refused, and false: nobody who knows what is left of the rate answered, so
+  /// the customer may be within it.
+  bool RateKnown = true;
 };
 
 /// Takes a token of \p Customer if one is available within \p MaxWait. \p
--- a/packages/redwinggw/src/platform_buckets.cpp
+++ b/packages/redwinggw/src/platform_buckets.cpp
@@ -287,6 +287,7 @@
   if (const auto Answer = takeFromReserve(State, Customer))
     return verdictFromOwner(State.Shares, Customer, *Answer);
   Here.Wait = expectedAt(State, Customer);
+  Here.RateKnown = false;
   return Here;
 }
 
@@ -312,6 +313,7 @@
   }
   Here.Wait = usesReserves(State.Reserves.Limits) ? expectedAt(State, Customer)
                                                   : control::NextOwnerWithin;
+  Here.RateKnown = false;
   co_return Here;
 }
 
--- a/packages/redwinggw/src/platform_rates.cpp
+++ b/packages/redwinggw/src/platform_rates.cpp
@@ -20,7 +20,7 @@
 constexpr milliseconds TransferTimeout{15};
 
 session::admission admissionOf(const control::demand_verdict &Verdict) {
-  return {Verdict.Admitted, Verdict.Counted, Verdict.Wait};
+  return {Verdict.Admitted, Verdict.Counted, Verdict.Wait, Verdict.RateKnown};
 }
 
 /// Requests a transfer of tokens and waits for the answer. False when there is
@@ -113,7 +113,7 @@
   constexpr unsigned MaxSenders = 2;
   const auto OwnersExpected = co_await awaitBucketOwners(State, Patience);
   if (OwnersExpected)
-    co_return session::admission{false, false, *OwnersExpected};
+    co_return session::admission{false, false, *OwnersExpected, false};
   auto Verdict =
       takeDemandToken(State.Shares, Customer, Priority, Patience, base::now());
   if (!Verdict.Admitted && isCentralized(State.Shares, Customer)) {
--- a/packages/session/include/redwinggw/session/session_core.hpp
+++ b/packages/session/include/redwinggw/session/session_core.hpp
@@ -21,6 +21,9 @@
   bool Counted = false;
   /// Admitted: how long to wait first. Refused: when to retry.
   base::microseconds Wait{0};
+  /// Refused: whether the customer is over its rate, and not within it as far
+  /// as this instance can tell.
+  bool RateKnown = true;
 };
 
 /// Callbacks into the rest of the process.
--- a/packages/session/src/session_core.cpp
+++ b/packages/session/src/session_core.cpp
@@ -50,9 +50,12 @@
       co_await Core.Ports.Admit(Session.Customer, Route.Priority, Patience);
   if (!Admission.Admitted) {
     const auto After = std::chrono::ceil<base::milliseconds>(Admission.Wait);
-    Result.Refused = answer_error{answer_code::Busy,
-                                  "over the customer's rate; retry after " +
-                                      std::to_string(After.count()) + " ms"};
+    const std::string Reason =
+        Admission.RateKnown
+            ? "over the customer's rate; retry after "
+            : "what is left of the customer's rate is not known; retry after ";
+    Result.Refused = answer_error{
+        answer_code::Busy, Reason + std::to_string(After.count()) + " ms"};
     co_return Result;
   }
   if (Admission.Counted)
--- a/tests/session/fake_endpoint.hpp
+++ b/tests/session/fake_endpoint.hpp
@@ -194,7 +194,9 @@
     Routes = Table;
     Core.Ports.Routes = [this] { return Routes; };
     Core.Ports.Admit = [this](base::customer_name, unsigned,
-                              base::microseconds) { return admit(Admitted); };
+                              base::microseconds) {
+      return admit(Admitted, RateKnown);
+    };
     Core.Ports.Settle = [this](std::string_view, bool Ran) {
       Returned += Ran ? 0 : 1;
     };
@@ -210,9 +212,10 @@
     };
   }
 
-  static base::task<admission> admit(bool Admitted) {
-    co_return Admitted ? admission{true, true, {}}
-                       : admission{false, false, base::milliseconds(120)};
+  static base::task<admission> admit(bool Admitted, bool RateKnown) {
+    co_return Admitted
+        ? admission{true, true, {}}
+        : admission{false, false, base::milliseconds(120), RateKnown};
   }
 
   static void addRoute(route_table &Table, std::string Name, consistency Kind) {
@@ -276,6 +279,7 @@
   route_table_ptr Routes;
   std::optional<primary_lease> PrimaryLease = primary_lease{"s", "p", 1};
   bool Admitted = true;
+  bool RateKnown = true;
   /// Operations that were refunded to the rate.
   unsigned Returned = 0;
   std::optional<answer_error> OpenError;
--- a/tests/session/session_core_test.cpp
+++ b/tests/session/session_core_test.cpp
@@ -249,6 +249,20 @@
   cr_assert(Fixture.Group.Received.empty());
 }
 
+// Operators take a bucket owner that does not answer for a customer that is
+// over its rate.
+Test(session_core, a_refusal_tells_an_unknown_rate_from_an_exceeded_one) {
+  core_fixture Fixture;
+  caller_session Session = Fixture.open("strict");
+  Fixture.Admitted = false;
+  cr_assert(Fixture.write(Session).Error->Reason.starts_with(
+      "over the customer's rate;"));
+  Fixture.RateKnown = false;
+  cr_assert(Fixture.write(Session).Error->Reason ==
+            "what is left of the customer's rate is not known; retry after "
+            "120 ms");
+}
+
 // Statements of one customer never run on a connection of another.
 Test(session_core, keeps_customers_on_connections_of_their_own) {
   core_fixture Fixture;
--- a/tests/tools/account_test.py
+++ b/tests/tools/account_test.py
@@ -29,6 +29,12 @@
         self.assertIn(["2", "0", "0", "1"], rows)
         self.assertIn(["acme", "2", "1", "1"], rows)
 
+    def test_tells_an_unknown_rate_from_an_exceeded_one(self):
+        unknown = "what is left of the customer's rate is not known; retry after 900 ms"
+        out = run_tool([ANSWER % (1000, "busy", unknown)])
+        self.assertIn(["second", "served", "rate", "unknown"],
+                      [line.split() for line in out.splitlines()])
+
     def test_counts_changes_of_belief(self):
         out = run_tool(['3.5 i7 {"ms":1,"instance":"i7","part":"peers","event":"in_touch"}'])
         self.assertIn(["i7", "0", "0", "1", "0", "0", "0"],
