Give each loop its turn while the store is silent

Cause (review): three loops competed at random for one attempt a second, so the configuration of an instance that the store rejects could be seconds late, and its loop did not look for a newer one at other instances while it waited.

Change: the loop that has waited longest goes first; a wait for the turn ends after 0.3 s, and the loop checks again whether it needs a read, and from whom; a stopped instance reads and registers no more.

--- a/packages/control/include/redwinggw/control/store_pacing.hpp
+++ b/packages/control/include/redwinggw/control/store_pacing.hpp
@@ -2,6 +2,9 @@
 
 #include "redwinggw/base/time.hpp"
 
+#include <array>
+#include <cstddef>
+#include <cstdint>
 #include <optional>
 
 /// Limits the reads of an instance that the store does not answer. Decisions
@@ -13,11 +16,23 @@
 /// answers. The first answer to any loop ends the limit for all of them.
 namespace redwinggw::control {
 
+/// The loops of an instance that read the store.
+enum class store_loop : std::uint8_t { Fleet, Endpoints, Configuration };
+constexpr std::size_t StoreLoops = 3;
+
+/// A loop that waits for its turn.
+struct waiting_loop {
+  std::optional<base::instant> Since;
+  /// When it last asked for its turn; it has given up if that is long ago.
+  base::instant AskedAt;
+};
+
 /// Not thread safe.
 struct store_pacing {
   /// Whether the last request was answered.
   bool Answers = true;
   std::optional<base::instant> AttemptedAt;
+  std::array<waiting_loop, StoreLoops> Waiting;
 };
 
 /// The interval between attempts of an instance without a majority. The store
@@ -25,14 +40,17 @@
 constexpr base::milliseconds IsolatedRetryInterval{250};
 
 /// The same for an instance that relays connect with a majority, and that
-/// therefore gets changes from the others. A configuration must be in force
-/// within seconds of its acknowledgement, also where only this instance's
-/// attempts show that the store is back.
+/// therefore gets changes from the others.
 constexpr base::milliseconds ConnectedRetryInterval{1000};
 
-/// Whether a loop may read the store at \p Now: always while the store answers,
-/// else once in the interval for all loops together. \p Connected: heartbeats
-/// through relays connect this instance with a majority.
-bool mayAttempt(const store_pacing &Pacing, bool Connected, base::instant Now);
+/// A loop that has not asked for this long does not wait any more.
+constexpr base::milliseconds GaveUpAfter{500};
+
+/// Whether \p Loop may read the store at \p Now, which counts as an attempt
+/// then. Always while the store answers, else once in the interval for all
+/// loops together, the one that has waited longest first. \p Connected:
+/// heartbeats through relays connect this instance with a majority.
+bool tryAttempt(store_pacing &Pacing, store_loop Loop, bool Connected,
+                base::instant Now);
 
 } // namespace redwinggw::control
--- a/packages/redwinggw/src/platform_configuration.cpp
+++ b/packages/redwinggw/src/platform_configuration.cpp
@@ -187,10 +187,14 @@
       co_await pauseWithJitter(*State, UpdateCheckInterval);
       continue;
     }
+    // Others may answer while the store does not.
     if (!State->StorePacing.Answers && isBehind(*State))
       co_await fetchFromPeer(*State);
+    const bool InTurn =
+        co_await awaitStoreAttempt(*State, control::store_loop::Configuration);
+    if (!InTurn)
+      continue;
     const std::uint64_t Before = State->Stored.Row;
-    co_await awaitStoreAttempt(*State);
     const bool Answered = co_await readConfiguration(*State);
     if (State->Stored.Row == Before && isBehind(*State))
       co_await fetchFromPeer(*State);
--- a/packages/redwinggw/src/platform_endpoints.cpp
+++ b/packages/redwinggw/src/platform_endpoints.cpp
@@ -287,7 +287,10 @@
       co_await pauseWithJitter(*State, UpdateCheckInterval);
       continue;
     }
-    co_await awaitStoreAttempt(*State);
+    const bool InTurn =
+        co_await awaitStoreAttempt(*State, control::store_loop::Endpoints);
+    if (!InTurn)
+      continue;
     const base::instant Sent = base::now();
     const auto Rows = co_await platform::readTable(
         State->StoreTables, platform::EndpointTable, ReadIdleTimeout);
--- a/packages/redwinggw/src/platform_fleet.cpp
+++ b/packages/redwinggw/src/platform_fleet.cpp
@@ -208,17 +208,20 @@
   co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
-base::task<void> awaitStoreAttempt(platform_instance_state &State) {
+base::task<bool> awaitStoreAttempt(platform_instance_state &State,
+                                   control::store_loop Loop) {
   constexpr milliseconds CheckInterval{50};
-  while (!State.Stopped) {
+  constexpr milliseconds MaxWait{300};
+  const base::instant Since = base::now();
+  while (!State.Stopped && base::now() - Since < MaxWait) {
     const base::instant Now = base::now();
     const bool Connected = State.Peers && usesRelays(State.Peers->view()) &&
                            State.Peers->inContactWithMajority(Now);
-    if (mayAttempt(State.StorePacing, Connected, Now))
-      break;
+    if (tryAttempt(State.StorePacing, Loop, Connected, Now))
+      co_return true;
     co_await pauseWithJitter(State, CheckInterval);
   }
-  State.StorePacing.AttemptedAt = base::now();
+  co_return false;
 }
 
 base::task<void> removeInstance(platform_instance_state &State) {
@@ -317,7 +320,10 @@
 base::task<void> joinFleet(platform_instance_ptr State) {
   bool Joined = false;
   while (!Joined && !State->Stopped) {
-    co_await awaitStoreAttempt(*State);
+    const bool InTurn =
+        co_await awaitStoreAttempt(*State, control::store_loop::Fleet);
+    if (!InTurn)
+      continue;
     Joined = co_await tryToJoin(*State);
     if (!Joined)
       co_await pauseWithJitter(*State, RetryDelay);
@@ -342,7 +348,11 @@
   bool Answered = true;
   while (!State->Stopped) {
     co_await pauseBetweenReads(*State, Answered);
-    co_await awaitStoreAttempt(*State);
+    bool InTurn = false;
+    while (!InTurn && !State->Stopped)
+      InTurn = co_await awaitStoreAttempt(*State, control::store_loop::Fleet);
+    if (State->Stopped)
+      break;
     const auto Rows = co_await readFleet(*State);
     Answered = Rows.has_value();
     if (Answered)
--- a/packages/redwinggw/src/platform_instance_state.hpp
+++ b/packages/redwinggw/src/platform_instance_state.hpp
@@ -295,9 +295,11 @@
 suspectServices(const platform_instance_state &State);
 /// @}
 
-/// Waits until a loop may read the store, see store_pacing.hpp; the read must
-/// follow at once.
-base::task<void> awaitStoreAttempt(platform_instance_state &State);
+/// Waits for the turn of \p Loop to read the store, see store_pacing.hpp. True:
+/// the read must follow at once. False after a short time or when the instance
+/// stops: the loop checks again whether it needs a read.
+base::task<bool> awaitStoreAttempt(platform_instance_state &State,
+                                   control::store_loop Loop);
 
 /// Applies what the store reader has read and sent to this instance.
 void acceptSharedRead(platform_instance_state &State,
