Take an empty link or region of a zone as not given

A template whose deployment has no link or no region leaves the value empty. instance.link_mbps and a line of [zones] refused that, and the instance did not start. Only these two refused it among the optional values of templates; instance.capacity still does and is left as it is.

Empty now leaves the link at its default, and a zone without a region counts as not given.

--- a/packages/redwinggw/src/settings.cpp
+++ b/packages/redwinggw/src/settings.cpp
@@ -171,11 +171,11 @@
      [](settings &S, const std::string &T) {
        return setNumber(S.Capacity, T, 0, 1e6);
      }},
-    {"instance.link_mbps", "0", CapacityAllowed,
+    {"instance.link_mbps", "0", BoundAllowed,
      "its link in Mbit/s, a quarter of which limits lists sent to other "
      "instances (0: no limit)",
      [](settings &S, const std::string &T) {
-       return setNumber(S.LinkMbps, T, 0, 1e6);
+       return T.empty() || setNumber(S.LinkMbps, T, 0, 1e6);
      }},
     {"endpoints.cold_overshoot", "none", BoundAllowed,
      "cold endpoints get at most their rate times this, plus cold_slack",
@@ -359,19 +359,21 @@
 
 constexpr std::string_view ZoneSection = "zones.";
 
-/// A line of [zones].
+/// A line of [zones]. A zone without a region is not given.
 void applyZone(parse_state &State, settings &Settings,
                const assignment &Assignment) {
   std::string Zone;
   std::string Region;
   const std::string Name = Assignment.Key.substr(ZoneSection.size());
-  if (!setName(Zone, Name) || !setName(Region, Assignment.Value)) {
+  if (!setName(Zone, Name) || !setOptionalName(Region, Assignment.Value)) {
     State.Faults.push_back(
         Assignment.Location + ": '" + Name + " = " + Assignment.Value +
         "' is not allowed in [zones]; allowed: NAME = REGION, each " +
-        std::string(NameAllowed));
+        std::string(NameAllowed) + "; REGION may be empty");
     return;
   }
+  if (Region.empty())
+    return;
   const bool New = Settings.Zones.insert_or_assign(Zone, Region).second;
   if (!New && Assignment.Location != "option")
     State.Faults.push_back(Assignment.Location + ": zone '" + Zone +
@@ -484,7 +486,7 @@
             "\n";
   }
   Text += "  zones.NAME (none): region of the availability zone NAME; " +
-          std::string(NameAllowed) + "\n";
+          std::string(OptionalNameAllowed) + "\n";
   return Text;
 }
 
