Pass a freed connection on when its statement gets no slot

With connections = demand a freed connection wakes the first statement that waits for it. If that statement then got no slot in time it failed, and the connection stayed idle while the customer's next statement slept on until its deadline. A failed set-up already wakes the next one, and an evacuation does.

checkOutByDemand now wakes the next statement on that path too; wakeNext is public for it. The new test of endpoint_pool_test failed before the change and passes after it.

--- a/packages/session/include/redwinggw/session/endpoint_pool.hpp
+++ b/packages/session/include/redwinggw/session/endpoint_pool.hpp
@@ -191,6 +191,10 @@
   const connection_plan &plan() const { return Plan; }
   /// @}
 
+  /// Wakes the next statement that can get a connection now, if one waits. A
+  /// statement that was woken and does not take a connection must call it.
+  void wakeNext();
+
   /// Wraps a link that forwards to the endpoint's owner and takes no connection
   /// here. It is released or discarded like a connection.
   link_handle wrapForwarding(std::unique_ptr<forwarding_link> Forwarding,
@@ -282,7 +286,6 @@
   customer_use &useOf(std::string_view Customer);
   void countEvicted(const pooled_link &Link, eviction Reason);
   connection_decision decide(slot_level Level, std::string_view Customer) const;
-  void wakeNext();
   void wakeByDemand();
   base::task<acquired> connect(base::customer_name Customer,
                                base::instant Deadline);
--- a/packages/session/src/check_out.cpp
+++ b/packages/session/src/check_out.cpp
@@ -87,8 +87,11 @@
       co_return failed(*Pool, Request, Lacked, Since);
     slot_grant Grant = co_await acquireSlot(
         Pool, Request.Level, Request.Customer, Request.SlotUntil);
-    if (!Grant)
+    if (!Grant) {
+      // The connection that this statement was woken for stays idle.
+      Pool->wakeNext();
       co_return failed(*Pool, Request, acquire_failure::NoSlot, Since);
+    }
     acquired Acquired =
         co_await Pool->acquireByDemand(Request.Level, Request.Customer,
                                        Request.Values, setUpDeadline(Request));
--- a/tests/session/endpoint_pool_test.cpp
+++ b/tests/session/endpoint_pool_test.cpp
@@ -90,6 +90,20 @@
   });
 }
 
+/// Releases a connection while both slots are taken, and the slots later.
+base::task<void> releaseWithoutSlots(pool_fixture &Fixture,
+                                     std::vector<checked_out> &Held) {
+  const base::instant Until = base::now() + milliseconds(50);
+  const std::string Other = "other";
+  slot_grant First =
+      co_await acquireSlot(Fixture.Pool, slot_level::Normal, Other, Until);
+  slot_grant Second =
+      co_await acquireSlot(Fixture.Pool, slot_level::Normal, Other, Until);
+  Held.front().Link.release();
+  boost::asio::steady_timer Timer(Fixture.Context, milliseconds(150));
+  co_await Timer.async_wait(boost::asio::use_awaitable);
+}
+
 void limit(pool_fixture &Fixture, connection_policy Policy, unsigned Slots,
            std::size_t Connections) {
   Fixture.Entry.Slots = Slots;
@@ -245,6 +259,26 @@
   cr_assert(Fixture.Pool->connects() == Connects);
 }
 
+// A freed connection wakes a statement that then gets no slot. Guards against
+// the customer's next statement, which sleeps on while the connection is idle.
+Test(endpoint_pool, a_statement_without_a_slot_passes_its_connection_on) {
+  pool_fixture Fixture;
+  limit(Fixture, connection_policy::Demand, 1, 1);
+  std::vector<checked_out> Held;
+  hold(Fixture, "acme", Held);
+  runAll(Fixture);
+  Held.front().Link.Grant = slot_grant();
+  std::vector<checked_out> Waiting;
+  hold(Fixture, "acme", Waiting, milliseconds(50));
+  hold(Fixture, "acme", Waiting, milliseconds(2000));
+  boost::asio::co_spawn(Fixture.Context, releaseWithoutSlots(Fixture, Held),
+                        boost::asio::detached);
+  runAll(Fixture);
+  cr_assert(Waiting.size() == 2);
+  cr_assert(Waiting.front().Failure == acquire_failure::NoSlot);
+  cr_assert(Waiting.back().Link);
+}
+
 // An instance that owned nearly all connections of an endpoint loses power. The
 // endpoint counts them for three more seconds, and the next owner's callers get
 // none. So connections opened for a peak are closed soon after it.
