Keep home regions when the route of a transaction is removed

homesFor looks the route up in the configuration in force. When the route was removed after a begin it found none, and the first statement of the transaction could run in any region.

A transaction whose route is gone now keeps the home regions of the route that it began with. Using these always was ruled out: a restriction that is added to the route would not apply to open transactions any more. The new test of homes_test failed before the change and passes after it.

--- a/packages/session/include/redwinggw/session/route_table.hpp
+++ b/packages/session/include/redwinggw/session/route_table.hpp
@@ -89,8 +89,9 @@
 /// Null when there is none of that name. Thread safe.
 const route *findRoute(const route_table &Table, std::string_view Database);
 
-/// The home regions for statements of \p Customer to \p Database. Valid as long
-/// as \p Table is unchanged. Thread safe.
+/// The home regions for statements of \p Customer to \p Database; none of a
+/// route that \p Table does not have. Valid as long as \p Table is unchanged.
+/// Thread safe.
 home_rule homesFor(const route_table &Table, std::string_view Database,
                    std::string_view Customer);
 
--- a/packages/session/src/session_core.cpp
+++ b/packages/session/src/session_core.cpp
@@ -237,8 +237,11 @@
   const route Copy = *Route;
   request Request{Statement, Copy, Arrived, Arrived + Copy.Timeout};
   Request.Writes = Statement.Kind == statement_kind::Write;
-  // Also in a transaction, whose route is that of its begin.
+  // Also in a transaction, whose route is that of its begin: it keeps that
+  // route's home regions when the route is removed.
   Request.Homes = homesFor(*Table, Session.Database, Session.Customer);
+  if (Request.Homes.Route == nullptr)
+    Request.Homes.Route = &Copy.Homes;
   answer Answer = co_await dispatch(Core, Session, Request);
   if (Session.Transaction)
     Session.Transaction->UsedAt = base::now();
--- a/tests/session/homes_test.cpp
+++ b/tests/session/homes_test.cpp
@@ -129,6 +129,20 @@
   }
 }
 
+// Guards against a transaction that loses its home regions with its route: its
+// first statement would run at any endpoint.
+Test(homes, remain_when_the_route_of_a_transaction_is_removed) {
+  home_fixture Fixture;
+  Fixture.restrict({"us"}, {});
+  caller_session Session = Fixture.open("own");
+  Fixture.run(Session, statement_kind::Begin, "BEGIN");
+  auto Table = std::make_shared<route_table>(*Fixture.Routes);
+  Table->Routes.erase("own");
+  Fixture.Routes = Table;
+  cr_assert(Fixture.write(Session).Error);
+  cr_assert(Fixture.Group.Received.empty());
+}
+
 // Guards against a text that is forwarded to an instance outside the home
 // regions: this instance connects to the endpoint itself.
 Test(homes, forward_to_instances_at_home_only) {
