Accept the list that was requested whatever its version

The others keep the remaining time of a cold endpoint as first read, while a new instance reads a shorter one from the store. Its list then differs from theirs under a higher version, and the answer to its request was dropped as old, at every digest again.

Leaving the cold time out of the digest was ruled out: changes name both lists by their digests, so a change of nothing but the cold time would count as known and never take effect. Instead a complete list whose digest is the one that was requested replaces a later read. The request ends with any newer list, so that an answer still undoes no changes that overtook it. Parts of another list are dropped when a different list is requested, as their version may be higher.

--- a/packages/redwinggw/src/platform_endpoints.cpp
+++ b/packages/redwinggw/src/platform_endpoints.cpp
@@ -128,6 +128,7 @@
   const auto Changes = updateEndpoints(State.Endpoints, Entries, base::now());
   State.EndpointList = Entries;
   State.EndpointListDigest = digestText(Entries);
+  State.RequestedEndpointList.clear();
   State.EndpointListAt = ReadAt;
   const bool Changed = !Changes.Started.empty() || !Changes.Gone.empty() ||
                        !Changes.Changed.empty();
@@ -162,6 +163,10 @@
                  const base::instance_name &From, std::string Digest) {
   if (!usesRelays(State.Peers->view()))
     return;
+  // Parts of another list may have a higher version.
+  if (State.RequestedEndpointList != Digest)
+    State.EndpointListParts = {};
+  State.RequestedEndpointList = Digest;
   wire::shared_store_read Request;
   Request.Kind = wire::shared_read_kind::EndpointsRequest;
   Request.Text = std::move(Digest);
@@ -182,10 +187,12 @@
                   const base::instance_name &From, const std::string &Digest) {
   if (!State.EndpointListAt)
     return;
-  if (Digest == State.EndpointListDigest)
-    confirmEndpointList(State);
-  else
+  if (Digest != State.EndpointListDigest) {
     requestList(State, From, Digest);
+    return;
+  }
+  State.RequestedEndpointList.clear();
+  confirmEndpointList(State);
 }
 
 void acceptChanges(platform_instance_state &State,
@@ -211,10 +218,6 @@
 
 void acceptPart(platform_instance_state &State,
                 const wire::shared_store_read &Reading) {
-  // An answer to a request must not undo changes that overtook it.
-  if (usesRelays(State.Peers->view()) &&
-      Reading.Version < State.EndpointListVersion)
-    return;
   const auto Texts =
       addPart(State.EndpointListParts,
               {Reading.Version, Reading.Part, Reading.Parts, Reading.Text});
@@ -232,6 +235,12 @@
     }
     std::ranges::move(*Decoded, std::back_inserter(Entries));
   }
+  // An answer to a request must not undo changes that overtook it.
+  if (usesRelays(State.Peers->view()) &&
+      !session::replacesHeld({Reading.Version, digestText(Entries)},
+                             State.EndpointListVersion,
+                             State.RequestedEndpointList))
+    return;
   State.EndpointListVersion = Reading.Version;
   acceptEndpointList(State, Entries, base::now());
 }
--- a/packages/redwinggw/src/platform_instance_state.hpp
+++ b/packages/redwinggw/src/platform_instance_state.hpp
@@ -154,6 +154,9 @@
   std::uint64_t EndpointListVersion = 0;
   /// Parts of a list from the store reader that is not complete yet.
   session::list_assembly EndpointListParts;
+  /// Digest of the list that was requested last; empty once this instance has
+  /// it or a newer one.
+  std::string RequestedEndpointList;
   std::optional<base::instant> EndpointListAt;
   /// The list that this instance last sent to the others in full.
   std::vector<session::endpoint_entry> SentEndpointList;
--- a/packages/session/include/redwinggw/session/list_parts.hpp
+++ b/packages/session/include/redwinggw/session/list_parts.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 /// A list that exceeds one datagram, sent in parts. Decisions without I/O.
@@ -34,4 +35,17 @@
 std::optional<std::vector<std::string>> addPart(list_assembly &Assembly,
                                                 list_part Part);
 
+/// A list by the store's version at its read, and its digest.
+struct list_identity {
+  std::uint64_t Version = 0;
+  std::string Digest;
+};
+
+/// Whether the complete list \p Received replaces one of \p HeldVersion. The
+/// list that was requested, \p Requested, does whatever its version: an
+/// instance that reads the store itself may hold a list that differs from the
+/// others' in times that count down, under a higher version. Thread safe.
+bool replacesHeld(const list_identity &Received, std::uint64_t HeldVersion,
+                  std::string_view Requested);
+
 } // namespace redwinggw::session
--- a/packages/session/src/list_parts.cpp
+++ b/packages/session/src/list_parts.cpp
@@ -32,4 +32,9 @@
   return Complete;
 }
 
+bool replacesHeld(const list_identity &Received, std::uint64_t HeldVersion,
+                  std::string_view Requested) {
+  return Received.Version >= HeldVersion || Received.Digest == Requested;
+}
+
 } // namespace redwinggw::session
--- a/tests/session/list_parts_test.cpp
+++ b/tests/session/list_parts_test.cpp
@@ -34,6 +34,16 @@
   cr_assert(!addPart(Assembly, {7, 0, 1, "old"}));
 }
 
+// Guards against a new instance that never agrees with the others on the list:
+// its own read, with another remaining time of a cold endpoint, has a higher
+// version than theirs. An answer that newer changes overtook undoes nothing.
+Test(list_parts, that_were_requested_replace_a_later_read) {
+  cr_assert(replacesHeld({7, "fleet"}, 9, "fleet"));
+  cr_assert(!replacesHeld({7, "older"}, 9, "fleet"));
+  cr_assert(!replacesHeld({7, "fleet"}, 9, ""));
+  cr_assert(replacesHeld({9, "newer"}, 9, ""));
+}
+
 Test(list_parts, with_impossible_numbers_are_ignored) {
   list_assembly Assembly;
   cr_assert(!addPart(Assembly, {7, 2, 2, "a"}));
