Release the rows of cold endpoints that leave the list

The state of an endpoint that left the list while this instance held its cold permission was erased without a release, so the row cold/NAME stayed in the store for good.

Releasing at once was ruled out: connections that are still checked out may send under the permission until it ends. So the row is released when it has ended, and the state is erased after that. It was compiled and cold_rates_test passes.

--- a/packages/redwinggw/src/platform_cold_endpoints.cpp
+++ b/packages/redwinggw/src/platform_cold_endpoints.cpp
@@ -98,6 +98,20 @@
                   {"remaining_ms", std::to_string(Left)}});
 }
 
+void takeNextStep(const platform_instance_ptr &State,
+                  const base::endpoint_name &Endpoint, held_permission &Held,
+                  bool Wanted) {
+  if (Held.Busy)
+    return;
+  const permission_step Step =
+      nextStep(Held.Permission, Wanted, Limits, base::now());
+  if (Step == permission_step::None)
+    return;
+  Held.Busy = true;
+  boost::asio::co_spawn(State->Context, carryOut(State, Endpoint, Step),
+                        boost::asio::detached);
+}
+
 void checkPermission(const platform_instance_ptr &State,
                      session::endpoint_pool &Pool, bool MaySend) {
   const instant Now = base::now();
@@ -113,14 +127,25 @@
     Pool.cold().SendUntil.reset();
   if (!Wanted)
     Held.Permission.RenewedAt.reset();
-  if (Held.Busy)
-    return;
-  const permission_step Step = nextStep(Held.Permission, Wanted, Limits, Now);
-  if (Step == permission_step::None)
-    return;
-  Held.Busy = true;
-  boost::asio::co_spawn(State->Context, carryOut(State, Endpoint, Step),
-                        boost::asio::detached);
+  takeNextStep(State, Endpoint, Held, Wanted);
+}
+
+/// Releases the permissions of endpoints that have left the list, and forgets
+/// them afterwards.
+void releaseUnlisted(const platform_instance_ptr &State) {
+  const instant Now = base::now();
+  for (auto &[Endpoint, Held] : State->ColdPermissions) {
+    if (State->Endpoints.Pools.contains(Endpoint))
+      continue;
+    // Connections that are still checked out may send until then.
+    const auto Until = sendUntil(Held.Permission, Limits);
+    if (!Until || Now >= *Until)
+      takeNextStep(State, Endpoint, Held, false);
+  }
+  std::erase_if(State->ColdPermissions, [&](const auto &Item) {
+    return !Item.second.Busy && !Item.second.Permission.OwnVersion &&
+           !State->Endpoints.Pools.contains(Item.first);
+  });
 }
 
 } // namespace
@@ -139,9 +164,7 @@
                          State->Peers->inContactWithMajority(base::now());
     for (const auto &[Name, Pool] : State->Endpoints.Pools)
       checkPermission(State, *Pool, MaySend);
-    std::erase_if(State->ColdPermissions, [&](const auto &Item) {
-      return !Item.second.Busy && !State->Endpoints.Pools.contains(Item.first);
-    });
+    releaseUnlisted(State);
     co_await pauseWithJitter(*State, CheckInterval);
   }
 }
