Wait for an endpoint in a home region that may serve soon

While an instance that has just started knows no log position of a service, only the primary is a candidate for reads. With the primary outside the home regions reads were refused at once with 2 s, although a replica at home could serve them a moment later.

They are now refused at once only if no endpoint of the service is in a home region; otherwise they wait as for a primary, and are refused with the same reason and time after that. This also holds for writes whose primary is away: it may be moved back.

--- a/packages/session/src/placement.cpp
+++ b/packages/session/src/placement.cpp
@@ -154,27 +154,43 @@
   return Candidates;
 }
 
-/// Removes the endpoints outside the statement's home regions. False, with the
-/// problem in \p Request, if no other one can serve it.
-bool keepHome(const session_core &Core, request &Request,
-              std::vector<choice_candidate> &Candidates) {
+bool isEntryHome(const session_core &Core, const request &Request,
+                 const endpoint_entry &Entry) {
+  return isHome(Core.Regions, Request.Homes, Entry.Zone);
+}
+
+/// Removes the endpoints outside the statement's home regions. True if there
+/// were endpoints and none is left.
+bool removeAway(const session_core &Core, const request &Request,
+                std::vector<choice_candidate> &Candidates) {
   if (Candidates.empty() || !isRestricted(Request.Homes))
-    return true;
+    return false;
   std::erase_if(Candidates, [&](const choice_candidate &Candidate) {
     const endpoint_entry *Entry =
         findEndpoint(Core.Set.Directory, Candidate.Name);
-    return Entry == nullptr ||
-           !isHome(Core.Regions, Request.Homes, Entry->Zone);
+    return Entry == nullptr || !isEntryHome(Core, Request, *Entry);
   });
-  if (!Candidates.empty())
-    return true;
+  return Candidates.empty();
+}
+
+/// Whether the service has an endpoint in the statement's home regions, which
+/// may soon be able to serve it.
+bool hasHomeEndpoint(const session_core &Core, const request &Request) {
+  return std::ranges::any_of(
+      endpointsOf(Core.Set.Directory, Request.Route.Service),
+      [&](const endpoint_entry *Entry) {
+        return isEntryHome(Core, Request, *Entry);
+      });
+}
+
+/// Records that no endpoint in the home regions can serve the statement.
+void noteAway(request &Request) {
   // A primary that is moved back, or a new configuration, takes about as long.
   constexpr milliseconds NextChange{2000};
   Request.LastProblem = "no endpoint of " + Request.Route.Service +
                         " that can serve this is in a home region (" +
                         textOf(Request.Homes) + ")";
   Request.RetryAfter = NextChange;
-  return false;
 }
 
 /// The best endpoint that was not tried yet; when all were, the best one.
@@ -279,13 +295,16 @@
                                     : pointFor(Core, Session, Request, Now);
     auto Candidates = candidatesFor(Core, Session, Request, NeedsPrimary,
                                     PrimaryLease, Point, Now);
-    if (!keepHome(Core, Request, Candidates))
-      co_return std::nullopt;
+    const bool Away = removeAway(Core, Request, Candidates);
     if (Candidates.empty()) {
-      const bool Again = co_await awaitPrimary(Core, Request);
-      if (!Again)
-        co_return std::nullopt;
-      continue;
+      bool Again = false;
+      if (!Away || hasHomeEndpoint(Core, Request))
+        Again = co_await awaitPrimary(Core, Request);
+      if (Again)
+        continue;
+      if (Away)
+        noteAway(Request);
+      co_return std::nullopt;
     }
     auto Placement = co_await tryBest(
         Core, Session, Request, std::move(Candidates), PrimaryLease, Point);
--- a/tests/session/homes_test.cpp
+++ b/tests/session/homes_test.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "criterion_test.hpp"
 
@@ -111,6 +112,20 @@
   cr_assert(Fixture.Group.Received.empty());
 }
 
+// Guards against a refusal by an instance that has just started: without a log
+// position only the primary, which is away, can serve a read.
+Test(homes, wait_for_an_endpoint_at_home) {
+  home_fixture Fixture;
+  caller_session Session = Fixture.open("bounded");
+  cr_assert(!Fixture.write(Session).Error);
+  const auto Samples = std::exchange(Fixture.Set.Samples, {});
+  Fixture.restrict({"us"}, {});
+  boost::asio::steady_timer Timer(Fixture.Context, base::milliseconds(5));
+  Timer.async_wait([&](auto) { Fixture.Set.Samples = Samples; });
+  cr_assert(!Fixture.read(Session).Error);
+  cr_assert(Fixture.Group.Received.back().Endpoint == "r1");
+}
+
 // Guards against an open transaction that goes on outside the home regions
 // after a change of the configuration.
 Test(homes, abort_transactions_that_are_away) {
