Bound the wait of lists behind heartbeats

Under sustained load above the limit of control traffic the room never became positive: the floor of the debt bounds the delay after one burst only. Such an instance sent no digest, change or list, and its receivers read the store. Also, a digest that replaced a waiting one in place was sent before the change that it stands for, so that the receiver requested the whole list.

Digests, changes and requests now skip the limit, as they are small and save lists. The first waiting list is sent after a second even without room; its time is that of the read that it replaces, so repeated requests do not delay it. A replacement is added at the back. Releasing overdue lists one by one was ruled out: ticks are the only occasion under load, and a zone of receivers would wait for many of them. All lists that are overdue are therefore sent at once, and count.

--- a/packages/control/src/peer_service.cpp
+++ b/packages/control/src/peer_service.cpp
@@ -185,7 +185,7 @@
 
 void peer_service::state::sendSharedRead(
     const member &To, const wire::shared_store_read &SharedRead) {
-  enqueueRead(Limit, {To.Name, SharedRead});
+  enqueueRead(Limit, {To.Name, SharedRead, base::now()});
   sendWaitingReads();
 }
 
--- a/packages/control/src/traffic_limit.cpp
+++ b/packages/control/src/traffic_limit.cpp
@@ -14,6 +14,14 @@
 constexpr double DepthSeconds = 0.5;
 /// About two parts of a list for each of 500 instances.
 constexpr std::size_t MaxWaiting = 1000;
+/// No read waits for longer: the receiver would read the store itself.
+constexpr base::milliseconds MaxWait{1000};
+
+/// Whether \p Waiting is sent without regard to the limit. These reads fit
+/// into one datagram and are sent instead of lists, which are much larger.
+bool isUnlimited(const waiting_read &Waiting) {
+  return Waiting.Read.Kind != wire::shared_read_kind::Endpoints;
+}
 
 void refill(traffic_limit &Limit, instant Now) {
   const double Depth = DepthSeconds * Limit.BytesPerSecond;
@@ -44,8 +52,8 @@
   if (Limit.BytesPerSecond <= 0)
     return;
   refill(Limit, Now);
-  // What was sent beyond the limit delays lists for a second at most: they
-  // must not wait for ever behind heartbeats that alone exceed the limit.
+  // One burst beyond the limit delays lists for a second at most. MaxWait
+  // bounds the delay where the limit is exceeded all the time.
   Limit.Room =
       std::max(Limit.Room - static_cast<double>(Bytes), -Limit.BytesPerSecond);
 }
@@ -56,8 +64,9 @@
         return replaces(Read, Each);
       });
   if (Old != Limit.Waiting.end()) {
-    *Old = std::move(Read);
-    return;
+    // The receiver has waited since the older one was enqueued.
+    Read.EnqueuedAt = std::min(Read.EnqueuedAt, Old->EnqueuedAt);
+    Limit.Waiting.erase(Old);
   }
   if (Limit.Waiting.size() == MaxWaiting)
     Limit.Waiting.pop_front();
@@ -65,16 +74,19 @@
 }
 
 std::optional<waiting_read> nextRead(traffic_limit &Limit, instant Now) {
-  if (Limit.Waiting.empty())
+  auto Next = std::ranges::find_if(Limit.Waiting, isUnlimited);
+  if (Next == Limit.Waiting.end())
+    Next = Limit.Waiting.begin();
+  if (Next == Limit.Waiting.end())
     return std::nullopt;
-  if (Limit.BytesPerSecond > 0) {
+  if (Limit.BytesPerSecond > 0 && !isUnlimited(*Next)) {
     refill(Limit, Now);
-    if (Limit.Room <= 0)
+    if (Limit.Room <= 0 && Now - Next->EnqueuedAt < MaxWait)
       return std::nullopt;
   }
-  waiting_read Next = std::move(Limit.Waiting.front());
-  Limit.Waiting.pop_front();
-  return Next;
+  waiting_read Read = std::move(*Next);
+  Limit.Waiting.erase(Next);
+  return Read;
 }
 
 } // namespace redwinggw::control
--- a/tests/control/traffic_limit_test.cpp
+++ b/tests/control/traffic_limit_test.cpp
@@ -12,12 +12,18 @@
 constexpr instant Start{milliseconds(1000)};
 
 waiting_read part(std::uint16_t Number, std::uint64_t Version = 1) {
-  waiting_read Read{"i1", {}};
+  waiting_read Read{"i1", {}, Start};
   Read.Read.Part = Number;
   Read.Read.Version = Version;
   return Read;
 }
 
+waiting_read small(wire::shared_read_kind Kind) {
+  waiting_read Read = part(0);
+  Read.Read.Kind = Kind;
+  return Read;
+}
+
 /// How many reads of \p Bytes each are sent at \p Now.
 std::size_t sentAt(traffic_limit &Limit, std::size_t Bytes, instant Now) {
   std::size_t Count = 0;
@@ -58,6 +64,56 @@
   cr_assert(sentAt(Limit, 100, Start + milliseconds(1100)) == 1);
 }
 
+// Guards against a relay that sends no lists, and instances that read the store
+// themselves, where heartbeats exceed the limit all the time.
+Test(traffic_limit, sends_lists_under_sustained_load) {
+  traffic_limit Limit;
+  Limit.BytesPerSecond = 1000;
+  std::optional<milliseconds> SentAfter;
+  for (milliseconds Time{0}; Time < milliseconds(10'000);
+       Time += milliseconds(100)) {
+    chargeTraffic(Limit, 110, Start + Time);
+    if (Time == milliseconds(7000)) {
+      waiting_read List = part(0);
+      List.EnqueuedAt = Start + Time;
+      enqueueRead(Limit, List);
+    } else if (sentAt(Limit, 100, Start + Time) > 0) {
+      cr_assert(!SentAfter);
+      SentAfter = Time - milliseconds(7000);
+    }
+  }
+  cr_assert(SentAfter == milliseconds(1000));
+}
+
+// Guards against digests, changes and requests that wait behind lists.
+Test(traffic_limit, does_not_delay_small_reads) {
+  using enum wire::shared_read_kind;
+  traffic_limit Limit;
+  Limit.BytesPerSecond = 1000;
+  chargeTraffic(Limit, 10'000, Start);
+  enqueueRead(Limit, part(0));
+  for (const auto Kind :
+       {EndpointsUnchanged, EndpointChanges, EndpointsRequest})
+    enqueueRead(Limit, small(Kind));
+  cr_assert(sentAt(Limit, 100, Start) == 3);
+  cr_assert(Limit.Waiting.front().Read.Kind == Endpoints);
+}
+
+// Guards against a digest that overtakes the change to the list that it stands
+// for: the receiver would request the whole list.
+Test(traffic_limit, sends_a_digest_after_its_change) {
+  using enum wire::shared_read_kind;
+  traffic_limit Limit;
+  for (const auto Kind :
+       {EndpointsUnchanged, EndpointChanges, EndpointsUnchanged})
+    enqueueRead(Limit, small(Kind));
+  const auto First = nextRead(Limit, Start);
+  cr_assert(First && First->Read.Kind == EndpointChanges);
+  const auto Second = nextRead(Limit, Start);
+  cr_assert(Second && Second->Read.Kind == EndpointsUnchanged);
+  cr_assert(Limit.Waiting.empty());
+}
+
 // Guards against old lists that are sent before the newest one.
 Test(traffic_limit, replaces_a_part_that_waits) {
   traffic_limit Limit;
