Forget requests without an answer after a pause

The time of the first request that an owner did not answer was kept until an answer arrived. A request lost long ago made an owner that was heard since then, and died later, count as alive and unreachable: it was asked through relays, and retry times were too short.

The time now starts again after a pause of 3 s, or of 5 s where the owner answered through a relay since. Outdated entries are erased and not read either.

The new test fails without the change; bucket_requests_test and bucket_reserve_test pass with it.

--- a/packages/control/include/redwinggw/control/bucket_requests.hpp
+++ b/packages/control/include/redwinggw/control/bucket_requests.hpp
@@ -29,7 +29,7 @@
 /// An instance that left requests without an answer.
 struct unanswered_requests {
   /// When the first and the last one without an answer were sent, since the
-  /// last answer.
+  /// last answer and without a pause after which they are forgotten.
   base::instant Since;
   base::instant LastAt;
   /// When it last answered through a relay since then, and through which one.
@@ -52,6 +52,16 @@
 /// The same while the owner answers through a relay.
 constexpr base::milliseconds RelayedOwnerSkipTime{2000};
 
+/// Requests without an answer are forgotten after this time without another
+/// one: an instance that was heard since then may have died later. Shorter
+/// times forget owners that cannot be reached where operations are rare.
+constexpr base::milliseconds UnansweredTimeout{3000};
+
+/// The same where the instance has answered through a relay since. Longer, as
+/// it was alive then, and each new start takes tokens of the reserve where
+/// operations are rare.
+constexpr base::milliseconds RelayedTimeout{5000};
+
 /// For this long a relay through which there was no answer is not asked for the
 /// same owner.
 constexpr base::milliseconds RelaySkipTime{2000};
--- a/packages/control/src/bucket_requests.cpp
+++ b/packages/control/src/bucket_requests.cpp
@@ -11,6 +11,15 @@
 
 using base::instant;
 
+/// Whether nothing was asked for so long that \p Unanswered says nothing about
+/// the instance's state any more.
+bool isOutdated(const unanswered_requests &Unanswered, instant Now) {
+  if (!Unanswered.RelayedAt)
+    return Now - Unanswered.LastAt > UnansweredTimeout;
+  return Now - std::max(Unanswered.LastAt, *Unanswered.RelayedAt) >
+         RelayedTimeout;
+}
+
 /// Whether an owner that does not answer directly does so through a relay.
 bool isRelayed(const unanswered_requests &Unanswered, instant Now) {
   return Unanswered.RelayedAt &&
@@ -65,9 +74,9 @@
 }
 
 std::optional<instant> unansweredSince(const bucket_requests &Requests,
-                                       std::string_view Instance) {
+                                       std::string_view Instance, instant Now) {
   const auto Found = Requests.Unanswered.find(Instance);
-  return Found == Requests.Unanswered.end()
+  return Found == Requests.Unanswered.end() || isOutdated(Found->second, Now)
              ? std::nullopt
              : std::optional(Found->second.Since);
 }
@@ -75,9 +84,10 @@
 /// Whether a relay has heard \p Owner since this instance got no answer from
 /// it: it is alive, and cannot be reached from here. Relayed times are
 /// estimates, hence the margin.
-bool isHeardSince(const bucket_requests &Requests, const member &Owner) {
+bool isHeardSince(const bucket_requests &Requests, const member &Owner,
+                  instant Now) {
   constexpr base::milliseconds Margin{100};
-  const auto Since = unansweredSince(Requests, Owner.Name);
+  const auto Since = unansweredSince(Requests, Owner.Name, Now);
   return Since && Owner.HeardAt && *Owner.HeardAt > *Since + Margin;
 }
 
@@ -85,6 +95,9 @@
 
 void noteRequest(bucket_requests &Requests, std::string_view Instance,
                  bool Answered, instant Sent) {
+  std::erase_if(Requests.Unanswered, [&](const auto &Entry) {
+    return isOutdated(Entry.second, Sent);
+  });
   const auto Found = Requests.Unanswered.find(Instance);
   const bool Known = Found != Requests.Unanswered.end();
   if (Answered && Known)
@@ -113,7 +126,7 @@
 const member *bucketRelay(const bucket_requests &Requests,
                           const membership &Membership, const member &Owner,
                           instant Now) {
-  if (Owner.State != member_state::Alive || !isHeardSince(Requests, Owner))
+  if (Owner.State != member_state::Alive || !isHeardSince(Requests, Owner, Now))
     return nullptr;
   const unanswered_requests &Unanswered =
       Requests.Unanswered.find(Owner.Name)->second;
@@ -149,12 +162,13 @@
                                  std::string_view Customer, instant Now) {
   const member *Owner = bucketOwner(Shares, Membership, Customer);
   // It is not replaced, and asked again after this time.
-  if (Owner != nullptr && isHeardSince(Requests, *Owner))
+  if (Owner != nullptr && isHeardSince(Requests, *Owner, Now))
     return OwnerSkipTime;
-  return nextOwnerExpected(
-      Shares, Membership, Customer,
-      Owner == nullptr ? std::nullopt : unansweredSince(Requests, Owner->Name),
-      Now);
+  return nextOwnerExpected(Shares, Membership, Customer,
+                           Owner == nullptr
+                               ? std::nullopt
+                               : unansweredSince(Requests, Owner->Name, Now),
+                           Now);
 }
 
 } // namespace redwinggw::control
--- a/tests/control/bucket_requests_test.cpp
+++ b/tests/control/bucket_requests_test.cpp
@@ -64,6 +64,21 @@
   }
 }
 
+// Guards against an owner that counts as alive because it was heard since a
+// request that was lost long before it died.
+Test(bucket_requests, forget_an_old_request_without_an_answer) {
+  half_blocked Half;
+  Half.Fleet.play(60, milliseconds(2000));
+  cr_assert(Half.relay() != nullptr);
+  Half.Fleet.play(0, RelayedTimeout + milliseconds(100));
+  cr_assert(Half.relay() == nullptr);
+  const auto Owner = "i" + std::to_string(Half.Fleet.owner());
+  noteRequest(Half.Fleet.Requests[Half.Asker], Owner, false, Half.Fleet.Now);
+  cr_assert(Half.relay() == nullptr);
+  cr_assert(Half.Fleet.Requests[Half.Asker].Unanswered.at(Owner).Since ==
+            Half.Fleet.Now);
+}
+
 // Guards against a relay that does not reach the owner and is asked for each
 // operation.
 Test(bucket_requests, try_another_relay) {
