Count inquiries at cold endpoints; bound and name waits for tokens

Cause, found by review: - A status inquiry is two requests and took no token, every instance with a failed statement probed, and an orderer asked as often as it liked. The depth left room for one request of one inquiry. - tokenExpected ignored reservations and the depth. A begin that could get no token took a slot and waited until its deadline, and any other request could wait as long with a slot that open transactions may need. - Statements that waited for tokens counted as unanswered, so the endpoint counted as stalled and what would queue was refused. - A statement held back after the check-out was refused with another reason and without its retry time.

Changed: - Probes take tokens, so that only the holder probes an endpoint it knows to be cold. Orderers inquire at a cold endpoint once in 1.25 s after the last inquiry ended, and only in contact with a majority; one that resumes a move waits that long first. The depth leaves room for two requests and a late one. - tokenExpected has no value when the reservations leave too few tokens. Requests outside transactions wait for at most two tokens' time, between 0.25 and 10 s: with a shorter bound slow services would set up connections and never use them. - An endpoint is neither stalled nor silent while requests wait here for tokens. - acquire_failure::Cold, mapped to owner_lack::ColdToken; held-back statements get the reason and the retry time of a cold endpoint, here and at the owner.

Ruled out: room for the inquiries of two orderers. It leaves services with small bounds too few tokens for transactions. Leaving out a cold candidate that may not be asked yet: it may have received most.

No test covers the shells in platform_handover.cpp and platform_probing.cpp with cold endpoints.

--- a/packages/redwinggw/src/platform_handover.cpp
+++ b/packages/redwinggw/src/platform_handover.cpp
@@ -214,13 +214,51 @@
   co_return false;
 }
 
+/// Whether this instance may inquire without tokens at an endpoint that may be
+/// cold. An orderer that is cut off waits, since another may replace it.
+bool mayInquire(platform_instance_state &State, session::cold_rate &Cold) {
+  const instant Now = base::now();
+  if (isCold(Cold, Now) && !State.Peers->inContactWithMajority(Now))
+    return false;
+  return takeInquiry(Cold, Now);
+}
+
+/// Asks an endpoint for its status, without tokens. While it is cold it waits
+/// until it may, or until a later claim is known: a candidate that is left out
+/// could be the one that has received most.
+base::task<session::status_exchange> inquire(platform_instance_state &State,
+                                             primary_claim Claim,
+                                             session::endpoint_entry Entry) {
+  session::status_exchange Status;
+  const auto Pool = poolOf(State.Endpoints, Entry.Name);
+  while (Pool && !mayInquire(State, Pool->cold())) {
+    co_await pauseWithJitter(State, StepPause);
+    if (State.Stopped || !isCurrent(State, Claim))
+      co_return Status;
+  }
+  const session::pool_ptr NoTokens;
+  Status = co_await askStatus(State, std::move(Entry), StatusTimeout, NoTokens);
+  if (Pool)
+    noteInquiryEnded(Pool->cold(), base::now());
+  co_return Status;
+}
+
+/// A former orderer may have inquired a moment ago.
+void delayInquiries(platform_instance_state &State,
+                    const base::service_name &Service) {
+  for (const session::endpoint_entry *Entry :
+       endpointsOf(State.Endpoints.Directory, Service))
+    if (const auto Pool = poolOf(State.Endpoints, Entry->Name))
+      noteInquiryEnded(Pool->cold(), base::now());
+}
+
 /// The endpoints that could take over and answer, with what they have received.
 base::task<std::vector<session::move_candidate>>
 askCandidates(platform_instance_state &State, const primary_claim &Claim) {
   const auto Entries = replacementsFor(State, Claim.Service, Claim.Primary);
   std::vector<session::move_candidate> Candidates;
   for (const session::endpoint_entry &Entry : Entries) {
-    const auto Status = co_await askStatus(State, Entry, StatusTimeout);
+    const auto Status = co_await inquire(State, Claim, Entry);
     if (Status.Status)
       Candidates.push_back(
           {Entry.Name, Entry.Draining, Status.Status->Received});
@@ -236,7 +274,7 @@
   if (Entry == nullptr)
     co_return std::nullopt;
   const session::endpoint_entry Copy = *Entry;
-  const auto Status = co_await askStatus(State, Copy, StatusTimeout);
+  const auto Status = co_await inquire(State, Claim, Copy);
   co_return Status.Status;
 }
 
@@ -293,7 +331,7 @@
     if (Entry == nullptr)
       co_return false;
     const session::endpoint_entry Copy = *Entry;
-    const auto Status = co_await askStatus(State, Copy, StatusTimeout);
+    const auto Status = co_await inquire(State, Claim, Copy);
     if (Status.Status && Status.Status->Role == session::endpoint_role::Primary)
       co_return true;
     co_await pauseWithJitter(State, 2 * StepPause);
@@ -349,6 +387,8 @@
             "the move waits for acknowledgements of half of the instances.");
     co_return false;
   }
+  if (Move.Resumed)
+    delayInquiries(State, Claim.Service);
   const base::endpoint_name Target = co_await findTarget(State, Claim);
   if (Target.empty()) {
     // No other endpoint can take over: the old primary is kept if it still is
--- a/packages/redwinggw/src/platform_probing.cpp
+++ b/packages/redwinggw/src/platform_probing.cpp
@@ -20,12 +20,20 @@
 /// The customer name that the instance itself connects with.
 constexpr std::string_view OwnCustomer = "-";
 
+/// Whether a request may be sent to an endpoint that may be cold. After true it
+/// must be sent at once.
+bool mayAsk(session::endpoint_pool &Pool) {
+  return takeToken(Pool.cold(), session::cold_use::Single, base::now()) !=
+         session::token::None;
+}
+
 base::task<void> probe(platform_instance_ptr State, base::endpoint_name Name) {
   const auto *Entry = findEndpoint(State->Endpoints.Directory, Name);
-  if (Entry != nullptr) {
+  const auto Limited = poolOf(State->Endpoints, Name);
+  if (Entry != nullptr && Limited && mayAsk(*Limited)) {
     const instant Sent = base::now();
     const session::endpoint_entry Copy = *Entry;
-    const auto Status = co_await askStatus(*State, Copy, ProbeTimeout);
+    const auto Status = co_await askStatus(*State, Copy, ProbeTimeout, Limited);
     const bool Up = Status.Outcome == session::exchange_outcome::Answered &&
                     (!Status.Error ||
                      Status.Error->Code != session::answer_code::Misrouted);
@@ -43,7 +51,8 @@
 
 base::task<session::status_exchange> askStatus(platform_instance_state &State,
                                                session::endpoint_entry Entry,
-                                               milliseconds Time) {
+                                               milliseconds Time,
+                                               session::pool_ptr Limited) {
   const auto Link = State.Endpoints.Factory();
   const instant Deadline = base::now() + Time;
   session::status_exchange Status;
@@ -53,6 +62,9 @@
   Status.Error = Opened.Answer.Error;
   if (Opened.Outcome != session::exchange_outcome::Answered || Status.Error)
     co_return Status;
+  // The endpoint has answered, which is what a probe is to show.
+  if (Limited && !mayAsk(*Limited))
+    co_return Status;
   co_return co_await Link->command(session::status_command::Ask, 0, Deadline);
 }
 
@@ -62,7 +74,8 @@
   const bool Busy = Pool.open() > Pool.idle();
   const instant Oldest = Pool.oldestUnanswered().value_or(Now);
   const bool Silent = Busy && Now - Oldest > ProbeAfter &&
-                      Now - Pool.health().LastSuccess > ProbeAfter;
+                      Now - Pool.health().LastSuccess > ProbeAfter &&
+                      !waitsForTokens(Pool.cold(), Now);
   return Pool.health().Failures != 0 || Silent;
 }
 
--- a/packages/session/include/redwinggw/session/cold_rates.hpp
+++ b/packages/session/include/redwinggw/session/cold_rates.hpp
@@ -43,9 +43,18 @@
 /// reserved for the ends of open transactions included. So in any window
 /// the requests sent are at most its depth and what flows in, also across a
 /// change of the holder. Requests that arrive within one second may have been
-/// sent within ArrivalSpread more, a process that is paused between taking a
-/// token and sending sends one request late, and an orderer of a promotion asks
-/// an endpoint for its status without a token: the depth leaves room for these.
+/// sent within ArrivalSpread more, and a process that is paused between taking
+/// a token and sending sends one request late: the depth leaves room for these.
+///
+/// Status inquiries. The holder probes an endpoint with tokens; no instance
+/// that knows that it is cold probes it otherwise. The orderer of a promotion
+/// may be another instance and takes no tokens: it inquires at most once in
+/// InquiryInterval, and the depth leaves room for the two requests of an
+/// inquiry, the set-up of a connection and the question. An orderer that
+/// resumes a move begins once the former one knows the later claim, or is out
+/// of contact with a majority and does not inquire, and then waits for
+/// InquiryInterval. Not covered: two moves of different orderers that inquire
+/// at an endpoint within InquiryInterval although the first move was finished.
 ///
 /// When an endpoint counts as cold. While the entry in the list says so, from
 /// its arrival here: the entry is older, so the time ends too late rather than
@@ -92,9 +101,13 @@
   unsigned Reserved = 0;
   /// Statements of open transactions that wait for a token.
   unsigned Waiting = 0;
+  /// Requests of any kind that wait for a token.
+  unsigned AllWaiting = 0;
   base::instant FilledAt;
   /// Number of the permission under which Reserved was reserved.
   std::uint64_t Term = 0;
+  /// When this instance's last inquiry without tokens began or ended.
+  std::optional<base::instant> InquiredAt;
   /// The endpoint is evacuated: who waits for a token gives up.
   bool Suspended = false;
 };
@@ -104,6 +117,10 @@
 /// Time by which requests that arrive within one second may have been sent
 /// apart more: a lost segment is repeated after 200 ms.
 constexpr base::milliseconds ArrivalSpread{250};
+/// Least time from the end of an inquiry without tokens to the next one of the
+/// same instance, so that requests of only one arrive within any second.
+constexpr base::milliseconds InquiryInterval =
+    std::chrono::seconds(1) + ArrivalSpread;
 /// How long the list may lag behind what happens to an endpoint.
 constexpr base::milliseconds ListLag{3000};
 /// Added to the remaining time of an entry, for clocks that run at different
@@ -122,6 +139,10 @@
 /// Whether this instance may send requests while the endpoint is cold.
 bool maySendCold(const cold_rate &Rate, base::instant Now);
 
+/// Whether requests wait here for a token. Statements without an answer then do
+/// not show that the endpoint fails to answer.
+bool waitsForTokens(const cold_rate &Rate, base::instant Now);
+
 /// Allows sending until \p Until. A permission that had ended, or was none,
 /// begins with an empty bucket and without reserved tokens.
 void permitSending(cold_rate &Rate, base::instant Until, base::instant Now);
@@ -146,11 +167,22 @@
 /// Takes a token for a request of kind \p Use, which must be sent at once.
 token takeToken(cold_rate &Rate, cold_use Use, base::instant Now);
 
+/// Whether this instance may inquire for the status of the endpoint without
+/// tokens, which it then does at once.
+/// After true noteInquiryEnded must be called.
+bool takeInquiry(cold_rate &Rate, base::instant Now);
+void noteInquiryEnded(cold_rate &Rate, base::instant Now);
+
 /// How long until a token for \p Use is expected; nothing while this instance
-/// may not send at all.
+/// may not send at all, or if the open transactions leave too few tokens.
 std::optional<base::microseconds>
 tokenExpected(const cold_rate &Rate, cold_use Use, base::instant Now);
 
+/// How long a request that is not of an open transaction may wait for a token.
+/// It holds a slot meanwhile, which the transactions whose ends free tokens may
+/// need.
+base::milliseconds longestTokenWait(const cold_rate &Rate);
+
 /// How long until the endpoint is warm; 0 if it is.
 base::milliseconds coldTimeLeft(const cold_rate &Rate, base::instant Now);
 
--- a/packages/session/include/redwinggw/session/endpoint_pool.hpp
+++ b/packages/session/include/redwinggw/session/endpoint_pool.hpp
@@ -62,6 +62,8 @@
   EndpointRefused,
   /// No slot got free in time.
   NoSlot,
+  /// It is cold, and there was no token for the set-up in time.
+  Cold,
   /// Returned by acquireByDemand only: see awaitConnection.
   MustWait,
 };
@@ -242,7 +244,8 @@
   void setEvacuated(bool IsEvacuated);
   bool isEvacuated() const { return Evacuated; }
   /// Whether the endpoint has left everything that runs there without an answer
-  /// for long: no slot would get free, and it may be gone.
+  /// for long: no slot would get free, and it may be gone. Not while statements
+  /// wait for a token.
   bool isStalled(base::instant Now) const;
 
   /// Limits what is sent to the endpoint while it is cold.
--- a/packages/session/src/check_out.cpp
+++ b/packages/session/src/check_out.cpp
@@ -34,6 +34,9 @@
 
 checked_out failed(const endpoint_pool &Pool, const check_out_request &Request,
                    acquire_failure Failure, instant Since) {
+  if (Failure == acquire_failure::Cold)
+    return {checked_out_link(), Failure,
+            coldRetryAfter(Pool.cold(), cold_use::Single, base::now())};
   // An endpoint that answers nothing is not expected to have anything.
   const bool Known = Pool.policy() == connection_policy::Demand &&
                      !Pool.isEvacuated() && !Pool.isStalled(base::now());
--- a/packages/session/src/cold_rates.cpp
+++ b/packages/session/src/cold_rates.cpp
@@ -66,9 +66,9 @@
   if (!Rate.Limited)
     return;
   const double Window = 1 + secondsOf(ArrivalSpread);
-  // A request that a paused process sends late, and an inquiry for the status,
-  // which takes no token.
-  constexpr double Uncounted = 2;
+  // A request that a paused process sends late, and the two requests of an
+  // inquiry for the status, which take no tokens.
+  constexpr double Uncounted = 1 + 2;
   const double Bound = PerSecond * Limits->Overshoot + Limits->Slack;
   const double Room = std::max(0.0, Bound - Uncounted);
   Rate.Depth =
@@ -87,6 +87,10 @@
   return Rate.SendUntil && Now < *Rate.SendUntil;
 }
 
+bool waitsForTokens(const cold_rate &Rate, instant Now) {
+  return Rate.AllWaiting != 0 && isCold(Rate, Now);
+}
+
 void permitSending(cold_rate &Rate, instant Until, instant Now) {
   if (!maySendCold(Rate, Now)) {
     beginEmpty(Rate, Now);
@@ -124,19 +128,45 @@
   return token::Taken;
 }
 
+bool takeInquiry(cold_rate &Rate, instant Now) {
+  const bool Recent =
+      Rate.InquiredAt && Now - *Rate.InquiredAt <= InquiryInterval;
+  if (Recent && isCold(Rate, Now))
+    return false;
+  Rate.InquiredAt = Now;
+  return true;
+}
+
+void noteInquiryEnded(cold_rate &Rate, instant Now) { Rate.InquiredAt = Now; }
+
 std::optional<microseconds> tokenExpected(const cold_rate &Rate, cold_use Use,
                                           instant Now) {
   if (!isCold(Rate, Now))
     return microseconds(0);
   if (!maySendCold(Rate, Now) || Rate.Rate <= 0)
     return std::nullopt;
-  const double Missing =
-      std::max(0.0, tokensNeeded(Rate, Use) - filled(Rate, Now));
+  const double Needed = tokensNeeded(Rate, Use);
+  if (Needed > Rate.Depth - Rate.Reserved ||
+      (Use == cold_use::Begin && !mayReserve(Rate)))
+    return std::nullopt;
+  const double Missing = std::max(0.0, Needed - filled(Rate, Now));
   constexpr double MicrosecondsPerSecond = 1e6;
   return microseconds(
       static_cast<std::int64_t>(Missing / Rate.Rate * MicrosecondsPerSecond));
 }
 
+milliseconds longestTokenWait(const cold_rate &Rate) {
+  // A set-up and its statement need two tokens; at a lower bound a slow service
+  // would set up connections without ever using them.
+  constexpr double MinSeconds = 0.25;
+  constexpr double MaxSeconds = 10;
+  const double Seconds = Rate.Rate > 0
+                             ? std::clamp(2 / Rate.Rate, MinSeconds, MaxSeconds)
+                             : MinSeconds;
+  return std::chrono::duration_cast<milliseconds>(
+      std::chrono::duration<double>(Seconds));
+}
+
 milliseconds coldTimeLeft(const cold_rate &Rate, instant Now) {
   const instant Until =
       std::max(Rate.ColdUntil.value_or(Now), Rate.PresumedUntil.value_or(Now));
@@ -144,7 +174,7 @@
 }
 
 milliseconds coldRetryAfter(const cold_rate &Rate, cold_use Use, instant Now) {
-  // Another sender is chosen within about this time.
+  // Another sender is chosen, or a transaction ends, within about this time.
   constexpr milliseconds NextSender{1000};
   const auto Expected = tokenExpected(Rate, Use, Now);
   return std::min(coldTimeLeft(Rate, Now),
--- a/packages/session/src/cold_wait.cpp
+++ b/packages/session/src/cold_wait.cpp
@@ -12,17 +12,21 @@
 
 namespace asio = boost::asio;
 
-/// Counts a statement of an open transaction while it waits, so that it goes
-/// ahead of the others.
+/// Counts a request while it waits, and apart one of an open transaction, so
+/// that it goes ahead of the others.
 class waiting_guard {
 public:
   waiting_guard(cold_rate_ptr Rate, cold_use Use)
       : Rate(std::move(Rate)), Counts(Use == cold_use::InTransaction) {
     this->Rate->Waiting += Counts ? 1 : 0;
+    ++this->Rate->AllWaiting;
   }
   waiting_guard(const waiting_guard &) = delete;
   waiting_guard &operator=(const waiting_guard &) = delete;
-  ~waiting_guard() { Rate->Waiting -= Counts ? 1 : 0; }
+  ~waiting_guard() {
+    Rate->Waiting -= Counts ? 1 : 0;
+    --Rate->AllWaiting;
+  }
 
 private:
   cold_rate_ptr Rate;
@@ -36,6 +40,10 @@
   token Token = takeToken(*Rate, Use, base::now());
   if (Token != token::None)
     co_return Token;
+  const bool IsOpen = Use == cold_use::InTransaction || Use == cold_use::End;
+  if (!IsOpen)
+    Until =
+        std::min<base::instant>(Until, base::now() + longestTokenWait(*Rate));
   const waiting_guard Guard(Rate, Use);
   asio::steady_timer Timer(co_await asio::this_coro::executor);
   while (Token == token::None && !Rate->Suspended) {
--- a/packages/session/src/cold_wait.hpp
+++ b/packages/session/src/cold_wait.hpp
@@ -5,8 +5,9 @@
 
 namespace redwinggw::session {
 
-/// Waits until \p Until for a token for a request, which must be sent at once.
-/// None if there is none in time; returns at once if that can be foreseen.
+/// Waits until \p Until for a token for a request, which must be sent at once;
+/// at most for longestTokenWait unless it is of an open transaction. None if
+/// there is none in time; returns at once if that can be foreseen.
 base::task<token> awaitToken(cold_rate_ptr Rate, cold_use Use,
                              base::instant Until);
 
--- a/packages/session/src/core_parts.hpp
+++ b/packages/session/src/core_parts.hpp
@@ -62,9 +62,9 @@
   /// Why the statement was not run by the endpoint's owner, or, where nothing
   /// was forwarded, NoConnection if it got no slot here.
   forwarding_failure Failure = forwarding_failure::None;
-  /// The owner answered that it sent nothing to the endpoint; the request's
-  /// LastProblem then says why.
-  bool OwnerSentNothing = false;
+  /// The owner answered that it sent nothing to the endpoint, or this instance
+  /// held the statement back; the request's LastProblem then says why.
+  bool SentNothing = false;
   /// When the owner sent the statement to the endpoint, by its report.
   std::optional<base::instant> RanSince;
 };
--- a/packages/session/src/endpoint_pool.cpp
+++ b/packages/session/src/endpoint_pool.cpp
@@ -87,6 +87,8 @@
 }
 
 bool endpoint_pool::isStalled(instant Now) const {
+  if (waitsForTokens(*Cold, Now))
+    return false;
   const auto Usual =
       milliseconds(static_cast<std::int64_t>(StalledFactor * Health.Latency));
   const milliseconds Longest = std::max(StalledAfter, Usual);
@@ -232,7 +234,8 @@
   if (Token == token::None) {
     --Open;
     wakeNext();
-    co_return acquired{nullptr, acquire_failure::Exhausted};
+    co_return acquired{nullptr, Evacuated ? acquire_failure::Exhausted
+                                          : acquire_failure::Cold};
   }
   ++Connects;
   ++useOf(Customer).InUse;
--- a/packages/session/src/placement.cpp
+++ b/packages/session/src/placement.cpp
@@ -90,6 +90,8 @@
 
 std::string problemOf(acquire_failure Failure, const endpoint_pool &Pool) {
   const std::string &Name = Pool.entry().Name;
+  if (Failure == acquire_failure::Cold)
+    return Name + " is cold";
   const std::string Waiting = std::to_string(Pool.waiting()) + " waiting";
   if (Failure == acquire_failure::NoSlot)
     return "no turn at " + Name + " in time, " + Waiting;
--- a/packages/session/src/serve_forwarded.cpp
+++ b/packages/session/src/serve_forwarded.cpp
@@ -20,6 +20,8 @@
     return owner_lack::Connection;
   case acquire_failure::EndpointRefused:
     return owner_lack::Acceptance;
+  case acquire_failure::Cold:
+    return owner_lack::ColdToken;
   default:
     return owner_lack::Endpoint;
   }
@@ -28,7 +30,8 @@
 forwarding_failure failureOf(acquire_failure Failure) {
   return Failure == acquire_failure::Exhausted ||
                  Failure == acquire_failure::EndpointRefused ||
-                 Failure == acquire_failure::NoSlot
+                 Failure == acquire_failure::NoSlot ||
+                 Failure == acquire_failure::Cold
              ? forwarding_failure::NoConnection
              : forwarding_failure::EndpointLost;
 }
@@ -38,6 +41,19 @@
          Core.Ports.StillHolds(*Statement.PrimaryLease);
 }
 
+/// What a statement that needs a connection is for.
+cold_use useOf(const link_statement &Statement) {
+  return Statement.Action == link_action::Caller ? cold_use::Single
+                                                 : cold_use::Begin;
+}
+
+void noteHeldBack(forwarding_reply &Reply, const endpoint_pool &Pool,
+                  cold_use Use) {
+  Reply.Failure = forwarding_failure::NoConnection;
+  Reply.Lack = owner_lack::ColdToken;
+  Reply.RetryAfter = coldRetryAfter(Pool.cold(), Use, base::now());
+}
+
 /// Whether a connection is pinned with a slot, and if not, why.
 struct pin_result {
   forwarding_failure Failure = forwarding_failure::None;
@@ -91,8 +107,7 @@
   if (Pool == nullptr || !mayUse(Core, Request.Statement))
     co_return Refused;
   const instant WaitUntil = Arrived + Request.SlotWait;
-  const bool Begins = Request.Statement.Action != link_action::Caller;
-  const cold_use Use = Begins ? cold_use::Begin : cold_use::Single;
+  const cold_use Use = useOf(Request.Statement);
   if (refusesAsCold(Core, *Pool, Use, WaitUntil)) {
     const pin_result Failed{forwarding_failure::NoConnection,
                             owner_lack::ColdToken,
@@ -170,7 +185,7 @@
         Reply.Exchange.Outcome == exchange_outcome::NotSent)
       Reply.Failure = forwarding_failure::Refused;
     else if (isHeldBack(*Pool, Reply.Exchange))
-      Reply.Failure = forwarding_failure::NoConnection;
+      noteHeldBack(Reply, *Pool, useOf(Request.Statement));
     settlePinned(Pinned, Reply);
   }
   Reply.Load = loadOf(Core, Request.Endpoint);
--- a/packages/session/src/single_statement.cpp
+++ b/packages/session/src/single_statement.cpp
@@ -78,7 +78,7 @@
   const bool Done =
       Last.Outcome == exchange_outcome::Answered && !Last.Answer.Error;
   if (!Done) {
-    if (!Placement.OwnerSentNothing)
+    if (!Placement.SentNothing)
       Request.LastProblem = problemOf(Last, Placement.Link.Pool->entry().Name);
     if (decideAfterTry(Last, Request.Writes) == next_step::TryAgain)
       return std::nullopt;
--- a/packages/session/src/transaction.cpp
+++ b/packages/session/src/transaction.cpp
@@ -61,7 +61,7 @@
       Transaction.Counted.settle(true);
       co_return true;
     }
-    if (!Placement->OwnerSentNothing)
+    if (!Placement->SentNothing)
       Request.LastProblem = Endpoint + " did not begin the transaction";
     if (!mayRetry(Core, Request, *Placement))
       co_return false;
--- a/packages/session/src/try_statement.cpp
+++ b/packages/session/src/try_statement.cpp
@@ -71,15 +71,14 @@
   forwarding_reply Reply =
       co_await Forwarding.run(Statement, WaitUntil, Placement.TryDeadline);
   Placement.Failure = Reply.Failure;
-  Placement.OwnerSentNothing =
-      Reply.Failure != forwarding_failure::OwnerLost &&
-      Reply.Exchange.Outcome == exchange_outcome::NotSent;
+  Placement.SentNothing = Reply.Failure != forwarding_failure::OwnerLost &&
+                          Reply.Exchange.Outcome == exchange_outcome::NotSent;
   Placement.RanSince = base::now() - Reply.Ran;
   if (Reply.Failure != forwarding_failure::OwnerLost)
     Pool.noteOwnerLoad(Reply.Load, base::now());
   if (Reply.Failure != forwarding_failure::None)
     Request.LastProblem = problemOf(Reply, Request.Via, Pool.entry().Name);
-  else if (Placement.OwnerSentNothing)
+  else if (Placement.SentNothing)
     Request.LastProblem = Pool.entry().Name + " through " + Request.Via +
                           ": the session could not be set up";
   Request.RetryAfter = Reply.RetryAfter;
@@ -103,8 +102,15 @@
   }
   exchange Done = co_await runOnLink(
       *Link.Link, Statement, Core.Ports.StillHolds, Placement.TryDeadline);
-  if (isHeldBack(*Link.Pool, Done))
+  if (isHeldBack(*Link.Pool, Done)) {
+    const bool Begins = Statement.Action != link_action::Caller;
     Placement.Failure = forwarding_failure::NoConnection;
+    Placement.SentNothing = true;
+    Request.LastProblem = Link.Pool->entry().Name + " is cold";
+    Request.RetryAfter = coldRetryAfter(
+        Link.Pool->cold(), Begins ? cold_use::Begin : cold_use::Single,
+        base::now());
+  }
   co_return Done;
 }
 
--- a/tests/session/cold_rates_test.cpp
+++ b/tests/session/cold_rates_test.cpp
@@ -147,6 +147,31 @@
   cr_assert(Usual.Rate == 20 && Usual.Depth >= 4);
 }
 
+// Guards against an orderer's inquiries, of two requests each and without
+// tokens, that exceed the bound together with what the holder sends and one
+// late request.
+Test(cold_rates, leave_room_for_the_inquiries_of_an_orderer) {
+  cold_rate Holder = coldRate(20);
+  permitSending(Holder, Start + std::chrono::hours(1), Start);
+  cold_rate Orderer = coldRate(20);
+  constexpr milliseconds Takes{400};
+  std::vector<instant> Sent;
+  // The holder begins with a full bucket, while the second inquiry is due.
+  for (instant Now = Start; Now < Start + std::chrono::seconds(20);
+       Now += milliseconds(10)) {
+    if (Now - Start > milliseconds(1500))
+      while (takeToken(Holder, cold_use::Single, Now) == token::Taken)
+        Sent.push_back(Now);
+    if (!takeInquiry(Orderer, Now))
+      continue;
+    Sent.insert(Sent.end(), {Now, Now + Takes});
+    noteInquiryEnded(Orderer, Now + Takes);
+  }
+  cr_assert(mostInWindow(Sent) + 1 <= Bound);
+  cold_rate Warm;
+  cr_assert(takeInquiry(Warm, Start) && takeInquiry(Warm, Start));
+}
+
 // Guards against two instances that both consider themselves the owner, as
 // where both reach a majority and not each other: both send at the full rate.
 Test(cold_rates, let_one_of_two_owners_send) {
@@ -272,6 +297,38 @@
   cr_assert(takeToken(Rate, cold_use::InTransaction, Now) == token::Taken);
 }
 
+// Guards against work that waits, with a slot, for a token that it cannot get
+// while the open transactions hold theirs, or for longer than they can wait.
+Test(cold_rates, expect_no_token_that_transactions_leave_no_room_for) {
+  cold_rate Rate = coldRate(20);
+  permitSending(Rate, Start + std::chrono::seconds(9), Start);
+  cr_assert(tokenExpected(Rate, cold_use::Begin, Start));
+  Rate.Reserved = static_cast<unsigned>(Rate.Depth) - 2;
+  cr_assert(!tokenExpected(Rate, cold_use::Begin, Start));
+  cr_assert(tokenExpected(Rate, cold_use::Single, Start));
+  Rate.Reserved = static_cast<unsigned>(Rate.Depth);
+  cr_assert(!tokenExpected(Rate, cold_use::Single, Start));
+  cold_rate Shallow = coldRate(0.5);
+  Shallow.Depth = 1;
+  permitSending(Shallow, Start + std::chrono::seconds(9), Start);
+  cr_assert(!tokenExpected(Shallow, cold_use::Begin, Start));
+  cr_assert(longestTokenWait(Shallow) > longestTokenWait(Rate));
+}
+
+// Guards against an endpoint that counts as stalled, so that all that would
+// queue is refused, since statements wait here for tokens.
+Test(cold_rates, take_no_wait_for_a_token_for_silence) {
+  testing::core_fixture Fixture;
+  const pool_ptr Pool = poolOf(Fixture.Set, "p");
+  configure(Pool->cold(), Limits, 20);
+  const instant Now = base::now();
+  presumeCold(Pool->cold(), Now);
+  Pool->noteSent(Now - std::chrono::seconds(1));
+  cr_assert(Pool->isStalled(Now));
+  Pool->cold().AllWaiting = 1;
+  cr_assert(!Pool->isStalled(Now));
+}
+
 // Guards against a limit where no bound, or no rate, is configured.
 Test(cold_rates, limit_nothing_unless_configured) {
   cold_rate Rate = coldRate(20);
@@ -356,6 +413,8 @@
   Pool->cold().Rate = 1e-9;
   const answer Refused = Fixture.write(Session);
   cr_assert(Refused.Error && Refused.Error->Code == answer_code::Busy);
+  cr_assert(Refused.Error->Reason.starts_with("p is cold; retry after "));
+  cr_assert(!Refused.Error->Reason.ends_with(" 500 ms"));
   cr_assert(Pool->connects() == 1 && Fixture.Group.Received.empty());
   cr_assert(Pool->health().Failures == 0 && Fixture.Problems.empty());
 }
--- a/tests/session/forwarding_test.cpp
+++ b/tests/session/forwarding_test.cpp
@@ -406,3 +406,25 @@
   Fleet.first().Core.Ports.Forward = {};
   cr_assert(IsRefused());
 }
+
+// Guards against another reason and retry time than those of a cold endpoint
+// where the owner holds a statement back after it has a connection.
+Test(forwarding, says_that_a_statement_was_held_back_as_cold) {
+  forwarding_fleet Fleet;
+  caller_session Session = Fleet.first().open("strict");
+  cr_assert(!Fleet.first().write(Session).Error);
+  const pool_ptr Pool = poolOf(Fleet.Owner.Set, "p");
+  Pool->closeIdle();
+  configure(Pool->cold(), cold_limits{1.5, 5}, 20);
+  const base::instant Now = base::now();
+  presumeCold(Pool->cold(), Now);
+  permitSending(Pool->cold(), Now + std::chrono::seconds(60), Now);
+  Pool->cold().Tokens = 1;
+  Pool->cold().Rate = 1e-9;
+  const std::size_t Before = Fleet.Group.Received.size();
+  const answer Answer = Fleet.first().write(Session);
+  cr_assert(failedWith(Answer, answer_code::Busy));
+  cr_assert(Answer.Error->Reason.find("the endpoint is cold") !=
+            std::string::npos);
+  cr_assert(Fleet.Group.Received.size() == Before);
+}
