Presume a restart where a forwarded statement broke

Cause: only the owner presumed a restart when its connection broke. Every instance whose forwarded statement broke with it probed the endpoint without tokens until the list said that it is cold.

Changed: a forwarded statement that the owner reports as broken makes the endpoint cold here for as long as the list may lag. A lost owner, a timeout or a refused connection does not: they are no sign of a restart that was seen.

--- a/packages/session/src/try_statement.cpp
+++ b/packages/session/src/try_statement.cpp
@@ -76,6 +76,11 @@
   Placement.RanSince = base::now() - Reply.Ran;
   if (Reply.Failure != forwarding_failure::OwnerLost)
     Pool.noteOwnerLoad(Reply.Load, base::now());
+  // The owner's connection may have broken since the endpoint restarts. Without
+  // this every instance would probe it before the list says that it is cold.
+  if (Reply.Failure == forwarding_failure::None &&
+      Reply.Exchange.Outcome == exchange_outcome::Broken)
+    presumeCold(Pool.cold(), base::now());
   if (Reply.Failure != forwarding_failure::None)
     Request.LastProblem = problemOf(Reply, Request.Via, Pool.entry().Name);
   else if (Placement.SentNothing)
--- a/tests/session/forwarding_test.cpp
+++ b/tests/session/forwarding_test.cpp
@@ -407,6 +407,22 @@
   cr_assert(IsRefused());
 }
 
+// Guards against probes by all instances whose forwarded statements broke when
+// the endpoint restarted, before the list says that it is cold.
+Test(forwarding, presumes_a_restart_when_the_owners_connection_breaks) {
+  forwarding_fleet Fleet;
+  caller_session Session = Fleet.first().open("strict");
+  cold_rate &Cold = poolOf(Fleet.first().Set, "p")->cold();
+  configure(Cold, cold_limits{1.5, 5}, 20);
+  cr_assert(!Fleet.first().write(Session).Error);
+  cr_assert(!isCold(Cold, base::now()));
+  Fleet.Group.Script = [](const received_statement &) {
+    return std::optional(ended(exchange_outcome::Broken));
+  };
+  Fleet.first().write(Session);
+  cr_assert(isCold(Cold, base::now()));
+}
+
 // Guards against another reason and retry time than those of a cold endpoint
 // where the owner holds a statement back after it has a connection.
 Test(forwarding, says_that_a_statement_was_held_back_as_cold) {
