Correct comments on reserves of buckets

The page on centralized buckets said that a customer is refused while the owner does not answer, which reserves change. The bound of the reserves did not say that views agree only where the lists of instances do; a store outage can delay that. Comments only.

--- a/packages/control/include/redwinggw/control/bucket_reserve.hpp
+++ b/packages/control/include/redwinggw/control/bucket_reserve.hpp
@@ -47,7 +47,10 @@
 /// same ones name the same second candidate, so the two must hear different
 /// ones: they are on different sides of a cut. One cut has two sides. Instances
 /// that reach both sides name candidates of either side and grant only as one
-/// of them. More than one cut at a time, each side with a majority through
+/// of them. ViewsAgreeWithin assumes that the instances have the same list of
+/// instances by then. They read it from the store, so an outage of the store
+/// while instances join or leave can delay that; (2) does not cover this. More
+/// than one cut at a time, each side with a majority through
 /// instances that reach several, is not covered; neither are two owners then.
 ///
 /// (3) All else stays below RW + B + kE. The parts of it, in terms of E's three
--- a/packages/control/include/redwinggw/control/centralized_buckets.hpp
+++ b/packages/control/include/redwinggw/control/centralized_buckets.hpp
@@ -38,8 +38,9 @@
 /// - An instance that is not in contact with a majority divides rates by
 ///   demand, see demand_shares.hpp, once the owners have noticed that it is
 ///   silent.
-/// - While the owner does not answer, the customer is refused: nobody else
-///   knows what is left of its rate.
+/// - While the owner does not answer, nobody else knows what is left of the
+///   customer's rate. The customer is refused, unless the fleet has reserves,
+///   which grant a part of the tolerated excess; see bucket_reserve.hpp.
 namespace redwinggw::control {
 
 /// Chooses the owner of each customer's bucket, if buckets are centralized at
