Tell the reserve's wait where no relay reaches the owner

A reserve that was used up answered with the shorter of its own wait and the time at which the owner is asked again, 200 ms, as soon as a relay had heard the owner, even when all relayed requests had failed. Callers returned to find no token.

The time of the owner now counts only where a relay can be asked, or where the owner is expected to be replaced. A relay that has answered recently and did not fail since can be asked, so no second condition is needed. Where there is no reserve either, the time is that after which failed relays are asked again.

The new test uses a new function, so it was not run without the change.

--- a/packages/control/include/redwinggw/control/bucket_requests.hpp
+++ b/packages/control/include/redwinggw/control/bucket_requests.hpp
@@ -101,4 +101,12 @@
                                  const membership &Membership,
                                  std::string_view Customer, base::instant Now);
 
+/// The same where a reserve has granted none and has a token after \p
+/// ReserveWait. This time counts where the owner is alive and no relay to it
+/// can be asked: nothing else grants a token then.
+base::microseconds
+waitBesideReserve(const bucket_requests &Requests, const demand_shares &Shares,
+                  const membership &Membership, std::string_view Customer,
+                  base::microseconds ReserveWait, base::instant Now);
+
 } // namespace redwinggw::control
--- a/packages/control/src/bucket_requests.cpp
+++ b/packages/control/src/bucket_requests.cpp
@@ -91,6 +91,25 @@
   return Since && Owner.HeardAt && *Owner.HeardAt > *Since + Margin;
 }
 
+/// How long it takes until this owner or the next one is expected to grant a
+/// token; nothing while the owner is alive and no relay to it can be asked.
+std::optional<base::microseconds>
+ownerTokenExpected(const bucket_requests &Requests, const demand_shares &Shares,
+                   const membership &Membership, std::string_view Customer,
+                   instant Now) {
+  const member *Owner = bucketOwner(Shares, Membership, Customer);
+  if (Owner == nullptr || !isHeardSince(Requests, *Owner, Now))
+    return nextOwnerExpected(Shares, Membership, Customer,
+                             Owner == nullptr
+                                 ? std::nullopt
+                                 : unansweredSince(Requests, Owner->Name, Now),
+                             Now);
+  // It is not replaced, and asked again after this time.
+  if (bucketRelay(Requests, Membership, *Owner, Now) != nullptr)
+    return OwnerSkipTime;
+  return std::nullopt;
+}
+
 } // namespace
 
 void noteRequest(bucket_requests &Requests, std::string_view Instance,
@@ -160,15 +179,18 @@
                                  const demand_shares &Shares,
                                  const membership &Membership,
                                  std::string_view Customer, instant Now) {
-  const member *Owner = bucketOwner(Shares, Membership, Customer);
-  // It is not replaced, and asked again after this time.
-  if (Owner != nullptr && isHeardSince(Requests, *Owner, Now))
-    return OwnerSkipTime;
-  return nextOwnerExpected(Shares, Membership, Customer,
-                           Owner == nullptr
-                               ? std::nullopt
-                               : unansweredSince(Requests, Owner->Name, Now),
-                           Now);
+  // Relays that got no answer are asked again after this time.
+  return ownerTokenExpected(Requests, Shares, Membership, Customer, Now)
+      .value_or(RelaySkipTime);
+}
+
+base::microseconds
+waitBesideReserve(const bucket_requests &Requests, const demand_shares &Shares,
+                  const membership &Membership, std::string_view Customer,
+                  base::microseconds ReserveWait, instant Now) {
+  const auto Expected =
+      ownerTokenExpected(Requests, Shares, Membership, Customer, Now);
+  return std::min(ReserveWait, Expected.value_or(ReserveWait));
 }
 
 } // namespace redwinggw::control
--- a/packages/redwinggw/src/platform_buckets.cpp
+++ b/packages/redwinggw/src/platform_buckets.cpp
@@ -61,6 +61,15 @@
                        Customer, base::now());
 }
 
+/// When to retry after a reserve has granted nothing.
+base::microseconds waitBeside(const platform_instance_state &State,
+                              const base::customer_name &Customer,
+                              const bucket_owner_answer &Reserve) {
+  return waitBesideReserve(State.BucketRequests, State.Shares,
+                           State.Peers->view(), Customer, Reserve.Wait,
+                           base::now());
+}
+
 /// Takes a token out of the reserve that this instance has for \p Customer, if
 /// it has one. The next owner may have a token before the reserve.
 std::optional<bucket_owner_answer>
@@ -74,7 +83,7 @@
     countTokens(State, Customer, "reserve", 1);
     ++State.ReserveUse[Customer].Granted;
   } else {
-    Answer->Wait = std::min(Answer->Wait, expectedAt(State, Customer));
+    Answer->Wait = waitBeside(State, Customer, *Answer);
   }
   return Answer;
 }
@@ -260,7 +269,7 @@
   auto Answer = co_await requestToken(State, Sources.Successor,
                                       wire::share_kind::TakeReserve, Need);
   if (Answer && !Answer->Granted)
-    Answer->Wait = std::min(Answer->Wait, expectedAt(State, Need.Customer));
+    Answer->Wait = waitBeside(State, Need.Customer, *Answer);
   co_return Answer;
 }
 
--- a/tests/control/bucket_requests_test.cpp
+++ b/tests/control/bucket_requests_test.cpp
@@ -93,6 +93,29 @@
   cr_assert(Half.relay() == nullptr || Half.relay()->Name != Name);
 }
 
+// Guards against retry times at which there is no token: the owner is alive,
+// and no relay reaches it either.
+Test(bucket_requests, tell_the_wait_for_the_reserve_without_a_relay) {
+  constexpr milliseconds ReserveWait{900};
+  half_blocked Half;
+  Half.Fleet.play(60, milliseconds(2000));
+  bucket_requests &Requests = Half.Fleet.Requests[Half.Asker];
+  const auto Wait = [&] {
+    return waitBesideReserve(Requests, Half.Fleet.Shares[Half.Asker],
+                             Half.Fleet.Members[Half.Asker], "acme",
+                             ReserveWait, Half.Fleet.Now);
+  };
+  cr_assert(Wait() == OwnerSkipTime);
+  while (const member *Relay = Half.relay())
+    noteRelayedRequest(Requests, Relay->Name,
+                       "i" + std::to_string(Half.Fleet.owner()), false,
+                       Half.Fleet.Now);
+  cr_assert(Wait() == ReserveWait);
+  cr_assert(tokenExpected(Requests, Half.Fleet.Shares[Half.Asker],
+                          Half.Fleet.Members[Half.Asker], "acme",
+                          Half.Fleet.Now) == RelaySkipTime);
+}
+
 // Guards against a wait for a lost instance by each operation.
 Test(bucket_requests, skip_an_instance_that_left_a_request_unanswered) {
   bucket_requests Requests;
