Bound the wait for a token by the operation's patience

Owner, relay and reserve were asked in turn without regard to the time that the operation can wait, and each was told the full patience. Three sources may take 120 ms, where operations may wait 20 ms, and a token could come with a wait as long as the patience on top.

Each request now carries what is left, and once that is below a round trip the owner and relays are not asked any more. The reserve still is. Skipping it too was ruled out: patience is a fifth of the target latency, so that for targets up to 200 ms one unanswered request uses it up, and the reserve would not be asked after an owner that has just been lost. The wait for it stays bounded by the time-out of one answer.

--- a/packages/redwinggw/src/platform_buckets.cpp
+++ b/packages/redwinggw/src/platform_buckets.cpp
@@ -25,6 +25,9 @@
 /// waited for.
 constexpr milliseconds AnswerTimeout{40};
 
+/// The least time in which an instance of another zone can answer.
+constexpr milliseconds RoundTrip{2};
+
 /// Interval between two attempts for one operation: the answer may have been
 /// lost, or the owner not have been chosen there yet.
 constexpr milliseconds RetryInterval{30};
@@ -33,9 +36,17 @@
 struct token_need {
   std::string Customer;
   unsigned Priority = 0;
-  base::microseconds Patience{0};
+  /// Until when the operation can wait for it.
+  instant Until;
 };
 
+/// How long the operation can still wait for its token; never negative.
+base::microseconds patienceLeft(const token_need &Need) {
+  const auto Left =
+      std::chrono::duration_cast<base::microseconds>(Need.Until - base::now());
+  return std::max(Left, base::microseconds(0));
+}
+
 /// The instances that may have a token of a customer. Copies of their names:
 /// members may go while an answer is awaited.
 struct token_sources {
@@ -175,8 +186,8 @@
   Message.Number = Number;
   constexpr unsigned LeastUrgent = UINT8_MAX;
   Message.Entries.push_back(
-      {Need.Customer, 1, static_cast<std::uint32_t>(Need.Patience.count()), 0,
-       static_cast<std::uint8_t>(std::min(Need.Priority, LeastUrgent))});
+      {Need.Customer, 1, static_cast<std::uint32_t>(patienceLeft(Need).count()),
+       0, static_cast<std::uint8_t>(std::min(Need.Priority, LeastUrgent))});
   return Message;
 }
 
@@ -273,11 +284,18 @@
   co_return Answer;
 }
 
-/// Asks those that may have a token in turn, until one has answered.
+/// Asks those that may have a token in turn, until one has answered. Once there
+/// is no time for an answer only the reserve is asked: it grants without a
+/// wait, and where operations have less patience than AnswerTimeout it would
+/// never be asked otherwise after an owner that does not answer.
 base::task<std::optional<bucket_owner_answer>>
 requestInTurn(platform_instance_state &State, token_sources Sources,
               token_need Need) {
   for (const token_source Source : Sources.Plan) {
+    const bool First = Source == Sources.Plan.front();
+    if (!First && Source != token_source::Reserve &&
+        patienceLeft(Need) < RoundTrip)
+      continue;
     const auto Answer = co_await requestFrom(State, Source, Sources, Need);
     if (Answer)
       co_return Answer;
@@ -306,8 +324,7 @@
 admitByBucketOwner(platform_instance_state &State, std::string Customer,
                    unsigned Priority, base::microseconds Patience,
                    control::demand_verdict Here) {
-  const token_need Need{Customer, Priority, Patience};
-  const instant Until = base::now() + Patience;
+  const token_need Need{Customer, Priority, base::now() + Patience};
   while (true) {
     const token_sources Sources = sourcesOf(State, Customer);
     if (Sources.Owner.empty())
@@ -316,7 +333,7 @@
     if (Answer)
       co_return verdictFromOwner(State.Shares, Customer, *Answer);
     countTokens(State, Customer, "unanswered", 1);
-    if (base::now() + RetryInterval >= Until)
+    if (base::now() + RetryInterval >= Need.Until)
       break;
     co_await pauseWithJitter(State, RetryInterval);
   }
