--- a/tests/session/forwarding_test.cpp
+++ b/tests/session/forwarding_test.cpp
@@ -303,6 +303,7 @@
     const pool_ptr Pool = Fleet.Owner.Set.Pools.at("p");
     constexpr unsigned AllSlots = 6;
     std::vector<slot_grant> Taken;
+    Taken.reserve(AllSlots);
     for (unsigned Slot = 0; Slot < AllSlots; ++Slot)
       Taken.push_back(Fleet.take(Pool));
     caller_session Session = Fleet.first().open("strict");
@@ -440,7 +441,7 @@
   const std::size_t Before = Fleet.Group.Received.size();
   const answer Answer = Fleet.first().write(Session);
   cr_assert(failedWith(Answer, answer_code::Busy));
-  cr_assert(Answer.Error->Reason.find("the endpoint is cold") !=
-            std::string::npos);
+  cr_assert(Answer.Error && Answer.Error->Reason.find("the endpoint is cold") !=
+                                std::string::npos);
   cr_assert(Fleet.Group.Received.size() == Before);
 }
--- a/tests/session/session_core_test.cpp
+++ b/tests/session/session_core_test.cpp
@@ -255,12 +255,14 @@
   core_fixture Fixture;
   caller_session Session = Fixture.open("strict");
   Fixture.Admitted = false;
-  cr_assert(Fixture.write(Session).Error->Reason.starts_with(
-      "over the customer's rate;"));
+  const answer Exceeded = Fixture.write(Session);
+  cr_assert(Exceeded.Error &&
+            Exceeded.Error->Reason.starts_with("over the customer's rate;"));
   Fixture.RateKnown = false;
-  cr_assert(Fixture.write(Session).Error->Reason ==
-            "what is left of the customer's rate is not known; retry after "
-            "120 ms");
+  const answer Unknown = Fixture.write(Session);
+  cr_assert(Unknown.Error && Unknown.Error->Reason ==
+                                 "what is left of the customer's rate is "
+                                 "not known; retry after 120 ms");
 }
 
 // Statements of one customer never run on a connection of another.
