--- a/tests/session/cold_rates_test.cpp
+++ b/tests/session/cold_rates_test.cpp
@@ -318,7 +318,7 @@
 // Guards against an endpoint that counts as stalled, so that all that would
 // queue is refused, since statements wait here for tokens.
 Test(cold_rates, take_no_wait_for_a_token_for_silence) {
-  testing::core_fixture Fixture;
+  session::testing::core_fixture Fixture;
   const pool_ptr Pool = poolOf(Fixture.Set, "p");
   configure(Pool->cold(), Limits, 20);
   const instant Now = base::now();
@@ -382,7 +382,7 @@
 // tokens, and against a refusal that counts as the endpoint's failure: its
 // primary would be moved.
 Test(cold_rates, limit_what_reaches_an_endpoint) {
-  testing::core_fixture Fixture;
+  session::testing::core_fixture Fixture;
   caller_session Session = Fixture.open("strict");
   cr_assert(!Fixture.write(Session).Error);
   const pool_ptr Pool = poolOf(Fixture.Set, "p");
@@ -402,7 +402,7 @@
 // Guards against a statement that is held back after the set-up of its
 // connection has taken the last token, and counts as the endpoint's failure.
 Test(cold_rates, hold_back_without_blaming_the_endpoint) {
-  testing::core_fixture Fixture;
+  session::testing::core_fixture Fixture;
   caller_session Session = Fixture.open("strict");
   const pool_ptr Pool = poolOf(Fixture.Set, "p");
   configure(Pool->cold(), Limits, 20);
@@ -422,7 +422,7 @@
 // Guards against requests beyond the tokens by a transaction: its begin, its
 // statements and its commit count, and the commit is not held back.
 Test(cold_rates, count_all_requests_of_a_transaction) {
-  testing::core_fixture Fixture;
+  session::testing::core_fixture Fixture;
   caller_session Session = Fixture.open("own");
   const pool_ptr Pool = poolOf(Fixture.Set, "p");
   configure(Pool->cold(), Limits, 20);
@@ -449,7 +449,7 @@
 // Guards against reads that go to a cold replica while a warm one is fresh, and
 // against a zone that gets all its load back when its evacuation ends.
 Test(cold_rates, send_reads_to_warm_endpoints) {
-  testing::core_fixture Fixture;
+  session::testing::core_fixture Fixture;
   caller_session Session = Fixture.open("bounded");
   Fixture.write(Session);
   const pool_ptr Pool = poolOf(Fixture.Set, "r1");
@@ -465,7 +465,8 @@
   for (int Reads = 0; Reads < 20; ++Reads)
     cr_assert(!Fixture.read(Session).Error);
   cr_assert(std::ranges::none_of(
-      Fixture.Group.Received, [](const testing::received_statement &Statement) {
+      Fixture.Group.Received,
+      [](const session::testing::received_statement &Statement) {
         return Statement.Endpoint == "r1";
       }));
 }
@@ -473,14 +474,14 @@
 // Guards against a restart under the same name that the list does not show yet:
 // its connections broke.
 Test(cold_rates, presume_a_restart_when_a_connection_breaks) {
-  testing::core_fixture Fixture;
+  session::testing::core_fixture Fixture;
   caller_session Session = Fixture.open("strict");
   const pool_ptr Pool = poolOf(Fixture.Set, "p");
   configure(Pool->cold(), Limits, 20);
   cr_assert(!Fixture.read(Session).Error);
   cr_assert(!isCold(Pool->cold(), base::now()));
-  Fixture.Group.Script = [](const testing::received_statement &) {
-    return std::optional(testing::ended(exchange_outcome::Broken));
+  Fixture.Group.Script = [](const session::testing::received_statement &) {
+    return std::optional(session::testing::ended(exchange_outcome::Broken));
   };
   Fixture.read(Session);
   cr_assert(isCold(Pool->cold(), base::now()));
--- a/tests/session/connection_plan_test.cpp
+++ b/tests/session/connection_plan_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <iostream>
 #include <random>
 #include <string>
 #include <vector>
@@ -169,9 +170,10 @@
         return Started || Late;
       });
     }
-    cr_log_info("burst: %d served, %d set-ups, %d refused; others: %d, %d, %d",
-                Burst.Served, Burst.SetUps, Burst.Refused, Others.Served,
-                Others.SetUps, Others.Refused);
+    std::clog << "burst: " << Burst.Served << " served, " << Burst.SetUps
+              << " set-ups, " << Burst.Refused
+              << " refused; others: " << Others.Served << ", " << Others.SetUps
+              << ", " << Others.Refused << "\n";
   }
 
   static constexpr milliseconds SetUpTime{12};
