Split the tests of reserves further

Under the thread sanitizer a program runs its tests one after another, and came near its time limit on a busy machine.

--- a/tests/control/reserve_windows.hpp
+++ b/tests/control/reserve_windows.hpp
@@ -38,4 +38,24 @@
     }
 }
 
+/// Plays a cut in which \p Both instances reach both sides.
+inline void checkCut(std::size_t Both) {
+  for (const bool MovesOwner : {true, false})
+    checkEveryWindow(
+        "cut",
+        [&](reserve_fleet &Fleet) {
+          const std::size_t Owner = Fleet.owner();
+          for (std::size_t Index = 0; Index < Count; ++Index)
+            Fleet.Cut[Index] = Index / Zones % 2 == 0;
+          for (std::size_t Index = Count - Both; Index < Count; ++Index)
+            Fleet.ReachesBoth.insert(Index);
+          if (MovesOwner)
+            Fleet.Cut[Owner] = !Fleet.Cut[Owner];
+          flood(Fleet, 2 * Long);
+          Fleet.Cut.assign(Count, false);
+          flood(Fleet, Long);
+        },
+        false);
+}
+
 } // namespace redwinggw::control::testing
