Move the digests of a relay into a file of their own

membership_digests.cpp has what a relay reports about others and the changes of demands; AgeStep, which both use, stands in the header. Ruled out: a header of its own, as both files are internal to membership. No behaviour changes; the tests of membership, relays and heartbeats pass.

--- a/packages/control/include/redwinggw/control/membership_reports.hpp
+++ b/packages/control/include/redwinggw/control/membership_reports.hpp
@@ -6,6 +6,9 @@
 /// Internal to membership.
 namespace redwinggw::control {
 
+/// Unit of the ages and silences that relays report.
+constexpr base::milliseconds AgeStep{wire::AgeStepMs};
+
 /// The report of this instance about itself at \p Now, without the echo and the
 /// digest of others.
 wire::peer_report localReport(const membership &Membership, base::instant Now);
