--- a/packages/redwinggw/src/platform_handover.cpp
+++ b/packages/redwinggw/src/platform_handover.cpp
@@ -1,4 +1,4 @@
-#include "platform_instance_state.hpp"
+#include "platform_inquiries.hpp"
 
 #include "platform/promoter.hpp"
 
@@ -23,11 +23,9 @@
 using session::primary_claim;
 
 constexpr milliseconds PrimaryCheckInterval{100};
-constexpr milliseconds StatusTimeout{400};
 constexpr milliseconds PromotionTimeout{1500};
 /// A move that takes longer is abandoned and begun again from the rows.
 constexpr milliseconds MoveTimeout{7000};
-constexpr milliseconds StepPause{20};
 
 void logMove(const std::string &Service, const std::string &Text) {
   base::log(base::log_level::Info, base::log_part::Failover,
@@ -43,20 +41,6 @@
   return State.MissingPrimaries.try_emplace(Name, base::now()).first->second;
 }
 
-/// The endpoints of \p Service in zones that are not evacuated, without
-/// \p Primary.
-std::vector<session::endpoint_entry>
-replacementsFor(const platform_instance_state &State,
-                const base::service_name &Service,
-                const base::endpoint_name &Primary) {
-  std::vector<session::endpoint_entry> Entries;
-  for (const session::endpoint_entry *Entry :
-       endpointsOf(State.Endpoints.Directory, Service))
-    if (Entry->Name != Primary && !isEvacuated(State.Evacuations, Entry->Zone))
-      Entries.push_back(*Entry);
-  return Entries;
-}
-
 session::handover_view viewOf(platform_instance_state &State,
                               const base::service_name &Service) {
   session::handover_view View;
@@ -188,15 +172,6 @@
     Acknowledged.HalfSince = base::now();
 }
 
-/// Whether \p Claim is still the newest one of its service. Otherwise another
-/// orderer has taken over, and an order of this instance could take effect
-/// after that one's.
-bool isCurrent(const platform_instance_state &State,
-               const primary_claim &Claim) {
-  const auto *Known = findClaim(State.Claims, Claim.Service);
-  return Known != nullptr && Known->Claim.Epoch == Claim.Epoch;
-}
-
 /// Waits until no instance uses the old primary any more. False at \p Deadline
 /// or when a later claim is known.
 base::task<bool> awaitAcknowledgements(platform_instance_state &State,
@@ -214,92 +189,6 @@
   co_return false;
 }
 
-/// Whether this instance may inquire without tokens at an endpoint that may be
-/// cold. An orderer that is cut off waits, since another may replace it.
-bool mayInquire(platform_instance_state &State, session::cold_rate &Cold) {
-  const instant Now = base::now();
-  if (isCold(Cold, Now) && !State.Peers->inContactWithMajority(Now))
-    return false;
-  return takeInquiry(Cold, Now);
-}
-
-/// Asks an endpoint for its status, without tokens. While it is cold it waits
-/// until it may, or until a later claim is known: a candidate that is left out
-/// could be the one that has received most.
-base::task<session::status_exchange> inquire(platform_instance_state &State,
-                                             primary_claim Claim,
-                                             session::endpoint_entry Entry) {
-  session::status_exchange Status;
-  const auto Pool = poolOf(State.Endpoints, Entry.Name);
-  while (Pool && !mayInquire(State, Pool->cold())) {
-    co_await pauseWithJitter(State, StepPause);
-    if (State.Stopped || !isCurrent(State, Claim))
-      co_return Status;
-  }
-  const session::pool_ptr NoTokens;
-  Status = co_await askStatus(State, std::move(Entry), StatusTimeout, NoTokens);
-  if (Pool)
-    noteInquiryEnded(Pool->cold(), base::now());
-  co_return Status;
-}
-
-/// A former orderer may have inquired a moment ago.
-void delayInquiries(platform_instance_state &State,
-                    const base::service_name &Service) {
-  for (const session::endpoint_entry *Entry :
-       endpointsOf(State.Endpoints.Directory, Service))
-    if (const auto Pool = poolOf(State.Endpoints, Entry->Name))
-      noteInquiryEnded(Pool->cold(), base::now());
-}
-
-/// The endpoints that could take over and answer, with what they have received.
-base::task<std::vector<session::move_candidate>>
-askCandidates(platform_instance_state &State, const primary_claim &Claim) {
-  const auto Entries = replacementsFor(State, Claim.Service, Claim.Primary);
-  std::vector<session::move_candidate> Candidates;
-  for (const session::endpoint_entry &Entry : Entries) {
-    const auto Status = co_await inquire(State, Claim, Entry);
-    if (Status.Status)
-      Candidates.push_back(
-          {Entry.Name, Entry.Draining, Status.Status->Received});
-  }
-  co_return Candidates;
-}
-
-/// The old primary's status, if it still answers. No instance uses it any more,
-/// so it commits nothing more that is acknowledged.
-base::task<std::optional<session::endpoint_status>>
-askOldPrimary(platform_instance_state &State, const primary_claim &Claim) {
-  const auto *Entry = findEndpoint(State.Endpoints.Directory, Claim.Primary);
-  if (Entry == nullptr)
-    co_return std::nullopt;
-  const session::endpoint_entry Copy = *Entry;
-  const auto Status = co_await inquire(State, Claim, Copy);
-  co_return Status.Status;
-}
-
-/// Chooses the new primary, waiting for a replica to receive all that the old
-/// primary still reports. Empty when there is none.
-base::task<base::endpoint_name> findTarget(platform_instance_state &State,
-                                           const primary_claim &Claim) {
-  const auto Old = co_await askOldPrimary(State, Claim);
-  std::optional<session::log_point> Needed;
-  if (Old)
-    Needed = Old->Received;
-  const instant Latest = base::now() + State.Handover.CatchUpTimeout;
-  while (true) {
-    const auto Candidates = co_await askCandidates(State, Claim);
-    const bool MayStillWait = base::now() < Latest;
-    if (!MayStillWait)
-      Needed.reset();
-    if (const auto *Target = chooseTarget(Candidates, Needed))
-      co_return Target->Name;
-    if (!MayStillWait)
-      co_return base::endpoint_name();
-    co_await pauseWithJitter(State, StepPause);
-  }
-}
-
 /// Orders the promotion, repeatedly until the platform accepts or refuses it.
 /// False when it was refused, at \p Deadline or when a later claim is known.
 base::task<bool> promote(platform_instance_state &State,
--- /dev/null
+++ b/packages/redwinggw/src/platform_inquiries.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "platform_instance_state.hpp"
+
+/// What an orderer asks the endpoints of a service during the move of its
+/// primary. Used from one thread.
+namespace redwinggw {
+
+/// Between two steps of a move that wait for others.
+constexpr base::milliseconds StepPause{20};
+
+/// Whether \p Claim is still the newest one of its service. Otherwise another
+/// orderer has taken over, and an order of this instance could take effect
+/// after that one's.
+bool isCurrent(const platform_instance_state &State,
+               const session::primary_claim &Claim);
+
+/// The endpoints of \p Service in zones that are not evacuated, without
+/// \p Primary.
+std::vector<session::endpoint_entry>
+replacementsFor(const platform_instance_state &State,
+                const base::service_name &Service,
+                const base::endpoint_name &Primary);
+
+/// Asks an endpoint for its status, without tokens. While it is cold it waits
+/// until it may, or until a later claim is known: a candidate that is left out
+/// could be the one that has received most.
+base::task<session::status_exchange> inquire(platform_instance_state &State,
+                                             session::primary_claim Claim,
+                                             session::endpoint_entry Entry);
+
+/// Counts an inquiry at each endpoint of \p Service that ends now: a former
+/// orderer may have inquired a moment ago.
+void delayInquiries(platform_instance_state &State,
+                    const base::service_name &Service);
+
+/// The old primary's status, if it still answers. No instance uses it any more,
+/// so it commits nothing more that is acknowledged.
+base::task<std::optional<session::endpoint_status>>
+askOldPrimary(platform_instance_state &State,
+              const session::primary_claim &Claim);
+
+/// Chooses the new primary, waiting for a replica to receive all that the old
+/// primary still reports. Empty when there is none.
+base::task<base::endpoint_name> findTarget(platform_instance_state &State,
+                                           const session::primary_claim &Claim);
+
+} // namespace redwinggw
