--- a/packages/session/include/redwinggw/session/endpoint_pool.hpp
+++ b/packages/session/include/redwinggw/session/endpoint_pool.hpp
@@ -138,6 +138,10 @@
   base::milliseconds IdleTime{8000};
 };
 
+/// Most callers that may wait for a connection; with more, the wait would
+/// exceed every statement's timeout.
+constexpr std::size_t MaxWaiting = 400;
+
 /// Used from one thread. Must outlive the coroutines that use it.
 class endpoint_pool {
 public:
