--- a/packages/redwinggw/src/platform_buckets.cpp
+++ b/packages/redwinggw/src/platform_buckets.cpp
@@ -1,6 +1,7 @@
 #include "platform_instance_state.hpp"
 
 #include "redwinggw/base/log.hpp"
+#include "redwinggw/control/share_allocator.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -58,14 +59,6 @@
   std::vector<token_source> Plan;
 };
 
-wire::share_message answerTo(const wire::share_message &Request,
-                             wire::share_kind Kind) {
-  wire::share_message Answer;
-  Answer.Kind = Kind;
-  Answer.Number = Request.Number;
-  return Answer;
-}
-
 base::microseconds expectedAt(const platform_instance_state &State,
                               const base::customer_name &Customer) {
   return tokenExpected(State.BucketRequests, State.Shares, State.Peers->view(),
@@ -122,10 +115,11 @@
   const wire::share_entry &Entry = Request.Entries.front();
   const auto Answer = takeForOther(State, Request.Kind, Entry);
   if (!Answer) {
-    State.Peers->send(To, answerTo(Request, wire::share_kind::Moved));
+    State.Peers->send(To, control::answerTo(Request, wire::share_kind::Moved));
     return;
   }
-  wire::share_message Grant = answerTo(Request, wire::share_kind::Grant);
+  wire::share_message Grant =
+      control::answerTo(Request, wire::share_kind::Grant);
   const float Given = Answer->Granted ? 1 : 0;
   Grant.Entries.push_back({Entry.Customer, Given,
                            static_cast<std::uint32_t>(Answer->Wait.count()), 0,
--- a/packages/redwinggw/src/platform_rates.cpp
+++ b/packages/redwinggw/src/platform_rates.cpp
@@ -1,6 +1,7 @@
 #include "platform_instance_state.hpp"
 
 #include "redwinggw/control/centralized_buckets.hpp"
+#include "redwinggw/control/share_allocator.hpp"
 
 #include <algorithm>
 
@@ -46,19 +47,12 @@
   co_return co_await State.TokenWaits.wait(Number, Now + TransferTimeout);
 }
 
-wire::share_message answerTo(const wire::share_message &Request,
-                             wire::share_kind Kind) {
-  wire::share_message Answer;
-  Answer.Kind = Kind;
-  Answer.Number = Request.Number;
-  return Answer;
-}
-
 /// Answers a request for tokens, also when there are none, so that the other
 /// instance does not wait for its timeout.
 void sendTokens(platform_instance_state &State, const base::instance_name &To,
                 const wire::share_message &Request) {
-  wire::share_message Grant = answerTo(Request, wire::share_kind::Grant);
+  wire::share_message Grant =
+      control::answerTo(Request, wire::share_kind::Grant);
   for (const wire::share_entry &Entry : Request.Entries) {
     const double Given = withdrawSpareTokens(State.Shares, Entry.Customer,
                                              Entry.Tokens, base::now());
--- a/tests/control/demand_changes_test.cpp
+++ b/tests/control/demand_changes_test.cpp
@@ -54,14 +54,20 @@
   return Sent;
 }
 
+/// Fleet in which the demands of Reporter have reached the relays.
+fleet fleetWithDemands() {
+  fleet Fleet = runningFleet();
+  Fleet.Instances[Reporter].Membership.Local.Demands = {{1, 4, 0}, {2, 5, 0}};
+  run(Fleet, milliseconds(1000));
+  return Fleet;
+}
+
 } // namespace
 
 // Guards against heartbeats that repeat what their receiver holds.
 Test(demand_changes, are_all_that_a_heartbeat_carries) {
-  fleet Fleet = runningFleet();
+  fleet Fleet = fleetWithDemands();
   membership &Sender = Fleet.Instances[Reporter].Membership;
-  Sender.Local.Demands = {{1, 4, 0}, {2, 5, 0}};
-  run(Fleet, milliseconds(1000));
   cr_assert(allHold(Fleet, Reporter, Sender.Local.Demands));
   Sender.Local.Demands[1].Rate = 7;
   const auto Sent = nextDemands(Fleet, Reporter);
@@ -91,10 +97,8 @@
 
 // Guards against changes that are sent to a process which has lost the list.
 Test(demand_changes, are_no_changes_for_an_instance_that_restarts) {
-  fleet Fleet = runningFleet();
+  fleet Fleet = fleetWithDemands();
   membership &Sender = Fleet.Instances[Reporter].Membership;
-  Sender.Local.Demands = {{1, 4, 0}, {2, 5, 0}};
-  run(Fleet, milliseconds(1000));
   for (fleet_instance &Instance : Fleet.Instances) {
     if (!Instance.Membership.Relay)
       continue;
@@ -113,10 +117,8 @@
 // Guards against numbering of a former process that is taken for the current
 // one's.
 Test(demand_changes, begin_anew_when_their_sender_restarts) {
-  fleet Fleet = runningFleet();
+  fleet Fleet = fleetWithDemands();
   membership &Sender = Fleet.Instances[Reporter].Membership;
-  Sender.Local.Demands = {{1, 4, 0}, {2, 5, 0}};
-  run(Fleet, milliseconds(1000));
   Sender.Self.Incarnation += 1;
   Sender.PublishedDemands = {};
   Sender.Local.Demands = {{3, 6, 0}};
--- a/tests/session/forwarding_test.cpp
+++ b/tests/session/forwarding_test.cpp
@@ -95,6 +95,16 @@
   return Numbers.size();
 }
 
+std::vector<slot_grant> takeAllSlots(forwarding_fleet &Fleet,
+                                     const pool_ptr &Pool) {
+  constexpr unsigned AllSlots = 6;
+  std::vector<slot_grant> Taken;
+  Taken.reserve(AllSlots);
+  for (unsigned Slot = 0; Slot < AllSlots; ++Slot)
+    Taken.push_back(Fleet.take(Pool));
+  return Taken;
+}
+
 } // namespace
 
 // Callers of two customers write and read at nine instances. Each customer
@@ -279,11 +289,7 @@
   cr_assert(!Instance.write(Session).Error);
   const std::size_t Former = Fleet.Group.Received.back().Connection;
   const pool_ptr Pool = Fleet.Owner.Set.Pools.at("p");
-  constexpr unsigned AllSlots = 6;
-  std::vector<slot_grant> Taken;
-  Taken.reserve(AllSlots);
-  for (unsigned Slot = 0; Slot < AllSlots; ++Slot)
-    Taken.push_back(Fleet.take(Pool));
+  std::vector<slot_grant> Taken = takeAllSlots(Fleet, Pool);
   cr_assert(failedWith(Instance.write(Session), answer_code::Aborted));
   cr_assert(Fleet.Server.pinnedLinks() == 0);
   Taken.clear();
@@ -301,11 +307,7 @@
     if (ByDemand)
       planByDemand(Fleet);
     const pool_ptr Pool = Fleet.Owner.Set.Pools.at("p");
-    constexpr unsigned AllSlots = 6;
-    std::vector<slot_grant> Taken;
-    Taken.reserve(AllSlots);
-    for (unsigned Slot = 0; Slot < AllSlots; ++Slot)
-      Taken.push_back(Fleet.take(Pool));
+    std::vector<slot_grant> Taken = takeAllSlots(Fleet, Pool);
     caller_session Session = Fleet.first().open("strict");
     const answer Answer = Fleet.first().write(Session);
     cr_assert(failedWith(Answer, answer_code::Busy));
