Compare two lists of endpoints by names

Cause: encodeChanges searched each entry of one list in the other, 9 million comparisons of entries for each change of a list of 3,000 at the store reader.

Change: both lists are indexed by name first. The encoded changes are the same.

--- a/packages/session/src/list_changes.cpp
+++ b/packages/session/src/list_changes.cpp
@@ -10,6 +10,8 @@
 #include <limits>
 #include <set>
 #include <stdexcept>
+#include <string_view>
+#include <unordered_map>
 #include <utility>
 
 namespace redwinggw::session {
@@ -17,9 +19,13 @@
 
 namespace json = boost::json;
 
-bool isIn(const std::vector<endpoint_entry> &List,
-          const endpoint_entry &Entry) {
-  return std::ranges::find(List, Entry) != List.end();
+/// The entries of a list by their names.
+std::unordered_map<std::string_view, const endpoint_entry *>
+byName(const std::vector<endpoint_entry> &List) {
+  std::unordered_map<std::string_view, const endpoint_entry *> Entries;
+  for (const endpoint_entry &Entry : List)
+    Entries.emplace(Entry.Name, &Entry);
+  return Entries;
 }
 
 /// The changed entries. Throws if they cannot be read.
@@ -57,14 +63,17 @@
 
 std::string encodeChanges(const std::vector<endpoint_entry> &From,
                           const std::vector<endpoint_entry> &To) {
+  const auto Before = byName(From);
+  const auto After = byName(To);
   json::array Gone;
   for (const endpoint_entry &Entry : From)
-    if (std::ranges::find(To, Entry.Name, &endpoint_entry::Name) == To.end())
+    if (!After.contains(Entry.Name))
       Gone.emplace_back(Entry.Name);
   json::array Positions;
   std::vector<endpoint_entry> Entries;
   for (std::size_t Index = 0; Index < To.size(); ++Index) {
-    if (isIn(From, To[Index]))
+    const auto Known = Before.find(To[Index].Name);
+    if (Known != Before.end() && *Known->second == To[Index])
       continue;
     Positions.emplace_back(Index);
     Entries.push_back(To[Index]);
