--- a/packages/control/include/redwinggw/control/membership.hpp
+++ b/packages/control/include/redwinggw/control/membership.hpp
@@ -129,6 +129,8 @@
   std::optional<base::instant> ShortFormSince;
   /// When it was added to Members.
   base::instant ListedSince;
+  /// Its row was in the list; false for one that is known by its heartbeats.
+  bool Listed = false;
 };
 
 /// What is known about the store, from own reads and from the reports of
@@ -156,6 +158,23 @@
   std::optional<base::instant> ReadAt;
 };
 
+/// Until when a contact with a majority holds, as far as is known. Each
+/// statement depends on that contact, and it would have to visit all members.
+struct majority_contact {
+  /// What can only lengthen the contact, and what can shorten it: counts of
+  /// reports, and of changes of the list, restarts and the like.
+  std::uint64_t Gains = 1;
+  std::uint64_t Losses = 1;
+  /// Gains and Losses at which Until was computed. It is a lower bound after
+  /// later gains, and not valid any more after a loss.
+  std::uint64_t KnownGains = 0;
+  std::uint64_t KnownLosses = 0;
+  /// Nothing: there is no contact.
+  std::optional<base::instant> Until;
+  /// How many members were visited for it since the start.
+  std::uint64_t Visits = 0;
+};
+
 /// Heartbeats that had an effect, and datagrams that had none, by reason.
 struct membership_counters {
   std::uint64_t Heartbeats = 0;
@@ -192,8 +211,13 @@
   /// Hash of the zones and names in ListOrder; 0 without a list. Instances with
   /// the same hash have the same order.
   std::uint64_t ListHash = 0;
+  /// Grows whenever the list or the state of a member changes.
+  std::uint64_t StatesVersion = 1;
   /// Whether this instance acted as a relay when it last sent heartbeats.
   bool Relay = true;
+  /// The receivers of the last heartbeats that were reports; the relays that
+  /// this instance uses.
+  std::vector<base::instance_name> Relays;
   /// Whether digests vouch for other instances. False while this instance does
   /// not accept everything that those report: an instance that counted them as
   /// in contact by its digests would not learn what it has not accepted.
@@ -210,6 +234,8 @@
   published_sums PublishedZone;
   published_sums PublishedFleet;
   store_observations Store;
+  /// Kept by inContactWithMajority.
+  mutable majority_contact Contact;
   membership_counters Counters;
   /// What each heartbeat says about this instance itself, as the owner set it
   /// at LocalAt.
@@ -242,6 +268,10 @@
 void onUnlistedInstance(membership &Membership, const wire::datagram &Datagram,
                         const http::address &From, base::instant Now);
 
+/// Records that the rows of \p Instances were written to the list.
+void markListed(membership &Membership,
+                const std::vector<base::instance_name> &Instances);
+
 /// A datagram to \p Receiver that carries \p Message: in the short form if the
 /// receiver has shown that it reads it, in a fleet with relays. A receiver that
 /// then sends no share message for a moment gets the long form again: it may
@@ -315,7 +345,8 @@
 
 /// True when more than half of the instances on the list, this one included,
 /// are in contact. An instance that has not read the store since its start does
-/// not count: it cannot know what its predecessor knew.
+/// not count: it cannot know what its predecessor knew. Visits the members only
+/// when a known contact has ended, or when none was known and a report arrived.
 bool inContactWithMajority(const membership &Membership, base::instant Now);
 
 /// True when more than half of the instances reported that they know of head
--- a/packages/control/include/redwinggw/control/peer_service.hpp
+++ b/packages/control/include/redwinggw/control/peer_service.hpp
@@ -115,6 +115,10 @@
   /// Sends what this instance has read from the store to all live members,
   /// through relays if the fleet uses them.
   void sendSharedRead(const wire::shared_store_read &SharedRead);
+  /// Sends it to the members that this instance relays for only.
+  void relaySharedRead(const wire::shared_store_read &SharedRead);
+  /// Records that the rows of \p Instances were written to the store.
+  void markListed(const std::vector<base::instance_name> &Instances);
   /// Sends it to one member, which does not relay it.
   void sendSharedReadTo(std::string_view Instance,
                         wire::shared_store_read SharedRead);
--- a/packages/control/include/redwinggw/control/relays.hpp
+++ b/packages/control/include/redwinggw/control/relays.hpp
@@ -71,6 +71,11 @@
                             std::vector<wire::position_report> &Positions,
                             base::instant Now);
 
+/// Removes from \p Positions, of an answer to \p Member, those of services that
+/// it does not use, if it told which it uses.
+void keepNeededPositions(const member &Member,
+                         std::vector<wire::position_report> &Positions);
+
 /// Records that a heartbeat to \p Member is sent at \p Now. A member that has
 /// not answered for RelayTimeout is skipped for RelaySkipTime.
 void recordHeartbeatSent(const membership &Membership, member &Member,
--- a/packages/control/src/membership.cpp
+++ b/packages/control/src/membership.cpp
@@ -47,6 +47,8 @@
     Report.Positions.clear();
   else
     Member.PositionsSentAt = Now;
+  if (usesRelays(Membership) && Kind == heartbeat_kind::Answer)
+    keepNeededPositions(Member, Report.Positions);
 }
 
 peer_send heartbeatTo(membership &Membership, member &Member,
@@ -56,6 +58,8 @@
   Report.EchoIncarnation = Member.Window.Incarnation;
   Report.EchoSequence = Member.Heartbeat;
   Report.Reports = Kind == heartbeat_kind::Report;
+  if (!Report.Reports)
+    Report.Services.clear();
   // Two instances that both act as relays learn of each other by an answer.
   const bool NoContact = !isInDirectContact(Membership, Member, Now);
   Report.WantsReply =
@@ -159,6 +163,7 @@
     Member.Address = Instance.Peers;
     Member.ListedLeaving = Instance.Leaving;
     Member.Capacity = Instance.Capacity;
+    Member.Listed = true;
   }
   std::ranges::sort(Members, {}, &member::Name);
   Membership.Members = std::move(Members);
@@ -179,11 +184,19 @@
   Member.Name = Datagram.Sender;
   Member.Zone = Report->Zone;
   Member.Address = From;
+  Member.Capacity = Report->Capacity;
   Member.ListedSince = Now;
   std::ranges::sort(Membership.Members, {}, &member::Name);
   indexList(Membership);
 }
 
+void markListed(membership &Membership,
+                const std::vector<base::instance_name> &Instances) {
+  for (const base::instance_name &Name : Instances)
+    if (member *Member = findMutable(Membership, Name))
+      Member->Listed = true;
+}
+
 namespace {
 
 /// Whether \p Member gets the short form; records that it does.
@@ -256,8 +269,10 @@
   // In a fleet with relays most members are known by digests only, and then a
   // first datagram of their own, such as a request for a token, is no restart.
   const bool HeardBefore = Member->Window.Incarnation != 0;
-  if (HeardBefore && Datagram.Incarnation > Member->Window.Incarnation)
+  if (HeardBefore && Datagram.Incarnation > Member->Window.Incarnation) {
     forgetFormerIncarnation(*Member);
+    ++Membership.Contact.Losses;
+  }
   switch (wire::recordDatagram(Member->Window, Datagram.Incarnation,
                                Datagram.Sequence)) {
   case wire::datagram_order::Newest:
@@ -341,9 +356,11 @@
 }
 
 std::vector<peer_send> onTick(membership &Membership, instant Now) {
-  std::ranges::for_each(Membership.Members, [&](member &Member) {
-    Member.State = stateOf(Membership, Member, Now);
-  });
+  for (member &Member : Membership.Members) {
+    const member_state State = stateOf(Membership, Member, Now);
+    Membership.StatesVersion += State != Member.State ? 1 : 0;
+    Member.State = State;
+  }
   if (!isTickDue(Membership, Now))
     return {};
   Membership.LastTick = Now;
@@ -353,9 +370,12 @@
   const heartbeat_plan Plan = planHeartbeats(Membership, Now);
   Membership.Relay = Plan.Relay;
   const auto Kind = Plan.Relay ? heartbeat_kind::Relay : heartbeat_kind::Report;
+  Membership.Relays.clear();
   std::vector<peer_send> Sends;
   for (const std::size_t Index : Plan.Targets) {
     member &Member = Membership.Members[Index];
+    if (!Plan.Relay)
+      Membership.Relays.push_back(Member.Name);
     Sends.push_back(heartbeatTo(Membership, Member, Kind, Now));
     recordHeartbeatSent(Membership, Member, Now);
   }
--- a/packages/control/src/membership_digests.cpp
+++ b/packages/control/src/membership_digests.cpp
@@ -149,6 +149,7 @@
   const wire::peer_report &Last = Receiver.Report;
   Report.ReadsChanges = true;
   Report.List = Membership.ListHash;
+  Report.Capacity = Membership.Self.Capacity;
   writeHeld(Last, Report);
   if (!Last.ReadsChanges)
     return;
--- a/packages/control/src/membership_reports.cpp
+++ b/packages/control/src/membership_reports.cpp
@@ -4,6 +4,7 @@
 #include "redwinggw/control/rendezvous.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <iterator>
 #include <string_view>
 #include <utility>
@@ -78,9 +79,16 @@
   Member.RelayedLeaving = hasFact(Relayed, wire::relayed_fact::Leaving);
 }
 
+void setReadSinceStart(membership &Membership, member &Member, bool Read) {
+  if (Member.ReadStoreSinceStart && !Read)
+    ++Membership.Contact.Losses;
+  Member.ReadStoreSinceStart = Read;
+}
+
 /// Applies what a relay reports about \p Member. Ages add up over relays and
 /// are rounded up at each, so relayed state never looks more recent than it is.
-void applyRelayedMember(member &Member, const wire::relayed_member &Relayed,
+void applyRelayedMember(membership &Membership, member &Member,
+                        const wire::relayed_member &Relayed,
                         const wire::peer_report &Report, instant MadeAt) {
   using enum wire::relayed_fact;
   if (hasFact(Relayed, AliveOnly))
@@ -95,7 +103,7 @@
   Member.LastSeenAt = LastSeenAt;
   raiseTo(Member.ArrivedAt, LastSeenAt);
   Member.PossibleVersion = Report.Version;
-  Member.ReadStoreSinceStart = hasFact(Relayed, ReadStoreSinceStart);
+  setReadSinceStart(Membership, Member, hasFact(Relayed, ReadStoreSinceStart));
   Member.RelayedLeaving = hasFact(Relayed, Leaving);
   Member.CentralizesBuckets = hasFact(Relayed, CentralizesBuckets);
   if (hasFact(Relayed, RecentStoreContact))
@@ -113,7 +121,7 @@
       continue;
     }
     applySilence(*Member, Relayed, Now);
-    applyRelayedMember(*Member, Relayed, Report, MadeAt);
+    applyRelayedMember(Membership, *Member, Relayed, Report, MadeAt);
   }
 }
 
@@ -197,6 +205,8 @@
   }
   std::ranges::sort(Membership.ByHash);
   orderList(Membership);
+  ++Membership.StatesVersion;
+  ++Membership.Contact.Losses;
 }
 
 void applyReport(membership &Membership, member &Member,
@@ -221,13 +231,16 @@
     Member.PossibleVersion = Report.Version;
   Member.PossibleVersion = std::max(Member.PossibleVersion, Report.Version);
   raiseTo(Member.LastSeenAt, *MadeAt);
-  Member.ReadStoreSinceStart = Report.StoreReadAge != wire::NoAge;
+  setReadSinceStart(Membership, Member, Report.StoreReadAge != wire::NoAge);
+  ++Membership.Contact.Gains;
   Member.CentralizesBuckets = Report.CentralizesBuckets;
   applyRelayedMembers(Membership, Report, *MadeAt, Now);
 }
 
 void onStoreRead(membership &Membership, instant Sent, instant Answered,
                  base::config_version Head) {
+  if (!Membership.Store.ReadAt)
+    ++Membership.Contact.Gains;
   raiseTo(Membership.Store.ReadAt, Sent);
   updateHead(Membership.Store, Head, Sent);
   onStoreContact(Membership, Answered);
@@ -251,12 +264,38 @@
          Now - *Member.StoreContactAt <= Membership.Limits.MaxStoreContactAge;
 }
 
+namespace {
+
+milliseconds contactTimeout(const membership &Membership) {
+  return usesRelays(Membership) ? Membership.Limits.RelayedContactTimeout
+                                : Membership.Limits.ContactTimeout;
+}
+
+/// Until when the present reports keep this instance in contact with a
+/// majority: until that of the last member which is needed for one is too old.
+std::optional<instant> majorityContactEnd(const membership &Membership) {
+  const bool AnyCounts = !Membership.Limits.RequireStoreReadSinceStart;
+  const std::size_t Self = AnyCounts || Membership.Store.ReadAt ? 1 : 0;
+  std::vector<instant> Seen;
+  for (const member &Member : Membership.Members)
+    if ((AnyCounts || Member.ReadStoreSinceStart) && Member.LastSeenAt)
+      Seen.push_back(*Member.LastSeenAt);
+  const std::size_t Needed = instanceCount(Membership) / 2 + 1 - Self;
+  if (!Membership.ListKnown || Seen.size() < Needed)
+    return std::nullopt;
+  if (Needed == 0)
+    return instant::max();
+  const auto Last = Seen.begin() + static_cast<std::ptrdiff_t>(Needed - 1);
+  std::ranges::nth_element(Seen, Last, std::greater{});
+  return *Last + contactTimeout(Membership);
+}
+
+} // namespace
+
 bool isInContact(const membership &Membership, const member &Member,
                  instant Now) {
-  const auto Bound = usesRelays(Membership)
-                         ? Membership.Limits.RelayedContactTimeout
-                         : Membership.Limits.ContactTimeout;
-  return Member.LastSeenAt && Now - *Member.LastSeenAt <= Bound;
+  return Member.LastSeenAt &&
+         Now - *Member.LastSeenAt <= contactTimeout(Membership);
 }
 
 std::size_t instanceCount(const membership &Membership) {
@@ -264,15 +303,17 @@
 }
 
 bool inContactWithMajority(const membership &Membership, instant Now) {
-  const bool AnyCounts = !Membership.Limits.RequireStoreReadSinceStart;
-  const auto InContact =
-      std::ranges::count_if(Membership.Members, [&](const member &Member) {
-        return (AnyCounts || Member.ReadStoreSinceStart) &&
-               isInContact(Membership, Member, Now);
-      });
-  const std::size_t Self = AnyCounts || Membership.Store.ReadAt ? 1 : 0;
-  return Membership.ListKnown &&
-         isMajority(Membership, static_cast<std::size_t>(InContact) + Self);
+  majority_contact &Known = Membership.Contact;
+  const bool NoLoss = Known.KnownLosses == Known.Losses;
+  if (NoLoss && Known.Until && Now <= *Known.Until)
+    return true;
+  if (NoLoss && Known.KnownGains == Known.Gains)
+    return false;
+  Known.Until = majorityContactEnd(Membership);
+  Known.KnownGains = Known.Gains;
+  Known.KnownLosses = Known.Losses;
+  Known.Visits += Membership.Members.size();
+  return Known.Until && Now <= *Known.Until;
 }
 
 bool majorityKnows(const membership &Membership, base::config_version Version) {
--- a/packages/control/src/peer_service.cpp
+++ b/packages/control/src/peer_service.cpp
@@ -374,6 +374,15 @@
   State->relaySharedRead({}, SharedRead);
 }
 
+void peer_service::relaySharedRead(const wire::shared_store_read &SharedRead) {
+  State->relaySharedRead({}, SharedRead);
+}
+
+void peer_service::markListed(
+    const std::vector<base::instance_name> &Instances) {
+  control::markListed(State->Membership, Instances);
+}
+
 void peer_service::sendSharedReadTo(std::string_view Instance,
                                     wire::shared_store_read SharedRead) {
   SharedRead.Relayed = true;
--- a/packages/control/src/relays.cpp
+++ b/packages/control/src/relays.cpp
@@ -4,6 +4,7 @@
 #include <iterator>
 #include <map>
 #include <numeric>
+#include <utility>
 
 namespace redwinggw::control {
 namespace {
@@ -172,19 +173,41 @@
 void removeRelayedPositions(const membership &Membership,
                             std::vector<wire::position_report> &Positions,
                             instant Now) {
+  if (Positions.empty())
+    return;
+  using position_key = std::pair<std::uint32_t, base::term_number>;
+  const auto KeyOf = [](const wire::position_report &Position) {
+    return position_key(Position.Group, Position.Term);
+  };
   const auto SampledAt = [](instant ReportAt,
                             const wire::position_report &Position) {
     return ReportAt - base::milliseconds(Position.Age);
   };
+  // The time of the newest sample of each that a relay has sent.
+  std::map<position_key, instant> Relayed;
   for (const member &Member : Membership.Members) {
-    if (!Member.ReportAt || Positions.empty())
+    if (!Member.ReportAt)
       continue;
-    for (const wire::position_report &Relayed : Member.Report.Positions)
-      std::erase_if(Positions, [&](const wire::position_report &Own) {
-        return Own.Group == Relayed.Group && Own.Term == Relayed.Term &&
-               SampledAt(Now, Own) <= SampledAt(*Member.ReportAt, Relayed);
-      });
+    for (const wire::position_report &Position : Member.Report.Positions) {
+      instant &Newest =
+          Relayed.try_emplace(KeyOf(Position), instant::min()).first->second;
+      Newest = std::max(Newest, SampledAt(*Member.ReportAt, Position));
+    }
   }
+  std::erase_if(Positions, [&](const wire::position_report &Own) {
+    const auto Known = Relayed.find(KeyOf(Own));
+    return Known != Relayed.end() && SampledAt(Now, Own) <= Known->second;
+  });
+}
+
+void keepNeededPositions(const member &Member,
+                         std::vector<wire::position_report> &Positions) {
+  if (Member.Report.Capacity <= 0)
+    return;
+  const std::vector<std::uint32_t> &Needed = Member.Report.Services;
+  std::erase_if(Positions, [&](const wire::position_report &Position) {
+    return !std::ranges::binary_search(Needed, Position.Group);
+  });
 }
 
 void recordHeartbeatSent(const membership &Membership, member &Member,
--- a/packages/redwinggw/src/platform_cold_endpoints.cpp
+++ b/packages/redwinggw/src/platform_cold_endpoints.cpp
@@ -135,7 +135,7 @@
 void releaseUnlisted(const platform_instance_ptr &State) {
   const instant Now = base::now();
   for (auto &[Endpoint, Held] : State->ColdPermissions) {
-    if (State->Endpoints.Pools.contains(Endpoint))
+    if (findPool(State->Endpoints, Endpoint))
       continue;
     // Connections that are still checked out may send until then.
     const auto Until = sendUntil(Held.Permission, Limits);
@@ -144,7 +144,7 @@
   }
   std::erase_if(State->ColdPermissions, [&](const auto &Item) {
     return !Item.second.Busy && !Item.second.Permission.OwnVersion &&
-           !State->Endpoints.Pools.contains(Item.first);
+           !findPool(State->Endpoints, Item.first);
   });
 }
 
--- a/packages/redwinggw/src/platform_configuration.cpp
+++ b/packages/redwinggw/src/platform_configuration.cpp
@@ -60,7 +60,7 @@
 /// Puts a configuration in force unless it is older than the present one. \p
 /// From names its source for the log: "store" or an instance.
 void acceptConfiguration(platform_instance_state &State,
-                         session::stored_configuration Given,
+                         session::transferred_state Given,
                          std::string_view From) {
   if (Given.Row <= State.Stored.Row || !Given.Text)
     return;
@@ -83,7 +83,7 @@
   noteInForce(State, From);
 }
 
-session::stored_configuration
+session::transferred_state
 storedConfiguration(const platform::table_rows &Rows) {
   const auto Row = std::ranges::find(Rows.Rows, platform::ConfigurationKey,
                                      &platform::table_row::Key);
@@ -148,8 +148,8 @@
   if (Holder == nullptr || !State.ForwardingClient)
     co_return;
   const session::connection_owner From{Holder->Name, Holder->Address};
-  auto Fetched = co_await State.ForwardingClient->fetchConfiguration(
-      From, State.Stored.Row);
+  const session::transfer_request Request{State.Stored.Row};
+  auto Fetched = co_await State.ForwardingClient->fetchState(From, Request);
   acceptConfiguration(State, std::move(Fetched), From.Name);
 }
 
@@ -167,8 +167,12 @@
 
 void acceptEvacuations(platform_instance_state &State,
                        session::evacuations Read, std::string_view From) {
+  const std::vector<base::zone_name> Before = State.Evacuations.Zones;
   if (!applyEvacuations(State.Evacuations, std::move(Read)))
     return;
+  for (const base::zone_name &Zone : Before)
+    if (!isEvacuated(State.Evacuations, Zone))
+      State.EvacuationEndedAt[Zone] = base::now();
   std::string Zones;
   for (const base::zone_name &Zone : State.Evacuations.Zones)
     Zones.append(Zones.empty() ? "" : " ").append(Zone);
@@ -181,12 +185,20 @@
 }
 
 base::task<void> followConfiguration(platform_instance_ptr State) {
+  control::state_need Need;
   while (!State->Stopped) {
     // When another instance reads the store, its heartbeats report changes.
     if (State->Routes && hasStoreReader(*State) && !isBehind(*State)) {
+      noteSupplied(Need);
       co_await pauseWithJitter(*State, UpdateCheckInterval);
       continue;
     }
+    if (mayAwaitRelays(*State, Need)) {
+      auto Fetched = co_await fetchFromRelays(
+          *State, session::state_kind::Configuration, State->Stored.Row);
+      acceptConfiguration(*State, std::move(Fetched), "relay");
+      continue;
+    }
     // Others may answer while the store does not.
     if (!State->StorePacing.Answers && isBehind(*State))
       co_await fetchFromPeer(*State);
--- a/packages/redwinggw/src/platform_endpoint_owners.cpp
+++ b/packages/redwinggw/src/platform_endpoint_owners.cpp
@@ -1,6 +1,7 @@
 #include "platform_instance_state.hpp"
 
 #include "redwinggw/base/log.hpp"
+#include "redwinggw/control/relays.hpp"
 #include "redwinggw/session/endpoint_owner.hpp"
 #include "redwinggw/session/standby_owner.hpp"
 
@@ -13,12 +14,22 @@
 
 namespace {
 
+/// Empty names where they are not computed yet.
+session::connection_owners ownersOf(const platform_instance_state &State,
+                                    std::string_view Endpoint) {
+  if (State.Settings.Owners == owner_policy::Capacity)
+    return ownersOf(State.Assignment, Endpoint);
+  const auto Found = State.Owners.find(Endpoint);
+  return Found == State.Owners.end() ? session::connection_owners()
+                                     : Found->second;
+}
+
 session::owner_role ownRole(const platform_instance_state &State,
                             std::string_view Endpoint) {
-  const auto Found = State.Owners.find(Endpoint);
-  return Found == State.Owners.end()
+  const session::connection_owners Owners = ownersOf(State, Endpoint);
+  return Owners == session::connection_owners()
              ? session::owner_role::Owner
-             : roleOf(Found->second, State.Settings.Name);
+             : roleOf(Owners, State.Settings.Name);
 }
 
 } // namespace
@@ -45,14 +56,6 @@
   return Candidates;
 }
 
-/// Empty names where they are not computed yet.
-session::connection_owners ownersOf(const platform_instance_state &State,
-                                    std::string_view Endpoint) {
-  const auto Found = State.Owners.find(Endpoint);
-  return Found == State.Owners.end() ? session::connection_owners()
-                                     : Found->second;
-}
-
 void logOwner(const base::endpoint_name &Endpoint,
               const base::instance_name &Before,
               const session::connection_owners &Now, bool HasStandby) {
@@ -68,9 +71,22 @@
                    "owner_changed", {Name, Was, Is});
 }
 
+/// Whether this instance has, or had, to do with the endpoint. Another one's
+/// owner is not logged: in a large fleet each change moves some endpoints.
+bool isInvolved(const platform_instance_state &State,
+                const base::endpoint_name &Endpoint,
+                const session::connection_owners &Owners) {
+  return State.Settings.Owners == owner_policy::Hash ||
+         State.Owners.contains(Endpoint) ||
+         findPool(State.Endpoints, Endpoint) ||
+         roleOf(Owners, State.Settings.Name) != session::owner_role::Other;
+}
+
 void noteOwners(platform_instance_state &State,
                 const base::endpoint_name &Endpoint,
                 session::connection_owners Owners) {
+  if (!isInvolved(State, Endpoint, Owners))
+    return;
   auto &Known = State.Owners[Endpoint];
   if (Known != Owners)
     logOwner(Endpoint, Known.Owner, Owners, State.Core.Limits.StandbyOwners);
@@ -80,48 +96,71 @@
 void assignByHash(platform_instance_state &State,
                   std::vector<session::owner_candidate> Candidates,
                   const session::candidate_changes &Changes) {
-  for (const auto &[Name, Pool] : State.Endpoints.Pools) {
-    const auto *Owner =
-        ownerAfter(Name, Pool->entry().Zone, State.Owners[Name].Owner, Changes,
-                   Candidates);
+  for (const auto &[Name, Known] : State.Endpoints.Directory.Endpoints) {
+    const auto *Owner = ownerAfter(
+        Name, Known.Entry.Zone, State.Owners[Name].Owner, Changes, Candidates);
     noteOwners(State, Name, {Owner == nullptr ? "" : Owner->Name, ""});
   }
   State.OwnerCandidates = std::move(Candidates);
 }
 
-void assignByCapacity(platform_instance_state &State,
-                      std::vector<session::owner_candidate> Candidates) {
+std::vector<session::owned_endpoint>
+listedEndpoints(const platform_instance_state &State) {
   std::vector<session::owned_endpoint> Endpoints;
-  Endpoints.reserve(State.Endpoints.Pools.size());
-  for (const auto &[Name, Pool] : State.Endpoints.Pools)
-    Endpoints.push_back({Name, Pool->entry().Zone});
+  const auto &Listed = State.Endpoints.Directory.Endpoints;
+  Endpoints.reserve(Listed.size());
+  for (const auto &[Name, Known] : Listed)
+    Endpoints.push_back({Name, Known.Entry.Zone});
+  return Endpoints;
+}
+
+/// True if owners may have changed.
+bool assignByCapacity(platform_instance_state &State,
+                      std::vector<session::owner_candidate> Candidates) {
   session::owner_assignment &Assignment = State.Assignment;
-  if (!updateAssignment(Assignment, std::move(Endpoints),
-                        std::move(Candidates)))
-    return;
-  for (std::size_t Index = 0; Index < Assignment.Endpoints.size(); ++Index)
-    noteOwners(State, Assignment.Endpoints[Index].Name,
-               Assignment.Owners[Index]);
+  const auto Changed =
+      State.ConnectionsStale
+          ? updateAssignment(Assignment, listedEndpoints(State),
+                             std::move(Candidates))
+          : updateCandidates(Assignment, std::move(Candidates));
+  if (!Changed)
+    return false;
+  for (const std::size_t Position : *Changed)
+    noteOwners(State, Assignment.Endpoints[Position].Name,
+               Assignment.Owners[Position]);
+  return true;
 }
 
 /// Forgets the owners of endpoints that are gone.
 void forgetFormerEndpoints(platform_instance_state &State) {
   const auto IsFormer = [&](const auto &Item) {
-    return !State.Endpoints.Pools.contains(Item.first);
+    return !State.Endpoints.Directory.Endpoints.contains(Item.first);
   };
   std::erase_if(State.Owners, IsFormer);
   std::erase_if(State.StandbyLoggedAt, IsFormer);
 }
 
+/// Whether owners have to be computed again. In a fleet with relays the states
+/// of the members alone decide who may own endpoints.
+bool mayOwnersDiffer(platform_instance_state &State) {
+  if (!State.Peers)
+    return true;
+  const control::membership &View = State.Peers->view();
+  const owner_basis Basis{View.StatesVersion, State.Draining};
+  const owner_basis Before = std::exchange(State.OwnerBasis, Basis);
+  return State.ConnectionsStale || !usesRelays(View) || Before != Basis;
+}
+
 /// Each instance computes the owners on its own, from the instances that it is
 /// in contact with. Recomputed only after a change; true if it was.
 bool assignOwners(platform_instance_state &State) {
+  if (!mayOwnersDiffer(State))
+    return false;
   const instant Now = base::now();
   auto Candidates = ownerCandidates(State, Now);
   if (State.Settings.Owners == owner_policy::Capacity) {
-    if (Candidates == State.Assignment.Candidates && !State.ConnectionsStale)
+    if (!assignByCapacity(State, std::move(Candidates)))
       return false;
-    assignByCapacity(State, std::move(Candidates));
   } else {
     const auto Changes = changesBetween(State.OwnerCandidates, Candidates);
     if (Changes.none() && !State.ConnectionsStale)
@@ -155,6 +194,16 @@
       State.ForwardingClient->abandon(Member.Name, Now);
 }
 
+/// Only the owner may send to a cold endpoint, with a permission that it
+/// acquires before the first statement: see followColdEndpoints.
+void openPoolsForColdEndpoints(platform_instance_state &State) {
+  if (!coldLimits(State.Settings))
+    return;
+  for (const auto &[Name, Known] : State.Endpoints.Directory.Endpoints)
+    if (isOwn(State, Name))
+      poolOf(State.Endpoints, Name);
+}
+
 bool mayForwardTo(const platform_instance_state &State,
                   std::string_view Instance) {
   const instant Now = base::now();
@@ -189,8 +238,9 @@
       Executor, State.Endpoints.Watch, Secret);
   State.ForwardingServer = std::make_unique<session::forwarding_server>(
       Executor, State.Core, Secret);
-  State.ForwardingServer->serveConfigurationFrom(
-      [&State] { return State.Stored; });
+  State.ForwardingServer->serveStateFrom(
+      [&State](session::state_kind Kind) { return stateHeld(State, Kind); },
+      session::maxTransfers(State.Settings.LinkMbps));
   // When listening fails, the other instances connect to the endpoints
   // themselves.
   if (const auto Listening =
@@ -200,6 +250,37 @@
               describe(Listening.error()));
 }
 
+void preparePool(platform_instance_state &State, session::endpoint_pool &Pool) {
+  if (!State.Routes)
+    return;
+  const auto Service = State.Routes->Services.find(Pool.entry().Service);
+  if (Service == State.Routes->Services.end())
+    return;
+  configure(Pool.cold(), coldLimits(State.Settings),
+            Service->second.ColdPerSecond, Service->second.ColdStart);
+  Pool.setEvacuated(isEvacuated(State.Evacuations, Pool.entry().Zone));
+  const session::owner_role Role = ownRole(State, Pool.entry().Name);
+  Pool.setOwnedElsewhere(Role != session::owner_role::Owner);
+  const std::size_t Instances =
+      State.Peers ? instanceCount(State.Peers->view()) : 1;
+  session::pool_limits Limits =
+      session::limitsFor(Role, Service->second.Connections, Instances);
+  Limits.Policy = State.Settings.Connections;
+  Pool.setLimits(Limits);
+}
+
+void openPool(platform_instance_state &State, session::endpoint_pool &Pool) {
+  preparePool(State, Pool);
+  const base::endpoint_name &Name = Pool.entry().Name;
+  if (const auto Owners = ownersOf(State, Name); !Owners.Owner.empty())
+    noteOwners(State, Name, Owners);
+  // The pools that were in use when the evacuation ended presume this as well:
+  // the list may not say yet that the endpoint returned cold.
+  const auto Ended = State.EvacuationEndedAt.find(Pool.entry().Zone);
+  if (Ended != State.EvacuationEndedAt.end())
+    presumeCold(Pool.cold(), Ended->second);
+}
+
 void divideConnections(platform_instance_state &State) {
   abandonLostOwners(State);
   if (!State.Routes)
@@ -207,24 +288,14 @@
   const std::size_t Instances =
       State.Peers ? instanceCount(State.Peers->view()) : 1;
   const bool OwnersAssigned = assignOwners(State);
-  if (!OwnersAssigned && Instances == State.DividedAmong)
+  if (!OwnersAssigned && !State.ConnectionsStale &&
+      Instances == State.DividedAmong)
     return;
   State.ConnectionsStale = false;
   State.DividedAmong = Instances;
-  for (auto &[Name, Pool] : State.Endpoints.Pools) {
-    const auto Service = State.Routes->Services.find(Pool->entry().Service);
-    if (Service == State.Routes->Services.end())
-      continue;
-    configure(Pool->cold(), coldLimits(State.Settings),
-              Service->second.ColdPerSecond, Service->second.ColdStart);
-    Pool->setEvacuated(isEvacuated(State.Evacuations, Pool->entry().Zone));
-    const session::owner_role Role = ownRole(State, Name);
-    Pool->setOwnedElsewhere(Role != session::owner_role::Owner);
-    session::pool_limits Limits =
-        session::limitsFor(Role, Service->second.Connections, Instances);
-    Limits.Policy = State.Settings.Connections;
-    Pool->setLimits(Limits);
-  }
+  openPoolsForColdEndpoints(State);
+  for (auto &[Name, Pool] : State.Endpoints.Pools)
+    preparePool(State, *Pool);
 }
 
 std::unique_ptr<session::forwarding_link>
--- a/packages/redwinggw/src/platform_endpoints.cpp
+++ b/packages/redwinggw/src/platform_endpoints.cpp
@@ -9,6 +9,8 @@
 
 #include <algorithm>
 #include <iterator>
+#include <limits>
+#include <memory>
 
 /// The endpoint list: the store reader reads it from the platform's store and
 /// sends it to the other instances.
@@ -40,6 +42,11 @@
   return Entries;
 }
 
+bool isRecent(const platform_instance_state &State) {
+  return base::now() - State.EndpointListAt.value_or(LongAgo) <
+         SharedListValidFor;
+}
+
 std::string digestText(const std::vector<session::endpoint_entry> &List) {
   return std::to_string(digestOf(List));
 }
@@ -72,6 +79,15 @@
   State.Peers->sendSharedRead(Digest);
 }
 
+/// Tells the instances that this one relays for which list it has read, since
+/// the store reader tells them nothing.
+void confirmForZone(platform_instance_state &State) {
+  wire::shared_store_read Digest;
+  Digest.Kind = wire::shared_read_kind::EndpointsUnchanged;
+  Digest.Text = State.EndpointListDigest;
+  State.Peers->relaySharedRead(Digest);
+}
+
 /// Sends the list in full after a change and every FullListInterval, otherwise
 /// a digest that tells that it is unchanged. An instance with another list
 /// ignores the digest, and reads the store itself when nothing else arrives.
@@ -97,8 +113,8 @@
 
 /// Sends the list to the instances that do not read it themselves. In a fleet
 /// with relays, as changes to \p Before, the list that they have. An instance
-/// that lacks them sees that by the next digest, and requests the list in full
-/// from whoever sent that.
+/// that lacks them sees that by the next digest, and fetches the list in full
+/// from a relay.
 ///
 /// \p Version: the store's version at the read of the list.
 void shareEndpointList(platform_instance_state &State,
@@ -122,6 +138,21 @@
     shareWholeList(State, Version);
 }
 
+/// One line for each endpoint, or one for all: a list of thousands arrives at
+/// once, and each line is a system call.
+void logNames(const std::vector<base::endpoint_name> &Names,
+              const std::string &Event) {
+  constexpr std::size_t MaxLines = 10;
+  if (Names.size() > MaxLines) {
+    base::log(log_level::Info, log_part::Endpoints,
+              std::to_string(Names.size()) + " endpoints were " + Event + ".");
+    return;
+  }
+  for (const base::endpoint_name &Name : Names)
+    base::log(log_level::Info, log_part::Endpoints,
+              "Endpoint " + Name + " was " + Event + ".");
+}
+
 void acceptEndpointList(platform_instance_state &State,
                         const std::vector<session::endpoint_entry> &Entries,
                         base::instant ReadAt) {
@@ -133,12 +164,8 @@
   const bool Changed = !Changes.Started.empty() || !Changes.Gone.empty() ||
                        !Changes.Changed.empty();
   State.ConnectionsStale = State.ConnectionsStale || Changed;
-  for (const base::endpoint_name &Name : Changes.Started)
-    base::log(log_level::Info, log_part::Endpoints,
-              "Endpoint " + Name + " was added to the list.");
-  for (const base::endpoint_name &Name : Changes.Gone)
-    base::log(log_level::Info, log_part::Endpoints,
-              "Endpoint " + Name + " was removed from the list.");
+  logNames(Changes.Started, "added to the list");
+  logNames(Changes.Gone, "removed from the list");
   divideConnections(State);
 }
 
@@ -157,23 +184,18 @@
 
 namespace {
 
-/// Requests the list with \p Digest from \p From. An answer that is lost is
-/// requested again at the next digest.
-void requestList(platform_instance_state &State,
-                 const base::instance_name &From, std::string Digest) {
+/// Records that the list with \p Digest has to be fetched.
+void wantList(platform_instance_state &State, const std::string &Digest) {
   if (!usesRelays(State.Peers->view()))
     return;
   // Parts of another list may have a higher version.
   if (State.RequestedEndpointList != Digest)
     State.EndpointListParts = {};
   State.RequestedEndpointList = Digest;
-  wire::shared_store_read Request;
-  Request.Kind = wire::shared_read_kind::EndpointsRequest;
-  Request.Text = std::move(Digest);
-  State.Peers->sendSharedReadTo(From, std::move(Request));
 }
 
-/// Answers a request for the list with \p Digest, if this instance has it.
+/// Answers the request of a build that asks by datagram for the list with
+/// \p Digest, if this instance has it.
 void answerRequest(platform_instance_state &State,
                    const base::instance_name &From, std::string_view Digest) {
   if (!State.EndpointListAt || Digest != State.EndpointListDigest)
@@ -183,12 +205,11 @@
     State.Peers->sendSharedReadTo(From, std::move(Read));
 }
 
-void acceptDigest(platform_instance_state &State,
-                  const base::instance_name &From, const std::string &Digest) {
+void acceptDigest(platform_instance_state &State, const std::string &Digest) {
   if (!State.EndpointListAt)
     return;
   if (Digest != State.EndpointListDigest) {
-    requestList(State, From, Digest);
+    wantList(State, Digest);
     return;
   }
   State.RequestedEndpointList.clear();
@@ -255,7 +276,7 @@
     acceptPart(State, Reading);
     return;
   case wire::shared_read_kind::EndpointsUnchanged:
-    acceptDigest(State, From, Reading.Text);
+    acceptDigest(State, Reading.Text);
     return;
   case wire::shared_read_kind::EndpointChanges:
     acceptChanges(State, Reading);
@@ -282,20 +303,62 @@
     for (session::endpoint_entry &Entry : Entries)
       Entry.ColdRemaining = milliseconds(0);
   acceptEndpointList(State, Entries, Sent);
-  if (isStoreReader(State) && State.Peers)
+  if (!State.Peers)
+    return;
+  if (isStoreReader(State))
     shareEndpointList(State, Before, Rows.Version);
+  else if (usesRelays(State.Peers->view()) && State.Peers->view().Relay)
+    confirmForZone(State);
+}
+
+} // namespace
+
+session::transferred_state endpointsHeld(const platform_instance_state &State) {
+  if (!isRecent(State))
+    return {};
+  auto Texts = encodeEndpoints(State.EndpointList,
+                               std::numeric_limits<std::size_t>::max());
+  return {State.EndpointListVersion,
+          std::make_shared<const std::string>(std::move(Texts.front()))};
+}
+
+namespace {
+
+/// Takes the list that a relay has, if that has a newer one.
+base::task<void> fetchEndpoints(platform_instance_state &State) {
+  const std::uint64_t Held =
+      State.EndpointListAt ? State.EndpointListVersion : 0;
+  const auto Fetched =
+      co_await fetchFromRelays(State, session::state_kind::Endpoints, Held);
+  if (Fetched.Row <= Held || !Fetched.Text)
+    co_return;
+  const auto Entries = session::decodeEndpoints(*Fetched.Text);
+  if (!Entries) {
+    base::logEvent(log_level::Warning, log_part::Endpoints, "list_not_decoded",
+                   {{"version", std::to_string(Fetched.Row)},
+                    {"bytes", std::to_string(Fetched.Text->size())}});
+    co_return;
+  }
+  State.EndpointListVersion = Fetched.Row;
+  acceptEndpointList(State, *Entries, base::now());
 }
 
 } // namespace
 
 base::task<void> followEndpoints(platform_instance_ptr State) {
+  control::state_need Need;
   while (!State->Stopped) {
-    const bool Recent = base::now() - State->EndpointListAt.value_or(LongAgo) <
-                        SharedListValidFor;
+    const bool Recent =
+        isRecent(*State) && State->RequestedEndpointList.empty();
     if (Recent && hasStoreReader(*State)) {
+      noteSupplied(Need);
       co_await pauseWithJitter(*State, UpdateCheckInterval);
       continue;
     }
+    if (mayAwaitRelays(*State, Need)) {
+      co_await fetchEndpoints(*State);
+      continue;
+    }
     const bool InTurn =
         co_await awaitStoreAttempt(*State, control::store_loop::Endpoints);
     if (!InTurn)
--- a/packages/redwinggw/src/platform_fleet.cpp
+++ b/packages/redwinggw/src/platform_fleet.cpp
@@ -2,6 +2,7 @@
 
 #include "redwinggw/base/log.hpp"
 #include "redwinggw/control/relays.hpp"
+#include "redwinggw/session/instance_list.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -27,10 +28,15 @@
   return std::string(InstancePrefix).append(Name);
 }
 
+std::string instanceText(std::string_view Zone, const http::address &Peers,
+                         double Capacity) {
+  return json::serialize(json::object{
+      {"zone", Zone}, {"peers", toText(Peers)}, {"capacity", Capacity}});
+}
+
 std::string instanceText(const platform_instance_state &State) {
-  return json::serialize(json::object{{"zone", State.Settings.Zone},
-                                      {"peers", toText(State.Settings.Peers)},
-                                      {"capacity", State.Settings.Capacity}});
+  return instanceText(State.Settings.Zone, State.Settings.Peers,
+                      State.Settings.Capacity);
 }
 
 /// Nothing when the row is not an instance's or cannot be parsed.
@@ -103,8 +109,6 @@
   connectPeers(State);
   connectTokenTransfers(State);
   startForwarding(State, Secret);
-  if (const auto Started = State.Peers->start(); !Started)
-    base::log(log_level::Error, log_part::Peers, describe(Started.error()));
 }
 
 /// Applies the rows of the fleet. True when this instance's row is among them.
@@ -112,6 +116,7 @@
                      const platform::table_rows &Rows) {
   std::vector<storage::listed_instance> Listed;
   State.InstanceRowVersions.clear();
+  State.FleetVersion = Rows.Version;
   for (const platform::table_row &Row : Rows.Rows) {
     if (auto Instance = instanceOf(Row)) {
       State.InstanceRowVersions.emplace(Instance->Name, Row.Version);
@@ -258,6 +263,8 @@
   const bool Listed = acceptFleetRows(State, Rows);
   State.Peers->noteStoreRead(Sent, base::now(), State.Claims.Version);
   State.FleetReadAt = Sent;
+  if (Listed)
+    State.RegistrationLeftAt.reset();
   return Listed;
 }
 
@@ -269,6 +276,35 @@
   return valueAt(Rows, instanceKey(State.Settings.Name)) == instanceText(State);
 }
 
+/// The instances in \p Rows other than this one, and those of its zone.
+struct listed_count {
+  std::size_t All = 0;
+  std::size_t InZone = 0;
+};
+
+listed_count countListed(const platform_instance_state &State,
+                         const platform::table_rows &Rows) {
+  listed_count Count;
+  for (const platform::table_row &Row : Rows.Rows) {
+    const auto Instance = instanceOf(Row);
+    if (!Instance || Instance->Name == State.Settings.Name)
+      continue;
+    ++Count.All;
+    Count.InZone += Instance->Zone == State.Settings.Zone ? 1 : 0;
+  }
+  return Count;
+}
+
+/// Whether relays of this availability zone can register this instance: the
+/// store serializes writes, and hundreds of instances that start together would
+/// wait for each other for seconds.
+bool mayLeaveRegistration(const listed_count &Listed) {
+  // As many as are tried as relays.
+  constexpr std::size_t RelayCandidates = 4;
+  return Listed.All > control::membership_limits().DirectLimit &&
+         Listed.InZone >= RelayCandidates;
+}
+
 /// Waits for a random time, in which another instance may create the secret: if
 /// all instances of a fleet that starts for the first time tried to, the store
 /// would serialize as many commits, of which one succeeds.
@@ -284,6 +320,8 @@
   const auto Rows = co_await readRows(State);
   if (!Rows)
     co_return false;
+  const listed_count Listed = countListed(State, *Rows);
+  State.FleetSize = Listed.All + 1;
   auto Secret = valueAt(*Rows, SecretKey);
   if (!Secret && !State.SecretLeftToOthers) {
     co_await leaveSecretToOthers(State);
@@ -294,25 +332,131 @@
   if (!Secret)
     co_return false;
   bool Registered = isRegistered(State, *Rows);
-  if (!Registered)
+  if (!Registered && mayLeaveRegistration(Listed)) {
+    State.RegistrationLeftAt = base::now();
+    Registered = true;
+  }
+  if (!Registered) {
     Registered = co_await registerInstance(State);
+    if (Listed.All > control::membership_limits().DirectLimit)
+      State.RegistrationLeftAt = base::now();
+  }
   if (!Registered)
     co_return false;
   startPeers(State, *Secret);
+  // Relays are chosen with the first heartbeats, so the list comes first.
   noteFleetRows(State, *Rows, Sent);
+  if (const auto Started = State.Peers->start(); !Started)
+    base::log(log_level::Error, log_part::Peers, describe(Started.error()));
   co_return true;
 }
 
+/// Registers the instances that report here and have no row yet, many with one
+/// write. An instance that asks this one for shared reads is registered by it
+/// only.
+base::task<void> registerOthers(platform_instance_state &State) {
+  constexpr milliseconds Interval{200};
+  // A request may have a hundred entries.
+  constexpr std::size_t MaxRows = 90;
+  const base::instant Now = base::now();
+  const control::membership &View = State.Peers->view();
+  const bool Due = Now - State.RegisteredOthersAt.value_or(LongAgo) > Interval;
+  if (!Due || !usesRelays(View) || !View.Relay || State.Draining)
+    co_return;
+  storage::commit_request Request;
+  std::vector<base::instance_name> Names;
+  for (const control::member &Member : View.Members) {
+    const bool Wanted = !Member.Listed && reportsHere(Member) &&
+                        Member.Report.WantsSharedReads &&
+                        !Member.Report.Leaving && Member.Capacity > 0 &&
+                        isInDirectContact(View, Member, Now);
+    if (!Wanted || Names.size() == MaxRows)
+      continue;
+    Names.push_back(Member.Name);
+    Request.Puts.push_back(
+        {instanceKey(Member.Name),
+         instanceText(Member.Zone, Member.Address, Member.Capacity)});
+  }
+  if (Names.empty())
+    co_return;
+  State.RegisteredOthersAt = Now;
+  const auto Written =
+      co_await storage::commit(State.Store, std::move(Request));
+  if (!Written)
+    co_return;
+  State.Peers->markListed(Names);
+  base::log(log_level::Info, log_part::Peers,
+            "Registered " + std::to_string(Names.size()) + " instances.");
+}
+
+/// Registers this instance if no relay has done so.
+base::task<void> confirmRegistration(platform_instance_state &State) {
+  constexpr milliseconds RelaysRegisterWithin{2000};
+  if (!State.RegistrationLeftAt ||
+      base::now() - *State.RegistrationLeftAt < RelaysRegisterWithin)
+    co_return;
+  const bool Registered = co_await registerInstance(State);
+  if (Registered)
+    State.RegistrationLeftAt.reset();
+  else
+    State.RegistrationLeftAt = base::now();
+}
+
 /// Waits until the rows are due to be read again, sooner when a heartbeat
-/// reported a change or an unlisted instance.
-base::task<void> pauseBetweenReads(platform_instance_state &State,
+/// reported a change or an unlisted instance. True if it was sooner.
+base::task<bool> pauseBetweenReads(platform_instance_state &State,
                                    bool Answered) {
   const base::instant Since = base::now();
   const milliseconds Pause = Answered ? fleetReadInterval(State) : RetryDelay;
   const milliseconds Wanted = requestedReadInterval(State);
-  while (!State.Stopped && base::now() - Since < Pause &&
-         (!State.FleetReadRequested || base::now() - Since < Wanted))
+  bool Requested = false;
+  while (!State.Stopped && base::now() - Since < Pause && !Requested) {
     co_await pauseWithJitter(State, UpdateCheckInterval);
+    co_await registerOthers(State);
+    co_await confirmRegistration(State);
+    const bool Differs = usesRelays(State.Peers->view()) &&
+                         !State.Peers->view().Relay && !hasListOfRelays(State);
+    Requested =
+        (State.FleetReadRequested || Differs) && base::now() - Since >= Wanted;
+  }
+  co_return Requested;
+}
+
+/// Whether a claim is known to exist that only the rows can tell here.
+bool lacksClaims(const platform_instance_state &State) {
+  return State.Peers->view().Store.HeadVersion > State.Claims.Version;
+}
+
+/// Takes the list of instances from a relay. False if this instance has to read
+/// the rows itself.
+base::task<bool> takeListFromRelays(platform_instance_state &State,
+                                    control::state_need &Need) {
+  if (!mayAwaitRelays(State, Need))
+    co_return false;
+  if (hasListOfRelays(State)) {
+    State.FleetReadRequested = lacksClaims(State);
+    if (!State.FleetReadRequested)
+      noteSupplied(Need);
+    co_return true;
+  }
+  const auto Fetched =
+      co_await fetchFromRelays(State, session::state_kind::Instances, 0);
+  if (!Fetched.Text)
+    co_return true;
+  const auto Listed = session::decodeInstances(*Fetched.Text);
+  if (!Listed)
+    co_return false;
+  const bool SelfListed =
+      std::ranges::find(*Listed, State.Settings.Name,
+                        &storage::listed_instance::Name) != Listed->end();
+  if (!SelfListed && !State.RegistrationLeftAt)
+    co_return false;
+  if (SelfListed)
+    State.RegistrationLeftAt.reset();
+  State.Peers->setList(*Listed);
+  State.FleetReadRequested = lacksClaims(State);
+  noteSupplied(Need);
+  co_return true;
 }
 
 } // namespace
@@ -346,8 +490,14 @@
 
 base::task<void> followFleet(platform_instance_ptr State) {
   bool Answered = true;
+  control::state_need Need;
   while (!State->Stopped) {
-    co_await pauseBetweenReads(*State, Answered);
+    const bool Requested = co_await pauseBetweenReads(*State, Answered);
+    bool Taken = false;
+    if (Requested)
+      Taken = co_await takeListFromRelays(*State, Need);
+    if (Taken)
+      continue;
     bool InTurn = false;
     while (!InTurn && !State->Stopped)
       InTurn = co_await awaitStoreAttempt(*State, control::store_loop::Fleet);
--- a/packages/redwinggw/src/platform_handover.cpp
+++ b/packages/redwinggw/src/platform_handover.cpp
@@ -42,6 +42,7 @@
 }
 
 session::handover_view viewOf(platform_instance_state &State,
+                              const primary_reports &Reports,
                               const base::service_name &Service) {
   session::handover_view View;
   View.Claim = findClaim(State.Claims, Service);
@@ -53,16 +54,12 @@
       View.Entry != nullptr &&
       isEvacuated(State.Evacuations, View.Entry->Zone) &&
       !replacementsFor(State, Service, View.Primary).empty();
-  View.Suspects = countSuspects(State, Service);
-  bool OrdererAlive = false;
-  for (const control::member &Member : State.Peers->view().Members) {
-    const bool Up = Member.State == control::member_state::Alive;
-    View.Instances += Up ? 1 : 0;
-    const bool Orders =
-        View.Claim != nullptr && Member.Name == View.Claim->Claim.Orderer;
-    OrdererAlive = OrdererAlive || (Up && Orders);
-  }
-  if (OrdererAlive)
+  View.Suspects = countSuspects(State, Reports, Service);
+  View.Instances = Reports.Up.size();
+  // A service that was never moved has no orderer.
+  if (View.Claim == nullptr)
+    return View;
+  if (Reports.Up.contains(View.Claim->Claim.Orderer))
     State.OrdererUnreachableSince.erase(Service);
   else
     View.OrdererGoneSince =
@@ -346,11 +343,11 @@
 }
 
 /// Moves the primary of \p Service if there is a cause to.
-void checkPrimary(platform_instance_ptr State,
+void checkPrimary(platform_instance_ptr State, const primary_reports &Reports,
                   const base::service_name &Service) {
   if (State->Moving.contains(Service))
     return;
-  const auto View = viewOf(*State, Service);
+  const auto View = viewOf(*State, Reports, Service);
   const move_cause Cause = causeToMove(View, State->Handover, base::now());
   if (Cause == move_cause::None)
     return;
@@ -359,14 +356,22 @@
                  asio::detached);
 }
 
+void checkPrimaries(platform_instance_ptr State) {
+  const auto Services = watchedServices(*State);
+  if (Services.empty())
+    return;
+  const primary_reports Reports = collectPrimaryReports(*State);
+  for (const base::service_name &Service : Services)
+    checkPrimary(State, Reports, Service);
+}
+
 } // namespace
 
 base::task<void> monitorPrimaries(platform_instance_ptr State) {
   while (!State->Stopped) {
     if (State->Peers && State->Routes && State->FleetReadAt) {
       probePrimariesInDoubt(State);
-      for (const base::service_name &Service : watchedServices(*State))
-        checkPrimary(State, Service);
+      checkPrimaries(State);
     }
     co_await pauseWithJitter(*State, PrimaryCheckInterval);
   }
--- a/packages/redwinggw/src/platform_heartbeats.cpp
+++ b/packages/redwinggw/src/platform_heartbeats.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <utility>
 
 /// Content of the heartbeats that instances send each other.
@@ -65,6 +66,14 @@
   return Reports;
 }
 
+/// hashOf the services whose endpoints this instance uses, sorted.
+std::vector<std::uint32_t> servicesInUse(const platform_instance_state &State) {
+  std::set<std::uint32_t> Services;
+  for (const auto &[Name, Pool] : State.Endpoints.Pools)
+    Services.insert(wire::hashOf(Pool->entry().Service));
+  return {Services.begin(), Services.end()};
+}
+
 /// For each primary, how many of the instances that report to this one suspect
 /// it.
 std::vector<wire::suspicion_count>
@@ -113,6 +122,7 @@
   const instant Now = base::now();
   Report.Demands = announceDemand(State.Shares, Now);
   Report.Positions = positionReports(State);
+  Report.Services = servicesInUse(State);
   // Shares are recomputed with each heartbeat, since heartbeats carry the
   // demands.
   const bool InContact = mayTrustClaims(State);
@@ -236,48 +246,58 @@
 
 namespace {
 
-/// Suspicions of \p Primary as counted by the relays of the other availability
-/// zones. Both relays of a zone count the same instances, so the higher count
-/// of a zone is used.
-std::size_t countRelayedSuspects(const platform_instance_state &State,
-                                 std::string_view Service,
-                                 std::string_view Primary) {
-  std::map<base::zone_name, std::size_t> Zones;
+using suspected_primary = std::pair<base::service_name, base::endpoint_name>;
+
+/// Adds the suspicions that the relays of the other availability zones count.
+/// The relays of a zone count the same instances, so the highest count of a
+/// zone is used.
+void addRelayedSuspects(const platform_instance_state &State,
+                        primary_reports &Reports) {
+  std::map<std::pair<base::zone_name, suspected_primary>, std::size_t> Most;
   for (const control::member &Member : State.Peers->view().Members) {
     if (!isUp(Member) || Member.Zone == State.Settings.Zone)
       continue;
     for (const wire::suspicion_count &Reported :
-         Member.Report.Digest.Suspicions)
-      if (Reported.Group == Service && Reported.Primary == Primary)
-        Zones[Member.Zone] =
-            std::max<std::size_t>(Zones[Member.Zone], Reported.Count);
+         Member.Report.Digest.Suspicions) {
+      std::size_t &Count =
+          Most[{Member.Zone, {Reported.Group, Reported.Primary}}];
+      Count = std::max<std::size_t>(Count, Reported.Count);
+    }
   }
-  std::size_t Count = 0;
-  for (const auto &[Zone, Most] : Zones)
-    Count += Most;
-  return Count;
+  for (const auto &[Suspected, Count] : Most)
+    Reports.Suspects[Suspected.second] += Count;
 }
 
 } // namespace
 
+primary_reports collectPrimaryReports(const platform_instance_state &State) {
+  primary_reports Reports;
+  if (!State.Peers)
+    return Reports;
+  for (const control::member &Member : State.Peers->view().Members) {
+    if (!isUp(Member))
+      continue;
+    Reports.Up.insert(Member.Name);
+    std::set<suspected_primary> Suspected;
+    for (const wire::group_report &Report : Member.Report.Groups)
+      if (Report.Suspect)
+        Suspected.emplace(Report.Group, Report.Primary);
+    for (const suspected_primary &Primary : Suspected)
+      ++Reports.Suspects[Primary];
+  }
+  addRelayedSuspects(State, Reports);
+  return Reports;
+}
+
 std::size_t countSuspects(const platform_instance_state &State,
-                          std::string_view Service) {
-  std::size_t Count = suspects(State, Service) ? 1 : 0;
+                          const primary_reports &Reports,
+                          const base::service_name &Service) {
   // Reports may still name a primary that was replaced meanwhile.
-  const base::endpoint_name Primary = primaryOf(State, Service);
-  if (!State.Peers)
-    return Count;
-  for (const control::member &Member : State.Peers->view().Members)
-    Count += isUp(Member) &&
-                     std::ranges::any_of(Member.Report.Groups,
-                                         [&](const wire::group_report &Report) {
-                                           return Report.Group == Service &&
-                                                  Report.Suspect &&
-                                                  Report.Primary == Primary;
-                                         })
-                 ? 1
-                 : 0;
-  return Count + countRelayedSuspects(State, Service, Primary);
+  const auto Found =
+      Reports.Suspects.find({Service, primaryOf(State, Service)});
+  const std::size_t Others =
+      Found == Reports.Suspects.end() ? 0 : Found->second;
+  return Others + (suspects(State, Service) ? 1 : 0);
 }
 
 } // namespace redwinggw
--- a/packages/redwinggw/src/platform_instance.cpp
+++ b/packages/redwinggw/src/platform_instance.cpp
@@ -18,6 +18,9 @@
 using base::milliseconds;
 
 constexpr milliseconds HousekeepingInterval{200};
+/// Longer than any idle connection is kept, and than what a pool has learned
+/// about its endpoint is of use.
+constexpr milliseconds ReleasePoolsAfter{30'000};
 /// Longer than it takes until reads of the store replace the contact with a
 /// lost majority.
 constexpr milliseconds CutOffAfter{800};
@@ -179,6 +182,9 @@
       Random(std::random_device()()) {
   Endpoints.Factory =
       platform::databaseLinks(Context.get_executor(), Endpoints.Watch);
+  Endpoints.Prepare = [this](session::endpoint_pool &Pool) {
+    openPool(*this, Pool);
+  };
   platform::useRows(Store, Settings.Platform);
   Core.Limits.StandbyOwners = Settings.Owners == owner_policy::Capacity;
   Reserves.Limits.Bound = Settings.RateBound;
@@ -265,6 +271,7 @@
     State->Callers.endAbandoned();
     for (auto &[Name, Pool] : State->Endpoints.Pools)
       Pool->closeUnused(base::now());
+    releaseUnusedPools(State->Endpoints, ReleasePoolsAfter, base::now());
     co_await pauseWithJitter(*State, HousekeepingInterval);
   }
 }
--- a/packages/redwinggw/src/platform_instance_state.hpp
+++ b/packages/redwinggw/src/platform_instance_state.hpp
@@ -10,6 +10,7 @@
 #include "redwinggw/control/centralized_buckets.hpp"
 #include "redwinggw/control/demand_shares.hpp"
 #include "redwinggw/control/peer_service.hpp"
+#include "redwinggw/control/state_source.hpp"
 #include "redwinggw/control/store_pacing.hpp"
 #include "redwinggw/control/token_transfer.hpp"
 #include "redwinggw/http/server.hpp"
@@ -47,6 +48,15 @@
   bool WasCold = false;
 };
 
+/// What decides which instances may own endpoints, in a fleet with relays.
+struct owner_basis {
+  /// membership::StatesVersion.
+  std::uint64_t States = 0;
+  bool Draining = false;
+
+  friend bool operator==(const owner_basis &, const owner_basis &) = default;
+};
+
 struct platform_instance_state
     : std::enable_shared_from_this<platform_instance_state> {
   platform_instance_state(boost::asio::io_context &Context, settings Settings);
@@ -63,10 +73,12 @@
   std::unordered_map<std::uint32_t, base::service_name> ServicesByHash;
   /// The text from which Routes was parsed, for instances that cannot read the
   /// store.
-  session::stored_configuration Stored;
+  session::transferred_state Stored;
   /// The evacuated availability zones, read from the store or reported by
   /// another instance.
   session::evacuations Evacuations;
+  /// When this instance learned of the end of each zone's last evacuation.
+  std::map<base::zone_name, base::instant> EvacuationEndedAt;
   /// When this instance learned that another one has a newer configuration.
   std::optional<base::instant> BehindSince;
   session::endpoint_set Endpoints;
@@ -83,8 +95,11 @@
   /// known.
   std::unique_ptr<session::forwarding_server> ForwardingServer;
   std::unique_ptr<session::forwarding_client> ForwardingClient;
-  /// The instance that owns the connections to each endpoint, as computed here.
+  /// The owners of endpoints as computed here, and last logged: of all with
+  /// owner_policy::Hash, otherwise of those that this instance has to do with.
   std::map<base::endpoint_name, session::connection_owners, std::less<>> Owners;
+  /// What owners were last computed from.
+  owner_basis OwnerBasis;
   /// The instances among which Owners was last divided with
   /// owner_policy::Hash.
   std::vector<session::owner_candidate> OwnerCandidates;
@@ -163,6 +178,15 @@
   std::optional<base::instant> SentEndpointListAt;
   std::int64_t SentEndpointListParts = 1;
   std::optional<base::instant> FleetReadAt;
+  /// The number of instances in the rows of the fleet at the first read, and
+  /// the store's version at the last one.
+  std::optional<std::size_t> FleetSize;
+  std::uint64_t FleetVersion = 0;
+  /// When this instance left its registration to the relays of its zone, or
+  /// wrote its row, until the row was seen.
+  std::optional<base::instant> RegistrationLeftAt;
+  /// When this instance, as a relay, last registered others.
+  std::optional<base::instant> RegisteredOthersAt;
   std::optional<base::instant> OutOfContactSince;
   /// The freshness of the last in_touch line.
   control::config_freshness LoggedFreshness =
@@ -264,9 +288,20 @@
                        session::evacuations Read, std::string_view From);
 /// The highest row version of the configuration that another instance reports.
 std::uint64_t newestConfigurationRow(const platform_instance_state &State);
+/// What the members report about primaries, collected once for all services.
+struct primary_reports {
+  /// How many instances suspect each primary, by service and primary, this
+  /// instance not included.
+  std::map<std::pair<base::service_name, base::endpoint_name>, std::size_t>
+      Suspects;
+  /// The other instances that are up.
+  std::set<base::instance_name, std::less<>> Up;
+};
+primary_reports collectPrimaryReports(const platform_instance_state &State);
 /// How many instances suspect the primary of \p Service, this one included.
 std::size_t countSuspects(const platform_instance_state &State,
-                          std::string_view Service);
+                          const primary_reports &Reports,
+                          const base::service_name &Service);
 /// @}
 
 /// \name Use of primaries
@@ -309,6 +344,28 @@
 base::task<bool> awaitStoreAttempt(platform_instance_state &State,
                                    control::store_loop Loop);
 
+/// \name States from the relays of this availability zone
+/// @{
+/// What this instance sends to others that request \p Kind.
+session::transferred_state stateHeld(const platform_instance_state &State,
+                                     session::state_kind Kind);
+/// The endpoint list, if it is recent.
+session::transferred_state endpointsHeld(const platform_instance_state &State);
+/// What this instance knows of its fleet and of its place in it.
+control::fleet_position fleetPosition(const platform_instance_state &State);
+/// Whether to ask the relays for a state that is lacking; after false this
+/// instance reads the store.
+bool mayAwaitRelays(const platform_instance_state &State,
+                    control::state_need &Need);
+/// Fetches a state from the relays, one after the other. If none has a newer
+/// one than \p Held, or all are busy, the row is 0, after a pause.
+base::task<session::transferred_state>
+fetchFromRelays(platform_instance_state &State, session::state_kind Kind,
+                std::uint64_t Held);
+/// False if the first relay that answers has another list of instances.
+bool hasListOfRelays(const platform_instance_state &State);
+/// @}
+
 /// Applies what the store reader has read and sent to this instance.
 void acceptSharedRead(platform_instance_state &State,
                       const base::instance_name &From,
@@ -359,6 +416,10 @@
 /// Recomputes which instance owns each endpoint's connections, how many this
 /// instance may hold, and which endpoints are evacuated.
 void divideConnections(platform_instance_state &State);
+/// Sets the limits of a pool, as divideConnections does for all of them.
+void preparePool(platform_instance_state &State, session::endpoint_pool &Pool);
+/// The same for a new pool, which may be used at once.
+void openPool(platform_instance_state &State, session::endpoint_pool &Pool);
 /// The bound on requests to cold endpoints; nothing if there is none.
 std::optional<session::cold_limits> coldLimits(const settings &Settings);
 /// Whether this instance owns the connections to \p Endpoint.
--- a/packages/redwinggw/src/platform_primaries.cpp
+++ b/packages/redwinggw/src/platform_primaries.cpp
@@ -132,9 +132,8 @@
 }
 
 bool suspects(const platform_instance_state &State, std::string_view Service) {
-  const auto Pool = State.Endpoints.Pools.find(primaryOf(State, Service));
-  return Pool != State.Endpoints.Pools.end() &&
-         isSuspect(Pool->second->health(), State.Handover, base::now());
+  const auto Pool = findPool(State.Endpoints, primaryOf(State, Service));
+  return Pool && isSuspect(Pool->health(), State.Handover, base::now());
 }
 
 } // namespace redwinggw
--- a/packages/redwinggw/src/platform_probing.cpp
+++ b/packages/redwinggw/src/platform_probing.cpp
@@ -37,7 +37,7 @@
     const bool Up = Status.Outcome == session::exchange_outcome::Answered &&
                     (!Status.Error ||
                      Status.Error->Code != session::answer_code::Misrouted);
-    if (const auto Pool = poolOf(State->Endpoints, Name)) {
+    if (const auto Pool = findPool(State->Endpoints, Name)) {
       if (Up)
         Pool->noteSuccess(Sent, base::now());
       else
--- a/packages/session/include/redwinggw/session/endpoint_pool.hpp
+++ b/packages/session/include/redwinggw/session/endpoint_pool.hpp
@@ -273,6 +273,9 @@
   std::size_t waiting() const {
     return Queue.Size + DemandWaiters.size() + queuedIn(Slots);
   }
+  /// Whether the endpoint is warm and nothing was sent to it for \p Time, so
+  /// that the pool holds nothing of use.
+  bool isUnused(base::milliseconds Time, base::instant Now) const;
   bool hasIdle(std::string_view Customer) const;
   /// All connections are open and in use.
   bool isExhausted() const { return Idle.empty() && !mayOpen(); }
@@ -314,6 +317,7 @@
   endpoint_entry Entry;
   pool_limits Limits;
   endpoint_health Health;
+  base::instant OpenedAt = base::now();
   cold_rate_ptr Cold = std::make_shared<cold_rate>();
   std::list<link_handle> Idle;
   std::size_t Open = 0;
--- a/packages/session/include/redwinggw/session/endpoint_set.hpp
+++ b/packages/session/include/redwinggw/session/endpoint_set.hpp
@@ -13,8 +13,11 @@
 #include <string_view>
 #include <vector>
 
-/// All endpoints that this instance uses: the directory, a connection pool for
-/// each, and samples of each service's log position.
+/// The endpoints: the directory of all, a connection pool for each that this
+/// instance uses, and samples of each service's log position.
+///
+/// A pool takes several kilobytes and is visited periodically. In a large fleet
+/// an instance uses few of the endpoints, so it has pools for these only.
 namespace redwinggw::session {
 
 using pool_ptr = std::shared_ptr<endpoint_pool>;
@@ -29,7 +32,10 @@
   link_factory Factory;
   deadline_watch Watch;
   directory Directory;
+  /// Of the endpoints in use; poolOf adds one, releaseUnusedPools removes them.
   std::map<base::endpoint_name, pool_ptr, std::less<>> Pools;
+  /// Sets the limits of a new pool; unset: it has the default ones.
+  std::function<void(endpoint_pool &)> Prepare;
   std::map<base::service_name, freshness, std::less<>> Samples;
   choice_limits Choice;
 };
@@ -40,9 +46,17 @@
                                   const std::vector<endpoint_entry> &Entries,
                                   base::instant Now);
 
-/// The pool of \p Endpoint, null when it is not listed.
+/// The pool of \p Endpoint, which is created if there is none; null when it is
+/// not listed.
 pool_ptr poolOf(endpoint_set &Set, std::string_view Endpoint);
 
+/// The pool of \p Endpoint, null when it is not in use.
+pool_ptr findPool(const endpoint_set &Set, std::string_view Endpoint);
+
+/// Removes the pools that nothing has used for \p Time.
+void releaseUnusedPools(endpoint_set &Set, base::milliseconds Time,
+                        base::instant Now);
+
 /// Endpoints of \p Service that may serve a read, best first: replicas, and the
 /// primary if \p PrimaryLease allows it. Draining ones come last. \p Required:
 /// the log position that a replica has to prove.
--- a/packages/session/include/redwinggw/session/forwarding_client.hpp
+++ b/packages/session/include/redwinggw/session/forwarding_client.hpp
@@ -2,8 +2,8 @@
 
 #include "redwinggw/base/task.hpp"
 #include "redwinggw/http/address.hpp"
-#include "redwinggw/session/configuration_transfer.hpp"
 #include "redwinggw/session/deadline_watch.hpp"
+#include "redwinggw/session/state_transfer.hpp"
 #include "redwinggw/session/statement_forwarding.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -42,10 +42,10 @@
                                           base::customer_name Customer,
                                           unsigned Priority);
 
-  /// Fetches the configuration from the instance \p From. The row is 0 if that
-  /// has none newer than \p Row, is sending it to others, or does not answer.
-  base::task<stored_configuration> fetchConfiguration(connection_owner From,
-                                                      std::uint64_t Row);
+  /// Fetches a state from the instance \p From. The row is 0 if that has none
+  /// newer than the requested one, is sending it to others, or does not answer.
+  base::task<transferred_state> fetchState(connection_owner From,
+                                           transfer_request Request);
 
   /// Closes the idle connections to \p Owner: it was unreachable, and may have
   /// dropped them.
--- a/packages/session/include/redwinggw/session/forwarding_server.hpp
+++ b/packages/session/include/redwinggw/session/forwarding_server.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "redwinggw/session/checked_out_link.hpp"
-#include "redwinggw/session/configuration_transfer.hpp"
 #include "redwinggw/session/session_core.hpp"
+#include "redwinggw/session/state_transfer.hpp"
 #include "redwinggw/session/statement_forwarding.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -29,7 +29,7 @@
                                             pinned_link &Pinned,
                                             forwarding_request Request);
 
-/// Accepts forwarded statements and configuration requests over TCP. Used from
+/// Accepts forwarded statements and requests for states over TCP. Used from
 /// one thread; \p Core outlives it.
 class forwarding_server {
 public:
@@ -43,8 +43,10 @@
   /// Fails with errc::BadSettings when the address cannot be bound.
   base::result<http::address> listen(const http::address &Address);
 
-  /// \p Held returns the configuration in force here, which is sent on request.
-  void serveConfigurationFrom(std::function<stored_configuration()> Held);
+  /// \p Held returns the state of a kind that is held here, which is sent on
+  /// request, to \p AtOnce instances at most at a time.
+  void serveStateFrom(std::function<transferred_state(state_kind)> Held,
+                      unsigned AtOnce);
 
   /// Connections to endpoints that are pinned by other instances' transactions.
   std::size_t pinnedLinks() const;
--- a/packages/session/include/redwinggw/session/owner_assignment.hpp
+++ b/packages/session/include/redwinggw/session/owner_assignment.hpp
@@ -1,7 +1,13 @@
 #pragma once
 
 #include "redwinggw/session/endpoint_owner.hpp"
+#include "redwinggw/session/owner_group.hpp"
 
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string_view>
 #include <vector>
 
 /// Assigns endpoints to the instances that own their connections by capacity.
@@ -45,17 +51,39 @@
 assignOwners(const std::vector<owned_endpoint> &Endpoints,
              const std::vector<owner_candidate> &Candidates);
 
-/// The last assignment and what it was computed from.
+/// The last assignment and what it was computed from. Not thread safe.
 struct owner_assignment {
   std::vector<owned_endpoint> Endpoints;
   std::vector<owner_candidate> Candidates;
+  /// The owners of Endpoints, in the same order.
   std::vector<connection_owners> Owners;
+  /// The endpoints of each availability zone with its candidates; empty where
+  /// the owners cannot be kept up to date one candidate at a time.
+  std::map<base::zone_name, owner_group, std::less<>> Groups;
+  /// How many places of candidates in orders of endpoints were computed.
+  std::uint64_t Places = 0;
 };
 
-/// Recomputes \p Assignment if the endpoints or the candidates differ from
-/// those that it was computed from. True if it did.
-bool updateAssignment(owner_assignment &Assignment,
-                      std::vector<owned_endpoint> Endpoints,
-                      std::vector<owner_candidate> Candidates);
+/// Brings \p Assignment up to date if the endpoints or the candidates differ
+/// from those that it was computed from: the owners are those of assignOwners.
+/// Endpoints that changed, or a zone without two candidates, need that
+/// computation; a candidate that changed costs one visit of the endpoints of
+/// its zone for it and for each candidate whose bound changes with it.
+/// \returns the positions of the endpoints whose owner or standby may have
+/// changed; nothing if nothing differs.
+std::optional<std::vector<std::size_t>>
+updateAssignment(owner_assignment &Assignment,
+                 std::vector<owned_endpoint> Endpoints,
+                 std::vector<owner_candidate> Candidates);
+
+/// The same for endpoints that are known to be the same.
+std::optional<std::vector<std::size_t>>
+updateCandidates(owner_assignment &Assignment,
+                 std::vector<owner_candidate> Candidates);
+
+/// Who holds the connections to \p Endpoint; no names if it is not known.
+/// Precondition: the endpoints are sorted by name.
+connection_owners ownersOf(const owner_assignment &Assignment,
+                           std::string_view Endpoint);
 
 } // namespace redwinggw::session
--- a/packages/session/src/answer_record.cpp
+++ b/packages/session/src/answer_record.cpp
@@ -111,7 +111,7 @@
                 {std::string(forwardingFailureName(Reply.Failure))}));
   if (Answered || !mayLog(Core.LogBudget, true, base::now()))
     return;
-  const pool_ptr Pool = poolOf(Core.Set, Request.Endpoint);
+  const pool_ptr Pool = findPool(Core.Set, Request.Endpoint);
   // An endpoint that is not listed any more has no pool to report on.
   const auto Count = [&](auto Of) {
     return Pool ? std::to_string(Of(*Pool)) : std::string();
--- a/packages/session/src/endpoint_pool.cpp
+++ b/packages/session/src/endpoint_pool.cpp
@@ -174,6 +174,13 @@
   return Link;
 }
 
+bool endpoint_pool::isUnused(milliseconds Time, instant Now) const {
+  const instant LastUse =
+      std::max({OpenedAt, Health.LastSuccess, Health.LastFailure});
+  return Open == 0 && Forwarded == 0 && waiting() == 0 && running() == 0 &&
+         Unanswered.empty() && !isCold(*Cold, Now) && Now - LastUse > Time;
+}
+
 bool endpoint_pool::hasIdle(std::string_view Customer) const {
   return std::ranges::any_of(Idle, [&](const link_handle &Link) {
     return Link->Customer == Customer;
--- a/packages/session/src/endpoint_set.cpp
+++ b/packages/session/src/endpoint_set.cpp
@@ -27,17 +27,27 @@
   return Candidate;
 }
 
-void openPool(endpoint_set &Set, const base::endpoint_name &Name,
-              base::instant Now) {
-  const endpoint_entry *Entry = findEndpoint(Set.Directory, Name);
+pool_ptr openPool(endpoint_set &Set, const known_endpoint &Known,
+                  base::instant Now) {
+  auto Pool = std::make_shared<endpoint_pool>(Set.Executor, Set.Watch,
+                                              Set.Factory, Known.Entry);
+  if (Set.Prepare)
+    Set.Prepare(*Pool);
+  setColdUntil(Pool->cold(), Known.ColdUntil, Now);
+  Set.Pools[Known.Entry.Name] = Pool;
+  return Pool;
+}
+
+void replacePool(endpoint_set &Set, const base::endpoint_name &Name,
+                 base::instant Now) {
+  const pool_ptr Former = findPool(Set, Name);
+  if (!Former)
+    return;
   // A former pool stays alive while statements use its connections. It must not
   // send to the restarted endpoint beside the new one.
-  if (const pool_ptr Former = poolOf(Set, Name)) {
-    Former->cold().SendUntil.reset();
-    presumeCold(Former->cold(), Now);
-  }
-  Set.Pools[Name] = std::make_shared<endpoint_pool>(Set.Executor, Set.Watch,
-                                                    Set.Factory, *Entry);
+  Former->cold().SendUntil.reset();
+  presumeCold(Former->cold(), Now);
+  openPool(Set, Set.Directory.Endpoints.at(Name), Now);
 }
 
 } // namespace
@@ -54,9 +64,9 @@
   for (const base::endpoint_name &Name : Changes.Gone)
     Set.Pools.erase(Name);
   for (const base::endpoint_name &Name : Changes.Started)
-    openPool(Set, Name, Now);
+    replacePool(Set, Name, Now);
   for (const base::endpoint_name &Name : Changes.Changed)
-    if (const pool_ptr Pool = poolOf(Set, Name))
+    if (const pool_ptr Pool = findPool(Set, Name))
       Pool->setEntry(*findEndpoint(Set.Directory, Name));
   for (const auto &[Name, Pool] : Set.Pools)
     setColdUntil(Pool->cold(), Set.Directory.Endpoints.at(Name).ColdUntil, Now);
@@ -64,10 +74,27 @@
 }
 
 pool_ptr poolOf(endpoint_set &Set, std::string_view Endpoint) {
+  if (pool_ptr Pool = findPool(Set, Endpoint))
+    return Pool;
+  const auto Listed = Set.Directory.Endpoints.find(Endpoint);
+  return Listed == Set.Directory.Endpoints.end()
+             ? nullptr
+             : openPool(Set, Listed->second, base::now());
+}
+
+pool_ptr findPool(const endpoint_set &Set, std::string_view Endpoint) {
   const auto Found = Set.Pools.find(Endpoint);
   return Found == Set.Pools.end() ? nullptr : Found->second;
 }
 
+void releaseUnusedPools(endpoint_set &Set, base::milliseconds Time,
+                        base::instant Now) {
+  std::erase_if(Set.Pools, [&](const auto &Item) {
+    const pool_ptr &Pool = Item.second;
+    return Pool.use_count() == 1 && Pool->isUnused(Time, Now);
+  });
+}
+
 std::vector<choice_candidate>
 readCandidates(endpoint_set &Set, std::string_view Service,
                std::string_view Customer, const primary_lease *PrimaryLease,
--- a/packages/session/src/forwarding_client.cpp
+++ b/packages/session/src/forwarding_client.cpp
@@ -64,8 +64,7 @@
   std::unique_ptr<frame_stream> takeIdle(owner_connections &Connections);
   base::task<std::unique_ptr<frame_stream>>
   connect(const connection_owner &Owner, instant Deadline);
-  base::task<std::optional<configuration_chunk>>
-  nextChunk(frame_stream &Stream);
+  base::task<std::optional<transfer_chunk>> nextChunk(frame_stream &Stream);
   void noteLost(owner_connections &Connections, std::string_view What);
 
   asio::any_io_executor Executor;
@@ -106,14 +105,14 @@
   co_return std::make_unique<frame_stream>(std::move(Socket));
 }
 
-base::task<std::optional<configuration_chunk>>
+base::task<std::optional<transfer_chunk>>
 forwarding_client::state::nextChunk(frame_stream &Stream) {
   const deadline_guard Guard(Watch, base::now() + ChunkTimeout,
                              [&Stream] { Stream.close(); });
   const auto Bytes = co_await Stream.next();
   if (!Bytes)
     co_return std::nullopt;
-  co_return decodeConfigurationChunk(Secret, *Bytes);
+  co_return decodeTransferChunk(Secret, *Bytes);
 }
 
 void forwarding_client::state::noteLost(owner_connections &Connections,
@@ -283,27 +282,24 @@
                                        std::move(Customer), Priority);
 }
 
-base::task<stored_configuration>
-forwarding_client::fetchConfiguration(connection_owner From,
-                                      std::uint64_t Row) {
+base::task<transferred_state>
+forwarding_client::fetchState(connection_owner From, transfer_request Request) {
   const auto Client = State;
   const auto Stream = co_await Client->connect(From, base::now() + ConnectTime);
   if (!Stream)
-    co_return stored_configuration();
-  const configuration_request Request{Row};
-  const std::string Bytes = encodeConfigurationRequest(Client->Secret, Request);
+    co_return transferred_state();
+  const std::string Bytes = encodeTransferRequest(Client->Secret, Request);
   const bool Sent = co_await Stream->send(Bytes);
-  configuration_assembly Assembly;
+  transfer_assembly Assembly;
   bool Goes = Sent;
   while (Goes && !Assembly.Complete) {
     auto Chunk = co_await Client->nextChunk(*Stream);
     Goes = Chunk && appendChunk(Assembly, std::move(*Chunk));
   }
   if (!Goes)
-    co_return stored_configuration();
-  co_return stored_configuration{
-      Assembly.Row,
-      std::make_shared<const std::string>(std::move(Assembly.Text))};
+    co_return transferred_state();
+  co_return transferred_state{Assembly.Row, std::make_shared<const std::string>(
+                                                std::move(Assembly.Text))};
 }
 
 void forwarding_client::abandon(std::string_view Owner, instant Now) {
--- a/packages/session/src/forwarding_codec.cpp
+++ b/packages/session/src/forwarding_codec.cpp
@@ -1,5 +1,5 @@
 #include "redwinggw/base/enum_table.hpp"
-#include "redwinggw/session/configuration_transfer.hpp"
+#include "redwinggw/session/state_transfer.hpp"
 #include "redwinggw/session/statement_forwarding.hpp"
 #include "redwinggw/wire/signature.hpp"
 
@@ -18,8 +18,11 @@
 /// unknown numbers are refused.
 enum class message_form : std::uint8_t {
   Statement = 1,
+  /// A transfer_request for the configuration.
   ConfigurationRequest = 2,
-  ConfigurationChunk = 3,
+  TransferChunk = 3,
+  /// A transfer_request for another state.
+  StateRequest = 4,
 };
 /// Callers' messages have at most 1 MiB; a longer text is corrupt.
 constexpr std::uint64_t LongestText = std::uint64_t{2} << 20U;
@@ -211,14 +214,28 @@
 
 template <typename Side, typename Request>
 void transferMessage(Side &Ar, Request &Value)
-  requires std::is_same_v<std::remove_const_t<Request>, configuration_request>
+  requires std::is_same_v<std::remove_const_t<Request>, transfer_request>
 {
   Ar.number(Value.Row);
 }
 
+/// A request for another state than the configuration: builds that know no
+/// other must not answer it.
+struct state_request {
+  transfer_request Request;
+};
+
+template <typename Side, typename Request>
+void transferMessage(Side &Ar, Request &Value)
+  requires std::is_same_v<std::remove_const_t<Request>, state_request>
+{
+  Ar.number(Value.Request.Row);
+  Ar.choice(Value.Request.Kind, state_kind::Instances);
+}
+
 template <typename Side, typename Chunk>
 void transferMessage(Side &Ar, Chunk &Value)
-  requires std::is_same_v<std::remove_const_t<Chunk>, configuration_chunk>
+  requires std::is_same_v<std::remove_const_t<Chunk>, transfer_chunk>
 {
   Ar.number(Value.Row);
   Ar.text(Value.Text);
@@ -229,11 +246,12 @@
 template <typename Message>
 constexpr message_form FormOf = message_form::Statement;
 template <>
-constexpr message_form FormOf<configuration_request> =
+constexpr message_form FormOf<transfer_request> =
     message_form::ConfigurationRequest;
 template <>
-constexpr message_form FormOf<configuration_chunk> =
-    message_form::ConfigurationChunk;
+constexpr message_form FormOf<state_request> = message_form::StateRequest;
+template <>
+constexpr message_form FormOf<transfer_chunk> = message_form::TransferChunk;
 
 template <typename Message>
 std::string encode(std::string_view Secret, const Message &Value) {
@@ -304,24 +322,28 @@
   return decode<forwarding_reply>(Secret, Bytes);
 }
 
-std::string encodeConfigurationRequest(std::string_view Secret,
-                                       const configuration_request &Value) {
+std::string encodeTransferRequest(std::string_view Secret,
+                                  const transfer_request &Value) {
+  if (Value.Kind != state_kind::Configuration)
+    return encode(Secret, state_request{Value});
   return encode(Secret, Value);
 }
 
-std::string encodeConfigurationChunk(std::string_view Secret,
-                                     const configuration_chunk &Value) {
+std::string encodeTransferChunk(std::string_view Secret,
+                                const transfer_chunk &Value) {
   return encode(Secret, Value);
 }
 
-std::optional<configuration_request>
-decodeConfigurationRequest(std::string_view Secret, std::string_view Bytes) {
-  return decode<configuration_request>(Secret, Bytes);
+std::optional<transfer_request> decodeTransferRequest(std::string_view Secret,
+                                                      std::string_view Bytes) {
+  if (const auto Other = decode<state_request>(Secret, Bytes))
+    return Other->Request;
+  return decode<transfer_request>(Secret, Bytes);
 }
 
-std::optional<configuration_chunk>
-decodeConfigurationChunk(std::string_view Secret, std::string_view Bytes) {
-  return decode<configuration_chunk>(Secret, Bytes);
+std::optional<transfer_chunk> decodeTransferChunk(std::string_view Secret,
+                                                  std::string_view Bytes) {
+  return decode<transfer_chunk>(Secret, Bytes);
 }
 
 std::string_view forwardingFailureName(forwarding_failure Failure) {
--- a/packages/session/src/forwarding_server.cpp
+++ b/packages/session/src/forwarding_server.cpp
@@ -21,10 +21,6 @@
 /// Added to the callers' idle limit: a transaction whose instance sends nothing
 /// for longer is rolled back, as that instance is frozen or gone.
 constexpr base::milliseconds IdleMargin{1000};
-/// Maximum number of configuration transfers at a time. An instance that is
-/// refused asks another one, which may have received the configuration from
-/// here.
-constexpr unsigned MaxTransfers = 2;
 /// An instance that does not accept a chunk within this time is frozen or gone.
 constexpr base::milliseconds ChunkSendTimeout{2000};
 
@@ -47,16 +43,17 @@
   base::task<void> serveConnection(std::shared_ptr<connection> Connection);
   base::task<std::optional<std::string>> nextMessage(connection &Connection);
   base::task<bool> serveMessage(connection &Connection, std::string Bytes);
-  base::task<bool> serveConfiguration(connection &Connection,
-                                      configuration_request Request);
-  base::task<bool> sendChunk(connection &Connection, configuration_chunk Chunk);
+  base::task<bool> serveTransfer(connection &Connection,
+                                 transfer_request Request);
+  base::task<bool> sendChunk(connection &Connection, transfer_chunk Chunk);
 
   asio::any_io_executor Executor;
   session_core &Core;
   std::string Secret;
   asio::ip::tcp::acceptor Acceptor;
   std::set<std::shared_ptr<connection>> Connections;
-  std::function<stored_configuration()> Configuration;
+  std::function<transferred_state(state_kind)> State;
+  unsigned MaxTransfers = 0;
   unsigned ActiveTransfers = 0;
 };
 
@@ -80,23 +77,22 @@
   co_return co_await Connection.Stream.next();
 }
 
-base::task<bool>
-forwarding_server::state::sendChunk(connection &Connection,
-                                    configuration_chunk Chunk) {
-  const std::string Bytes = encodeConfigurationChunk(Secret, Chunk);
+base::task<bool> forwarding_server::state::sendChunk(connection &Connection,
+                                                     transfer_chunk Chunk) {
+  const std::string Bytes = encodeTransferChunk(Secret, Chunk);
   const deadline_guard Guard(Core.Set.Watch, base::now() + ChunkSendTimeout,
                              [&Connection] { Connection.Stream.close(); });
   co_return co_await Connection.Stream.send(Bytes);
 }
 
 base::task<bool>
-forwarding_server::state::serveConfiguration(connection &Connection,
-                                             configuration_request Request) {
-  stored_configuration Held;
-  if (Configuration && ActiveTransfers < MaxTransfers)
-    Held = Configuration();
+forwarding_server::state::serveTransfer(connection &Connection,
+                                        transfer_request Request) {
+  transferred_state Held;
+  if (State && ActiveTransfers < MaxTransfers)
+    Held = State(Request.Kind);
   if (Held.Row <= Request.Row || !Held.Text) {
-    configuration_chunk Nothing;
+    transfer_chunk Nothing;
     co_return co_await sendChunk(Connection, std::move(Nothing));
   }
   ++ActiveTransfers;
@@ -104,7 +100,7 @@
   bool Sent = true;
   bool Last = false;
   while (Sent && !Last) {
-    configuration_chunk Chunk = chunkAt(Held, Begin);
+    transfer_chunk Chunk = chunkAt(Held, Begin);
     Begin += Chunk.Text.size();
     Last = Chunk.Last;
     Sent = co_await sendChunk(Connection, std::move(Chunk));
@@ -122,8 +118,8 @@
     const std::string Answer = encodeReply(Secret, Reply);
     co_return co_await Connection.Stream.send(Answer);
   }
-  if (const auto Request = decodeConfigurationRequest(Secret, Bytes))
-    co_return co_await serveConfiguration(Connection, *Request);
+  if (const auto Request = decodeTransferRequest(Secret, Bytes))
+    co_return co_await serveTransfer(Connection, *Request);
   // Another version, another fleet's secret, or a foreign program.
   base::log(base::log_level::Warning, base::log_part::Peers,
             "A peer message cannot be decoded; closing its connection.");
@@ -173,9 +169,10 @@
   return Listening;
 }
 
-void forwarding_server::serveConfigurationFrom(
-    std::function<stored_configuration()> Held) {
-  State->Configuration = std::move(Held);
+void forwarding_server::serveStateFrom(
+    std::function<transferred_state(state_kind)> Held, unsigned AtOnce) {
+  State->State = std::move(Held);
+  State->MaxTransfers = AtOnce;
 }
 
 std::size_t forwarding_server::pinnedLinks() const {
--- a/packages/session/src/owner_assignment.cpp
+++ b/packages/session/src/owner_assignment.cpp
@@ -1,12 +1,15 @@
 #include "redwinggw/session/owner_assignment.hpp"
 
+#include "owner_cost.hpp"
+
 #include "redwinggw/control/rendezvous.hpp"
 
 #include <algorithm>
-#include <array>
-#include <bit>
 #include <cstdint>
+#include <functional>
+#include <iterator>
 #include <map>
+#include <numeric>
 #include <string_view>
 #include <tuple>
 #include <utility>
@@ -14,59 +17,7 @@
 namespace redwinggw::session {
 namespace {
 
-/// \name Logarithms by integers
-/// Those of the C library may differ in the last bit between builds, and two
-/// instances would then choose different owners.
-/// @{
-constexpr unsigned FractionBits = 24;
-constexpr unsigned TableBits = 8;
-constexpr std::size_t TableSize = std::size_t{1} << TableBits;
-
-/// log2(1 + Index / TableSize) in units of 2^-FractionBits, by repeated
-/// squaring.
-constexpr std::uint32_t tableEntry(std::size_t Index) {
-  constexpr unsigned ValueBits = 30;
-  constexpr std::uint64_t Two = std::uint64_t{2} << ValueBits;
-  std::uint64_t Value = (std::uint64_t{TableSize} + Index)
-                        << (ValueBits - TableBits);
-  std::uint32_t Logarithm = 0;
-  for (unsigned Bit = 0; Bit < FractionBits; ++Bit) {
-    Value = (Value * Value) >> ValueBits;
-    const bool IsSet = Value >= Two;
-    Logarithm = (Logarithm << 1U) | (IsSet ? 1U : 0U);
-    if (IsSet)
-      Value >>= 1U;
-  }
-  return Logarithm;
-}
-
-constexpr auto LogarithmTable = [] {
-  std::array<std::uint32_t, TableSize + 1> Table{};
-  for (std::size_t Index = 0; Index < TableSize; ++Index)
-    Table[Index] = tableEntry(Index);
-  Table[TableSize] = std::uint32_t{1} << FractionBits;
-  return Table;
-}();
-
-/// -log2 of (\p Hash + 1) / 2^32, in units of 2^-FractionBits.
-std::uint32_t negativeLogarithm(std::uint32_t Hash) {
-  constexpr unsigned HashBits = 32;
-  constexpr unsigned RestBits = HashBits - TableBits;
-  const std::uint64_t Value = std::uint64_t{Hash} + 1;
-  const auto Exponent = static_cast<unsigned>(std::bit_width(Value)) - 1;
-  const std::uint64_t Fraction = (Value << (HashBits - Exponent)) & UINT32_MAX;
-  const std::size_t Index = Fraction >> RestBits;
-  const std::uint64_t Rest = Fraction & ((1U << RestBits) - 1);
-  const std::uint64_t Step = LogarithmTable[Index + 1] - LogarithmTable[Index];
-  const std::uint64_t Logarithm =
-      LogarithmTable[Index] + ((Step * Rest) >> RestBits);
-  return static_cast<std::uint32_t>(
-      (std::uint64_t{HashBits - Exponent} << FractionBits) - Logarithm);
-}
-/// @}
-
-/// A candidate with its weight. Weights are whole numbers: capacities that were
-/// parsed from text can differ in the last bit from those of the settings.
+/// A candidate with its weight.
 struct weighted_candidate {
   const owner_candidate *Candidate;
   std::uint64_t Weight;
@@ -82,32 +33,6 @@
 /// Indices of endpoints.
 using endpoint_refs = std::vector<std::size_t>;
 
-/// 0 where the capacity is missing or is no usable number.
-std::uint64_t weightOf(double Capacity) {
-  constexpr double Scale = 4096;
-  constexpr double Max = 1e6;
-  // Written so that NaN is refused too.
-  if (!(Capacity > 0))
-    return 0;
-  constexpr double Half = 0.5;
-  const double Scaled = std::min(Capacity, Max) * Scale + Half;
-  return std::max<std::uint64_t>(1, static_cast<std::uint64_t>(Scaled));
-}
-
-/// The lower median of the known weights; 1 if none is known.
-std::uint64_t medianWeight(const std::vector<owner_candidate> &Candidates) {
-  std::vector<std::uint64_t> Known;
-  for (const owner_candidate &Candidate : Candidates)
-    if (const std::uint64_t Weight = weightOf(Candidate.Capacity))
-      Known.push_back(Weight);
-  if (Known.empty())
-    return 1;
-  const auto Middle =
-      Known.begin() + static_cast<std::ptrdiff_t>((Known.size() - 1) / 2);
-  std::ranges::nth_element(Known, Middle);
-  return *Middle;
-}
-
 /// Sorted by name.
 std::vector<weighted_candidate>
 weigh(const std::vector<owner_candidate> &Candidates) {
@@ -132,41 +57,24 @@
   return Total;
 }
 
-/// Raises the bounds of \p Candidates by 1.5 times their part of \p Endpoints.
-/// Bound is rounded up. PreferredBound is rounded by the candidate's hash:
-/// otherwise the bounds of all candidates of equal capacity would change when
-/// one of them leaves, and endpoints of all would move.
+/// Raises the bounds of \p Candidates by their part of \p Endpoints.
 void raiseBounds(const candidate_refs &Candidates, std::size_t Endpoints) {
-  constexpr unsigned FractionBits = 16;
-  const std::uint64_t Twice = 2 * totalWeight(Candidates);
+  const std::uint64_t Total = totalWeight(Candidates);
   for (weighted_candidate *Candidate : Candidates) {
-    const std::uint64_t Thrice = 3 * Endpoints * Candidate->Weight;
-    const std::uint64_t Whole = Thrice / Twice;
-    const std::uint64_t Rest = Thrice % Twice;
-    const std::uint64_t Fraction = (Rest << FractionBits) / Twice;
-    const bool RoundsUp =
-        (Fraction + (Candidate->Candidate->Hash >> FractionBits)) >>
-            FractionBits !=
-        0;
-    Candidate->Bound += Whole + (Rest != 0 ? 1 : 0);
-    const bool Above = Rest != 0 && (RoundsUp || Whole == 0);
-    Candidate->PreferredBound += Whole + (Above ? 1 : 0);
+    const owner_bounds Bounds = boundsOf(Candidate->Weight, Total,
+                                         Candidate->Candidate->Hash, Endpoints);
+    Candidate->Bound += Bounds.Bound;
+    Candidate->PreferredBound += Bounds.Preferred;
   }
 }
 
-/// The candidates' places in an endpoint's order: the lower the cost, the
-/// earlier. A hash divided by the weight in this way is least for a candidate
-/// with a probability equal to its part of the weights. One multiplication of
-/// exact values is rounded in the same way by every build.
 void computeCosts(std::uint32_t EndpointHash, const candidate_refs &Candidates,
                   std::vector<double> &Costs) {
   Costs.resize(Candidates.size());
   std::ranges::transform(
       Candidates, Costs.begin(), [&](const weighted_candidate *Candidate) {
-        const std::uint32_t Hash =
-            control::rendezvousWeight(EndpointHash, Candidate->Candidate->Hash);
-        return static_cast<double>(negativeLogarithm(Hash)) *
-               Candidate->InverseWeight;
+        return placeCost(EndpointHash, Candidate->Candidate->Hash,
+                         Candidate->InverseWeight);
       });
 }
 
@@ -279,15 +187,144 @@
   return std::move(State.Owners);
 }
 
-bool updateAssignment(owner_assignment &Assignment,
-                      std::vector<owned_endpoint> Endpoints,
-                      std::vector<owner_candidate> Candidates) {
-  if (Assignment.Endpoints == Endpoints && Assignment.Candidates == Candidates)
-    return false;
-  Assignment.Owners = assignOwners(Endpoints, Candidates);
+namespace {
+
+/// The candidates of each availability zone with their weights, sorted by name.
+std::map<std::string_view, std::vector<weighted_owner>>
+candidatesByZone(const std::vector<weighted_candidate> &Weighted) {
+  std::map<std::string_view, std::vector<weighted_owner>> Zones;
+  for (const weighted_candidate &Candidate : Weighted)
+    Zones[Candidate.Candidate->Zone].push_back(
+        {Candidate.Candidate, Candidate.Weight});
+  return Zones;
+}
+
+/// The endpoints of each availability zone with their present owners, in the
+/// order of precedence.
+std::map<std::string_view, std::vector<group_seed>>
+seedsByZone(const owner_assignment &Assignment) {
+  std::map<std::string_view, std::vector<group_seed>> Zones;
+  for (std::size_t Index = 0; Index < Assignment.Endpoints.size(); ++Index) {
+    const owned_endpoint &Endpoint = Assignment.Endpoints[Index];
+    const connection_owners &Owners = Assignment.Owners[Index];
+    Zones[Endpoint.Zone].push_back({control::rendezvousHash(Endpoint.Name),
+                                    static_cast<std::uint32_t>(Index),
+                                    Owners.Owner, Owners.Standby});
+  }
+  for (auto &[Zone, Seeds] : Zones)
+    std::ranges::sort(Seeds, {}, [&](const group_seed &Seed) {
+      return std::tuple(
+          Seed.Hash,
+          std::string_view(Assignment.Endpoints[Seed.Position].Name));
+    });
+  return Zones;
+}
+
+/// Sets up the groups from the owners; none if one of them cannot be kept up to
+/// date: endpoints of a zone without candidates are shared out among all.
+void buildGroups(owner_assignment &Assignment,
+                 const std::vector<weighted_candidate> &Weighted) {
+  Assignment.Groups.clear();
+  const auto Candidates = candidatesByZone(Weighted);
+  for (const auto &[Zone, Seeds] : seedsByZone(Assignment)) {
+    const auto Found = Candidates.find(Zone);
+    owner_group &Group = Assignment.Groups[std::string(Zone)];
+    if (Found == Candidates.end() || !buildGroup(Group, Seeds, Found->second)) {
+      Assignment.Groups.clear();
+      return;
+    }
+    Assignment.Places += Group.Places;
+  }
+}
+
+/// How many places assignOwners computes.
+std::uint64_t placesOfAll(const owner_assignment &Assignment) {
+  std::map<std::string_view, std::uint64_t> Candidates;
+  for (const owner_candidate &Candidate : Assignment.Candidates)
+    ++Candidates[Candidate.Zone];
+  std::uint64_t Places = 0;
+  for (const owned_endpoint &Endpoint : Assignment.Endpoints) {
+    const auto Found = Candidates.find(Endpoint.Zone);
+    Places += Found == Candidates.end() ? Assignment.Candidates.size()
+                                        : Found->second;
+  }
+  return Places;
+}
+
+std::vector<std::size_t> assignAgain(owner_assignment &Assignment) {
+  Assignment.Owners = assignOwners(Assignment.Endpoints, Assignment.Candidates);
+  Assignment.Places += placesOfAll(Assignment);
+  buildGroups(Assignment, weigh(Assignment.Candidates));
+  std::vector<std::size_t> All(Assignment.Endpoints.size());
+  std::iota(All.begin(), All.end(), std::size_t{0});
+  return All;
+}
+
+/// Copies the owners of an endpoint from its group. Returns its position.
+std::size_t copyOwners(owner_assignment &Assignment, const owner_group &Group,
+                       std::uint32_t Endpoint) {
+  const group_endpoint &Entry = Group.Endpoints[Endpoint];
+  Assignment.Owners[Entry.Position] = {
+      Group.Candidates[Entry.Owner].Candidate.Name,
+      Group.Candidates[Entry.Standby].Candidate.Name};
+  return Entry.Position;
+}
+
+/// Updates each group. Nothing if all owners have to be computed again.
+std::optional<std::vector<std::size_t>>
+updateGroups(owner_assignment &Assignment) {
+  std::vector<std::size_t> Positions;
+  const auto Weighted = weigh(Assignment.Candidates);
+  const auto Candidates = candidatesByZone(Weighted);
+  for (auto &[Zone, Group] : Assignment.Groups) {
+    const auto Found = Candidates.find(Zone);
+    std::vector<std::uint32_t> Changed;
+    const std::uint64_t Before = Group.Places;
+    if (Found == Candidates.end() ||
+        !updateGroup(Group, Found->second, Changed))
+      return std::nullopt;
+    Assignment.Places += Group.Places - Before;
+    std::ranges::transform(Changed, std::back_inserter(Positions),
+                           [&](std::uint32_t Endpoint) {
+                             return copyOwners(Assignment, Group, Endpoint);
+                           });
+  }
+  return Positions;
+}
+
+} // namespace
+
+std::optional<std::vector<std::size_t>>
+updateAssignment(owner_assignment &Assignment,
+                 std::vector<owned_endpoint> Endpoints,
+                 std::vector<owner_candidate> Candidates) {
+  if (Assignment.Endpoints == Endpoints)
+    return updateCandidates(Assignment, std::move(Candidates));
   Assignment.Endpoints = std::move(Endpoints);
   Assignment.Candidates = std::move(Candidates);
-  return true;
+  return assignAgain(Assignment);
+}
+
+std::optional<std::vector<std::size_t>>
+updateCandidates(owner_assignment &Assignment,
+                 std::vector<owner_candidate> Candidates) {
+  if (Assignment.Candidates == Candidates)
+    return std::nullopt;
+  Assignment.Candidates = std::move(Candidates);
+  if (!Assignment.Groups.empty())
+    if (auto Positions = updateGroups(Assignment))
+      return Positions;
+  return assignAgain(Assignment);
+}
+
+connection_owners ownersOf(const owner_assignment &Assignment,
+                           std::string_view Endpoint) {
+  const auto Found = std::ranges::lower_bound(
+      Assignment.Endpoints, Endpoint, std::less{}, &owned_endpoint::Name);
+  if (Found == Assignment.Endpoints.end() || Found->Name != Endpoint)
+    return {};
+  return Assignment
+      .Owners[static_cast<std::size_t>(Found - Assignment.Endpoints.begin())];
 }
 
 } // namespace redwinggw::session
--- a/packages/session/src/serve_forwarded.cpp
+++ b/packages/session/src/serve_forwarded.cpp
@@ -153,7 +153,7 @@
 }
 
 std::uint16_t loadOf(session_core &Core, const base::endpoint_name &Name) {
-  const pool_ptr Pool = poolOf(Core.Set, Name);
+  const pool_ptr Pool = findPool(Core.Set, Name);
   constexpr std::size_t Most = UINT16_MAX;
   return Pool == nullptr ? 0
                          : static_cast<std::uint16_t>(
--- a/packages/session/src/state_transfer.cpp
+++ b/packages/session/src/state_transfer.cpp
@@ -1,5 +1,6 @@
-#include "redwinggw/session/configuration_transfer.hpp"
+#include "redwinggw/session/state_transfer.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace redwinggw::session {
@@ -10,16 +11,16 @@
 
 } // namespace
 
-configuration_chunk chunkAt(const stored_configuration &Configuration,
-                            std::size_t Begin) {
-  configuration_chunk Chunk;
+transfer_chunk chunkAt(const transferred_state &Configuration,
+                       std::size_t Begin) {
+  transfer_chunk Chunk;
   Chunk.Row = Configuration.Row;
   Chunk.Text = Configuration.Text->substr(Begin, ChunkBytes);
   Chunk.Last = Begin + Chunk.Text.size() == Configuration.Text->size();
   return Chunk;
 }
 
-bool appendChunk(configuration_assembly &Assembly, configuration_chunk Chunk) {
+bool appendChunk(transfer_assembly &Assembly, transfer_chunk Chunk) {
   const bool First = Assembly.Row == 0;
   if (Chunk.Row == 0 || (!First && Chunk.Row != Assembly.Row))
     return false;
@@ -29,4 +30,12 @@
   return true;
 }
 
+unsigned maxTransfers(double Mbps) {
+  constexpr unsigned Min = 2;
+  /// The part of the link that control traffic may use, over links as slow as
+  /// those of the smallest machines.
+  constexpr double MbpsOfTransfer = 40;
+  return std::max(Min, static_cast<unsigned>(Mbps / MbpsOfTransfer));
+}
+
 } // namespace redwinggw::session
--- a/packages/wire/include/redwinggw/wire/message.hpp
+++ b/packages/wire/include/redwinggw/wire/message.hpp
@@ -128,6 +128,16 @@
   digest_scope HeldScope = digest_scope::None;
   std::uint32_t HeldSums = 0;
   /// @}
+  /// \name What the sender is and needs
+  ///
+  /// Sent after everything else, with the changes.
+  /// @{
+  /// Processing capacity of the sender, for a receiver that has not read it in
+  /// the list of instances; 0: not told, nor are the services.
+  double Capacity = 0;
+  /// hashOf the names of the groups whose log positions it uses, sorted.
+  std::vector<std::uint32_t> Services;
+  /// @}
 };
 
 /// The numbers are sent: a number that was used before must not be reused for
--- a/packages/wire/src/message.cpp
+++ b/packages/wire/src/message.cpp
@@ -177,6 +177,12 @@
   archivePacked(Ar, Value.Digest.Packed);
 }
 
+template <typename Archive, typename Report>
+void archiveNeeds(Archive &Ar, Report &Value) {
+  Ar(Value.Capacity);
+  archiveList(Ar, Value.Services, [&](auto &Service) { Ar(Service); });
+}
+
 template <typename Archive>
 void archiveSharedRead(Archive &Out, const shared_store_read &Value) {
   const auto Length = static_cast<std::uint32_t>(Value.Text.size());
@@ -316,6 +322,8 @@
   if (Report != nullptr && HasMore) {
     archiveChanges(In, *Report);
     Report->ReadsChanges = true;
+    if (Stream.peek() != std::istringstream::traits_type::eof())
+      archiveNeeds(In, *Report);
   }
   if (auto *Message = std::get_if<share_message>(&Datagram.Body))
     Message->ReadsShortForm = HasMore;
@@ -352,8 +360,10 @@
   Out(FormatVersion, Kind);
   archiveDatagram(Out, Datagram);
   if (const auto *Report = std::get_if<peer_report>(&Datagram.Body);
-      Report != nullptr && Report->ReadsChanges)
+      Report != nullptr && Report->ReadsChanges) {
     archiveChanges(Out, *Report);
+    archiveNeeds(Out, *Report);
+  }
   if (const auto *Message = std::get_if<share_message>(&Datagram.Body);
       Message != nullptr && Message->ReadsShortForm)
     Out(ShortFormat);
--- a/tests/session/forwarding_test.cpp
+++ b/tests/session/forwarding_test.cpp
@@ -84,8 +84,9 @@
 void planByDemand(forwarding_fleet &Fleet) {
   pool_limits Limits;
   Limits.Policy = connection_policy::Demand;
-  for (auto &[Name, Pool] : Fleet.Owner.Set.Pools)
-    Pool->setLimits(Limits);
+  endpoint_set &Set = Fleet.Owner.Set;
+  for (const auto &[Name, Known] : Set.Directory.Endpoints)
+    poolOf(Set, Name)->setLimits(Limits);
 }
 
 std::size_t connectionsOf(const fake_group &Group) {
@@ -228,7 +229,7 @@
   Instance.write(Session);
   for (const received_statement &Statement : Fleet.Group.callerStatements())
     cr_assert(Statement.Connection != 0);
-  cr_assert(Fleet.Owner.Set.Pools.at("p")->connects() == 0);
+  cr_assert(poolOf(Fleet.Owner.Set, "p")->connects() == 0);
 }
 
 // The primary is replaced while a forwarded write is in progress. The owner has
@@ -288,7 +289,7 @@
   Instance.run(Session, statement_kind::Begin, "BEGIN");
   cr_assert(!Instance.write(Session).Error);
   const std::size_t Former = Fleet.Group.Received.back().Connection;
-  const pool_ptr Pool = Fleet.Owner.Set.Pools.at("p");
+  const pool_ptr Pool = poolOf(Fleet.Owner.Set, "p");
   std::vector<slot_grant> Taken = takeAllSlots(Fleet, Pool);
   cr_assert(failedWith(Instance.write(Session), answer_code::Aborted));
   cr_assert(Fleet.Server.pinnedLinks() == 0);
@@ -306,7 +307,7 @@
     forwarding_fleet Fleet;
     if (ByDemand)
       planByDemand(Fleet);
-    const pool_ptr Pool = Fleet.Owner.Set.Pools.at("p");
+    const pool_ptr Pool = poolOf(Fleet.Owner.Set, "p");
     std::vector<slot_grant> Taken = takeAllSlots(Fleet, Pool);
     caller_session Session = Fleet.first().open("strict");
     const answer Answer = Fleet.first().write(Session);
@@ -358,8 +359,8 @@
   };
   cr_assert(failedWith(Instance.write(Session), answer_code::Busy));
   cr_assert(Fleet.Group.callerStatements().empty());
-  cr_assert(Fleet.Owner.Set.Pools.at("p")->health().Failures == 0);
-  cr_assert(Instance.Set.Pools.at("p")->health().Failures == 0);
+  cr_assert(poolOf(Fleet.Owner.Set, "p")->health().Failures == 0);
+  cr_assert(poolOf(Instance.Set, "p")->health().Failures == 0);
 }
 
 // Guards against an owner that runs what an instance forwards that has not
--- a/tests/session/owner_assignment_test.cpp
+++ b/tests/session/owner_assignment_test.cpp
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <limits>
 #include <map>
+#include <random>
 #include <string>
+#include <utility>
 
 #include "criterion_test.hpp"
 
@@ -218,3 +220,90 @@
   cr_assert(updateAssignment(Assignment, endpoints(12), fleet(3, 0)));
   cr_assert(Assignment.Owners == assignOwners(endpoints(12), fleet(3, 0)));
 }
+
+namespace {
+
+/// Joins and leaves of candidates in a random order, with some that change
+/// their capacity; several at a time now and then.
+void changeRandomly(std::vector<owner_candidate> &Candidates,
+                    std::vector<owner_candidate> &Absent,
+                    std::mt19937 &Random) {
+  const auto Pick = [&](std::vector<owner_candidate> &From) {
+    std::uniform_int_distribution<std::size_t> Index(0, From.size() - 1);
+    const auto At = From.begin() + static_cast<std::ptrdiff_t>(Index(Random));
+    owner_candidate Picked = *At;
+    From.erase(At);
+    return Picked;
+  };
+  for (unsigned Changes = 1 + Random() % 3; Changes > 0; --Changes) {
+    const unsigned Kind = Random() % 5;
+    if (Kind < 2 && !Absent.empty())
+      Candidates.push_back(Pick(Absent));
+    else if (Kind < 4 && Candidates.size() > 1)
+      Absent.push_back(Pick(Candidates));
+    else if (!Candidates.empty())
+      Candidates[Random() % Candidates.size()].Capacity *= 1.5;
+  }
+}
+
+} // namespace
+
+// Guards against instances that disagree on owners because one has followed
+// the changes and another has just started.
+Test(owner_assignment, is_the_same_after_changes_as_from_scratch) {
+  for (const std::size_t Count : {9, 90, 400})
+    for (unsigned Seed = 0; Seed < 12; ++Seed) {
+      std::mt19937 Random(Seed);
+      auto Candidates = fleet(Seed % 3 == 0 ? 3 : 24, 2);
+      std::vector<owner_candidate> Absent;
+      const auto Endpoints = endpoints(Count);
+      owner_assignment Assignment;
+      updateAssignment(Assignment, Endpoints, Candidates);
+      for (unsigned Step = 0; Step < 60; ++Step) {
+        changeRandomly(Candidates, Absent, Random);
+        updateCandidates(Assignment, Candidates);
+        cr_assert(Assignment.Owners == assignOwners(Endpoints, Candidates),
+                  "%zu endpoints, seed %u, step %u", Count, Seed, Step);
+      }
+    }
+}
+
+// Guards against work that is the product of endpoints and candidates for each
+// instance that joins or leaves a large fleet. A candidate that changed costs a
+// visit of its zone's endpoints, and so does each candidate whose bound changes
+// with it: about one in thirty.
+Test(owner_assignment, visits_few_candidates_when_one_changes) {
+  for (const std::size_t Size : {1, 2}) {
+    const auto Endpoints = endpoints(3000 * Size);
+    const auto All = fleet(150 * Size, 10 * Size);
+    owner_assignment Assignment;
+    updateAssignment(Assignment, Endpoints, All);
+    const std::uint64_t Whole = std::exchange(Assignment.Places, 0);
+    constexpr std::size_t Changes = 20;
+    for (std::size_t Index = 0; Index < Changes; ++Index) {
+      auto Rest = All;
+      Rest.erase(Rest.begin() + static_cast<std::ptrdiff_t>(7 * Index));
+      updateCandidates(Assignment, Rest);
+      updateCandidates(Assignment, All);
+    }
+    cr_assert(Assignment.Places / (2 * Changes) < Whole / 10,
+              "%zu of %zu places for one change", Assignment.Places / Changes,
+              Whole);
+  }
+}
+
+// The platform passes on only what changed, for instance to the log.
+Test(owner_assignment, tells_which_endpoints_changed) {
+  const auto Endpoints = endpoints(90);
+  const auto All = fleet(28, 2);
+  owner_assignment Assignment;
+  updateAssignment(Assignment, Endpoints, All);
+  const auto Before = Assignment.Owners;
+  auto Rest = All;
+  Rest.erase(Rest.begin() + 3);
+  const auto Changed = updateCandidates(Assignment, Rest);
+  cr_assert(Changed);
+  for (std::size_t Index = 0; Index < Endpoints.size(); ++Index)
+    cr_assert(Before[Index] == Assignment.Owners[Index] ||
+              std::ranges::find(*Changed, Index) != Changed->end());
+}
--- a/tests/session/session_core_test.cpp
+++ b/tests/session/session_core_test.cpp
@@ -331,6 +331,6 @@
   };
   cr_assert(failedWith(Fixture.write(Session), answer_code::Busy));
   cr_assert(Fixture.Group.callerStatements().empty());
-  cr_assert(Fixture.Set.Pools.at("p")->health().Failures == 0);
+  cr_assert(poolOf(Fixture.Set, "p")->health().Failures == 0);
   cr_assert(Fixture.Problems.empty());
 }
--- a/tests/session/standby_owner_test.cpp
+++ b/tests/session/standby_owner_test.cpp
@@ -31,7 +31,7 @@
         Address(Server.listen({"127.0.0.1", 0}).value()) {}
 
   /// The connections that it opened to the primary.
-  std::uint64_t connects() { return Core.Set.Pools.at("p")->connects(); }
+  std::uint64_t connects() { return poolOf(Core.Set, "p")->connects(); }
 
   core_fixture Core;
   forwarding_server Server;
@@ -126,7 +126,7 @@
 Test(standby_owner, holds_connections_only_while_it_is_used) {
   standby_fleet Fleet;
   core_fixture &Core = Fleet.Standby.Core;
-  endpoint_pool &Pool = *Core.Set.Pools.at("p");
+  endpoint_pool &Pool = *poolOf(Core.Set, "p");
   Pool.setLimits(limitsFor(owner_role::Standby, 56, 58));
   Fleet.First.Suspect = "owner";
   caller_session Session = Fleet.First.Core.open("strict");
@@ -208,10 +208,10 @@
   standby_fleet Fleet;
   constexpr std::size_t Accepted = 7;
   Fleet.Group.MaxConnections = Accepted;
-  Fleet.Owner.Core.Set.Pools.at("p")->setLimits(
-      limitsFor(owner_role::Owner, Accepted, 4));
-  Fleet.Standby.Core.Set.Pools.at("p")->setLimits(
-      limitsFor(owner_role::Standby, Accepted, 4));
+  poolOf(Fleet.Owner.Core.Set, "p")
+      ->setLimits(limitsFor(owner_role::Owner, Accepted, 4));
+  poolOf(Fleet.Standby.Core.Set, "p")
+      ->setLimits(limitsFor(owner_role::Standby, Accepted, 4));
   Fleet.First.Suspect = "owner";
   for (const char *Key : {"key", "key2"})
     for (caller_fixture *Caller : {&Fleet.First, &Fleet.Second}) {
@@ -232,7 +232,7 @@
   caller_session Session = Fleet.First.Core.open("strict");
   cr_assert(!Fleet.First.Core.write(Session).Error);
   cr_assert(Fleet.Group.callerStatements().size() == 1);
-  cr_assert(Fleet.First.Core.Set.Pools.at("p")->connects() == 1);
+  cr_assert(poolOf(Fleet.First.Core.Set, "p")->connects() == 1);
 }
 
 // The whole fleet restarts. Instances that know nobody else connect themselves;
--- a/tests/session/state_transfer_test.cpp
+++ b/tests/session/state_transfer_test.cpp
@@ -1,6 +1,6 @@
-#include "redwinggw/session/configuration_transfer.hpp"
 #include "redwinggw/session/forwarding_client.hpp"
 #include "redwinggw/session/forwarding_server.hpp"
+#include "redwinggw/session/state_transfer.hpp"
 
 #include "fake_endpoint.hpp"
 
@@ -15,7 +15,7 @@
 const std::string Secret = "secret";
 constexpr std::size_t LargeBytes = 5'000'000;
 
-stored_configuration largeConfiguration(std::uint64_t Row) {
+transferred_state largeConfiguration(std::uint64_t Row) {
   return {Row, std::make_shared<const std::string>(LargeBytes, 'x')};
 }
 
@@ -26,7 +26,12 @@
         Server(Context.get_executor(), Holder.Core, Secret),
         Links(Context.get_executor(), Requester.Set.Watch, Secret) {
     Address = Server.listen({"127.0.0.1", 0}).value();
-    Server.serveConfigurationFrom([this] { return Held; });
+    constexpr unsigned AtOnce = 2;
+    Server.serveStateFrom(
+        [this](state_kind Kind) {
+          return Kind == state_kind::Configuration ? Held : transferred_state();
+        },
+        AtOnce);
   }
   ~configuration_pair() {
     Server.stop();
@@ -35,7 +40,8 @@
 
   base::task<void> fetchOnce(std::uint64_t Row) {
     const connection_owner From{"holder", Address};
-    Answers.push_back(co_await Links.fetchConfiguration(From, Row));
+    const transfer_request Request{Row};
+    Answers.push_back(co_await Links.fetchState(From, Request));
   }
 
   /// Fetches \p Times times at once and waits for all answers.
@@ -53,15 +59,15 @@
   forwarding_server Server;
   forwarding_client Links;
   http::address Address;
-  stored_configuration Held;
-  std::vector<stored_configuration> Answers;
+  transferred_state Held;
+  std::vector<transferred_state> Answers;
 };
 
 } // namespace
 
 // Guards against a limit on the size of a configuration that instances can send
 // each other.
-Test(configuration_transfer, sends_a_configuration_of_any_size) {
+Test(state_transfer, sends_a_configuration_of_any_size) {
   configuration_pair Pair;
   Pair.Held = largeConfiguration(9);
   Pair.fetch(5);
@@ -69,7 +75,7 @@
   cr_assert(*Pair.Answers[0].Text == *Pair.Held.Text);
 }
 
-Test(configuration_transfer, sends_nothing_that_is_not_newer) {
+Test(state_transfer, sends_nothing_that_is_not_newer) {
   configuration_pair Pair;
   Pair.fetch(0);
   cr_assert(Pair.Answers[0].Row == 0);
@@ -81,14 +87,13 @@
 
 // Guards against a link that is saturated by the requests of all others at
 // once.
-Test(configuration_transfer,
-     refuses_more_transfers_than_it_can_send_at_a_time) {
+Test(state_transfer, refuses_more_transfers_than_it_can_send_at_a_time) {
   configuration_pair Pair;
   Pair.Held = largeConfiguration(9);
   constexpr std::size_t Requesters = 10;
   Pair.fetch(5, Requesters);
   const auto Served = std::ranges::count(Pair.Answers, std::uint64_t{9},
-                                         &stored_configuration::Row);
+                                         &transferred_state::Row);
   cr_assert(Served >= 1);
   Pair.Answers.clear();
   Pair.fetch(5);
@@ -96,28 +101,33 @@
 }
 
 // Guards against a text assembled from two configurations.
-Test(configuration_transfer, rejects_chunks_of_two_configurations) {
-  configuration_assembly Assembly;
+Test(state_transfer, rejects_chunks_of_two_configurations) {
+  transfer_assembly Assembly;
   cr_assert(appendChunk(Assembly, {9, "begin", false}));
   cr_assert(!appendChunk(Assembly, {10, "end", true}));
 }
 
-Test(configuration_transfer, messages_survive_encoding) {
-  const configuration_request Request{300};
-  const std::string Asked = encodeConfigurationRequest(Secret, Request);
-  const auto Again = decodeConfigurationRequest(Secret, Asked);
-  cr_assert(Again && Again->Row == 300);
-  const configuration_chunk Chunk{7, "text", false};
-  const std::string Told = encodeConfigurationChunk(Secret, Chunk);
-  const auto Read = decodeConfigurationChunk(Secret, Told);
+Test(state_transfer, messages_survive_encoding) {
+  const transfer_request Request{300};
+  const std::string Asked = encodeTransferRequest(Secret, Request);
+  const auto Again = decodeTransferRequest(Secret, Asked);
+  cr_assert(Again && Again->Row == 300 &&
+            Again->Kind == state_kind::Configuration);
+  const transfer_request Other{300, state_kind::Instances};
+  const auto Kind =
+      decodeTransferRequest(Secret, encodeTransferRequest(Secret, Other));
+  cr_assert(Kind && Kind->Row == 300 && Kind->Kind == state_kind::Instances);
+  const transfer_chunk Chunk{7, "text", false};
+  const std::string Told = encodeTransferChunk(Secret, Chunk);
+  const auto Read = decodeTransferChunk(Secret, Told);
   cr_assert(Read && Read->Row == 7 && Read->Text == "text" && !Read->Last);
 }
 
 // Guards against one kind of message being decoded as another.
-Test(configuration_transfer, refuses_other_messages_and_secrets) {
-  const configuration_request Request{300};
-  const std::string Asked = encodeConfigurationRequest(Secret, Request);
-  cr_assert(!decodeConfigurationChunk(Secret, Asked));
-  cr_assert(!decodeConfigurationRequest("another", Asked));
-  cr_assert(!decodeConfigurationRequest(Secret, Asked.substr(1)));
+Test(state_transfer, refuses_other_messages_and_secrets) {
+  const transfer_request Request{300};
+  const std::string Asked = encodeTransferRequest(Secret, Request);
+  cr_assert(!decodeTransferChunk(Secret, Asked));
+  cr_assert(!decodeTransferRequest("another", Asked));
+  cr_assert(!decodeTransferRequest(Secret, Asked.substr(1)));
 }
