--- a/packages/control/include/redwinggw/control/membership.hpp
+++ b/packages/control/include/redwinggw/control/membership.hpp
@@ -213,6 +213,8 @@
   std::uint64_t ListHash = 0;
   /// Grows whenever the list or the state of a member changes.
   std::uint64_t StatesVersion = 1;
+  /// Grows whenever Members or their Listed change.
+  std::uint64_t ListVersion = 1;
   /// Whether this instance acted as a relay when it last sent heartbeats.
   bool Relay = true;
   /// The receivers of the last heartbeats that were reports; the relays that
--- a/packages/control/src/membership.cpp
+++ b/packages/control/src/membership.cpp
@@ -195,6 +195,7 @@
   for (const base::instance_name &Name : Instances)
     if (member *Member = findMutable(Membership, Name))
       Member->Listed = true;
+  ++Membership.ListVersion;
 }
 
 namespace {
--- a/packages/control/src/membership_reports.cpp
+++ b/packages/control/src/membership_reports.cpp
@@ -206,6 +206,7 @@
   std::ranges::sort(Membership.ByHash);
   orderList(Membership);
   ++Membership.StatesVersion;
+  ++Membership.ListVersion;
   ++Membership.Contact.Losses;
 }
 
--- a/packages/redwinggw/src/platform_endpoints.cpp
+++ b/packages/redwinggw/src/platform_endpoints.cpp
@@ -313,13 +313,19 @@
 
 } // namespace
 
-session::transferred_state endpointsHeld(const platform_instance_state &State) {
+session::transferred_state endpointsHeld(platform_instance_state &State) {
   if (!isRecent(State))
     return {};
-  auto Texts = encodeEndpoints(State.EndpointList,
-                               std::numeric_limits<std::size_t>::max());
-  return {State.EndpointListVersion,
-          std::make_shared<const std::string>(std::move(Texts.front()))};
+  encoded_state &Encoded = State.EncodedEndpoints;
+  if (Encoded.Source != State.EndpointListDigest) {
+    auto Texts = encodeEndpoints(State.EndpointList,
+                                 std::numeric_limits<std::size_t>::max());
+    Encoded.Source = State.EndpointListDigest;
+    Encoded.State.Text =
+        std::make_shared<const std::string>(std::move(Texts.front()));
+  }
+  Encoded.State.Row = State.EndpointListVersion;
+  return Encoded.State;
 }
 
 namespace {
--- a/packages/redwinggw/src/platform_instance_state.hpp
+++ b/packages/redwinggw/src/platform_instance_state.hpp
@@ -57,6 +57,14 @@
   friend bool operator==(const owner_basis &, const owner_basis &) = default;
 };
 
+/// A state as it is sent to others, kept until it changes: hundreds may request
+/// it at once.
+struct encoded_state {
+  /// What the text was encoded from.
+  std::string Source;
+  session::transferred_state State;
+};
+
 struct platform_instance_state
     : std::enable_shared_from_this<platform_instance_state> {
   platform_instance_state(boost::asio::io_context &Context, settings Settings);
@@ -177,6 +185,8 @@
   std::vector<session::endpoint_entry> SentEndpointList;
   std::optional<base::instant> SentEndpointListAt;
   std::int64_t SentEndpointListParts = 1;
+  encoded_state EncodedEndpoints;
+  encoded_state EncodedInstances;
   std::optional<base::instant> FleetReadAt;
   /// The number of instances in the rows of the fleet at the first read, and
   /// the store's version at the last one.
@@ -347,10 +357,10 @@
 /// \name States from the relays of this availability zone
 /// @{
 /// What this instance sends to others that request \p Kind.
-session::transferred_state stateHeld(const platform_instance_state &State,
+session::transferred_state stateHeld(platform_instance_state &State,
                                      session::state_kind Kind);
 /// The endpoint list, if it is recent.
-session::transferred_state endpointsHeld(const platform_instance_state &State);
+session::transferred_state endpointsHeld(platform_instance_state &State);
 /// What this instance knows of its fleet and of its place in it.
 control::fleet_position fleetPosition(const platform_instance_state &State);
 /// Whether to ask the relays for a state that is lacking; after false this
--- a/packages/redwinggw/src/platform_relayed_state.cpp
+++ b/packages/redwinggw/src/platform_relayed_state.cpp
@@ -1,11 +1,16 @@
 #include "platform_instance_state.hpp"
 
+#include "redwinggw/base/enum_table.hpp"
+#include "redwinggw/base/log.hpp"
 #include "redwinggw/control/relays.hpp"
 #include "redwinggw/session/instance_list.hpp"
 
 #include <algorithm>
+#include <array>
 #include <memory>
 #include <optional>
+#include <string>
+#include <utility>
 #include <vector>
 
 /// In a fleet with relays, the states that an instance takes from the relays of
@@ -40,9 +45,14 @@
 }
 
 /// The instances that have a row in the store, as far as is known.
-transferred_state instancesHeld(const platform_instance_state &State) {
+transferred_state instancesHeld(platform_instance_state &State) {
   if (!State.Peers || !State.FleetReadAt)
     return {};
+  encoded_state &Encoded = State.EncodedInstances;
+  std::string Source = std::to_string(State.Peers->view().ListVersion);
+  Encoded.State.Row = State.FleetVersion;
+  if (Encoded.Source == Source)
+    return Encoded.State;
   std::vector<storage::listed_instance> Instances;
   for (const control::member &Member : State.Peers->view().Members)
     if (Member.Listed)
@@ -52,8 +62,10 @@
   Self.Zone = State.Settings.Zone;
   Self.Peers = State.Settings.Peers;
   Self.Capacity = State.Settings.Capacity;
-  return {State.FleetVersion, std::make_shared<const std::string>(
-                                  session::encodeInstances(Instances))};
+  Encoded.Source = std::move(Source);
+  Encoded.State.Text =
+      std::make_shared<const std::string>(session::encodeInstances(Instances));
+  return Encoded.State;
 }
 
 /// The relays that answer this instance, in the order of its choice.
@@ -71,10 +83,24 @@
   return Relays;
 }
 
+constexpr std::array KindNames = std::to_array<base::enum_name<state_kind>>({
+    {state_kind::Configuration, "configuration"},
+    {state_kind::Endpoints, "endpoints"},
+    {state_kind::Instances, "instances"},
+});
+
+void noteFetched(state_kind Kind, const base::instance_name &From,
+                 const transferred_state &State) {
+  base::logEvent(base::log_level::Info, base::log_part::Peers, "state_fetched",
+                 {{"state", std::string(base::nameOf(KindNames, Kind))},
+                  {"from", From},
+                  {"version", std::to_string(State.Row)},
+                  {"bytes", std::to_string(State.Text->size())}});
+}
+
 } // namespace
 
-transferred_state stateHeld(const platform_instance_state &State,
-                            state_kind Kind) {
+transferred_state stateHeld(platform_instance_state &State, state_kind Kind) {
   switch (Kind) {
   case state_kind::Configuration:
     return State.Stored;
@@ -119,8 +145,10 @@
     if (!State.ForwardingClient)
       break;
     auto Fetched = co_await State.ForwardingClient->fetchState(Relay, Request);
-    if (Fetched.Row != 0)
-      co_return Fetched;
+    if (Fetched.Row == 0)
+      continue;
+    noteFetched(Kind, Relay.Name, Fetched);
+    co_return Fetched;
   }
   co_await pauseWithJitter(State, State.Peers ? RelayRetryInterval
                                               : JoinCheckInterval);
