Send a configuration as changes to the one that the receiver has

Change: session/text_delta encodes a text as parts of a former one and new text, by records. A relay keeps the last four configurations and sends changes to a requester that has one of them; the result is checked by length and hash, and the whole is fetched if it does not fit. Requests of the older form get the whole.

--- a/packages/redwinggw/src/platform_configuration.cpp
+++ b/packages/redwinggw/src/platform_configuration.cpp
@@ -3,6 +3,8 @@
 #include "platform/decoding.hpp"
 
 #include "redwinggw/base/log.hpp"
+#include "redwinggw/control/relays.hpp"
+#include "redwinggw/session/text_delta.hpp"
 
 #include <algorithm>
 #include <iterator>
@@ -57,6 +59,43 @@
                   {"reason", describe(Reason)}});
 }
 
+/// Replaces the changes in \p Given by the whole text. False if they are not
+/// changes to the configuration that is known here: it is fetched again then.
+bool applyChanges(platform_instance_state &State,
+                  session::transferred_state &Given) {
+  if (Given.Base != State.Stored.Row || !State.Stored.Text)
+    return false;
+  auto Text = session::applyDelta(*State.Stored.Text, *Given.Text);
+  State.ConfigurationDeltaFailed = !Text.has_value();
+  if (!Text) {
+    base::logEvent(log_level::Warning, log_part::Configuration,
+                   "changes_not_applied",
+                   {{"row", std::to_string(Given.Row)},
+                    {"base", std::to_string(Given.Base)}});
+    return false;
+  }
+  Given.Text = std::make_shared<const std::string>(std::move(*Text));
+  Given.Base = 0;
+  return true;
+}
+
+/// Keeps the configuration that is about to be replaced, if others may fetch
+/// changes to it from here.
+void keepFormer(platform_instance_state &State) {
+  // Configurations in quick succession leave instances several behind.
+  constexpr std::size_t MaxFormer = 4;
+  State.ConfigurationDeltas.clear();
+  const bool Relays = State.Peers && usesRelays(State.Peers->view()) &&
+                      State.Peers->view().Relay;
+  if (!Relays || !State.Stored.Text) {
+    State.FormerConfigurations.clear();
+    return;
+  }
+  State.FormerConfigurations.push_back(State.Stored);
+  if (State.FormerConfigurations.size() > MaxFormer)
+    State.FormerConfigurations.pop_front();
+}
+
 /// Puts a configuration in force unless it is older than the present one. \p
 /// From names its source for the log: "store" or an instance.
 void acceptConfiguration(platform_instance_state &State,
@@ -64,12 +103,15 @@
                          std::string_view From) {
   if (Given.Row <= State.Stored.Row || !Given.Text)
     return;
+  if (Given.Base != 0 && !applyChanges(State, Given))
+    return;
   auto Table = platform::readConfiguration(*Given.Text);
   if (!Table) {
     base::log(log_level::Error, log_part::Configuration,
               describe(Table.error()));
     return;
   }
+  keepFormer(State);
   State.Stored = std::move(Given);
   if (State.Routes && Table->Version <= State.Routes->Version)
     return;
@@ -165,6 +207,20 @@
 
 } // namespace
 
+session::transferred_state
+configurationHeld(platform_instance_state &State,
+                  const session::transfer_request &Request) {
+  const auto Former = std::ranges::find(State.FormerConfigurations, Request.Row,
+                                        &session::transferred_state::Row);
+  if (!Request.ReadsDelta || Former == State.FormerConfigurations.end())
+    return State.Stored;
+  auto &Delta = State.ConfigurationDeltas[Request.Row];
+  if (!Delta)
+    Delta = std::make_shared<const std::string>(
+        session::encodeDelta(*Former->Text, *State.Stored.Text));
+  return {State.Stored.Row, Delta, Request.Row};
+}
+
 void acceptEvacuations(platform_instance_state &State,
                        session::evacuations Read, std::string_view From) {
   const std::vector<base::zone_name> Before = State.Evacuations.Zones;
@@ -194,8 +250,11 @@
       continue;
     }
     if (mayAwaitRelays(*State, Need)) {
+      // A relay sends the whole to an instance that names no version.
+      const std::uint64_t Held =
+          State->ConfigurationDeltaFailed ? 0 : State->Stored.Row;
       auto Fetched = co_await fetchFromRelays(
-          *State, session::state_kind::Configuration, State->Stored.Row);
+          *State, session::state_kind::Configuration, Held);
       acceptConfiguration(*State, std::move(Fetched), "relay");
       continue;
     }
--- a/packages/redwinggw/src/platform_endpoint_owners.cpp
+++ b/packages/redwinggw/src/platform_endpoint_owners.cpp
@@ -239,7 +239,9 @@
   State.ForwardingServer = std::make_unique<session::forwarding_server>(
       Executor, State.Core, Secret);
   State.ForwardingServer->serveStateFrom(
-      [&State](session::state_kind Kind) { return stateHeld(State, Kind); },
+      [&State](const session::transfer_request &Request) {
+        return stateHeld(State, Request);
+      },
       session::maxTransfers(State.Settings.LinkMbps));
   // When listening fails, the other instances connect to the endpoints
   // themselves.
--- a/packages/redwinggw/src/platform_instance_state.hpp
+++ b/packages/redwinggw/src/platform_instance_state.hpp
@@ -27,6 +27,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -82,6 +83,13 @@
   /// The text from which Routes was parsed, for instances that cannot read the
   /// store.
   session::transferred_state Stored;
+  /// While this instance is a relay, the configurations before Stored, the
+  /// latest last, and what turns each into Stored, by its version.
+  std::deque<session::transferred_state> FormerConfigurations;
+  std::map<std::uint64_t, std::shared_ptr<const std::string>>
+      ConfigurationDeltas;
+  /// Changes to the configuration could not be applied: fetch the whole.
+  bool ConfigurationDeltaFailed = false;
   /// The evacuated availability zones, read from the store or reported by
   /// another instance.
   session::evacuations Evacuations;
@@ -356,9 +364,14 @@
 
 /// \name States from the relays of this availability zone
 /// @{
-/// What this instance sends to others that request \p Kind.
+/// What this instance sends to others on request.
 session::transferred_state stateHeld(platform_instance_state &State,
-                                     session::state_kind Kind);
+                                     const session::transfer_request &Request);
+/// The configuration in force, as changes where the requester has a version
+/// that is still known here.
+session::transferred_state
+configurationHeld(platform_instance_state &State,
+                  const session::transfer_request &Request);
 /// The endpoint list, if it is recent.
 session::transferred_state endpointsHeld(platform_instance_state &State);
 /// What this instance knows of its fleet and of its place in it.
--- a/packages/redwinggw/src/platform_relayed_state.cpp
+++ b/packages/redwinggw/src/platform_relayed_state.cpp
@@ -100,10 +100,11 @@
 
 } // namespace
 
-transferred_state stateHeld(platform_instance_state &State, state_kind Kind) {
-  switch (Kind) {
+transferred_state stateHeld(platform_instance_state &State,
+                            const session::transfer_request &Request) {
+  switch (Request.Kind) {
   case state_kind::Configuration:
-    return State.Stored;
+    return configurationHeld(State, Request);
   case state_kind::Endpoints:
     return endpointsHeld(State);
   case state_kind::Instances:
--- a/packages/session/include/redwinggw/session/forwarding_server.hpp
+++ b/packages/session/include/redwinggw/session/forwarding_server.hpp
@@ -43,10 +43,11 @@
   /// Fails with errc::BadSettings when the address cannot be bound.
   base::result<http::address> listen(const http::address &Address);
 
-  /// \p Held returns the state of a kind that is held here, which is sent on
-  /// request, to \p AtOnce instances at most at a time.
-  void serveStateFrom(std::function<transferred_state(state_kind)> Held,
-                      unsigned AtOnce);
+  /// \p Held returns the requested state, or changes to the version that the
+  /// requester has; it is sent to \p AtOnce instances at most at a time.
+  void serveStateFrom(
+      std::function<transferred_state(const transfer_request &)> Held,
+      unsigned AtOnce);
 
   /// Connections to endpoints that are pinned by other instances' transactions.
   std::size_t pinnedLinks() const;
--- a/packages/session/include/redwinggw/session/state_transfer.hpp
+++ b/packages/session/include/redwinggw/session/state_transfer.hpp
@@ -31,12 +31,17 @@
   /// store's version at the read; 0 if there is none.
   std::uint64_t Row = 0;
   std::shared_ptr<const std::string> Text;
+  /// The version that Text changes, see text_delta.hpp; 0: it is the whole.
+  std::uint64_t Base = 0;
 };
 
 struct transfer_request {
   /// The version that the requester already has.
   std::uint64_t Row = 0;
   state_kind Kind = state_kind::Configuration;
+  /// The requester accepts changes to that version. Not sent: builds that send
+  /// a request of the present form do.
+  bool ReadsDelta = true;
 };
 
 struct transfer_chunk {
@@ -45,6 +50,8 @@
   std::uint64_t Row = 0;
   std::string Text;
   bool Last = true;
+  /// The text changes the requested version. Older builds do not send it.
+  bool Delta = false;
 };
 
 /// The chunk of \p State that starts at byte \p Begin. Precondition: \p Begin
@@ -57,6 +64,7 @@
   std::uint64_t Row = 0;
   std::string Text;
   bool Complete = false;
+  bool Delta = false;
 };
 
 /// Appends \p Chunk. Returns false if it belongs to another version or if
--- a/packages/session/src/forwarding_codec.cpp
+++ b/packages/session/src/forwarding_codec.cpp
@@ -18,10 +18,9 @@
 /// unknown numbers are refused.
 enum class message_form : std::uint8_t {
   Statement = 1,
-  /// A transfer_request for the configuration.
+  /// A transfer_request for the configuration, as older builds send it.
   ConfigurationRequest = 2,
   TransferChunk = 3,
-  /// A transfer_request for another state.
   StateRequest = 4,
 };
 /// Callers' messages have at most 1 MiB; a longer text is corrupt.
@@ -219,8 +218,8 @@
   Ar.number(Value.Row);
 }
 
-/// A request for another state than the configuration: builds that know no
-/// other must not answer it.
+/// The present form of a transfer_request: builds that know no other state than
+/// the configuration must not answer it.
 struct state_request {
   transfer_request Request;
 };
@@ -240,6 +239,7 @@
   Ar.number(Value.Row);
   Ar.text(Value.Text);
   Ar.flag(Value.Last);
+  Ar.added([&] { Ar.flag(Value.Delta); });
 }
 
 /// Statement is the form of requests to run a statement and of their replies.
@@ -324,9 +324,7 @@
 
 std::string encodeTransferRequest(std::string_view Secret,
                                   const transfer_request &Value) {
-  if (Value.Kind != state_kind::Configuration)
-    return encode(Secret, state_request{Value});
-  return encode(Secret, Value);
+  return encode(Secret, state_request{Value});
 }
 
 std::string encodeTransferChunk(std::string_view Secret,
@@ -336,9 +334,12 @@
 
 std::optional<transfer_request> decodeTransferRequest(std::string_view Secret,
                                                       std::string_view Bytes) {
-  if (const auto Other = decode<state_request>(Secret, Bytes))
-    return Other->Request;
-  return decode<transfer_request>(Secret, Bytes);
+  if (const auto Present = decode<state_request>(Secret, Bytes))
+    return Present->Request;
+  auto Older = decode<transfer_request>(Secret, Bytes);
+  if (Older)
+    Older->ReadsDelta = false;
+  return Older;
 }
 
 std::optional<transfer_chunk> decodeTransferChunk(std::string_view Secret,
--- a/packages/session/src/state_transfer.cpp
+++ b/packages/session/src/state_transfer.cpp
@@ -11,12 +11,12 @@
 
 } // namespace
 
-transfer_chunk chunkAt(const transferred_state &Configuration,
-                       std::size_t Begin) {
+transfer_chunk chunkAt(const transferred_state &State, std::size_t Begin) {
   transfer_chunk Chunk;
-  Chunk.Row = Configuration.Row;
-  Chunk.Text = Configuration.Text->substr(Begin, ChunkBytes);
-  Chunk.Last = Begin + Chunk.Text.size() == Configuration.Text->size();
+  Chunk.Row = State.Row;
+  Chunk.Text = State.Text->substr(Begin, ChunkBytes);
+  Chunk.Last = Begin + Chunk.Text.size() == State.Text->size();
+  Chunk.Delta = State.Base != 0;
   return Chunk;
 }
 
@@ -27,6 +27,7 @@
   Assembly.Row = Chunk.Row;
   Assembly.Text += Chunk.Text;
   Assembly.Complete = Chunk.Last;
+  Assembly.Delta = Chunk.Delta;
   return true;
 }
 
--- a/tests/session/state_transfer_test.cpp
+++ b/tests/session/state_transfer_test.cpp
@@ -28,8 +28,10 @@
     Address = Server.listen({"127.0.0.1", 0}).value();
     constexpr unsigned AtOnce = 2;
     Server.serveStateFrom(
-        [this](state_kind Kind) {
-          return Kind == state_kind::Configuration ? Held : transferred_state();
+        [this](const transfer_request &Request) {
+          return Request.Kind == state_kind::Configuration
+                     ? Held
+                     : transferred_state();
         },
         AtOnce);
   }
