Send changes of many endpoints in several datagrams

Cause: while 3,000 endpoints appear, 550 a second, the changes of a second exceed a datagram, and the store reader sent the whole list instead: up to 390 kB to each instance (computed from the entries' size).

Change: the changes are split; each part leads to a list of its own, from which the next one starts. A lost part shows in the next digest as before.

At twice the size: twice as many parts for twice as many changes.

--- a/packages/redwinggw/src/platform_endpoints.cpp
+++ b/packages/redwinggw/src/platform_endpoints.cpp
@@ -128,14 +128,14 @@
     shareUnchanged(State);
     return;
   }
-  wire::shared_store_read Changes;
-  Changes.Kind = wire::shared_read_kind::EndpointChanges;
-  Changes.Version = Version;
-  Changes.Text = session::encodeChanges(Before, State.EndpointList);
-  if (Changes.Text.size() <= MaxSharedReadBytes)
+  for (std::string &Text : session::encodeChangesInParts(
+           Before, State.EndpointList, MaxSharedReadBytes)) {
+    wire::shared_store_read Changes;
+    Changes.Kind = wire::shared_read_kind::EndpointChanges;
+    Changes.Version = Version;
+    Changes.Text = std::move(Text);
     State.Peers->sendSharedRead(Changes);
-  else
-    shareWholeList(State, Version);
+  }
 }
 
 /// One line for each endpoint, or one for all: a list of thousands arrives at
--- a/packages/session/include/redwinggw/session/list_changes.hpp
+++ b/packages/session/include/redwinggw/session/list_changes.hpp
@@ -2,6 +2,7 @@
 
 #include "redwinggw/session/directory.hpp"
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -33,4 +34,12 @@
 change_result applyChanges(std::vector<endpoint_entry> &List,
                            std::string_view Text);
 
+/// The changes from \p From to \p To as several messages of at most about
+/// \p MaxBytes, where one does not suffice; each leads to a list of its own, from
+/// which the next one starts. Thread safe.
+std::vector<std::string>
+encodeChangesInParts(const std::vector<endpoint_entry> &From,
+                     const std::vector<endpoint_entry> &To,
+                     std::size_t MaxBytes);
+
 } // namespace redwinggw::session
--- a/packages/session/src/list_changes.cpp
+++ b/packages/session/src/list_changes.cpp
@@ -5,6 +5,7 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <exception>
 #include <limits>
@@ -87,6 +88,61 @@
                                       {"entries", json::parse(Texts.front())}});
 }
 
+namespace {
+
+/// \p To without the changes after the first \p Count of them: entries that
+/// changed later are as in \p From, and new ones are missing.
+std::vector<endpoint_entry>
+withFirstChanges(const std::vector<endpoint_entry> &From,
+                 const std::vector<endpoint_entry> &To, std::size_t Count) {
+  const auto Before = byName(From);
+  std::vector<endpoint_entry> List;
+  std::size_t Changed = 0;
+  for (const endpoint_entry &Entry : To) {
+    const auto Known = Before.find(Entry.Name);
+    const bool IsNew = Known == Before.end();
+    const bool Differs = IsNew || *Known->second != Entry;
+    Changed += Differs ? 1 : 0;
+    if (!Differs || Changed <= Count)
+      List.push_back(Entry);
+    else if (!IsNew)
+      List.push_back(*Known->second);
+  }
+  return List;
+}
+
+std::size_t countChanges(const std::vector<endpoint_entry> &From,
+                         const std::vector<endpoint_entry> &To) {
+  const auto Before = byName(From);
+  return static_cast<std::size_t>(
+      std::ranges::count_if(To, [&](const endpoint_entry &Entry) {
+        const auto Known = Before.find(Entry.Name);
+        return Known == Before.end() || *Known->second != Entry;
+      }));
+}
+
+} // namespace
+
+std::vector<std::string>
+encodeChangesInParts(const std::vector<endpoint_entry> &From,
+                     const std::vector<endpoint_entry> &To,
+                     std::size_t MaxBytes) {
+  std::string Whole = encodeChanges(From, To);
+  const std::size_t Parts = 1 + Whole.size() / MaxBytes;
+  if (Parts == 1)
+    return {std::move(Whole)};
+  // Entries differ in length, so one part more than by the mean.
+  const std::size_t PerPart = 1 + countChanges(From, To) / (Parts + 1);
+  std::vector<std::string> Texts;
+  std::vector<endpoint_entry> Reached = From;
+  for (std::size_t Count = PerPart; Reached != To; Count += PerPart) {
+    std::vector<endpoint_entry> Next = withFirstChanges(From, To, Count);
+    Texts.push_back(encodeChanges(Reached, Next));
+    Reached = std::move(Next);
+  }
+  return Texts;
+}
+
 change_result applyChanges(std::vector<endpoint_entry> &List,
                            std::string_view Text) {
   try {
--- a/tests/session/list_changes_test.cpp
+++ b/tests/session/list_changes_test.cpp
@@ -69,3 +69,26 @@
   cr_assert(!decodeEndpoints(encodeChanges({}, {entry(1)})));
   cr_assert(!decodeEndpoints("12345"));
 }
+
+// Guards against a whole list of thousands for each second of a start, in which
+// hundreds of endpoints appear: their changes exceed a datagram.
+Test(list_changes, that_exceed_a_datagram_are_sent_in_parts) {
+  std::vector<endpoint_entry> From;
+  std::vector<endpoint_entry> To;
+  for (std::size_t Index = 0; Index < 3000; ++Index) {
+    if (Index % 3 != 0)
+      From.push_back(entry(Index));
+    if (Index % 7 != 0)
+      To.push_back(entry(Index, Index % 5 == 0 ? 2 : 1));
+  }
+  constexpr std::size_t MaxBytes = 20'000;
+  const auto Parts = encodeChangesInParts(From, To, MaxBytes);
+  cr_assert(Parts.size() > 1);
+  auto List = From;
+  for (const std::string &Part : Parts) {
+    cr_assert(Part.size() <= MaxBytes, "%zu bytes", Part.size());
+    cr_assert(applyChanges(List, Part) == change_result::Applied);
+  }
+  cr_assert(List == To);
+  cr_assert(encodeChangesInParts(To, To, MaxBytes).size() == 1);
+}
