--- a/tests/control/membership_test.cpp
+++ b/tests/control/membership_test.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 
+#include <algorithm>
+#include <random>
+
 #include "criterion_test.hpp"
 
 using namespace redwinggw;
@@ -174,3 +177,64 @@
   Fleet.Now += milliseconds(300);
   cr_assert(!Send(Asker, "i21").Hashes);
 }
+
+namespace {
+
+/// The contact with a majority, counted anew.
+bool countsMajority(const membership &Membership, instant Now) {
+  const auto InContact =
+      std::ranges::count_if(Membership.Members, [&](const member &Member) {
+        return Member.ReadStoreSinceStart &&
+               isInContact(Membership, Member, Now);
+      });
+  const std::size_t Self = Membership.Store.ReadAt ? 1 : 0;
+  return 2 * (static_cast<std::size_t>(InContact) + Self) >
+         instanceCount(Membership);
+}
+
+} // namespace
+
+// Guards against a contact that is believed for longer than the reports hold,
+// or not seen when it is back: cuts, deaths, restarts and changes of the list.
+Test(membership, knows_at_each_moment_whether_a_majority_is_in_contact) {
+  constexpr std::size_t Count = 24;
+  for (unsigned Seed = 0; Seed < 8; ++Seed) {
+    std::mt19937 Random(Seed);
+    fleet Fleet = makeFleet(Seed % 2 == 0 ? Count : 9);
+    const std::size_t Size = Fleet.Instances.size();
+    for (unsigned Step = 0; Step < 120; ++Step) {
+      if (Step % 12 == 0) {
+        const std::size_t Border = Random() % Size;
+        Fleet.Connected = [Border](std::size_t From, std::size_t To) {
+          return (From < Border) == (To < Border);
+        };
+        for (std::size_t Index = 0; Index < Size; ++Index)
+          Fleet.Instances[Index].Up = Random() % 4 != 0;
+      }
+      run(Fleet, milliseconds(50));
+      for (const fleet_instance &Instance : Fleet.Instances) {
+        const membership &Membership = Instance.Membership;
+        cr_assert(inContactWithMajority(Membership, Fleet.Now) ==
+                      countsMajority(Membership, Fleet.Now),
+                  "seed %u, step %u, %s", Seed, Step,
+                  Membership.Self.Name.c_str());
+      }
+    }
+  }
+}
+
+// Guards against a visit of all members for each statement.
+Test(membership, knows_its_contact_without_visiting_all_each_time) {
+  fleet Fleet = makeFleet(64);
+  run(Fleet, milliseconds(3000));
+  const membership &Membership = Fleet.Instances[40].Membership;
+  Membership.Contact.Visits = 0;
+  constexpr unsigned Steps = 40;
+  for (unsigned Step = 0; Step < Steps; ++Step) {
+    run(Fleet, milliseconds(50));
+    for (unsigned Query = 0; Query < 100; ++Query)
+      cr_assert(inContactWithMajority(Membership, Fleet.Now));
+  }
+  // At most once for each step, and not once for each query.
+  cr_assert(Membership.Contact.Visits <= Steps * Membership.Members.size());
+}
--- a/tests/control/relays_test.cpp
+++ b/tests/control/relays_test.cpp
@@ -416,3 +416,19 @@
   cr_assert(Positions == std::vector<wire::position_report>(
                              {{2, 1, 6, 139}, {3, 2, 5, 140}, {4, 1, 5, 140}}));
 }
+
+// Guards against log positions of all services of a large fleet in each answer,
+// of which an instance uses few.
+Test(relays, send_positions_of_services_that_the_receiver_uses) {
+  std::vector<wire::position_report> Positions;
+  for (std::uint32_t Group = 1; Group <= 1000; ++Group)
+    Positions.push_back({Group, 1, 1, 10});
+  member Receiver;
+  auto Kept = Positions;
+  keepNeededPositions(Receiver, Kept);
+  cr_assert(Kept.size() == 1000, "a build that does not tell gets all");
+  Receiver.Report.Capacity = 0.5;
+  Receiver.Report.Services = {7, 900, 5000};
+  keepNeededPositions(Receiver, Kept);
+  cr_assert(Kept.size() == 2 && Kept[0].Group == 7 && Kept[1].Group == 900);
+}
