--- a/tests/control/membership_test.cpp
+++ b/tests/control/membership_test.cpp
@@ -1,7 +1,5 @@
 #include "membership_fleet.hpp"
 
-#include <algorithm>
-
 #include <algorithm>
 #include <random>
 
