Serve statements while a configuration is read; relays fetch it from others

Change: the configuration is read in steps of 16 kB or 100 routes, with other work between them. In a fleet with relays an instance that is behind asks another one before it reads the store, also if it is a relay.

At twice the size: twice as many steps of the same length.

--- a/packages/redwinggw/src/platform_configuration.cpp
+++ b/packages/redwinggw/src/platform_configuration.cpp
@@ -6,8 +6,12 @@
 #include "redwinggw/control/relays.hpp"
 #include "redwinggw/session/text_delta.hpp"
 
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <algorithm>
 #include <iterator>
+#include <memory>
 
 /// The operators' configuration: read from the platform's store, or from
 /// another instance when the store does not return the newest one.
@@ -96,25 +100,45 @@
     State.FormerConfigurations.pop_front();
 }
 
+/// Reads a configuration and serves others meanwhile.
+base::task<base::result<session::route_table>>
+readInSteps(platform_instance_state &State,
+            std::shared_ptr<const std::string> Text) {
+  platform::configuration_reading Reading(*Text);
+  while (true) {
+    const auto Done = Reading.readOn();
+    if (!Done)
+      co_return Done.error();
+    if (*Done)
+      co_return Reading.take();
+    co_await boost::asio::post(State.Context, boost::asio::use_awaitable);
+  }
+}
+
+bool isInLargeFleet(const platform_instance_state &State) {
+  return State.Peers && usesRelays(State.Peers->view());
+}
+
 /// Puts a configuration in force unless it is older than the present one. \p
 /// From names its source for the log: "store" or an instance.
-void acceptConfiguration(platform_instance_state &State,
-                         session::transferred_state Given,
-                         std::string_view From) {
+base::task<void> acceptConfiguration(platform_instance_state &State,
+                                     session::transferred_state Given,
+                                     std::string From) {
   if (Given.Row <= State.Stored.Row || !Given.Text)
-    return;
+    co_return;
   if (Given.Base != 0 && !applyChanges(State, Given))
-    return;
-  auto Table = platform::readConfiguration(*Given.Text);
+    co_return;
+  auto Table = co_await readInSteps(State, Given.Text);
   if (!Table) {
     base::log(log_level::Error, log_part::Configuration,
               describe(Table.error()));
-    return;
+    co_return;
   }
   keepFormer(State);
   State.Stored = std::move(Given);
+  State.ConfigurationDeltaFailed = false;
   if (State.Routes && Table->Version <= State.Routes->Version)
-    return;
+    co_return;
   State.Routes = std::make_shared<session::route_table>(std::move(*Table));
   State.ServicesByHash.clear();
   for (const auto &[Service, Limits] : State.Routes->Services)
@@ -159,7 +183,8 @@
   if (State.Peers)
     State.Peers->noteStoreContact();
   acceptEvacuations(State, evacuationsIn(*Rows), "store");
-  acceptConfiguration(State, storedConfiguration(*Rows), "store");
+  auto Read = storedConfiguration(*Rows);
+  co_await acceptConfiguration(State, std::move(Read), "store");
   co_return true;
 }
 
@@ -192,7 +217,7 @@
   const session::connection_owner From{Holder->Name, Holder->Address};
   const session::transfer_request Request{State.Stored.Row};
   auto Fetched = co_await State.ForwardingClient->fetchState(From, Request);
-  acceptConfiguration(State, std::move(Fetched), From.Name);
+  co_await acceptConfiguration(State, std::move(Fetched), From.Name);
 }
 
 /// Whether another instance has a newer configuration; records since when.
@@ -255,12 +280,18 @@
           State->ConfigurationDeltaFailed ? 0 : State->Stored.Row;
       auto Fetched = co_await fetchFromRelays(
           *State, session::state_kind::Configuration, Held);
-      acceptConfiguration(*State, std::move(Fetched), "relay");
+      co_await acceptConfiguration(*State, std::move(Fetched), "relay");
       continue;
     }
-    // Others may answer while the store does not.
-    if (!State->StorePacing.Answers && isBehind(*State))
+    // Others may answer while the store does not, and in a large fleet a change
+    // is small if it comes from another relay.
+    const bool AsksOthers =
+        !State->StorePacing.Answers || isInLargeFleet(*State);
+    if (AsksOthers && isBehind(*State))
       co_await fetchFromPeer(*State);
+    if (AsksOthers && State->Routes && hasStoreReader(*State) &&
+        !isBehind(*State))
+      continue;
     const bool InTurn =
         co_await awaitStoreAttempt(*State, control::store_loop::Configuration);
     if (!InTurn)
--- a/tests/platform/decoding_test.cpp
+++ b/tests/platform/decoding_test.cpp
@@ -103,3 +103,38 @@
   cr_assert(!readConfiguration(R"({"version":"seven"})"));
   cr_assert(!readConfiguration("not json"));
 }
+
+namespace {
+
+std::string configurationOf(std::size_t Routes) {
+  std::string Text = R"({"version":7,"routes":[)";
+  for (std::size_t Index = 0; Index < Routes; ++Index)
+    Text += (Index == 0 ? "" : ",") +
+            (R"({"name":"r","host":"db)" + std::to_string(Index)) +
+            R"(","kind":"primary","timeout_ms":3000,"target_latency_ms":800,)"
+            R"("priority":2,"service":"s"})";
+  return Text + R"(],"services":[],"limits":{},"tenants":[]})";
+}
+
+} // namespace
+
+// Guards against thousands of routes that keep a small machine from serving
+// anything while it reads them.
+Test(decoding, reads_a_large_configuration_in_steps) {
+  constexpr std::size_t Routes = 5000;
+  const std::string Text = configurationOf(Routes);
+  configuration_reading Reading(Text);
+  std::size_t Steps = 1;
+  while (!Reading.readOn().value())
+    ++Steps;
+  cr_assert(Steps > Routes / 100);
+  cr_assert(Reading.take().Routes.size() == Routes);
+}
+
+Test(decoding, refuses_a_configuration_that_ends_early_or_goes_on) {
+  const std::string Text = configurationOf(400);
+  for (const std::string &Bad :
+       {Text.substr(0, Text.size() - 1), Text.substr(0, 20'000), Text + "x",
+        std::string(), std::string("[]"), std::string("null")})
+    cr_assert(!readConfiguration(Bad));
+}
