Tell changes of a configuration from the whole at the receiver

The receiver took a delta of 602 bytes for the whole, could not read it, and fetched it again at once. The test of processes passed since the store was read after 1.5 s.

Change: the client returns the version that the changes are for; what cannot be used is fetched again after a pause. The tests fail without the fix: the marker survives a transfer, and at least half of the instances put a change in force as a relay sent it, none with a message that could not be read.

--- a/packages/redwinggw/src/platform_configuration.cpp
+++ b/packages/redwinggw/src/platform_configuration.cpp
@@ -280,7 +280,11 @@
           State->ConfigurationDeltaFailed ? 0 : State->Stored.Row;
       auto Fetched = co_await fetchFromRelays(
           *State, session::state_kind::Configuration, Held);
+      const std::uint64_t Row = Fetched.Row;
       co_await acceptConfiguration(*State, std::move(Fetched), "relay");
+      // What cannot be used now would be fetched again at once.
+      if (Row != 0 && State->Stored.Row < Row)
+        co_await pauseWithJitter(*State, RetryDelay);
       continue;
     }
     // Others may answer while the store does not, and in a large fleet a change
--- a/packages/session/src/forwarding_client.cpp
+++ b/packages/session/src/forwarding_client.cpp
@@ -298,8 +298,11 @@
   }
   if (!Goes)
     co_return transferred_state();
-  co_return transferred_state{Assembly.Row, std::make_shared<const std::string>(
-                                                std::move(Assembly.Text))};
+  transferred_state Fetched;
+  Fetched.Row = Assembly.Row;
+  Fetched.Text = std::make_shared<const std::string>(std::move(Assembly.Text));
+  Fetched.Base = Assembly.Delta ? Request.Row : 0;
+  co_return Fetched;
 }
 
 void forwarding_client::abandon(std::string_view Owner, instant Now) {
--- a/tests/native/relayed_state_test.cpp
+++ b/tests/native/relayed_state_test.cpp
@@ -44,11 +44,27 @@
   return Registered == Fleet.Instances.size();
 }
 
+/// How many instances have put their last configuration in force as a relay
+/// sent it.
+std::size_t takenFromRelays(const native_fleet &Fleet) {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      Fleet.Instances, [](const native_process &Instance) {
+        const std::string Log = Instance.Process->output();
+        const auto Last = Log.rfind(R"("event":"configuration_in_force")");
+        return Last != std::string::npos &&
+               Log.substr(Last, Log.find('\n', Last) - Last)
+                       .find(R"("from":"relay")") != std::string::npos;
+      }));
+}
+
 constexpr std::string_view EndpointsFetched =
     R"("event":"state_fetched","state":"endpoints")";
 constexpr std::string_view ConfigurationFetched =
     R"("event":"state_fetched","state":"configuration")";
 
+/// A state that was fetched and could not be used.
+constexpr std::string_view NotRead = "bad_message";
+
 } // namespace
 
 // Guards against a start in which each instance reads the whole list from the
@@ -68,6 +84,7 @@
   }
   cr_assert(loggedBy(Fleet, EndpointsFetched) >= Instances / 2);
   cr_assert(loggedBy(Fleet, ConfigurationFetched) >= Instances / 2);
+  cr_assert(loggedBy(Fleet, NotRead) == 0);
 }
 
 // Guards against a change that reaches relays only.
@@ -83,5 +100,6 @@
       line_client Caller(Instance.Callers, "strict", "key");
       return Caller.failed() == "DENIED";
     }));
-  cr_assert(loggedBy(Fleet, ConfigurationFetched) >= Instances / 2);
+  cr_assert(takenFromRelays(Fleet) >= Instances / 2);
+  cr_assert(loggedBy(Fleet, NotRead) == 0);
 }
--- a/tests/session/state_transfer_test.cpp
+++ b/tests/session/state_transfer_test.cpp
@@ -87,6 +87,18 @@
   cr_assert(Pair.Answers[0].Row == 0);
 }
 
+// Guards against changes that are taken for the whole configuration.
+Test(state_transfer, tells_changes_from_the_whole) {
+  configuration_pair Pair;
+  Pair.Held = largeConfiguration(9);
+  Pair.fetch(5);
+  cr_assert(Pair.Answers[0].Base == 0);
+  Pair.Answers.clear();
+  Pair.Held.Base = 5;
+  Pair.fetch(5);
+  cr_assert(Pair.Answers[0].Row == 9 && Pair.Answers[0].Base == 5);
+}
+
 // Guards against a link that is saturated by the requests of all others at
 // once.
 Test(state_transfer, refuses_more_transfers_than_it_can_send_at_a_time) {
