Read the numbers of a delta by hand; reserve and append where lint asks

Cause: lint. std::from_chars was given the end of a string view as a pointer.

Change: digits are read with a check for overflow; no other behaviour changes.

Measured: text_delta_test.

--- a/packages/redwinggw/src/platform_endpoints.cpp
+++ b/packages/redwinggw/src/platform_endpoints.cpp
@@ -150,7 +150,11 @@
   }
   for (const base::endpoint_name &Name : Names)
     base::log(log_level::Info, log_part::Endpoints,
-              "Endpoint " + Name + " was " + Event + ".");
+              std::string("Endpoint ")
+                  .append(Name)
+                  .append(" was ")
+                  .append(Event)
+                  .append("."));
 }
 
 void acceptEndpointList(platform_instance_state &State,
--- a/packages/session/src/text_delta.cpp
+++ b/packages/session/src/text_delta.cpp
@@ -2,7 +2,6 @@
 
 #include "redwinggw/wire/message.hpp"
 
-#include <charconv>
 #include <cstdint>
 #include <unordered_map>
 #include <vector>
@@ -94,15 +93,23 @@
     Rest.remove_prefix(1);
     return Step;
   }
+  /// A number and the character that ends it.
   std::optional<std::size_t> number() {
+    constexpr std::size_t Base = 10;
+    constexpr std::size_t Max = SIZE_MAX / Base - 1;
     std::size_t Number = 0;
-    const char *End = Rest.data() + Rest.size();
-    const auto Read = std::from_chars(Rest.data(), End, Number);
-    const bool Valid = Read.ec == std::errc() && Read.ptr != End &&
-                       (*Read.ptr == ' ' || *Read.ptr == StepEnd);
-    if (!Valid)
+    std::size_t Digits = 0;
+    for (; Digits < Rest.size() && Rest[Digits] >= '0' && Rest[Digits] <= '9';
+         ++Digits) {
+      if (Number > Max)
+        return std::nullopt;
+      Number = Base * Number + static_cast<std::size_t>(Rest[Digits] - '0');
+    }
+    const bool Ends = Digits != 0 && Digits < Rest.size() &&
+                      (Rest[Digits] == ' ' || Rest[Digits] == StepEnd);
+    if (!Ends)
       return std::nullopt;
-    Rest.remove_prefix(static_cast<std::size_t>(Read.ptr - Rest.data()) + 1);
+    Rest.remove_prefix(Digits + 1);
     return Number;
   }
   std::optional<std::string_view> text(std::size_t Length) {
--- a/tests/control/bucket_ranking_test.cpp
+++ b/tests/control/bucket_ranking_test.cpp
@@ -18,6 +18,7 @@
 
 std::vector<owner_candidate> candidates(std::uint32_t Count) {
   std::vector<owner_candidate> Candidates;
+  Candidates.reserve(Count);
   for (std::uint32_t Index = 0; Index < Count; ++Index)
     Candidates.push_back(candidate(Index));
   return Candidates;
