--- a/packages/redwinggw/src/platform_relayed_state.cpp
+++ b/packages/redwinggw/src/platform_relayed_state.cpp
@@ -139,8 +139,8 @@
   std::vector<session::connection_owner> Relays;
   for (const control::member *Relay : answeringRelays(State))
     Relays.push_back({Relay->Name, Relay->Address, Relay->Zone});
-  // The instances of a zone have the same relays, which share the work. The list
-  // of instances is the one that hasListOfRelays compares with.
+  // The instances of a zone have the same relays, which share the work. The
+  // list of instances is the one that hasListOfRelays compares with.
   if (Kind != state_kind::Instances)
     std::ranges::shuffle(Relays, State.Random);
   const session::transfer_request Request{Held, Kind};
--- a/packages/session/include/redwinggw/session/list_changes.hpp
+++ b/packages/session/include/redwinggw/session/list_changes.hpp
@@ -35,8 +35,8 @@
                            std::string_view Text);
 
 /// The changes from \p From to \p To as several messages of at most about
-/// \p MaxBytes, where one does not suffice; each leads to a list of its own, from
-/// which the next one starts. Thread safe.
+/// \p MaxBytes, where one does not suffice; each leads to a list of its own,
+/// from which the next one starts. Thread safe.
 std::vector<std::string>
 encodeChangesInParts(const std::vector<endpoint_entry> &From,
                      const std::vector<endpoint_entry> &To,
