Read the configuration sooner when no store reader is known

The store turned 60% of the instances away in the moment of the change, its reader among them. Others take that one for the reader until its last answer is 2.5 s old; since an instance then left the store to its relays for another 1.5 s, and where these were turned away too it was the only one who could learn of the change.

Change: 0.7 s where no reader is known and nothing newer either: three heartbeats, in which a relay that can read the store shows that it does.

--- a/packages/redwinggw/src/platform_configuration.cpp
+++ b/packages/redwinggw/src/platform_configuration.cpp
@@ -30,6 +30,12 @@
 constexpr milliseconds ConfigurationReadInterval{800};
 constexpr milliseconds ConfigurationIdleTimeout{700};
 
+/// How long an instance that knows of no store reader leaves the store to
+/// relays. One that can read it does so at once, and its heartbeats show that
+/// within three intervals. If the store turns the relays away, the others are
+/// the only ones who learn of a change.
+constexpr milliseconds ReaderChangeTime{700};
+
 /// How long this instance has known of a newer configuration than its own.
 std::string millisecondsBehind(const platform_instance_state &State) {
   const base::instant Since = State.BehindSince.value_or(base::now());
@@ -274,6 +280,9 @@
       co_await pauseWithJitter(*State, UpdateCheckInterval);
       continue;
     }
+    Need.Patience = !State->Routes || isBehind(*State)
+                        ? control::state_need().Patience
+                        : ReaderChangeTime;
     if (mayAwaitRelays(*State, Need)) {
       // A relay sends the whole to an instance that names no version.
       const std::uint64_t Held =
