--- a/packages/redwinggw/src/platform_cold_endpoints.cpp
+++ b/packages/redwinggw/src/platform_cold_endpoints.cpp
@@ -1,4 +1,5 @@
-#include "platform_instance_state.hpp"
+#include "platform_connections.hpp"
+#include "platform_loops.hpp"
 
 #include "redwinggw/base/log.hpp"
 
--- a/packages/redwinggw/src/platform_configuration.cpp
+++ b/packages/redwinggw/src/platform_configuration.cpp
@@ -1,4 +1,9 @@
-#include "platform_instance_state.hpp"
+#include "platform_configuration.hpp"
+#include "platform_connections.hpp"
+#include "platform_heartbeats.hpp"
+#include "platform_loops.hpp"
+#include "platform_primaries.hpp"
+#include "platform_relayed_state.hpp"
 
 #include "platform/decoding.hpp"
 
@@ -47,7 +52,7 @@
   base::logEvent(log_level::Info, log_part::Configuration,
                  "configuration_in_force",
                  {{"version", std::to_string(State.Routes->Version)},
-                  {"row", std::to_string(State.Stored.Row)},
+                  {"row", std::to_string(State.Stored.Version)},
                   {"from", std::string(From)},
                   {"routes", std::to_string(State.Routes->Routes.size())},
                   {"bytes", std::to_string(State.Stored.Text->size())},
@@ -62,25 +67,25 @@
   const auto Took = std::chrono::floor<milliseconds>(base::now() - Sent);
   base::logEvent(log_level::Warning, log_part::Configuration,
                  "configuration_not_read",
-                 {{"row", std::to_string(State.Stored.Row)},
+                 {{"row", std::to_string(State.Stored.Version)},
                   {"newest_row", std::to_string(newestConfigurationRow(State))},
                   {"behind_ms", millisecondsBehind(State)},
                   {"took_ms", std::to_string(Took.count())},
                   {"reason", describe(Reason)}});
 }
 
-/// Replaces the changes in \p Given by the whole text. False if they are not
-/// changes to the configuration that is known here: it is fetched again then.
-bool applyChanges(platform_instance_state &State,
-                  session::transferred_state &Given) {
-  if (Given.Base != State.Stored.Row || !State.Stored.Text)
+/// Replaces a delta in \p Given by the whole text. False if it is not one of
+/// the configuration that is known here: that is fetched again then.
+bool applyConfigurationDelta(platform_instance_state &State,
+                             session::transferred_state &Given) {
+  if (Given.Base != State.Stored.Version || !State.Stored.Text)
     return false;
   auto Text = session::applyDelta(*State.Stored.Text, *Given.Text);
   State.ConfigurationDeltaFailed = !Text.has_value();
   if (!Text) {
     base::logEvent(log_level::Warning, log_part::Configuration,
-                   "changes_not_applied",
-                   {{"row", std::to_string(Given.Row)},
+                   "delta_not_applied",
+                   {{"row", std::to_string(Given.Version)},
                     {"base", std::to_string(Given.Base)}});
     return false;
   }
@@ -130,9 +135,9 @@
 base::task<void> acceptConfiguration(platform_instance_state &State,
                                      session::transferred_state Given,
                                      std::string From) {
-  if (Given.Row <= State.Stored.Row || !Given.Text)
+  if (Given.Version <= State.Stored.Version || !Given.Text)
     co_return;
-  if (Given.Base != 0 && !applyChanges(State, Given))
+  if (Given.Base != 0 && !applyConfigurationDelta(State, Given))
     co_return;
   auto Table = co_await readInSteps(State, Given.Text);
   if (!Table) {
@@ -202,7 +207,7 @@
   std::vector<const control::member *> Holders;
   for (const control::member &Member : State.Peers->view().Members)
     if (Member.State == control::member_state::Alive &&
-        Member.Report.ConfigurationRow > State.Stored.Row)
+        Member.Report.ConfigurationRow > State.Stored.Version)
       Holders.push_back(&Member);
   const auto IsNear = [&](const control::member *Member) {
     return Member->Zone == State.Settings.Zone;
@@ -221,14 +226,14 @@
   if (Holder == nullptr || !State.ForwardingClient)
     co_return;
   const session::connection_owner From{Holder->Name, Holder->Address};
-  const session::transfer_request Request{State.Stored.Row};
+  const session::transfer_request Request{State.Stored.Version};
   auto Fetched = co_await State.ForwardingClient->fetchState(From, Request);
   co_await acceptConfiguration(State, std::move(Fetched), From.Name);
 }
 
 /// Whether another instance has a newer configuration; records since when.
 bool isBehind(platform_instance_state &State) {
-  const bool Behind = newestConfigurationRow(State) > State.Stored.Row;
+  const bool Behind = newestConfigurationRow(State) > State.Stored.Version;
   if (!Behind)
     State.BehindSince.reset();
   else if (!State.BehindSince)
@@ -241,15 +246,16 @@
 session::transferred_state
 configurationHeld(platform_instance_state &State,
                   const session::transfer_request &Request) {
-  const auto Former = std::ranges::find(State.FormerConfigurations, Request.Row,
-                                        &session::transferred_state::Row);
+  const auto Former =
+      std::ranges::find(State.FormerConfigurations, Request.Version,
+                        &session::transferred_state::Version);
   if (!Request.ReadsDelta || Former == State.FormerConfigurations.end())
     return State.Stored;
-  auto &Delta = State.ConfigurationDeltas[Request.Row];
+  auto &Delta = State.ConfigurationDeltas[Request.Version];
   if (!Delta)
     Delta = std::make_shared<const std::string>(
         session::encodeDelta(*Former->Text, *State.Stored.Text));
-  return {State.Stored.Row, Delta, Request.Row};
+  return {State.Stored.Version, Delta, Request.Version};
 }
 
 void acceptEvacuations(platform_instance_state &State,
@@ -283,16 +289,16 @@
     Need.Patience = !State->Routes || isBehind(*State)
                         ? control::state_need().Patience
                         : ReaderChangeTime;
-    if (mayAwaitRelays(*State, Need)) {
+    if (shouldAskRelays(*State, Need)) {
       // A relay sends the whole to an instance that names no version.
       const std::uint64_t Held =
-          State->ConfigurationDeltaFailed ? 0 : State->Stored.Row;
+          State->ConfigurationDeltaFailed ? 0 : State->Stored.Version;
       auto Fetched = co_await fetchFromRelays(
           *State, session::state_kind::Configuration, Held);
-      const std::uint64_t Row = Fetched.Row;
+      const std::uint64_t Sent = Fetched.Version;
       co_await acceptConfiguration(*State, std::move(Fetched), "relay");
       // What cannot be used now would be fetched again at once.
-      if (Row != 0 && State->Stored.Row < Row)
+      if (Sent != 0 && State->Stored.Version < Sent)
         co_await pauseWithJitter(*State, RetryDelay);
       continue;
     }
@@ -309,9 +315,9 @@
         co_await awaitStoreAttempt(*State, control::store_loop::Configuration);
     if (!InTurn)
       continue;
-    const std::uint64_t Before = State->Stored.Row;
+    const std::uint64_t Before = State->Stored.Version;
     const bool Answered = co_await readConfiguration(*State);
-    if (State->Stored.Row == Before && isBehind(*State))
+    if (State->Stored.Version == Before && isBehind(*State))
       co_await fetchFromPeer(*State);
     co_await pauseWithJitter(*State,
                              Answered ? ConfigurationReadInterval : RetryDelay);
--- a/packages/redwinggw/src/platform_endpoint_owners.cpp
+++ b/packages/redwinggw/src/platform_endpoint_owners.cpp
@@ -1,4 +1,5 @@
-#include "platform_instance_state.hpp"
+#include "platform_connections.hpp"
+#include "platform_relayed_state.hpp"
 
 #include "redwinggw/base/log.hpp"
 #include "redwinggw/control/relays.hpp"
@@ -252,7 +253,8 @@
               describe(Listening.error()));
 }
 
-void preparePool(platform_instance_state &State, session::endpoint_pool &Pool) {
+void configurePool(platform_instance_state &State,
+                   session::endpoint_pool &Pool) {
   if (!State.Routes)
     return;
   const auto Service = State.Routes->Services.find(Pool.entry().Service);
@@ -271,8 +273,9 @@
   Pool.setLimits(Limits);
 }
 
-void openPool(platform_instance_state &State, session::endpoint_pool &Pool) {
-  preparePool(State, Pool);
+void configureNewPool(platform_instance_state &State,
+                      session::endpoint_pool &Pool) {
+  configurePool(State, Pool);
   const base::endpoint_name &Name = Pool.entry().Name;
   if (const auto Owners = ownersOf(State, Name); !Owners.Owner.empty())
     noteOwners(State, Name, Owners);
@@ -297,7 +300,7 @@
   State.DividedAmong = Instances;
   openPoolsForColdEndpoints(State);
   for (auto &[Name, Pool] : State.Endpoints.Pools)
-    preparePool(State, *Pool);
+    configurePool(State, *Pool);
 }
 
 std::unique_ptr<session::forwarding_link>
--- a/packages/redwinggw/src/platform_endpoints.cpp
+++ b/packages/redwinggw/src/platform_endpoints.cpp
@@ -1,4 +1,9 @@
-#include "platform_instance_state.hpp"
+#include "platform_endpoints.hpp"
+#include "platform_connections.hpp"
+#include "platform_heartbeats.hpp"
+#include "platform_loops.hpp"
+#include "platform_primaries.hpp"
+#include "platform_relayed_state.hpp"
 
 #include "platform/decoding.hpp"
 
@@ -328,7 +333,7 @@
     Encoded.State.Text =
         std::make_shared<const std::string>(std::move(Texts.front()));
   }
-  Encoded.State.Row = State.EndpointListVersion;
+  Encoded.State.Version = State.EndpointListVersion;
   return Encoded.State;
 }
 
@@ -340,16 +345,16 @@
       State.EndpointListAt ? State.EndpointListVersion : 0;
   const auto Fetched =
       co_await fetchFromRelays(State, session::state_kind::Endpoints, Held);
-  if (Fetched.Row <= Held || !Fetched.Text)
+  if (Fetched.Version <= Held || !Fetched.Text)
     co_return;
   const auto Entries = session::decodeEndpoints(*Fetched.Text);
   if (!Entries) {
     base::logEvent(log_level::Warning, log_part::Endpoints, "list_not_decoded",
-                   {{"version", std::to_string(Fetched.Row)},
+                   {{"version", std::to_string(Fetched.Version)},
                     {"bytes", std::to_string(Fetched.Text->size())}});
     co_return;
   }
-  State.EndpointListVersion = Fetched.Row;
+  State.EndpointListVersion = Fetched.Version;
   acceptEndpointList(State, *Entries, base::now());
 }
 
@@ -365,7 +370,7 @@
       co_await pauseWithJitter(*State, UpdateCheckInterval);
       continue;
     }
-    if (mayAwaitRelays(*State, Need)) {
+    if (shouldAskRelays(*State, Need)) {
       co_await fetchEndpoints(*State);
       continue;
     }
--- a/packages/redwinggw/src/platform_handover.cpp
+++ b/packages/redwinggw/src/platform_handover.cpp
@@ -1,4 +1,9 @@
+#include "platform_fleet.hpp"
+#include "platform_heartbeats.hpp"
 #include "platform_inquiries.hpp"
+#include "platform_loops.hpp"
+#include "platform_primaries.hpp"
+#include "platform_probing.hpp"
 
 #include "platform/promoter.hpp"
 
--- a/packages/redwinggw/src/platform_heartbeats.cpp
+++ b/packages/redwinggw/src/platform_heartbeats.cpp
@@ -1,4 +1,8 @@
-#include "platform_instance_state.hpp"
+#include "platform_heartbeats.hpp"
+#include "platform_configuration.hpp"
+#include "platform_endpoints.hpp"
+#include "platform_primaries.hpp"
+#include "platform_rates.hpp"
 
 #include "redwinggw/base/log.hpp"
 #include "redwinggw/control/centralized_buckets.hpp"
@@ -136,8 +140,9 @@
   Report.Groups = groupReports(State);
   Report.EvacuationVersion = State.Evacuations.Version;
   Report.EvacuatedZones = State.Evacuations.Zones;
-  Report.ConfigurationRow = State.Stored.Row;
-  Report.NewestRow = std::max(State.Stored.Row, newestConfigurationRow(State));
+  Report.ConfigurationRow = State.Stored.Version;
+  Report.NewestRow =
+      std::max(State.Stored.Version, newestConfigurationRow(State));
   completeDigests(State);
 }
 
--- a/packages/redwinggw/src/platform_inquiries.cpp
+++ b/packages/redwinggw/src/platform_inquiries.cpp
@@ -1,4 +1,6 @@
 #include "platform_inquiries.hpp"
+#include "platform_loops.hpp"
+#include "platform_probing.hpp"
 
 #include <optional>
 #include <utility>
--- a/packages/redwinggw/src/platform_instance.cpp
+++ b/packages/redwinggw/src/platform_instance.cpp
@@ -1,4 +1,10 @@
+#include "platform_connections.hpp"
 #include "platform_instance_state.hpp"
+#include "platform_loops.hpp"
+#include "platform_primaries.hpp"
+#include "platform_rates.hpp"
+#include "platform_readiness.hpp"
+#include "platform_registration.hpp"
 
 #include "platform/database_link.hpp"
 
@@ -182,8 +188,8 @@
       Random(std::random_device()()) {
   Endpoints.Factory =
       platform::databaseLinks(Context.get_executor(), Endpoints.Watch);
-  Endpoints.Prepare = [this](session::endpoint_pool &Pool) {
-    openPool(*this, Pool);
+  Endpoints.ConfigureNew = [this](session::endpoint_pool &Pool) {
+    configureNewPool(*this, Pool);
   };
   platform::useRows(Store, Settings.Platform);
   Core.Limits.StandbyOwners = Settings.Owners == owner_policy::Capacity;
--- a/packages/redwinggw/src/platform_primaries.cpp
+++ b/packages/redwinggw/src/platform_primaries.cpp
@@ -1,4 +1,5 @@
-#include "platform_instance_state.hpp"
+#include "platform_primaries.hpp"
+#include "platform_heartbeats.hpp"
 
 #include "redwinggw/base/log.hpp"
 
--- a/packages/redwinggw/src/platform_probing.cpp
+++ b/packages/redwinggw/src/platform_probing.cpp
@@ -1,4 +1,5 @@
-#include "platform_instance_state.hpp"
+#include "platform_probing.hpp"
+#include "platform_primaries.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/packages/redwinggw/src/platform_rates.cpp
+++ b/packages/redwinggw/src/platform_rates.cpp
@@ -1,4 +1,5 @@
-#include "platform_instance_state.hpp"
+#include "platform_rates.hpp"
+#include "platform_loops.hpp"
 
 #include "redwinggw/control/centralized_buckets.hpp"
 #include "redwinggw/control/share_allocator.hpp"
--- a/packages/redwinggw/src/platform_relayed_state.cpp
+++ b/packages/redwinggw/src/platform_relayed_state.cpp
@@ -1,4 +1,7 @@
-#include "platform_instance_state.hpp"
+#include "platform_relayed_state.hpp"
+#include "platform_configuration.hpp"
+#include "platform_endpoints.hpp"
+#include "platform_loops.hpp"
 
 #include "redwinggw/base/enum_table.hpp"
 #include "redwinggw/base/log.hpp"
@@ -50,7 +53,7 @@
     return {};
   encoded_state &Encoded = State.EncodedInstances;
   std::string Source = std::to_string(State.Peers->view().ListVersion);
-  Encoded.State.Row = State.FleetVersion;
+  Encoded.State.Version = State.FleetVersion;
   if (Encoded.Source == Source)
     return Encoded.State;
   std::vector<storage::listed_instance> Instances;
@@ -94,7 +97,7 @@
   base::logEvent(base::log_level::Info, base::log_part::Peers, "state_fetched",
                  {{"state", std::string(base::nameOf(KindNames, Kind))},
                   {"from", From},
-                  {"version", std::to_string(State.Row)},
+                  {"version", std::to_string(State.Version)},
                   {"bytes", std::to_string(State.Text->size())}});
 }
 
@@ -127,8 +130,8 @@
   return Position;
 }
 
-bool mayAwaitRelays(const platform_instance_state &State,
-                    control::state_need &Need) {
+bool shouldAskRelays(const platform_instance_state &State,
+                     control::state_need &Need) {
   return sourceOf(Need, fleetPosition(State), base::now()) ==
          control::state_source::Relays;
 }
@@ -140,7 +143,7 @@
   for (const control::member *Relay : answeringRelays(State))
     Relays.push_back({Relay->Name, Relay->Address, Relay->Zone});
   // The instances of a zone have the same relays, which share the work. The
-  // list of instances is the one that hasListOfRelays compares with.
+  // list of instances is the one that listDiffersFromRelay compares with.
   if (Kind != state_kind::Instances)
     std::ranges::shuffle(Relays, State.Random);
   const session::transfer_request Request{Held, Kind};
@@ -148,7 +151,7 @@
     if (!State.ForwardingClient)
       break;
     auto Fetched = co_await State.ForwardingClient->fetchState(Relay, Request);
-    if (Fetched.Row == 0)
+    if (Fetched.Version == 0)
       continue;
     noteFetched(Kind, Relay.Name, Fetched);
     co_return Fetched;
@@ -158,12 +161,12 @@
   co_return transferred_state();
 }
 
-bool hasListOfRelays(const platform_instance_state &State) {
+bool listDiffersFromRelay(const platform_instance_state &State) {
   const auto Relays = answeringRelays(State);
   if (Relays.empty())
-    return true;
+    return false;
   const std::uint64_t List = Relays.front()->Report.List;
-  return List == 0 || List == State.Peers->view().ListHash;
+  return List != 0 && List != State.Peers->view().ListHash;
 }
 
 } // namespace redwinggw
--- a/packages/session/include/redwinggw/session/endpoint_set.hpp
+++ b/packages/session/include/redwinggw/session/endpoint_set.hpp
@@ -35,7 +35,7 @@
   /// Of the endpoints in use; poolOf adds one, releaseUnusedPools removes them.
   std::map<base::endpoint_name, pool_ptr, std::less<>> Pools;
   /// Sets the limits of a new pool; unset: it has the default ones.
-  std::function<void(endpoint_pool &)> Prepare;
+  std::function<void(endpoint_pool &)> ConfigureNew;
   std::map<base::service_name, freshness, std::less<>> Samples;
   choice_limits Choice;
 };
--- a/packages/session/include/redwinggw/session/forwarding_client.hpp
+++ b/packages/session/include/redwinggw/session/forwarding_client.hpp
@@ -42,8 +42,9 @@
                                           base::customer_name Customer,
                                           unsigned Priority);
 
-  /// Fetches a state from the instance \p From. The row is 0 if that has none
-  /// newer than the requested one, is sending it to others, or does not answer.
+  /// Fetches a state from the instance \p From. The version is 0 if that has
+  /// none newer than the requested one, is sending it to others, or does not
+  /// answer.
   base::task<transferred_state> fetchState(connection_owner From,
                                            transfer_request Request);
 
--- a/packages/session/include/redwinggw/session/state_transfer.hpp
+++ b/packages/session/include/redwinggw/session/state_transfer.hpp
@@ -29,7 +29,7 @@
 struct transferred_state {
   /// For the configuration the version of its row in the store, otherwise the
   /// store's version at the read; 0 if there is none.
-  std::uint64_t Row = 0;
+  std::uint64_t Version = 0;
   std::shared_ptr<const std::string> Text;
   /// The version that Text changes, see text_delta.hpp; 0: it is the whole.
   std::uint64_t Base = 0;
@@ -37,7 +37,7 @@
 
 struct transfer_request {
   /// The version that the requester already has.
-  std::uint64_t Row = 0;
+  std::uint64_t Version = 0;
   state_kind Kind = state_kind::Configuration;
   /// The requester accepts changes to that version. Not sent: builds that send
   /// a request of the present form do.
@@ -47,7 +47,7 @@
 struct transfer_chunk {
   /// 0 if nothing is sent: there is no newer state, or too many transfers are
   /// running.
-  std::uint64_t Row = 0;
+  std::uint64_t Version = 0;
   std::string Text;
   bool Last = true;
   /// The text changes the requested version. Older builds do not send it.
@@ -61,7 +61,7 @@
 /// Reassembles the chunks of one state, which arrive in order.
 struct transfer_assembly {
   /// The version of the state.
-  std::uint64_t Row = 0;
+  std::uint64_t Version = 0;
   std::string Text;
   bool Complete = false;
   bool Delta = false;
--- a/packages/session/src/endpoint_set.cpp
+++ b/packages/session/src/endpoint_set.cpp
@@ -31,8 +31,8 @@
                   base::instant Now) {
   auto Pool = std::make_shared<endpoint_pool>(Set.Executor, Set.Watch,
                                               Set.Factory, Known.Entry);
-  if (Set.Prepare)
-    Set.Prepare(*Pool);
+  if (Set.ConfigureNew)
+    Set.ConfigureNew(*Pool);
   setColdUntil(Pool->cold(), Known.ColdUntil, Now);
   Set.Pools[Known.Entry.Name] = Pool;
   return Pool;
--- a/packages/session/src/forwarding_client.cpp
+++ b/packages/session/src/forwarding_client.cpp
@@ -299,9 +299,9 @@
   if (!Goes)
     co_return transferred_state();
   transferred_state Fetched;
-  Fetched.Row = Assembly.Row;
+  Fetched.Version = Assembly.Version;
   Fetched.Text = std::make_shared<const std::string>(std::move(Assembly.Text));
-  Fetched.Base = Assembly.Delta ? Request.Row : 0;
+  Fetched.Base = Assembly.Delta ? Request.Version : 0;
   co_return Fetched;
 }
 
--- a/packages/session/src/forwarding_codec.cpp
+++ b/packages/session/src/forwarding_codec.cpp
@@ -215,7 +215,7 @@
 void transferMessage(Side &Ar, Request &Value)
   requires std::is_same_v<std::remove_const_t<Request>, transfer_request>
 {
-  Ar.number(Value.Row);
+  Ar.number(Value.Version);
 }
 
 /// The present form of a transfer_request: builds that know no other state than
@@ -228,7 +228,7 @@
 void transferMessage(Side &Ar, Request &Value)
   requires std::is_same_v<std::remove_const_t<Request>, state_request>
 {
-  Ar.number(Value.Request.Row);
+  Ar.number(Value.Request.Version);
   Ar.choice(Value.Request.Kind, state_kind::Instances);
 }
 
@@ -236,7 +236,7 @@
 void transferMessage(Side &Ar, Chunk &Value)
   requires std::is_same_v<std::remove_const_t<Chunk>, transfer_chunk>
 {
-  Ar.number(Value.Row);
+  Ar.number(Value.Version);
   Ar.text(Value.Text);
   Ar.flag(Value.Last);
   Ar.added([&] { Ar.flag(Value.Delta); });
--- a/packages/session/src/forwarding_server.cpp
+++ b/packages/session/src/forwarding_server.cpp
@@ -52,7 +52,7 @@
   std::string Secret;
   asio::ip::tcp::acceptor Acceptor;
   std::set<std::shared_ptr<connection>> Connections;
-  std::function<transferred_state(const transfer_request &)> State;
+  std::function<transferred_state(const transfer_request &)> HeldState;
   unsigned MaxTransfers = 0;
   unsigned ActiveTransfers = 0;
 };
@@ -89,9 +89,9 @@
 forwarding_server::state::serveTransfer(connection &Connection,
                                         transfer_request Request) {
   transferred_state Held;
-  if (State && ActiveTransfers < MaxTransfers)
-    Held = State(Request);
-  if (Held.Row <= Request.Row || !Held.Text) {
+  if (HeldState && ActiveTransfers < MaxTransfers)
+    Held = HeldState(Request);
+  if (Held.Version <= Request.Version || !Held.Text) {
     transfer_chunk Nothing;
     co_return co_await sendChunk(Connection, std::move(Nothing));
   }
@@ -172,7 +172,7 @@
 void forwarding_server::serveStateFrom(
     std::function<transferred_state(const transfer_request &)> Held,
     unsigned AtOnce) {
-  State->State = std::move(Held);
+  State->HeldState = std::move(Held);
   State->MaxTransfers = AtOnce;
 }
 
--- a/packages/session/src/owner_group.cpp
+++ b/packages/session/src/owner_group.cpp
@@ -22,9 +22,9 @@
 struct group_update {
   owner_group &Group;
   /// Endpoints without an owner, those with precedence first.
-  std::set<std::uint32_t> Homeless;
+  std::set<std::uint32_t> Unassigned;
   /// Candidates that have room which endpoints may want.
-  std::deque<std::uint32_t> Open;
+  std::deque<std::uint32_t> Vacancies;
   /// Endpoints whose owner, and whose standby, has to be compared with what it
   /// was.
   std::set<std::uint32_t> OwnerMoved;
@@ -59,31 +59,31 @@
          (!Candidate.Owned.empty() && Candidate.Owned.back() > Endpoint);
 }
 
-void dropLast(group_update &Update, group_candidate &Candidate) {
-  Update.Homeless.insert(Candidate.Owned.back());
+void evictLast(group_update &Update, group_candidate &Candidate) {
+  Update.Unassigned.insert(Candidate.Owned.back());
   Update.Group.Endpoints[Candidate.Owned.back()].Owner = None;
   Candidate.Owned.pop_back();
 }
 
 /// Makes \p Candidate the owner of \p Endpoint, which has none.
-void give(group_update &Update, std::uint32_t Endpoint, std::uint32_t Candidate,
-          double Cost) {
+void assign(group_update &Update, std::uint32_t Endpoint,
+            std::uint32_t Candidate, double Cost) {
   group_candidate &Owner = Update.Group.Candidates[Candidate];
   Update.Group.Endpoints[Endpoint].Owner = Candidate;
   Update.Group.Endpoints[Endpoint].OwnerCost = Cost;
   Owner.Owned.insert(std::ranges::lower_bound(Owner.Owned, Endpoint), Endpoint);
   Update.OwnerMoved.insert(Endpoint);
   if (Owner.Owned.size() > Owner.Bound)
-    dropLast(Update, Owner);
+    evictLast(Update, Owner);
 }
 
 /// Gives each endpoint without an owner to the first candidate in its order
 /// that accepts it. Those that lose their place to it follow.
-void placeHomeless(group_update &Update) {
+void assignRemaining(group_update &Update) {
   owner_group &Group = Update.Group;
-  while (!Update.Homeless.empty()) {
-    const std::uint32_t Endpoint = *Update.Homeless.begin();
-    Update.Homeless.erase(Update.Homeless.begin());
+  while (!Update.Unassigned.empty()) {
+    const std::uint32_t Endpoint = *Update.Unassigned.begin();
+    Update.Unassigned.erase(Update.Unassigned.begin());
     std::uint32_t Best = None;
     place BestPlace;
     for (const std::uint32_t Candidate : Group.ByName) {
@@ -94,25 +94,25 @@
         BestPlace = Place;
       }
     }
-    give(Update, Endpoint, Best, BestPlace.first);
+    assign(Update, Endpoint, Best, BestPlace.first);
   }
 }
 
 /// Takes \p Endpoint from its owner, whose room others may want if it had none.
-void withdraw(group_update &Update, std::uint32_t Endpoint) {
+void unassign(group_update &Update, std::uint32_t Endpoint) {
   const std::uint32_t Former = Update.Group.Endpoints[Endpoint].Owner;
   group_candidate &Owner = Update.Group.Candidates[Former];
   if (Owner.Owned.size() >= Owner.Bound)
-    Update.Open.push_back(Former);
+    Update.Vacancies.push_back(Former);
   Owner.Owned.erase(std::ranges::find(Owner.Owned, Endpoint));
 }
 
 /// Gives a candidate with room the endpoints that prefer it to their owners.
-void fillOpen(group_update &Update) {
+void fillVacancies(group_update &Update) {
   owner_group &Group = Update.Group;
-  while (!Update.Open.empty()) {
-    const std::uint32_t Candidate = Update.Open.front();
-    Update.Open.pop_front();
+  while (!Update.Vacancies.empty()) {
+    const std::uint32_t Candidate = Update.Vacancies.front();
+    Update.Vacancies.pop_front();
     for (std::uint32_t Endpoint = 0; Endpoint < Group.Endpoints.size();
          ++Endpoint) {
       if (!accepts(Group.Candidates[Candidate], Endpoint))
@@ -122,9 +122,9 @@
       const place Place = placeOf(Group, Endpoint, Candidate);
       if (Place > ownerPlace(Group, Group.Endpoints[Endpoint]))
         continue;
-      withdraw(Update, Endpoint);
-      give(Update, Endpoint, Candidate, Place.first);
-      placeHomeless(Update);
+      unassign(Update, Endpoint);
+      assign(Update, Endpoint, Candidate, Place.first);
+      assignRemaining(Update);
     }
   }
 }
@@ -230,7 +230,7 @@
     group_candidate &Candidate = Group.Candidates[Index];
     Candidate.Present = false;
     while (!Candidate.Owned.empty())
-      dropLast(Update, Candidate);
+      evictLast(Update, Candidate);
     std::erase(Group.ByName, Index);
   }
   if (Left.empty())
@@ -271,9 +271,9 @@
     group_candidate &Candidate = Group.Candidates[Index];
     const std::size_t Before = Index < Former.size() ? Former[Index] : 0;
     if (Candidate.Bound > Before && Candidate.Owned.size() == Before)
-      Update.Open.push_back(Index);
+      Update.Vacancies.push_back(Index);
     while (Candidate.Owned.size() > Candidate.Bound)
-      dropLast(Update, Candidate);
+      evictLast(Update, Candidate);
   }
 }
 
@@ -333,8 +333,8 @@
   if (!setBounds(Group))
     return false;
   applyBounds(Update, Former);
-  placeHomeless(Update);
-  fillOpen(Update);
+  assignRemaining(Update);
+  fillVacancies(Update);
   Update.StandbyMoved.insert(Update.OwnerMoved.begin(),
                              Update.OwnerMoved.end());
   for (const std::uint32_t Endpoint : Update.StandbyMoved)
--- a/packages/session/src/state_transfer.cpp
+++ b/packages/session/src/state_transfer.cpp
@@ -13,7 +13,7 @@
 
 transfer_chunk chunkAt(const transferred_state &State, std::size_t Begin) {
   transfer_chunk Chunk;
-  Chunk.Row = State.Row;
+  Chunk.Version = State.Version;
   Chunk.Text = State.Text->substr(Begin, ChunkBytes);
   Chunk.Last = Begin + Chunk.Text.size() == State.Text->size();
   Chunk.Delta = State.Base != 0;
@@ -21,10 +21,10 @@
 }
 
 bool appendChunk(transfer_assembly &Assembly, transfer_chunk Chunk) {
-  const bool First = Assembly.Row == 0;
-  if (Chunk.Row == 0 || (!First && Chunk.Row != Assembly.Row))
+  const bool First = Assembly.Version == 0;
+  if (Chunk.Version == 0 || (!First && Chunk.Version != Assembly.Version))
     return false;
-  Assembly.Row = Chunk.Row;
+  Assembly.Version = Chunk.Version;
   Assembly.Text += Chunk.Text;
   Assembly.Complete = Chunk.Last;
   Assembly.Delta = Chunk.Delta;
--- a/tests/bench/peers_bench.cpp
+++ b/tests/bench/peers_bench.cpp
@@ -3,10 +3,10 @@
 // and serialisation are the real code; time is simulated, so that a run takes
 // only as long as its work. --udp adds a few sizes over real sockets.
 
+#include "peers_fleet.hpp"
+
 #include "redwinggw/control/centralized_buckets.hpp"
-#include "redwinggw/control/demand_shares.hpp"
 #include "redwinggw/control/peer_service.hpp"
-#include "redwinggw/control/share_node.hpp"
 #include "redwinggw/http/server.hpp"
 
 #include "platform/platform.hpp"
@@ -17,17 +17,15 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
-#include <array>
 #include <cstdio>
 #include <ctime>
 #include <deque>
-#include <iterator>
 #include <memory>
 #include <random>
-#include <ranges>
 #include <string_view>
 
 using namespace redwinggw;
+using namespace redwinggw::bench;
 using namespace redwinggw::control;
 using base::instant;
 using base::microseconds;
@@ -35,138 +33,10 @@
 
 namespace {
 
-const std::string Key = "a fleet key of usual length";
-/// IP and UDP headers.
-constexpr std::size_t HeaderBytes = 28;
-
 double cpuSeconds() {
   return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
 }
 
-struct traffic {
-  double Datagrams = 0;
-  double Bytes = 0;
-};
-
-constexpr std::size_t Services = 7;
-
-struct bench_node {
-  membership Membership;
-  share_node Shares;
-  demand_shares Demands;
-  /// When the newest log position of each service was sampled, here or
-  /// elsewhere.
-  std::array<instant, Services> SampledAt{};
-  traffic Sent;
-};
-
-struct bench_fleet {
-  std::vector<bench_node> Nodes;
-  instant Now{milliseconds(100'000)};
-  traffic Traffic;
-  /// Heartbeats by the scope of their digest.
-  std::map<wire::digest_scope, traffic> ByScope;
-  std::uint64_t Spent = 0;
-  std::uint64_t Waited = 0;
-  std::map<std::string, storage::row> Table;
-  std::uint64_t Version = 0;
-};
-
-std::string nodeName(std::size_t Index) {
-  std::string Name = "instance-";
-  Name += std::to_string(Index);
-  return Name;
-}
-
-std::size_t nodeIndex(const std::string &Name) {
-  return std::stoul(Name.substr(Name.find('-') + 1));
-}
-
-bench_fleet makeFleet(std::size_t Count) {
-  bench_fleet Fleet;
-  std::vector<storage::listed_instance> List(Count);
-  for (std::size_t Index = 0; Index < Count; ++Index) {
-    constexpr std::size_t Zones = 6;
-    List[Index].Name = nodeName(Index);
-    List[Index].Zone = "zone-" + std::to_string(Index % Zones);
-  }
-  for (const storage::listed_instance &Self : List) {
-    bench_node &Node = Fleet.Nodes.emplace_back();
-    Node.Membership = makeMembership({Self.Name, Self.Zone, 1});
-    onList(Node.Membership, List, Fleet.Now);
-    Node.Shares = makeShareNode(Self.Name, 1, {});
-  }
-  return Fleet;
-}
-
-void carryOut(bench_fleet &Fleet, std::size_t Index, share_actions Actions);
-
-/// Serialises, verifies and delivers a datagram.
-void deliver(bench_fleet &Fleet, const wire::datagram &Sent) {
-  const std::string Bytes = wire::encode(Key, Sent);
-  const auto Size = static_cast<double>(Bytes.size() + HeaderBytes);
-  const auto Count = [&](traffic &Traffic) {
-    Traffic.Datagrams += 1;
-    Traffic.Bytes += Size;
-  };
-  Count(Fleet.Traffic);
-  Count(Fleet.Nodes[nodeIndex(Sent.Sender)].Sent);
-  if (const auto *Report = std::get_if<wire::peer_report>(&Sent.Body))
-    Count(Fleet.ByScope[Report->Digest.Scope]);
-  const auto Datagram = wire::decode(Key, Bytes);
-  const std::size_t To = nodeIndex(Sent.Receiver);
-  bench_node &Node = Fleet.Nodes[To];
-  if (!Datagram || !admitDatagram(Node.Membership, *Datagram))
-    return;
-  if (const auto *Share = std::get_if<wire::share_message>(&Datagram->Body)) {
-    carryOut(Fleet, To,
-             onShareMessage(Node.Shares, Node.Membership, Datagram->Sender,
-                            *Share, Fleet.Now));
-    return;
-  }
-  for (const peer_send &Send :
-       onHeartbeat(Node.Membership, *Datagram, Fleet.Now))
-    deliver(Fleet, Send.Datagram);
-}
-
-void commitNow(bench_fleet &Fleet, std::size_t Index,
-               const storage::commit_request &Request) {
-  std::vector<std::uint64_t> Versions;
-  std::ranges::transform(
-      Request.Puts, std::back_inserter(Versions), [&](const storage::put &Put) {
-        Fleet.Table[Put.Key] = {Put.Key, ++Fleet.Version, Put.Value};
-        return Fleet.Version;
-      });
-  onCommitAnswer(Fleet.Nodes[Index].Shares, Versions, Fleet.Now);
-}
-
-void carryOut(bench_fleet &Fleet, std::size_t Index, share_actions Actions) {
-  bench_node &Node = Fleet.Nodes[Index];
-  Fleet.Spent += static_cast<std::uint64_t>(
-      std::ranges::count_if(Actions.Verdicts, &share_verdict::Admitted));
-  if (Actions.Commit)
-    commitNow(Fleet, Index, *Actions.Commit);
-  if (Actions.Read) {
-    std::vector<storage::row> Rows;
-    std::ranges::copy(std::views::values(Fleet.Table),
-                      std::back_inserter(Rows));
-    onRows(Node.Shares, Rows, Fleet.Now);
-  }
-  for (share_send &Send : Actions.Sends) {
-    wire::datagram Datagram = nextDatagram(Node.Membership, Send.To, Fleet.Now);
-    Datagram.Body = std::move(Send.Message);
-    deliver(Fleet, Datagram);
-  }
-}
-
-void heartbeats(bench_fleet &Fleet) {
-  for (bench_node &Node : Fleet.Nodes) {
-    onStoreRead(Node.Membership, Fleet.Now, Fleet.Now, 1);
-    for (const peer_send &Send : onTick(Node.Membership, Fleet.Now))
-      deliver(Fleet, Send.Datagram);
-  }
-}
-
 double heardPart(const bench_fleet &Fleet) {
   const membership &View = Fleet.Nodes.front().Membership;
   const auto Heard =
--- a/tests/bench/peers_fleet.hpp
+++ b/tests/bench/peers_fleet.hpp
@@ -16,29 +16,31 @@
 namespace redwinggw::bench {
 
 inline const std::string Key = "a fleet key of usual length";
-/// IP and UDP headers.
+/// Of IP and UDP.
 constexpr std::size_t HeaderBytes = 28;
 
+/// What was sent, with the headers of IP and UDP.
 struct traffic {
   double Datagrams = 0;
   double Bytes = 0;
 };
 
+/// Services whose log positions heartbeats carry.
 constexpr std::size_t Services = 7;
 
 struct bench_node {
-  membership Membership;
-  share_node Shares;
-  demand_shares Demands;
+  control::membership Membership;
+  control::share_node Shares;
+  control::demand_shares Demands;
   /// When the newest log position of each service was sampled, here or
   /// elsewhere.
-  std::array<instant, Services> SampledAt{};
+  std::array<base::instant, Services> SampledAt{};
   traffic Sent;
 };
 
 struct bench_fleet {
   std::vector<bench_node> Nodes;
-  instant Now{milliseconds(100'000)};
+  base::instant Now{base::milliseconds(100'000)};
   traffic Traffic;
   /// Heartbeats by the scope of their digest.
   std::map<wire::digest_scope, traffic> ByScope;
--- a/tests/session/endpoint_set_test.cpp
+++ b/tests/session/endpoint_set_test.cpp
@@ -25,12 +25,12 @@
 
 struct set_fixture {
   set_fixture() : Set(Context.get_executor(), "z1", {}) {
-    Set.Prepare = [this](endpoint_pool &) { ++Prepared; };
+    Set.ConfigureNew = [this](endpoint_pool &) { ++Configured; };
   }
 
   boost::asio::io_context Context;
   endpoint_set Set;
-  std::size_t Prepared = 0;
+  std::size_t Configured = 0;
 };
 
 } // namespace
@@ -44,7 +44,7 @@
   const auto Candidates =
       readCandidates(Set, "s-7", "customer", nullptr, {}, base::now());
   cr_assert(Candidates.size() == 3);
-  cr_assert(Set.Pools.size() == 3 && Fixture.Prepared == 3);
+  cr_assert(Set.Pools.size() == 3 && Fixture.Configured == 3);
   cr_assert(poolOf(Set, "i-21") == poolOf(Set, "i-21"));
   cr_assert(poolOf(Set, "unlisted") == nullptr);
   cr_assert(findPool(Set, "i-1") == nullptr);
