Date a store contact that a relay reports by the relay's judgement

An instance reads the store for others while its last answer is at most 2.5 s old. A relay passes that on as a fact; its receiver dated the contact by the relay's report, and believed it for 2.5 s from the last one that carried the fact: 5 s in all.

Change: a newer report without the fact ends the contact. Nothing is believed for longer than the relay's judgement and the way from it.

Measured: the new test (a reader without the store is not believed for longer than 2.5 s and three heartbeats by instances of its own and of another zone) fails without the change; 114 of 114 tests.

--- a/packages/control/src/membership_reports.cpp
+++ b/packages/control/src/membership_reports.cpp
@@ -106,8 +106,12 @@
   setReadSinceStart(Membership, Member, hasFact(Relayed, ReadStoreSinceStart));
   Member.RelayedLeaving = hasFact(Relayed, Leaving);
   Member.CentralizesBuckets = hasFact(Relayed, CentralizesBuckets);
+  // The relay has judged the age of the contact; dated anew here, it would look
+  // younger with each hop and outlive the contact by its whole time again.
   if (hasFact(Relayed, RecentStoreContact))
     raiseTo(Member.StoreContactAt, LastSeenAt);
+  else
+    Member.StoreContactAt.reset();
 }
 
 void applyRelayedMembers(membership &Membership,
--- a/tests/control/relays_test.cpp
+++ b/tests/control/relays_test.cpp
@@ -432,3 +432,27 @@
   keepNeededPositions(Receiver, Kept);
   cr_assert(Kept.size() == 2 && Kept[0].Group == 7 && Kept[1].Group == 900);
 }
+
+// Guards against a store reader that is believed for twice as long by instances
+// that know it by relays: they leave the store to it, and miss a change.
+Test(relays, do_not_make_a_contact_with_the_store_look_younger) {
+  fleet Fleet = makeFleet(32);
+  run(Fleet, milliseconds(3000));
+  constexpr std::size_t Reader = 0;
+  const auto BelievedBy = [&](std::size_t By) {
+    const membership &Membership = Fleet.Instances[By].Membership;
+    return hasRecentStoreContact(
+        Membership, *findMember(Membership, nameOf(Reader)), Fleet.Now);
+  };
+  constexpr std::size_t OwnZone = 30;
+  constexpr std::size_t OtherZone = 31;
+  cr_assert(BelievedBy(OwnZone) && BelievedBy(OtherZone));
+  Fleet.Instances[Reader].SeesStore = false;
+  constexpr milliseconds ThreeHeartbeats{600};
+  run(Fleet, membership_limits().MaxStoreContactAge + ThreeHeartbeats);
+  cr_assert(!BelievedBy(OwnZone));
+  cr_assert(!BelievedBy(OtherZone));
+  Fleet.Instances[Reader].SeesStore = true;
+  run(Fleet, milliseconds(1000));
+  cr_assert(BelievedBy(OwnZone) && BelievedBy(OtherZone));
+}
