Name once when a fleet uses relays

Cause: three places compared the number of instances with the limit for direct heartbeats, by three names (isLarge, isInLargeFleet, and by hand at registration). Two sentences had to be read twice (bounds of owners, ReadsDelta).

Change: usesRelays(Others, Limits) in control/relays; fleetUsesRelays where the heartbeats may not run yet. fleetPosition is local to its only user.

--- a/packages/control/include/redwinggw/control/relays.hpp
+++ b/packages/control/include/redwinggw/control/relays.hpp
@@ -24,6 +24,9 @@
 /// Whether the fleet is too large for all instances to exchange heartbeats
 /// directly.
 bool usesRelays(const membership &Membership);
+/// The same for a fleet of which only the number of the other instances is
+/// known.
+bool usesRelays(std::size_t Others, const membership_limits &Limits);
 
 /// Rank for the choice of relays and of the instance that reads the store for
 /// others: higher capacity first, then by name.
--- a/packages/control/src/relays.cpp
+++ b/packages/control/src/relays.cpp
@@ -82,7 +82,11 @@
 } // namespace
 
 bool usesRelays(const membership &Membership) {
-  return Membership.Members.size() > Membership.Limits.DirectLimit;
+  return usesRelays(Membership.Members.size(), Membership.Limits);
+}
+
+bool usesRelays(std::size_t Others, const membership_limits &Limits) {
+  return Others > Limits.DirectLimit;
 }
 
 bool ranksBefore(const member &A, const member &B) {
--- a/packages/redwinggw/src/platform_configuration.cpp
+++ b/packages/redwinggw/src/platform_configuration.cpp
@@ -94,15 +94,18 @@
   return true;
 }
 
+bool fleetUsesRelays(const platform_instance_state &State) {
+  return State.Peers && usesRelays(State.Peers->view());
+}
+
 /// Keeps the configuration that is about to be replaced, if others may fetch
 /// changes to it from here.
 void keepFormer(platform_instance_state &State) {
   // Configurations in quick succession leave instances several behind.
   constexpr std::size_t MaxFormer = 4;
   State.ConfigurationDeltas.clear();
-  const bool Relays = State.Peers && usesRelays(State.Peers->view()) &&
-                      State.Peers->view().Relay;
-  if (!Relays || !State.Stored.Text) {
+  const bool IsRelay = fleetUsesRelays(State) && State.Peers->view().Relay;
+  if (!IsRelay || !State.Stored.Text) {
     State.FormerConfigurations.clear();
     return;
   }
@@ -126,10 +129,6 @@
   }
 }
 
-bool isInLargeFleet(const platform_instance_state &State) {
-  return State.Peers && usesRelays(State.Peers->view());
-}
-
 /// Puts a configuration in force unless it is older than the present one. \p
 /// From names its source for the log: "store" or an instance.
 base::task<void> acceptConfiguration(platform_instance_state &State,
@@ -305,7 +304,7 @@
     // Others may answer while the store does not, and in a large fleet a change
     // is small if it comes from another relay.
     const bool AsksOthers =
-        !State->StorePacing.Answers || isInLargeFleet(*State);
+        !State->StorePacing.Answers || fleetUsesRelays(*State);
     if (AsksOthers && isBehind(*State))
       co_await fetchFromPeer(*State);
     if (AsksOthers && State->Routes && hasStoreReader(*State) &&
--- a/packages/redwinggw/src/platform_fleet.cpp
+++ b/packages/redwinggw/src/platform_fleet.cpp
@@ -167,7 +167,7 @@
   if (!Rows)
     co_return false;
   const listed_count Listed = countListed(State, *Rows);
-  State.FleetSize = Listed.All + 1;
+  State.OtherInstances = Listed.All;
   auto Secret = valueAt(*Rows, SecretKey);
   if (!Secret && !State.SecretLeftToOthers) {
     co_await leaveSecretToOthers(State);
--- a/packages/redwinggw/src/platform_instance_state.hpp
+++ b/packages/redwinggw/src/platform_instance_state.hpp
@@ -197,9 +197,9 @@
   encoded_state EncodedEndpoints;
   encoded_state EncodedInstances;
   std::optional<base::instant> FleetReadAt;
-  /// The number of instances in the rows of the fleet at the first read, and
+  /// How many other instances the rows of the fleet held at the first read, and
   /// the store's version at the last one.
-  std::optional<std::size_t> FleetSize;
+  std::optional<std::size_t> OtherInstances;
   std::uint64_t FleetVersion = 0;
   /// Since when this instance waits to see its row, which it has written or
   /// left to the relays of its zone.
--- a/packages/redwinggw/src/platform_registration.cpp
+++ b/packages/redwinggw/src/platform_registration.cpp
@@ -43,12 +43,15 @@
   return Row != Rows.Rows.end() && Row->Value == instanceText(State);
 }
 
+bool fleetUsesRelays(const listed_count &Listed) {
+  return control::usesRelays(Listed.All, control::membership_limits());
+}
+
 /// Whether relays of this availability zone can register this instance.
 bool canRelaysRegister(const listed_count &Listed) {
   // As many as are tried as relays.
   constexpr std::size_t RelayCandidates = 4;
-  return Listed.All > control::membership_limits().DirectLimit &&
-         Listed.InZone >= RelayCandidates;
+  return fleetUsesRelays(Listed) && Listed.InZone >= RelayCandidates;
 }
 
 } // namespace
@@ -98,7 +101,7 @@
                                      listed_count Listed) {
   if (isRegistered(State, Rows))
     co_return true;
-  if (Listed.All > control::membership_limits().DirectLimit)
+  if (fleetUsesRelays(Listed))
     State.RegistrationPendingSince = base::now();
   if (canRelaysRegister(Listed))
     co_return true;
--- a/packages/redwinggw/src/platform_relayed_state.cpp
+++ b/packages/redwinggw/src/platform_relayed_state.cpp
@@ -32,12 +32,6 @@
 constexpr milliseconds RelayRetryInterval{100};
 constexpr milliseconds JoinCheckInterval{20};
 
-bool isLarge(const platform_instance_state &State, std::size_t Instances) {
-  const control::membership_limits Limits =
-      State.Peers ? State.Peers->view().Limits : control::membership_limits();
-  return Instances > Limits.DirectLimit + 1;
-}
-
 storage::listed_instance listed(const control::member &Member) {
   storage::listed_instance Instance;
   Instance.Name = Member.Name;
@@ -86,6 +80,21 @@
   return Relays;
 }
 
+control::fleet_position fleetPosition(const platform_instance_state &State) {
+  control::fleet_position Position;
+  if (!State.Peers) {
+    if (State.OtherInstances)
+      Position.UsesRelays = control::usesRelays(*State.OtherInstances,
+                                                control::membership_limits());
+    return Position;
+  }
+  const control::membership &View = State.Peers->view();
+  Position.UsesRelays = usesRelays(View);
+  Position.Joined = View.LastTick.has_value();
+  Position.Relay = View.Relay;
+  return Position;
+}
+
 constexpr std::array KindNames = std::to_array<base::enum_name<state_kind>>({
     {state_kind::Configuration, "configuration"},
     {state_kind::Endpoints, "endpoints"},
@@ -116,20 +125,6 @@
   return {};
 }
 
-control::fleet_position fleetPosition(const platform_instance_state &State) {
-  control::fleet_position Position;
-  if (!State.Peers) {
-    if (State.FleetSize)
-      Position.UsesRelays = isLarge(State, *State.FleetSize);
-    return Position;
-  }
-  const control::membership &View = State.Peers->view();
-  Position.UsesRelays = isLarge(State, instanceCount(View));
-  Position.Joined = View.LastTick.has_value();
-  Position.Relay = View.Relay;
-  return Position;
-}
-
 bool shouldAskRelays(const platform_instance_state &State,
                      control::state_need &Need) {
   return sourceOf(Need, fleetPosition(State), base::now()) ==
--- a/packages/redwinggw/src/platform_relayed_state.hpp
+++ b/packages/redwinggw/src/platform_relayed_state.hpp
@@ -8,8 +8,6 @@
 /// What this instance sends to others on request.
 session::transferred_state stateHeld(platform_instance_state &State,
                                      const session::transfer_request &Request);
-/// What this instance knows of its fleet and of its place in it.
-control::fleet_position fleetPosition(const platform_instance_state &State);
 /// Whether to ask the relays for a state that is lacking; after false this
 /// instance reads the store.
 bool shouldAskRelays(const platform_instance_state &State,
--- a/packages/session/include/redwinggw/session/state_transfer.hpp
+++ b/packages/session/include/redwinggw/session/state_transfer.hpp
@@ -39,8 +39,8 @@
   /// The version that the requester already has.
   std::uint64_t Version = 0;
   state_kind Kind = state_kind::Configuration;
-  /// The requester accepts changes to that version. Not sent: builds that send
-  /// a request of the present form do.
+  /// The requester accepts changes to that version. Not sent: every build that
+  /// sends a request in the present form accepts them, others do not.
   bool ReadsDelta = true;
 };
 
--- a/packages/session/src/owner_cost.hpp
+++ b/packages/session/src/owner_cost.hpp
@@ -25,8 +25,10 @@
 
 /// How many endpoints a candidate may own.
 struct owner_bounds {
-  /// At most, and at most while another candidate is below its Preferred.
+  /// The most that it may own.
   std::size_t Bound = 0;
+  /// The most that it may own while another candidate owns less than its
+  /// Preferred.
   std::size_t Preferred = 0;
 };
 
