--- /dev/null
+++ b/review/common/json.cpp
@@ -0,0 +1,2 @@
+// Boost.JSON without its library.
+#include <boost/json/src.hpp>
