--- a/review/common/database.cpp
+++ b/review/common/database.cpp
@@ -191,6 +191,8 @@
           Last ? "ERROR MISROUTED " + Own->Name + "\r\n" : ready(Client, *Own);
     } else if (Word == "QUERY") {
       std::string Id = takeWord(Line);
+      if (Own->Group.OnRequest)
+        Own->Group.OnRequest(*Own, Id, Line);
       Answer = co_await run(Client, *Own, std::move(Id), std::move(Line));
       Answer += ready(Client, *Own);
     }
--- a/review/common/database.hpp
+++ b/review/common/database.hpp
@@ -102,6 +102,10 @@
   std::function<void(database &, const log_entry &)> OnCommit;
   /// Called when a promotion takes effect.
   std::function<void(database &Old, database &New)> OnPromoted;
+  /// Called for each request of a connection: with its id and whole text.
+  std::function<void(database &, const std::string &Id,
+                     const std::string &Text)>
+      OnRequest;
   /// Called for each statement that is run: with its id and text.
   std::function<void(database &, const std::string &Id,
                      const std::string &Text)>
--- a/review/common/world.cpp
+++ b/review/common/world.cpp
@@ -109,7 +109,7 @@
 void record::line(const std::string &Text) {
   char Time[32];
   std::snprintf(Time, sizeof(Time), "%9.4f ", seconds());
-  Stream << Time << Text << std::endl;
+  Stream << Time << replaceAll(Text, "\n", "<LF>") << std::endl;
 }
 
 double record::seconds() const {
@@ -380,8 +380,10 @@
     if (!Ready || Started || Outcome.Error != "closed")
       break;
     Started = true;
-    Line = "QUERY " + Outcome.Id + " " + replaceAll(Text, "%ID", Outcome.Id) +
-           "\r\n";
+    const std::string Statement = replaceAll(Text, "%ID", Outcome.Id);
+    if (OnSend)
+      OnSend(Outcome.Id, Statement);
+    Line = "QUERY " + Outcome.Id + " " + Statement + "\r\n";
   }
   Limit.cancel();
   Outcome.AnsweredAt = Record.seconds();
--- a/review/common/world.hpp
+++ b/review/common/world.hpp
@@ -88,6 +88,8 @@
   group Group;
   std::vector<instance> Instances;
   std::vector<promotion> Promotions;
+  /// Called before a client sends a statement.
+  std::function<void(const std::string &Id, const std::string &Text)> OnSend;
   /// Called when an instance has claimed the move of a primary.
   std::function<void(const std::string &Orderer)> OnClaim;
 
