Promote only what is proven to have every acknowledged commit

Cause: candidates were ranked by (not draining, received), so that any replica that stays went before one that has more. sync_replicas was decoded and used nowhere. Behind it is a wider one: who did not answer a single inquiry of 400 ms was left out, as if its log were empty, and after 1.5 s the position of the old primary was forgotten too.

An acknowledged commit is on the primary and on sync_replicas others. A replica has all of them if at most that many of the other endpoints may have received more; one that is silent may have, and so may one in an evacuated zone, the old primary, and the old primary once it is not listed any more. Until a replica meets this nobody is promoted. No role and no claim is trusted for it. An orderer that has waited orders only while it is in touch with the fleet. With sync_replicas 0 the log now goes before draining as well unless the old primary has answered; all else there is as before.

The log gets promotion_evidence: what each endpoint has received, the target.

--- a/packages/redwinggw/src/platform_handover.cpp
+++ b/packages/redwinggw/src/platform_handover.cpp
@@ -29,8 +29,11 @@
 
 constexpr milliseconds PrimaryCheckInterval{100};
 constexpr milliseconds PromotionTimeout{1500};
-/// A move that takes longer is abandoned and begun again from the rows.
+/// A move that takes longer is abandoned and begun again from the rows. Only
+/// the wait for a target that may be promoted has no limit.
 constexpr milliseconds MoveTimeout{7000};
+/// Time for the promotion after a target was found late.
+constexpr milliseconds MinPromotionTime{3000};
 
 void logMove(const std::string &Service, const std::string &Text) {
   base::log(base::log_level::Info, base::log_part::Failover,
@@ -107,13 +110,6 @@
   return Text == ordererText(State, Token) ? Token : Token + 1;
 }
 
-/// A move that this instance carries out.
-struct claimed_move {
-  primary_claim Claim;
-  /// Whether an earlier claim began the move and may have ordered a promotion.
-  bool Resumed = false;
-};
-
 /// Whether a move of the service may have been begun. A row that cannot be
 /// parsed does not rule that out.
 bool isUnfinished(const storage::row &Row) {
@@ -280,7 +276,7 @@
   }
   if (Move.Resumed)
     delayInquiries(State, Claim.Service);
-  const base::endpoint_name Target = co_await findTarget(State, Claim);
+  const base::endpoint_name Target = co_await findTarget(State, Move);
   if (Target.empty()) {
     // No other endpoint can take over: the old primary is kept if it still is
     // the primary.
@@ -295,10 +291,11 @@
     co_return true;
   }
   logMove(Claim.Service, "promoting " + Target + ".");
-  const bool Promoted = co_await promote(State, Claim, Target, Deadline);
+  const instant PromoteBy = std::max(Deadline, base::now() + MinPromotionTime);
+  const bool Promoted = co_await promote(State, Claim, Target, PromoteBy);
   bool BecamePrimary = false;
   if (Promoted)
-    BecamePrimary = co_await awaitPromotion(State, Claim, Target, Deadline);
+    BecamePrimary = co_await awaitPromotion(State, Claim, Target, PromoteBy);
   if (!BecamePrimary) {
     logMove(Claim.Service, Target + " did not become primary.");
     co_return false;
--- a/packages/redwinggw/src/platform_inquiries.cpp
+++ b/packages/redwinggw/src/platform_inquiries.cpp
@@ -1,7 +1,11 @@
 #include "platform_inquiries.hpp"
 #include "platform_loops.hpp"
+#include "platform_primaries.hpp"
 #include "platform_probing.hpp"
 
+#include "redwinggw/base/log.hpp"
+#include "redwinggw/session/promotion_evidence.hpp"
+
 #include <optional>
 #include <utility>
 #include <vector>
@@ -9,6 +13,7 @@
 namespace redwinggw {
 
 using base::instant;
+using base::milliseconds;
 using session::primary_claim;
 
 namespace {
@@ -75,18 +80,62 @@
 
 namespace {
 
-/// The endpoints that could take over and answer, with what they have received.
-base::task<std::vector<session::move_candidate>>
-askCandidates(platform_instance_state &State, const primary_claim &Claim) {
-  const auto Entries = replacementsFor(State, Claim.Service, Claim.Primary);
-  std::vector<session::move_candidate> Candidates;
-  for (const session::endpoint_entry &Entry : Entries) {
-    const auto Status = co_await inquire(State, Claim, Entry);
+/// The endpoints of the service. Of these the old primary, which has
+/// reported \p Old, and endpoints in evacuated zones are not asked.
+base::task<std::vector<session::log_holder>>
+askHolders(platform_instance_state &State, const primary_claim &Claim,
+           const std::optional<session::endpoint_status> &Old) {
+  std::vector<session::log_holder> Holders;
+  // Not listed any more, it may still hold commits.
+  Holders.push_back({Claim.Primary, false, false, std::nullopt});
+  if (Old)
+    Holders.front().Received = Old->Received;
+  const auto Listed = endpointsOf(State.Endpoints.Directory, Claim.Service);
+  for (const session::endpoint_entry *Entry : Listed)
+    if (Entry->Name != Claim.Primary)
+      Holders.push_back({Entry->Name,
+                         !isEvacuated(State.Evacuations, Entry->Zone),
+                         Entry->Draining, std::nullopt});
+  for (session::log_holder &Holder : Holders) {
+    const auto *Entry = findEndpoint(State.Endpoints.Directory, Holder.Name);
+    if (!Holder.Eligible || Entry == nullptr)
+      continue;
+    const session::endpoint_entry Copy = *Entry;
+    const auto Status = co_await inquire(State, Claim, Copy);
     if (Status.Status)
-      Candidates.push_back(
-          {Entry.Name, Entry.Draining, Status.Status->Received});
+      Holder.Received = Status.Status->Received;
   }
-  co_return Candidates;
+  co_return Holders;
+}
+
+unsigned synchronousReplicas(const platform_instance_state &State,
+                             const base::service_name &Service) {
+  const auto Found = State.Routes->Services.find(Service);
+  return Found == State.Routes->Services.end()
+             ? 0
+             : Found->second.SynchronousReplicas;
+}
+
+void logEvidence(const primary_claim &Claim,
+                 const session::promotion_rule &Rule,
+                 const std::vector<session::log_holder> &Holders,
+                 const session::log_holder *Target) {
+  base::logEvent(
+      Target == nullptr ? base::log_level::Warning : base::log_level::Info,
+      base::log_part::Failover, "promotion_evidence",
+      {{"service", Claim.Service},
+       {"epoch", std::to_string(Claim.Epoch)},
+       {"synchronous_replicas", std::to_string(Rule.SynchronousReplicas)},
+       {"received", describe(Holders)},
+       {"target", Target == nullptr ? "none" : Target->Name}});
+}
+
+/// Whether the old primary is to be asked again: one in an evacuated zone gets
+/// nothing more than the first inquiries.
+bool mayAskAgain(const platform_instance_state &State,
+                 const primary_claim &Claim) {
+  const auto *Entry = findEndpoint(State.Endpoints.Directory, Claim.Primary);
+  return Entry != nullptr && !isEvacuated(State.Evacuations, Entry->Zone);
 }
 
 } // namespace
@@ -102,23 +151,39 @@
 }
 
 base::task<base::endpoint_name> findTarget(platform_instance_state &State,
-                                           const primary_claim &Claim) {
-  const auto Old = co_await askOldPrimary(State, Claim);
-  std::optional<session::log_point> Needed;
-  if (Old)
-    Needed = Old->Received;
-  const instant Latest = base::now() + State.Handover.CatchUpTimeout;
-  while (true) {
-    const auto Candidates = co_await askCandidates(State, Claim);
-    const bool MayStillWait = base::now() < Latest;
-    if (!MayStillWait)
-      Needed.reset();
-    if (const auto *Target = chooseTarget(Candidates, Needed))
+                                           const claimed_move &Move) {
+  constexpr milliseconds LogInterval{5000};
+  constexpr milliseconds PauseBetweenRounds{100};
+  const primary_claim &Claim = Move.Claim;
+  auto Old = co_await askOldPrimary(State, Claim);
+  const instant CatchUpUntil = base::now() + State.Handover.CatchUpTimeout;
+  instant LogDue = CatchUpUntil;
+  while (!State.Stopped && isCurrent(State, Claim)) {
+    const auto Holders = co_await askHolders(State, Claim, Old);
+    const bool MayCatchUp = base::now() < CatchUpUntil;
+    session::promotion_rule Rule;
+    Rule.SynchronousReplicas = synchronousReplicas(State, Claim.Service);
+    const bool Proven = Rule.SynchronousReplicas != 0;
+    if (Old && MayCatchUp)
+      Rule.Needed = Old->Received;
+    const auto *Target = chooseTarget(Holders, Rule);
+    // After a long wait another orderer may have taken over unnoticed.
+    if (Target != nullptr && (!Proven || mayTrustClaims(State))) {
+      logEvidence(Claim, Rule, Holders, Target);
       co_return Target->Name;
-    if (!MayStillWait)
-      co_return base::endpoint_name();
-    co_await pauseWithJitter(State, StepPause);
+    }
+    if (!MayCatchUp && (!Proven || mayKeepOldPrimary(Old, Move.Resumed)))
+      break;
+    if (base::now() >= LogDue) {
+      logEvidence(Claim, Rule, Holders, nullptr);
+      LogDue = base::now() + LogInterval;
+    }
+    const milliseconds Pause = MayCatchUp ? StepPause : PauseBetweenRounds;
+    co_await pauseWithJitter(State, Pause);
+    if (Proven && mayAskAgain(State, Claim))
+      Old = co_await askOldPrimary(State, Claim);
   }
+  co_return base::endpoint_name();
 }
 
 } // namespace redwinggw
--- a/packages/redwinggw/src/platform_inquiries.hpp
+++ b/packages/redwinggw/src/platform_inquiries.hpp
@@ -9,6 +9,13 @@
 /// Between two steps of a move that wait for others.
 constexpr base::milliseconds StepPause{20};
 
+/// A move that this instance carries out.
+struct claimed_move {
+  session::primary_claim Claim;
+  /// Whether an earlier claim began the move and may have ordered a promotion.
+  bool Resumed = false;
+};
+
 /// Whether \p Claim is still the newest one of its service. Otherwise another
 /// orderer has taken over, and an order of this instance could take effect
 /// after that one's.
@@ -40,9 +47,12 @@
 askOldPrimary(platform_instance_state &State,
               const session::primary_claim &Claim);
 
-/// Chooses the new primary, waiting for a replica to receive all that the old
-/// primary still reports. Empty when there is none.
+/// Chooses the new primary by the members' answers. Waits for a replica to
+/// receive all that the old primary still reports, and, where commits are
+/// replicated synchronously, for as long as no replica is proven to have all
+/// acknowledged ones. Empty when there is no target: the old primary may be
+/// kept, none answers, or a later claim is known.
 base::task<base::endpoint_name> findTarget(platform_instance_state &State,
-                                           const session::primary_claim &Claim);
+                                           const claimed_move &Move);
 
 } // namespace redwinggw
--- a/packages/session/include/redwinggw/session/handover.hpp
+++ b/packages/session/include/redwinggw/session/handover.hpp
@@ -103,20 +103,6 @@
 bool mayPromote(const move_acknowledgements &Acknowledged,
                 const handover_limits &Limits, base::instant Now);
 
-/// An endpoint that could become the primary.
-struct move_candidate {
-  base::endpoint_name Name;
-  bool Draining = false;
-  log_point Received;
-};
-
-/// The candidate with the most advanced log, a draining one only if there is no
-/// other. With \p Needed only one that has received that position. Null if
-/// there is none.
-const move_candidate *
-chooseTarget(const std::vector<move_candidate> &Candidates,
-             std::optional<log_point> Needed);
-
 /// Whether the old primary may stay in use because no endpoint can replace it.
 /// True if its last status \p Old says that it is the primary and no promotion
 /// can have been ordered. \p Resumed: an earlier claim began the move, and its
--- a/packages/session/src/handover.cpp
+++ b/packages/session/src/handover.cpp
@@ -70,16 +70,4 @@
   return !Resumed && Old && Old->Role == endpoint_role::Primary;
 }
 
-const move_candidate *
-chooseTarget(const std::vector<move_candidate> &Candidates,
-             std::optional<log_point> Needed) {
-  const auto Rank = [](const move_candidate &Candidate) {
-    return std::pair(!Candidate.Draining, Candidate.Received);
-  };
-  const auto Best = std::ranges::max_element(Candidates, std::less{}, Rank);
-  if (Best == Candidates.end() || (Needed && Best->Received < *Needed))
-    return nullptr;
-  return &*Best;
-}
-
 } // namespace redwinggw::session
--- /dev/null
+++ b/packages/session/src/promotion_evidence.cpp
@@ -0,0 +1,68 @@
+#include "redwinggw/session/promotion_evidence.hpp"
+
+#include <algorithm>
+#include <ranges>
+#include <tuple>
+
+namespace redwinggw::session {
+namespace {
+
+bool mayHoldMore(const log_holder &Holder, const log_point &Than) {
+  return !Holder.Received || *Holder.Received > Than;
+}
+
+bool isAcceptable(const std::vector<log_holder> &Holders,
+                  const log_holder &Holder, const promotion_rule &Rule) {
+  if (!Holder.Eligible || !Holder.Received)
+    return false;
+  if (Rule.Needed && *Holder.Received < *Rule.Needed)
+    return false;
+  return Rule.SynchronousReplicas == 0 ||
+         holdsAcknowledged(Holders, Holder, Rule.SynchronousReplicas);
+}
+
+} // namespace
+
+bool holdsAcknowledged(const std::vector<log_holder> &Holders,
+                       const log_holder &Target, unsigned SynchronousReplicas) {
+  const auto Ahead =
+      std::ranges::count_if(Holders, [&](const log_holder &Holder) {
+        return Holder.Name != Target.Name &&
+               mayHoldMore(Holder, Target.Received.value());
+      });
+  return static_cast<std::size_t>(Ahead) <= SynchronousReplicas;
+}
+
+const log_holder *chooseTarget(const std::vector<log_holder> &Holders,
+                               const promotion_rule &Rule) {
+  // Where acceptable endpoints need not hold all that was acknowledged, each
+  // missing entry may be a lost commit.
+  const bool AllComplete = Rule.SynchronousReplicas != 0 || Rule.Needed;
+  const auto Rank = [&](const log_holder *Holder) {
+    const bool Stays = !Holder->Draining;
+    return std::tuple(AllComplete && Stays, *Holder->Received, Stays);
+  };
+  auto Acceptable =
+      Holders | std::views::filter([&](const log_holder &Holder) {
+        return isAcceptable(Holders, Holder, Rule);
+      }) |
+      std::views::transform([](const log_holder &Holder) { return &Holder; });
+  const auto Best = std::ranges::max_element(Acceptable, std::less{}, Rank);
+  return Best == Acceptable.end() ? nullptr : *Best;
+}
+
+std::string describe(const std::vector<log_holder> &Holders) {
+  std::string Text;
+  for (const log_holder &Holder : Holders) {
+    Text += Text.empty() ? "" : ", ";
+    Text += Holder.Name;
+    Text += Holder.Received
+                ? " " + std::to_string(Holder.Received->Term) + "." +
+                      std::to_string(Holder.Received->Position)
+                : std::string(" silent");
+    Text += Holder.Draining ? " draining" : "";
+  }
+  return Text;
+}
+
+} // namespace redwinggw::session
--- a/tests/native/native_path_test.cpp
+++ b/tests/native/native_path_test.cpp
@@ -153,6 +153,70 @@
 
 namespace {
 
+/// The names in the promotions that were ordered.
+std::vector<std::string> promoted(native_fleet &Fleet) {
+  std::vector<std::string> Names;
+  Fleet.World.runOnThread([&](simulated_platform &World) {
+    for (const standin::promotion &Promotion : World.Promotions)
+      Names.push_back(Promotion.Database);
+  });
+  return Names;
+}
+
+/// Writes "a 1" in a group in which d3 alone receives what the primary commits.
+void writeWhereOnlyOneReplicaReceives(native_fleet &Fleet) {
+  Fleet.World.replicateSynchronously();
+  cr_assert(writeEventually(Fleet.Instances[0], "a", "0"));
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  Fleet.World.runOnThread(
+      [](simulated_platform &World) { World.Group.Databases[1].Deaf = true; });
+  cr_assert(writeEventually(Fleet.Instances[0], "a", "1"));
+}
+
+bool readsEventually(const native_process &Instance, const std::string &Item,
+                     const std::string &Data) {
+  return eventually([&] {
+    line_client Caller(Instance.Callers, "strict", "key");
+    return Caller.run("READ " + Item).Rows == std::vector<std::string>{Data};
+  });
+}
+
+} // namespace
+
+// Guards against the promotion of a replica that lags behind a draining one.
+Test(native_path, promotes_a_draining_replica_that_has_all_commits) {
+  native_fleet Fleet(3);
+  writeWhereOnlyOneReplicaReceives(Fleet);
+  Fleet.World.drain("d3");
+  // Until the instances know of it.
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  Fleet.World.crash("d1");
+  line_client(Fleet.Instances[1].Callers, "strict", "key").run("READ a");
+  cr_assert(eventually([&] { return !promoted(Fleet).empty(); }));
+  cr_assert(promoted(Fleet).front() == "d3");
+  Fleet.World.runOnThread([](simulated_platform &World) {
+    World.Group.Databases[1].Deaf = false;
+  });
+  cr_assert(readsEventually(Fleet.Instances[0], "a", "1"));
+}
+
+// Guards against the promotion of a replica while a silent one may have
+// acknowledged commits that it lacks.
+Test(native_path, waits_for_a_silent_replica_that_may_have_more) {
+  native_fleet Fleet(3);
+  writeWhereOnlyOneReplicaReceives(Fleet);
+  Fleet.World.crash("d3");
+  Fleet.World.crash("d1");
+  line_client(Fleet.Instances[1].Callers, "strict", "key").run("READ a");
+  std::this_thread::sleep_for(std::chrono::milliseconds(4000));
+  cr_assert(promoted(Fleet).empty());
+  Fleet.World.restart("d3");
+  cr_assert(readsEventually(Fleet.Instances[0], "a", "1"));
+  cr_assert(promoted(Fleet).front() == "d3");
+}
+
+namespace {
+
 std::size_t statementsAt(native_fleet &Fleet, std::size_t Database) {
   std::size_t Statements = 0;
   Fleet.World.runOnThread([&](simulated_platform &World) {
--- a/tests/session/handover_test.cpp
+++ b/tests/session/handover_test.cpp
@@ -116,15 +116,6 @@
                         Start + std::chrono::seconds(60)));
 }
 
-Test(handover, promotes_the_most_advanced_replica) {
-  const std::vector<move_candidate> Candidates{
-      {"a", false, {3, 10}}, {"b", false, {3, 12}}, {"c", true, {3, 20}}};
-  cr_assert(chooseTarget(Candidates, std::nullopt)->Name == "b");
-  cr_assert(chooseTarget(Candidates, log_point{3, 12})->Name == "b");
-  cr_assert(chooseTarget(Candidates, log_point{3, 13}) == nullptr);
-  cr_assert(chooseTarget({}, std::nullopt) == nullptr);
-}
-
 // An orderer has promoted a replica and is cut off before it can report that.
 // The next one starts again; the replicas are too busy to answer it, and the
 // old primary, which has no contact with the new one yet, still reports the
--- a/tests/standins/native/database_group.cpp
+++ b/tests/standins/native/database_group.cpp
@@ -16,9 +16,23 @@
     return Now - Entry.CommittedAt < Group.Lag;
   });
   const auto Applied = static_cast<std::size_t>(Old - Group.Log.begin());
-  for (simulated_database &Database : Group.Databases)
-    Database.Received = Database.Primary ? Group.Log.size()
-                                         : std::max(Database.Received, Applied);
+  const auto Leads =
+      std::ranges::find_if(Group.Databases, &simulated_database::Primary);
+  const bool Sends = Leads != Group.Databases.end() && !Leads->Down;
+  for (simulated_database &Database : Group.Databases) {
+    if (Database.Primary)
+      Database.Received = Group.Log.size();
+    else if (Sends && !Database.Down && !Database.Deaf)
+      Database.Received = std::max(Database.Received, Applied);
+  }
+}
+
+bool isReplicated(const database_group &Group, std::size_t Entries) {
+  const auto Holders = std::ranges::count_if(
+      Group.Databases, [&](const simulated_database &Database) {
+        return !Database.Primary && Database.Received >= Entries;
+      });
+  return static_cast<std::size_t>(Holders) >= Group.SynchronousReplicas;
 }
 
 session::log_point pointOf(const database_group &Group,
--- a/tests/standins/native/database_group.hpp
+++ b/tests/standins/native/database_group.hpp
@@ -27,8 +27,10 @@
   std::string Zone = "z1";
   bool Primary = false;
   bool Draining = false;
-  /// Refuses connections.
+  /// Refuses connections and receives nothing.
   bool Down = false;
+  /// Receives nothing from the primary.
+  bool Deaf = false;
   /// Number of statements to run without sending a response; counts down.
   unsigned LoseAnswers = 0;
   /// Number of log entries received.
@@ -50,6 +52,8 @@
   base::term_number Term = 1;
   /// Replication lag.
   base::milliseconds Lag{20};
+  /// Replicas that have to receive a commit before it is acknowledged.
+  unsigned SynchronousReplicas = 0;
   unsigned ConnectionLimit = 50;
   /// Number of runs of each statement, by the id that the caller sent.
   std::map<std::string, unsigned> Runs;
@@ -61,6 +65,9 @@
 /// Delivers to the replicas the log entries that are older than the lag.
 void replicate(database_group &Group, base::instant Now);
 
+/// Whether enough replicas have received the first \p Entries entries.
+bool isReplicated(const database_group &Group, std::size_t Entries);
+
 session::log_point pointOf(const database_group &Group,
                            const simulated_database &Database);
 
--- a/tests/standins/native/database_server.cpp
+++ b/tests/standins/native/database_server.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
@@ -64,6 +65,7 @@
   simulated_database &self() { return *findDatabase(Group, Name); }
   base::task<void> accept();
   base::task<void> serve(std::shared_ptr<connection> Client);
+  base::task<void> awaitReplicas(std::size_t Entries);
   std::string start(connection &Client, std::string Fields);
   std::string query(connection &Client, std::string Fields, bool &Lost);
   std::string run(connection &Client, const std::string &Id, std::string Text);
@@ -114,6 +116,9 @@
         Client->Started ? query(*Client, Line, Lost) : start(*Client, Line);
     if (Lost)
       break;
+    co_await awaitReplicas(Group.Log.size());
+    if (self().Down)
+      break;
     const auto [WriteError, Sent] =
         co_await asio::async_write(Client->Socket, asio::buffer(Answer), Token);
     if (WriteError || !Client->Started)
@@ -125,6 +130,16 @@
     --self().Connections;
 }
 
+/// Waits until the commits that an answer acknowledges have been replicated.
+base::task<void> database_server::state::awaitReplicas(std::size_t Entries) {
+  asio::steady_timer Timer(Executor);
+  while (self().Primary && !self().Down && !isReplicated(Group, Entries)) {
+    Timer.expires_after(base::milliseconds(1));
+    co_await Timer.async_wait(Token);
+    replicate(Group, base::now());
+  }
+}
+
 std::string database_server::state::ready(const connection &Client) {
   replicate(Group, base::now());
   const auto Point = pointOf(Group, self());
--- a/tests/standins/native/simulated_platform.cpp
+++ b/tests/standins/native/simulated_platform.cpp
@@ -116,7 +116,7 @@
                               {"burst", Rate}};
   const json::object Service{{"name", "s"},
                              {"connection_limit", 50},
-                             {"sync_replicas", 0},
+                             {"sync_replicas", Group.SynchronousReplicas},
                              {"cold_start_s", 20},
                              {"cold_per_s", 20}};
   Store.put("op", "config",
@@ -152,6 +152,27 @@
   });
 }
 
+void simulated_platform::leave(const std::string &Name) {
+  crash(Name);
+  runOnThread(
+      [&](simulated_platform &World) { World.Store.remove("servers", Name); });
+}
+
+void simulated_platform::restart(const std::string &Name) {
+  runOnThread([&](simulated_platform &World) {
+    simulated_database *Database = findDatabase(World.Group, Name);
+    Database->Down = false;
+    publish(*Database);
+  });
+}
+
+void simulated_platform::replicateSynchronously() {
+  runOnThread([](simulated_platform &World) {
+    World.Group.SynchronousReplicas = 1;
+    World.configure({"key"});
+  });
+}
+
 void simulated_platform::drain(const std::string &Name) {
   runOnThread([&](simulated_platform &World) {
     simulated_database *Database = findDatabase(World.Group, Name);
--- a/tests/standins/native/simulated_platform.hpp
+++ b/tests/standins/native/simulated_platform.hpp
@@ -38,6 +38,12 @@
 
   /// Stops \p Name; its entry in the store stays, as after a crash.
   void crash(const std::string &Name);
+  /// Stops \p Name and removes its entry.
+  void leave(const std::string &Name);
+  /// Starts \p Name again with the log that it had.
+  void restart(const std::string &Name);
+  /// Acknowledges commits only once a replica has received them.
+  void replicateSynchronously();
   /// Marks \p Name as draining in the store.
   void drain(const std::string &Name);
   /// Moves \p Name to another availability zone.
