--- a/tests/native/native_path_test.cpp
+++ b/tests/native/native_path_test.cpp
@@ -194,9 +194,8 @@
   line_client(Fleet.Instances[1].Callers, "strict", "key").run("READ a");
   cr_assert(eventually([&] { return !promoted(Fleet).empty(); }));
   cr_assert(promoted(Fleet).front() == "d3");
-  Fleet.World.runOnThread([](simulated_platform &World) {
-    World.Group.Databases[1].Deaf = false;
-  });
+  Fleet.World.runOnThread(
+      [](simulated_platform &World) { World.Group.Databases[1].Deaf = false; });
   cr_assert(readsEventually(Fleet.Instances[0], "a", "1"));
 }
 
