Record which endpoints may hold acknowledged commits

With sync_replicas 1 a replica that had stopped counted as silent only while it was listed, for three heartbeats. Afterwards, and at once for instances that were started since, it did not exist: the other replica was promoted without the commits that only the stopped one and the old primary have.

The store's row holders/SERVICE now names the endpoints of each service with synchronous replicas. An orderer reads it with the claim and counts unlisted endpoints as silent. The store reader adds what is listed and removes an unlisted one only on evidence: enough replicas of the primary's term have what the primary reported afterwards, and the row of the claim has not changed; or a draining one was replaced at its address.

Left open: an endpoint that starts, is the only one to receive a commit and is lost together with the primary before the store reader has seen it listed (about a second).

Test, with real instances: waits_for_a_replica_that_is_not_listed_any_more (d2 was promoted before; in the trial its wait for the row was a pause). forgets_a_lost_replica_whose_commits_others_have guards the other side. The stand-in's crash() delivers what was due before: replication happened at the next statement only, so that a crash could lose an entry that was older than the lag (moves_the_primary_after_a_crash failed once).

--- a/packages/redwinggw/src/platform_fleet.cpp
+++ b/packages/redwinggw/src/platform_fleet.cpp
@@ -1,6 +1,7 @@
 #include "platform_fleet.hpp"
 #include "platform_connections.hpp"
 #include "platform_heartbeats.hpp"
+#include "platform_holders.hpp"
 #include "platform_loops.hpp"
 #include "platform_primaries.hpp"
 #include "platform_rates.hpp"
@@ -79,6 +80,7 @@
       State.InstanceRowVersions.emplace(Instance->Name, Row.Version);
       Listed.push_back(std::move(*Instance));
     }
+    acceptHolderRow(State, Row);
     if (!Row.Key.starts_with(session::ClaimPrefix))
       continue;
     if (const auto Claim = session::readClaim(Row.Key, Row.Version, Row.Value))
--- a/packages/redwinggw/src/platform_handover.cpp
+++ b/packages/redwinggw/src/platform_handover.cpp
@@ -1,5 +1,6 @@
 #include "platform_fleet.hpp"
 #include "platform_heartbeats.hpp"
+#include "platform_holders.hpp"
 #include "platform_inquiries.hpp"
 #include "platform_loops.hpp"
 #include "platform_primaries.hpp"
@@ -374,6 +375,7 @@
     if (State->Peers && State->Routes && State->FleetReadAt) {
       probePrimariesInDoubt(State);
       checkPrimaries(State);
+      maintainHolders(State);
     }
     co_await pauseWithJitter(*State, PrimaryCheckInterval);
   }
--- /dev/null
+++ b/packages/redwinggw/src/platform_holders.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "platform_instance_state.hpp"
+
+#include "redwinggw/session/promotion_evidence.hpp"
+
+/// Which endpoints of a service may hold acknowledged commits. Used from one
+/// thread.
+namespace redwinggw {
+
+/// Replicas of \p Service that hold a commit before it is acknowledged, by the
+/// configuration in force. Precondition: there is one.
+unsigned synchronousReplicas(const platform_instance_state &State,
+                             const base::service_name &Service);
+
+/// The endpoints that may hold acknowledged commits of \p Claim's service, of
+/// which none has answered yet: the old primary, those that are listed and
+/// those that are recorded.
+std::vector<session::log_holder> holdersOf(const platform_instance_state &State,
+                                           const session::primary_claim &Claim);
+
+/// Applies the row \p Key if it records the holders of a service.
+void acceptHolderRow(platform_instance_state &State,
+                     const platform::table_row &Row);
+
+/// Keeps the records of all services with synchronous replicas up to date.
+/// Does nothing unless this instance is the store reader. Precondition: a
+/// configuration is in force.
+void maintainHolders(const platform_instance_ptr &State);
+
+} // namespace redwinggw
--- a/packages/redwinggw/src/platform_inquiries.cpp
+++ b/packages/redwinggw/src/platform_inquiries.cpp
@@ -1,10 +1,10 @@
 #include "platform_inquiries.hpp"
+#include "platform_holders.hpp"
 #include "platform_loops.hpp"
 #include "platform_primaries.hpp"
 #include "platform_probing.hpp"
 
 #include "redwinggw/base/log.hpp"
-#include "redwinggw/session/promotion_evidence.hpp"
 
 #include <optional>
 #include <utility>
@@ -80,23 +80,16 @@
 
 namespace {
 
-/// The endpoints of the service. Of these the old primary, which has
-/// reported \p Old, and endpoints in evacuated zones are not asked.
+/// The endpoints that may hold acknowledged commits. Of these the old primary,
+/// which has reported \p Old, unlisted ones and those in evacuated zones are
+/// not asked.
 base::task<std::vector<session::log_holder>>
 askHolders(platform_instance_state &State, const primary_claim &Claim,
            const std::optional<session::endpoint_status> &Old) {
-  std::vector<session::log_holder> Holders;
-  // Not listed any more, it may still hold commits.
-  Holders.push_back({Claim.Primary, false, false, std::nullopt});
-  if (Old)
-    Holders.front().Received = Old->Received;
-  const auto Listed = endpointsOf(State.Endpoints.Directory, Claim.Service);
-  for (const session::endpoint_entry *Entry : Listed)
-    if (Entry->Name != Claim.Primary)
-      Holders.push_back({Entry->Name,
-                         !isEvacuated(State.Evacuations, Entry->Zone),
-                         Entry->Draining, std::nullopt});
+  auto Holders = holdersOf(State, Claim);
   for (session::log_holder &Holder : Holders) {
+    if (Holder.Name == Claim.Primary && Old)
+      Holder.Received = Old->Received;
     const auto *Entry = findEndpoint(State.Endpoints.Directory, Holder.Name);
     if (!Holder.Eligible || Entry == nullptr)
       continue;
@@ -108,14 +101,6 @@
   co_return Holders;
 }
 
-unsigned synchronousReplicas(const platform_instance_state &State,
-                             const base::service_name &Service) {
-  const auto Found = State.Routes->Services.find(Service);
-  return Found == State.Routes->Services.end()
-             ? 0
-             : Found->second.SynchronousReplicas;
-}
-
 void logEvidence(const primary_claim &Claim,
                  const session::promotion_rule &Rule,
                  const std::vector<session::log_holder> &Holders,
--- a/packages/redwinggw/src/platform_instance_state.hpp
+++ b/packages/redwinggw/src/platform_instance_state.hpp
@@ -20,6 +20,7 @@
 #include "redwinggw/session/forwarding_client.hpp"
 #include "redwinggw/session/forwarding_server.hpp"
 #include "redwinggw/session/handover.hpp"
+#include "redwinggw/session/holder_record.hpp"
 #include "redwinggw/session/list_parts.hpp"
 #include "redwinggw/session/owner_assignment.hpp"
 #include "redwinggw/session/session_core.hpp"
@@ -163,6 +164,10 @@
   std::map<base::customer_name, reserve_use, std::less<>> ReserveUse;
   session::primary_claims Claims;
   session::handover_limits Handover;
+  /// By service, and the services whose record is being changed.
+  std::map<base::service_name, session::holder_record, std::less<>>
+      HolderRecords;
+  std::set<base::service_name> HolderUpdates;
   /// Services whose primary this instance is replacing.
   std::set<base::service_name> Moving;
   /// Primaries that are missing from the endpoint list, and since when.
--- /dev/null
+++ b/packages/session/include/redwinggw/session/holder_record.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "redwinggw/base/ids.hpp"
+#include "redwinggw/session/directory.hpp"
+#include "redwinggw/session/endpoint_link.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// The endpoints of a service that may hold acknowledged commits, as recorded
+/// in the platform's store where commits are replicated synchronously. The
+/// endpoint list forgets an endpoint seconds after it has stopped, but it may
+/// come back as the only one with some commit. Decisions without I/O.
+namespace redwinggw::session {
+
+struct recorded_holder {
+  http::address Address;
+  bool Draining = false;
+
+  friend bool operator==(const recorded_holder &,
+                         const recorded_holder &) = default;
+};
+
+struct holder_record {
+  base::service_name Service;
+  /// Version of the row; 0 when there is none.
+  std::uint64_t Version = 0;
+  std::map<base::endpoint_name, recorded_holder, std::less<>> Holders;
+};
+
+/// The row's key, its value as JSON, and the decoding of both. Nothing for a
+/// row that cannot be decoded. Thread safe.
+constexpr std::string_view HolderPrefix = "holders/";
+std::string holderKey(std::string_view Service);
+std::string holderText(const holder_record &Record);
+std::optional<holder_record>
+readHolders(std::string_view Key, std::uint64_t Version, std::string_view Text);
+
+/// \p Record with the \p Listed endpoints of its service. An endpoint that was
+/// drained and at whose address another one is listed is dropped, since its log
+/// has been transferred there. Thread safe.
+holder_record withListed(holder_record Record,
+                         const std::vector<endpoint_entry> &Listed);
+
+/// The recorded endpoints that are not listed. Thread safe.
+std::vector<base::endpoint_name>
+unlistedHolders(const holder_record &Record,
+                const std::vector<endpoint_entry> &Listed);
+
+/// Whether unlisted endpoints hold no acknowledged commit that the others lack:
+/// enough replicas have all that the primary had when it was asked, which was
+/// after the others had left. Preconditions: \p Replicas have answered after
+/// \p Primary, and \p SynchronousReplicas is not 0. Thread safe.
+bool coverUnlisted(const endpoint_status &Primary,
+                   const std::vector<endpoint_status> &Replicas,
+                   unsigned SynchronousReplicas);
+
+} // namespace redwinggw::session
--- a/tests/native/native_path_test.cpp
+++ b/tests/native/native_path_test.cpp
@@ -163,9 +163,20 @@
   return Names;
 }
 
+bool isRecorded(native_fleet &Fleet, const std::string &Name) {
+  bool Recorded = false;
+  Fleet.World.runOnThread([&](simulated_platform &World) {
+    const std::string Row = World.Store.value("redwinggw", "holders/s");
+    Recorded = Row.find('"' + Name + '"') != std::string::npos;
+  });
+  return Recorded;
+}
+
 /// Writes "a 1" in a group in which d3 alone receives what the primary commits.
 void writeWhereOnlyOneReplicaReceives(native_fleet &Fleet) {
   Fleet.World.replicateSynchronously();
+  // The orderer, which keeps the record, has the configuration then.
+  cr_assert(eventually([&] { return isRecorded(Fleet, "d3"); }));
   cr_assert(writeEventually(Fleet.Instances[0], "a", "0"));
   std::this_thread::sleep_for(std::chrono::milliseconds(100));
   Fleet.World.runOnThread(
@@ -214,6 +225,45 @@
   cr_assert(promoted(Fleet).front() == "d3");
 }
 
+// Guards against a replica that has left the endpoint list and is forgotten
+// together with acknowledged commits, also by instances that start afterwards.
+Test(native_path, waits_for_a_replica_that_is_not_listed_any_more) {
+  native_fleet Fleet(3);
+  writeWhereOnlyOneReplicaReceives(Fleet);
+  Fleet.World.leave("d3");
+  std::this_thread::sleep_for(std::chrono::milliseconds(2000));
+  for (native_process &Instance : Fleet.Instances) {
+    Instance.Process->signal(SIGKILL);
+    Instance.Process->wait(std::chrono::seconds(10));
+  }
+  for (native_process &Instance : Fleet.Instances)
+    Fleet.start(Instance);
+  for (const native_process &Instance : Fleet.Instances)
+    cr_assert(eventually([&] { return isReady(Instance); }));
+  Fleet.World.crash("d1");
+  line_client(Fleet.Instances[0].Callers, "strict", "key").run("READ a");
+  line_client(Fleet.Instances[1].Callers, "strict", "key").run("READ a");
+  std::this_thread::sleep_for(std::chrono::milliseconds(4000));
+  cr_assert(promoted(Fleet).empty());
+  Fleet.World.restart("d3");
+  cr_assert(readsEventually(Fleet.Instances[0], "a", "1"));
+  cr_assert(promoted(Fleet).front() == "d3");
+}
+
+// Guards against a service without a primary after a replica was lost for good.
+Test(native_path, forgets_a_lost_replica_whose_commits_others_have) {
+  native_fleet Fleet(3);
+  Fleet.World.replicateSynchronously();
+  cr_assert(writeEventually(Fleet.Instances[0], "a", "1"));
+  cr_assert(eventually([&] { return isRecorded(Fleet, "d3"); }));
+  Fleet.World.leave("d3");
+  cr_assert(eventually([&] { return !isRecorded(Fleet, "d3"); }));
+  Fleet.World.crash("d1");
+  line_client(Fleet.Instances[1].Callers, "strict", "key").run("READ a");
+  cr_assert(readsEventually(Fleet.Instances[0], "a", "1"));
+  cr_assert(promoted(Fleet).front() == "d2");
+}
+
 namespace {
 
 std::size_t statementsAt(native_fleet &Fleet, std::size_t Database) {
--- a/tests/standins/native/simulated_platform.cpp
+++ b/tests/standins/native/simulated_platform.cpp
@@ -145,6 +145,7 @@
 
 void simulated_platform::crash(const std::string &Name) {
   runOnThread([&](simulated_platform &World) {
+    replicate(World.Group, base::now());
     findDatabase(World.Group, Name)->Down = true;
     for (std::size_t Index = 0; Index < Servers.size(); ++Index)
       if (World.Group.Databases[Index].Name == Name)
