Give up a draining primary only when a replica can take over

The primary was given up first, so that a service whose replicas lag had no primary although it still served: it was given up, kept after 1.5 s, and given up again 0.1 s later, until it had left.

A planned move is now begun only when a replica that may be promoted has what the primary reports, or when the primary does not answer. Otherwise the primary stays and is asked again after half a second. Services with sync_replicas 0 are not affected.

Test, with real instances: keeps_a_draining_primary_while_replicas_lag (failed before).

--- a/packages/redwinggw/src/platform_handover.cpp
+++ b/packages/redwinggw/src/platform_handover.cpp
@@ -33,6 +33,8 @@
 /// A move that takes longer is abandoned and begun again from the rows. Only
 /// the wait for a target that may be promoted has no limit.
 constexpr milliseconds MoveTimeout{7000};
+/// Between two tries to begin a planned move.
+constexpr milliseconds PauseBeforePlannedMove{500};
 /// Time for the promotion after a target was found late.
 constexpr milliseconds MinPromotionTime{3000};
 
@@ -305,10 +307,34 @@
   co_return true;
 }
 
+/// Whether a move may begin. A primary that leaves by plan and still serves is
+/// given up only for a replica that can be promoted.
+base::task<bool> mayGiveUp(platform_instance_state &State,
+                           base::service_name Service,
+                           base::endpoint_name Primary, move_cause Cause) {
+  const bool Planned =
+      Cause == move_cause::Draining || Cause == move_cause::Evacuated;
+  if (!Planned || synchronousReplicas(State, Service) == 0)
+    co_return true;
+  primary_claim Claim;
+  if (const auto *Known = findClaim(State.Claims, Service))
+    Claim = Known->Claim;
+  Claim.Service = Service;
+  Claim.Primary = Primary;
+  co_return co_await isReplaceable(State, std::move(Claim));
+}
+
 base::task<void> movePrimary(platform_instance_ptr State,
                              base::service_name Service, move_cause Cause) {
   const base::endpoint_name Primary = primaryOf(*State, Service);
   const instant Begun = base::now();
+  const bool MayBegin = co_await mayGiveUp(*State, Service, Primary, Cause);
+  if (!MayBegin) {
+    logMove(Service, Primary + " stays: no replica can take over yet.");
+    co_await pauseWithJitter(*State, PauseBeforePlannedMove);
+    State->Moving.erase(Service);
+    co_return;
+  }
   const auto Move = co_await claimMove(*State, Service, Primary);
   if (Move) {
     logMove(Service, "moving the primary from " + Primary + ", cause " +
--- a/packages/redwinggw/src/platform_inquiries.cpp
+++ b/packages/redwinggw/src/platform_inquiries.cpp
@@ -171,4 +171,22 @@
   co_return base::endpoint_name();
 }
 
+base::task<bool> isReplaceable(platform_instance_state &State,
+                               primary_claim Claim) {
+  const auto Primary = co_await askOldPrimary(State, Claim);
+  if (!Primary)
+    co_return true;
+  const instant Latest = base::now() + State.Handover.CatchUpTimeout;
+  while (base::now() < Latest && !State.Stopped) {
+    const auto Holders = co_await askHolders(State, Claim, Primary);
+    session::promotion_rule Rule;
+    Rule.SynchronousReplicas = synchronousReplicas(State, Claim.Service);
+    Rule.Needed = Primary->Received;
+    if (chooseTarget(Holders, Rule) != nullptr)
+      co_return true;
+    co_await pauseWithJitter(State, 5 * StepPause);
+  }
+  co_return false;
+}
+
 } // namespace redwinggw
--- a/packages/redwinggw/src/platform_inquiries.hpp
+++ b/packages/redwinggw/src/platform_inquiries.hpp
@@ -55,4 +55,10 @@
 base::task<base::endpoint_name> findTarget(platform_instance_state &State,
                                            const claimed_move &Move);
 
+/// Whether a replica that could be promoted has received what the primary of
+/// \p Claim reports now. Waits a moment for one; true if the primary does not
+/// answer. Precondition: commits of the service are replicated synchronously.
+base::task<bool> isReplaceable(platform_instance_state &State,
+                               session::primary_claim Claim);
+
 } // namespace redwinggw
--- a/tests/native/native_path_test.cpp
+++ b/tests/native/native_path_test.cpp
@@ -264,6 +264,25 @@
   cr_assert(promoted(Fleet).front() == "d2");
 }
 
+// Guards against a draining primary that is given up while no replica can take
+// over: the service would be without a primary for as long as they lag.
+Test(native_path, keeps_a_draining_primary_while_replicas_lag) {
+  native_fleet Fleet(3);
+  writeWhereOnlyOneReplicaReceives(Fleet);
+  Fleet.World.crash("d3");
+  Fleet.World.drain("d1");
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  for (const native_process &Instance : Fleet.Instances)
+    cr_assert(Instance.Process->output().find("primary_given_up") ==
+                  std::string::npos,
+              "%s", Instance.Process->output().c_str());
+  Fleet.World.runOnThread(
+      [](simulated_platform &World) { World.Group.Databases[1].Deaf = false; });
+  cr_assert(readsEventually(Fleet.Instances[0], "a", "1"));
+  cr_assert(eventually([&] { return !promoted(Fleet).empty(); }));
+  cr_assert(promoted(Fleet).front() == "d2");
+}
+
 namespace {
 
 std::size_t statementsAt(native_fleet &Fleet, std::size_t Database) {
