Wait for log lines in relayed_state_test

Cause: the test reads the instances' logs right after their last caller was refused. A trace showed 9, 14 and 13 of 20 lines for that version, although all 20 instances answered by it: the others' lines had not been written yet. Log lines are buffered and written a moment after what they report.

The three checks now wait for the lines.

--- a/tests/native/relayed_state_test.cpp
+++ b/tests/native/relayed_state_test.cpp
@@ -82,8 +82,11 @@
     line_client Caller(Instance.Callers, "strict", "key");
     cr_assert(eventually([&] { return Caller.run("READ a").Error.empty(); }));
   }
-  cr_assert(loggedBy(Fleet, EndpointsFetched) >= Instances / 2);
-  cr_assert(loggedBy(Fleet, ConfigurationFetched) >= Instances / 2);
+  const auto LoggedByHalf = [&](std::string_view Event) {
+    return eventually([&] { return loggedBy(Fleet, Event) >= Instances / 2; });
+  };
+  cr_assert(LoggedByHalf(EndpointsFetched));
+  cr_assert(LoggedByHalf(ConfigurationFetched));
   cr_assert(loggedBy(Fleet, NotRead) == 0);
 }
 
@@ -100,6 +103,8 @@
       line_client Caller(Instance.Callers, "strict", "key");
       return Caller.failed() == "DENIED";
     }));
-  cr_assert(takenFromRelays(Fleet) >= Instances / 2);
+  // Log lines are written a moment after what they report.
+  cr_assert(
+      eventually([&] { return takenFromRelays(Fleet) >= Instances / 2; }));
   cr_assert(loggedBy(Fleet, NotRead) == 0);
 }
