Stand-ins: give each simulated database a log and a term of its own

The simulated databases of the native path shared one log and one term, and a promotion took effect at once. So no test could show a former primary that goes on in its role, a branch of the log, or the time until a promotion takes effect. Each has its own now; one that is partitioned from the others learns of nothing. Writes at a database of an older term are counted.

--- a/tests/standins/native/database_group.cpp
+++ b/tests/standins/native/database_group.cpp
@@ -1,6 +1,7 @@
 #include "native/database_group.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <ranges>
 
 namespace redwinggw::standin {
@@ -11,58 +12,75 @@
   return Found == Group.Databases.end() ? nullptr : &*Found;
 }
 
+namespace {
+
+/// Makes \p Replica follow \p Leader, whose first \p Sent entries have been
+/// sent by now.
+void follow(simulated_database &Replica, const simulated_database &Leader,
+            std::size_t Sent) {
+  Replica.Primary = false;
+  Replica.Term = Leader.Term;
+  const auto Common =
+      std::ranges::mismatch(Replica.Log, Leader.Log).in1 - Replica.Log.begin();
+  const auto Kept = static_cast<std::size_t>(Common);
+  Replica.Log.resize(Kept);
+  const auto Missing = Leader.Log | std::views::take(std::max(Sent, Kept)) |
+                       std::views::drop(Kept);
+  std::ranges::copy(Missing, std::back_inserter(Replica.Log));
+}
+
+} // namespace
+
 void replicate(database_group &Group, base::instant Now) {
-  const auto Old = std::ranges::find_if(Group.Log, [&](const log_entry &Entry) {
-    return Now - Entry.CommittedAt < Group.Lag;
-  });
-  const auto Applied = static_cast<std::size_t>(Old - Group.Log.begin());
-  const auto Leads =
-      std::ranges::find_if(Group.Databases, &simulated_database::Primary);
-  const bool Sends = Leads != Group.Databases.end() && !Leads->Down;
-  for (simulated_database &Database : Group.Databases) {
-    if (Database.Primary)
-      Database.Received = Group.Log.size();
-    else if (Sends && !Database.Down && !Database.Deaf)
-      Database.Received = std::max(Database.Received, Applied);
-  }
+  const simulated_database *Leader = findDatabase(Group, Group.Leader);
+  if (Leader == nullptr || Leader->Down || Leader->Partitioned)
+    return;
+  const auto Old =
+      std::ranges::find_if(Leader->Log, [&](const log_entry &Entry) {
+        return Now - Entry.CommittedAt < Group.Lag;
+      });
+  const auto Sent = static_cast<std::size_t>(Old - Leader->Log.begin());
+  for (simulated_database &Database : Group.Databases)
+    if (&Database != Leader && !Database.Down && !Database.Deaf &&
+        !Database.Partitioned)
+      follow(Database, *Leader, Sent);
 }
 
 bool isReplicated(const database_group &Group, std::size_t Entries) {
   const auto Holders = std::ranges::count_if(
       Group.Databases, [&](const simulated_database &Database) {
-        return !Database.Primary && Database.Received >= Entries;
+        return !Database.Primary && Database.Log.size() >= Entries;
       });
   return static_cast<std::size_t>(Holders) >= Group.SynchronousReplicas;
 }
 
-session::log_point pointOf(const database_group &Group,
-                           const simulated_database &Database) {
-  return {Group.Term, Database.Received};
+session::log_point pointOf(const simulated_database &Database) {
+  const base::term_number Term =
+      Database.Log.empty() ? 1 : Database.Log.back().Term;
+  return {Term, Database.Log.size()};
 }
 
-std::string valueAt(const database_group &Group,
-                    const simulated_database &Database, std::string_view Item) {
-  const auto Seen = Group.Log | std::views::take(Database.Received);
+std::string valueAt(const simulated_database &Database, std::string_view Item) {
   std::string Value = "none";
-  for (const log_entry &Entry : Seen)
+  for (const log_entry &Entry : Database.Log)
     if (Entry.Item == Item)
       Value = Entry.Data;
   return Value;
 }
 
-bool promote(database_group &Group, std::string_view Name) {
-  simulated_database *Next = findDatabase(Group, Name);
-  if (Next == nullptr || Next->Down)
-    return false;
-  if (Next->Primary)
-    return true;
-  Group.Log.resize(Next->Received);
-  for (simulated_database &Database : Group.Databases) {
-    Database.Primary = &Database == Next;
-    Database.Received = std::min(Database.Received, Group.Log.size());
-  }
-  ++Group.Term;
-  return true;
+bool isRunning(database_group &Group, std::string_view Name) {
+  const simulated_database *Found = findDatabase(Group, Name);
+  return Found != nullptr && !Found->Down;
+}
+
+void promote(database_group &Group, std::string_view Name) {
+  if (!isRunning(Group, Name) || Group.Leader == Name)
+    return;
+  simulated_database &Next = *findDatabase(Group, Name);
+  Next.Term = ++Group.Term;
+  Next.Primary = true;
+  Group.Leader = Next.Name;
+  replicate(Group, base::now());
 }
 
 } // namespace redwinggw::standin
--- a/tests/standins/native/database_group.hpp
+++ b/tests/standins/native/database_group.hpp
@@ -11,8 +11,8 @@
 #include <string>
 #include <vector>
 
-/// In-memory simulation of a service's databases on the users' platform: one
-/// log, a primary, and replicas that apply it later.
+/// In-memory simulation of a service's databases on the users' platform: each
+/// has a log of its own, and replicas receive the primary's with a delay.
 namespace redwinggw::standin {
 
 struct log_entry {
@@ -20,21 +20,30 @@
   std::string Data;
   base::instant CommittedAt;
   std::string StatementId;
+  /// Term of the primary that committed it.
+  base::term_number Term = 1;
+
+  friend bool operator==(const log_entry &, const log_entry &) = default;
 };
 
 struct simulated_database {
   std::string Name;
   std::string Zone = "z1";
+  /// Its role and term as it knows them: a former primary keeps the role until
+  /// it learns of a later term.
   bool Primary = false;
+  base::term_number Term = 1;
   bool Draining = false;
   /// Refuses connections and receives nothing.
   bool Down = false;
   /// Receives nothing from the primary.
   bool Deaf = false;
+  /// Has no connection to the other databases, but to everybody else.
+  bool Partitioned = false;
   /// Number of statements to run without sending a response; counts down.
   unsigned LoseAnswers = 0;
-  /// Number of log entries received.
-  std::size_t Received = 0;
+  /// The entries received.
+  std::vector<log_entry> Log;
   std::size_t Connections = 0;
   /// Time for which its entry says that it is still cold.
   base::milliseconds ColdRemaining{0};
@@ -48,8 +57,11 @@
 struct database_group {
   std::string Service;
   std::vector<simulated_database> Databases;
-  std::vector<log_entry> Log;
+  /// The newest term, and the database that leads it.
   base::term_number Term = 1;
+  std::string Leader;
+  /// Number of writes run by a database that leads an older term.
+  std::size_t WritesAtFormerPrimaries = 0;
   /// Replication lag.
   base::milliseconds Lag{20};
   /// Replicas that have to receive a commit before it is acknowledged.
@@ -63,20 +75,22 @@
 simulated_database *findDatabase(database_group &Group, std::string_view Name);
 
 /// Delivers to the replicas the log entries that are older than the lag.
+/// Databases that can reach the primary follow it, and drop what it lacks.
 void replicate(database_group &Group, base::instant Now);
 
 /// Whether enough replicas have received the first \p Entries entries.
 bool isReplicated(const database_group &Group, std::size_t Entries);
 
-session::log_point pointOf(const database_group &Group,
-                           const simulated_database &Database);
+session::log_point pointOf(const simulated_database &Database);
 
 /// The value of \p Item as \p Database sees it.
-std::string valueAt(const database_group &Group,
-                    const simulated_database &Database, std::string_view Item);
+std::string valueAt(const simulated_database &Database, std::string_view Item);
+
+/// Whether \p Name may be promoted.
+bool isRunning(database_group &Group, std::string_view Name);
 
-/// Makes \p Name the primary of the next term; entries that it has not received
-/// are lost. Returns false if it is unknown or down.
-bool promote(database_group &Group, std::string_view Name);
+/// Makes \p Name the primary of the next term, with the log that it has. No
+/// effect on the present primary and on one that is not running.
+void promote(database_group &Group, std::string_view Name);
 
 } // namespace redwinggw::standin
--- a/tests/standins/native/database_server.cpp
+++ b/tests/standins/native/database_server.cpp
@@ -72,6 +72,7 @@
   std::string runData(connection &Client, const std::string &Id,
                       const std::string &Verb, std::string Operands);
   std::string commit(connection &Client, const std::string &Id);
+  void append(log_entry Entry);
   std::string statusRow() const;
   std::string fail(connection &Client, const std::string &Code);
   std::string ready(const connection &Client);
@@ -116,7 +117,7 @@
         Client->Started ? query(*Client, Line, Lost) : start(*Client, Line);
     if (Lost)
       break;
-    co_await awaitReplicas(Group.Log.size());
+    co_await awaitReplicas(self().Log.size());
     if (self().Down)
       break;
     const auto [WriteError, Sent] =
@@ -142,7 +143,7 @@
 
 std::string database_server::state::ready(const connection &Client) {
   replicate(Group, base::now());
-  const auto Point = pointOf(Group, self());
+  const auto Point = pointOf(self());
   const char *State = Client.Failed ? "E" : Client.InTransaction ? "T" : "I";
   return std::string("READY ") + State + " " + std::to_string(Point.Term) +
          "." + std::to_string(Point.Position) + "\r\n";
@@ -169,9 +170,10 @@
 std::string database_server::state::statusRow() const {
   simulated_database &Own = *findDatabase(Group, Name);
   replicate(Group, base::now());
+  const auto Point = pointOf(Own);
   return std::string("ROW ") + (Own.Primary ? "primary" : "replica") + " " +
-         std::to_string(Group.Term) + " " + std::to_string(Group.Term) + "." +
-         std::to_string(Own.Received) + " 0 0 0 " +
+         std::to_string(Own.Term) + " " + std::to_string(Point.Term) + "." +
+         std::to_string(Point.Position) + " 0 0 0 " +
          std::to_string(Own.Connections) + "\r\nDONE -\r\n";
 }
 
@@ -190,8 +192,7 @@
                                         const std::string &Id,
                                         std::string Text) {
   replicate(Group, base::now());
-  if (const auto After = readAfter(Text);
-      After && pointOf(Group, self()) < *After)
+  if (const auto After = readAfter(Text); After && pointOf(self()) < *After)
     return fail(Client, "LAGGING");
   const std::string Verb = takeWord(Text);
   if (Verb == "STATUS")
@@ -225,6 +226,15 @@
   return runData(Client, Id, Verb, std::move(Text));
 }
 
+/// Commits \p Entry here.
+void database_server::state::append(log_entry Entry) {
+  if (self().Term < Group.Term)
+    ++Group.WritesAtFormerPrimaries;
+  Entry.CommittedAt = base::now();
+  Entry.Term = self().Term;
+  self().Log.push_back(std::move(Entry));
+}
+
 std::string database_server::state::runData(connection &Client,
                                             const std::string &Id,
                                             const std::string &Verb,
@@ -243,12 +253,12 @@
   std::string Signature = "DONE sig." + Id + "\r\n";
   const std::string Item = takeWord(Operands);
   if (!Writes)
-    return "ROW " + valueAt(Group, self(), Item) + "\r\n" + Signature;
-  const log_entry Entry{Item, Operands, base::now(), Id};
+    return "ROW " + valueAt(self(), Item) + "\r\n" + Signature;
+  log_entry Entry{Item, Operands, base::now(), Id};
   if (Client.InTransaction)
-    Client.Pending.push_back(Entry);
+    Client.Pending.push_back(std::move(Entry));
   else
-    Group.Log.push_back(Entry);
+    append(std::move(Entry));
   return Signature;
 }
 
@@ -259,10 +269,8 @@
     return fail(Client, "READONLY");
   ++Group.Runs[Id];
   ++self().Statements;
-  for (log_entry &Entry : Client.Pending) {
-    Entry.CommittedAt = base::now();
-    Group.Log.push_back(Entry);
-  }
+  for (log_entry &Entry : Client.Pending)
+    append(std::move(Entry));
   Client.Pending.clear();
   Client.InTransaction = false;
   return "DONE sig." + Id + "\r\n";
--- a/tests/standins/native/simulated_platform.cpp
+++ b/tests/standins/native/simulated_platform.cpp
@@ -1,7 +1,11 @@
 #include "native/simulated_platform.hpp"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 
 #include <future>
@@ -43,6 +47,7 @@
                         co_return handlePromotion(Request);
                       }) {
   Group.Service = "s";
+  Group.Leader = "d1";
   for (const char *Name : {"d1", "d2", "d3"}) {
     simulated_database Database;
     Database.Name = Name;
@@ -135,12 +140,27 @@
   Promotions.push_back({Name, Request.From});
   http::response Response;
   constexpr unsigned Conflict = 409;
-  if (!promote(Group, Name))
+  if (!isRunning(Group, Name))
     Response.Status = Conflict;
+  else if (PromotionTime.count() == 0)
+    promote(Group, Name);
+  else
+    asio::co_spawn(Context, promoteLater(Name), asio::detached);
+  publishAll();
+  return Response;
+}
+
+base::task<void> simulated_platform::promoteLater(std::string Name) {
+  asio::steady_timer Timer(Context, PromotionTime);
+  co_await Timer.async_wait(asio::use_awaitable);
+  promote(Group, Name);
+  publishAll();
+}
+
+void simulated_platform::publishAll() {
   for (const simulated_database &Database : Group.Databases)
     if (!Database.Down)
       publish(Database);
-  return Response;
 }
 
 void simulated_platform::crash(const std::string &Name) {
@@ -163,6 +183,7 @@
   runOnThread([&](simulated_platform &World) {
     simulated_database *Database = findDatabase(World.Group, Name);
     Database->Down = false;
+    Database->Primary = World.Group.Leader == Name;
     publish(*Database);
   });
 }
--- a/tests/standins/native/simulated_platform.hpp
+++ b/tests/standins/native/simulated_platform.hpp
@@ -72,10 +72,14 @@
   std::unique_ptr<throttled_proxy> SecondStoreProxy;
   database_group Group;
   std::vector<promotion> Promotions;
+  /// Time from an order until the database leads.
+  base::milliseconds PromotionTime{0};
   /// @}
 
 private:
   void publish(const simulated_database &Database);
+  void publishAll();
+  base::task<void> promoteLater(std::string Name);
   http::response handlePromotion(const http::request &Request);
 
   boost::asio::io_context Context;
