Wait for a new term, not for the role, before a promoted endpoint is used

Cause: awaitPromotion took the role in a status for the end of the promotion. A primary that was replaced while it was cut off keeps the role until a second after it can reach its successor. Ordered to lead again, it reports it at once, and was used for the second that the promotion takes, in its old term.

Change: the newest term that any endpoint reports is noted when the target is chosen. The promotion has taken effect once the target leads a later one. An order for the endpoint that leads already has no effect at the platform, so a target that led the newest term may also go on in it for as long as a promotion takes.

--- a/packages/redwinggw/src/platform_handover.cpp
+++ b/packages/redwinggw/src/platform_handover.cpp
@@ -211,18 +211,23 @@
   co_return false;
 }
 
-/// Waits until \p Target reports that it is the primary. False when it is not
-/// listed any more, at \p Deadline or when a later claim is known.
+/// Waits until the promotion of \p Target, whose order the platform has just
+/// accepted, has taken effect. False when the target is not listed any more, at
+/// \p Deadline or when a later claim is known.
 base::task<bool> awaitPromotion(platform_instance_state &State,
                                 const primary_claim &Claim,
-                                base::endpoint_name Target, instant Deadline) {
+                                promotion_target Target, instant Deadline) {
+  const instant Accepted = base::now();
   while (base::now() < Deadline && isCurrent(State, Claim)) {
-    const auto *Entry = findEndpoint(State.Endpoints.Directory, Target);
+    const auto *Entry = findEndpoint(State.Endpoints.Directory, Target.Name);
     if (Entry == nullptr)
       co_return false;
     const session::endpoint_entry Copy = *Entry;
+    const instant Asked = base::now();
     const auto Status = co_await inquire(State, Claim, Copy);
-    if (Status.Status && Status.Status->Role == session::endpoint_role::Primary)
+    const auto Since = std::chrono::floor<milliseconds>(Asked - Accepted);
+    if (Status.Status && hasTakenEffect(Target.Start, *Status.Status, Since,
+                                        State.Handover.PromotionTime))
       co_return true;
     co_await pauseWithJitter(State, 2 * StepPause);
   }
@@ -279,8 +284,8 @@
   }
   if (Move.Resumed)
     delayInquiries(State, Claim.Service);
-  const base::endpoint_name Target = co_await findTarget(State, Move);
-  if (Target.empty()) {
+  const auto Target = co_await findTarget(State, Move);
+  if (!Target) {
     // No other endpoint can take over: the old primary is kept if it still is
     // the primary.
     const auto Old = co_await askOldPrimary(State, Claim);
@@ -293,17 +298,17 @@
     co_await finishMove(State, Claim, Claim.Primary);
     co_return true;
   }
-  logMove(Claim.Service, "promoting " + Target + ".");
+  logMove(Claim.Service, "promoting " + Target->Name + ".");
   const instant PromoteBy = std::max(Deadline, base::now() + MinPromotionTime);
-  const bool Promoted = co_await promote(State, Claim, Target, PromoteBy);
+  const bool Promoted = co_await promote(State, Claim, Target->Name, PromoteBy);
   bool BecamePrimary = false;
   if (Promoted)
-    BecamePrimary = co_await awaitPromotion(State, Claim, Target, PromoteBy);
+    BecamePrimary = co_await awaitPromotion(State, Claim, *Target, PromoteBy);
   if (!BecamePrimary) {
-    logMove(Claim.Service, Target + " did not become primary.");
+    logMove(Claim.Service, Target->Name + " did not become primary.");
     co_return false;
   }
-  co_await finishMove(State, Claim, Target);
+  co_await finishMove(State, Claim, Target->Name);
   co_return true;
 }
 
--- a/packages/redwinggw/src/platform_inquiries.cpp
+++ b/packages/redwinggw/src/platform_inquiries.cpp
@@ -80,6 +80,13 @@
 
 namespace {
 
+void noteStatus(session::log_holder &Holder,
+                const session::endpoint_status &Status) {
+  Holder.Received = Status.Received;
+  Holder.Term = Status.Term;
+  Holder.Leads = Status.Role == session::endpoint_role::Primary;
+}
+
 /// The endpoints that may hold acknowledged commits. Of these the old primary,
 /// which has reported \p Old, unlisted ones and those in evacuated zones are
 /// not asked.
@@ -89,14 +96,14 @@
   auto Holders = holdersOf(State, Claim);
   for (session::log_holder &Holder : Holders) {
     if (Holder.Name == Claim.Primary && Old)
-      Holder.Received = Old->Received;
+      noteStatus(Holder, *Old);
     const auto *Entry = findEndpoint(State.Endpoints.Directory, Holder.Name);
     if (!Holder.Eligible || Entry == nullptr)
       continue;
     const session::endpoint_entry Copy = *Entry;
     const auto Status = co_await inquire(State, Claim, Copy);
     if (Status.Status)
-      Holder.Received = Status.Status->Received;
+      noteStatus(Holder, *Status.Status);
   }
   co_return Holders;
 }
@@ -135,8 +142,8 @@
   co_return Status.Status;
 }
 
-base::task<base::endpoint_name> findTarget(platform_instance_state &State,
-                                           const claimed_move &Move) {
+base::task<std::optional<promotion_target>>
+findTarget(platform_instance_state &State, const claimed_move &Move) {
   constexpr milliseconds LogInterval{5000};
   constexpr milliseconds PauseBetweenRounds{100};
   const primary_claim &Claim = Move.Claim;
@@ -155,7 +162,8 @@
     // After a long wait another orderer may have taken over unnoticed.
     if (Target != nullptr && (!Proven || mayTrustClaims(State))) {
       logEvidence(Claim, Rule, Holders, Target);
-      co_return Target->Name;
+      promotion_target Found{Target->Name, startOf(Holders, *Target)};
+      co_return Found;
     }
     if (!MayCatchUp && (!Proven || mayKeepOldPrimary(Old, Move.Resumed)))
       break;
@@ -168,7 +176,7 @@
     if (Proven && mayAskAgain(State, Claim))
       Old = co_await askOldPrimary(State, Claim);
   }
-  co_return base::endpoint_name();
+  co_return std::nullopt;
 }
 
 base::task<bool> isReplaceable(platform_instance_state &State,
--- a/packages/redwinggw/src/platform_inquiries.hpp
+++ b/packages/redwinggw/src/platform_inquiries.hpp
@@ -2,6 +2,8 @@
 
 #include "platform_instance_state.hpp"
 
+#include "redwinggw/session/promotion_evidence.hpp"
+
 /// What an orderer asks the endpoints of a service during the move of its
 /// primary. Used from one thread.
 namespace redwinggw {
@@ -16,6 +18,12 @@
   bool Resumed = false;
 };
 
+/// The endpoint to promote, and what was known of the terms when it was chosen.
+struct promotion_target {
+  base::endpoint_name Name;
+  session::promotion_start Start;
+};
+
 /// Whether \p Claim is still the newest one of its service. Otherwise another
 /// orderer has taken over, and an order of this instance could take effect
 /// after that one's.
@@ -50,10 +58,10 @@
 /// Chooses the new primary by the members' answers. Waits for a replica to
 /// receive all that the old primary still reports, and, where commits are
 /// replicated synchronously, for as long as no replica is proven to have all
-/// acknowledged ones. Empty when there is no target: the old primary may be
+/// acknowledged ones. Nothing when there is no target: the old primary may be
 /// kept, none answers, or a later claim is known.
-base::task<base::endpoint_name> findTarget(platform_instance_state &State,
-                                           const claimed_move &Move);
+base::task<std::optional<promotion_target>>
+findTarget(platform_instance_state &State, const claimed_move &Move);
 
 /// Whether a replica that could be promoted has received what the primary of
 /// \p Claim reports now. Waits a moment for one; true if the primary does not
--- a/packages/session/include/redwinggw/session/handover.hpp
+++ b/packages/session/include/redwinggw/session/handover.hpp
@@ -58,6 +58,8 @@
   base::milliseconds HeartbeatsValidFor{1250};
   /// How long a replica may take to receive what the old primary had.
   base::milliseconds CatchUpTimeout{1500};
+  /// A promotion that the platform has accepted takes effect within this time.
+  base::milliseconds PromotionTime{1500};
 };
 
 /// Whether this instance's own statements and probes show that the endpoint may
--- a/packages/session/include/redwinggw/session/promotion_evidence.hpp
+++ b/packages/session/include/redwinggw/session/promotion_evidence.hpp
@@ -1,14 +1,16 @@
 #pragma once
 
 #include "redwinggw/base/ids.hpp"
+#include "redwinggw/base/time.hpp"
+#include "redwinggw/session/endpoint_link.hpp"
 #include "redwinggw/session/log_point.hpp"
 
 #include <optional>
 #include <string>
 #include <vector>
 
-/// Which endpoint of a service may be promoted, by what its endpoints have
-/// reported of their logs. Decisions without I/O.
+/// Which endpoint of a service may be promoted, and whether it has been, by
+/// what the endpoints report of their logs and terms. Decisions without I/O.
 namespace redwinggw::session {
 
 /// An endpoint of a service that may hold acknowledged commits, as the orderer
@@ -22,6 +24,9 @@
   /// The last log entry that it has received; nothing while it has not
   /// answered.
   std::optional<log_point> Received;
+  /// The term that it reports, and whether it reports to lead it.
+  base::term_number Term = 0;
+  bool Leads = false;
 };
 
 struct promotion_rule {
@@ -50,6 +55,28 @@
 const log_holder *chooseTarget(const std::vector<log_holder> &Holders,
                                const promotion_rule &Rule);
 
+/// What was known of the terms when a promotion was ordered.
+struct promotion_start {
+  /// The newest term that an endpoint of the service had reported.
+  base::term_number Newest = 0;
+  /// The target had reported to lead it: it has been promoted by an earlier
+  /// order, or was never replaced.
+  bool Led = false;
+};
+
+promotion_start startOf(const std::vector<log_holder> &Holders,
+                        const log_holder &Target);
+
+/// Whether the ordered promotion has taken effect, by the target's \p Status
+/// that was requested \p SinceAccepted after the platform had accepted the
+/// order. The role alone does not tell: an endpoint that was replaced keeps it
+/// until it reaches its successor. An order for the endpoint that leads already
+/// has no effect, so one that had led is given \p PromotionTime to report a new
+/// term. Thread safe.
+bool hasTakenEffect(const promotion_start &Start, const endpoint_status &Status,
+                    base::milliseconds SinceAccepted,
+                    base::milliseconds PromotionTime);
+
 /// Text for logs: each endpoint with what it has received. Thread safe.
 std::string describe(const std::vector<log_holder> &Holders);
 
--- a/packages/session/src/promotion_evidence.cpp
+++ b/packages/session/src/promotion_evidence.cpp
@@ -51,6 +51,25 @@
   return Best == Acceptable.end() ? nullptr : *Best;
 }
 
+promotion_start startOf(const std::vector<log_holder> &Holders,
+                        const log_holder &Target) {
+  promotion_start Start;
+  for (const log_holder &Holder : Holders)
+    Start.Newest = std::max(Start.Newest, Holder.Term);
+  Start.Led = Target.Leads && Target.Term == Start.Newest;
+  return Start;
+}
+
+bool hasTakenEffect(const promotion_start &Start, const endpoint_status &Status,
+                    base::milliseconds SinceAccepted,
+                    base::milliseconds PromotionTime) {
+  if (Status.Role != endpoint_role::Primary)
+    return false;
+  return Status.Term > Start.Newest ||
+         (Start.Led && Status.Term == Start.Newest &&
+          SinceAccepted > PromotionTime);
+}
+
 std::string describe(const std::vector<log_holder> &Holders) {
   std::string Text;
   for (const log_holder &Holder : Holders) {
--- a/tests/native/native_path_test.cpp
+++ b/tests/native/native_path_test.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <csignal>
 #include <fstream>
+#include <functional>
 #include <string_view>
 #include <thread>
 
@@ -285,6 +286,63 @@
 
 namespace {
 
+/// Makes instances notice that the primary does not answer.
+void useThePrimary(native_fleet &Fleet) {
+  for (const native_process &Instance : Fleet.Instances)
+    line_client(Instance.Callers, "strict", "key").run("READ a");
+}
+
+/// Replaces the primary d1 by another endpoint, with which it loses the
+/// connection, so that it goes on in its former role. \p Change runs before the
+/// instances notice it. Returns the name of the new primary.
+std::string replacePartitionedPrimary(
+    native_fleet &Fleet,
+    const std::function<void(simulated_platform &)> &Change) {
+  Fleet.World.crash("d1");
+  Fleet.World.runOnThread([&](simulated_platform &World) {
+    World.Group.Databases[0].Partitioned = true;
+    Change(World);
+  });
+  useThePrimary(Fleet);
+  cr_assert(writeEventually(Fleet.Instances[0], "b", "1"));
+  // Longer than the replication lag.
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  std::string Leader;
+  Fleet.World.runOnThread([&](simulated_platform &World) {
+    World.Group.Databases[0].Down = false;
+    Leader = World.Group.Leader;
+  });
+  cr_assert(Leader != "d1");
+  return Leader;
+}
+
+} // namespace
+
+// Guards against writes at a former primary that is promoted again, before the
+// promotion has taken effect: another endpoint leads until then.
+Test(native_path, does_not_write_at_a_former_primary_before_it_leads_again) {
+  native_fleet Fleet(3);
+  cr_assert(writeEventually(Fleet.Instances[0], "a", "1"));
+  const std::string Leader =
+      replacePartitionedPrimary(Fleet, [](simulated_platform &) {});
+  Fleet.World.runOnThread([](simulated_platform &World) {
+    World.PromotionTime = std::chrono::milliseconds(1000);
+  });
+  Fleet.World.crash("d2");
+  Fleet.World.crash("d3");
+  useThePrimary(Fleet);
+  const auto Until = base::now() + std::chrono::milliseconds(4000);
+  while (base::now() < Until)
+    line_client(Fleet.Instances[0].Callers, "strict", "key").run("WRITE c 1");
+  Fleet.World.runOnThread([](simulated_platform &World) {
+    cr_assert(World.Group.WritesAtFormerPrimaries == 0);
+  });
+  Fleet.World.restart(Leader);
+  cr_assert(writeEventually(Fleet.Instances[0], "c", "2"));
+}
+
+namespace {
+
 std::size_t statementsAt(native_fleet &Fleet, std::size_t Database) {
   std::size_t Statements = 0;
   Fleet.World.runOnThread([&](simulated_platform &World) {
--- a/tests/session/promotion_evidence_test.cpp
+++ b/tests/session/promotion_evidence_test.cpp
@@ -162,3 +162,52 @@
   checkGroupsOf(4, 1);
   checkGroupsOf(4, 2);
 }
+
+namespace {
+
+endpoint_status status(endpoint_role Role, base::term_number Term) {
+  endpoint_status Status;
+  Status.Role = Role;
+  Status.Term = Term;
+  return Status;
+}
+
+log_holder leads(std::string Name, base::term_number Term) {
+  log_holder Holder = holder(std::move(Name), {{Term, 10}});
+  Holder.Term = Term;
+  Holder.Leads = true;
+  return Holder;
+}
+
+constexpr base::milliseconds PromotionTime{100};
+
+bool isPromoted(const promotion_start &Start, base::term_number Term,
+                base::milliseconds Since) {
+  return hasTakenEffect(Start, status(endpoint_role::Primary, Term), Since,
+                        PromotionTime);
+}
+
+} // namespace
+
+// Guards against the role of a former primary, which keeps it until it learns
+// of its successor, being taken for the end of its promotion.
+Test(promotion_evidence, does_not_take_a_former_role_for_a_promotion) {
+  const base::milliseconds Long = 10 * PromotionTime;
+  const std::vector<log_holder> Holders{leads("former", 1), leads("later", 2)};
+  const promotion_start Start = startOf(Holders, Holders[0]);
+  cr_assert(!isPromoted(Start, 1, Long));
+  cr_assert(!isPromoted(Start, 2, Long));
+  cr_assert(isPromoted(Start, 3, {}));
+  cr_assert(!hasTakenEffect(Start, status(endpoint_role::Replica, 3), Long,
+                            PromotionTime));
+}
+
+// Guards against endless waiting for a new term where an earlier order has
+// promoted the target already, so that another one has no effect.
+Test(promotion_evidence, accepts_a_target_that_leads_already) {
+  const std::vector<log_holder> Holders{leads("former", 1), leads("later", 2)};
+  const promotion_start Start = startOf(Holders, Holders[1]);
+  cr_assert(!isPromoted(Start, 2, PromotionTime));
+  cr_assert(isPromoted(Start, 2, PromotionTime + base::milliseconds(1)));
+  cr_assert(isPromoted(Start, 3, {}));
+}
