Record the agreed term and promote only endpoints that follow it

Cause: candidates were ranked by the position of their log alone. A primary that had been replaced while it was cut off, and never followed its successor, was a candidate again once the successor was silent, with commits that had been given up. An orderer knew of terms only what it heard in the same round.

Change: a claim records the newest term whose primary is agreed on. It is in the row of the store, where an orderer that starts, thaws or was cut off reads it before it claims, and in heartbeats, since the row may be written late. It never decreases: an orderer that had read an older row learns the newer one with the acknowledgements of half of the instances. Without synchronous replicas an endpoint of an older term is no candidate; with them the proof of acknowledged commits holds for all terms. The old primary stays only if it leads the newest term that is known; where an earlier order may still take effect, it is ordered to lead again and awaited by term.

The wait ends without one only after the agreed primary has left the list and every listed endpoint has answered from an older term for 5 s: the protocol says to treat it as gone.

--- a/packages/redwinggw/src/platform_handover.cpp
+++ b/packages/redwinggw/src/platform_handover.cpp
@@ -145,6 +145,7 @@
   Claim.Moving = true;
   Claim.Orderer = State.Settings.Name;
   Claim.Token = tokenFor(State, Found.Orderer.Value);
+  Claim.Term = Known == nullptr ? 0 : Known->Claim.Term;
   storage::commit_request Request;
   Request.Checks.push_back({Found.Service.Key, Found.Service.Version});
   Request.Checks.push_back({Found.Orderer.Key, Found.Orderer.Version});
@@ -212,40 +213,44 @@
 }
 
 /// Waits until the promotion of \p Target, whose order the platform has just
-/// accepted, has taken effect. False when the target is not listed any more, at
-/// \p Deadline or when a later claim is known.
-base::task<bool> awaitPromotion(platform_instance_state &State,
-                                const primary_claim &Claim,
-                                promotion_target Target, instant Deadline) {
+/// accepted, has taken effect. The term that it leads; nothing when the
+/// target is not listed any more, at \p Deadline or when a later claim is
+/// known.
+base::task<std::optional<base::term_number>>
+awaitPromotion(platform_instance_state &State, const primary_claim &Claim,
+               promotion_target Target, instant Deadline) {
   const instant Accepted = base::now();
   while (base::now() < Deadline && isCurrent(State, Claim)) {
     const auto *Entry = findEndpoint(State.Endpoints.Directory, Target.Name);
     if (Entry == nullptr)
-      co_return false;
+      co_return std::nullopt;
     const session::endpoint_entry Copy = *Entry;
     const instant Asked = base::now();
     const auto Status = co_await inquire(State, Claim, Copy);
     const auto Since = std::chrono::floor<milliseconds>(Asked - Accepted);
     if (Status.Status && hasTakenEffect(Target.Start, *Status.Status, Since,
                                         State.Handover.PromotionTime))
-      co_return true;
+      co_return Status.Status->Term;
     co_await pauseWithJitter(State, 2 * StepPause);
   }
-  co_return false;
+  co_return std::nullopt;
 }
 
-/// Announces the new primary to the instances, then writes it to the store. The
-/// store may be down, and the instances need not wait for it.
+/// Announces the new primary and the term that it leads to the instances,
+/// then writes them to the store. The store may be down, and the instances need
+/// not wait for it.
 base::task<void> finishMove(platform_instance_state &State, primary_claim Claim,
-                            base::endpoint_name Target) {
+                            base::endpoint_name Target,
+                            base::term_number Term) {
   const std::uint64_t Epoch = Claim.Epoch;
   Claim.Primary = std::move(Target);
   Claim.Moving = false;
+  Claim.Term = Term;
   acceptClaim(State, Claim);
   State.Peers->sendHeartbeatsNow();
   while (!State.Stopped) {
     const auto *Known = findClaim(State.Claims, Claim.Service);
-    if (Known == nullptr || Known->Claim != Claim)
+    if (Known == nullptr || Known->Claim.Epoch != Epoch)
       co_return;
     storage::commit_request Request;
     Request.Checks.push_back({session::claimKey(Claim.Service), Epoch});
@@ -286,29 +291,26 @@
     delayInquiries(State, Claim.Service);
   const auto Target = co_await findTarget(State, Move);
   if (!Target) {
-    // No other endpoint can take over: the old primary is kept if it still is
-    // the primary.
-    const auto Old = co_await askOldPrimary(State, Claim);
-    if (!mayKeepOldPrimary(Old, Move.Resumed)) {
-      logMove(Claim.Service, "no endpoint can take over.");
-      co_return false;
-    }
+    logMove(Claim.Service, "another instance has claimed the move.");
+    co_return false;
+  }
+  if (Target->Stays) {
     logMove(Claim.Service,
             "no endpoint can take over; the old primary is kept.");
-    co_await finishMove(State, Claim, Claim.Primary);
+    co_await finishMove(State, Claim, Claim.Primary, Target->Start.Newest);
     co_return true;
   }
   logMove(Claim.Service, "promoting " + Target->Name + ".");
   const instant PromoteBy = std::max(Deadline, base::now() + MinPromotionTime);
   const bool Promoted = co_await promote(State, Claim, Target->Name, PromoteBy);
-  bool BecamePrimary = false;
+  std::optional<base::term_number> Term;
   if (Promoted)
-    BecamePrimary = co_await awaitPromotion(State, Claim, *Target, PromoteBy);
-  if (!BecamePrimary) {
+    Term = co_await awaitPromotion(State, Claim, *Target, PromoteBy);
+  if (!Term) {
     logMove(Claim.Service, Target->Name + " did not become primary.");
     co_return false;
   }
-  co_await finishMove(State, Claim, Target->Name);
+  co_await finishMove(State, Claim, Target->Name, *Term);
   co_return true;
 }
 
--- a/packages/redwinggw/src/platform_heartbeats.cpp
+++ b/packages/redwinggw/src/platform_heartbeats.cpp
@@ -159,6 +159,7 @@
   Claim.Primary = Report.Primary;
   Claim.Moving = Report.Moving;
   Claim.Orderer = Report.Orderer;
+  Claim.Term = Report.LogTerm;
   acceptClaim(State, Claim);
 }
 
--- a/packages/redwinggw/src/platform_inquiries.cpp
+++ b/packages/redwinggw/src/platform_inquiries.cpp
@@ -6,6 +6,7 @@
 
 #include "redwinggw/base/log.hpp"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -70,6 +71,18 @@
   co_return Status;
 }
 
+namespace {
+
+/// The newest term that is agreed on. Heartbeats may have told a newer one than
+/// the claimed row did.
+base::term_number agreedTerm(const platform_instance_state &State,
+                             const primary_claim &Claim) {
+  const auto *Known = findClaim(State.Claims, Claim.Service);
+  return Known == nullptr ? Claim.Term : Known->Claim.Term;
+}
+
+} // namespace
+
 void delayInquiries(platform_instance_state &State,
                     const base::service_name &Service) {
   for (const session::endpoint_entry *Entry :
@@ -118,6 +131,7 @@
       {{"service", Claim.Service},
        {"epoch", std::to_string(Claim.Epoch)},
        {"synchronous_replicas", std::to_string(Rule.SynchronousReplicas)},
+       {"agreed_term", std::to_string(Rule.AgreedTerm)},
        {"received", describe(Holders)},
        {"target", Target == nullptr ? "none" : Target->Name}});
 }
@@ -142,6 +156,48 @@
   co_return Status.Status;
 }
 
+namespace {
+
+session::promotion_rule ruleFor(const platform_instance_state &State,
+                                const primary_claim &Claim,
+                                std::optional<session::log_point> Needed) {
+  session::promotion_rule Rule;
+  Rule.SynchronousReplicas = synchronousReplicas(State, Claim.Service);
+  Rule.Needed = Needed;
+  Rule.AgreedTerm = agreedTerm(State, Claim);
+  return Rule;
+}
+
+/// The old primary as the target, if it leads the newest term.
+std::optional<promotion_target>
+oldPrimaryAsTarget(const std::vector<session::log_holder> &Holders,
+                   const claimed_move &Move, base::term_number AgreedTerm) {
+  const auto Old = std::ranges::find(Holders, Move.Claim.Primary,
+                                     &session::log_holder::Name);
+  if (Old == Holders.end())
+    return std::nullopt;
+  const auto Start = startOf(Holders, *Old, AgreedTerm);
+  if (!Start.Led)
+    return std::nullopt;
+  return promotion_target{Old->Name, Start,
+                          mayKeepOldPrimary(Start, Move.Resumed)};
+}
+
+/// Since when no endpoint of the agreed term is to be expected, \p Since after
+/// the round of inquiries before. Nothing while there may be one.
+std::optional<instant>
+lostSince(const platform_instance_state &State, const primary_claim &Claim,
+          const std::vector<session::log_holder> &Holders,
+          base::term_number AgreedTerm, std::optional<instant> Since) {
+  const bool Listed =
+      findEndpoint(State.Endpoints.Directory, Claim.Primary) != nullptr;
+  if (Listed || !allAreOlder(Holders, AgreedTerm))
+    return std::nullopt;
+  return Since.value_or(base::now());
+}
+
+} // namespace
+
 base::task<std::optional<promotion_target>>
 findTarget(platform_instance_state &State, const claimed_move &Move) {
   constexpr milliseconds LogInterval{5000};
@@ -150,30 +206,36 @@
   auto Old = co_await askOldPrimary(State, Claim);
   const instant CatchUpUntil = base::now() + State.Handover.CatchUpTimeout;
   instant LogDue = CatchUpUntil;
+  std::optional<instant> LostSince;
   while (!State.Stopped && isCurrent(State, Claim)) {
     const auto Holders = co_await askHolders(State, Claim, Old);
     const bool MayCatchUp = base::now() < CatchUpUntil;
-    session::promotion_rule Rule;
-    Rule.SynchronousReplicas = synchronousReplicas(State, Claim.Service);
-    const bool Proven = Rule.SynchronousReplicas != 0;
+    std::optional<session::log_point> Needed;
     if (Old && MayCatchUp)
-      Rule.Needed = Old->Received;
+      Needed = Old->Received;
+    auto Rule = ruleFor(State, Claim, Needed);
+    const base::term_number Agreed = Rule.AgreedTerm;
+    LostSince = lostSince(State, Claim, Holders, Agreed, LostSince);
+    if (LostSince && base::now() - *LostSince > State.Handover.TermLostAfter)
+      Rule.AgreedTerm = 0;
     const auto *Target = chooseTarget(Holders, Rule);
     // After a long wait another orderer may have taken over unnoticed.
-    if (Target != nullptr && (!Proven || mayTrustClaims(State))) {
+    const bool MayOrder = mayTrustClaims(State);
+    if (Target != nullptr && MayOrder) {
       logEvidence(Claim, Rule, Holders, Target);
-      promotion_target Found{Target->Name, startOf(Holders, *Target)};
+      promotion_target Found{Target->Name, startOf(Holders, *Target, Agreed)};
       co_return Found;
     }
-    if (!MayCatchUp && (!Proven || mayKeepOldPrimary(Old, Move.Resumed)))
-      break;
+    if (!MayCatchUp && MayOrder)
+      if (auto Found = oldPrimaryAsTarget(Holders, Move, Agreed))
+        co_return Found;
     if (base::now() >= LogDue) {
       logEvidence(Claim, Rule, Holders, nullptr);
       LogDue = base::now() + LogInterval;
     }
     const milliseconds Pause = MayCatchUp ? StepPause : PauseBetweenRounds;
     co_await pauseWithJitter(State, Pause);
-    if (Proven && mayAskAgain(State, Claim))
+    if (mayAskAgain(State, Claim))
       Old = co_await askOldPrimary(State, Claim);
   }
   co_return std::nullopt;
@@ -187,9 +249,7 @@
   const instant Latest = base::now() + State.Handover.CatchUpTimeout;
   while (base::now() < Latest && !State.Stopped) {
     const auto Holders = co_await askHolders(State, Claim, Primary);
-    session::promotion_rule Rule;
-    Rule.SynchronousReplicas = synchronousReplicas(State, Claim.Service);
-    Rule.Needed = Primary->Received;
+    const auto Rule = ruleFor(State, Claim, Primary->Received);
     if (chooseTarget(Holders, Rule) != nullptr)
       co_return true;
     co_await pauseWithJitter(State, 5 * StepPause);
--- a/packages/redwinggw/src/platform_inquiries.hpp
+++ b/packages/redwinggw/src/platform_inquiries.hpp
@@ -22,6 +22,9 @@
 struct promotion_target {
   base::endpoint_name Name;
   session::promotion_start Start;
+  /// It is the old primary and leads the newest term, so that no order is
+  /// needed.
+  bool Stays = false;
 };
 
 /// Whether \p Claim is still the newest one of its service. Otherwise another
@@ -56,10 +59,10 @@
               const session::primary_claim &Claim);
 
 /// Chooses the new primary by the members' answers. Waits for a replica to
-/// receive all that the old primary still reports, and, where commits are
-/// replicated synchronously, for as long as no replica is proven to have all
-/// acknowledged ones. Nothing when there is no target: the old primary may be
-/// kept, none answers, or a later claim is known.
+/// receive all that the old primary still reports, and without a limit for one
+/// that may be promoted. If there is none, the old primary is chosen once it
+/// answers as the primary of the newest term. Nothing when a later claim is
+/// known.
 base::task<std::optional<promotion_target>>
 findTarget(platform_instance_state &State, const claimed_move &Move);
 
--- a/packages/redwinggw/src/platform_primaries.cpp
+++ b/packages/redwinggw/src/platform_primaries.cpp
@@ -107,12 +107,14 @@
   if (!applyClaim(State.Claims, Claim, base::now()))
     return false;
   announceClaims(State);
+  const auto Term = findClaim(State.Claims, Claim.Service)->Claim.Term;
   // A move has begun when Moving is set; the old primary may still be kept.
   base::logEvent(base::log_level::Info, base::log_part::Failover,
                  Claim.Moving ? "primary_given_up" : "primary_agreed",
                  {{"service", Claim.Service},
                   {"epoch", std::to_string(Claim.Epoch)},
                   {"primary", Claim.Primary},
+                  {"term", std::to_string(Term)},
                   {"orderer", Claim.Orderer},
                   {"token", std::to_string(Claim.Token)}});
   return true;
--- a/packages/session/include/redwinggw/session/handover.hpp
+++ b/packages/session/include/redwinggw/session/handover.hpp
@@ -6,6 +6,7 @@
 #include "redwinggw/session/endpoint_link.hpp"
 #include "redwinggw/session/endpoint_pool.hpp"
 #include "redwinggw/session/primary_claims.hpp"
+#include "redwinggw/session/promotion_evidence.hpp"
 
 #include <optional>
 #include <string_view>
@@ -60,6 +61,10 @@
   base::milliseconds CatchUpTimeout{1500};
   /// A promotion that the platform has accepted takes effect within this time.
   base::milliseconds PromotionTime{1500};
+  /// How long all listed endpoints have to be of an older term than the agreed
+  /// one until those of that term are taken for lost: longer than one that
+  /// restarts is not listed.
+  base::milliseconds TermLostAfter{5000};
 };
 
 /// Whether this instance's own statements and probes show that the endpoint may
@@ -106,12 +111,12 @@
                 const handover_limits &Limits, base::instant Now);
 
 /// Whether the old primary may stay in use because no endpoint can replace it.
-/// True if its last status \p Old says that it is the primary and no promotion
+/// True if it leads the newest term, with \p Old as its start, and no promotion
 /// can have been ordered. \p Resumed: an earlier claim began the move, and its
 /// promotion order may still take effect. Then both primaries would acknowledge
 /// writes, since an old primary reports the primary role until it is in contact
 /// with the new one.
-bool mayKeepOldPrimary(const std::optional<endpoint_status> &Old, bool Resumed);
+bool mayKeepOldPrimary(const promotion_start &Old, bool Resumed);
 
 /// The name of \p Cause in logs. Thread safe.
 std::string_view moveCauseName(move_cause Cause);
--- a/packages/session/include/redwinggw/session/primary_claims.hpp
+++ b/packages/session/include/redwinggw/session/primary_claims.hpp
@@ -28,6 +28,9 @@
   /// (orders it); the token is its fencing token.
   base::instance_name Orderer;
   std::uint64_t Token = 0;
+  /// The newest term of the log that is agreed on: Primary leads it, also while
+  /// Moving. 0 before the first move, and in rows of older builds.
+  base::term_number Term = 0;
 
   friend bool operator==(const primary_claim &,
                          const primary_claim &) = default;
@@ -49,8 +52,9 @@
 
 /// Applies \p Claim unless a later one is known. Within one epoch a finished
 /// move supersedes an unfinished one: its orderer tells the other instances
-/// first and writes to the store, which may be down, second. True if something
-/// changed.
+/// first and writes to the store, which may be down, second. True if it was
+/// applied. The term never decreases, and is taken from older claims too: an
+/// orderer that was cut off may have claimed with an earlier one.
 bool applyClaim(primary_claims &Claims, const primary_claim &Claim,
                 base::instant Now);
 
--- a/packages/session/include/redwinggw/session/promotion_evidence.hpp
+++ b/packages/session/include/redwinggw/session/promotion_evidence.hpp
@@ -35,6 +35,10 @@
   unsigned SynchronousReplicas = 0;
   /// What the target must have received: all that the old primary reports.
   std::optional<log_point> Needed;
+  /// The newest term that is agreed on. An endpoint of an older one did not
+  /// follow that primary: its log may contain commits that were given up with
+  /// the promotion, and that later reads did not see.
+  base::term_number AgreedTerm = 0;
 };
 
 /// Whether the log of \p Target has every commit that was acknowledged before
@@ -50,14 +54,15 @@
 
 /// The endpoint to promote. Null while none is proven to hold all acknowledged
 /// commits; with no synchronous replicas there is no such proof, and the most
-/// advanced one that has answered is chosen. Of several that meet
-/// the rule, one that is not draining is preferred. Thread safe.
+/// advanced one of the agreed term is chosen. Of several that meet the rule,
+/// one that is not draining is preferred. Thread safe.
 const log_holder *chooseTarget(const std::vector<log_holder> &Holders,
                                const promotion_rule &Rule);
 
 /// What was known of the terms when a promotion was ordered.
 struct promotion_start {
-  /// The newest term that an endpoint of the service had reported.
+  /// The newest term that was agreed on or that an endpoint of the service had
+  /// reported.
   base::term_number Newest = 0;
   /// The target had reported to lead it: it has been promoted by an earlier
   /// order, or was never replaced.
@@ -65,7 +70,12 @@
 };
 
 promotion_start startOf(const std::vector<log_holder> &Holders,
-                        const log_holder &Target);
+                        const log_holder &Target, base::term_number AgreedTerm);
+
+/// Whether every endpoint that could be promoted has answered from an older
+/// term than \p AgreedTerm. Thread safe.
+bool allAreOlder(const std::vector<log_holder> &Holders,
+                 base::term_number AgreedTerm);
 
 /// Whether the ordered promotion has taken effect, by the target's \p Status
 /// that was requested \p SinceAccepted after the platform had accepted the
--- a/packages/session/src/handover.cpp
+++ b/packages/session/src/handover.cpp
@@ -65,9 +65,8 @@
          Now - Acknowledged.ClaimedAt > Limits.ReadingValidFor;
 }
 
-bool mayKeepOldPrimary(const std::optional<endpoint_status> &Old,
-                       bool Resumed) {
-  return !Resumed && Old && Old->Role == endpoint_role::Primary;
+bool mayKeepOldPrimary(const promotion_start &Old, bool Resumed) {
+  return !Resumed && Old.Led;
 }
 
 } // namespace redwinggw::session
--- a/packages/session/src/primary_claims.cpp
+++ b/packages/session/src/primary_claims.cpp
@@ -18,11 +18,13 @@
   if (New)
     return true;
   const primary_claim &Present = At->second.Claim;
+  const base::term_number Term = std::max(Present.Term, Claim.Term);
   const bool Later =
       Claim.Epoch > Present.Epoch ||
       (Claim.Epoch == Present.Epoch && Present.Moving && !Claim.Moving);
   if (Later)
     At->second = {Claim, Now};
+  At->second.Claim.Term = Term;
   return Later;
 }
 
@@ -38,7 +40,7 @@
   for (const auto &[Service, Known] : Claims.Known) {
     const primary_claim &Claim = Known.Claim;
     Reports.push_back({Service, Claim.Epoch, Claim.Primary, false, Claim.Moving,
-                       Claim.Orderer});
+                       Claim.Orderer, Claim.Term});
   }
   return Reports;
 }
@@ -51,7 +53,8 @@
   return json::serialize(json::object{{"primary", Claim.Primary},
                                       {"moving", Claim.Moving},
                                       {"orderer", Claim.Orderer},
-                                      {"token", Claim.Token}});
+                                      {"token", Claim.Token},
+                                      {"term", Claim.Term}});
 }
 
 std::optional<primary_claim>
@@ -65,6 +68,9 @@
     Claim.Moving = Value.at("moving").as_bool();
     Claim.Orderer = Value.at("orderer").as_string();
     Claim.Token = Value.at("token").to_number<std::uint64_t>();
+    // Older builds do not write it.
+    if (const auto *Term = Value.as_object().if_contains("term"))
+      Claim.Term = Term->to_number<base::term_number>();
     return Claim;
   } catch (const std::exception &Fault) {
     base::log(base::log_level::Error, base::log_part::Failover,
--- a/packages/session/src/promotion_evidence.cpp
+++ b/packages/session/src/promotion_evidence.cpp
@@ -17,8 +17,10 @@
     return false;
   if (Rule.Needed && *Holder.Received < *Rule.Needed)
     return false;
-  return Rule.SynchronousReplicas == 0 ||
-         holdsAcknowledged(Holders, Holder, Rule.SynchronousReplicas);
+  // The proof covers the commits of all terms.
+  return Rule.SynchronousReplicas == 0
+             ? Holder.Term >= Rule.AgreedTerm
+             : holdsAcknowledged(Holders, Holder, Rule.SynchronousReplicas);
 }
 
 } // namespace
@@ -52,14 +54,25 @@
 }
 
 promotion_start startOf(const std::vector<log_holder> &Holders,
-                        const log_holder &Target) {
+                        const log_holder &Target,
+                        base::term_number AgreedTerm) {
   promotion_start Start;
+  Start.Newest = AgreedTerm;
   for (const log_holder &Holder : Holders)
     Start.Newest = std::max(Start.Newest, Holder.Term);
   Start.Led = Target.Leads && Target.Term == Start.Newest;
   return Start;
 }
 
+bool allAreOlder(const std::vector<log_holder> &Holders,
+                 base::term_number AgreedTerm) {
+  auto Candidates = Holders | std::views::filter(&log_holder::Eligible);
+  return !Candidates.empty() &&
+         std::ranges::all_of(Candidates, [&](const log_holder &Holder) {
+           return Holder.Received && Holder.Term < AgreedTerm;
+         });
+}
+
 bool hasTakenEffect(const promotion_start &Start, const endpoint_status &Status,
                     base::milliseconds SinceAccepted,
                     base::milliseconds PromotionTime) {
@@ -79,6 +92,9 @@
                 ? " " + std::to_string(Holder.Received->Term) + "." +
                       std::to_string(Holder.Received->Position)
                 : std::string(" silent");
+    if (Holder.Received)
+      Text += std::string(Holder.Leads ? " leads" : " follows") + " term " +
+              std::to_string(Holder.Term);
     Text += Holder.Draining ? " draining" : "";
   }
   return Text;
--- a/packages/wire/include/redwinggw/wire/message.hpp
+++ b/packages/wire/include/redwinggw/wire/message.hpp
@@ -37,6 +37,9 @@
   bool Moving = false;
   /// The instance that orders or ordered the promotion; empty if not reported.
   base::instance_name Orderer;
+  /// Newest term of the group's log whose primary is agreed on, where Term is
+  /// not one of the log; 0 if it is not reported. Sent after everything else.
+  base::term_number LogTerm = 0;
 
   friend bool operator==(const group_report &, const group_report &) = default;
 };
--- a/packages/wire/src/message.cpp
+++ b/packages/wire/src/message.cpp
@@ -183,6 +183,19 @@
   archiveList(Ar, Value.Services, [&](auto &Service) { Ar(Service); });
 }
 
+bool reportsTerms(const peer_report &Report) {
+  return std::ranges::any_of(Report.Groups, [](const group_report &Group) {
+    return Group.LogTerm != 0;
+  });
+}
+
+/// The terms of the logs of \p Groups, in their order.
+template <typename Archive, typename Groups>
+void archiveTerms(Archive &Ar, Groups &Reports) {
+  for (auto &Report : Reports)
+    Ar(Report.LogTerm);
+}
+
 template <typename Archive>
 void archiveSharedRead(Archive &Out, const shared_store_read &Value) {
   const auto Length = static_cast<std::uint32_t>(Value.Text.size());
@@ -324,6 +337,8 @@
     Report->ReadsChanges = true;
     if (Stream.peek() != std::istringstream::traits_type::eof())
       archiveNeeds(In, *Report);
+    if (Stream.peek() != std::istringstream::traits_type::eof())
+      archiveTerms(In, Report->Groups);
   }
   if (auto *Message = std::get_if<share_message>(&Datagram.Body))
     Message->ReadsShortForm = HasMore;
@@ -359,10 +374,14 @@
   const auto Kind = static_cast<std::uint8_t>(Datagram.Body.index());
   Out(FormatVersion, Kind);
   archiveDatagram(Out, Datagram);
-  if (const auto *Report = std::get_if<peer_report>(&Datagram.Body);
-      Report != nullptr && Report->ReadsChanges) {
-    archiveChanges(Out, *Report);
-    archiveNeeds(Out, *Report);
+  if (const auto *Report = std::get_if<peer_report>(&Datagram.Body)) {
+    const bool Terms = reportsTerms(*Report);
+    if (Report->ReadsChanges || Terms) {
+      archiveChanges(Out, *Report);
+      archiveNeeds(Out, *Report);
+    }
+    if (Terms)
+      archiveTerms(Out, Report->Groups);
   }
   if (const auto *Message = std::get_if<share_message>(&Datagram.Body);
       Message != nullptr && Message->ReadsShortForm)
--- a/tests/native/native_path_test.cpp
+++ b/tests/native/native_path_test.cpp
@@ -341,6 +341,34 @@
   cr_assert(writeEventually(Fleet.Instances[0], "c", "2"));
 }
 
+// Guards against the commits of a former primary, which were given up when it
+// was replaced, being back after reads that did not see them: while its
+// successors are silent it is not promoted again.
+Test(native_path, waits_for_the_log_of_the_agreed_primary) {
+  native_fleet Fleet(3);
+  cr_assert(writeEventually(Fleet.Instances[0], "a", "1"));
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  Fleet.World.runOnThread([](simulated_platform &World) {
+    replicate(World.Group, base::now());
+    World.Group.Databases[1].Deaf = World.Group.Databases[2].Deaf = true;
+  });
+  cr_assert(writeEventually(Fleet.Instances[0], "a", "2"));
+  const std::string Leader =
+      replacePartitionedPrimary(Fleet, [](simulated_platform &World) {
+        World.Group.Databases[1].Deaf = World.Group.Databases[2].Deaf = false;
+      });
+  cr_assert(readsEventually(Fleet.Instances[1], "a", "1"));
+  const std::string Other = Leader == "d2" ? "d3" : "d2";
+  Fleet.World.crash("d2");
+  Fleet.World.crash("d3");
+  useThePrimary(Fleet);
+  std::this_thread::sleep_for(std::chrono::milliseconds(4000));
+  // It has followed the new primary before.
+  Fleet.World.restart(Other);
+  cr_assert(readsEventually(Fleet.Instances[0], "b", "1"));
+  cr_assert(readsEventually(Fleet.Instances[1], "a", "1"));
+}
+
 namespace {
 
 std::size_t statementsAt(native_fleet &Fleet, std::size_t Database) {
--- a/tests/session/handover_test.cpp
+++ b/tests/session/handover_test.cpp
@@ -122,12 +122,18 @@
 // primary role. Guards against a write that it would then confirm and that
 // would be rolled back a second later.
 Test(handover, keeps_the_old_primary_only_if_no_promotion_can_take_effect) {
-  endpoint_status Leads;
-  Leads.Role = endpoint_role::Primary;
-  endpoint_status Follows;
-  Follows.Role = endpoint_role::Replica;
-  cr_assert(mayKeepOldPrimary(Leads, false));
-  cr_assert(!mayKeepOldPrimary(Leads, true));
-  cr_assert(!mayKeepOldPrimary(Follows, false));
-  cr_assert(!mayKeepOldPrimary(std::nullopt, false));
+  log_holder Old{"p", false, false, log_point{4, 10}, 4, true};
+  const log_holder Replica{"r", true, false, log_point{4, 10}, 4, false};
+  const auto MayKeep = [&](base::term_number Agreed, bool Resumed) {
+    return mayKeepOldPrimary(startOf({Old, Replica}, Old, Agreed), Resumed);
+  };
+  cr_assert(MayKeep(4, false));
+  cr_assert(!MayKeep(4, true));
+  // Another endpoint has led since.
+  cr_assert(!MayKeep(5, false));
+  Old.Leads = false;
+  cr_assert(!MayKeep(4, false));
+  // It does not answer.
+  Old = {"p", false, false, std::nullopt};
+  cr_assert(!MayKeep(4, false));
 }
--- a/tests/session/primary_claims_test.cpp
+++ b/tests/session/primary_claims_test.cpp
@@ -40,3 +40,27 @@
   cr_assert(!applyClaim(Claims, claim("s", 5, true), {}));
   cr_assert(!reportsOf(Claims).front().Moving);
 }
+
+// Guards against an orderer that was cut off and overwrites the agreed term
+// with the earlier one that it has read.
+Test(primary_claims, never_forget_an_agreed_term) {
+  primary_claims Claims;
+  primary_claim Finished = claim("s", 5, false);
+  Finished.Term = 3;
+  applyClaim(Claims, claim("s", 6, true), {});
+  cr_assert(!applyClaim(Claims, Finished, {}));
+  cr_assert(findClaim(Claims, "s")->Claim.Term == 3);
+  cr_assert(applyClaim(Claims, claim("s", 7, true), {}));
+  cr_assert(findClaim(Claims, "s")->Claim.Term == 3);
+  cr_assert(reportsOf(Claims).front().LogTerm == 3);
+}
+
+Test(primary_claims, are_read_with_and_without_a_term) {
+  primary_claim Claim = claim("s", 5, false);
+  Claim.Term = 3;
+  cr_assert(readClaim("group/s", 5, claimText(Claim)) == Claim);
+  const auto Older =
+      readClaim("group/s", 5,
+                R"({"primary":"s-1","moving":false,"orderer":"i1","token":3})");
+  cr_assert(Older && Older->Term == 0);
+}
--- a/tests/session/promotion_evidence_test.cpp
+++ b/tests/session/promotion_evidence_test.cpp
@@ -194,7 +194,7 @@
 Test(promotion_evidence, does_not_take_a_former_role_for_a_promotion) {
   const base::milliseconds Long = 10 * PromotionTime;
   const std::vector<log_holder> Holders{leads("former", 1), leads("later", 2)};
-  const promotion_start Start = startOf(Holders, Holders[0]);
+  const promotion_start Start = startOf(Holders, Holders[0], 0);
   cr_assert(!isPromoted(Start, 1, Long));
   cr_assert(!isPromoted(Start, 2, Long));
   cr_assert(isPromoted(Start, 3, {}));
@@ -206,8 +206,22 @@
 // promoted the target already, so that another one has no effect.
 Test(promotion_evidence, accepts_a_target_that_leads_already) {
   const std::vector<log_holder> Holders{leads("former", 1), leads("later", 2)};
-  const promotion_start Start = startOf(Holders, Holders[1]);
+  const promotion_start Start = startOf(Holders, Holders[1], 0);
   cr_assert(!isPromoted(Start, 2, PromotionTime));
   cr_assert(isPromoted(Start, 2, PromotionTime + base::milliseconds(1)));
   cr_assert(isPromoted(Start, 3, {}));
 }
+
+// Guards against a log with commits that were given up: they would be back
+// after reads that did not see them.
+Test(promotion_evidence, leaves_out_logs_of_an_older_term) {
+  const std::vector<log_holder> Holders{oldPrimary({}), leads("former", 1),
+                                        holder("b", {})};
+  cr_assert(chosen(Holders, {0, {}, 0}) == "former");
+  cr_assert(chosen(Holders, {0, {}, 2}).empty());
+  // Nobody else answers, so its log may be the last one.
+  cr_assert(!allAreOlder(Holders, 2));
+  cr_assert(allAreOlder({oldPrimary({}), leads("former", 1)}, 2));
+  cr_assert(!allAreOlder({oldPrimary({}), leads("former", 2)}, 2));
+  cr_assert(!startOf(Holders, Holders[1], 2).Led);
+}
--- a/tests/wire/message_test.cpp
+++ b/tests/wire/message_test.cpp
@@ -74,6 +74,7 @@
   Report.HeldDemands = 8;
   Report.HeldScope = digest_scope::Zone;
   Report.HeldSums = 9;
+  Report.Groups.front().LogTerm = 5;
   Report.Digest.Demands.Range = {5, 6};
   Report.Digest.Packed = {77, 2, {{0, 1, 2, 3}, {0, 4, 5, 3}, {0, 6, 7, 8}}};
   const std::string Bytes = encode(Key, Sent);
@@ -84,7 +85,7 @@
   cr_assert(Back.ReadsChanges && Back.List == 77 && Back.HeldDemands == 8);
   cr_assert(Back.HeldScope == digest_scope::Zone && Back.HeldSums == 9);
   cr_assert(Back.DemandRange == Report.DemandRange);
-  cr_assert(Back.Digest == Report.Digest);
+  cr_assert(Back.Digest == Report.Digest && Back.Groups == Report.Groups);
 }
 
 Test(message, a_share_message_comes_back_as_it_was_sent) {
