Demote former primaries that have not learned of their successor

Cause: a former primary keeps its role and its branch of the log until a second after it can reach its successor. Where connections last for less, it never follows, and once the successor is silent too there is no candidate.

Change: the store reader asks listed endpoints that report the primary role, and are not the agreed primary, for their term, and tells them to follow if it is older than the agreed one; so does an orderer with the candidates that it asks. A leader of a term below an agreed one was always replaced, so this needs no lease.

A demoted database reports its old term until it has followed, so it becomes a candidate only then.

--- a/packages/redwinggw/src/platform_handover.cpp
+++ b/packages/redwinggw/src/platform_handover.cpp
@@ -1,4 +1,5 @@
 #include "platform_fleet.hpp"
+#include "platform_former_primaries.hpp"
 #include "platform_heartbeats.hpp"
 #include "platform_holders.hpp"
 #include "platform_inquiries.hpp"
@@ -408,6 +409,7 @@
     if (State->Peers && State->Routes && State->FleetReadAt) {
       probePrimariesInDoubt(State);
       checkPrimaries(State);
+      demoteFormerPrimaries(State);
       maintainHolders(State);
     }
     co_await pauseWithJitter(*State, PrimaryCheckInterval);
--- a/packages/redwinggw/src/platform_inquiries.cpp
+++ b/packages/redwinggw/src/platform_inquiries.cpp
@@ -56,7 +56,8 @@
 
 base::task<session::status_exchange> inquire(platform_instance_state &State,
                                              primary_claim Claim,
-                                             session::endpoint_entry Entry) {
+                                             session::endpoint_entry Entry,
+                                             status_request Request) {
   session::status_exchange Status;
   const auto Pool = poolOf(State.Endpoints, Entry.Name);
   while (Pool && !mayInquire(State, Pool->cold())) {
@@ -65,7 +66,8 @@
       co_return Status;
   }
   const session::pool_ptr NoTokens;
-  Status = co_await askStatus(State, std::move(Entry), StatusTimeout, NoTokens);
+  Status = co_await askStatus(State, std::move(Entry), StatusTimeout, NoTokens,
+                              Request);
   if (Pool)
     noteInquiryEnded(Pool->cold(), base::now());
   co_return Status;
@@ -83,6 +85,27 @@
 
 } // namespace
 
+base::task<session::status_exchange>
+inquireAndDemote(platform_instance_state &State, primary_claim Claim,
+                 session::endpoint_entry Entry) {
+  auto Status = co_await inquire(State, Claim, Entry);
+  const base::term_number Agreed = agreedTerm(State, Claim);
+  const bool Replaced =
+      Status.Status && Status.Status->Role == session::endpoint_role::Primary &&
+      Status.Status->Term < Agreed;
+  if (!Replaced)
+    co_return Status;
+  base::logEvent(base::log_level::Info, base::log_part::Failover,
+                 "former_primary_demoted",
+                 {{"service", Claim.Service},
+                  {"endpoint", Entry.Name},
+                  {"term", std::to_string(Status.Status->Term)},
+                  {"agreed_term", std::to_string(Agreed)}});
+  const status_request Demotion{session::status_command::Demote, Agreed};
+  co_return co_await inquire(State, std::move(Claim), std::move(Entry),
+                             Demotion);
+}
+
 void delayInquiries(platform_instance_state &State,
                     const base::service_name &Service) {
   for (const session::endpoint_entry *Entry :
@@ -114,7 +137,7 @@
     if (!Holder.Eligible || Entry == nullptr)
       continue;
     const session::endpoint_entry Copy = *Entry;
-    const auto Status = co_await inquire(State, Claim, Copy);
+    const auto Status = co_await inquireAndDemote(State, Claim, Copy);
     if (Status.Status)
       noteStatus(Holder, *Status.Status);
   }
--- a/packages/redwinggw/src/platform_inquiries.hpp
+++ b/packages/redwinggw/src/platform_inquiries.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "platform_instance_state.hpp"
+#include "platform_probing.hpp"
 
 #include "redwinggw/session/promotion_evidence.hpp"
 
@@ -40,12 +41,20 @@
                 const base::service_name &Service,
                 const base::endpoint_name &Primary);
 
-/// Asks an endpoint for its status, without tokens. While it is cold it waits
+/// Sends \p Request to an endpoint, without tokens. While it is cold it waits
 /// until it may, or until a later claim is known: a candidate that is left out
 /// could be the one that has received most.
 base::task<session::status_exchange> inquire(platform_instance_state &State,
                                              session::primary_claim Claim,
-                                             session::endpoint_entry Entry);
+                                             session::endpoint_entry Entry,
+                                             status_request Request = {});
+
+/// Asks an endpoint for its status. One that leads an older term than the
+/// agreed one is told to follow: by itself it does so only a while after it has
+/// reached the newer primary, and until then it runs writes.
+base::task<session::status_exchange>
+inquireAndDemote(platform_instance_state &State, session::primary_claim Claim,
+                 session::endpoint_entry Entry);
 
 /// Counts an inquiry at each endpoint of \p Service that ends now: a former
 /// orderer may have inquired a moment ago.
--- a/packages/redwinggw/src/platform_instance_state.hpp
+++ b/packages/redwinggw/src/platform_instance_state.hpp
@@ -178,6 +178,8 @@
   std::set<base::service_name> PromotionsInFlight;
   /// When the last promotion order was answered or timed out.
   base::instant LastPromotionEndedAt = base::instant::min();
+  /// Former primaries that are being told to follow.
+  std::set<base::endpoint_name> Demoting;
   /// Endpoints with a status probe under way.
   std::set<base::endpoint_name> Probing;
   /// Versions of the instances' rows, by which the rows of dead ones are
--- a/packages/redwinggw/src/platform_probing.cpp
+++ b/packages/redwinggw/src/platform_probing.cpp
@@ -53,7 +53,8 @@
 base::task<session::status_exchange> askStatus(platform_instance_state &State,
                                                session::endpoint_entry Entry,
                                                milliseconds Time,
-                                               session::pool_ptr Limited) {
+                                               session::pool_ptr Limited,
+                                               status_request Request) {
   const auto Link = State.Endpoints.Factory();
   const instant Deadline = base::now() + Time;
   session::status_exchange Status;
@@ -66,7 +67,7 @@
   // The endpoint has answered, which is what a probe is to show.
   if (Limited && !mayAsk(*Limited))
     co_return Status;
-  co_return co_await Link->command(session::status_command::Ask, 0, Deadline);
+  co_return co_await Link->command(Request.Command, Request.Term, Deadline);
 }
 
 namespace {
--- a/tests/native/native_path_test.cpp
+++ b/tests/native/native_path_test.cpp
@@ -369,6 +369,21 @@
   cr_assert(readsEventually(Fleet.Instances[1], "a", "1"));
 }
 
+// Guards against a former primary that goes on in its role for as long as it
+// does not reach its successor: it runs writes, and cannot replace a lost one.
+Test(native_path, demotes_a_former_primary) {
+  native_fleet Fleet(3);
+  cr_assert(writeEventually(Fleet.Instances[0], "a", "1"));
+  replacePartitionedPrimary(Fleet, [](simulated_platform &) {});
+  cr_assert(eventually([&] {
+    bool Demoted = false;
+    Fleet.World.runOnThread([&](simulated_platform &World) {
+      Demoted = !World.Group.Databases[0].Primary;
+    });
+    return Demoted;
+  }));
+}
+
 namespace {
 
 std::size_t statementsAt(native_fleet &Fleet, std::size_t Database) {
--- a/tests/standins/native/database_server.cpp
+++ b/tests/standins/native/database_server.cpp
@@ -195,7 +195,9 @@
   if (const auto After = readAfter(Text); After && pointOf(self()) < *After)
     return fail(Client, "LAGGING");
   const std::string Verb = takeWord(Text);
-  if (Verb == "STATUS")
+  if (Verb == "DEMOTE" && self().Term < std::stoull(Text))
+    self().Primary = false;
+  if (Verb == "STATUS" || Verb == "DEMOTE")
     return statusRow();
   if (Verb == "ROLLBACK") {
     Client.InTransaction = Client.Failed = false;
