Count the silence of an orderer from its own claim

Cause: the time since which the orderer was not heard was kept by service. The instance that had ordered the last move is never among the others that are up, so it always had an old time there, and took over the next orderer's move as soon as it did not hear it for a moment, as after a partition.

Change: the silence belongs to the claim; a new claim starts it anew.

--- a/packages/redwinggw/src/platform_handover.cpp
+++ b/packages/redwinggw/src/platform_handover.cpp
@@ -71,12 +71,12 @@
   // A service that was never moved has no orderer.
   if (View.Claim == nullptr)
     return View;
-  if (Reports.Up.contains(View.Claim->Claim.Orderer))
-    State.OrdererUnreachableSince.erase(Service);
-  else
-    View.OrdererGoneSince =
-        State.OrdererUnreachableSince.try_emplace(Service, base::now())
-            .first->second;
+  const session::primary_claim &Claim = View.Claim->Claim;
+  auto &Silence = State.OrdererSilence[Service];
+  noteOrderer(Silence, Claim.Epoch, Reports.Up.contains(Claim.Orderer),
+              base::now());
+  if (Silence)
+    View.OrdererGoneSince = Silence->Since;
   return View;
 }
 
--- a/packages/redwinggw/src/platform_instance_state.hpp
+++ b/packages/redwinggw/src/platform_instance_state.hpp
@@ -172,8 +172,9 @@
   std::set<base::service_name> Moving;
   /// Primaries that are missing from the endpoint list, and since when.
   std::map<base::endpoint_name, base::instant> MissingPrimaries;
-  /// Since when the orderer of each service's unfinished move is not alive.
-  std::map<base::service_name, base::instant> OrdererUnreachableSince;
+  /// Silence of the orderer of each service's newest claim.
+  std::map<base::service_name, std::optional<session::orderer_silence>>
+      OrdererSilence;
   /// Services with a promotion order that the platform has not answered yet.
   std::set<base::service_name> PromotionsInFlight;
   /// When the last promotion order was answered or timed out.
--- a/packages/session/include/redwinggw/session/handover.hpp
+++ b/packages/session/include/redwinggw/session/handover.hpp
@@ -93,6 +93,18 @@
   bool ReplaceableElsewhere = false;
 };
 
+/// Since when the orderer of a service's newest claim has not been heard.
+struct orderer_silence {
+  std::uint64_t Epoch = 0;
+  base::instant Since;
+};
+
+/// Updates \p Silence at \p Now for the claim of \p Epoch, whose orderer \p
+/// IsUp or not. Silence from before the claim says nothing about its orderer:
+/// another instance ordered then.
+void noteOrderer(std::optional<orderer_silence> &Silence, std::uint64_t Epoch,
+                 bool IsUp, base::instant Now);
+
 move_cause causeToMove(const handover_view &View, const handover_limits &Limits,
                        base::instant Now);
 
--- a/packages/session/src/handover.cpp
+++ b/packages/session/src/handover.cpp
@@ -37,6 +37,14 @@
          Now - *Health.FailingSince >= Limits.FailingFor;
 }
 
+void noteOrderer(std::optional<orderer_silence> &Silence, std::uint64_t Epoch,
+                 bool IsUp, base::instant Now) {
+  if (IsUp)
+    Silence.reset();
+  else if (!Silence || Silence->Epoch != Epoch)
+    Silence = orderer_silence{Epoch, Now};
+}
+
 move_cause causeToMove(const handover_view &View, const handover_limits &Limits,
                        base::instant Now) {
   if (View.Claim != nullptr && View.Claim->Claim.Moving)
--- a/tests/session/handover_test.cpp
+++ b/tests/session/handover_test.cpp
@@ -100,6 +100,21 @@
             move_cause::Unfinished);
 }
 
+// Guards against an instance that takes a move over at once, though its orderer
+// has just claimed it, since it has not heard a former orderer for long. Two
+// orderers would order promotions in turn.
+Test(handover, does_not_hold_silence_of_a_former_orderer_against_the_next) {
+  std::optional<orderer_silence> Silence;
+  noteOrderer(Silence, 7, false, Start);
+  noteOrderer(Silence, 7, false, Start + milliseconds(600));
+  cr_assert(Silence && Silence->Since == Start);
+  const instant Claimed = Start + milliseconds(1000);
+  noteOrderer(Silence, 8, false, Claimed);
+  cr_assert(Silence && Silence->Since == Claimed);
+  noteOrderer(Silence, 8, true, Claimed + milliseconds(100));
+  cr_assert(!Silence);
+}
+
 // An instance is cut off, with callers that write to the old primary. No
 // endpoint may be promoted before that instance's lease has expired, and never
 // with acknowledgements of less than half: the others may still be a majority
