Wait for the effect of earlier orders before a promoted endpoint is used

Cause, reasoned: a move that is resumed may follow orders of the earlier orderer whose effect is still to come. If the next orderers choose X, Y and X again within a second, X leads a new term by the first order and is agreed on, while the order for Y is about to replace it. An orderer that was cut off also went on to repeat an order without an answer, until its time was over.

Change: where a move is resumed, the target counts as promoted only by a status that was requested a promotion's time after the acknowledgements; an earlier orderer has ended its orders by then, or has lost its lease. An order is sent only while the lease holds.

--- a/packages/redwinggw/src/platform_handover.cpp
+++ b/packages/redwinggw/src/platform_handover.cpp
@@ -193,11 +193,14 @@
 }
 
 /// Orders the promotion, repeatedly until the platform accepts or refuses it.
-/// False when it was refused, at \p Deadline or when a later claim is known.
+/// False when it was refused, at \p Deadline, when a later claim is known or
+/// when one may exist unnoticed: a late order would replace the primary that
+/// its orderer has promoted.
 base::task<bool> promote(platform_instance_state &State,
                          const primary_claim &Claim, base::endpoint_name Target,
                          instant Deadline) {
-  while (base::now() < Deadline && isCurrent(State, Claim)) {
+  while (base::now() < Deadline && isCurrent(State, Claim) &&
+         mayTrustClaims(State)) {
     platform::promotion_order Order{Claim.Service, Target, Claim.Orderer,
                                     Claim.Token};
     State.PromotionsInFlight.insert(Claim.Service);
@@ -213,14 +216,13 @@
   co_return false;
 }
 
-/// Waits until the promotion of \p Target, whose order the platform has just
-/// accepted, has taken effect. The term that it leads; nothing when the
-/// target is not listed any more, at \p Deadline or when a later claim is
-/// known.
+/// Waits until the promotion of \p Target, which the platform has accepted, has
+/// taken effect. The term that it leads; nothing when the target is not listed
+/// any more, at \p Deadline or when a later claim is known.
 base::task<std::optional<base::term_number>>
 awaitPromotion(platform_instance_state &State, const primary_claim &Claim,
-               promotion_target Target, instant Deadline) {
-  const instant Accepted = base::now();
+               promotion_target Target, session::order_times Times,
+               instant Deadline) {
   while (base::now() < Deadline && isCurrent(State, Claim)) {
     const auto *Entry = findEndpoint(State.Endpoints.Directory, Target.Name);
     if (Entry == nullptr)
@@ -228,9 +230,8 @@
     const session::endpoint_entry Copy = *Entry;
     const instant Asked = base::now();
     const auto Status = co_await inquire(State, Claim, Copy);
-    const auto Since = std::chrono::floor<milliseconds>(Asked - Accepted);
-    if (Status.Status && hasTakenEffect(Target.Start, *Status.Status, Since,
-                                        State.Handover.PromotionTime))
+    if (Status.Status &&
+        hasTakenEffect(Target.Start, *Status.Status, Asked, Times))
       co_return Status.Status->Term;
     co_await pauseWithJitter(State, 2 * StepPause);
   }
@@ -288,8 +289,14 @@
             "the move waits for acknowledgements of half of the instances.");
     co_return false;
   }
-  if (Move.Resumed)
+  session::order_times Times;
+  Times.PromotionTime = State.Handover.PromotionTime;
+  if (Move.Resumed) {
     delayInquiries(State, Claim.Service);
+    // An earlier orderer acknowledges only when its own order has ended, or
+    // has lost the lease without which it orders nothing.
+    Times.EarlierOrdersUntil = base::now() + Times.PromotionTime;
+  }
   const auto Target = co_await findTarget(State, Move);
   if (!Target) {
     logMove(Claim.Service, "another instance has claimed the move.");
@@ -305,8 +312,10 @@
   const instant PromoteBy = std::max(Deadline, base::now() + MinPromotionTime);
   const bool Promoted = co_await promote(State, Claim, Target->Name, PromoteBy);
   std::optional<base::term_number> Term;
-  if (Promoted)
-    Term = co_await awaitPromotion(State, Claim, *Target, PromoteBy);
+  if (Promoted) {
+    Times.Accepted = base::now();
+    Term = co_await awaitPromotion(State, Claim, *Target, Times, PromoteBy);
+  }
   if (!Term) {
     logMove(Claim.Service, Target->Name + " did not become primary.");
     co_return false;
--- a/packages/session/include/redwinggw/session/promotion_evidence.hpp
+++ b/packages/session/include/redwinggw/session/promotion_evidence.hpp
@@ -77,15 +77,24 @@
 bool allAreOlder(const std::vector<log_holder> &Holders,
                  base::term_number AgreedTerm);
 
+/// When the platform accepted a promotion order, and what else may still happen
+/// to the service's databases.
+struct order_times {
+  base::instant Accepted;
+  /// Until when orders of earlier claims may take effect.
+  base::instant EarlierOrdersUntil;
+  /// An accepted order takes effect within this time.
+  base::milliseconds PromotionTime{0};
+};
+
 /// Whether the ordered promotion has taken effect, by the target's \p Status
-/// that was requested \p SinceAccepted after the platform had accepted the
-/// order. The role alone does not tell: an endpoint that was replaced keeps it
-/// until it reaches its successor. An order for the endpoint that leads already
-/// has no effect, so one that had led is given \p PromotionTime to report a new
-/// term. Thread safe.
+/// that was requested at \p Asked. The role alone does not tell: an endpoint
+/// that was replaced keeps it until it reaches its successor. Nor does a new
+/// term while an earlier order may still make another endpoint lead a later
+/// one. An order for the endpoint that leads already has no effect, so one that
+/// had led is given the time of a promotion to report a new term. Thread safe.
 bool hasTakenEffect(const promotion_start &Start, const endpoint_status &Status,
-                    base::milliseconds SinceAccepted,
-                    base::milliseconds PromotionTime);
+                    base::instant Asked, const order_times &Times);
 
 /// Text for logs: each endpoint with what it has received. Thread safe.
 std::string describe(const std::vector<log_holder> &Holders);
--- a/packages/session/src/promotion_evidence.cpp
+++ b/packages/session/src/promotion_evidence.cpp
@@ -74,13 +74,12 @@
 }
 
 bool hasTakenEffect(const promotion_start &Start, const endpoint_status &Status,
-                    base::milliseconds SinceAccepted,
-                    base::milliseconds PromotionTime) {
-  if (Status.Role != endpoint_role::Primary)
+                    base::instant Asked, const order_times &Times) {
+  if (Status.Role != endpoint_role::Primary || Asked < Times.EarlierOrdersUntil)
     return false;
   return Status.Term > Start.Newest ||
          (Start.Led && Status.Term == Start.Newest &&
-          SinceAccepted > PromotionTime);
+          Asked > Times.Accepted + Times.PromotionTime);
 }
 
 std::string describe(const std::vector<log_holder> &Holders) {
--- a/tests/session/promotion_evidence_test.cpp
+++ b/tests/session/promotion_evidence_test.cpp
@@ -180,11 +180,14 @@
 }
 
 constexpr base::milliseconds PromotionTime{100};
+const base::instant Accepted{std::chrono::seconds(100)};
 
 bool isPromoted(const promotion_start &Start, base::term_number Term,
-                base::milliseconds Since) {
-  return hasTakenEffect(Start, status(endpoint_role::Primary, Term), Since,
-                        PromotionTime);
+                base::milliseconds Since,
+                base::instant EarlierOrdersUntil = {}) {
+  return hasTakenEffect(Start, status(endpoint_role::Primary, Term),
+                        Accepted + Since,
+                        {Accepted, EarlierOrdersUntil, PromotionTime});
 }
 
 } // namespace
@@ -198,8 +201,8 @@
   cr_assert(!isPromoted(Start, 1, Long));
   cr_assert(!isPromoted(Start, 2, Long));
   cr_assert(isPromoted(Start, 3, {}));
-  cr_assert(!hasTakenEffect(Start, status(endpoint_role::Replica, 3), Long,
-                            PromotionTime));
+  cr_assert(!hasTakenEffect(Start, status(endpoint_role::Replica, 3),
+                            Accepted + Long, {Accepted, {}, PromotionTime}));
 }
 
 // Guards against endless waiting for a new term where an earlier order has
@@ -212,6 +215,16 @@
   cr_assert(isPromoted(Start, 3, {}));
 }
 
+// Guards against a target that an earlier order has promoted, and that is used
+// though another earlier order is about to replace it.
+Test(promotion_evidence, waits_for_the_effect_of_earlier_orders) {
+  const std::vector<log_holder> Holders{leads("former", 1), leads("later", 2)};
+  const promotion_start Start = startOf(Holders, Holders[1], 0);
+  const base::instant Until = Accepted + PromotionTime;
+  cr_assert(!isPromoted(Start, 3, base::milliseconds(50), Until));
+  cr_assert(isPromoted(Start, 3, PromotionTime, Until));
+}
+
 // Guards against a log with commits that were given up: they would be back
 // after reads that did not see them.
 Test(promotion_evidence, leaves_out_logs_of_an_older_term) {
