Give suspicions time to clear while a primary answers

Cause: instances that could not reach the primary report the suspicion until their next probe has succeeded. The store reader hears it right after the partition and gave the primary up at once, without asking it.

Change: the store reader asks a suspected primary first. One that answers as the primary goes on serving for 0.9 s, in which suspicions from before can clear; if two instances still suspect it then, the move begins as before. A primary that does not answer is given up at once.

Evidence: handover gives_suspicions_time_to_clear_while_the_primary_answers is new.

--- a/packages/redwinggw/src/platform_handover.cpp
+++ b/packages/redwinggw/src/platform_handover.cpp
@@ -324,20 +324,44 @@
   co_return true;
 }
 
+/// Whether the primary of \p Claim, which instances suspect, has to be
+/// replaced. One that answers this instance goes on serving while it is
+/// decided.
+base::task<bool> confirmFailure(platform_instance_state &State,
+                                primary_claim Claim) {
+  const auto Status = co_await askOldPrimary(State, Claim);
+  if (!Status || Status->Role != session::endpoint_role::Primary)
+    co_return true;
+  const instant Answered = base::now();
+  auto Verdict = session::suspicion_verdict::Wait;
+  while (Verdict == session::suspicion_verdict::Wait && !State.Stopped) {
+    co_await pauseWithJitter(State, PrimaryCheckInterval);
+    const primary_reports Reports = collectPrimaryReports(State);
+    const auto Answering =
+        std::chrono::floor<milliseconds>(base::now() - Answered);
+    Verdict = session::judgeSuspicion(
+        countSuspects(State, Reports, Claim.Service), Reports.Up.size() + 1,
+        Answering, State.Handover);
+  }
+  co_return Verdict == session::suspicion_verdict::Replace;
+}
+
 /// Whether a move may begin. A primary that leaves by plan and still serves is
 /// given up only for a replica that can be promoted.
 base::task<bool> mayGiveUp(platform_instance_state &State,
                            base::service_name Service,
                            base::endpoint_name Primary, move_cause Cause) {
-  const bool Planned =
-      Cause == move_cause::Draining || Cause == move_cause::Evacuated;
-  if (!Planned || synchronousReplicas(State, Service) == 0)
-    co_return true;
   primary_claim Claim;
   if (const auto *Known = findClaim(State.Claims, Service))
     Claim = Known->Claim;
   Claim.Service = Service;
   Claim.Primary = Primary;
+  if (Cause == move_cause::Failed)
+    co_return co_await confirmFailure(State, std::move(Claim));
+  const bool Planned =
+      Cause == move_cause::Draining || Cause == move_cause::Evacuated;
+  if (!Planned || synchronousReplicas(State, Service) == 0)
+    co_return true;
   co_return co_await isReplaceable(State, std::move(Claim));
 }
 
@@ -347,7 +371,9 @@
   const instant Begun = base::now();
   const bool MayBegin = co_await mayGiveUp(*State, Service, Primary, Cause);
   if (!MayBegin) {
-    logMove(Service, Primary + " stays: no replica can take over yet.");
+    logMove(Service, Primary + (Cause == move_cause::Failed
+                                    ? " stays: it answers again."
+                                    : " stays: no replica can take over yet."));
     co_await pauseWithJitter(*State, PauseBeforePlannedMove);
     State->Moving.erase(Service);
     co_return;
--- a/packages/session/include/redwinggw/session/handover.hpp
+++ b/packages/session/include/redwinggw/session/handover.hpp
@@ -40,6 +40,9 @@
   /// take.
   base::milliseconds FailingFor{450};
   unsigned FailuresNeeded = 2;
+  /// How long instances may report a suspicion after the endpoint can be
+  /// reached again: a probe, and the heartbeat with its result.
+  base::milliseconds SuspicionClearsWithin{900};
   /// An entry may be missing for a moment while the endpoint registers again.
   base::milliseconds MissingFor{1500};
   /// Instances that must suspect the primary, or all if there are fewer: one
@@ -108,6 +111,21 @@
 move_cause causeToMove(const handover_view &View, const handover_limits &Limits,
                        base::instant Now);
 
+/// How many instances have to suspect a primary if \p Instances are up, this
+/// one included.
+std::size_t suspectsNeeded(const handover_limits &Limits,
+                           std::size_t Instances);
+
+/// What to do about a primary that instances suspect and that answers this one.
+enum class suspicion_verdict { Wait, Trust, Replace };
+
+/// \p Suspects of \p Instances suspect it now, \p Answering after its answer.
+/// The suspicions may be older than the end of a partition, so they get time to
+/// clear before a primary that serves is given up.
+suspicion_verdict judgeSuspicion(std::size_t Suspects, std::size_t Instances,
+                                 base::milliseconds Answering,
+                                 const handover_limits &Limits);
+
 /// The acknowledgements of a move.
 struct move_acknowledgements {
   base::instant ClaimedAt;
--- a/packages/session/src/handover.cpp
+++ b/packages/session/src/handover.cpp
@@ -59,11 +59,25 @@
     return move_cause::Draining;
   if (View.ReplaceableElsewhere)
     return move_cause::Evacuated;
-  const std::size_t Needed = std::min(Limits.SuspectsNeeded, View.Instances);
+  const std::size_t Needed = suspectsNeeded(Limits, View.Instances);
   return View.Suspects >= Needed && Needed > 0 ? move_cause::Failed
                                                : move_cause::None;
 }
 
+std::size_t suspectsNeeded(const handover_limits &Limits,
+                           std::size_t Instances) {
+  return std::min(Limits.SuspectsNeeded, Instances);
+}
+
+suspicion_verdict judgeSuspicion(std::size_t Suspects, std::size_t Instances,
+                                 base::milliseconds Answering,
+                                 const handover_limits &Limits) {
+  if (Suspects < suspectsNeeded(Limits, Instances))
+    return suspicion_verdict::Trust;
+  return Answering < Limits.SuspicionClearsWithin ? suspicion_verdict::Wait
+                                                  : suspicion_verdict::Replace;
+}
+
 bool mayPromote(const move_acknowledgements &Acknowledged,
                 const handover_limits &Limits, base::instant Now) {
   if (Acknowledged.All)
--- a/tests/session/handover_test.cpp
+++ b/tests/session/handover_test.cpp
@@ -63,6 +63,17 @@
   cr_assert(causeToMove(View, Limits, Start) == move_cause::Failed);
 }
 
+// Guards against the loss of a primary that serves to suspicions from before
+// the end of a partition, and against waiting for them for ever.
+Test(handover, gives_suspicions_time_to_clear_while_the_primary_answers) {
+  using enum suspicion_verdict;
+  const milliseconds Late = Limits.SuspicionClearsWithin;
+  cr_assert(judgeSuspicion(2, 6, milliseconds(0), Limits) == Wait);
+  cr_assert(judgeSuspicion(1, 6, milliseconds(0), Limits) == Trust);
+  cr_assert(judgeSuspicion(2, 6, Late, Limits) == Replace);
+  cr_assert(judgeSuspicion(1, 1, Late, Limits) == Replace);
+}
+
 // A primary announces that it shuts down: it is replaced while it still serves.
 Test(handover, is_begun_before_a_draining_primary_goes) {
   const endpoint_entry Entry = entry(true);
