Trust a suspected primary only in the agreed term

A status of an older term must not keep a primary in use either: confirmFailure looked at the role alone. Ordering and awaiting a promotion is a function of its own now; executeMove had grown too long to read.

--- a/packages/redwinggw/src/platform_handover.cpp
+++ b/packages/redwinggw/src/platform_handover.cpp
@@ -238,6 +238,20 @@
   co_return std::nullopt;
 }
 
+/// Has \p Target promoted. The term that it leads then; nothing if that failed.
+base::task<std::optional<base::term_number>>
+promoteAndAwait(platform_instance_state &State, const primary_claim &Claim,
+                promotion_target Target, session::order_times Times,
+                instant Deadline) {
+  logMove(Claim.Service, "promoting " + Target.Name + ".");
+  const bool Accepted = co_await promote(State, Claim, Target.Name, Deadline);
+  if (!Accepted)
+    co_return std::nullopt;
+  Times.Accepted = base::now();
+  co_return co_await awaitPromotion(State, Claim, std::move(Target), Times,
+                                    Deadline);
+}
+
 /// Announces the new primary and the term that it leads to the instances,
 /// then writes them to the store. The store may be down, and the instances need
 /// not wait for it.
@@ -308,14 +322,9 @@
     co_await finishMove(State, Claim, Claim.Primary, Target->Start.Newest);
     co_return true;
   }
-  logMove(Claim.Service, "promoting " + Target->Name + ".");
   const instant PromoteBy = std::max(Deadline, base::now() + MinPromotionTime);
-  const bool Promoted = co_await promote(State, Claim, Target->Name, PromoteBy);
-  std::optional<base::term_number> Term;
-  if (Promoted) {
-    Times.Accepted = base::now();
-    Term = co_await awaitPromotion(State, Claim, *Target, Times, PromoteBy);
-  }
+  const auto Term =
+      co_await promoteAndAwait(State, Claim, *Target, Times, PromoteBy);
   if (!Term) {
     logMove(Claim.Service, Target->Name + " did not become primary.");
     co_return false;
@@ -330,7 +339,8 @@
 base::task<bool> confirmFailure(platform_instance_state &State,
                                 primary_claim Claim) {
   const auto Status = co_await askOldPrimary(State, Claim);
-  if (!Status || Status->Role != session::endpoint_role::Primary)
+  if (!Status || Status->Role != session::endpoint_role::Primary ||
+      Status->Term < Claim.Term)
     co_return true;
   const instant Answered = base::now();
   auto Verdict = session::suspicion_verdict::Wait;
