Ask a silent primary once before a move

A primary that does not answer was asked before the claim and again after the acknowledgements, 400 ms each time where it is silent rather than refusing connections. The first answer is enough.

--- a/packages/redwinggw/src/platform_handover.cpp
+++ b/packages/redwinggw/src/platform_handover.cpp
@@ -333,15 +333,17 @@
   co_return true;
 }
 
+enum class give_up { No, Yes, Silent };
+
 /// Whether the primary of \p Claim, which instances suspect, has to be
 /// replaced. One that answers this instance goes on serving while it is
-/// decided.
-base::task<bool> confirmFailure(platform_instance_state &State,
-                                primary_claim Claim) {
+/// decided; Silent if it does not answer.
+base::task<give_up> confirmFailure(platform_instance_state &State,
+                                   primary_claim Claim) {
   const auto Status = co_await askOldPrimary(State, Claim);
   if (!Status || Status->Role != session::endpoint_role::Primary ||
       Status->Term < Claim.Term)
-    co_return true;
+    co_return Status ? give_up::Yes : give_up::Silent;
   const instant Answered = base::now();
   auto Verdict = session::suspicion_verdict::Wait;
   while (Verdict == session::suspicion_verdict::Wait && !State.Stopped) {
@@ -353,14 +355,15 @@
         countSuspects(State, Reports, Claim.Service), Reports.Up.size() + 1,
         Answering, State.Handover);
   }
-  co_return Verdict == session::suspicion_verdict::Replace;
+  co_return Verdict == session::suspicion_verdict::Replace ? give_up::Yes
+                                                           : give_up::No;
 }
 
 /// Whether a move may begin. A primary that leaves by plan and still serves is
 /// given up only for a replica that can be promoted.
-base::task<bool> mayGiveUp(platform_instance_state &State,
-                           base::service_name Service,
-                           base::endpoint_name Primary, move_cause Cause) {
+base::task<give_up> mayGiveUp(platform_instance_state &State,
+                              base::service_name Service,
+                              base::endpoint_name Primary, move_cause Cause) {
   primary_claim Claim;
   if (const auto *Known = findClaim(State.Claims, Service))
     Claim = Known->Claim;
@@ -371,16 +374,17 @@
   const bool Planned =
       Cause == move_cause::Draining || Cause == move_cause::Evacuated;
   if (!Planned || synchronousReplicas(State, Service) == 0)
-    co_return true;
-  co_return co_await isReplaceable(State, std::move(Claim));
+    co_return give_up::Yes;
+  const bool Replaceable = co_await isReplaceable(State, std::move(Claim));
+  co_return Replaceable ? give_up::Yes : give_up::No;
 }
 
 base::task<void> movePrimary(platform_instance_ptr State,
                              base::service_name Service, move_cause Cause) {
   const base::endpoint_name Primary = primaryOf(*State, Service);
   const instant Begun = base::now();
-  const bool MayBegin = co_await mayGiveUp(*State, Service, Primary, Cause);
-  if (!MayBegin) {
+  const give_up GiveUp = co_await mayGiveUp(*State, Service, Primary, Cause);
+  if (GiveUp == give_up::No) {
     logMove(Service, Primary + (Cause == move_cause::Failed
                                     ? " stays: it answers again."
                                     : " stays: no replica can take over yet."));
@@ -388,8 +392,9 @@
     State->Moving.erase(Service);
     co_return;
   }
-  const auto Move = co_await claimMove(*State, Service, Primary);
+  auto Move = co_await claimMove(*State, Service, Primary);
   if (Move) {
+    Move->PrimarySilent = GiveUp == give_up::Silent;
     logMove(Service, "moving the primary from " + Primary + ", cause " +
                          std::string(moveCauseName(Cause)) + ".");
     acceptClaim(*State, Move->Claim);
--- a/packages/redwinggw/src/platform_inquiries.cpp
+++ b/packages/redwinggw/src/platform_inquiries.cpp
@@ -226,7 +226,9 @@
   constexpr milliseconds LogInterval{5000};
   constexpr milliseconds PauseBetweenRounds{100};
   const primary_claim &Claim = Move.Claim;
-  auto Old = co_await askOldPrimary(State, Claim);
+  std::optional<session::endpoint_status> Old;
+  if (!Move.PrimarySilent)
+    Old = co_await askOldPrimary(State, Claim);
   const instant CatchUpUntil = base::now() + State.Handover.CatchUpTimeout;
   instant LogDue = CatchUpUntil;
   std::optional<instant> LostSince;
--- a/packages/redwinggw/src/platform_inquiries.hpp
+++ b/packages/redwinggw/src/platform_inquiries.hpp
@@ -17,6 +17,8 @@
   session::primary_claim Claim;
   /// Whether an earlier claim began the move and may have ordered a promotion.
   bool Resumed = false;
+  /// The old primary has just been asked and did not answer.
+  bool PrimarySilent = false;
 };
 
 /// The endpoint to promote, and what was known of the terms when it was chosen.
