--- a/tests/wire/message_test.cpp
+++ b/tests/wire/message_test.cpp
@@ -88,6 +88,19 @@
   cr_assert(Back.Digest == Report.Digest && Back.Groups == Report.Groups);
 }
 
+// Guards against fleets without relays, whose heartbeats have no changes, in
+// which an orderer would not hear of the newest agreed term.
+Test(message, terms_are_sent_in_heartbeats_without_changes) {
+  datagram Sent = heartbeat();
+  auto &Report = std::get<peer_report>(Sent.Body);
+  Report.Groups.front().LogTerm = 5;
+  Report.Groups.push_back({"returns", 7, "returns-2"});
+  cr_assert(!Report.ReadsChanges);
+  const auto Read = decode(Key, encode(Key, Sent));
+  cr_assert(Read.has_value());
+  cr_assert(std::get<peer_report>(Read->Body).Groups == Report.Groups);
+}
+
 Test(message, a_share_message_comes_back_as_it_was_sent) {
   datagram Datagram = heartbeat();
   share_message Message{share_kind::Grant, 3, 7, 99, "c", {}, false};
