--- a/tests/standins/native/database_group.cpp
+++ b/tests/standins/native/database_group.cpp
@@ -46,10 +46,11 @@
       follow(Database, *Leader, Sent);
 }
 
-bool isReplicated(const database_group &Group, std::size_t Entries) {
+bool isReplicated(const database_group &Group,
+                  const simulated_database &Primary, std::size_t Entries) {
   const auto Holders = std::ranges::count_if(
       Group.Databases, [&](const simulated_database &Database) {
-        return !Database.Primary && Database.Log.size() >= Entries;
+        return &Database != &Primary && Database.Log.size() >= Entries;
       });
   return static_cast<std::size_t>(Holders) >= Group.SynchronousReplicas;
 }
--- a/tests/standins/native/database_group.hpp
+++ b/tests/standins/native/database_group.hpp
@@ -78,8 +78,10 @@
 /// Databases that can reach the primary follow it, and drop what it lacks.
 void replicate(database_group &Group, base::instant Now);
 
-/// Whether enough replicas have received the first \p Entries entries.
-bool isReplicated(const database_group &Group, std::size_t Entries);
+/// Whether enough databases besides \p Primary have received the first
+/// \p Entries entries.
+bool isReplicated(const database_group &Group,
+                  const simulated_database &Primary, std::size_t Entries);
 
 session::log_point pointOf(const simulated_database &Database);
 
--- a/tests/standins/native/database_server.cpp
+++ b/tests/standins/native/database_server.cpp
@@ -134,7 +134,8 @@
 /// Waits until the commits that an answer acknowledges have been replicated.
 base::task<void> database_server::state::awaitReplicas(std::size_t Entries) {
   asio::steady_timer Timer(Executor);
-  while (self().Primary && !self().Down && !isReplicated(Group, Entries)) {
+  while (self().Primary && !self().Down &&
+         !isReplicated(Group, self(), Entries)) {
     Timer.expires_after(base::milliseconds(1));
     co_await Timer.async_wait(Token);
     replicate(Group, base::now());
