Count instances alike for a suspicion and for its confirmation

In fleets of two the cause needs one suspecting instance; its confirmation asked for two. Preconditions and thread safety of the new functions are stated.

--- a/packages/redwinggw/src/platform_handover.cpp
+++ b/packages/redwinggw/src/platform_handover.cpp
@@ -333,6 +333,7 @@
   co_return true;
 }
 
+/// Whether to give a primary up, and whether it was found silent.
 enum class give_up { No, Yes, Silent };
 
 /// Whether the primary of \p Claim, which instances suspect, has to be
@@ -351,9 +352,10 @@
     const primary_reports Reports = collectPrimaryReports(State);
     const auto Answering =
         std::chrono::floor<milliseconds>(base::now() - Answered);
-    Verdict = session::judgeSuspicion(
-        countSuspects(State, Reports, Claim.Service), Reports.Up.size() + 1,
-        Answering, State.Handover);
+    // The same count as in viewOf, so that both decide alike in small fleets.
+    Verdict =
+        session::judgeSuspicion(countSuspects(State, Reports, Claim.Service),
+                                Reports.Up.size(), Answering, State.Handover);
   }
   co_return Verdict == session::suspicion_verdict::Replace ? give_up::Yes
                                                            : give_up::No;
--- a/packages/session/include/redwinggw/session/handover.hpp
+++ b/packages/session/include/redwinggw/session/handover.hpp
@@ -102,17 +102,17 @@
   base::instant Since;
 };
 
-/// Updates \p Silence at \p Now for the claim of \p Epoch, whose orderer \p
-/// IsUp or not. Silence from before the claim says nothing about its orderer:
-/// another instance ordered then.
+/// Updates \p Silence at \p Now for the claim of \p Epoch. \p IsUp: its orderer
+/// is heard. Silence from before the claim says nothing about its orderer:
+/// another instance ordered then. Thread safe.
 void noteOrderer(std::optional<orderer_silence> &Silence, std::uint64_t Epoch,
                  bool IsUp, base::instant Now);
 
 move_cause causeToMove(const handover_view &View, const handover_limits &Limits,
                        base::instant Now);
 
-/// How many instances have to suspect a primary if \p Instances are up, this
-/// one included.
+/// How many instances have to suspect a primary if \p Instances are up. Thread
+/// safe.
 std::size_t suspectsNeeded(const handover_limits &Limits,
                            std::size_t Instances);
 
@@ -121,7 +121,7 @@
 
 /// \p Suspects of \p Instances suspect it now, \p Answering after its answer.
 /// The suspicions may be older than the end of a partition, so they get time to
-/// clear before a primary that serves is given up.
+/// clear before a primary that serves is given up. Thread safe.
 suspicion_verdict judgeSuspicion(std::size_t Suspects, std::size_t Instances,
                                  base::milliseconds Answering,
                                  const handover_limits &Limits);
--- a/packages/session/include/redwinggw/session/promotion_evidence.hpp
+++ b/packages/session/include/redwinggw/session/promotion_evidence.hpp
@@ -69,6 +69,7 @@
   bool Led = false;
 };
 
+/// Precondition: \p Target is one of \p Holders. Thread safe.
 promotion_start startOf(const std::vector<log_holder> &Holders,
                         const log_holder &Target, base::term_number AgreedTerm);
 
