Take a term for lost also when its primary was started again without a log

The wait for an endpoint of the agreed term had no end where the agreed primary stayed on the list under its name, started again without its log, and all others were of older terms: the service had no primary for good. Found by reading. The decision is one function now; promotion_evidence takes_a_term_for_lost_only_when_none_may_have_it covers it.

--- a/packages/redwinggw/src/platform_inquiries.cpp
+++ b/packages/redwinggw/src/platform_inquiries.cpp
@@ -214,7 +214,7 @@
           base::term_number AgreedTerm, std::optional<instant> Since) {
   const bool Listed =
       findEndpoint(State.Endpoints.Directory, Claim.Primary) != nullptr;
-  if (Listed || !allAreOlder(Holders, AgreedTerm))
+  if (!isTermLost(Holders, AgreedTerm, Claim.Primary, Listed))
     return std::nullopt;
   return Since.value_or(base::now());
 }
--- a/packages/session/include/redwinggw/session/promotion_evidence.hpp
+++ b/packages/session/include/redwinggw/session/promotion_evidence.hpp
@@ -73,10 +73,12 @@
 promotion_start startOf(const std::vector<log_holder> &Holders,
                         const log_holder &Target, base::term_number AgreedTerm);
 
-/// Whether every endpoint that could be promoted has answered from an older
-/// term than \p AgreedTerm. Thread safe.
-bool allAreOlder(const std::vector<log_holder> &Holders,
-                 base::term_number AgreedTerm);
+/// Whether no endpoint may still be of \p AgreedTerm: every one that could be
+/// promoted has answered from an older term, and \p Primary, the agreed one,
+/// has as well or is not \p Listed any more. Thread safe.
+bool isTermLost(const std::vector<log_holder> &Holders,
+                base::term_number AgreedTerm,
+                const base::endpoint_name &Primary, bool Listed);
 
 /// When the platform accepted a promotion order, and what else may still happen
 /// to the service's databases.
--- a/packages/session/src/promotion_evidence.cpp
+++ b/packages/session/src/promotion_evidence.cpp
@@ -64,13 +64,15 @@
   return Start;
 }
 
-bool allAreOlder(const std::vector<log_holder> &Holders,
-                 base::term_number AgreedTerm) {
-  auto Candidates = Holders | std::views::filter(&log_holder::Eligible);
-  return !Candidates.empty() &&
-         std::ranges::all_of(Candidates, [&](const log_holder &Holder) {
-           return Holder.Received && Holder.Term < AgreedTerm;
-         });
+bool isTermLost(const std::vector<log_holder> &Holders,
+                base::term_number AgreedTerm,
+                const base::endpoint_name &Primary, bool Listed) {
+  const auto MayBeOfIt = [&](const log_holder &Holder) {
+    const bool Counts = Holder.Eligible || (Holder.Name == Primary && Listed);
+    return Counts && (!Holder.Received || Holder.Term >= AgreedTerm);
+  };
+  return std::ranges::any_of(Holders, &log_holder::Eligible) &&
+         std::ranges::none_of(Holders, MayBeOfIt);
 }
 
 bool hasTakenEffect(const promotion_start &Start, const endpoint_status &Status,
--- a/tests/session/promotion_evidence_test.cpp
+++ b/tests/session/promotion_evidence_test.cpp
@@ -232,9 +232,21 @@
                                         holder("b", {})};
   cr_assert(chosen(Holders, {0, {}, 0}) == "former");
   cr_assert(chosen(Holders, {0, {}, 2}).empty());
-  // Nobody else answers, so its log may be the last one.
-  cr_assert(!allAreOlder(Holders, 2));
-  cr_assert(allAreOlder({oldPrimary({}), leads("former", 1)}, 2));
-  cr_assert(!allAreOlder({oldPrimary({}), leads("former", 2)}, 2));
   cr_assert(!startOf(Holders, Holders[1], 2).Led);
 }
+
+// Guards against a service without a primary for good after the endpoints of
+// the agreed term were lost, and against giving them up while one may come
+// back.
+Test(promotion_evidence, takes_a_term_for_lost_only_when_none_may_have_it) {
+  const auto IsLost = [](const log_holder &Old, const log_holder &Other,
+                         bool Listed) {
+    return isTermLost({Old, Other}, 2, "p", Listed);
+  };
+  cr_assert(IsLost(oldPrimary({}), leads("former", 1), false));
+  cr_assert(!IsLost(oldPrimary({}), leads("former", 1), true));
+  cr_assert(!IsLost(oldPrimary({}), leads("other", 2), false));
+  cr_assert(!IsLost(oldPrimary({}), holder("silent", {}), false));
+  // It was started again without its log.
+  cr_assert(IsLost(oldPrimary({{0, 0}}), leads("former", 1), true));
+}
