--- a/packages/session/include/redwinggw/session/handover.hpp
+++ b/packages/session/include/redwinggw/session/handover.hpp
@@ -141,7 +141,7 @@
                 const handover_limits &Limits, base::instant Now);
 
 /// Whether the old primary may stay in use because no endpoint can replace it.
-/// True if it leads the newest term, with \p Old as its start, and no promotion
+/// True if \p Old says that it leads the newest term, and if no promotion
 /// can have been ordered. \p Resumed: an earlier claim began the move, and its
 /// promotion order may still take effect. Then both primaries would acknowledge
 /// writes, since an old primary reports the primary role until it is in contact
