Test the steps of a move without processes

Instances on the users' platform in the test's process: the test delivers their heartbeats, and the store and the platform answer by HTTP. So far the order of heartbeats, reads of the store and answers could only be chosen by chance, in tests of whole processes.

--- /dev/null
+++ b/tests/instance/instance_fleet.hpp
@@ -0,0 +1,177 @@
+#pragma once
+
+// What the tests check is not declared in a header.
+#include "platform_handover.cpp"
+
+#include "native/simulated_platform.hpp"
+
+#include "redwinggw/control/membership.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+/// Instances on the users' platform in the process of the test, which delivers
+/// their heartbeats.
+namespace redwinggw::testing {
+
+struct fleet {
+  asio::io_context Context;
+  standin::simulated_platform Platform;
+  /// The services of the promotion orders, as they arrive.
+  std::vector<std::string> Orders;
+  milliseconds AnswerTime{0};
+  http::server Promotions{Context.get_executor(),
+                          {},
+                          [this](http::connection &, http::request Request)
+                              -> base::task<http::response> {
+                            const auto Body = boost::json::parse(Request.Body);
+                            Orders.emplace_back(Body.at("service").as_string());
+                            asio::steady_timer Timer(Context, AnswerTime);
+                            co_await Timer.async_wait(asio::use_awaitable);
+                            co_return http::response();
+                          }};
+  http::address PromotionAddress = Promotions.listen({"127.0.0.1", 0}).value();
+};
+
+using instance = platform_instance_ptr;
+
+inline const std::vector<std::string> Names{"a", "b", "c"};
+
+/// An instance of a fleet of three that sends no datagrams by itself.
+inline instance makeInstance(fleet &Fleet, const std::string &Name) {
+  settings Settings;
+  Settings.Name = Name;
+  Settings.Zone = "z";
+  Settings.Peers = {"127.0.0.1", 1};
+  Settings.Platform = Fleet.Platform.StoreAddress;
+  Settings.Promotions = Fleet.PromotionAddress;
+  auto State =
+      std::make_shared<platform_instance_state>(Fleet.Context, Settings);
+  State->Routes = std::make_shared<session::route_table>();
+  control::membership_limits Limits;
+  Limits.AcceptUnlisted = true;
+  control::config_freshness_limits Freshness;
+  Freshness.MaxAge = milliseconds(1000);
+  State->Peers = std::make_unique<control::peer_service>(
+      Fleet.Context.get_executor(), control::peer_identity{Name, "z", 100, 1},
+      Settings.Peers, "secret", State->Store, Limits, Freshness);
+  std::vector<storage::listed_instance> Listed;
+  for (const std::string &Other : Names) {
+    storage::listed_instance &Instance = Listed.emplace_back();
+    Instance.Name = Other;
+    Instance.Zone = "z";
+    Instance.Peers = Settings.Peers;
+  }
+  State->Peers->setList(Listed);
+  return State;
+}
+
+inline control::membership &membershipOf(const instance &Instance) {
+  return const_cast<control::membership &>(Instance->Peers->view());
+}
+
+/// Delivers the present heartbeat of \p From to \p To.
+inline void deliver(const instance &From, const instance &To) {
+  control::membership &Sender = membershipOf(From);
+  control::membership &Receiver = membershipOf(To);
+  Sender.LastTick.reset();
+  for (const auto &Send : onTick(Sender, base::now())) {
+    if (Send.Datagram.Receiver != To->Settings.Name ||
+        !admitDatagram(Receiver, Send.Datagram))
+      continue;
+    onHeartbeat(Receiver, Send.Datagram, base::now());
+    const auto &Report = std::get<wire::peer_report>(Send.Datagram.Body);
+    for (const wire::group_report &Group : Report.Groups)
+      acceptClaim(*To, {Group.Group, Group.Term, Group.Primary, Group.Moving,
+                        Group.Orderer, 0, Group.LogTerm});
+  }
+}
+
+inline primary_claim claim(std::string Service, std::uint64_t Epoch,
+                           bool Moving, std::string Orderer) {
+  return {std::move(Service), Epoch, "p", Moving, std::move(Orderer), 1, 1};
+}
+
+/// Everybody knows the primary of "s1", and that \p a moves that of "s2".
+inline void beginFleet(const std::vector<instance> &Instances) {
+  for (const instance &Instance : Instances) {
+    acceptClaim(*Instance, claim("s1", 10, false, "a"));
+    acceptClaim(*Instance, claim("s2", 11, true, "a"));
+    Instance->Peers->noteStoreRead(base::now(), base::now(), 11);
+  }
+  for (int Round = 0; Round < 2; ++Round)
+    for (const instance &From : Instances)
+      for (const instance &To : Instances)
+        if (From != To)
+          deliver(From, To);
+  for (const instance &Instance : Instances)
+    mayTrustClaims(*Instance);
+}
+
+inline bool isAcknowledgedByAll(const instance &Orderer,
+                                const primary_claim &Claim) {
+  session::move_acknowledgements Acknowledged;
+  Acknowledged.ClaimedAt = base::now();
+  observeAcknowledgements(*Orderer, Claim, Acknowledged);
+  return Acknowledged.All;
+}
+
+template <typename T> T runTask(fleet &Fleet, base::task<T> Task) {
+  std::optional<T> Result;
+  asio::co_spawn(
+      Fleet.Context,
+      [&]() -> base::task<void> { Result = co_await std::move(Task); },
+      asio::detached);
+  Fleet.Context.restart();
+  while (!Result)
+    Fleet.Context.run_one();
+  return std::move(*Result);
+}
+
+/// Claims a move, and accepts the claim as movePrimary does.
+inline std::optional<claimed_move> claimAndAccept(fleet &Fleet,
+                                                  const instance &Instance,
+                                                  const std::string &Service) {
+  auto Move = runTask(Fleet, claimMove(*Instance, Service, "p"));
+  // Instances evaluate it all the time.
+  mayTrustClaims(*Instance);
+  if (Move)
+    acceptClaim(*Instance, Move->Claim);
+  return Move;
+}
+
+/// Orders the promotion, and keeps \p Orderer in touch meanwhile, as if reads
+/// of the store went on that show no later claim.
+inline base::task<void> orderInTouch(instance Orderer, primary_claim Claim,
+                                     bool &Ended) {
+  asio::co_spawn(
+      Orderer->Context,
+      [Orderer, &Ended]() -> base::task<void> {
+        while (!Ended) {
+          const instant Now = base::now();
+          Orderer->Peers->noteStoreRead(Now, Now, Orderer->Claims.Version);
+          co_await pauseWithJitter(*Orderer, StepPause);
+        }
+      },
+      asio::detached);
+  const instant Deadline = base::now() + milliseconds(3000);
+  co_await promote(*Orderer, Claim, "d2", Deadline);
+  Ended = true;
+}
+
+inline void runUntil(fleet &Fleet, const std::function<bool()> &Done) {
+  Fleet.Context.restart();
+  while (!Done())
+    Fleet.Context.run_one();
+}
+
+} // namespace redwinggw::testing
