Reproduce late promotion orders with real processes

Stand-ins: several services at once; records of promotion orders (token, arrival, effect) and of writes at former primaries; a former primary goes on for a time after it has reached its successor, as PROTOCOL.md says; a proxy that holds, delays and resets connections, and links between instances that can be cut one way. Each instance may get proxies of its own.

--- a/tests/native/line_client.cpp
+++ b/tests/native/line_client.cpp
@@ -63,7 +63,8 @@
 }
 
 line_answer line_client::run(const std::string &Text) {
-  return send("QUERY q" + std::to_string(++LastId) + " " + Text + "\r\n");
+  StatementId = "q" + std::to_string(++LastId);
+  return send("QUERY " + StatementId + " " + Text + "\r\n");
 }
 
 } // namespace redwinggw::fleet
--- a/tests/native/line_client.hpp
+++ b/tests/native/line_client.hpp
@@ -31,6 +31,8 @@
   const std::string &failed() const { return Failed; }
 
   line_answer run(const std::string &Text);
+  /// The id of the last statement of run().
+  const std::string &statementId() const { return StatementId; }
   /// Sends bytes unchanged and reads one answer.
   line_answer send(const std::string &Bytes);
 
@@ -42,6 +44,7 @@
   boost::asio::ip::tcp::socket Socket;
   std::string Buffer;
   std::string Failed;
+  std::string StatementId;
 };
 
 } // namespace redwinggw::fleet
--- a/tests/native/native_fleet.cpp
+++ b/tests/native/native_fleet.cpp
@@ -3,6 +3,10 @@
 #include "ask.hpp"
 #include "free_port.hpp"
 
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <stdexcept>
@@ -29,34 +33,85 @@
 }
 
 native_fleet::native_fleet(std::size_t Count, const std::string &MoreSettings)
-    : Directory(makeDirectory()) {
-  for (std::size_t Index = 0; Index < Count; ++Index) {
-    native_process &Instance = Instances.emplace_back();
-    Instance.Name = "i" + std::to_string(Index + 1);
-    Instance.Callers = freeAddress();
-    Instance.Readiness = freeAddress();
-    Instance.SettingsFile = Directory + "/" + Instance.Name + ".ini";
-    std::ofstream(Instance.SettingsFile)
-        << "[instance]\nname = " << Instance.Name << "\nzone = z1\n[listen]\n"
-        << "callers = " << toText(Instance.Callers) << "\n"
-        << "readiness = " << toText(Instance.Readiness) << "\n"
-        << "peers = " << toText(freeAddress()) << "\n"
-        << "metrics = " << toText(freeAddress()) << "\n"
-        << "[platform]\nkind = native\n"
-        << "address = "
-        << toText(Index + 1 < Count ? World.StoreAddress
-                                    : World.SecondStoreAddress)
-        << "\n"
-        << "promotions = " << toText(World.PromotionAddress) << "\n"
-        << MoreSettings << "[log]\nformat = json\n";
-    start(Instance);
+    : native_fleet(fleet_options{Count, 1, MoreSettings, false}) {}
+
+native_fleet::native_fleet(const fleet_options &Options)
+    : World(Options.Services), Directory(makeDirectory()),
+      Instances(Options.Instances) {
+  for (std::size_t Index = 0; Index < Instances.size(); ++Index) {
+    Instances[Index].Name = "i" + std::to_string(Index + 1);
+    Instances[Index].Peers = freeAddress();
   }
+  if (Options.Proxied)
+    linkPeers();
+  for (std::size_t Index = 0; Index < Instances.size(); ++Index)
+    configure(Index, Options);
+  for (native_process &Instance : Instances)
+    start(Instance);
   for (const native_process &Instance : Instances)
     if (!eventually([&] { return isReady(Instance); }))
       throw std::runtime_error(Instance.Name + " does not become ready: " +
                                Instance.Process->output());
 }
 
+void native_fleet::linkPeers() {
+  for (std::size_t Low = 0; Low < Instances.size(); ++Low)
+    for (std::size_t High = Low + 1; High < Instances.size(); ++High)
+      Links[{Low, High}] =
+          &World.addLink({Instances[Low].Peers, Instances[High].Peers});
+}
+
+/// The row's value as the instance \p Index sees it: it reaches the others
+/// through links.
+std::string native_fleet::viewOf(std::size_t Index, const std::string &Key,
+                                 const std::string &Value) const {
+  for (std::size_t Other = 0; Other < Instances.size(); ++Other) {
+    if (Other == Index || Key != "instance/" + Instances[Other].Name)
+      continue;
+    const auto *Link = Links.at(std::minmax(Index, Other));
+    boost::json::value Row = boost::json::parse(Value);
+    Row.as_object()["peers"] = toText(Link->addressOf(Other < Index ? 0 : 1));
+    return boost::json::serialize(Row);
+  }
+  return Value;
+}
+
+void native_fleet::cut(std::size_t Sender, std::size_t Receiver, bool Cut) {
+  World.runOnThread([&](standin::simulated_platform &) {
+    Links.at(std::minmax(Sender, Receiver))
+        ->cut(Sender < Receiver ? 0 : 1, Cut);
+  });
+}
+
+void native_fleet::configure(std::size_t Index, const fleet_options &Options) {
+  native_process &Instance = Instances[Index];
+  const bool Last = Index + 1 == Instances.size();
+  http::address Store = Last ? World.SecondStoreAddress : World.StoreAddress;
+  http::address Promotions = World.PromotionAddress;
+  if (Options.Proxied) {
+    const auto View = [this, Index](const std::string &Key,
+                                    const std::string &Value) {
+      return viewOf(Index, Key, Value);
+    };
+    Instance.Store = &World.addProxy(World.addStore(View));
+    Instance.Promotions = &World.addProxy(World.PromotionAddress);
+    Store = Instance.Store->address();
+    Promotions = Instance.Promotions->address();
+  }
+  Instance.Callers = freeAddress();
+  Instance.Readiness = freeAddress();
+  Instance.SettingsFile = Directory + "/" + Instance.Name + ".ini";
+  std::ofstream(Instance.SettingsFile)
+      << "[instance]\nname = " << Instance.Name << "\nzone = z1\n[listen]\n"
+      << "callers = " << toText(Instance.Callers) << "\n"
+      << "readiness = " << toText(Instance.Readiness) << "\n"
+      << "peers = " << toText(Instance.Peers) << "\n"
+      << "metrics = " << toText(freeAddress()) << "\n"
+      << "[platform]\nkind = native\naddress = " << toText(Store) << "\n"
+      << "promotions = " << toText(Promotions) << "\n"
+      << Options.MoreSettings << "[log]\nformat = json\n";
+}
+
 void native_fleet::start(native_process &Instance) {
   Instance.Process.reset();
   Instance.Process = std::make_unique<child_process>(
@@ -64,6 +119,11 @@
       Directory + "/" + Instance.Name + ".log");
 }
 
+void native_fleet::kill(native_process &Instance) {
+  Instance.Process->signal(SIGKILL);
+  Instance.Process->wait(std::chrono::seconds(10));
+}
+
 native_fleet::~native_fleet() {
   Instances.clear();
   std::error_code Ignored;
--- a/tests/standins/native/database_group.cpp
+++ b/tests/standins/native/database_group.cpp
@@ -19,6 +19,7 @@
 void follow(simulated_database &Replica, const simulated_database &Leader,
             std::size_t Sent) {
   Replica.Primary = false;
+  Replica.SuccessorReachedAt.reset();
   Replica.Term = Leader.Term;
   const auto Common =
       std::ranges::mismatch(Replica.Log, Leader.Log).in1 - Replica.Log.begin();
@@ -29,6 +30,16 @@
   std::ranges::copy(Missing, std::back_inserter(Replica.Log));
 }
 
+/// Whether \p Database is a former primary that goes on for now.
+bool isStillInRole(const database_group &Group, simulated_database &Database,
+                   base::instant Now) {
+  if (!Database.Primary)
+    return false;
+  if (!Database.SuccessorReachedAt)
+    Database.SuccessorReachedAt = Now;
+  return Now - *Database.SuccessorReachedAt < Group.DemotionTime;
+}
+
 } // namespace
 
 void replicate(database_group &Group, base::instant Now) {
@@ -42,7 +53,7 @@
   const auto Sent = static_cast<std::size_t>(Old - Leader->Log.begin());
   for (simulated_database &Database : Group.Databases)
     if (&Database != Leader && !Database.Down && !Database.Deaf &&
-        !Database.Partitioned)
+        !Database.Partitioned && !isStillInRole(Group, Database, Now))
       follow(Database, *Leader, Sent);
 }
 
@@ -74,14 +85,16 @@
   return Found != nullptr && !Found->Down;
 }
 
-void promote(database_group &Group, std::string_view Name) {
+bool promote(database_group &Group, std::string_view Name) {
   if (!isRunning(Group, Name) || Group.Leader == Name)
-    return;
+    return false;
   simulated_database &Next = *findDatabase(Group, Name);
   Next.Term = ++Group.Term;
   Next.Primary = true;
+  Next.SuccessorReachedAt.reset();
   Group.Leader = Next.Name;
   replicate(Group, base::now());
+  return true;
 }
 
 } // namespace redwinggw::standin
--- a/tests/standins/native/database_group.hpp
+++ b/tests/standins/native/database_group.hpp
@@ -40,6 +40,8 @@
   bool Deaf = false;
   /// Has no connection to the other databases, but to everybody else.
   bool Partitioned = false;
+  /// Since when a former primary has reached its successor.
+  std::optional<base::instant> SuccessorReachedAt;
   /// Number of statements to run without sending a response; counts down.
   unsigned LoseAnswers = 0;
   /// The entries received.
@@ -53,6 +55,14 @@
   std::size_t Statements = 0;
 };
 
+/// A write that a database ran while another one led a later term.
+struct former_primary_write {
+  std::string Database;
+  /// The id of the write or, in a transaction, of its commit.
+  std::string StatementId;
+  base::instant CommittedAt;
+};
+
 /// Not thread safe.
 struct database_group {
   std::string Service;
@@ -62,8 +72,11 @@
   std::string Leader;
   /// Number of writes run by a database that leads an older term.
   std::size_t WritesAtFormerPrimaries = 0;
+  std::vector<former_primary_write> FormerPrimaryWrites;
   /// Replication lag.
   base::milliseconds Lag{20};
+  /// How long a former primary goes on after it has reached its successor.
+  base::milliseconds DemotionTime{0};
   /// Replicas that have to receive a commit before it is acknowledged.
   unsigned SynchronousReplicas = 0;
   unsigned ConnectionLimit = 50;
@@ -92,7 +105,8 @@
 bool isRunning(database_group &Group, std::string_view Name);
 
 /// Makes \p Name the primary of the next term, with the log that it has. No
-/// effect on the present primary and on one that is not running.
-void promote(database_group &Group, std::string_view Name);
+/// effect on the present primary and on one that is not running. Whether there
+/// was one.
+bool promote(database_group &Group, std::string_view Name);
 
 } // namespace redwinggw::standin
--- a/tests/standins/native/database_server.cpp
+++ b/tests/standins/native/database_server.cpp
@@ -72,7 +72,7 @@
   std::string runData(connection &Client, const std::string &Id,
                       const std::string &Verb, std::string Operands);
   std::string commit(connection &Client, const std::string &Id);
-  void append(log_entry Entry);
+  void append(log_entry Entry, const std::string &Id);
   std::string statusRow() const;
   std::string fail(connection &Client, const std::string &Code);
   std::string ready(const connection &Client);
@@ -229,10 +229,12 @@
   return runData(Client, Id, Verb, std::move(Text));
 }
 
-/// Commits \p Entry here.
-void database_server::state::append(log_entry Entry) {
-  if (self().Term < Group.Term)
+/// Commits \p Entry here by the statement \p Id.
+void database_server::state::append(log_entry Entry, const std::string &Id) {
+  if (self().Term < Group.Term) {
     ++Group.WritesAtFormerPrimaries;
+    Group.FormerPrimaryWrites.push_back({Name, Id, base::now()});
+  }
   Entry.CommittedAt = base::now();
   Entry.Term = self().Term;
   self().Log.push_back(std::move(Entry));
@@ -261,7 +263,7 @@
   if (Client.InTransaction)
     Client.Pending.push_back(std::move(Entry));
   else
-    append(std::move(Entry));
+    append(std::move(Entry), Id);
   return Signature;
 }
 
@@ -273,7 +275,7 @@
   ++Group.Runs[Id];
   ++self().Statements;
   for (log_entry &Entry : Client.Pending)
-    append(std::move(Entry));
+    append(std::move(Entry), Id);
   Client.Pending.clear();
   Client.InTransaction = false;
   return "DONE sig." + Id + "\r\n";
--- a/tests/standins/native/row_table.cpp
+++ b/tests/standins/native/row_table.cpp
@@ -43,20 +43,22 @@
 
 } // namespace
 
-http::response row_table::handle(const http::request &Request) {
+http::response row_table::handle(const http::request &Request,
+                                 const row_view &View) {
   ++Calls;
   if (Down)
     return answer(StatusUnavailable, {});
   const std::size_t Mark = Request.Target.find('?');
   const std::string Path = Request.Target.substr(0, Mark);
   if (Path == "/v1/rows-get")
-    return read(Request.Target.substr(Mark + 1));
+    return read(Request.Target.substr(Mark + 1), View);
   if (Path == "/v1/rows-tx")
     return commit(json::parse(Request.Body).as_object());
   return answer(StatusNotFound, {});
 }
 
-http::response row_table::read(const std::string &Query) const {
+http::response row_table::read(const std::string &Query,
+                               const row_view &View) const {
   const std::string Table = parameter(Query, "table");
   const std::string From = parameter(Query, "from");
   const std::string To = parameter(Query, "to");
@@ -65,10 +67,11 @@
     const auto &[RowTable, Name] = Key;
     if (RowTable != Table || Name < From || (!To.empty() && Name >= To))
       continue;
+    const std::string Value = View ? View(Name, Row.Value) : Row.Value;
     Found.push_back(json::object{{"table", Table},
                                  {"part", ""},
                                  {"key", Name},
-                                 {"value", base::toBase64(Row.Value)},
+                                 {"value", base::toBase64(Value)},
                                  {"record_version", Row.Version}});
   }
   return answer(StatusOk, {{"rows", std::move(Found)},
--- a/tests/standins/native/row_table.hpp
+++ b/tests/standins/native/row_table.hpp
@@ -6,6 +6,7 @@
 #include <boost/json/object.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <utility>
@@ -16,8 +17,13 @@
 /// from one thread.
 class row_table {
 public:
-  /// Handles a request of an instance.
-  http::response handle(const http::request &Request);
+  /// The value that is served of the row at a key that has a value.
+  using row_view =
+      std::function<std::string(const std::string &, const std::string &)>;
+
+  /// Handles a request of an instance, which sees the rows through \p View.
+  http::response handle(const http::request &Request,
+                        const row_view &View = {});
 
   /// Direct access for the test, bypassing the protocol.
   void put(const std::string &Table, const std::string &Key,
@@ -36,7 +42,7 @@
   };
   using row_key = std::pair<std::string, std::string>;
 
-  http::response read(const std::string &Query) const;
+  http::response read(const std::string &Query, const row_view &View) const;
   http::response commit(const boost::json::object &Body);
 
   std::map<row_key, row> Rows;
--- a/tests/standins/native/simulated_platform.cpp
+++ b/tests/standins/native/simulated_platform.cpp
@@ -1,13 +1,14 @@
 #include "native/simulated_platform.hpp"
 
+#include "common/standin.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <future>
 
 namespace redwinggw::standin {
@@ -16,18 +17,25 @@
 namespace json = boost::json;
 namespace asio = boost::asio;
 
-json::object routeOf(const std::string &Host, const std::string &Kind) {
+json::object routeOf(const std::string &Host, const std::string &Kind,
+                     const std::string &Service = "s") {
   return {
       {"name", "r-" + Host}, {"host", Host},       {"path_prefix", "/"},
       {"kind", Kind},        {"timeout_ms", 3000}, {"target_latency_ms", 2000},
-      {"priority", 1},       {"service", "s"},     {"max_staleness_ms", 2500},
+      {"priority", 1},       {"service", Service}, {"max_staleness_ms", 2500},
       {"public", false}};
 }
 
+/// What the names of the service \p Number, counted from 1, end with.
+std::string suffixOf(std::size_t Number) {
+  return Number == 1 ? std::string() : std::to_string(Number);
+}
+
 } // namespace
 
-simulated_platform::simulated_platform()
-    : StoreServer(Context.get_executor(), {},
+simulated_platform::simulated_platform(std::size_t Services)
+    : Groups(Services), Group(Groups.front()),
+      StoreServer(Context.get_executor(), {},
                   [this](http::connection &,
                          http::request Request) -> base::task<http::response> {
                     co_return Store.handle(Request);
@@ -41,30 +49,17 @@
             Refused.Status = Unavailable;
             co_return SecondStoreDown ? Refused : Store.handle(Request);
           }),
-      PromotionServer(Context.get_executor(), {},
-                      [this](http::connection &, http::request Request)
-                          -> base::task<http::response> {
-                        co_return handlePromotion(Request);
-                      }) {
-  Group.Service = "s";
-  Group.Leader = "d1";
-  for (const char *Name : {"d1", "d2", "d3"}) {
-    simulated_database Database;
-    Database.Name = Name;
-    Database.Primary = Group.Databases.empty();
-    Group.Databases.push_back(Database);
-  }
-  for (const simulated_database &Database : Group.Databases) {
-    Servers.push_back(std::make_unique<database_server>(Context.get_executor(),
-                                                        Group, Database.Name));
-    publish(Database);
-  }
+      PromotionServer(Context.get_executor(), [this](promotion_order Order) {
+        return handlePromotion(std::move(Order));
+      }) {
+  for (std::size_t Number = 1; Number <= Services; ++Number)
+    addService(Number);
   const http::address Any{"127.0.0.1", 0};
   StoreAddress = StoreServer.listen(Any).value();
   SecondStoreProxy = std::make_unique<throttled_proxy>(
       Context.get_executor(), SecondStoreServer.listen(Any).value());
   SecondStoreAddress = SecondStoreProxy->address();
-  PromotionAddress = PromotionServer.listen(Any).value();
+  PromotionAddress = PromotionServer.address();
   configure({"key"});
   Thread = std::thread([this] {
     const auto Guard = asio::make_work_guard(Context);
@@ -75,6 +70,67 @@
 simulated_platform::~simulated_platform() {
   Context.stop();
   Thread.join();
+  Proxies.clear();
+  Links.clear();
+}
+
+void simulated_platform::addService(std::size_t Number) {
+  const std::string Service = "s" + suffixOf(Number);
+  const std::string Prefix = Number == 1 ? "" : Service + "-";
+  database_group &Added = Groups.at(Number - 1);
+  Added.Service = Service;
+  Added.Leader = Prefix + "d1";
+  for (const char *Name : {"d1", "d2", "d3"}) {
+    simulated_database Database;
+    Database.Name = Prefix + Name;
+    Database.Primary = Added.Databases.empty();
+    Added.Databases.push_back(Database);
+  }
+  for (const simulated_database &Database : Added.Databases) {
+    Servers[Database.Name] = std::make_unique<database_server>(
+        Context.get_executor(), Added, Database.Name);
+    publish(Database);
+  }
+}
+
+database_group &simulated_platform::groupOf(std::string_view Name) {
+  return *std::ranges::find_if(Groups, [&](database_group &Candidate) {
+    return findDatabase(Candidate, Name) != nullptr;
+  });
+}
+
+simulated_database &simulated_platform::database(std::string_view Name) {
+  return *findDatabase(groupOf(Name), Name);
+}
+
+fault_proxy &simulated_platform::addProxy(const http::address &Server) {
+  runOnThread([&](simulated_platform &) {
+    Proxies.push_back(
+        std::make_unique<fault_proxy>(Context.get_executor(), Server));
+  });
+  return *Proxies.back();
+}
+
+peer_link &
+simulated_platform::addLink(const std::array<http::address, 2> &Peers) {
+  runOnThread([&](simulated_platform &) {
+    Links.push_back(std::make_unique<peer_link>(Context.get_executor(), Peers));
+  });
+  return *Links.back();
+}
+
+http::address simulated_platform::addStore(row_table::row_view View) {
+  http::address Address;
+  runOnThread([&](simulated_platform &) {
+    MoreStoreServers.push_back(std::make_unique<http::server>(
+        Context.get_executor(), http::server_options{},
+        [this, View](http::connection &,
+                     http::request Request) -> base::task<http::response> {
+          co_return Store.handle(Request, View);
+        }));
+    Address = MoreStoreServers.back()->listen({"127.0.0.1", 0}).value();
+  });
+  return Address;
 }
 
 void simulated_platform::runOnThread(
@@ -88,23 +144,18 @@
 }
 
 void simulated_platform::publish(const simulated_database &Database) {
-  for (const auto &Server : Servers) {
-    const std::size_t Index = &Server - Servers.data();
-    if (Group.Databases[Index].Name != Database.Name)
-      continue;
-    Store.put("servers", Database.Name,
-              json::serialize(json::object{
-                  {"service", Group.Service},
-                  {"address", toText(Server->address())},
-                  {"zone", Database.Zone},
-                  {"version", "v1"},
-                  {"slots", 5},
-                  {"state", Database.Draining ? "draining" : "ready"},
-                  {"cold_remaining_ms", Database.ColdRemaining.count()},
-                  {"database_role", Database.Primary ? "primary" : "replica"},
-                  {"sequence", 1},
-                  {"born", 1}}));
-  }
+  Store.put("servers", Database.Name,
+            json::serialize(json::object{
+                {"service", groupOf(Database.Name).Service},
+                {"address", toText(Servers.at(Database.Name)->address())},
+                {"zone", Database.Zone},
+                {"version", "v1"},
+                {"slots", 5},
+                {"state", Database.Draining ? "draining" : "ready"},
+                {"cold_remaining_ms", Database.ColdRemaining.count()},
+                {"database_role", Database.Primary ? "primary" : "replica"},
+                {"sequence", 1},
+                {"born", 1}}));
 }
 
 void simulated_platform::configure(const std::vector<std::string> &Keys,
@@ -112,6 +163,17 @@
   json::array Routes{routeOf("strict", "primary"),
                      routeOf("bounded", "bounded_staleness"),
                      routeOf("own", "read_your_writes")};
+  json::array Services;
+  for (const database_group &Each : Groups) {
+    if (const std::size_t Number = Services.size() + 1; Number > 1)
+      Routes.push_back(
+          routeOf("strict" + suffixOf(Number), "primary", Each.Service));
+    Services.push_back(json::object{{"name", Each.Service},
+                                    {"connection_limit", 50},
+                                    {"sync_replicas", Each.SynchronousReplicas},
+                                    {"cold_start_s", 20},
+                                    {"cold_per_s", 20}});
+  }
   for (std::size_t Index = 0; Index < UnusedRoutes; ++Index)
     Routes.push_back(routeOf("unused" + std::to_string(Index), "primary"));
   const json::object Customer{{"name", "acme"},
@@ -119,57 +181,53 @@
                               {"priority", 1},
                               {"rate_per_s", Rate},
                               {"burst", Rate}};
-  const json::object Service{{"name", "s"},
-                             {"connection_limit", 50},
-                             {"sync_replicas", Group.SynchronousReplicas},
-                             {"cold_start_s", 20},
-                             {"cold_per_s", 20}};
   Store.put("op", "config",
             json::serialize(json::object{
                 {"version", ++ConfigurationVersion},
                 {"routes", std::move(Routes)},
-                {"services", json::array{Service}},
+                {"services", std::move(Services)},
                 {"limits", json::object{{"transaction_idle_ms", 3000}}},
                 {"tenants", json::array{Customer}}}));
 }
 
-http::response
-simulated_platform::handlePromotion(const http::request &Request) {
-  const json::value Body = json::parse(Request.Body);
-  const std::string Name(Body.at("identifier").as_string());
-  Promotions.push_back({Name, Request.From});
-  http::response Response;
-  constexpr unsigned Conflict = 409;
-  if (!isRunning(Group, Name))
-    Response.Status = Conflict;
-  else if (PromotionTime.count() == 0)
-    promote(Group, Name);
+base::task<unsigned>
+simulated_platform::handlePromotion(promotion_order Order) {
+  const std::size_t Index = Promotions.size();
+  const std::string Name = Order.Database;
+  Promotions.push_back({std::move(Order), base::now(), std::nullopt});
+  co_await pause(Context.get_executor(), PromotionDelay);
+  if (!isRunning(groupOf(Name), Name))
+    co_return StatusConflict;
+  if (PromotionTime.count() == 0)
+    takeEffect(Promotions[Index]);
   else
-    asio::co_spawn(Context, promoteLater(Name), asio::detached);
-  publishAll();
-  return Response;
+    asio::co_spawn(Context, promoteLater(Index), asio::detached);
+  co_return StatusOk;
 }
 
-base::task<void> simulated_platform::promoteLater(std::string Name) {
-  asio::steady_timer Timer(Context, PromotionTime);
-  co_await Timer.async_wait(asio::use_awaitable);
-  promote(Group, Name);
+void simulated_platform::takeEffect(promotion &Promotion) {
+  if (promote(groupOf(Promotion.Database), Promotion.Database))
+    Promotion.EffectiveAt = base::now();
   publishAll();
 }
 
+base::task<void> simulated_platform::promoteLater(std::size_t Promotion) {
+  co_await pause(Context.get_executor(), PromotionTime);
+  takeEffect(Promotions[Promotion]);
+}
+
 void simulated_platform::publishAll() {
-  for (const simulated_database &Database : Group.Databases)
-    if (!Database.Down)
-      publish(Database);
+  for (const database_group &Each : Groups)
+    for (const simulated_database &Database : Each.Databases)
+      if (!Database.Down)
+        publish(Database);
 }
 
 void simulated_platform::crash(const std::string &Name) {
   runOnThread([&](simulated_platform &World) {
-    replicate(World.Group, base::now());
-    findDatabase(World.Group, Name)->Down = true;
-    for (std::size_t Index = 0; Index < Servers.size(); ++Index)
-      if (World.Group.Databases[Index].Name == Name)
-        Servers[Index]->dropConnections();
+    replicate(World.groupOf(Name), base::now());
+    World.database(Name).Down = true;
+    Servers.at(Name)->dropConnections();
   });
 }
 
@@ -181,23 +239,24 @@
 
 void simulated_platform::restart(const std::string &Name) {
   runOnThread([&](simulated_platform &World) {
-    simulated_database *Database = findDatabase(World.Group, Name);
-    Database->Down = false;
-    Database->Primary = World.Group.Leader == Name;
-    publish(*Database);
+    simulated_database &Database = World.database(Name);
+    Database.Down = false;
+    Database.Primary = World.groupOf(Name).Leader == Name;
+    publish(Database);
   });
 }
 
 void simulated_platform::replicateSynchronously() {
   runOnThread([](simulated_platform &World) {
-    World.Group.SynchronousReplicas = 1;
+    for (database_group &Each : World.Groups)
+      Each.SynchronousReplicas = 1;
     World.configure({"key"});
   });
 }
 
 void simulated_platform::drain(const std::string &Name) {
   runOnThread([&](simulated_platform &World) {
-    simulated_database *Database = findDatabase(World.Group, Name);
+    simulated_database *Database = &World.database(Name);
     Database->Draining = true;
     publish(*Database);
   });
@@ -206,7 +265,7 @@
 void simulated_platform::placeIn(const std::string &Name,
                                  const std::string &Zone) {
   runOnThread([&](simulated_platform &World) {
-    simulated_database *Database = findDatabase(World.Group, Name);
+    simulated_database *Database = &World.database(Name);
     Database->Zone = Zone;
     publish(*Database);
   });
@@ -227,7 +286,7 @@
 void simulated_platform::makeCold(const std::string &Name,
                                   base::milliseconds Remaining) {
   runOnThread([&](simulated_platform &World) {
-    simulated_database *Database = findDatabase(World.Group, Name);
+    simulated_database *Database = &World.database(Name);
     Database->ColdRemaining = Remaining;
     publish(*Database);
   });
--- a/tests/standins/native/simulated_platform.hpp
+++ b/tests/standins/native/simulated_platform.hpp
@@ -1,16 +1,23 @@
 #pragma once
 
+#include "common/fault_proxy.hpp"
+#include "common/peer_link.hpp"
 #include "common/throttled_proxy.hpp"
 #include "native/database_group.hpp"
 #include "native/database_server.hpp"
+#include "native/promotion_server.hpp"
 #include "native/row_table.hpp"
 
 #include "redwinggw/http/server.hpp"
 
 #include <boost/asio/io_context.hpp>
 
+#include <array>
+#include <deque>
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -20,15 +27,17 @@
 namespace redwinggw::standin {
 
 /// A received request to promote a database.
-struct promotion {
-  std::string Database;
-  std::string Orderer;
+struct promotion : promotion_order {
+  base::instant ArrivedAt;
+  /// When the database began to lead a later term.
+  std::optional<base::instant> EffectiveAt;
 };
 
 class simulated_platform {
 public:
-  /// One service "s" with the databases d1 (primary), d2 and d3.
-  simulated_platform();
+  /// \p Services services: the first is "s" with the databases d1 (primary), d2
+  /// and d3, the second "s2" with s2-d1 (primary), s2-d2 and s2-d3.
+  explicit simulated_platform(std::size_t Services = 1);
   simulated_platform(const simulated_platform &) = delete;
   simulated_platform &operator=(const simulated_platform &) = delete;
   ~simulated_platform();
@@ -59,6 +68,13 @@
   /// \p UnusedRoutes additional routes that no request uses.
   void configure(const std::vector<std::string> &Keys, double Rate = 1000,
                  std::size_t UnusedRoutes = 0);
+  /// Starts a proxy or a link, for use in runOnThread() only.
+  /// @{
+  fault_proxy &addProxy(const http::address &Server);
+  peer_link &addLink(const std::array<http::address, 2> &Peers);
+  /// @}
+  /// Another address of the same store, which serves the rows by \p View.
+  http::address addStore(row_table::row_view View);
 
   http::address StoreAddress;
   /// A second address of the same store, which can fail independently.
@@ -70,23 +86,35 @@
   row_table Store;
   bool SecondStoreDown = false;
   std::unique_ptr<throttled_proxy> SecondStoreProxy;
-  database_group Group;
+  std::deque<database_group> Groups;
+  /// The group of the first service.
+  database_group &Group;
   std::vector<promotion> Promotions;
   /// Time from an order until the database leads.
   base::milliseconds PromotionTime{0};
+  /// Time from the arrival of an order until it is handled.
+  base::milliseconds PromotionDelay{0};
+  /// The group of the database \p Name. Precondition: there is one.
+  database_group &groupOf(std::string_view Name);
+  simulated_database &database(std::string_view Name);
   /// @}
 
 private:
   void publish(const simulated_database &Database);
   void publishAll();
-  base::task<void> promoteLater(std::string Name);
-  http::response handlePromotion(const http::request &Request);
+  void addService(std::size_t Number);
+  base::task<void> promoteLater(std::size_t Promotion);
+  base::task<unsigned> handlePromotion(promotion_order Order);
+  void takeEffect(promotion &Promotion);
 
   boost::asio::io_context Context;
-  std::vector<std::unique_ptr<database_server>> Servers;
+  std::map<std::string, std::unique_ptr<database_server>> Servers;
+  std::vector<std::unique_ptr<fault_proxy>> Proxies;
+  std::vector<std::unique_ptr<peer_link>> Links;
+  std::vector<std::unique_ptr<http::server>> MoreStoreServers;
   http::server StoreServer;
   http::server SecondStoreServer;
-  http::server PromotionServer;
+  promotion_server PromotionServer;
   unsigned ConfigurationVersion = 1;
   std::thread Thread;
 };
