--- a/tests/standins/common/fault_proxy.cpp
+++ b/tests/standins/common/fault_proxy.cpp
@@ -236,6 +236,14 @@
   return Bytes;
 }
 
+bool fault_proxy::isAwaited() const {
+  return std::ranges::any_of(
+      State->open(), [](const connection_ptr &Connection) {
+        const channel &Requests = Connection->at(direction::ToServer);
+        return Requests.Held && !Requests.Ended && !Requests.Pending.empty();
+      });
+}
+
 void fault_proxy::onClientBytes(std::function<void(std::string_view)> OnBytes) {
   State->OnBytes = std::move(OnBytes);
 }
--- a/tests/standins/common/fault_proxy.hpp
+++ b/tests/standins/common/fault_proxy.hpp
@@ -40,6 +40,8 @@
 
   /// The bytes of \p Way that are kept.
   std::size_t heldBytes(direction Way) const;
+  /// Whether a client that sent bytes which are kept still waits for an answer.
+  bool isAwaited() const;
   /// Calls \p OnBytes with the bytes of clients as they arrive here.
   void onClientBytes(std::function<void(std::string_view)> OnBytes);
 
--- a/tests/standins/native/simulated_platform.cpp
+++ b/tests/standins/native/simulated_platform.cpp
@@ -195,6 +195,8 @@
   const std::size_t Index = Promotions.size();
   const std::string Name = Order.Database;
   Promotions.push_back({std::move(Order), base::now(), std::nullopt});
+  if (OnPromotion)
+    OnPromotion(Promotions.back());
   co_await pause(Context.get_executor(), PromotionDelay);
   if (!isRunning(groupOf(Name), Name))
     co_return StatusConflict;
--- a/tests/standins/native/simulated_platform.hpp
+++ b/tests/standins/native/simulated_platform.hpp
@@ -90,6 +90,8 @@
   /// The group of the first service.
   database_group &Group;
   std::vector<promotion> Promotions;
+  /// Called when an order arrives.
+  std::function<void(const promotion &)> OnPromotion;
   /// Time from an order until the database leads.
   base::milliseconds PromotionTime{0};
   /// Time from the arrival of an order until it is handled.
