Log orders, their ends, and by what a move was acknowledged

The logs could not tell the hypotheses of the incident apart: which target an order named and when it ended, with which former claim a move was resumed, and by which version each instance was counted as having acknowledged a claim. New events: move_claimed, move_acknowledged, claim_refused, promotion_ordered, promotion_order_ended. No decision changes.

--- a/packages/redwinggw/src/platform_handover.cpp
+++ b/packages/redwinggw/src/platform_handover.cpp
@@ -140,6 +140,8 @@
     co_return std::nullopt;
   claimed_move Move;
   Move.Resumed = isUnfinished(Found.Service);
+  const std::string FormerClaim = Found.Service.Value;
+  const std::string FormerOrderer = Found.Orderer.Value;
   primary_claim &Claim = Move.Claim;
   Claim.Service = Service;
   Claim.Primary = Primary;
@@ -157,9 +159,45 @@
   if (!Versions)
     co_return std::nullopt;
   Claim.Epoch = Versions->front();
+  base::logEvent(base::log_level::Info, base::log_part::Failover,
+                 "move_claimed",
+                 {{"service", Service},
+                  {"epoch", std::to_string(Claim.Epoch)},
+                  {"token", std::to_string(Claim.Token)},
+                  {"resumed", Move.Resumed ? "true" : "false"},
+                  {"former_claim", FormerClaim},
+                  {"former_orderer", FormerOrderer}});
   co_return Move;
 }
 
+/// The newest epoch of \p Service that \p Member has reported; 0 if none.
+std::uint64_t reportedEpoch(const control::member &Member,
+                            const base::service_name &Service) {
+  const auto &Groups = Member.Report.Groups;
+  const auto Found =
+      std::ranges::find(Groups, Service, &wire::group_report::Group);
+  return Found == Groups.end() ? 0 : Found->Term;
+}
+
+/// Logs by what each instance was counted as having acknowledged \p Claim: its
+/// newest version, and the epoch of the claim's service that it reported.
+void logAcknowledgements(const platform_instance_state &State,
+                         const primary_claim &Claim, bool All) {
+  std::string Instances;
+  for (const control::member &Member : State.Peers->view().Members) {
+    Instances += Instances.empty() ? "" : ", ";
+    Instances += Member.Name + " " + std::to_string(Member.KnownVersion) +
+                 " service " +
+                 std::to_string(reportedEpoch(Member, Claim.Service));
+  }
+  base::logEvent(base::log_level::Info, base::log_part::Failover,
+                 "move_acknowledged",
+                 {{"service", Claim.Service},
+                  {"epoch", std::to_string(Claim.Epoch)},
+                  {"by", All ? "all" : "half"},
+                  {"instances", Instances}});
+}
+
 /// Records which instances have acknowledged \p Claim.
 void observeAcknowledgements(const platform_instance_state &State,
                              const primary_claim &Claim,
@@ -185,13 +223,38 @@
   State.Peers->sendHeartbeatsNow();
   while (base::now() < Deadline && isCurrent(State, Claim)) {
     observeAcknowledgements(State, Claim, Acknowledged);
-    if (mayPromote(Acknowledged, State.Handover, base::now()))
+    if (mayPromote(Acknowledged, State.Handover, base::now())) {
+      logAcknowledgements(State, Claim, Acknowledged.All);
       co_return true;
+    }
     co_await pauseWithJitter(State, StepPause);
   }
   co_return false;
 }
 
+void logOrder(const platform::promotion_order &Order, std::uint64_t Epoch) {
+  base::logEvent(base::log_level::Info, base::log_part::Failover,
+                 "promotion_ordered",
+                 {{"service", Order.Service},
+                  {"epoch", std::to_string(Epoch)},
+                  {"target", Order.Endpoint},
+                  {"token", std::to_string(Order.Token)}});
+}
+
+void logOrderEnd(const primary_claim &Claim, const base::endpoint_name &Target,
+                 platform::promotion_outcome Outcome, instant Sent) {
+  const auto Took =
+      std::chrono::duration_cast<milliseconds>(base::now() - Sent);
+  base::logEvent(base::log_level::Info, base::log_part::Failover,
+                 "promotion_order_ended",
+                 {{"service", Claim.Service},
+                  {"epoch", std::to_string(Claim.Epoch)},
+                  {"target", Target},
+                  {"token", std::to_string(Claim.Token)},
+                  {"outcome", std::string(outcomeName(Outcome))},
+                  {"after_ms", std::to_string(Took.count())}});
+}
+
 /// Orders the promotion, repeatedly until the platform accepts or refuses it.
 /// False when it was refused, at \p Deadline, when a later claim is known or
 /// when one may exist unnoticed: a late order would replace the primary that
@@ -203,12 +266,15 @@
          mayTrustClaims(State)) {
     platform::promotion_order Order{Claim.Service, Target, Claim.Orderer,
                                     Claim.Token};
+    logOrder(Order, Claim.Epoch);
+    const instant Sent = base::now();
     State.PromotionsInFlight.insert(Claim.Service);
     State.Peers->setVouchesForOthers(false);
     const auto Outcome = co_await platform::orderPromotion(
         State.Promotions, std::move(Order), base::now() + PromotionTimeout);
     State.PromotionsInFlight.erase(Claim.Service);
     State.LastPromotionEndedAt = base::now();
+    logOrderEnd(Claim, Target, Outcome, Sent);
     if (Outcome != platform::promotion_outcome::Unknown)
       co_return Outcome == platform::promotion_outcome::Accepted;
     co_await pauseWithJitter(State, 5 * StepPause);
--- a/packages/redwinggw/src/platform_primaries.cpp
+++ b/packages/redwinggw/src/platform_primaries.cpp
@@ -102,8 +102,15 @@
   // promotion. An unanswered earlier order of this instance could then take
   // effect after that one, so it has to end first. The claim arrives again with
   // later heartbeats.
-  if (State.PromotionsInFlight.contains(Claim.Service))
+  if (State.PromotionsInFlight.contains(Claim.Service)) {
+    base::logEvent(base::log_level::Info, base::log_part::Failover,
+                   "claim_refused",
+                   {{"service", Claim.Service},
+                    {"epoch", std::to_string(Claim.Epoch)},
+                    {"orderer", Claim.Orderer},
+                    {"version", std::to_string(State.Claims.Version)}});
     return false;
+  }
   if (!applyClaim(State.Claims, Claim, base::now()))
     return false;
   announceClaims(State);
