--- a/packages/session/include/redwinggw/session/promotion_evidence.hpp
+++ b/packages/session/include/redwinggw/session/promotion_evidence.hpp
@@ -52,6 +52,11 @@
 bool holdsAcknowledged(const std::vector<log_holder> &Holders,
                        const log_holder &Target, unsigned SynchronousReplicas);
 
+/// Whether \p Holder has answered and may be promoted by \p Rule. Precondition:
+/// it is one of \p Holders. Thread safe.
+bool isAcceptable(const std::vector<log_holder> &Holders,
+                  const log_holder &Holder, const promotion_rule &Rule);
+
 /// The endpoint to promote. Null while none is proven to hold all acknowledged
 /// commits; with no synchronous replicas there is no such proof, and the most
 /// advanced one of the agreed term is chosen. Of several that meet the rule,
--- a/packages/session/src/promotion_evidence.cpp
+++ b/packages/session/src/promotion_evidence.cpp
@@ -11,18 +11,6 @@
   return !Holder.Received || *Holder.Received > Than;
 }
 
-bool isAcceptable(const std::vector<log_holder> &Holders,
-                  const log_holder &Holder, const promotion_rule &Rule) {
-  if (!Holder.Eligible || !Holder.Received)
-    return false;
-  if (Rule.Needed && *Holder.Received < *Rule.Needed)
-    return false;
-  // The proof covers the commits of all terms.
-  return Rule.SynchronousReplicas == 0
-             ? Holder.Term >= Rule.AgreedTerm
-             : holdsAcknowledged(Holders, Holder, Rule.SynchronousReplicas);
-}
-
 } // namespace
 
 bool holdsAcknowledged(const std::vector<log_holder> &Holders,
@@ -35,6 +23,18 @@
   return static_cast<std::size_t>(Ahead) <= SynchronousReplicas;
 }
 
+bool isAcceptable(const std::vector<log_holder> &Holders,
+                  const log_holder &Holder, const promotion_rule &Rule) {
+  if (!Holder.Eligible || !Holder.Received)
+    return false;
+  if (Rule.Needed && *Holder.Received < *Rule.Needed)
+    return false;
+  // The proof covers the commits of all terms.
+  return Rule.SynchronousReplicas == 0
+             ? Holder.Term >= Rule.AgreedTerm
+             : holdsAcknowledged(Holders, Holder, Rule.SynchronousReplicas);
+}
+
 const log_holder *chooseTarget(const std::vector<log_holder> &Holders,
                                const promotion_rule &Rule) {
   // Where acceptable endpoints need not hold all that was acknowledged, each
