Do not order another endpoint while an order of the move before may arrive

A model of moves (tests/session/promotion_model.hpp) runs decideOrder, hasTakenEffect and applyClaim over all interleavings of two orderers, an instance that only acknowledges and writes, three databases, the platform and the rows, for one service and for two that share the orderer's row.

It found a fault of decideOrder: with an empty target ("nothing was ordered in this move") OrdersSettled was not looked at, but an order of the move before, by the same holder and so without a change of turn, may still arrive:

claim 0, all acknowledge, record 1, POST 1 gets no answer (given up), record, POST 1 again: accepted. 1 leads term 2, agreed, row written. Claim of a move from 1, all acknowledge, record 0 (which has followed 1), POST 0: accepted, 0 leads term 3, agreed. The first POST 1 takes effect: 1 leads term 4 while 0 is the agreed primary and in use.

No order was later than the settle time. Now a move in which nothing was ordered yet chooses and adopts only when all orders have settled; the old primary, which is the target of those that may still arrive, may be kept at once.

--- a/packages/session/include/redwinggw/session/promotion_order.hpp
+++ b/packages/session/include/redwinggw/session/promotion_order.hpp
@@ -46,7 +46,8 @@
   /// The recorded target; empty while no promotion was ordered in this move,
   /// nothing if that is not known.
   std::optional<base::endpoint_name> Target;
-  /// No order that was sent for Target can take effect any more.
+  /// No order that was sent for Target, or in earlier moves for Primary, can
+  /// take effect any more.
   bool OrdersSettled = false;
   /// Replicas have had the time to receive what the old primary has.
   bool MayKeepPrimary = false;
--- a/packages/session/src/promotion_order.cpp
+++ b/packages/session/src/promotion_order.cpp
@@ -59,17 +59,21 @@
 
 order_decision decideOrder(const order_view &View) {
   const bool NoneOrdered = View.Target && View.Target->empty();
-  const bool Fixed = !NoneOrdered && !View.OrdersSettled;
+  // Orders that have not settled are for the target, or for the primary if they
+  // were sent in the move before.
+  const auto Ordered = NoneOrdered ? View.Primary : View.Target;
   const log_holder *Promoted = promotedSince(View);
-  if (Promoted != nullptr && (!Fixed || View.Target == Promoted->Name))
+  if (Promoted != nullptr && (View.OrdersSettled || Ordered == Promoted->Name))
     return decisionFor(View, order_step::Adopt, *Promoted);
   const log_holder *Target =
       NoneOrdered || !View.Target ? nullptr : findHolder(View, *View.Target);
   if (Target != nullptr && isStillTarget(View, *Target))
     return decisionFor(View, order_step::Order, *Target);
-  if (Fixed)
+  if (!NoneOrdered && !View.OrdersSettled)
     return {};
-  if (const log_holder *Chosen = chooseTarget(View.Holders, View.Rule))
+  const log_holder *Chosen =
+      View.OrdersSettled ? chooseTarget(View.Holders, View.Rule) : nullptr;
+  if (Chosen != nullptr)
     return decisionFor(View, order_step::Order, *Chosen);
   const log_holder *Old = findHolder(View, View.Primary);
   if (Old == nullptr || !View.MayKeepPrimary)
--- /dev/null
+++ b/tests/session/promotion_model_test.cpp
@@ -0,0 +1,138 @@
+#include "promotion_search.hpp"
+
+#include "criterion_test.hpp"
+
+using namespace redwinggw::promotion_model;
+
+namespace {
+
+constexpr std::size_t Unlimited = 2'000'000;
+
+setting withoutFaults() {
+  setting Setting;
+  Setting.Delays = 0;
+  Setting.InstanceFaults = 0;
+  Setting.DatabaseFaults = 0;
+  Setting.Takeovers = 0;
+  Setting.Abandons = 0;
+  return Setting;
+}
+
+/// Checks every reachable state: no rule is broken, and an agreed primary can
+/// be reached without further faults.
+void checkAll(const setting &Setting) {
+  const search_result Result = searchAll(Setting, Unlimited);
+  cr_assert(Result.Broken == fault::None, "%s", Result.Trace.c_str());
+  cr_assert(Result.Complete);
+  cr_assert(Result.Stuck == 0, "%s", Result.Trace.c_str());
+}
+
+} // namespace
+
+// Guards against a move that ends in the wrong primary without any fault.
+Test(promotion_model, moves_without_faults) { checkAll(withoutFaults()); }
+
+// Guards against an order of an earlier move that promotes its target once
+// more.
+Test(promotion_model, keeps_one_primary_in_two_moves_in_a_row) {
+  setting Setting = withoutFaults();
+  Setting.Moves = 2;
+  Setting.Delays = 1;
+  Setting.DatabaseFaults = 1;
+  checkAll(Setting);
+}
+
+// Guards against two orderers of one service with delayed orders.
+Test(promotion_model, takes_over_while_orders_are_under_way) {
+  setting Setting = withoutFaults();
+  Setting.Delays = 2;
+  Setting.Takeovers = 1;
+  Setting.Abandons = 1;
+  checkAll(Setting);
+}
+
+// Guards against an orderer that is cut off, freezes or ends at any step.
+Test(promotion_model, survives_the_loss_of_an_instance) {
+  setting Setting = withoutFaults();
+  Setting.Delays = 2;
+  Setting.InstanceFaults = 1;
+  checkAll(Setting);
+}
+
+// Guards against the loss of an instance between two moves.
+Test(promotion_model, survives_the_loss_of_an_instance_in_two_moves) {
+  setting Setting = withoutFaults();
+  Setting.Moves = 2;
+  Setting.Takeovers = 1;
+  Setting.InstanceFaults = 1;
+  checkAll(Setting);
+}
+
+// Guards against a target that is silent, refused or empty when its order
+// arrives.
+Test(promotion_model, survives_the_loss_of_a_database) {
+  setting Setting = withoutFaults();
+  Setting.Delays = 2;
+  Setting.DatabaseFaults = 1;
+  Setting.Abandons = 1;
+  checkAll(Setting);
+}
+
+// Guards against a takeover at the moment when the target is lost.
+Test(promotion_model, takes_over_without_the_target) {
+  setting Setting = withoutFaults();
+  Setting.Delays = 1;
+  Setting.DatabaseFaults = 1;
+  Setting.Takeovers = 1;
+  for (const number SynchronousReplicas : {0, 1}) {
+    Setting.SynchronousReplicas = SynchronousReplicas;
+    checkAll(Setting);
+  }
+}
+
+// Guards against the loss of an instance and of a database in one move.
+Test(promotion_model, survives_two_losses) {
+  setting Setting = withoutFaults();
+  Setting.Delays = 1;
+  Setting.InstanceFaults = 1;
+  Setting.DatabaseFaults = 1;
+  checkAll(Setting);
+}
+
+// Guards against a first move, before which no term is agreed on, that takes
+// the old primary for a promoted one.
+Test(promotion_model, begins_without_an_agreed_term) {
+  setting Setting = withoutFaults();
+  Setting.AgreedTerm = 0;
+  Setting.Delays = 1;
+  Setting.DatabaseFaults = 1;
+  Setting.Takeovers = 1;
+  checkAll(Setting);
+}
+
+// Guards against a service without a primary for good after an order that came
+// later than orders can.
+Test(promotion_model, recovers_from_an_order_after_the_settle_time) {
+  setting Setting = withoutFaults();
+  Setting.Delays = 1;
+  Setting.Lates = 1;
+  Setting.DatabaseFaults = 1;
+  Setting.Takeovers = 1;
+  checkAll(Setting);
+}
+
+// Guards against rare orders of events beyond the searched ones.
+Test(promotion_model, keeps_the_rules_on_random_walks) {
+  setting Setting;
+  Setting.Moves = 2;
+  Setting.InstanceFaults = 2;
+  Setting.DatabaseFaults = 2;
+  Setting.Takeovers = 3;
+  Setting.Abandons = 2;
+  constexpr std::size_t Walks = 500;
+  constexpr std::size_t Steps = 200;
+  for (const std::uint32_t Seed : {1U, 2U, 3U, 4U}) {
+    const search_result Result = walk(Setting, Seed, Walks, Steps);
+    cr_assert(Result.Broken == fault::None, "%s", Result.Trace.c_str());
+  }
+}
--- /dev/null
+++ b/tests/session/promotion_services_test.cpp
@@ -0,0 +1,57 @@
+#include "promotion_search.hpp"
+
+#include "criterion_test.hpp"
+
+using namespace redwinggw::promotion_model;
+
+namespace {
+
+setting twoServices() {
+  setting Setting;
+  Setting.Services = 2;
+  Setting.Delays = 0;
+  Setting.InstanceFaults = 0;
+  Setting.DatabaseFaults = 0;
+  Setting.Takeovers = 0;
+  Setting.Abandons = 0;
+  return Setting;
+}
+
+} // namespace
+
+// Guards against moves of two services that block each other by the row which
+// they share.
+Test(promotion_services, moves_two_services) {
+  constexpr std::size_t Unlimited = 2'000'000;
+  const search_result Result = searchAll(twoServices(), Unlimited);
+  cr_assert(Result.Broken == fault::None, "%s", Result.Trace.c_str());
+  cr_assert(Result.Complete);
+  cr_assert(Result.Stuck == 0, "%s", Result.Trace.c_str());
+}
+
+// Guards against orders of two services whose orderer changes between them.
+Test(promotion_services, takes_over_one_of_two_services) {
+  constexpr std::size_t Nearest = 400'000;
+  setting Setting = twoServices();
+  Setting.Delays = 1;
+  Setting.Takeovers = 1;
+  const search_result Result = searchAll(Setting, Nearest);
+  cr_assert(Result.Broken == fault::None, "%s", Result.Trace.c_str());
+}
+
+// Guards against rare orders of events in two services.
+Test(promotion_services, keeps_the_rules_on_random_walks) {
+  setting Setting = twoServices();
+  Setting.Moves = 2;
+  Setting.Delays = 2;
+  Setting.InstanceFaults = 2;
+  Setting.DatabaseFaults = 2;
+  Setting.Takeovers = 4;
+  Setting.Abandons = 2;
+  constexpr std::size_t Walks = 500;
+  constexpr std::size_t Steps = 250;
+  for (const std::uint32_t Seed : {1U, 2U, 3U, 4U}) {
+    const search_result Result = walk(Setting, Seed, Walks, Steps);
+    cr_assert(Result.Broken == fault::None, "%s", Result.Trace.c_str());
+  }
+}
