Model commits in doubt, restarts and endless moves

An instance may start again without its memory, and a commit may take effect though its answer is lost. The search also finds states from which faultless transitions may go on for ever without an agreed primary.

Two requirements on orderers come from it, each with a mutation that fails: - The name in the orderer's row is no proof of the turn. Y's order is under way; X claims, the commit is done, its answer is lost; X claims again, reads its own name and keeps token and turn, and orders while Y's order may arrive. An instance is the holder only if it knows of the commit that wrote the row. - Two orderers of two services end each other's moves: each claim voids the other's record.

The sources of the model are split by who acts.

--- a/tests/session/promotion_model.hpp
+++ b/tests/session/promotion_model.hpp
@@ -153,6 +153,7 @@
   number DatabaseFaultsLeft = 0;
   number TakeoversLeft = 0;
   number AbandonsLeft = 0;
+  number DoubtsLeft = 0;
   fault Broken = fault::None;
 };
 
@@ -186,6 +187,9 @@
   bool TurnsByHolder = true;
   /// A claim from an earlier time as the holder orders nothing more.
   bool TasksEndWithTenure = true;
+  /// An instance that the orderer's row names is the holder only if it knows of
+  /// the commit that wrote it.
+  bool KnowsOwnTenure = true;
 };
 
 struct setting {
@@ -200,6 +204,12 @@
   number DatabaseFaults = 1;
   number Takeovers = 1;
   number Abandons = 1;
+  /// Commits that take effect though the store's answer is lost.
+  number Doubts = 0;
+  /// Whether a crashed instance may start again, without its memory.
+  bool Restarts = false;
+  /// Instance 1 leaves a move to instance 0 once it has lost the orderer's row.
+  bool LeavesLostMoves = false;
   number SynchronousReplicas = 0;
   number AgreedTerm = 1;
 };
--- a/tests/session/promotion_model_test.cpp
+++ b/tests/session/promotion_model_test.cpp
@@ -20,17 +20,25 @@
 
 /// Checks every reachable state: no rule is broken, and an agreed primary can
 /// be reached without further faults.
-void checkAll(const setting &Setting) {
-  const search_result Result = searchAll(Setting, Unlimited);
+search_result checkAll(const setting &Setting) {
+  search_result Result = searchAll(Setting, Unlimited);
   cr_assert(Result.Broken == fault::None, "%s", Result.Trace.c_str());
   cr_assert(Result.Complete);
   cr_assert(Result.Stuck == 0, "%s", Result.Trace.c_str());
+  return Result;
+}
+
+/// Checks besides that an agreed primary is reached, whatever happens in which
+/// order.
+void checkProgress(const setting &Setting) {
+  const search_result Result = checkAll(Setting);
+  cr_assert(Result.Endless == 0, "%s", Result.Trace.c_str());
 }
 
 } // namespace
 
 // Guards against a move that ends in the wrong primary without any fault.
-Test(promotion_model, moves_without_faults) { checkAll(withoutFaults()); }
+Test(promotion_model, moves_without_faults) { checkProgress(withoutFaults()); }
 
 // Guards against an order of an earlier move that promotes its target once
 // more.
@@ -39,7 +47,7 @@
   Setting.Moves = 2;
   Setting.Delays = 1;
   Setting.DatabaseFaults = 1;
-  checkAll(Setting);
+  checkProgress(Setting);
 }
 
 // Guards against two orderers of one service with delayed orders.
@@ -48,15 +56,30 @@
   Setting.Delays = 2;
   Setting.Takeovers = 1;
   Setting.Abandons = 1;
-  checkAll(Setting);
+  checkProgress(Setting);
 }
 
-// Guards against an orderer that is cut off, freezes or ends at any step.
+// Guards against an orderer that is cut off, freezes, ends or starts again at
+// any step.
 Test(promotion_model, survives_the_loss_of_an_instance) {
   setting Setting = withoutFaults();
   Setting.Delays = 2;
   Setting.InstanceFaults = 1;
-  checkAll(Setting);
+  Setting.Restarts = true;
+  checkProgress(Setting);
+}
+
+// Guards against commits that took effect though the store did not answer.
+Test(promotion_model, survives_commits_in_doubt) {
+  setting Setting = withoutFaults();
+  Setting.Delays = 1;
+  Setting.Doubts = 1;
+  Setting.Takeovers = 1;
+  checkProgress(Setting);
+  Setting.Takeovers = 0;
+  Setting.InstanceFaults = 1;
+  Setting.Restarts = true;
+  checkProgress(Setting);
 }
 
 // Guards against the loss of an instance between two moves.
@@ -65,7 +88,7 @@
   Setting.Moves = 2;
   Setting.Takeovers = 1;
   Setting.InstanceFaults = 1;
-  checkAll(Setting);
+  checkProgress(Setting);
 }
 
 // Guards against a target that is silent, refused or empty when its order
@@ -75,7 +98,7 @@
   Setting.Delays = 2;
   Setting.DatabaseFaults = 1;
   Setting.Abandons = 1;
-  checkAll(Setting);
+  checkProgress(Setting);
 }
 
 // Guards against a takeover at the moment when the target is lost.
@@ -86,7 +109,7 @@
   Setting.Takeovers = 1;
   for (const number SynchronousReplicas : {0, 1}) {
     Setting.SynchronousReplicas = SynchronousReplicas;
-    checkAll(Setting);
+    checkProgress(Setting);
   }
 }
 
@@ -96,7 +119,7 @@
   Setting.Delays = 1;
   Setting.InstanceFaults = 1;
   Setting.DatabaseFaults = 1;
-  checkAll(Setting);
+  checkProgress(Setting);
 }
 
 // Guards against a first move, before which no term is agreed on, that takes
@@ -107,7 +130,7 @@
   Setting.Delays = 1;
   Setting.DatabaseFaults = 1;
   Setting.Takeovers = 1;
-  checkAll(Setting);
+  checkProgress(Setting);
 }
 
 // Guards against a service without a primary for good after an order that came
@@ -129,7 +152,9 @@
   Setting.DatabaseFaults = 2;
   Setting.Takeovers = 3;
   Setting.Abandons = 2;
-  constexpr std::size_t Walks = 500;
+  Setting.Doubts = 2;
+  Setting.Restarts = true;
+  constexpr std::size_t Walks = 3000;
   constexpr std::size_t Steps = 200;
   for (const std::uint32_t Seed : {1U, 2U, 3U, 4U}) {
     const search_result Result = walk(Setting, Seed, Walks, Steps);
--- a/tests/session/promotion_search.cpp
+++ b/tests/session/promotion_search.cpp
@@ -78,33 +78,59 @@
   return Trace;
 }
 
-/// Adds the states from which a settled one is not reachable.
-void findStuck(const setting &Setting, graph &Graph, search_result &Result) {
-  std::ranges::sort(Graph.Edges, {}, &edge::To);
-  std::vector<bool> Reaches(Graph.Visits.size());
+using state_set = std::vector<bool>;
+
+/// The settled states, and those from which one of the edges leads to a settled
+/// one, or every one if \p All. Precondition: the edges are sorted by their
+/// ends.
+state_set settling(const setting &Setting, const graph &Graph, bool All) {
+  std::vector<std::uint32_t> Left(Graph.Visits.size(), 1);
+  if (All) {
+    std::ranges::fill(Left, 0);
+    for (const edge &Edge : Graph.Edges)
+      ++Left[Edge.From];
+  }
+  state_set Found(Graph.Visits.size());
   std::vector<std::uint32_t> Queue;
-  const auto Add = [&](std::uint32_t At) {
-    if (Reaches[At])
-      return;
-    Reaches[At] = true;
-    Queue.push_back(At);
-  };
   for (std::uint32_t At = 0; At < Graph.Visits.size(); ++At)
-    if (isSettled(Setting, *Graph.Visits[At].State))
-      Add(At);
+    if (isSettled(Setting, *Graph.Visits[At].State)) {
+      Found[At] = true;
+      Queue.push_back(At);
+    }
   while (!Queue.empty()) {
     const std::uint32_t To = Queue.back();
     Queue.pop_back();
     for (const edge &Edge :
-         std::ranges::equal_range(Graph.Edges, To, {}, &edge::To))
-      Add(Edge.From);
-  }
-  Result.Stuck = static_cast<std::size_t>(std::ranges::count(Reaches, false));
-  if (Result.Stuck != 0) {
-    const auto First = std::ranges::find(Reaches, false);
-    Result.Trace = traceTo(Setting, Graph,
-                           static_cast<std::size_t>(First - Reaches.begin()));
+         std::ranges::equal_range(Graph.Edges, To, {}, &edge::To)) {
+      if (Found[Edge.From] || --Left[Edge.From] != 0)
+        continue;
+      Found[Edge.From] = true;
+      Queue.push_back(Edge.From);
+    }
   }
+  return Found;
+}
+
+std::string traceToFirst(const setting &Setting, const graph &Graph,
+                         const state_set &Not) {
+  const auto First = std::ranges::find(Not, false);
+  return traceTo(Setting, Graph, static_cast<std::size_t>(First - Not.begin()));
+}
+
+void checkProgress(const setting &Setting, graph &Graph,
+                   search_result &Result) {
+  std::ranges::sort(Graph.Edges, {}, &edge::To);
+  const auto Not = [](const state_set &Set) {
+    return static_cast<std::size_t>(std::ranges::count(Set, false));
+  };
+  const state_set Can = settling(Setting, Graph, false);
+  const state_set Must = settling(Setting, Graph, true);
+  Result.Stuck = Not(Can);
+  Result.Endless = Not(Must) - Result.Stuck;
+  if (Result.Stuck != 0)
+    Result.Trace = traceToFirst(Setting, Graph, Can);
+  else if (Result.Endless != 0)
+    Result.Trace = traceToFirst(Setting, Graph, Must);
 }
 
 } // namespace
@@ -132,7 +158,7 @@
   Result.States = Graph.Visits.size();
   Result.Complete = At == Graph.Visits.size();
   if (Result.Complete)
-    findStuck(Setting, Graph, Result);
+    checkProgress(Setting, Graph, Result);
   return Result;
 }
 
--- a/tests/session/promotion_search.hpp
+++ b/tests/session/promotion_search.hpp
@@ -14,6 +14,8 @@
   fault Broken = fault::None;
   /// States from which no agreed primary can be reached without faults.
   std::size_t Stuck = 0;
+  /// States from which faultless transitions may go on for ever without one.
+  std::size_t Endless = 0;
   /// The shortest way to the fault, or to the first stuck state.
   std::string Trace;
 };
--- a/tests/session/promotion_tasks.hpp
+++ b/tests/session/promotion_steps.hpp
@@ -2,7 +2,7 @@
 
 #include "promotion_model.hpp"
 
-/// The orderer's steps of promotion_model.hpp.
+/// The transitions of promotion_model.hpp.
 namespace redwinggw::promotion_model {
 
 /// Collects what can happen next.
@@ -24,7 +24,8 @@
 bool withholdsClaims(const setting &Setting, const state &State,
                      number Instance, number Service);
 
-void clearTask(task &Task);
+/// Whether the orderer reaches the store and has its lease.
+bool isHere(const state &State, number Orderer);
 
 /// The order neither takes effect any more nor is awaited.
 void removeOrder(state &State, std::size_t At);
@@ -34,7 +35,13 @@
 number unsettledOrders(const setting &Setting, const state &State,
                        number Service);
 
+void addClaim(collector &Collector, number Orderer, number Service);
+void addAcknowledged(collector &Collector, number Orderer, number Service);
 /// All that \p Orderer can do for \p Service.
 void addTaskSteps(collector &Collector, number Orderer, number Service);
+void addOrderSteps(collector &Collector, std::size_t At);
+void addDatabaseSteps(collector &Collector, number Service, number At);
+void addInstanceSteps(collector &Collector, number At);
+void addInstanceFaults(collector &Collector);
 
 } // namespace redwinggw::promotion_model
--- a/tests/session/promotion_tasks.cpp
+++ b/tests/session/promotion_tasks.cpp
@@ -1,4 +1,4 @@
-#include "promotion_tasks.hpp"
+#include "promotion_steps.hpp"
 
 #include "redwinggw/session/handover.hpp"
 #include "redwinggw/session/promotion_order.hpp"
@@ -21,132 +21,11 @@
   return static_cast<number>(std::stoi(Name));
 }
 
-bool isHere(const state &State, number Orderer) {
-  return State.Instances[Orderer].Contact == contact::Up &&
-         State.Instances[Orderer].Lease;
-}
-
 bool isCurrent(const state &State, number Orderer, number Service) {
   return State.Instances[Orderer].Known[Service].Epoch ==
          State.Orderers[Orderer].Tasks[Service].Epoch;
 }
 
-/// Whether another instance than the row's orderer may begin the move again
-/// without a fault: the orderer is gone, or has given it up.
-bool isAbandoned(const state &State, number Service) {
-  const number Former = State.Services[Service].Row.Orderer;
-  return Former >= OrdererCount ||
-         State.Instances[Former].Contact != contact::Up ||
-         State.Orderers[Former].Tasks[Service].Step == task_step::Idle;
-}
-
-void writeClaim(const setting &Setting, state &State, number Orderer,
-                number Service) {
-  service &Row = State.Services[Service];
-  claim &Known = State.Instances[Orderer].Known[Service];
-  orderer &Self = State.Orderers[Orderer];
-  const bool Resumed = Row.Row.Moving;
-  if (!Resumed || !Setting.Guards.ResumesTarget)
-    Row.RowTarget = NoDatabase;
-  ++State.StoreVersion;
-  Row.Row = {State.StoreVersion, true, Known.Primary, Orderer, Known.Term};
-  Known = Row.Row;
-  Known.Orderer = 0;
-  if (State.RowHolder != Orderer) {
-    State.RowHolder = Orderer;
-    ++State.RowToken;
-    Self.Turn = turn::NotBegun;
-    Self.TurnWaitsFor = 0;
-    Self.HeldSince = State.StoreVersion;
-    for (task &Other : Self.Tasks)
-      Other.Former =
-          Other.Step != task_step::Idle && Setting.Guards.TasksEndWithTenure;
-  }
-  State.RowVersion = State.StoreVersion;
-  Self.RowVersion = State.StoreVersion;
-  Self.Token = State.RowToken;
-  task &Task = Self.Tasks[Service];
-  clearTask(Task);
-  Task.Step = task_step::Claimed;
-  Task.Epoch = State.StoreVersion;
-  Task.Target = Row.RowTarget;
-  Task.Resumed = Resumed;
-}
-
-void addClaim(collector &Collector, number Orderer, number Service) {
-  // The instances are alike: the first to claim is called 0.
-  const bool First = Collector.State.RowHolder == InstanceCount;
-  if (!isHere(Collector.State, Orderer) || (First && Orderer != 0))
-    return;
-  state Read = Collector.State;
-  learnRows(Collector.Setting, Read, Orderer);
-  const service &Row = Read.Services[Service];
-  const claim &Known = Read.Instances[Orderer].Known[Service];
-  // A claim that this instance does not accept yet.
-  if (Known.Epoch < Row.Row.Epoch)
-    return;
-  const bool Resumes = Known.Moving;
-  const bool Free =
-      Resumes && (Row.Row.Orderer == Orderer || isAbandoned(Read, Service));
-  // The agreed primary was replaced by a late order.
-  const bool Replaced =
-      !Resumes && Read.LateUsed && Row.Leader != Known.Primary;
-  if (!Resumes && !Replaced && Row.MovesLeft == 0)
-    return;
-  if (Resumes && !Free && Read.TakeoversLeft == 0)
-    return;
-  state &Next = add(Collector, Resumes ? "resume" : "claim", Orderer, Service,
-                    !Free && !Replaced);
-  Next = Read;
-  if (!Resumes && !Replaced)
-    --Next.Services[Service].MovesLeft;
-  if (Resumes && !Free)
-    --Next.TakeoversLeft;
-  writeClaim(Collector.Setting, Next, Orderer, Service);
-}
-
-bool hasAcknowledged(const setting &Setting, const state &State,
-                     number Instance, number Service, number Epoch) {
-  const auto &Known = State.Instances[Instance].Known;
-  if (Setting.Guards.AcknowledgesByService)
-    return Known[Service].Epoch >= Epoch;
-  return std::ranges::max(Known, {}, &claim::Epoch).Epoch >= Epoch;
-}
-
-void addAcknowledged(collector &Collector, number Orderer, number Service) {
-  const state &State = Collector.State;
-  const number Epoch = State.Orderers[Orderer].Tasks[Service].Epoch;
-  std::size_t Count = 0;
-  bool RestHasNoLease = true;
-  number Term = 0;
-  for (number At = 0; At < InstanceCount; ++At) {
-    const instance &Instance = State.Instances[At];
-    if (hasAcknowledged(Collector.Setting, State, At, Service, Epoch)) {
-      ++Count;
-      Term = std::max(Term, Instance.Known[Service].Term);
-    } else if (Instance.Lease) {
-      RestHasNoLease = false;
-    }
-  }
-  const bool Enough =
-      Count == InstanceCount || (2 * Count >= InstanceCount && RestHasNoLease);
-  if (!Enough || State.Instances[Orderer].Contact != contact::Up)
-    return;
-  auto &Next = add(Collector, "acknowledged", Orderer, Service);
-  orderer &Self = Next.Orderers[Orderer];
-  Next.Instances[Orderer].Known[Service].Term = Term;
-  Self.Tasks[Service].Step = task_step::Deciding;
-  Self.Tasks[Service].Unsettled =
-      unsettledOrders(Collector.Setting, Next, Service);
-  // Acknowledgements of a claim from before the former holder's time say
-  // nothing about its orders.
-  if (Self.Turn == turn::NotBegun &&
-      (Epoch >= Self.HeldSince || !Collector.Setting.Guards.TurnsByHolder)) {
-    Self.Turn = turn::Waiting;
-    Self.TurnWaitsFor = unsettledOrders(Collector.Setting, Next, MaxServices);
-  }
-}
-
 std::vector<session::log_holder> holdersOf(const service &Service,
                                            number Primary) {
   constexpr base::log_position Position = 10;
@@ -225,7 +104,7 @@
       add(Collector, Unchanged ? "record" : "record refused", Orderer, Target);
   task &NextTask = Next.Orderers[Orderer].Tasks[Service];
   if (!Unchanged) {
-    clearTask(NextTask);
+    NextTask = {};
     return;
   }
   if (isStale(Collector.Setting, Row, Target, Task,
@@ -246,6 +125,13 @@
   NextTask.StartNewest = static_cast<number>(Decision.Start.Newest);
   NextTask.StartLed = Decision.Start.Led;
   NextTask.Step = task_step::Recorded;
+  if (Next.DoubtsLeft == 0)
+    return;
+  state Doubt = Next;
+  --Doubt.DoubtsLeft;
+  Doubt.Instances[Orderer] = State.Instances[Orderer];
+  Doubt.Orderers[Orderer].Tasks[Service] = {};
+  add(Collector, "record in doubt", Orderer, Target, true) = Doubt;
 }
 
 /// A primary by its role alone.
@@ -294,7 +180,7 @@
   if (!State.Instances[Orderer].Lease || Task.Former ||
       !isCurrent(State, Orderer, Service)) {
     auto &Next = add(Collector, "not sent", Orderer, Service);
-    clearTask(Next.Orderers[Orderer].Tasks[Service]);
+    Next.Orderers[Orderer].Tasks[Service] = {};
     return;
   }
   const auto Free =
@@ -365,7 +251,13 @@
     Row.Row.Orderer = Orderer;
     Row.RowTarget = NoDatabase;
   }
-  clearTask(Next.Orderers[Orderer].Tasks[Service]);
+  Next.Orderers[Orderer].Tasks[Service] = {};
+  if (!Unchanged || Next.DoubtsLeft == 0)
+    return;
+  state Doubt = Next;
+  --Doubt.DoubtsLeft;
+  Doubt.Instances[Orderer] = State.Instances[Orderer];
+  add(Collector, "end in doubt", Orderer, Service, true) = Doubt;
 }
 
 void addAbandon(collector &Collector, number Orderer, number Service) {
@@ -373,7 +265,7 @@
     return;
   auto &Next = add(Collector, "abandon", Orderer, Service, true);
   --Next.AbandonsLeft;
-  clearTask(Next.Orderers[Orderer].Tasks[Service]);
+  Next.Orderers[Orderer].Tasks[Service] = {};
 }
 
 } // namespace
