Acknowledge a move only when all earlier ones are known

Cause: an instance counted as having acknowledged a claim when its newest epoch, of any service, was at least the claim's. Epochs are versions of one counter, so it counted without knowing the claim when it had finished a move of another service (that commit checks only its own row), and when it had refused the claim since its own order was unanswered, and then accepted a later one of another service. Class: a scalar that stands for several things, taken for evidence of one of them.

Change: an instance announces the epoch up to which it knows every move that was begun. Complete reads of the rows raise it, reports of instances that know as much, and an own claim, since claims are serialised by the orderer's row. The end of a move does not. A claim is no longer refused while an own order is unanswered: the primary is given up, and the acknowledgement waits.

Tests: the last check of the second case asserted that the claim is refused; now it asserts that the lease is given up and the claim not acknowledged. The later claim in claim_acknowledgement_test names the second orderer, as a claim of a third one would have taken the orderer's row from it.

--- a/packages/redwinggw/src/platform_fleet.cpp
+++ b/packages/redwinggw/src/platform_fleet.cpp
@@ -69,10 +69,19 @@
   startForwarding(State, Secret);
 }
 
-/// Applies the rows of the fleet. True when this instance's row is among them.
-bool acceptFleetRows(platform_instance_state &State,
-                     const platform::table_rows &Rows) {
+/// What the rows of the fleet contain.
+struct fleet_rows {
+  /// This instance's row is among them.
+  bool Listed = false;
+  /// The newest epoch of all claims.
+  std::uint64_t NewestEpoch = 0;
+};
+
+/// Applies the rows of the fleet.
+fleet_rows acceptFleetRows(platform_instance_state &State,
+                           const platform::table_rows &Rows) {
   std::vector<storage::listed_instance> Listed;
+  fleet_rows Found;
   State.InstanceRowVersions.clear();
   State.FleetVersion = Rows.Version;
   for (const platform::table_row &Row : Rows.Rows) {
@@ -85,10 +94,14 @@
       continue;
     if (const auto Claim = session::readClaim(Row.Key, Row.Version, Row.Value))
       acceptClaim(State, *Claim);
+    Found.NewestEpoch = std::max(Found.NewestEpoch, Row.Version);
   }
+  acknowledgeClaims(State, Found.NewestEpoch);
   State.Peers->setList(Listed);
-  return std::ranges::find(Listed, State.Settings.Name,
-                           &storage::listed_instance::Name) != Listed.end();
+  Found.Listed =
+      std::ranges::find(Listed, State.Settings.Name,
+                        &storage::listed_instance::Name) != Listed.end();
+  return Found;
 }
 
 /// Least interval between two reads when a heartbeat reported a change. All
@@ -145,12 +158,12 @@
 /// is among them.
 bool noteFleetRows(platform_instance_state &State,
                    const platform::table_rows &Rows, base::instant Sent) {
-  const bool Listed = acceptFleetRows(State, Rows);
-  State.Peers->noteStoreRead(Sent, base::now(), State.Claims.Version);
+  const fleet_rows Found = acceptFleetRows(State, Rows);
+  State.Peers->noteStoreRead(Sent, base::now(), Found.NewestEpoch);
   State.FleetReadAt = Sent;
-  if (Listed)
+  if (Found.Listed)
     State.RegistrationPendingSince.reset();
-  return Listed;
+  return Found.Listed;
 }
 
 /// Waits for a random time, in which another instance may create the secret: if
@@ -213,7 +226,7 @@
 
 /// Whether a claim is known to exist that only the rows can tell here.
 bool lacksClaims(const platform_instance_state &State) {
-  return State.Peers->view().Store.HeadVersion > State.Claims.Version;
+  return State.Peers->view().Store.HeadVersion > State.Claims.CompleteUpTo;
 }
 
 /// Takes the list of instances from a relay. False if this instance has to read
--- a/packages/redwinggw/src/platform_handover.cpp
+++ b/packages/redwinggw/src/platform_handover.cpp
@@ -94,6 +94,15 @@
   return {std::move(Key), Found->Version, Found->Value};
 }
 
+/// The newest epoch of the claims in \p Rows.
+std::uint64_t newestEpoch(const platform::table_rows &Rows) {
+  std::uint64_t Newest = 0;
+  for (const platform::table_row &Row : Rows.Rows)
+    if (Row.Key.starts_with(session::ClaimPrefix))
+      Newest = std::max(Newest, Row.Version);
+  return Newest;
+}
+
 /// The text of the orderer's row: instance name, incarnation and fencing token.
 std::string ordererText(const platform_instance_state &State,
                         std::uint64_t Token) {
@@ -133,6 +142,7 @@
     co_return std::nullopt;
   const claim_rows Found{rowAt(*Rows, session::claimKey(Service)),
                          rowAt(*Rows, std::string(OrdererKey))};
+  const std::uint64_t KnownUpTo = State.Claims.CompleteUpTo;
   // Another instance has replaced the primary meanwhile.
   const auto *Known = findClaim(State.Claims, Service);
   if (Known != nullptr && !Known->Claim.Moving &&
@@ -159,6 +169,10 @@
   if (!Versions)
     co_return std::nullopt;
   Claim.Epoch = Versions->front();
+  acceptClaim(State, Claim);
+  // Moves are begun one after the other, since each changes the orderer's row.
+  if (KnownUpTo >= newestEpoch(*Rows))
+    acknowledgeClaims(State, Claim.Epoch);
   base::logEvent(base::log_level::Info, base::log_part::Failover,
                  "move_claimed",
                  {{"service", Service},
@@ -274,6 +288,7 @@
         State.Promotions, std::move(Order), base::now() + PromotionTimeout);
     State.PromotionsInFlight.erase(Claim.Service);
     State.LastPromotionEndedAt = base::now();
+    acknowledgeClaims(State, 0);
     logOrderEnd(Claim, Target, Outcome, Sent);
     if (Outcome != platform::promotion_outcome::Unknown)
       co_return Outcome == platform::promotion_outcome::Accepted;
@@ -465,7 +480,6 @@
     Move->PrimarySilent = GiveUp == give_up::Silent;
     logMove(Service, "moving the primary from " + Primary + ", cause " +
                          std::string(moveCauseName(Cause)) + ".");
-    acceptClaim(*State, Move->Claim);
     const bool Done = co_await executeMove(*State, *Move);
     const auto Took =
         std::chrono::duration_cast<milliseconds>(base::now() - Begun);
--- a/packages/redwinggw/src/platform_heartbeats.cpp
+++ b/packages/redwinggw/src/platform_heartbeats.cpp
@@ -185,11 +185,13 @@
                   const control::member &Member) {
   for (const wire::group_report &Report : Member.Report.Groups)
     acceptReportedClaim(State, Report);
+  // A report contains all claims that its sender knows.
+  acknowledgeClaims(State, Member.Report.Version);
   acceptReportedPositions(State, Member);
   acceptEvacuations(
       State, {Member.Report.EvacuationVersion, Member.Report.EvacuatedZones},
       Member.Name);
-  if (Member.Report.HeadVersion > State.Claims.Version ||
+  if (Member.Report.HeadVersion > State.Claims.CompleteUpTo ||
       State.Peers->view().UnlistedReported)
     State.FleetReadRequested = true;
 }
@@ -199,7 +201,7 @@
 void announceClaims(platform_instance_state &State) {
   if (!State.Peers)
     return;
-  State.Peers->setVersion(State.Claims.Version);
+  State.Peers->setVersion(State.Claims.CompleteUpTo);
   State.Peers->setAllGroupReports(groupReports(State));
 }
 
--- a/packages/redwinggw/src/platform_instance_state.hpp
+++ b/packages/redwinggw/src/platform_instance_state.hpp
@@ -163,6 +163,8 @@
   };
   std::map<base::customer_name, reserve_use, std::less<>> ReserveUse;
   session::primary_claims Claims;
+  /// The claims up to this epoch are known here and have to be acknowledged.
+  std::uint64_t EpochToAcknowledge = 0;
   session::handover_limits Handover;
   /// By service, and the services whose record is being changed.
   std::map<base::service_name, session::holder_record, std::less<>>
--- a/packages/redwinggw/src/platform_primaries.cpp
+++ b/packages/redwinggw/src/platform_primaries.cpp
@@ -3,6 +3,8 @@
 
 #include "redwinggw/base/log.hpp"
 
+#include <algorithm>
+
 /// Which endpoint is each service's primary, and whether this instance may use
 /// it.
 namespace redwinggw {
@@ -96,21 +98,33 @@
   return std::max(Min, ExpectedMoveTime - Elapsed);
 }
 
+namespace {
+
+/// Whether another instance has begun a move that is not acknowledged here.
+bool hasUnacknowledgedMove(const platform_instance_state &State) {
+  return std::ranges::any_of(State.Claims.Known, [&](const auto &Entry) {
+    const session::primary_claim &Claim = Entry.second.Claim;
+    return Claim.Moving && Claim.Orderer != State.Settings.Name &&
+           Claim.Epoch > State.Claims.CompleteUpTo;
+  });
+}
+
+} // namespace
+
+void acknowledgeClaims(platform_instance_state &State, std::uint64_t Epoch) {
+  State.EpochToAcknowledge = std::max(State.EpochToAcknowledge, Epoch);
+  // After an acknowledgement another instance may order promotions. An order
+  // that is unanswered here could then take effect after that one's.
+  const bool OrderMayArrive = !State.PromotionsInFlight.empty();
+  if (State.EpochToAcknowledge <= State.Claims.CompleteUpTo ||
+      (OrderMayArrive && hasUnacknowledgedMove(State)))
+    return;
+  noteComplete(State.Claims, State.EpochToAcknowledge);
+  announceClaims(State);
+}
+
 bool acceptClaim(platform_instance_state &State,
                  const session::primary_claim &Claim) {
-  // Knowing a later claim acknowledges it, after which its orderer may order a
-  // promotion. An unanswered earlier order of this instance could then take
-  // effect after that one, so it has to end first. The claim arrives again with
-  // later heartbeats.
-  if (State.PromotionsInFlight.contains(Claim.Service)) {
-    base::logEvent(base::log_level::Info, base::log_part::Failover,
-                   "claim_refused",
-                   {{"service", Claim.Service},
-                    {"epoch", std::to_string(Claim.Epoch)},
-                    {"orderer", Claim.Orderer},
-                    {"version", std::to_string(State.Claims.Version)}});
-    return false;
-  }
   if (!applyClaim(State.Claims, Claim, base::now()))
     return false;
   announceClaims(State);
--- a/packages/redwinggw/src/platform_primaries.hpp
+++ b/packages/redwinggw/src/platform_primaries.hpp
@@ -26,8 +26,11 @@
 /// from now; nothing when none runs or when it takes too long.
 std::optional<base::milliseconds>
 primaryExpected(const platform_instance_state &State, std::string_view Service);
-/// Applies a claim; false when it is not newer than the known one, or when a
-/// promotion order for the service is unanswered.
+/// Acknowledges all moves that were begun with \p Epoch or earlier. While a
+/// promotion order of this instance is unanswered, moves of other instances
+/// wait for a later call. Precondition: their claims have been applied.
+void acknowledgeClaims(platform_instance_state &State, std::uint64_t Epoch);
+/// Applies a claim; false when it is not newer than the known one.
 bool acceptClaim(platform_instance_state &State,
                  const session::primary_claim &Claim);
 /// Whether this instance suspects that the primary of \p Service has failed.
--- a/packages/session/include/redwinggw/session/primary_claims.hpp
+++ b/packages/session/include/redwinggw/session/primary_claims.hpp
@@ -44,12 +44,21 @@
     base::instant Since;
   };
   std::map<base::service_name, known, std::less<>> Known;
-  /// Highest epoch of all claims. Heartbeats announce it in the field that
-  /// carries the version of the configuration with platform_kind::Own: here a
-  /// member's KnownVersion is an epoch of claims.
+  /// Highest epoch of all claims.
   std::uint64_t Version = 0;
+  /// Every move that was begun with this epoch or an earlier one is known here,
+  /// of whichever service. Heartbeats announce it in the field that carries the
+  /// version of the configuration with platform_kind::Own: a member's
+  /// KnownVersion acknowledges the moves up to it. A single claim does not
+  /// raise it, since another instance may have begun a move of another service
+  /// before.
+  std::uint64_t CompleteUpTo = 0;
 };
 
+/// Records that \p Claims contain every move that was begun with \p Epoch or
+/// earlier.
+void noteComplete(primary_claims &Claims, std::uint64_t Epoch);
+
 /// Applies \p Claim unless a later one is known. Within one epoch a finished
 /// move supersedes an unfinished one: its orderer tells the other instances
 /// first and writes to the store, which may be down, second. True if it was
--- a/packages/session/src/primary_claims.cpp
+++ b/packages/session/src/primary_claims.cpp
@@ -28,6 +28,10 @@
   return Later;
 }
 
+void noteComplete(primary_claims &Claims, std::uint64_t Epoch) {
+  Claims.CompleteUpTo = std::max(Claims.CompleteUpTo, Epoch);
+}
+
 const primary_claims::known *findClaim(const primary_claims &Claims,
                                        std::string_view Service) {
   const auto Found = Claims.Known.find(Service);
--- a/tests/instance/false_acknowledgement_test.cpp
+++ b/tests/instance/false_acknowledgement_test.cpp
@@ -19,7 +19,7 @@
   deliver(A, B);
   deliver(C, B);
   const primary_claim Claim = claim("s1", 12, true, "b");
-  acceptClaim(*B, Claim);
+  claimAs(B, Claim);
   cr_assert(primaryLeaseFor(*A, "s1") && primaryLeaseFor(*C, "s1"));
   cr_assert(!isAcknowledgedByAll(B, Claim));
 }
@@ -34,12 +34,13 @@
   beginFleet({A, B, C});
   A->PromotionsInFlight.insert("s1");
   const primary_claim Claim = claim("s1", 12, true, "b");
-  acceptClaim(*B, Claim);
-  acceptClaim(*B, claim("s2", 13, true, "b"));
+  claimAs(B, Claim);
+  claimAs(B, claim("s2", 13, true, "b"));
   for (const instance &Other : {A, C}) {
     deliver(B, Other);
     deliver(Other, B);
   }
-  cr_assert(!isCurrent(*A, Claim));
+  cr_assert(!primaryLeaseFor(*A, "s1"));
+  cr_assert(A->Claims.CompleteUpTo < Claim.Epoch);
   cr_assert(!isAcknowledgedByAll(B, Claim));
 }
--- a/tests/instance/instance_fleet.hpp
+++ b/tests/instance/instance_fleet.hpp
@@ -93,6 +93,7 @@
     for (const wire::group_report &Group : Report.Groups)
       acceptClaim(*To, {Group.Group, Group.Term, Group.Primary, Group.Moving,
                         Group.Orderer, 0, Group.LogTerm});
+    acknowledgeClaims(*To, Report.Version);
   }
 }
 
@@ -106,6 +107,7 @@
   for (const instance &Instance : Instances) {
     acceptClaim(*Instance, claim("s1", 10, false, "a"));
     acceptClaim(*Instance, claim("s2", 11, true, "a"));
+    acknowledgeClaims(*Instance, 11);
     Instance->Peers->noteStoreRead(base::now(), base::now(), 11);
   }
   for (int Round = 0; Round < 2; ++Round)
@@ -137,6 +139,12 @@
   return std::move(*Result);
 }
 
+/// Makes \p Instance know \p Claim as its own, which it has just committed.
+inline void claimAs(const instance &Instance, const primary_claim &Claim) {
+  acceptClaim(*Instance, Claim);
+  acknowledgeClaims(*Instance, Claim.Epoch);
+}
+
 /// Claims a move, and accepts the claim as movePrimary does.
 inline std::optional<claimed_move> claimAndAccept(fleet &Fleet,
                                                   const instance &Instance,
--- a/tests/instance/primary_moves_test.cpp
+++ b/tests/instance/primary_moves_test.cpp
@@ -12,7 +12,7 @@
   const auto C = makeInstance(Fleet, "c");
   beginFleet({A, B, C});
   const primary_claim Claim = claim("s1", 12, true, "b");
-  acceptClaim(*B, Claim);
+  claimAs(B, Claim);
   cr_assert(!isAcknowledgedByAll(B, Claim));
   for (const instance &Other : {A, C}) {
     deliver(B, Other);
--- a/tests/native/claim_acknowledgement_test.cpp
+++ b/tests/native/claim_acknowledgement_test.cpp
@@ -112,7 +112,7 @@
   if (OtherClaim)
     onThread(Fleet, [](simulated_platform &World) {
       World.Store.put("redwinggw", "group/s2",
-                      R"({"primary":"s2-d1","moving":false,"orderer":"i3",)"
+                      R"({"primary":"s2-d1","moving":false,"orderer":"i2",)"
                       R"("token":1,"term":1})");
     });
   Fleet.cut(First, Second, false);
