Give a move up when its cause is outdated

Cause: the cause of a move is found up to seconds before the claim, which reads the rows and applies the cause to whatever claim they show: the live move of another orderer was taken over at once, so that two instances ordered in turn.

Evidence: outdated_cause_test failed 5 of 5. Found by reading for the same cause elsewhere.

Change: nothing is claimed if the claim of the service has changed since.

--- a/packages/redwinggw/src/platform_claim.cpp
+++ b/packages/redwinggw/src/platform_claim.cpp
@@ -128,8 +128,10 @@
 base::task<std::optional<claimed_move>>
 claimMove(platform_instance_state &State, base::service_name Service,
           base::endpoint_name Primary) {
+  const std::uint64_t Epoch = epochOf(State, Service);
   const auto Rows = co_await readFleet(State);
-  if (!Rows)
+  // The cause of the move belongs to the claim that was known.
+  if (!Rows || epochOf(State, Service) != Epoch)
     co_return std::nullopt;
   const storage::row Row = rowAt(*Rows, session::claimKey(Service));
   const storage::row Orderer = rowAt(*Rows, std::string(OrdererKey));
--- a/packages/redwinggw/src/platform_handover.cpp
+++ b/packages/redwinggw/src/platform_handover.cpp
@@ -125,6 +125,7 @@
                              base::service_name Service, move_cause Cause) {
   const base::endpoint_name Primary = primaryOf(*State, Service);
   const instant Begun = base::now();
+  const std::uint64_t Epoch = epochOf(*State, Service);
   const give_up GiveUp = co_await mayGiveUp(*State, Service, Primary, Cause);
   if (GiveUp == give_up::No) {
     logMove(Service, Primary + (Cause == move_cause::Failed
@@ -134,7 +135,9 @@
     State->Moving.erase(Service);
     co_return;
   }
-  auto Move = co_await claimMove(*State, Service, Primary);
+  std::optional<claimed_move> Move;
+  if (epochOf(*State, Service) == Epoch)
+    Move = co_await claimMove(*State, Service, Primary);
   if (Move) {
     Move->PrimarySilent = GiveUp == give_up::Silent;
     logMove(Service, "moving the primary from " + Primary + ", cause " +
