Adopt a database that leads a later term than the agreed one

What callers saw: after an order that took effect late every write of the service was refused, for good: the agreed primary follows by then, and no instance compared it with the one that leads.

The time without a primary was without end.

Change: the store reader, which asks every other database that reports the primary role, begins a move when one leads a later term than the agreed one.

--- a/packages/redwinggw/src/platform_former_primaries.cpp
+++ b/packages/redwinggw/src/platform_former_primaries.cpp
@@ -16,10 +16,27 @@
 /// Between two questions to an endpoint.
 constexpr base::milliseconds DemotionInterval{500};
 
+/// Whether \p Endpoint leads a later term than the agreed primary, which is
+/// another one.
+bool leadsInstead(const platform_instance_state &State,
+                  const base::service_name &Service,
+                  const base::endpoint_name &Endpoint,
+                  const session::endpoint_status &Status) {
+  const auto *Known = findClaim(State.Claims, Service);
+  return Known != nullptr && !Known->Claim.Moving &&
+         Known->Claim.Primary != Endpoint &&
+         Status.Role == session::endpoint_role::Primary &&
+         Status.Term > Known->Claim.Term;
+}
+
 base::task<void> demote(platform_instance_ptr State, primary_claim Claim,
                         endpoint_entry Entry) {
   const base::endpoint_name Name = Entry.Name;
-  co_await inquireAndDemote(*State, std::move(Claim), std::move(Entry));
+  const base::service_name Service = Claim.Service;
+  const auto Status =
+      co_await inquireAndDemote(*State, std::move(Claim), std::move(Entry));
+  if (Status.Status && leadsInstead(*State, Service, Name, *Status.Status))
+    State->Superseded.insert(Service);
   co_await pauseWithJitter(*State, DemotionInterval);
   State->Demoting.erase(Name);
 }
--- a/packages/redwinggw/src/platform_handover.cpp
+++ b/packages/redwinggw/src/platform_handover.cpp
@@ -56,6 +56,7 @@
       View.Entry != nullptr &&
       isEvacuated(State.Evacuations, View.Entry->Zone) &&
       !replacementsFor(State, Service, View.Primary).empty();
+  View.Superseded = State.Superseded.contains(Service);
   View.Suspects = countSuspects(State, Reports, Service);
   View.Instances = Reports.Up.size();
   // A service that was never moved has no orderer.
--- a/packages/redwinggw/src/platform_instance_state.hpp
+++ b/packages/redwinggw/src/platform_instance_state.hpp
@@ -190,6 +190,8 @@
   base::instant OthersOrderedAt{-std::chrono::hours(1)};
   /// By service, until when an order that was given up may arrive.
   std::map<base::service_name, base::instant> OrdersArriveUntil;
+  /// Services of which another endpoint leads a later term than the primary.
+  std::set<base::service_name> Superseded;
   /// When the last promotion order was answered or timed out.
   base::instant LastPromotionEndedAt = base::instant::min();
   /// Former primaries that are being told to follow.
--- a/packages/redwinggw/src/platform_primaries.cpp
+++ b/packages/redwinggw/src/platform_primaries.cpp
@@ -151,6 +151,7 @@
     return false;
   if (Claim.Orderer != State.Settings.Name)
     noteOtherOrderer(State, Claim, Former);
+  State.Superseded.erase(Claim.Service);
   announceClaims(State);
   const auto Term = findClaim(State.Claims, Claim.Service)->Claim.Term;
   // A move has begun when Moving is set; the old primary may still be kept.
--- a/packages/session/include/redwinggw/session/handover.hpp
+++ b/packages/session/include/redwinggw/session/handover.hpp
@@ -32,6 +32,9 @@
   Failed,
   /// A move was begun, and its orderer is gone or does not finish it.
   Unfinished,
+  /// Another endpoint leads a later term than the agreed primary: an order has
+  /// taken effect late.
+  Superseded,
 };
 
 struct handover_limits {
@@ -102,6 +105,8 @@
   /// This instance has become the orderer since an unfinished move was claimed,
   /// so that the one that claimed it can order nothing any more.
   bool OrdererReplaced = false;
+  /// Another endpoint has been seen to lead a later term than the agreed one.
+  bool Superseded = false;
 };
 
 /// Since when the orderer of a service's newest claim has not been heard.
--- a/packages/session/src/handover.cpp
+++ b/packages/session/src/handover.cpp
@@ -15,6 +15,7 @@
     {move_cause::Missing, "missing"},
     {move_cause::Failed, "failed"},
     {move_cause::Unfinished, "unfinished"},
+    {move_cause::Superseded, "superseded"},
 });
 
 move_cause causeOfUnfinished(const handover_view &View,
@@ -52,6 +53,8 @@
     return causeOfUnfinished(View, Limits, Now);
   if (View.Primary.empty())
     return move_cause::None;
+  if (View.Superseded)
+    return move_cause::Superseded;
   if (View.Entry == nullptr)
     return View.MissingSince && Now - *View.MissingSince > Limits.MissingFor
                ? move_cause::Missing
