Count this instance among those that are up

The decision to give a primary up takes the number of instances that are up, this one included; it was given that of the others. So the last instance never found its primary failed, and of two one suspicion was enough.

--- a/packages/redwinggw/src/platform_handover.cpp
+++ b/packages/redwinggw/src/platform_handover.cpp
@@ -58,7 +58,7 @@
       !replacementsFor(State, Service, View.Primary).empty();
   View.Superseded = State.Superseded.contains(Service);
   View.Suspects = countSuspects(State, Reports, Service);
-  View.Instances = Reports.Up.size();
+  View.Instances = Reports.Up.size() + 1;
   // A service that was never moved has no orderer.
   if (View.Claim == nullptr)
     return View;
