Keep what is known of former orders until they have settled

- That others may still order was known only to the move that had read it.
A move that was not acknowledged and claimed again took the row for its own.
It is kept with the instance now, and the turn counts for all services.
- An accepted order whose target is not listed for a moment was taken for settled; it is expected for the time of a promotion.
- A database that was refused once was left out for the rest of the move, which has no end: after a second it may be ordered again.
- A move that waits for its turn was taken over just before it.
- A claim between two parts of a large table would have been missed.
- A draining primary that is suspected is not left for a turn.

--- a/packages/redwinggw/src/platform_claim.cpp
+++ b/packages/redwinggw/src/platform_claim.cpp
@@ -99,7 +99,7 @@
   const auto *Known =
       findClaim(State.Claims, Key.substr(session::ClaimPrefix.size()));
   return Known != nullptr && Known->Claim.Moving &&
-         base::now() - Known->Since < State.Handover.OrdererTurn &&
+         base::now() - Known->Since < 2 * State.Handover.OrdererTurn &&
          collectPrimaryReports(State).Up.contains(Known->Claim.Orderer);
 }
 
@@ -142,12 +142,14 @@
         return Key != Row.Key && isCarriedOut(State, Key);
       }))
     co_return std::nullopt;
+  // A large table is read in parts: a claim between them would be missing.
+  if (Rows->FirstVersion < Orderer.Version)
+    co_return std::nullopt;
   const former_move Former = formerMove(Row);
   claimed_move Move;
   Move.Resumed = Former.Unfinished;
-  Move.OrdersMayArrive =
+  const bool OrdersMayArrive =
       mayHaveOrdered(Former) && !isOwnText(State, Orderer.Value);
-  Move.OthersMayOrder = !Others.empty();
   primary_claim &Claim = Move.Claim;
   Claim.Service = Service;
   Claim.Primary = Primary;
@@ -162,6 +164,10 @@
   Request.Checks.push_back({Orderer.Key, Orderer.Version});
   Request.Puts.push_back({Row.Key, claimText(Claim)});
   Request.Puts.push_back({Orderer.Key, ordererText(State, Claim.Token)});
+  // Noted before the commit, whose answer may be lost.
+  State.TurnPending = State.TurnPending || !Others.empty();
+  if (OrdersMayArrive)
+    State.OrdersPending.insert(Service);
   const auto Versions =
       co_await storage::commit(State.Store, std::move(Request));
   if (!Versions)
@@ -177,28 +183,30 @@
   co_return Move;
 }
 
-namespace {
+bool isRecordedLater(const platform_instance_state &State,
+                     const primary_claim &Claim) {
+  const auto *Known = findClaim(State.Claims, Claim.Service);
+  return Known != nullptr && Known->Claim.Epoch > Claim.Epoch &&
+         Known->Claim.Moving && Known->Claim.Orderer == Claim.Orderer;
+}
 
-/// Reads the rows again after a commit that failed or was not answered. Whether
-/// \p Claim is recorded; updates its epoch and the orderer's row.
-base::task<bool> readRecord(platform_instance_state &State,
-                            primary_claim &Claim) {
+base::task<bool> readOwnClaim(platform_instance_state &State,
+                              primary_claim &Claim) {
   const auto Rows = co_await readFleet(State);
   if (!Rows)
     co_return false;
   const storage::row Orderer = rowAt(*Rows, std::string(OrdererKey));
-  if (!isOwnText(State, Orderer.Value) || tokenIn(Orderer.Value) != Claim.Token)
-    co_return false;
-  State.OrdererRowVersion = Orderer.Version;
   const storage::row Row = rowAt(*Rows, session::claimKey(Claim.Service));
-  if (Row.Version == Claim.Epoch || Row.Value != claimText(Claim))
+  const auto Found = session::readClaim(Row.Key, Row.Version, Row.Value);
+  if (!isOwnText(State, Orderer.Value) || !Found || !Found->Moving ||
+      Found->Orderer != Claim.Orderer || Found->Token != Claim.Token)
     co_return false;
-  Claim.Epoch = Row.Version;
+  State.OrdererRowVersion = Orderer.Version;
+  State.OrdererUpTo = std::max(State.OrdererUpTo, Found->Epoch);
+  Claim = *Found;
   co_return true;
 }
 
-} // namespace
-
 base::task<bool> recordTarget(platform_instance_state &State,
                               primary_claim &Claim,
                               session::order_decision Decision) {
@@ -215,13 +223,11 @@
   Request.Puts.push_back({session::claimKey(Claim.Service), claimText(Next)});
   const auto Versions =
       co_await storage::commit(State.Store, std::move(Request));
-  if (Versions) {
-    Next.Epoch = Versions->front();
-  } else {
-    const bool Recorded = co_await readRecord(State, Next);
-    if (!Recorded)
-      co_return false;
+  if (!Versions) {
+    const bool Own = co_await readOwnClaim(State, Claim);
+    co_return Own &&Claim.Target == Decision.Endpoint;
   }
+  Next.Epoch = Versions->front();
   Claim = Next;
   State.OrdererUpTo = std::max(State.OrdererUpTo, Claim.Epoch);
   acceptClaim(State, Claim);
@@ -242,15 +248,25 @@
          State.OthersClaimedUpTo <= State.OrdererUpTo;
 }
 
+bool areOrdersSettled(const platform_instance_state &State,
+                      const base::service_name &Service) {
+  const auto Arrive = State.OrdersArriveUntil.find(Service);
+  return !State.OrdersPending.contains(Service) &&
+         (Arrive == State.OrdersArriveUntil.end() ||
+          base::now() >= Arrive->second);
+}
+
 bool mayBeginPlannedMove(const platform_instance_state &State,
                          const base::service_name &Service) {
   const auto Arrive = State.OrdersArriveUntil.find(Service);
-  return isOwnTurn(State) && (Arrive == State.OrdersArriveUntil.end() ||
-                              base::now() >= Arrive->second);
+  return base::now() - State.OthersOrderedAt >= State.Handover.OrdererTurn &&
+         (Arrive == State.OrdersArriveUntil.end() ||
+          base::now() >= Arrive->second);
 }
 
 bool isOwnTurn(const platform_instance_state &State) {
-  return base::now() - State.OthersOrderedAt >= State.Handover.OrdererTurn;
+  return !State.TurnPending &&
+         base::now() - State.OthersOrderedAt >= State.Handover.OrdererTurn;
 }
 
 } // namespace redwinggw
--- a/packages/redwinggw/src/platform_handover.cpp
+++ b/packages/redwinggw/src/platform_handover.cpp
@@ -184,8 +184,8 @@
   const auto View = viewOf(*State, Reports, Service);
   const move_cause Cause = causeToMove(View, State->Handover, base::now());
   // A primary that serves is not given up before this instance may order.
-  const bool Serves =
-      Cause == move_cause::Draining || Cause == move_cause::Evacuated;
+  const bool Serves = View.Suspects == 0 && (Cause == move_cause::Draining ||
+                                             Cause == move_cause::Evacuated);
   if (Cause == move_cause::None ||
       (Serves && !mayBeginPlannedMove(*State, Service)))
     return;
--- a/packages/redwinggw/src/platform_inquiries.cpp
+++ b/packages/redwinggw/src/platform_inquiries.cpp
@@ -1,4 +1,5 @@
 #include "platform_inquiries.hpp"
+#include "platform_claim.hpp"
 #include "platform_holders.hpp"
 #include "platform_loops.hpp"
 #include "platform_primaries.hpp"
@@ -223,13 +224,16 @@
                                                 const claimed_move &Move,
                                                 inquiry_rounds &Rounds) {
   constexpr milliseconds LogInterval{5000};
+  // An endpoint that is refused may be starting.
+  constexpr milliseconds RefusedFor{1000};
   const primary_claim &Claim = Move.Claim;
   session::order_view View;
   View.Holders = co_await askHolders(State, Claim, Rounds.Old);
-  for (session::log_holder &Holder : View.Holders)
-    if (Rounds.Refused.contains(Holder.Name))
-      Holder.Eligible = false;
   const instant Now = base::now();
+  for (const auto &[Name, At] : Rounds.RefusedAt)
+    for (session::log_holder &Holder : View.Holders)
+      if (Holder.Name == Name && Now - At < RefusedFor)
+        Holder.Eligible = false;
   const bool MayCatchUp = Now < Rounds.CatchUpUntil;
   std::optional<session::log_point> Needed;
   if (Rounds.Old && MayCatchUp)
@@ -243,9 +247,7 @@
     View.Rule.AgreedTerm = 0;
   View.Primary = Claim.Primary;
   View.Target = Claim.Target;
-  const auto Arrive = State.OrdersArriveUntil.find(Claim.Service);
-  View.OrdersSettled =
-      Arrive == State.OrdersArriveUntil.end() || Now >= Arrive->second;
+  View.OrdersSettled = areOrdersSettled(State, Claim.Service);
   View.MayKeepPrimary = !MayCatchUp;
   auto Decision = decideOrder(View);
   Decision.Start.Newest = std::max(Decision.Start.Newest, Agreed);
--- a/packages/redwinggw/src/platform_inquiries.hpp
+++ b/packages/redwinggw/src/platform_inquiries.hpp
@@ -5,7 +5,7 @@
 
 #include "redwinggw/session/promotion_order.hpp"
 
-#include <set>
+#include <map>
 
 /// What an orderer asks the endpoints of a service during the move of its
 /// primary. Used from one thread.
@@ -19,12 +19,6 @@
   session::primary_claim Claim;
   /// An earlier claim began the move.
   bool Resumed = false;
-  /// Other instances, or this one before it was started again, may have ordered
-  /// the promotion of the claim's target.
-  bool OrdersMayArrive = false;
-  /// An unfinished move of another instance has a target, so that it may order
-  /// promotions until it has acknowledged this claim.
-  bool OthersMayOrder = false;
   /// The old primary has just been asked and did not answer.
   bool PrimarySilent = false;
 };
@@ -37,8 +31,8 @@
   base::instant LogDue;
   /// Since when no endpoint of the agreed term is to be expected.
   std::optional<base::instant> TermLostSince;
-  /// Endpoints whose promotion the platform has refused.
-  std::set<base::endpoint_name> Refused;
+  /// When the platform has refused to promote an endpoint: it was not running.
+  std::map<base::endpoint_name, base::instant> RefusedAt;
 };
 
 /// Whether \p Claim is still the newest one of its service. Otherwise another
--- a/packages/redwinggw/src/platform_instance_state.hpp
+++ b/packages/redwinggw/src/platform_instance_state.hpp
@@ -188,8 +188,14 @@
   std::uint64_t OrdererToken = 0;
   /// When another instance was last able to order a promotion, of any service.
   base::instant OthersOrderedAt{-std::chrono::hours(1)};
+  /// This instance has become the orderer, and others that may order promotions
+  /// have not acknowledged it yet.
+  bool TurnPending = false;
   /// By service, until when an order that was given up may arrive.
   std::map<base::service_name, base::instant> OrdersArriveUntil;
+  /// Services for which others may order until they have acknowledged a claim
+  /// of this instance.
+  std::set<base::service_name> OrdersPending;
   /// Services of which another endpoint leads a later term than the primary.
   std::set<base::service_name> Superseded;
   /// When the last promotion order was answered or timed out.
--- a/packages/redwinggw/src/platform_promotion.cpp
+++ b/packages/redwinggw/src/platform_promotion.cpp
@@ -111,6 +111,13 @@
                   {"after_ms", std::to_string(Took.count())}});
 }
 
+/// Records that an order for \p Service may take effect for \p Time from now.
+void expectOrders(platform_instance_state &State,
+                  const base::service_name &Service, milliseconds Time) {
+  instant &Until = State.OrdersArriveUntil[Service];
+  Until = std::max(Until, base::now() + Time);
+}
+
 /// Whether an order for \p Claim may be sent now.
 bool mayOrder(platform_instance_state &State, const primary_claim &Claim) {
   return !State.Stopped && isOrderer(State, Claim) && mayTrustClaims(State);
@@ -132,8 +139,7 @@
   State.PromotionsInFlight.erase(Claim.Service);
   State.LastPromotionEndedAt = base::now();
   if (Outcome == platform::promotion_outcome::Unknown)
-    State.OrdersArriveUntil[Claim.Service] =
-        base::now() + State.Handover.OrdererTurn;
+    expectOrders(State, Claim.Service, State.Handover.OrdererTurn);
   acknowledgeClaims(State, 0);
   logOrderEnd(Claim, Outcome, Sent);
   co_return Outcome;
@@ -168,20 +174,26 @@
 promote(platform_instance_state &State, primary_claim &Claim,
         session::order_decision Decision, inquiry_rounds &Rounds) {
   const bool Recorded = co_await recordTarget(State, Claim, Decision);
+  if (!Recorded)
+    co_await pauseWithJitter(State, RetryDelay);
   if (!Recorded || !mayOrder(State, Claim))
     co_return std::nullopt;
+  const instant Expected = State.OrdersArriveUntil[Claim.Service];
   logMove(Claim.Service, "promoting " + Decision.Endpoint + ".");
   const auto Outcome = co_await order(State, Claim);
   if (Outcome == platform::promotion_outcome::Refused)
-    Rounds.Refused.insert(Decision.Endpoint);
+    Rounds.RefusedAt[Decision.Endpoint] = base::now();
   if (Outcome != platform::promotion_outcome::Accepted)
     co_return std::nullopt;
+  expectOrders(State, Claim.Service, State.Handover.PromotionTime);
   session::order_times Times;
   Times.Accepted = base::now();
   Times.PromotionTime = State.Handover.PromotionTime;
   const auto Term = co_await awaitPromotion(State, Claim, Decision, Times,
                                             Times.Accepted + EffectTimeout);
-  if (!Term)
+  if (Term)
+    State.OrdersArriveUntil[Claim.Service] = Expected;
+  else
     logMove(Claim.Service, Decision.Endpoint + " did not become primary.");
   co_return Term;
 }
@@ -226,19 +238,18 @@
   }
 }
 
-/// Records, once the claim is acknowledged, until when orders of others are to
-/// be expected: whoever has acknowledged it, or has lost its lease, orders no
+/// Records, once a claim is acknowledged, until when orders of others are to be
+/// expected: whoever has acknowledged it, or has lost its lease, orders no
 /// more.
 void noteFormerOrders(platform_instance_state &State,
                       const claimed_move &Move) {
-  const instant Now = base::now();
-  if (Move.OthersMayOrder)
-    State.OthersOrderedAt = Now;
+  if (State.TurnPending)
+    State.OthersOrderedAt = base::now();
+  State.TurnPending = false;
   if (Move.Resumed)
     delayInquiries(State, Move.Claim.Service);
-  if (Move.OrdersMayArrive)
-    State.OrdersArriveUntil[Move.Claim.Service] =
-        Now + State.Handover.OrdererTurn;
+  if (State.OrdersPending.erase(Move.Claim.Service) != 0)
+    expectOrders(State, Move.Claim.Service, State.Handover.OrdererTurn);
 }
 
 } // namespace
@@ -260,7 +271,11 @@
   }
   noteFormerOrders(State, Move);
   inquiry_rounds Rounds = co_await beginInquiries(State, Move);
-  while (!State.Stopped && isOrderer(State, Claim)) {
+  while (!State.Stopped) {
+    if (isRecordedLater(State, Claim))
+      co_await readOwnClaim(State, Claim);
+    if (!isOrderer(State, Claim))
+      break;
     const auto Decision = co_await decideRound(State, Move, Rounds);
     // After a long wait another orderer may have taken over unnoticed.
     const bool MayAct = isOrderer(State, Claim) && mayTrustClaims(State);
@@ -284,7 +299,7 @@
     const bool Early = base::now() < Rounds.CatchUpUntil;
     co_await pauseWithJitter(State, Early ? StepPause : PauseBetweenRounds);
   }
-  logMove(Claim.Service, "another instance has become the orderer.");
+  logMove(Claim.Service, "this instance is not the orderer any more.");
   co_return false;
 }
 
