Test that a replaced endpoint is not adopted

A replica of a later term than that of the leader which answers shows that a silent endpoint has replaced that leader.

--- a/tests/session/promotion_order_test.cpp
+++ b/tests/session/promotion_order_test.cpp
@@ -205,6 +205,16 @@
   cr_assert(decides(View, order_step::Adopt, "b"));
 }
 
+// Guards against adopting an endpoint that was replaced by one that does not
+// answer.
+Test(promotion_order, does_not_adopt_a_replaced_endpoint) {
+  order_view View = firstOrder();
+  View.Holders[1] = leader("a", 2);
+  View.Holders[2] = replica("b", 3);
+  cr_assert(decides(View, order_step::Order, "b"));
+  cr_assert(decideOrder(View).Start.Newest == 3);
+}
+
 // Guards against the role of the old primary, or of one before it, being taken
 // for a promotion.
 Test(promotion_order, does_not_adopt_an_agreed_or_older_term) {
