--- a/tests/soak/promotion_soak.cpp
+++ b/tests/soak/promotion_soak.cpp
@@ -50,6 +50,7 @@
 void judgeService(const fleet::native_fleet &Fleet,
                   std::vector<std::string> &Lines) {
   constexpr std::chrono::seconds Patience{30};
+  const base::instant Until = base::now() + Patience;
   for (std::size_t Index = 0; Index < Fleet.World.Groups.size(); ++Index)
     for (const fleet::native_process &Instance : Fleet.Instances) {
       const bool Served = eventually(
@@ -57,7 +58,7 @@
             fleet::line_client Caller(Instance.Callers, routeOf(Index), "key");
             return Caller.run("WRITE end 1").Error.empty();
           },
-          Patience);
+          std::chrono::floor<base::milliseconds>(Until - base::now()));
       if (!Served)
         Lines.push_back("NO PRIMARY: no write for " + routeOf(Index) +
                         " through " + Instance.Name);
@@ -97,11 +98,14 @@
   for (const auto &[Service, Ids] : Callers.acknowledged())
     Writes += Ids.size();
   std::cout << "seed " << Options.Seed << ": " << Faults.history().size()
-            << " faults, " << Sent.size() << " orders, " << Writes
-            << " writes acknowledged, " << Lines.size() << " violations\n";
+            << " faults, " << Sent.size() << " orders (" << Faults.heldOrders()
+            << " held), " << Writes << " writes acknowledged, " << Lines.size()
+            << " violations\n";
   if (!Options.Logs.empty())
-    std::filesystem::copy(Fleet.Directory, Options.Logs,
-                          std::filesystem::copy_options::overwrite_existing);
+    std::filesystem::copy(
+        Fleet.Directory, Options.Logs,
+        std::filesystem::copy_options::recursive |
+            std::filesystem::copy_options::overwrite_existing);
   return Lines.empty() ? 0 : 1;
 }
 
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -136,11 +136,11 @@
     return heldLink(Random, Index, true);
   case 1:
   case 2:
-    return heldLink(Random, Index, false);
   case 3:
+    return heldLink(Random, Index, false);
   case 4:
-    return cutPeers(Random, Index);
   case 5:
+    return cutPeers(Random, Index);
   case 6:
     return processFault(Random, Index);
   case 7:
@@ -165,6 +165,7 @@
   });
   if (!Order || !Held)
     return;
+  ++HeldOrders;
   const auto Index = static_cast<std::size_t>(
       std::ranges::find(Fleet.Instances, Order->Orderer,
                         &fleet::native_process::Name) -
--- a/tests/soak/soak_faults.hpp
+++ b/tests/soak/soak_faults.hpp
@@ -36,6 +36,8 @@
   void run(base::milliseconds Time);
 
   const std::vector<fault> &history() const { return History; }
+  /// Number of orders that the network held.
+  std::size_t heldOrders() const { return HeldOrders; }
 
 private:
   /// What a fault changes: one fault at a time uses a resource.
@@ -67,6 +69,7 @@
   const std::vector<sent_order> &Sent;
   /// Number of orders that faults were drawn for.
   std::size_t Followed = 0;
+  std::size_t HeldOrders = 0;
   std::mt19937_64 Schedule;
   /// Of its own, since the time of an order is not the same in each run.
   std::mt19937_64 FollowUps;
