--- a/tests/native/native_fleet.cpp
+++ b/tests/native/native_fleet.cpp
@@ -61,19 +61,25 @@
           &World.addLink({Instances[Low].Peers, Instances[High].Peers});
 }
 
-/// The row's value as the instance \p Index sees it: it reaches the others
-/// through links.
-std::string native_fleet::viewOf(std::size_t Index, const std::string &Key,
-                                 const std::string &Value) const {
+/// The rows as the instance \p Index sees them: it reaches the others through
+/// links. Refers to nothing of the fleet, which ends before the platform.
+standin::row_table::row_view native_fleet::viewOf(std::size_t Index) const {
+  std::map<std::string, std::string> Addresses;
   for (std::size_t Other = 0; Other < Instances.size(); ++Other) {
-    if (Other == Index || Key != "instance/" + Instances[Other].Name)
+    if (Other == Index)
       continue;
     const auto *Link = Links.at(std::minmax(Index, Other));
+    Addresses["instance/" + Instances[Other].Name] =
+        toText(Link->addressOf(Other < Index ? 0 : 1));
+  }
+  return [Addresses](const std::string &Key, const std::string &Value) {
+    const auto Found = Addresses.find(Key);
+    if (Found == Addresses.end())
+      return Value;
     boost::json::value Row = boost::json::parse(Value);
-    Row.as_object()["peers"] = toText(Link->addressOf(Other < Index ? 0 : 1));
+    Row.as_object()["peers"] = Found->second;
     return boost::json::serialize(Row);
-  }
-  return Value;
+  };
 }
 
 void native_fleet::cut(std::size_t Sender, std::size_t Receiver, bool Cut) {
@@ -89,11 +95,7 @@
   http::address Store = Last ? World.SecondStoreAddress : World.StoreAddress;
   http::address Promotions = World.PromotionAddress;
   if (Options.Proxied) {
-    const auto View = [this, Index](const std::string &Key,
-                                    const std::string &Value) {
-      return viewOf(Index, Key, Value);
-    };
-    Instance.Store = &World.addProxy(World.addStore(View));
+    Instance.Store = &World.addProxy(World.addStore(viewOf(Index)));
     Instance.Promotions = &World.addProxy(World.PromotionAddress);
     Store = Instance.Store->address();
     Promotions = Instance.Promotions->address();
--- a/tests/native/native_fleet.hpp
+++ b/tests/native/native_fleet.hpp
@@ -63,8 +63,7 @@
 private:
   void linkPeers();
   void configure(std::size_t Index, const fleet_options &Options);
-  std::string viewOf(std::size_t Index, const std::string &Key,
-                     const std::string &Value) const;
+  standin::row_table::row_view viewOf(std::size_t Index) const;
 
   /// By the indices of both instances, the lower one first.
   std::map<std::pair<std::size_t, std::size_t>, standin::peer_link *> Links;
