--- a/packages/redwinggw/src/platform_claim.cpp
+++ b/packages/redwinggw/src/platform_claim.cpp
@@ -74,22 +74,28 @@
   return Former.Unfinished && (!Former.Target || !Former.Target->empty());
 }
 
-/// The unfinished moves of other instances in \p Rows that may have ordered a
-/// promotion, or still may since their orderer is that of \p Orderer's row.
-std::vector<std::string> othersMoves(const platform_instance_state &State,
+/// An unfinished move of another instance.
+struct others_move {
+  std::string Key;
+  /// It may have ordered a promotion.
+  bool MayHaveOrdered = false;
+};
+
+/// The unfinished moves in \p Rows that may have ordered a promotion, or still
+/// may since their orderer is that of \p Orderer's row.
+std::vector<others_move> othersMoves(const platform_instance_state &State,
                                      const platform::table_rows &Rows,
                                      const std::string &Orderer) {
-  std::vector<std::string> Keys;
+  std::vector<others_move> Moves;
   for (const platform::table_row &Row :
        Rows.Rows | std::views::filter(isClaim)) {
     const former_move Former = formerMove({Row.Key, Row.Version, Row.Value});
-    const bool MayOrder =
-        Former.Unfinished && Orderer.starts_with(Former.Orderer + " ");
-    if ((mayHaveOrdered(Former) || MayOrder) &&
-        Former.Orderer != State.Settings.Name)
-      Keys.push_back(Row.Key);
+    const bool IsOrderer = Orderer.starts_with(Former.Orderer + " ");
+    if (Former.Unfinished && Former.Orderer != State.Settings.Name &&
+        (mayHaveOrdered(Former) || IsOrderer))
+      Moves.push_back({Row.Key, mayHaveOrdered(Former)});
   }
-  return Keys;
+  return Moves;
 }
 
 /// Whether an instance that is up carries out the move at \p Key. It is left to
@@ -138,8 +144,8 @@
   const std::uint64_t KnownUpTo = State.Claims.CompleteUpTo;
   const auto *Known = findClaim(State.Claims, Service);
   const auto Others = othersMoves(State, *Rows, Orderer.Value);
-  if (std::ranges::any_of(Others, [&](const std::string &Key) {
-        return Key != Row.Key && isCarriedOut(State, Key);
+  if (std::ranges::any_of(Others, [&](const others_move &Other) {
+        return Other.Key != Row.Key && isCarriedOut(State, Other.Key);
       }))
     co_return std::nullopt;
   // A large table is read in parts: a claim between them would be missing.
@@ -165,7 +171,8 @@
   Request.Puts.push_back({Row.Key, claimText(Claim)});
   Request.Puts.push_back({Orderer.Key, ordererText(State, Claim.Token)});
   // Noted before the commit, whose answer may be lost.
-  State.TurnPending = State.TurnPending || !Others.empty();
+  State.TurnPending = State.TurnPending ||
+                      std::ranges::any_of(Others, &others_move::MayHaveOrdered);
   if (OrdersMayArrive)
     State.OrdersPending.insert(Service);
   const auto Versions =
--- a/packages/redwinggw/src/platform_inquiries.cpp
+++ b/packages/redwinggw/src/platform_inquiries.cpp
@@ -163,6 +163,24 @@
        {"target", Decision == nullptr ? "none" : Decision->Endpoint}});
 }
 
+/// Logs a decision when it changes, and once in a while that there is none.
+void logDecision(const primary_claim &Claim, const session::order_view &View,
+                 const session::order_decision &Decision,
+                 inquiry_rounds &Rounds) {
+  constexpr milliseconds LogInterval{5000};
+  const bool Waits = Decision.Step == session::order_step::Wait;
+  const bool Changed = Decision.Step != Rounds.LoggedStep ||
+                       Decision.Endpoint != Rounds.LoggedEndpoint;
+  if (Waits && base::now() >= Rounds.LogDue) {
+    logEvidence(Claim, View, nullptr);
+    Rounds.LogDue = base::now() + LogInterval;
+  }
+  if (!Waits && Changed)
+    logEvidence(Claim, View, &Decision);
+  Rounds.LoggedStep = Decision.Step;
+  Rounds.LoggedEndpoint = Decision.Endpoint;
+}
+
 /// Whether the old primary is to be asked again: one in an evacuated zone gets
 /// nothing more than the first inquiries.
 bool mayAskAgain(const platform_instance_state &State,
@@ -223,7 +241,6 @@
 base::task<session::order_decision> decideRound(platform_instance_state &State,
                                                 const claimed_move &Move,
                                                 inquiry_rounds &Rounds) {
-  constexpr milliseconds LogInterval{5000};
   // An endpoint that is refused may be starting.
   constexpr milliseconds RefusedFor{1000};
   const primary_claim &Claim = Move.Claim;
@@ -251,12 +268,7 @@
   View.MayKeepPrimary = !MayCatchUp;
   auto Decision = decideOrder(View);
   Decision.Start.Newest = std::max(Decision.Start.Newest, Agreed);
-  if (Decision.Step != session::order_step::Wait) {
-    logEvidence(Claim, View, &Decision);
-  } else if (Now >= Rounds.LogDue) {
-    logEvidence(Claim, View, nullptr);
-    Rounds.LogDue = Now + LogInterval;
-  }
+  logDecision(Claim, View, Decision, Rounds);
   if (mayAskAgain(State, Claim))
     Rounds.Old = co_await askOldPrimary(State, Claim);
   co_return Decision;
--- a/packages/redwinggw/src/platform_inquiries.hpp
+++ b/packages/redwinggw/src/platform_inquiries.hpp
@@ -29,6 +29,9 @@
   /// Until when replicas may receive what the old primary has.
   base::instant CatchUpUntil;
   base::instant LogDue;
+  /// The decision that was last logged.
+  session::order_step LoggedStep = session::order_step::Wait;
+  base::endpoint_name LoggedEndpoint;
   /// Since when no endpoint of the agreed term is to be expected.
   std::optional<base::instant> TermLostSince;
   /// When the platform has refused to promote an endpoint: it was not running.
--- a/packages/redwinggw/src/platform_promotion.cpp
+++ b/packages/redwinggw/src/platform_promotion.cpp
@@ -289,14 +289,15 @@
                           Decision.Start.Newest);
       co_return true;
     }
-    if (MayAct && Decision.Step == order_step::Order && isOwnTurn(State)) {
+    const bool InTurn = isOwnTurn(State);
+    if (MayAct && Decision.Step == order_step::Order && InTurn) {
       const auto Term = co_await promote(State, Claim, Decision, Rounds);
       if (Term) {
         co_await finishMove(State, Claim, Decision.Endpoint, *Term);
         co_return true;
       }
     }
-    const bool Early = base::now() < Rounds.CatchUpUntil;
+    const bool Early = InTurn && base::now() < Rounds.CatchUpUntil;
     co_await pauseWithJitter(State, Early ? StepPause : PauseBetweenRounds);
   }
   logMove(Claim.Service, "this instance is not the orderer any more.");
