--- a/packages/redwinggw/src/platform_claim.cpp
+++ b/packages/redwinggw/src/platform_claim.cpp
@@ -98,8 +98,8 @@
   return Moves;
 }
 
-/// Whether an instance that is up carries out the move at \p Key. It is left to
-/// do so for a turn: a claim of any service would end it.
+/// Whether an instance that is up carries out the move at \p Key. It gets the
+/// time for a turn and a promotion: a claim of any service would end its move.
 bool isCarriedOut(const platform_instance_state &State,
                   const std::string &Key) {
   const auto *Known =
@@ -232,7 +232,9 @@
       co_await storage::commit(State.Store, std::move(Request));
   if (!Versions) {
     const bool Own = co_await readOwnClaim(State, Claim);
-    co_return Own &&Claim.Target == Decision.Endpoint;
+    if (!Own)
+      co_return false;
+    co_return Claim.Target == Decision.Endpoint;
   }
   Next.Epoch = Versions->front();
   Claim = Next;
--- a/packages/redwinggw/src/platform_instance_state.hpp
+++ b/packages/redwinggw/src/platform_instance_state.hpp
@@ -177,12 +177,15 @@
       OrdererSilence;
   /// Services with a promotion order that the platform has not answered yet.
   std::set<base::service_name> PromotionsInFlight;
-  /// The version of the orderer's row as this instance last wrote it, and up to
-  /// which epoch no other instance had become the orderer.
+  /// \name Who orders promotions
+  /// Each claim changes the orderer's row, so that claims of all services are
+  /// made one after the other.
+  /// @{
+  /// The version of the orderer's row as this instance last wrote it.
   std::uint64_t OrdererRowVersion = 0;
+  /// The newest epoch up to which this instance is known to be the orderer, and
+  /// the newest one of which another instance is known to have been.
   std::uint64_t OrdererUpTo = 0;
-  /// The newest epoch of which another instance is known to have been the
-  /// orderer.
   std::uint64_t OthersClaimedUpTo = 0;
   /// The fencing token of this instance's last claim.
   std::uint64_t OrdererToken = 0;
@@ -196,6 +199,7 @@
   /// Services for which others may order until they have acknowledged a claim
   /// of this instance.
   std::set<base::service_name> OrdersPending;
+  /// @}
   /// Services of which another endpoint leads a later term than the primary.
   std::set<base::service_name> Superseded;
   /// When the last promotion order was answered or timed out.
--- a/packages/session/include/redwinggw/session/handover.hpp
+++ b/packages/session/include/redwinggw/session/handover.hpp
@@ -155,11 +155,11 @@
 
 /// Whether the old primary may stay in use because no endpoint can replace it.
 /// True if \p Old says that it leads the newest term, and if no promotion
-/// can have been ordered. \p Resumed: an earlier claim began the move, and its
-/// promotion order may still take effect. Then both primaries would acknowledge
+/// can have been ordered. \p MayBeOrdered: a promotion may have been ordered in
+/// this move, and may still take effect. Then both primaries would acknowledge
 /// writes, since an old primary reports the primary role until it is in contact
 /// with the new one.
-bool mayKeepOldPrimary(const promotion_start &Old, bool Resumed);
+bool mayKeepOldPrimary(const promotion_start &Old, bool MayBeOrdered);
 
 /// The name of \p Cause in logs. Thread safe.
 std::string_view moveCauseName(move_cause Cause);
--- a/packages/session/src/handover.cpp
+++ b/packages/session/src/handover.cpp
@@ -91,8 +91,8 @@
          Now - Acknowledged.ClaimedAt > Limits.ReadingValidFor;
 }
 
-bool mayKeepOldPrimary(const promotion_start &Old, bool Resumed) {
-  return !Resumed && Old.Led;
+bool mayKeepOldPrimary(const promotion_start &Old, bool MayBeOrdered) {
+  return !MayBeOrdered && Old.Led;
 }
 
 } // namespace redwinggw::session
