--- a/packages/redwinggw/src/platform_promotion.cpp
+++ b/packages/redwinggw/src/platform_promotion.cpp
@@ -126,8 +126,9 @@
 /// Orders the promotion of the recorded target once.
 base::task<platform::promotion_outcome> order(platform_instance_state &State,
                                               const primary_claim &Claim) {
-  platform::promotion_order Order{Claim.Service, Claim.Target.value(),
-                                  Claim.Orderer, Claim.Token};
+  const base::endpoint_name Target = Claim.Target.value_or("");
+  platform::promotion_order Order{Claim.Service, Target, Claim.Orderer,
+                                  Claim.Token};
   logOrder(Order, Claim.Epoch);
   const instant Sent = base::now();
   State.PromotionsInFlight.insert(Claim.Service);
