Stand-in: destroy the store's proxy before its context; soak: join texts

Under the address sanitizer every test of tests/instance failed at its end: the proxy closes its acceptor after the context is gone. The texts are for lint.

--- a/tests/soak/soak_verdict.cpp
+++ b/tests/soak/soak_verdict.cpp
@@ -1,13 +1,22 @@
 #include "soak_verdict.hpp"
 
 #include <algorithm>
+#include <initializer_list>
 #include <map>
 #include <ranges>
+#include <string_view>
 #include <tuple>
 
 namespace redwinggw::soak {
 namespace {
 
+std::string joined(std::initializer_list<std::string_view> Parts) {
+  std::string Text;
+  for (const std::string_view Part : Parts)
+    Text.append(Part);
+  return Text;
+}
+
 using base::instant;
 using base::milliseconds;
 using standin::simulated_platform;
@@ -75,28 +84,28 @@
   std::map<std::uint64_t, std::string> Holders;
   std::map<std::string, sent_order> Last;
   for (const sent_order &Order : Sent) {
-    const std::string Text = Order.Orderer + " with " +
-                             std::to_string(Order.Token) + " for " +
-                             Order.Service;
-    const std::string At = ", " + recentFaults(Faults, Order.SentAt);
+    const std::string Text =
+        joined({Order.Orderer, " with ", std::to_string(Order.Token), " for ",
+                Order.Service});
+    const std::string At = joined({", ", recentFaults(Faults, Order.SentAt)});
     const std::string &Holder =
         Holders.try_emplace(Order.Token, Order.Orderer).first->second;
     if (Holder != Order.Orderer)
-      Lines.push_back("ONE: same token: " + Text + " and " + Holder + At);
+      Lines.push_back(joined({"ONE: same token: ", Text, " and ", Holder, At}));
     const bool Lower = std::ranges::any_of(
         World.Promotions, [&](const standin::promotion &Seen) {
           return Seen.Service == Order.Service && Seen.Token > Order.Token &&
                  Seen.ArrivedAt < Order.SentAt;
         });
     if (Lower)
-      Lines.push_back("ONE: lower token: " + Text + At);
+      Lines.push_back(joined({"ONE: lower token: ", Text, At}));
     const auto Before = Last.find(Order.Service);
     if (Before != Last.end() && Before->second.Orderer != Order.Orderer &&
         Order.SentAt - Before->second.SentAt < LeaseDuration &&
         isInTouch(Faults, Order.Orderer, Order.SentAt) &&
         isInTouch(Faults, Before->second.Orderer, Order.SentAt))
-      Lines.push_back("ONE: in turn: " + Before->second.Orderer + ", then " +
-                      Text + At);
+      Lines.push_back(joined(
+          {"ONE: in turn: ", Before->second.Orderer, ", then ", Text, At}));
     Last[Order.Service] = Order;
   }
 }
--- a/tests/standins/native/simulated_platform.cpp
+++ b/tests/standins/native/simulated_platform.cpp
@@ -72,6 +72,8 @@
   Thread.join();
   Proxies.clear();
   Links.clear();
+  // It uses the context, which is destroyed before it.
+  SecondStoreProxy.reset();
 }
 
 void simulated_platform::addService(std::size_t Number) {
