Split the tests of relays and of the native path by job

No test is changed: 22 of relays_test are 9, 8 and 5 in relays_test, relayed_knowledge_test and relayed_positions_test; 24 of native_path_test are 12, 10 and 2 in native_path_test, failover_path_test and evacuation_path_test. What they share is in relay_fleet.hpp and fleet_callers.hpp.

All pass: 9, 8, 5; 12, 10, 2; promotion_orders_test 5.

--- a/tests/native/held_order.hpp
+++ b/tests/native/held_order.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
-#include "line_client.hpp"
-#include "native_fleet.hpp"
+#include "fleet_callers.hpp"
 #include "order_records.hpp"
 
 #include <algorithm>
@@ -29,19 +28,6 @@
   Platform,
 };
 
-inline bool writeEventually(const native_process &Instance) {
-  return eventually([&] {
-    line_client Caller(Instance.Callers, "strict", "key");
-    return Caller.run("WRITE a 1").Error.empty();
-  });
-}
-
-/// Makes instances notice that the primary does not answer.
-inline void useThePrimary(native_fleet &Fleet) {
-  for (const native_process &Instance : Fleet.Instances)
-    line_client(Instance.Callers, "strict", "key").run("READ a");
-}
-
 /// Writes for \p Time through \p Instances; the ids of those that succeeded.
 inline acknowledged_ids
 writeRepeatedly(const std::vector<const native_process *> &Instances,
