Model of moves: the checks once; an orderer is called so

withoutFaults, checkAll and checkProgress stood in three test files; they are in promotion_checks.hpp. Renamed, since a log_holder is something else: RowHolder -> RowOrderer, SeenHolder -> SeenOrderer, TurnsByHolder -> TurnsByOrderer, needs_turns_from_the_change_of_holder -> ..._of_orderer.

--- a/tests/session/promotion_claim_steps.cpp
+++ b/tests/session/promotion_claim_steps.cpp
@@ -27,11 +27,11 @@
   Known = Row.Row;
   Known.Orderer = 0;
   const bool Remembers = Self.RowVersion == State.RowVersion;
-  if (State.RowHolder == Orderer && !Remembers &&
+  if (State.RowOrderer == Orderer && !Remembers &&
       !Setting.Guards.KnowsOwnTenure)
     Self.Turn = turn::Taken;
-  else if (State.RowHolder != Orderer || !Remembers) {
-    State.RowHolder = Orderer;
+  else if (State.RowOrderer != Orderer || !Remembers) {
+    State.RowOrderer = Orderer;
     ++State.RowToken;
     Self.Turn = turn::NotBegun;
     Self.TurnWaitsFor = 0;
@@ -81,7 +81,7 @@
   const bool Resumes = Known.Moving;
   const bool Free =
       Resumes && (Row.Row.Orderer == Orderer || isAbandoned(Read, Service));
-  const bool Leaves = Orderer != 0 && Read.RowHolder != Orderer &&
+  const bool Leaves = Orderer != 0 && Read.RowOrderer != Orderer &&
                       Read.Instances[0].Contact == contact::Up;
   if (Resumes && Collector.Setting.LeavesLostMoves && Leaves)
     return;
@@ -136,10 +136,10 @@
   Self.Tasks[Service].Step = task_step::Deciding;
   Self.Tasks[Service].Unsettled =
       unsettledOrders(Collector.Setting, Next, Service);
-  // Acknowledgements of a claim from before the former holder's time say
+  // Acknowledgements of a claim from before the former orderer's time say
   // nothing about its orders.
   if (Self.Turn == turn::NotBegun &&
-      (Epoch >= Self.HeldSince || !Collector.Setting.Guards.TurnsByHolder)) {
+      (Epoch >= Self.HeldSince || !Collector.Setting.Guards.TurnsByOrderer)) {
     Self.Turn = turn::Waiting;
     Self.TurnWaitsFor = unsettledOrders(Collector.Setting, Next, MaxServices);
   }
--- a/tests/session/promotion_losses_test.cpp
+++ b/tests/session/promotion_losses_test.cpp
@@ -1,34 +1,7 @@
-#include "promotion_search.hpp"
-
-#include "criterion_test.hpp"
+#include "promotion_checks.hpp"
 
 using namespace redwinggw::promotion_model;
 
-namespace {
-
-constexpr std::size_t Unlimited = 2'000'000;
-
-setting withoutFaults() {
-  setting Setting;
-  Setting.Delays = 0;
-  Setting.InstanceFaults = 0;
-  Setting.DatabaseFaults = 0;
-  Setting.Takeovers = 0;
-  Setting.Abandons = 0;
-  return Setting;
-}
-
-/// Checks every reachable state: no rule is broken, and without further faults
-/// an agreed primary is reached, whatever happens in which order.
-void checkProgress(const setting &Setting) {
-  const search_result Result = searchAll(Setting, Unlimited);
-  cr_assert(Result.Broken == fault::None, "%s", Result.Trace.c_str());
-  cr_assert(Result.Complete);
-  cr_assert(Result.Stuck + Result.Endless == 0, "%s", Result.Trace.c_str());
-}
-
-} // namespace
-
 // Guards against a target that is silent, refused or empty when its order
 // arrives.
 Test(promotion_losses, survives_the_loss_of_a_database) {
--- a/tests/session/promotion_model.cpp
+++ b/tests/session/promotion_model.cpp
@@ -57,7 +57,7 @@
     Use(Order.Token);
 }
 
-/// What a former holder remembers does not matter any more.
+/// What a former orderer remembers does not matter any more.
 void forgetTenure(const setting &Setting, state &State, number At) {
   orderer &Orderer = State.Orderers[At];
   if (Orderer.RowVersion != State.RowVersion)
@@ -65,7 +65,7 @@
   for (const task &Task : Orderer.Tasks)
     if (Task.Step == task_step::Recorded)
       return;
-  if (State.RowHolder == At || !Setting.Guards.RecordChecksOrderer)
+  if (State.RowOrderer == At || !Setting.Guards.RecordChecksOrderer)
     return;
   Orderer.Token = 0;
   Orderer.HeldSince = 0;
--- a/tests/session/promotion_model.hpp
+++ b/tests/session/promotion_model.hpp
@@ -97,7 +97,7 @@
   number Token = 0;
   /// The version of the orderer's row after its last commit.
   number RowVersion = 0;
-  /// The version of the claim by which it became the holder.
+  /// The version of the claim by which it became the orderer.
   number HeldSince = 0;
   turn Turn = turn::NotBegun;
   number TurnWaitsFor = 0;
@@ -127,9 +127,9 @@
   None,
   /// An agreed primary is in use after another was promoted.
   TwoPrimaries,
-  /// The platform has seen a higher token, or this one of another holder.
+  /// The platform has seen a higher token, or this one of another orderer.
   OldToken,
-  /// A holder orders while an order of a former one may arrive.
+  /// An orderer orders while an order of a former one may arrive.
   NoTurn,
   /// The promotion of a log of an older term than the agreed one is ordered.
   StaleTarget,
@@ -141,11 +141,11 @@
   std::array<orderer, OrdererCount> Orderers;
   std::array<order, MaxOrders> Orders;
   number StoreVersion = 0;
-  number RowHolder = InstanceCount;
+  number RowOrderer = InstanceCount;
   number RowToken = 0;
   number RowVersion = 0;
   number SeenToken = 0;
-  number SeenHolder = InstanceCount;
+  number SeenOrderer = InstanceCount;
   bool LateUsed = false;
   number DelaysLeft = 0;
   number LatesLeft = 0;
@@ -181,14 +181,14 @@
   bool SettlesAccepted = true;
   /// A role is a promotion only with a later term.
   bool ChecksTerm = true;
-  /// A new holder orders when the former one's orders have settled.
+  /// A new orderer orders when the former one's orders have settled.
   bool TakesTurns = true;
-  /// The turn is counted from acknowledgements of a claim as the holder.
-  bool TurnsByHolder = true;
-  /// A claim from an earlier time as the holder orders nothing more.
+  /// The turn is counted from acknowledgements of a claim as the orderer.
+  bool TurnsByOrderer = true;
+  /// A claim from an earlier time as the orderer orders nothing more.
   bool TasksEndWithTenure = true;
-  /// An instance that the orderer's row names is the holder only if it knows of
-  /// the commit that wrote it.
+  /// An instance that the orderer's row names is the orderer only if it knows
+  /// of the commit that wrote it.
   bool KnowsOwnTenure = true;
 };
 
--- a/tests/session/promotion_mutations_test.cpp
+++ b/tests/session/promotion_mutations_test.cpp
@@ -45,7 +45,7 @@
   cr_assert(breaks(Setting));
 }
 
-// Guards against a record that a change of holder does not refuse.
+// Guards against a record that a change of orderer does not refuse.
 Test(promotion_mutations, needs_the_check_of_the_orderers_row) {
   setting Setting = twoServices();
   Setting.Guards.RecordChecksOrderer = false;
@@ -112,7 +112,7 @@
   cr_assert(breaks(Setting));
 }
 
-// Guards against orders of two holders at the same time.
+// Guards against orders of two orderers at the same time.
 Test(promotion_mutations, needs_turns) {
   setting Setting = oneService();
   Setting.Guards.TakesTurns = false;
@@ -120,14 +120,14 @@
 }
 
 // Guards against a turn that is counted from a claim before the former
-// holder's.
-Test(promotion_mutations, needs_turns_from_the_change_of_holder) {
+// orderer's.
+Test(promotion_mutations, needs_turns_from_the_change_of_orderer) {
   setting Setting = twoServices();
-  Setting.Guards.TurnsByHolder = false;
+  Setting.Guards.TurnsByOrderer = false;
   cr_assert(breaks(Setting, fault::OldToken));
 }
 
-// Guards against an order of a claim from an earlier time as the holder.
+// Guards against an order of a claim from an earlier time as the orderer.
 Test(promotion_mutations, needs_the_end_of_former_claims) {
   setting Setting = twoServices();
   Setting.Guards.TasksEndWithTenure = false;
--- a/tests/session/promotion_platform.cpp
+++ b/tests/session/promotion_platform.cpp
@@ -36,11 +36,11 @@
 bool receive(state &State, const order &Order) {
   const bool Old =
       Order.Token < State.SeenToken ||
-      (Order.Token == State.SeenToken && Order.Sender != State.SeenHolder);
+      (Order.Token == State.SeenToken && Order.Sender != State.SeenOrderer);
   if (Old && !State.LateUsed)
     State.Broken = fault::OldToken;
   State.SeenToken = std::max(State.SeenToken, Order.Token);
-  State.SeenHolder = Order.Sender;
+  State.SeenOrderer = Order.Sender;
   const service &Service = State.Services[Order.Service];
   return Service.Databases[Order.Target].Condition != condition::Down;
 }
--- a/tests/session/promotion_services_test.cpp
+++ b/tests/session/promotion_services_test.cpp
@@ -1,19 +1,12 @@
-#include "promotion_search.hpp"
-
-#include "criterion_test.hpp"
+#include "promotion_checks.hpp"
 
 using namespace redwinggw::promotion_model;
 
 namespace {
 
 setting twoServices() {
-  setting Setting;
+  setting Setting = withoutFaults();
   Setting.Services = 2;
-  Setting.Delays = 0;
-  Setting.InstanceFaults = 0;
-  Setting.DatabaseFaults = 0;
-  Setting.Takeovers = 0;
-  Setting.Abandons = 0;
   return Setting;
 }
 
@@ -22,13 +15,9 @@
 // Guards against moves of two services that end each other again and again by
 // the row which they share.
 Test(promotion_services, moves_two_services) {
-  constexpr std::size_t Unlimited = 2'000'000;
   setting Setting = twoServices();
   Setting.LeavesLostMoves = true;
-  const search_result Result = searchAll(Setting, Unlimited);
-  cr_assert(Result.Broken == fault::None, "%s", Result.Trace.c_str());
-  cr_assert(Result.Complete);
-  cr_assert(Result.Stuck + Result.Endless == 0, "%s", Result.Trace.c_str());
+  checkProgress(Setting);
 }
 
 // Guards against a service without a primary for good where each instance
