Take a database that restarts under another name for the same log

What callers saw, with sync_replicas 1: after its databases had restarted a service had no primary for good, and refused what needs one.

Each restart added a name that never answers.

Change: a recorded endpoint whose address another one of the service is listed at is that one. The record tells who has the agreed primary's log: if that one leads the newest term it is kept, since it has all that it has acknowledged.

Evidence: failover_path_test, follows_databases_that_restart_under_other_names, fails without the change (1 of 1: no read in 30 s) and passes with it.

--- a/packages/redwinggw/src/platform_holders.cpp
+++ b/packages/redwinggw/src/platform_holders.cpp
@@ -104,7 +104,8 @@
                               base::service_name Service) {
   const holder_record Record = recordOf(*State, Service);
   const auto Listed = listedOf(*State, Service);
-  holder_record Next = withListed(Record, Listed);
+  const base::endpoint_name Primary = primaryOf(*State, Service);
+  holder_record Next = withListed(Record, Listed, Primary);
   if (Next.Holders != Record.Holders)
     co_await writeRecord(*State, std::move(Next), std::nullopt);
   else
@@ -117,7 +118,8 @@
                  const base::service_name &Service) {
   const holder_record Record = recordOf(State, Service);
   const auto Listed = listedOf(State, Service);
-  return withListed(Record, Listed).Holders != Record.Holders ||
+  const base::endpoint_name Primary = primaryOf(State, Service);
+  return withListed(Record, Listed, Primary).Holders != Record.Holders ||
          !unlistedHolders(Record, Listed).empty();
 }
 
@@ -136,15 +138,21 @@
           const session::primary_claim &Claim) {
   const auto Listed = listedOf(State, Claim.Service);
   std::vector<session::log_holder> Holders;
-  // Not listed any more, it may still hold commits.
-  Holders.push_back({Claim.Primary, false, false, std::nullopt});
-  for (const endpoint_entry &Entry : Listed)
-    if (Entry.Name != Claim.Primary)
-      Holders.push_back({Entry.Name,
-                         !isEvacuated(State.Evacuations, Entry.Zone),
-                         Entry.Draining, std::nullopt});
   const holder_record Record =
-      withListed(recordOf(State, Claim.Service), Listed);
+      withListed(recordOf(State, Claim.Service), Listed, Claim.Primary);
+  // Not listed any more, it may still hold commits.
+  if (!hasSuccessor(Record, Claim.Primary))
+    Holders.push_back({Claim.Primary, false, false, std::nullopt});
+  for (const endpoint_entry &Entry : Listed) {
+    if (Entry.Name == Claim.Primary)
+      continue;
+    session::log_holder &Holder = Holders.emplace_back();
+    Holder.Name = Entry.Name;
+    Holder.Eligible = !isEvacuated(State.Evacuations, Entry.Zone);
+    Holder.Draining = Entry.Draining;
+    Holder.HasPrimaryLog =
+        Record.Holders.find(Entry.Name)->second.LogOf == Claim.Primary;
+  }
   for (const base::endpoint_name &Name : unlistedHolders(Record, Listed))
     if (Name != Claim.Primary)
       Holders.push_back({Name, false, false, std::nullopt});
--- a/packages/session/include/redwinggw/session/holder_record.hpp
+++ b/packages/session/include/redwinggw/session/holder_record.hpp
@@ -20,6 +20,8 @@
 struct recorded_holder {
   http::address Address;
   bool Draining = false;
+  /// The agreed primary, if its log is here under another name.
+  base::endpoint_name LogOf;
 
   friend bool operator==(const recorded_holder &,
                          const recorded_holder &) = default;
@@ -40,11 +42,17 @@
 std::optional<holder_record>
 readHolders(std::string_view Key, std::uint64_t Version, std::string_view Text);
 
-/// \p Record with the \p Listed endpoints of its service. An endpoint that was
-/// drained and at whose address another one is listed is dropped, since its log
-/// has been transferred there. Thread safe.
+/// \p Record with the \p Listed endpoints of its service, without those whose
+/// log is at another one of them: a database that restarts is listed at its
+/// address with its log and a new name, and the log of a drained one is
+/// transferred to its successor there. Notes who has the log of \p Primary, the
+/// agreed one. Thread safe.
 holder_record withListed(holder_record Record,
-                         const std::vector<endpoint_entry> &Listed);
+                         const std::vector<endpoint_entry> &Listed,
+                         const base::endpoint_name &Primary = {});
+
+/// Whether another recorded endpoint has the log of \p Name. Thread safe.
+bool hasSuccessor(const holder_record &Record, std::string_view Name);
 
 /// The recorded endpoints that are not listed. Thread safe.
 std::vector<base::endpoint_name>
--- a/packages/session/include/redwinggw/session/promotion_evidence.hpp
+++ b/packages/session/include/redwinggw/session/promotion_evidence.hpp
@@ -27,6 +27,9 @@
   /// The term that it reports, and whether it reports to lead it.
   base::term_number Term = 0;
   bool Leads = false;
+  /// It has the log of the primary that is being replaced, which has restarted
+  /// under this name.
+  bool HasPrimaryLog = false;
 };
 
 struct promotion_rule {
--- a/packages/session/src/holder_record.cpp
+++ b/packages/session/src/holder_record.cpp
@@ -16,9 +16,13 @@
 
 std::string holderText(const holder_record &Record) {
   json::object Holders;
-  for (const auto &[Name, Holder] : Record.Holders)
-    Holders[Name] = json::object{{"address", toText(Holder.Address)},
-                                 {"draining", Holder.Draining}};
+  for (const auto &[Name, Holder] : Record.Holders) {
+    json::object Value{{"address", toText(Holder.Address)},
+                       {"draining", Holder.Draining}};
+    if (!Holder.LogOf.empty())
+      Value["log_of"] = Holder.LogOf;
+    Holders[Name] = std::move(Value);
+  }
   return json::serialize(Holders);
 }
 
@@ -30,10 +34,15 @@
     Record.Service = Key.substr(HolderPrefix.size());
     Record.Version = Version;
     const json::value Value = json::parse(Text);
-    for (const auto &[Name, Holder] : Value.as_object())
-      Record.Holders[Name] = {
-          http::parseAddress(Holder.at("address").as_string()).value(),
-          Holder.at("draining").as_bool()};
+    for (const auto &[Name, Text] : Value.as_object()) {
+      recorded_holder &Holder = Record.Holders[Name];
+      Holder.Address =
+          http::parseAddress(Text.at("address").as_string()).value();
+      Holder.Draining = Text.at("draining").as_bool();
+      // Older builds do not write it.
+      if (const auto *LogOf = Text.as_object().if_contains("log_of"))
+        Holder.LogOf = LogOf->as_string();
+    }
     return Record;
   } catch (const std::exception &Fault) {
     base::log(base::log_level::Error, base::log_part::Failover,
@@ -42,20 +51,54 @@
   }
 }
 
+namespace {
+
+/// The listed endpoint that has the log of the recorded endpoint \p Name; null
+/// if that one has it itself, or if it is not known.
+const endpoint_entry *successorOf(const holder_record &Record,
+                                  std::string_view Name,
+                                  const std::vector<endpoint_entry> &Listed) {
+  const recorded_holder &Holder = Record.Holders.find(Name)->second;
+  const bool IsListed =
+      std::ranges::find(Listed, Name, &endpoint_entry::Name) != Listed.end();
+  if (IsListed && !Holder.Draining)
+    return nullptr;
+  const auto Found =
+      std::ranges::find_if(Listed, [&](const endpoint_entry &Entry) {
+        return Entry.Name != Name && Entry.Address == Holder.Address;
+      });
+  return Found == Listed.end() ? nullptr : &*Found;
+}
+
+} // namespace
+
 holder_record withListed(holder_record Record,
-                         const std::vector<endpoint_entry> &Listed) {
-  for (const endpoint_entry &Entry : Listed)
-    Record.Holders[Entry.Name] = {Entry.Address, Entry.Draining};
-  std::erase_if(Record.Holders, [&](const auto &Recorded) {
-    const auto &[Name, Holder] = Recorded;
-    return Holder.Draining &&
-           std::ranges::any_of(Listed, [&](const endpoint_entry &Entry) {
-             return Entry.Name != Name && Entry.Address == Holder.Address;
-           });
-  });
+                         const std::vector<endpoint_entry> &Listed,
+                         const base::endpoint_name &Primary) {
+  for (const endpoint_entry &Entry : Listed) {
+    recorded_holder &Holder = Record.Holders[Entry.Name];
+    Holder.Address = Entry.Address;
+    Holder.Draining = Entry.Draining;
+  }
+  for (auto At = Record.Holders.begin(); At != Record.Holders.end();) {
+    const endpoint_entry *Successor = successorOf(Record, At->first, Listed);
+    if (Successor == nullptr) {
+      ++At;
+      continue;
+    }
+    if (At->first == Primary || At->second.LogOf == Primary)
+      Record.Holders[Successor->Name].LogOf = Primary;
+    At = Record.Holders.erase(At);
+  }
   return Record;
 }
 
+bool hasSuccessor(const holder_record &Record, std::string_view Name) {
+  return std::ranges::any_of(Record.Holders, [&](const auto &Recorded) {
+    return Recorded.second.LogOf == Name;
+  });
+}
+
 std::vector<base::endpoint_name>
 unlistedHolders(const holder_record &Record,
                 const std::vector<endpoint_entry> &Listed) {
--- a/packages/session/src/promotion_order.cpp
+++ b/packages/session/src/promotion_order.cpp
@@ -44,10 +44,28 @@
           startOf(View.Holders, Holder, View.Rule.AgreedTerm)};
 }
 
+/// Whether \p Holder is the primary that is being replaced, perhaps under
+/// another name.
+bool isOldPrimary(const order_view &View, const log_holder &Holder) {
+  return Holder.Name == View.Primary || Holder.HasPrimaryLog;
+}
+
+/// The old primary, if it has answered and leads the newest term: no commit
+/// that it has acknowledged is missing in its log. Null otherwise.
+const log_holder *leadingOldPrimary(const order_view &View) {
+  const auto Found =
+      std::ranges::find_if(View.Holders, [&](const log_holder &Holder) {
+        return isOldPrimary(View, Holder) && Holder.Received &&
+               startOf(View.Holders, Holder, View.Rule.AgreedTerm).Led;
+      });
+  return Found == View.Holders.end() ? nullptr : &*Found;
+}
+
 /// Whether the promotion of the recorded target may be ordered again.
 bool isStillTarget(const order_view &View, const log_holder &Target) {
-  if (Target.Name == View.Primary)
-    return startOf(View.Holders, Target, View.Rule.AgreedTerm).Led;
+  if (isOldPrimary(View, Target) &&
+      startOf(View.Holders, Target, View.Rule.AgreedTerm).Led)
+    return true;
   // Earlier orders may have been carried out, whatever it has received since.
   promotion_rule Rule = View.Rule;
   Rule.Needed.reset();
@@ -78,15 +96,12 @@
       View.OrdersSettled ? chooseTarget(View.Holders, View.Rule) : nullptr;
   if (Chosen != nullptr)
     return decisionFor(View, order_step::Order, *Chosen);
-  const log_holder *Old = findHolder(View, View.Primary);
+  const log_holder *Old = leadingOldPrimary(View);
   if (Old == nullptr || !View.MayKeepPrimary)
     return {};
   const auto Start = startOf(View.Holders, *Old, View.Rule.AgreedTerm);
-  if (!Start.Led)
-    return {};
-  return {mayKeepOldPrimary(Start, !NoneOrdered) ? order_step::Keep
-                                                 : order_step::Order,
-          Old->Name, Start};
+  const bool MayKeep = mayKeepOldPrimary(Start, !NoneOrdered);
+  return {MayKeep ? order_step::Keep : order_step::Order, Old->Name, Start};
 }
 
 } // namespace redwinggw::session
--- a/tests/native/failover_path_test.cpp
+++ b/tests/native/failover_path_test.cpp
@@ -163,6 +163,32 @@
   cr_assert(promoted(Fleet).front() == "d2");
 }
 
+// Guards against a service without a primary for good after its databases have
+// restarted under other names: their former names never answer again.
+Test(failover_path, follows_databases_that_restart_under_other_names) {
+  native_fleet Fleet(3);
+  Fleet.World.replicateSynchronously();
+  cr_assert(eventually([&] { return isRecorded(Fleet, "d3"); }));
+  Fleet.World.crash("d1");
+  useThePrimary(Fleet);
+  cr_assert(writeEventually(Fleet.Instances[0], "a", "1"));
+  for (const char *Letter : {"e", "f"}) {
+    std::vector<std::string> Names;
+    Fleet.World.runOnThread([&](simulated_platform &World) {
+      for (const standin::simulated_database &Database : World.Group.Databases)
+        Names.push_back(Database.Name);
+    });
+    for (const std::string &Name : Names)
+      Fleet.World.crash(Name);
+    useThePrimary(Fleet);
+    for (const std::string &Name : Names)
+      Fleet.World.restartAs(Name, Letter + Name.substr(1));
+    cr_assert(readsEventually(Fleet.Instances[1], "a", "1"));
+  }
+  cr_assert(writeEventually(Fleet.Instances[0], "a", "2"));
+  cr_assert(!isRecorded(Fleet, "d2") && !isRecorded(Fleet, "e2"));
+}
+
 // Guards against a draining primary that is given up while no replica can take
 // over: the service would be without a primary for as long as they lag.
 Test(failover_path, keeps_a_draining_primary_while_replicas_lag) {
--- a/tests/session/promotion_order_test.cpp
+++ b/tests/session/promotion_order_test.cpp
@@ -316,3 +316,20 @@
   View.Holders[0] = ineligible(leader("p", 2));
   cr_assert(decides(View, order_step::Adopt, "p"));
 }
+
+// Guards against a service without a primary for good after its primary has
+// restarted under another name, while drained replicas do not answer any more.
+Test(promotion_order, keeps_a_primary_that_restarted_under_another_name) {
+  order_view View = firstOrder();
+  View.Rule.SynchronousReplicas = 1;
+  log_holder Restarted = leader("q", 1);
+  Restarted.HasPrimaryLog = true;
+  View.Holders = {Restarted, replica("a", 1), ineligible(silent("c")),
+                  ineligible(silent("d"))};
+  cr_assert(waits(View));
+  View.MayKeepPrimary = true;
+  cr_assert(decides(View, order_step::Keep, "q"));
+  // Another endpoint has led since.
+  View.Holders[1] = replica("a", 2);
+  cr_assert(waits(View));
+}
--- a/tests/standins/native/database_server.cpp
+++ b/tests/standins/native/database_server.cpp
@@ -303,6 +303,10 @@
 
 const http::address &database_server::address() const { return State->Address; }
 
+void database_server::rename(std::string Name) {
+  State->Name = std::move(Name);
+}
+
 void database_server::dropConnections() {
   for (const auto &Client : State->Clients) {
     boost::system::error_code Ignored;
--- a/tests/standins/native/database_server.hpp
+++ b/tests/standins/native/database_server.hpp
@@ -29,6 +29,9 @@
   /// Closes all connections, as a crash does.
   void dropConnections();
 
+  /// Serves the database \p Name of the group from now on.
+  void rename(std::string Name);
+
 private:
   struct state;
   std::shared_ptr<state> State;
--- a/tests/standins/native/simulated_platform.cpp
+++ b/tests/standins/native/simulated_platform.cpp
@@ -250,6 +250,22 @@
   });
 }
 
+void simulated_platform::restartAs(const std::string &Name,
+                                   const std::string &Next) {
+  runOnThread([&](simulated_platform &World) {
+    database_group &Itself = World.groupOf(Name);
+    World.database(Name).Name = Next;
+    if (Itself.Leader == Name)
+      Itself.Leader = Next;
+    auto Server = World.Servers.extract(Name);
+    Server.key() = Next;
+    Server.mapped()->rename(Next);
+    World.Servers.insert(std::move(Server));
+    World.Store.remove("servers", Name);
+  });
+  restart(Next);
+}
+
 void simulated_platform::replicateSynchronously() {
   runOnThread([](simulated_platform &World) {
     for (database_group &Each : World.Groups)
--- a/tests/standins/native/simulated_platform.hpp
+++ b/tests/standins/native/simulated_platform.hpp
@@ -51,6 +51,9 @@
   void leave(const std::string &Name);
   /// Starts \p Name again with the log that it had.
   void restart(const std::string &Name);
+  /// Starts \p Name again under the name \p Next, at its address and with its
+  /// log. Its former entry is removed.
+  void restartAs(const std::string &Name, const std::string &Next);
   /// Acknowledges commits only once a replica has received them.
   void replicateSynchronously();
   /// Marks \p Name as draining in the store.
