--- a/packages/redwinggw/src/platform_promotion.cpp
+++ b/packages/redwinggw/src/platform_promotion.cpp
@@ -148,7 +148,8 @@
 
 /// Waits until the promotion of \p Target, which the platform has accepted, has
 /// taken effect. The term that it leads; nothing when the target is not listed
-/// any more, at \p Deadline or when a later claim is known.
+/// any more or is silent after the time of a promotion, at \p Deadline or when
+/// a later claim is known.
 base::task<std::optional<base::term_number>>
 awaitPromotion(platform_instance_state &State, const primary_claim &Claim,
                session::order_decision Target, session::order_times Times,
@@ -164,6 +165,9 @@
     if (Status.Status &&
         hasTakenEffect(Target.Start, *Status.Status, Asked, Times))
       co_return Status.Status->Term;
+    const bool Silent = Status.Outcome != session::exchange_outcome::Answered;
+    if (Silent && base::now() > Times.Accepted + Times.PromotionTime)
+      co_return std::nullopt;
     co_await pauseWithJitter(State, 2 * StepPause);
   }
   co_return std::nullopt;
