--- a/tests/standins/native/database_group.hpp
+++ b/tests/standins/native/database_group.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "native/answer_faults.hpp"
+
 #include "redwinggw/base/ids.hpp"
 #include "redwinggw/base/time.hpp"
 #include "redwinggw/session/log_point.hpp"
@@ -63,6 +65,14 @@
   base::instant CommittedAt;
 };
 
+/// A read, write or commit that a database ran.
+struct statement_run {
+  /// As it arrived, without the position that it had to wait for.
+  std::string Text;
+  /// The rows that it was answered with.
+  std::vector<std::string> Rows;
+};
+
 /// Not thread safe.
 struct database_group {
   std::string Service;
@@ -82,7 +92,11 @@
   unsigned ConnectionLimit = 50;
   /// Number of runs of each statement, by the id that the caller sent.
   std::map<std::string, unsigned> Runs;
+  /// All runs of each statement, by the same id.
+  std::map<std::string, std::vector<statement_run>> RunTexts;
   std::set<std::string> Customers;
+  answer_faults Faults;
+  std::mt19937_64 Random;
 };
 
 simulated_database *findDatabase(database_group &Group, std::string_view Name);
--- a/tests/standins/native/database_server.cpp
+++ b/tests/standins/native/database_server.cpp
@@ -66,13 +66,19 @@
   base::task<void> accept();
   base::task<void> serve(std::shared_ptr<connection> Client);
   base::task<bool> awaitReplicas(std::size_t Entries);
+  base::task<bool> sendAnswer(std::shared_ptr<connection> Client,
+                              std::string Answer);
+  base::task<void> sendLater(std::shared_ptr<connection> Client,
+                             std::string Answer, base::milliseconds Delay);
   std::string start(connection &Client, std::string Fields);
   std::string query(connection &Client, std::string Fields, bool &Lost);
   std::string run(connection &Client, const std::string &Id, std::string Text);
   std::string runData(connection &Client, const std::string &Id,
-                      const std::string &Verb, std::string Operands);
+                      const std::string &Text);
   std::string commit(connection &Client, const std::string &Id);
   void append(log_entry Entry, const std::string &Id);
+  void record(const std::string &Id, const std::string &Text,
+              std::vector<std::string> Rows);
   std::string statusRow() const;
   std::string fail(connection &Client, const std::string &Code);
   std::string ready(const connection &Client);
@@ -123,9 +129,8 @@
       Replicated = co_await awaitReplicas(self().Log.size());
     if (!Replicated || self().Down)
       break;
-    const auto [WriteError, Sent] =
-        co_await asio::async_write(Client->Socket, asio::buffer(Answer), Token);
-    if (WriteError || !Client->Started)
+    const bool Sent = co_await sendAnswer(Client, Answer);
+    if (!Sent || !Client->Started)
       break;
   }
   boost::system::error_code Ignored;
@@ -134,6 +139,39 @@
     --self().Connections;
 }
 
+/// Sends an answer as the group's faults have it. False when the connection
+/// ends with it.
+base::task<bool>
+database_server::state::sendAnswer(std::shared_ptr<connection> Client,
+                                   std::string Answer) {
+  const answer_plan Plan = drawPlan(Group.Faults, Answer.size(), Group.Random);
+  if (Plan.Silent)
+    co_return true;
+  if (Plan.CutAfter)
+    Answer.resize(*Plan.CutAfter);
+  const auto [Error, Sent] =
+      co_await asio::async_write(Client->Socket, asio::buffer(Answer), Token);
+  if (Error || Plan.CutAfter)
+    co_return false;
+  if (Plan.RepeatAfter)
+    asio::co_spawn(Executor,
+                   sendLater(Client, std::move(Answer), *Plan.RepeatAfter),
+                   asio::detached);
+  co_return true;
+}
+
+base::task<void>
+database_server::state::sendLater(std::shared_ptr<connection> Client,
+                                  std::string Answer,
+                                  base::milliseconds Delay) {
+  const auto Self = shared_from_this();
+  asio::steady_timer Timer(Executor, Delay);
+  co_await Timer.async_wait(Token);
+  boost::system::error_code Ignored;
+  // At once, so that it stands between two answers and not inside of one.
+  asio::write(Client->Socket, asio::buffer(Answer), Ignored);
+}
+
 /// Waits until the commits that an answer acknowledges have been replicated.
 /// False if this primary is replaced or stops before.
 base::task<bool> database_server::state::awaitReplicas(std::size_t Entries) {
@@ -203,6 +241,9 @@
   replicate(Group, base::now());
   if (const auto After = readAfter(Text); After && pointOf(self()) < *After)
     return fail(Client, "LAGGING");
+  if (Id != "-" && drawRefusal(Group.Faults, Group.Random))
+    return fail(Client, "BUSY");
+  const std::string Whole = Text;
   const std::string Verb = takeWord(Text);
   if (Verb == "DEMOTE" && self().Term < std::stoull(Text))
     self().Primary = false;
@@ -234,7 +275,7 @@
   }
   if (Verb == "COMMIT")
     return commit(Client, Id);
-  return runData(Client, Id, Verb, std::move(Text));
+  return runData(Client, Id, Whole);
 }
 
 /// Commits \p Entry here by the statement \p Id.
@@ -248,10 +289,19 @@
   self().Log.push_back(std::move(Entry));
 }
 
+void database_server::state::record(const std::string &Id,
+                                    const std::string &Text,
+                                    std::vector<std::string> Rows) {
+  ++Group.Runs[Id];
+  Group.RunTexts[Id].push_back({Text, std::move(Rows)});
+  ++self().Statements;
+}
+
 std::string database_server::state::runData(connection &Client,
                                             const std::string &Id,
-                                            const std::string &Verb,
-                                            std::string Operands) {
+                                            const std::string &Text) {
+  std::string Operands = Text;
+  const std::string Verb = takeWord(Operands);
   bool Writes = Verb == "WRITE";
   if (Verb == "EXECUTE") {
     const auto Found = Client.Prepared.find(takeWord(Operands));
@@ -261,12 +311,14 @@
   }
   if (Writes && (!self().Primary || Client.ReadOnly))
     return fail(Client, "READONLY");
-  ++Group.Runs[Id];
-  ++self().Statements;
   std::string Signature = "DONE sig." + Id + "\r\n";
   const std::string Item = takeWord(Operands);
-  if (!Writes)
-    return "ROW " + valueAt(self(), Item) + "\r\n" + Signature;
+  if (!Writes) {
+    const std::string Value = valueAt(self(), Item);
+    record(Id, Text, {Value});
+    return "ROW " + Value + "\r\n" + Signature;
+  }
+  record(Id, Text, {});
   log_entry Entry{Item, Operands, base::now(), Id};
   if (Client.InTransaction)
     Client.Pending.push_back(std::move(Entry));
@@ -280,8 +332,7 @@
   const bool Wrote = !Client.Pending.empty();
   if (Wrote && !self().Primary)
     return fail(Client, "READONLY");
-  ++Group.Runs[Id];
-  ++self().Statements;
+  record(Id, "COMMIT", {});
   for (log_entry &Entry : Client.Pending)
     append(std::move(Entry), Id);
   Client.Pending.clear();
