Say why an answer of an endpoint could not be read

An answer that could not be read was Broken, whatever had come, and relay_failed did not even say that: by the users' record nobody can tell rows cut by a line feed from a connection that ended. The line now has the outcome and the fault: incomplete, unreadable, out_of_order, foreign.

The order of an answer's parts is a struct of its own, without I/O. It refuses what was taken so far: two ends, rows after the end, an end and an error, a position that cannot be read. The state of START that comes again before an answer is skipped. Fakes give each proof once, as endpoints do; tests name the statement whose proof they expect.

--- a/packages/session/include/redwinggw/session/endpoint_link.hpp
+++ b/packages/session/include/redwinggw/session/endpoint_link.hpp
@@ -28,12 +28,33 @@
   TimedOut,
 };
 
+/// Why an answer is none.
+enum class answer_fault {
+  None,
+  /// The connection ended before the end of the answer.
+  Incomplete,
+  /// A line that is no part of an answer.
+  Unreadable,
+  /// Parts of an answer that do not follow each other, or come twice.
+  OutOfOrder,
+  /// The answer to another statement.
+  Foreign,
+};
+
 struct exchange {
   exchange_outcome Outcome = exchange_outcome::NotSent;
   answer Answer;
   base::instant SentAt;
+  /// Set if the outcome is Broken.
+  answer_fault Fault = answer_fault::None;
 };
 
+/// The names in logs. Thread safe.
+/// @{
+std::string_view outcomeName(exchange_outcome Outcome);
+std::string_view answerFaultName(answer_fault Fault);
+/// @}
+
 /// Replication state that an endpoint reports on request.
 struct endpoint_status {
   endpoint_role Role = endpoint_role::Replica;
@@ -76,6 +97,9 @@
                                    std::optional<log_point> After,
                                    base::instant Deadline) = 0;
 
+  /// Reads one more answer: the one that came last was an earlier statement's.
+  virtual base::task<exchange> readOn(base::instant Deadline) = 0;
+
   /// \p Term is used by Pause and Demote.
   virtual base::task<status_exchange> command(status_command Command,
                                               base::term_number Term,
--- a/packages/session/src/single_statement.cpp
+++ b/packages/session/src/single_statement.cpp
@@ -43,7 +43,10 @@
   case exchange_outcome::NotSent:
     return Name + " could not be asked";
   case exchange_outcome::Broken:
-    return Name + " broke off";
+    return Name + " broke off" +
+           (Exchange.Fault == answer_fault::None
+                ? std::string()
+                : ": " + std::string(answerFaultName(Exchange.Fault)));
   case exchange_outcome::TimedOut:
     return Name + " did not answer in time";
   case exchange_outcome::Answered:
--- /dev/null
+++ b/tests/platform/answer_reader_test.cpp
@@ -0,0 +1,75 @@
+#include "platform/answer_reader.hpp"
+
+#include <initializer_list>
+
+#include "criterion_test.hpp"
+
+using namespace redwinggw;
+using namespace redwinggw::platform;
+using session::answer_fault;
+
+namespace {
+
+/// The reader after \p Lines; the last one has to end the answer.
+answer_reader readAll(std::initializer_list<std::string_view> Lines,
+                      bool Opening = false) {
+  answer_reader Reader;
+  Reader.Opening = Opening;
+  bool Goes = true;
+  for (const std::string_view Line : Lines) {
+    cr_assert(Goes);
+    Goes = takeLine(Reader, Line);
+  }
+  cr_assert(!Goes);
+  return Reader;
+}
+
+answer_fault faultOf(std::initializer_list<std::string_view> Lines,
+                     bool Opening = false) {
+  return readAll(Lines, Opening).Fault;
+}
+
+} // namespace
+
+Test(answer_reader, reads_whole_answers) {
+  const auto Read = readAll({"ROW a b", "ROW ", "DONE 7.1f", "READY I 3.12"});
+  cr_assert(Read.Fault == answer_fault::None);
+  const std::vector<std::string> Rows{"a b", ""};
+  cr_assert(Read.Answer.Rows == Rows);
+  cr_assert(Read.Answer.Signature == "7.1f");
+  const auto Internal = readAll({"DONE -", "READY T 3.12"});
+  cr_assert(Internal.Answer.Signature.empty());
+  cr_assert(Internal.Answer.State == session::transaction_state::Open);
+  const auto Refused = readAll({"ROW a", "ERROR BUSY d1", "READY I -"});
+  cr_assert(Refused.Fault == answer_fault::None && Refused.Answer.Error);
+  cr_assert(faultOf({"READY I 3.1"}, true) == answer_fault::None);
+  cr_assert(readAll({"ERROR TOOMANY d1"}, true).Answer.Error);
+}
+
+// Parts of two answers were taken for one.
+Test(answer_reader, refuses_parts_out_of_order) {
+  cr_assert(faultOf({"ROW a", "READY I 3.1"}) == answer_fault::OutOfOrder);
+  cr_assert(faultOf({"DONE a", "DONE b"}) == answer_fault::OutOfOrder);
+  cr_assert(faultOf({"DONE a", "ROW b"}) == answer_fault::OutOfOrder);
+  cr_assert(faultOf({"DONE a", "ERROR BUSY x"}) == answer_fault::OutOfOrder);
+  cr_assert(faultOf({"ERROR BUSY x", "DONE a"}) == answer_fault::OutOfOrder);
+  cr_assert(faultOf({"ROW a"}, true) == answer_fault::OutOfOrder);
+  cr_assert(faultOf({"DONE -"}, true) == answer_fault::OutOfOrder);
+}
+
+Test(answer_reader, refuses_what_is_no_part_of_an_answer) {
+  cr_assert(faultOf({"ROWS a"}) == answer_fault::Unreadable);
+  cr_assert(faultOf({"QUERY 1 READ a"}) == answer_fault::Unreadable);
+  cr_assert(faultOf({""}) == answer_fault::Unreadable);
+  cr_assert(faultOf({"DONE"}) == answer_fault::Unreadable);
+  cr_assert(faultOf({"DONE a", "READY X 3.1"}) == answer_fault::Unreadable);
+  cr_assert(faultOf({"DONE a", "READY I 3"}) == answer_fault::Unreadable);
+  cr_assert(faultOf({"DONE a", "READY I"}) == answer_fault::Unreadable);
+}
+
+// The answer to Start came again, and was taken for a statement's.
+Test(answer_reader, skips_the_state_that_comes_again_before_an_answer) {
+  const auto Read = readAll({"READY I 3.1", "DONE a", "READY I 3.2"});
+  cr_assert(Read.Fault == answer_fault::None);
+  cr_assert(Read.Answer.Signature == "a");
+}
--- a/tests/session/fake_endpoint.hpp
+++ b/tests/session/fake_endpoint.hpp
@@ -34,6 +34,8 @@
   /// Answers the next statements; afterwards all succeed.
   std::function<std::optional<exchange>(const received_statement &)> Script;
   std::vector<received_statement> Received;
+  /// What comes after answers to earlier statements.
+  std::deque<exchange> LateAnswers;
   /// The endpoints accept no more connections than this.
   std::size_t MaxConnections = SIZE_MAX;
   std::size_t Connected = 0;
@@ -58,7 +60,6 @@
 inline exchange succeeded(const fake_group &Group, transaction_state State) {
   exchange Exchange;
   Exchange.Outcome = exchange_outcome::Answered;
-  Exchange.Answer.Signature = "proof";
   Exchange.Answer.State = State;
   Exchange.Answer.Point = Group.Point;
   Exchange.SentAt = base::now();
@@ -126,8 +127,22 @@
       InTransaction = true;
     if (Text == "COMMIT" || Text == "ROLLBACK")
       InTransaction = false;
-    co_return succeeded(Group, InTransaction ? transaction_state::Open
-                                             : transaction_state::Idle);
+    exchange Done = succeeded(Group, InTransaction ? transaction_state::Open
+                                                   : transaction_state::Idle);
+    if (!Id.empty())
+      Done.Answer.Signature =
+          "proof " + Statement.Id + "." + std::to_string(Group.Received.size());
+    co_return Done;
+  }
+
+  base::task<exchange> readOn(base::instant) override {
+    exchange Next = ended(exchange_outcome::TimedOut);
+    if (!Group.LateAnswers.empty()) {
+      Next = Group.LateAnswers.front();
+      Group.LateAnswers.pop_front();
+    }
+    Usable = Next.Outcome == exchange_outcome::Answered;
+    co_return Next;
   }
 
   base::task<status_exchange> command(status_command, base::term_number,
--- a/tests/session/forwarding_test.cpp
+++ b/tests/session/forwarding_test.cpp
@@ -161,7 +161,7 @@
   cr_assert(!Other.write(Beside).Error);
   cr_assert(!Instance.read(Session).Error);
   const answer Done = Instance.run(Session, statement_kind::Commit, "COMMIT");
-  cr_assert(!Done.Error && Done.Signature == "proof");
+  cr_assert(!Done.Error && Done.Signature.starts_with("proof id4."));
   std::vector<std::size_t> Own;
   std::vector<std::size_t> Others;
   for (const received_statement &Statement : Fleet.Group.Received)
--- a/tests/session/session_core_test.cpp
+++ b/tests/session/session_core_test.cpp
@@ -29,7 +29,7 @@
   cr_assert(Fixture.Group.Received.back().Endpoint == "p");
   caller_session Bounded = Fixture.open("bounded");
   const answer Answer = Fixture.read(Bounded);
-  cr_assert(!Answer.Error && Answer.Signature == "proof");
+  cr_assert(!Answer.Error && Answer.Signature.starts_with("proof id3."));
   cr_assert(Fixture.Group.Received.back().Endpoint != "p");
   // The replica has to prove that it holds what the primary had.
   cr_assert(Fixture.Group.Received.back().After == Fixture.Group.Point);
@@ -69,7 +69,7 @@
   Fixture.write(Session);
   Fixture.read(Session);
   const answer Answer = Fixture.run(Session, statement_kind::Commit, "COMMIT");
-  cr_assert(!Answer.Error && Answer.Signature == "proof");
+  cr_assert(!Answer.Error && Answer.Signature.starts_with("proof id4."));
   cr_assert(Answer.State == transaction_state::Idle);
   cr_assert(Fixture.Group.Received.size() == 4);
   for (const received_statement &Statement : Fixture.Group.Received) {
