Tell the answers to earlier statements from a statement's own

What callers saw: other callers' rows and signatures, once a database had answered twice. Answers do not name their statement; the second copy was taken for the answer to the next statement, and each later one was off by one. The look for unread bytes before a connection is reused does not see a copy that arrives after the statement has gone out.

Each connection now keeps digests of its last 256 answers. A statement's own answer has a proof exactly if it is a caller's, leads to the state that the statement can lead to, and its proof has not been given before. What was given before is skipped, and the connection is closed when it is returned. A refusal that came before, or that follows an answer without a proof that may have been an earlier one's, promises nothing: writes are in doubt, reads are retried. A connection that refused a statement is closed when it is returned, since a second refusal could not be told from the first one; not after a replica's lag, since reads are retried anyway. A write that is lost as the first statement of a transaction is in doubt, not aborted: its begin may not have been run.

Not told apart: a copy of an answer without a proof in the place of a set-up step that was refused; more than 256 answers late.

--- a/packages/session/include/redwinggw/session/endpoint_pool.hpp
+++ b/packages/session/include/redwinggw/session/endpoint_pool.hpp
@@ -2,6 +2,7 @@
 
 #include "redwinggw/base/task.hpp"
 #include "redwinggw/data/fair_queue.hpp"
+#include "redwinggw/session/answer_match.hpp"
 #include "redwinggw/session/cold_rates.hpp"
 #include "redwinggw/session/connection_plan.hpp"
 #include "redwinggw/session/deadline_watch.hpp"
@@ -39,6 +40,9 @@
   bool ValuesKnown = false;
   /// Statements prepared on it, by their operand.
   prepared_names Prepared;
+  answer_history Answers;
+  /// The transaction state on it.
+  transaction_state State = transaction_state::Idle;
   base::instant UsedAt;
   /// When it was checked out or set up for its current use.
   base::instant TakenAt;
--- a/packages/session/include/redwinggw/session/session.hpp
+++ b/packages/session/include/redwinggw/session/session.hpp
@@ -23,6 +23,8 @@
   counted_operation Counted;
   /// A statement that writes was sent to the endpoint.
   bool Wrote = false;
+  /// The endpoint has proven a statement inside of it: it has certainly begun.
+  bool Proven = false;
   /// It failed; only Commit and Rollback are accepted, and both roll it back.
   bool Failed = false;
   base::instant UsedAt;
--- /dev/null
+++ b/packages/session/src/answer_match.cpp
@@ -0,0 +1,79 @@
+#include "redwinggw/session/answer_match.hpp"
+
+#include <algorithm>
+#include <functional>
+
+namespace redwinggw::session {
+namespace {
+
+template <typename Value> void combine(std::uint64_t &Digest, Value Part) {
+  // FNV-1a over the hashes of the parts.
+  constexpr std::uint64_t Prime = 0x100000001b3;
+  Digest = (Digest ^ static_cast<std::uint64_t>(Part)) * Prime;
+}
+
+/// The same for an answer that comes again, and otherwise only for answers that
+/// cannot be told apart.
+std::uint64_t digestOf(const answer &Answer) {
+  constexpr std::hash<std::string> Hash;
+  std::uint64_t Digest = Hash(Answer.Signature);
+  if (!Answer.Signature.empty())
+    return Digest;
+  combine(Digest, Answer.State);
+  if (Answer.Point) {
+    combine(Digest, Answer.Point->Term);
+    combine(Digest, Answer.Point->Position);
+  }
+  if (Answer.Error) {
+    combine(Digest, Answer.Error->Code);
+    combine(Digest, Hash(Answer.Error->Reason));
+  }
+  return Digest;
+}
+
+bool wasGiven(const answer_history &History, const answer &Answer) {
+  return std::ranges::find(History.Digests, digestOf(Answer)) !=
+         History.Digests.end();
+}
+
+} // namespace
+
+answer_match matchAnswer(const answer_history &History,
+                         const expected_answer &Expected,
+                         const answer &Answer) {
+  const bool Given = wasGiven(History, Answer);
+  if (Answer.Error)
+    return Given || History.Doubtful ? answer_match::Uncertain
+                                     : answer_match::Own;
+  const bool Proven = !Answer.Signature.empty();
+  const bool Fits = Answer.State == Expected.State &&
+                    Proven == Expected.Signed &&
+                    (Proven || Answer.Rows.empty());
+  // A proof is given once.
+  if (Fits && !(Proven && Given))
+    return answer_match::Own;
+  // What a statement was due whose place a repeated answer took.
+  const bool Overdue = History.Doubtful && !Proven;
+  return Given || Overdue ? answer_match::Earlier : answer_match::Foreign;
+}
+
+void noteAnswer(answer_history &History, const answer &Answer,
+                answer_match Match) {
+  if (Match != answer_match::Own)
+    History.Suspect = true;
+  if (Match == answer_match::Own && !Answer.Signature.empty())
+    History.Doubtful = false;
+  if (Answer.Error && Answer.Error->Code != answer_code::Lagging)
+    History.Refused = true;
+  if (wasGiven(History, Answer)) {
+    History.Doubtful = History.Doubtful || Match == answer_match::Own;
+    return;
+  }
+  if (History.Digests.size() < RememberedAnswers)
+    History.Digests.push_back(digestOf(Answer));
+  else
+    History.Digests[History.Next] = digestOf(Answer);
+  History.Next = (History.Next + 1) % RememberedAnswers;
+}
+
+} // namespace redwinggw::session
--- a/packages/session/src/endpoint_pool.cpp
+++ b/packages/session/src/endpoint_pool.cpp
@@ -339,6 +339,8 @@
     --Forwarded;
     return;
   }
+  if (Link->Answers.Suspect || Link->Answers.Refused)
+    return discard(std::move(Link));
   Link->UsedAt = base::now();
   customer_use &Use = useOf(Link->Customer);
   --Use.InUse;
--- a/packages/session/src/link_setup.cpp
+++ b/packages/session/src/link_setup.cpp
@@ -2,6 +2,11 @@
 
 #include "cold_wait.hpp"
 
+#include "redwinggw/base/enum_table.hpp"
+#include "redwinggw/base/log.hpp"
+
+#include <array>
+
 namespace redwinggw::session {
 namespace {
 
@@ -27,6 +32,21 @@
   return Statement.Values ? cold_use::InTransaction : cold_use::End;
 }
 
+expected_answer expectedAnswer(const pooled_link &Link,
+                               const link_statement &Statement) {
+  switch (Statement.Action) {
+  case link_action::Begin:
+  case link_action::BeginReadOnly:
+    return {false, transaction_state::Open};
+  case link_action::Rollback:
+    return {false, transaction_state::Idle};
+  case link_action::Caller:
+    break;
+  }
+  const bool Commits = !Statement.Values;
+  return {true, Commits ? transaction_state::Idle : Link.State};
+}
+
 /// Waits until a request may be sent to an endpoint that may be cold. After
 /// true it must be sent at once.
 base::task<bool> awaitTurn(pooled_link &Link, cold_use Use,
@@ -48,14 +68,80 @@
   return Exchange;
 }
 
+constexpr std::array MatchNames = std::to_array<base::enum_name<answer_match>>({
+    {answer_match::Own, "own"},
+    {answer_match::Earlier, "earlier"},
+    {answer_match::Uncertain, "uncertain"},
+    {answer_match::Foreign, "foreign"},
+});
+
+/// What the endpoint is to be sent, as its answer depends on it.
+struct outgoing {
+  std::string_view Id;
+  std::string_view Text;
+  std::optional<log_point> After;
+  expected_answer Expected;
+};
+
+/// Logs an answer that is not the statement's own. The connection is not used
+/// again, so that its set-up limits the lines.
+void logLate(const pooled_link &Link, const outgoing &Sent, answer_match Match,
+             const answer &Answer) {
+  const auto &Error = Answer.Error;
+  base::logEvent(
+      base::log_level::Warning, base::log_part::Endpoints, "answer_not_own",
+      {{"request", std::string(Sent.Id)},
+       {"customer", Link.Customer},
+       {"match", std::string(base::nameOf(MatchNames, Match))},
+       {"answer", Error ? std::string(answerCodeName(Error->Code)) : "done"}});
+}
+
+/// An error that promises nothing, after which the connection is closed.
+answer inDoubt() {
+  answer Answer;
+  Answer.Error =
+      answer_error{answer_code::InDoubt,
+                   "an error that may be the answer to an earlier statement"};
+  Answer.State = transaction_state::Failed;
+  return Answer;
+}
+
+/// Runs a statement and finds its answer among those that come.
+base::task<exchange> exchangeOn(pooled_link &Link, outgoing Sent,
+                                base::instant Deadline) {
+  exchange Done =
+      co_await Link.Link->run(Sent.Id, Sent.Text, Sent.After, Deadline);
+  const base::instant SentAt = Done.SentAt;
+  while (Done.Outcome == exchange_outcome::Answered) {
+    const answer_match Match =
+        matchAnswer(Link.Answers, Sent.Expected, Done.Answer);
+    noteAnswer(Link.Answers, Done.Answer, Match);
+    if (Match != answer_match::Own)
+      logLate(Link, Sent, Match, Done.Answer);
+    if (Match == answer_match::Own)
+      Link.State = Done.Answer.State;
+    if (Match == answer_match::Uncertain)
+      Done.Answer = inDoubt();
+    if (Match == answer_match::Foreign) {
+      Done.Outcome = exchange_outcome::Broken;
+      Done.Fault = answer_fault::Foreign;
+    }
+    if (Match != answer_match::Earlier)
+      break;
+    Done = co_await Link.Link->readOn(Deadline);
+  }
+  Done.SentAt = SentAt;
+  co_return Done;
+}
+
 base::task<bool> runInternal(pooled_link &Link, std::string Text,
                              base::instant Deadline) {
   const cold_use Use = Link.End ? cold_use::InTransaction : cold_use::Single;
   const bool Allowed = co_await awaitTurn(Link, Use, Deadline);
   if (!Allowed)
     co_return false;
-  const exchange Exchange =
-      co_await Link.Link->run({}, Text, std::nullopt, Deadline);
+  const outgoing Sent{{}, Text, std::nullopt, {false, Link.State}};
+  const exchange Exchange = co_await exchangeOn(Link, Sent, Deadline);
   co_return isDone(Exchange);
 }
 
@@ -158,8 +244,9 @@
     co_return NotRun;
   if (Statement.PrimaryLease && !StillHolds(*Statement.PrimaryLease))
     co_return NotRun;
-  exchange Done =
-      co_await Link.Link->run(Statement.Id, Text, Statement.After, Deadline);
+  const outgoing Sent{Statement.Id, Text, Statement.After,
+                      expectedAnswer(Link, Statement)};
+  exchange Done = co_await exchangeOn(Link, Sent, Deadline);
   co_return noteBroken(Link, std::move(Done));
 }
 
--- a/packages/session/src/single_statement.cpp
+++ b/packages/session/src/single_statement.cpp
@@ -21,6 +21,7 @@
     return next_step::TryAgain;
   case answer_code::Failed:
   case answer_code::Timeout:
+  case answer_code::InDoubt:
     return Writes ? next_step::Deliver : next_step::TryAgain;
   default:
     return next_step::Deliver;
--- a/packages/session/src/transaction.cpp
+++ b/packages/session/src/transaction.cpp
@@ -136,6 +136,14 @@
           !isHome(Core.Regions, Request.Homes, Forwarding->zone()));
 }
 
+/// What a statement without an answer means for its transaction. The answer to
+/// the begin may have been an earlier one's; a write then ran by itself.
+answer_code codeOfLoss(const open_transaction &Transaction,
+                       const request &Request) {
+  return Request.Writes && !Transaction.Proven ? answer_code::InDoubt
+                                               : answer_code::Aborted;
+}
+
 constexpr std::string_view AwayText =
     "the home regions have changed and do not allow the endpoint of this "
     "transaction; retry now";
@@ -181,7 +189,7 @@
   const bool Answered = Done.Outcome == exchange_outcome::Answered;
   settle(Core, Session, Request, Placement, Done, Answered);
   if (!Answered)
-    co_return failTransaction(Session, answer_code::Aborted,
+    co_return failTransaction(Session, codeOfLoss(Transaction, Request),
                               "the connection to the endpoint was lost; its "
                               "transaction is rolled back");
   putBack(Transaction, Placement);
@@ -189,11 +197,13 @@
     co_return failTransaction(Session, answer_code::Aborted,
                               "the primary was replaced; retry now");
   // The transaction cannot commit any more, whatever the error was.
-  if (Done.Answer.Error)
+  if (const auto &Error = Done.Answer.Error)
     co_return failTransaction(
-        Session, answer_code::Aborted,
-        "the endpoint answered " +
-            std::string(answerCodeName(Done.Answer.Error->Code)));
+        Session,
+        Error->Code == answer_code::InDoubt ? codeOfLoss(Transaction, Request)
+                                            : answer_code::Aborted,
+        "the endpoint answered " + std::string(answerCodeName(Error->Code)));
+  Transaction.Proven = true;
   Done.Answer.State = transaction_state::Open;
   co_return std::move(Done.Answer);
 }
--- a/tests/native/statement_records.cpp
+++ b/tests/native/statement_records.cpp
@@ -196,12 +196,19 @@
     Lines.push_back(What + "other rows than were sent");
 }
 
-/// By transaction and its caller, what was answered to it as a whole.
+/// What was answered to a transaction as a whole.
 struct transaction_outcome {
   bool CommitSent = false;
-  bool Promised = false;
+  /// The first statement that was answered as not run, and the error.
+  std::string Promise;
 };
 
+std::string promiseOf(const statement_record &Record) {
+  return isPromise(Record)
+             ? Record.Id + " " + verbOf(Record.Text) + " " + Record.Answer.Error
+             : std::string();
+}
+
 } // namespace
 
 std::vector<statement_record> runCaller(const caller_plan &Plan) {
@@ -229,7 +236,8 @@
       continue;
     transaction_outcome &Outcome = Transactions[Record.Transaction];
     Outcome.CommitSent = Outcome.CommitSent || Record.Text == "COMMIT";
-    Outcome.Promised = Outcome.Promised || isPromise(Record);
+    if (Outcome.Promise.empty())
+      Outcome.Promise = promiseOf(Record);
   }
   judgeRuns(Group, Sent, Lines);
   for (const statement_record &Record : Records)
@@ -247,12 +255,13 @@
       Lines.push_back("TWICE: " + What);
     const bool Single = Record.Transaction == 0;
     const transaction_outcome Outcome =
-        Single ? transaction_outcome{true, isPromise(Record)}
+        Single ? transaction_outcome{true, promiseOf(Record)}
                : Transactions[Record.Transaction];
     if (!Outcome.CommitSent)
       Lines.push_back("UNASKED: committed without a commit: " + What);
-    if (Outcome.Promised)
-      Lines.push_back("REFUSED: " + What + " took effect");
+    if (!Outcome.Promise.empty())
+      Lines.push_back("REFUSED: " + What + " took effect after " +
+                      Outcome.Promise);
   }
   return Lines;
 }
