--- a/tests/standins/native/row_table.cpp
+++ b/tests/standins/native/row_table.cpp
@@ -16,16 +16,24 @@
 constexpr unsigned StatusNotFound = 404;
 constexpr unsigned StatusUnavailable = 503;
 
-/// A query parameter. A trailing "%00" is decoded to a zero byte, which callers
-/// append to a key to get its successor.
+/// A query parameter, percent-decoded.
 std::string parameter(const std::string &Query, const std::string &Name) {
   const std::size_t At = ("&" + Query).find("&" + Name + "=");
   if (At == std::string::npos)
     return {};
   const std::size_t Begin = At + Name.size() + 1;
-  std::string Value = Query.substr(Begin, Query.find('&', Begin) - Begin);
-  if (Value.ends_with("%00"))
-    Value.replace(Value.size() - 3, 3, 1, '\0');
+  const std::string Text = Query.substr(Begin, Query.find('&', Begin) - Begin);
+  std::string Value;
+  for (std::size_t Index = 0; Index < Text.size(); ++Index) {
+    constexpr int Base = 16;
+    if (Text[Index] == '%' && Index + 2 < Text.size()) {
+      Value += static_cast<char>(
+          std::stoi(Text.substr(Index + 1, 2), nullptr, Base));
+      Index += 2;
+    } else {
+      Value += Text[Index];
+    }
+  }
   return Value;
 }
 
@@ -63,10 +71,14 @@
   const std::string From = parameter(Query, "from");
   const std::string To = parameter(Query, "to");
   json::array Found;
+  bool HasMore = false;
   for (const auto &[Key, Row] : Rows) {
     const auto &[RowTable, Name] = Key;
     if (RowTable != Table || Name < From || (!To.empty() && Name >= To))
       continue;
+    HasMore = Found.size() == PageSize;
+    if (HasMore)
+      break;
     const std::string Value = View ? View(Name, Row.Value) : Row.Value;
     Found.push_back(json::object{{"table", Table},
                                  {"part", ""},
@@ -75,7 +87,7 @@
                                  {"record_version", Row.Version}});
   }
   return answer(StatusOk, {{"rows", std::move(Found)},
-                           {"has_more", false},
+                           {"has_more", HasMore},
                            {"record_version", Version}});
 }
 
--- a/tests/standins/native/row_table.hpp
+++ b/tests/standins/native/row_table.hpp
@@ -33,6 +33,8 @@
 
   /// Rejects every request with status 503.
   bool Down = false;
+  /// Rows of one response.
+  std::size_t PageSize = 500;
   std::uint64_t Calls = 0;
 
 private:
