Refuse entries with numbers out of range and names that cannot be told

Numbers of entries and of the configuration were converted whatever they were: slots of -1, 1e40 or 1e300 milliseconds have no defined result, differ between x86-64 and arm64, and were taken as entries; as a service's primary by its name they kept it without one. Names of entries, services and customers went into START as they are: a blank or a line end made other fields, or another message, of them. They are now refused, each by itself: an entry names no database, a customer's keys are unknown, the rest holds. Numbers of a configuration, which the store has checked, are bounded.

Refused rows leave a line entry_refused with the reason, once a version; a comment said so before, and none was logged.

--- a/packages/redwinggw/src/platform_endpoints.cpp
+++ b/packages/redwinggw/src/platform_endpoints.cpp
@@ -16,6 +16,7 @@
 #include <iterator>
 #include <limits>
 #include <memory>
+#include <utility>
 
 /// The endpoint list: the store reader reads it from the platform's store and
 /// sends it to the other instances.
@@ -38,12 +39,28 @@
 /// long before that.
 constexpr milliseconds FullListInterval{5000};
 
+/// Logs what names no endpoint, once for each version of a row.
+void logRefused(platform_instance_state &State, const platform::table_row &Row,
+                const base::failure &Why) {
+  constexpr std::size_t MaxRemembered = 1000;
+  if (State.RefusedEntries.size() >= MaxRemembered)
+    State.RefusedEntries.clear();
+  if (std::exchange(State.RefusedEntries[Row.Key], Row.Version) == Row.Version)
+    return;
+  base::logEvent(log_level::Warning, log_part::Endpoints, "entry_refused",
+                 {{"endpoint", Row.Key}, {"reason", Why.Detail}});
+}
+
 std::vector<session::endpoint_entry>
-entriesOf(const platform::table_rows &Rows) {
+entriesOf(platform_instance_state &State, const platform::table_rows &Rows) {
   std::vector<session::endpoint_entry> Entries;
-  for (const platform::table_row &Row : Rows.Rows)
-    if (auto Entry = platform::readEntry(Row.Key, Row.Value))
+  for (const platform::table_row &Row : Rows.Rows) {
+    auto Entry = platform::readEntry(Row.Key, Row.Value);
+    if (Entry)
       Entries.push_back(std::move(*Entry));
+    else
+      logRefused(State, Row, Entry.error());
+  }
   return Entries;
 }
 
@@ -305,7 +322,7 @@
     return;
   const std::vector<session::endpoint_entry> Before = State.EndpointList;
   State.EndpointListVersion = Rows.Version;
-  auto Entries = entriesOf(Rows);
+  auto Entries = entriesOf(State, Rows);
   if (coldLimits(State.Settings))
     keepColdTimes(State.Endpoints.Directory, Entries, base::now());
   else
--- a/packages/redwinggw/src/platform_instance_state.hpp
+++ b/packages/redwinggw/src/platform_instance_state.hpp
@@ -215,6 +215,8 @@
   /// reader, and its digest.
   std::vector<session::endpoint_entry> EndpointList;
   std::string EndpointListDigest;
+  /// By its key, the version of each row that named no endpoint.
+  std::map<std::string, std::uint64_t> RefusedEntries;
   /// The store's version at a read of that list.
   std::uint64_t EndpointListVersion = 0;
   /// Parts of a list from the store reader that is not complete yet.
--- a/tests/platform/decoding_test.cpp
+++ b/tests/platform/decoding_test.cpp
@@ -49,6 +49,40 @@
   cr_assert(!readEntry("x", replaced(Entry, R"("replica")", R"("boss")")));
 }
 
+// Odd numbers, ports and nesting in the entry of another writer.
+Test(decoding, ignores_entries_out_of_range) {
+  for (const char *Slots :
+       {"-1", "0", "1e40", "1e300", "1e999", "0.5", "null", "[5]"})
+    cr_assert(!readEntry("x", replaced(Entry, R"("slots":5)",
+                                       std::string(R"("slots":)") + Slots)),
+              "%s", Slots);
+  for (const char *Port : {"0", "65536", "99999", "-1", "", "80 ", "8080x"})
+    cr_assert(!readEntry("x", replaced(Entry, "8080", Port)), "%s", Port);
+  for (const char *Cold : {"1e300", "1e10"})
+    cr_assert(
+        !readEntry("x", replaced(Entry, R"(remaining_ms":0)",
+                                 std::string(R"(remaining_ms":)") + Cold)));
+  for (const char *Born : {"1e300", "1.5", "99999999999999999999", R"("1")"})
+    cr_assert(!readEntry("x", replaced(Entry, "1772910598021", Born)));
+  constexpr std::size_t Depth = 60'000;
+  const std::string Deep = std::string(Depth, '[') + std::string(Depth, ']');
+  cr_assert(!readEntry("x", Deep));
+  cr_assert(!readEntry("x", replaced(Entry, "5", Deep)));
+  cr_assert(!readEntry("x", replaced(Entry, "5", std::string(400, '9'))));
+}
+
+// A name with a blank or a line end became other fields, or another message, at
+// the database that was told it.
+Test(decoding, ignores_names_that_no_database_can_be_told) {
+  cr_assert(!readEntry("i 1", Entry));
+  cr_assert(!readEntry("i-1\r\nQUERY", Entry));
+  cr_assert(!readEntry("", Entry));
+  for (const char *Service : {"", "s t", R"(s\r\nBYE)", R"(s\n)"})
+    cr_assert(!readEntry(
+        "x", replaced(Entry, R"("service":"s")",
+                      std::string(R"("service":")") + Service + "\"")));
+}
+
 Test(decoding, reads_a_configuration) {
   const auto Table = readConfiguration(
       R"({"version":7,"routes":[{"name":"r","host":"db","path_prefix":"/",)"
@@ -98,6 +132,31 @@
     cr_assert(!Read(Wrong, "[]") && !Read("[]", Wrong), "%s", Wrong);
 }
 
+// One customer's name must not keep the others from being served.
+Test(decoding, leaves_out_customers_that_no_database_can_be_told) {
+  const auto Table = readConfiguration(
+      R"({"version":7,"services":[],"limits":{},"routes":[],"tenants":[)"
+      R"({"name":"a b","api_keys":["k1"],"rate_per_s":1,"burst":1},)"
+      R"({"name":"acme","api_keys":["k2"],"rate_per_s":1,"burst":1}]})");
+  cr_assert(Table && findCustomer(*Table, "k1") == nullptr);
+  cr_assert(Table && findCustomer(*Table, "k2") != nullptr);
+}
+
+// The conversion of a number out of range has no defined result.
+Test(decoding, bounds_the_numbers_of_a_configuration) {
+  const auto Table = readConfiguration(
+      R"({"version":7,"limits":{"transaction_idle_ms":1e300},"tenants":[],)"
+      R"("routes":[{"name":"r","host":"db","kind":"primary","service":"s",)"
+      R"("timeout_ms":1e40,"target_latency_ms":-1,"priority":1e40}],)"
+      R"("services":[{"name":"s","connection_limit":1e40,"cold_start_s":1e300}]})");
+  cr_assert(Table.has_value());
+  const session::route *Route = findRoute(*Table, "db");
+  cr_assert(Route->Timeout > base::milliseconds(0));
+  cr_assert(Route->TargetLatency == base::milliseconds(0));
+  cr_assert(Table->TransactionIdle == Route->Timeout);
+  cr_assert(Table->Services.at("s").Connections == Route->Priority);
+}
+
 Test(decoding, refuses_a_malformed_configuration) {
   cr_assert(!readConfiguration("{}"));
   cr_assert(!readConfiguration(R"({"version":"seven"})"));
