Soak: databases that misbehave when they answer, values of any bytes

What was sent, run and answered is judged at the end: UNASKED, MIXED, TWICE, REFUSED. The new faults are drawn from a generator of their own: earlier seeds play what they did.

--- a/tests/soak/promotion_soak.cpp
+++ b/tests/soak/promotion_soak.cpp
@@ -24,6 +24,7 @@
   std::size_t Instances = 3;
   std::size_t Services = 2;
   unsigned SynchronousReplicas = 0;
+  bool FaultyAnswers = false;
   std::string Logs;
 };
 
@@ -38,6 +39,8 @@
   Add("instances", Read.Instances, "of redwinggw");
   Add("services", Read.Services, "with three databases each");
   Add("sync", Read.SynchronousReplicas, "0 or 1: replicas of each commit");
+  Add("answers", Read.FaultyAnswers,
+      "0 or 1: databases misbehave when they answer, values are any bytes");
   Add("logs", Read.Logs, "folder to copy the instances' logs to");
   options::variables_map Map;
   options::store(options::parse_command_line(Count, Arguments, Known), Map);
@@ -47,7 +50,7 @@
 
 /// The services that serve no write through some instance soon after the last
 /// fault.
-void judgeService(const fleet::native_fleet &Fleet,
+void judgeService(const fleet::native_fleet &Fleet, callers &Callers,
                   std::vector<std::string> &Lines) {
   constexpr std::chrono::seconds Patience{30};
   const base::instant Until = base::now() + Patience;
@@ -56,7 +59,12 @@
       const bool Served = eventually(
           [&] {
             fleet::line_client Caller(Instance.Callers, routeOf(Index), "key");
-            return Caller.run("WRITE end 1").Error.empty();
+            fleet::statement_record Record;
+            Record.Text = "WRITE end 1";
+            Record.Answer = Caller.run(Record.Text);
+            Record.Id = Caller.statementId();
+            Callers.addStatements(Fleet.World.Groups[Index].Service, {Record});
+            return Record.Answer.Error.empty();
           },
           std::chrono::floor<base::milliseconds>(Until - base::now()));
       if (!Served)
@@ -79,16 +87,23 @@
   });
 }
 
+std::size_t statementsOf(const callers &Callers) {
+  std::size_t Count = 0;
+  for (const auto &[Service, Records] : Callers.records())
+    Count += Records.size();
+  return Count;
+}
+
 int run(const soak_options &Options) {
   std::vector<sent_order> Sent;
   fleet::native_fleet Fleet({Options.Instances, Options.Services, "", true});
   prepare(Fleet, Options);
   recordOrders(Fleet, Sent);
-  callers Callers(Fleet);
-  fault_schedule Faults(Fleet, Sent, Options.Seed);
+  callers Callers(Fleet, Options.FaultyAnswers, Options.Seed);
+  fault_schedule Faults(Fleet, Sent, Options.Seed, Options.FaultyAnswers);
   Faults.run(std::chrono::seconds(Options.Seconds));
   std::vector<std::string> Lines;
-  judgeService(Fleet, Lines);
+  judgeService(Fleet, Callers, Lines);
   Callers.stop();
   std::ranges::move(judge(Fleet, Sent, Callers, Faults.history()),
                     std::back_inserter(Lines));
@@ -99,7 +114,8 @@
     Writes += Ids.size();
   std::cout << "seed " << Options.Seed << ": " << Faults.history().size()
             << " faults, " << Sent.size() << " orders (" << Faults.heldOrders()
-            << " held), " << Writes << " writes acknowledged, " << Lines.size()
+            << " held), " << Writes << " writes acknowledged, "
+            << statementsOf(Callers) << " statements, " << Lines.size()
             << " violations\n";
   if (!Options.Logs.empty())
     std::filesystem::copy(
--- a/tests/soak/soak_callers.hpp
+++ b/tests/soak/soak_callers.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "native_fleet.hpp"
+#include "statement_records.hpp"
 
 #include <atomic>
 #include <map>
@@ -16,7 +17,9 @@
 /// service. Each uses its connection for as long as it lasts.
 class callers {
 public:
-  explicit callers(const fleet::native_fleet &Fleet);
+  /// With \p AllKinds there are as many that send statements of all kinds,
+  /// drawn from \p Seed, with values of any bytes.
+  callers(const fleet::native_fleet &Fleet, bool AllKinds, std::uint64_t Seed);
   callers(const callers &) = delete;
   callers &operator=(const callers &) = delete;
   ~callers();
@@ -29,6 +32,16 @@
     return Acknowledged;
   }
 
+  /// By service, all statements and their answers. Precondition: stopped.
+  const std::map<std::string, std::vector<fleet::statement_record>> &
+  records() const {
+    return Records;
+  }
+
+  /// Adds statements that were sent by others. Thread safe.
+  void addStatements(const std::string &Service,
+                     std::vector<fleet::statement_record> Added);
+
 private:
   void run(const fleet::native_process &Instance, const std::string &Service,
            const std::string &Route);
@@ -36,6 +49,7 @@
   std::atomic<bool> Stopped{false};
   std::mutex Mutex;
   std::map<std::string, std::set<std::string>> Acknowledged;
+  std::map<std::string, std::vector<fleet::statement_record>> Records;
   std::vector<std::thread> Threads;
 };
 
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -1,6 +1,7 @@
 #include "soak_faults.hpp"
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <thread>
 
@@ -124,6 +125,30 @@
           [Set] { Set(milliseconds(0)); }, std::nullopt};
 }
 
+/// The databases of a service misbehave when they answer, each in its turn.
+fault_schedule::effect fault_schedule::faultyAnswers(std::mt19937_64 &Random) {
+  const auto Index = static_cast<std::size_t>(draw(
+      Random, 0, static_cast<std::int64_t>(Fleet.World.Groups.size()) - 1));
+  constexpr std::array Shares = std::to_array<double>({0, 0, 0.02, 0.1, 0.3});
+  const auto Share = [&] {
+    return Shares.at(static_cast<std::size_t>(draw(Random, 0, 4)));
+  };
+  standin::answer_faults Faults;
+  Faults.Refused = Share();
+  Faults.Repeated = Share();
+  Faults.Cut = Share();
+  // Each of them takes a caller's whole time.
+  constexpr double SilentShare = 0.1;
+  Faults.Silent = Share() * SilentShare;
+  Faults.MaxDelay = milliseconds(draw(Random, 0, 200));
+  const auto Set = [this, Index](const standin::answer_faults &Given) {
+    Fleet.World.runOnThread(
+        [&](simulated_platform &World) { World.Groups[Index].Faults = Given; });
+  };
+  return {"answers " + Fleet.World.Groups[Index].Service, "",
+          [Set, Faults] { Set(Faults); }, [Set] { Set({}); }, std::nullopt};
+}
+
 fault_schedule::effect fault_schedule::drawEffect(std::mt19937_64 &Random) {
   // The first instance orders most promotions.
   const std::int64_t Others =
@@ -205,6 +230,7 @@
   constexpr milliseconds Step{5};
   const base::instant Until = base::now() + Time;
   base::instant Next = base::now();
+  base::instant NextAnswers = Next;
   while (base::now() < Until) {
     endDue(base::now());
     followHeldOrders();
@@ -215,6 +241,11 @@
       const std::int64_t Longest = draw(Schedule, 0, 2) == 0 ? 2600 : 400;
       Next = base::now() + milliseconds(draw(Schedule, 50, Longest));
     }
+    if (FaultyAnswers && base::now() >= NextAnswers) {
+      const effect Effect = faultyAnswers(Answers);
+      inject(Effect, drawLength(Answers));
+      NextAnswers = base::now() + milliseconds(draw(Answers, 50, 1500));
+    }
     std::this_thread::sleep_for(Step);
   }
   endDue(base::instant::max());
--- a/tests/soak/soak_faults.hpp
+++ b/tests/soak/soak_faults.hpp
@@ -27,10 +27,13 @@
 /// from one thread.
 class fault_schedule {
 public:
-  /// \p Sent are the orders that instances send; see recordOrders().
+  /// \p Sent are the orders that instances send; see recordOrders(). With
+  /// \p FaultyAnswers databases also refuse, repeat, cut and withhold answers.
   fault_schedule(fleet::native_fleet &Fleet,
-                 const std::vector<sent_order> &Sent, std::uint64_t Seed)
-      : Fleet(Fleet), Sent(Sent), Schedule(Seed), FollowUps(Seed) {}
+                 const std::vector<sent_order> &Sent, std::uint64_t Seed,
+                 bool FaultyAnswers)
+      : Fleet(Fleet), Sent(Sent), FaultyAnswers(FaultyAnswers), Schedule(Seed),
+        FollowUps(Seed), Answers(Seed) {}
 
   /// Injects faults for \p Time, then ends all of them.
   void run(base::milliseconds Time);
@@ -60,6 +63,7 @@
   effect cutPeers(std::mt19937_64 &Random, std::size_t Index);
   effect processFault(std::mt19937_64 &Random, std::size_t Index);
   effect slowPlatform(std::mt19937_64 &Random);
+  effect faultyAnswers(std::mt19937_64 &Random);
   effect dark(const std::string &Name);
   void inject(const effect &Effect, base::milliseconds Drawn);
   void followHeldOrders();
@@ -67,12 +71,15 @@
 
   fleet::native_fleet &Fleet;
   const std::vector<sent_order> &Sent;
+  bool FaultyAnswers;
   /// Number of orders that faults were drawn for.
   std::size_t Followed = 0;
   std::size_t HeldOrders = 0;
   std::mt19937_64 Schedule;
   /// Of its own, since the time of an order is not the same in each run.
   std::mt19937_64 FollowUps;
+  /// Of its own, so that a seed's other faults are the same without these.
+  std::mt19937_64 Answers;
   std::vector<fault> History;
   std::multimap<base::instant, pending> Ends;
   std::set<std::string> InUse;
--- a/tests/soak/soak_verdict.cpp
+++ b/tests/soak/soak_verdict.cpp
@@ -130,6 +130,21 @@
   }
 }
 
+/// The first lines on what was sent, run and answered at \p Group.
+void judgeAnswers(const standin::database_group &Group, const callers &Callers,
+                  std::vector<std::string> &Lines) {
+  constexpr std::size_t Most = 10;
+  const auto Found = Callers.records().find(Group.Service);
+  if (Found == Callers.records().end())
+    return;
+  const auto Violations = fleet::judgeStatements(Group, Found->second);
+  std::ranges::copy(Violations | std::views::take(Most),
+                    std::back_inserter(Lines));
+  if (Violations.size() > Most)
+    Lines.push_back(std::to_string(Violations.size() - Most) +
+                    " more of what was sent, run and answered");
+}
+
 } // namespace
 
 std::vector<std::string> judge(fleet::native_fleet &Fleet,
@@ -141,6 +156,8 @@
     judgeWrites(World, Callers, Faults, Lines);
     judgeTokens(World, Sent, Faults, Lines);
     judgeLoss(World, Callers, Lines);
+    for (const standin::database_group &Group : World.Groups)
+      judgeAnswers(Group, Callers, Lines);
   });
   return Lines;
 }
--- a/tests/soak/soak_verdict.hpp
+++ b/tests/soak/soak_verdict.hpp
@@ -9,7 +9,8 @@
 
 namespace redwinggw::soak {
 
-/// One line for each violation of the rules on promotions:
+/// One line for each violation of the rules on promotions, and the first lines
+/// of fleet::judgeStatements():
 /// - writes committed at a former primary and acknowledged to their callers,
 /// - a token that two instances order with, or one that is lower than one that
 ///   the platform has seen,
