--- a/tests/platform/framing_fuzz_test.cpp
+++ b/tests/platform/framing_fuzz_test.cpp
@@ -173,6 +173,9 @@
     for (std::string &Row : Answer.Rows)
       Row = Draw.text(Draw.below(8));
     Answer.Signature = "s" + Draw.text(Draw.below(8));
+    std::erase_if(Answer.Signature, [](char Byte) {
+      return std::string_view(" \r\n").find(Byte) != std::string_view::npos;
+    });
     std::string Bytes;
     appendAnswer(Bytes, Answer);
     answer_reader Reader;
