Promise nothing of a transaction whose first write may have run by itself

A first write that was lost was answered as in doubt, but the commit that a caller sent then got ABORTED, a promise; so did a first write whose primary's lease was lost at the same moment. What was not sent at all was in doubt without need.

Price: none to callers, who retry in full after either answer as long as no commit was sent.

--- a/packages/session/include/redwinggw/session/session.hpp
+++ b/packages/session/include/redwinggw/session/session.hpp
@@ -25,6 +25,8 @@
   bool Wrote = false;
   /// The endpoint has proven a statement inside of it: it has certainly begun.
   bool Proven = false;
+  /// A write of it may have taken effect by itself: its end promises nothing.
+  bool InDoubt = false;
   /// It failed; only Commit and Rollback are accepted, and both roll it back.
   bool Failed = false;
   base::instant UsedAt;
--- a/packages/session/src/session_core.cpp
+++ b/packages/session/src/session_core.cpp
@@ -134,9 +134,10 @@
 /// Ends a failed transaction; Commit rolls back too.
 base::task<answer> endFailed(caller_session &Session,
                              const statement &Statement) {
+  const bool InDoubt = Session.Transaction->InDoubt;
   co_await rollback(Session);
   if (Statement.Kind == statement_kind::Commit)
-    co_return makeError(answer_code::Aborted,
+    co_return makeError(InDoubt ? answer_code::InDoubt : answer_code::Aborted,
                         "the transaction had failed and is rolled back");
   co_return done(Session);
 }
--- a/packages/session/src/transaction.cpp
+++ b/packages/session/src/transaction.cpp
@@ -12,6 +12,7 @@
 answer failTransaction(caller_session &Session, answer_code Code,
                        std::string Reason) {
   Session.Transaction->Failed = true;
+  Session.Transaction->InDoubt = Code == answer_code::InDoubt;
   answer Answer = makeError(Code, std::move(Reason));
   Answer.State = transaction_state::Failed;
   return Answer;
@@ -136,12 +137,18 @@
           !isHome(Core.Regions, Request.Homes, Forwarding->zone()));
 }
 
-/// What a statement without an answer means for its transaction. The answer to
-/// the begin may have been an earlier one's; a write then ran by itself.
-answer_code codeOfLoss(const open_transaction &Transaction,
-                       const request &Request) {
-  return Request.Writes && !Transaction.Proven ? answer_code::InDoubt
-                                               : answer_code::Aborted;
+/// What a transaction that a statement has ended may promise. Without a proof
+/// from inside of it, the answer to its begin may have been an earlier one's; a
+/// write then ran by itself.
+answer_code codeOfFailure(const open_transaction &Transaction,
+                          const request &Request, const exchange &Done) {
+  const auto &Error = Done.Answer.Error;
+  const bool Refused = Done.Outcome == exchange_outcome::Answered && Error &&
+                       Error->Code != answer_code::InDoubt;
+  const bool MayHaveRun = Done.Outcome != exchange_outcome::NotSent && !Refused;
+  return MayHaveRun && Request.Writes && !Transaction.Proven
+             ? answer_code::InDoubt
+             : answer_code::Aborted;
 }
 
 constexpr std::string_view AwayText =
@@ -188,22 +195,22 @@
   exchange Done = co_await runOn(Core, Session, Request, Placement);
   const bool Answered = Done.Outcome == exchange_outcome::Answered;
   settle(Core, Session, Request, Placement, Done, Answered);
+  const auto &Error = Done.Answer.Error;
+  Transaction.Proven = Transaction.Proven || (Answered && !Error);
+  const answer_code Code = codeOfFailure(Transaction, Request, Done);
   if (!Answered)
-    co_return failTransaction(Session, codeOfLoss(Transaction, Request),
+    co_return failTransaction(Session, Code,
                               "the connection to the endpoint was lost; its "
                               "transaction is rolled back");
   putBack(Transaction, Placement);
   if (isLost(Core, Transaction))
-    co_return failTransaction(Session, answer_code::Aborted,
+    co_return failTransaction(Session, Code,
                               "the primary was replaced; retry now");
   // The transaction cannot commit any more, whatever the error was.
-  if (const auto &Error = Done.Answer.Error)
-    co_return failTransaction(
-        Session,
-        Error->Code == answer_code::InDoubt ? codeOfLoss(Transaction, Request)
-                                            : answer_code::Aborted,
-        "the endpoint answered " + std::string(answerCodeName(Error->Code)));
-  Transaction.Proven = true;
+  if (Error)
+    co_return failTransaction(Session, Code,
+                              "the endpoint answered " +
+                                  std::string(answerCodeName(Error->Code)));
   Done.Answer.State = transaction_state::Open;
   co_return std::move(Done.Answer);
 }
