Order nothing by an orderer's row that cannot be read

Found by the audit, by reading: the last word of the row was converted without a check. 'a 1 z' threw out of the move, which stayed marked as begun: that instance never moved the service again, without a line. '12x' was 12, no blank began the tokens from 1, and -1 made the next one 0. Such a row now leaves a line orderer_not_decoded and no order. primary_claims_test.

--- a/packages/redwinggw/src/platform_claim.cpp
+++ b/packages/redwinggw/src/platform_claim.cpp
@@ -33,12 +33,6 @@
          std::to_string(Token);
 }
 
-/// The fencing token in the orderer's row \p Text; 0 if there is none.
-std::uint64_t tokenIn(const std::string &Text) {
-  const std::size_t Space = Text.rfind(' ');
-  return Space == std::string::npos ? 0 : std::stoull(Text.substr(Space + 1));
-}
-
 /// Whether the orderer's row \p Text is of a claim of this instance that is
 /// known to have been written. One whose answer was lost may have followed a
 /// claim of another instance.
@@ -151,6 +145,12 @@
   // A large table is read in parts: a claim between them would be missing.
   if (Rows->FirstVersion < Orderer.Version)
     co_return std::nullopt;
+  const auto Token = session::readOrdererToken(Orderer.Value);
+  if (!Token) {
+    base::logEvent(base::log_level::Error, base::log_part::Failover,
+                   "orderer_not_decoded", {{"service", Service}});
+    co_return std::nullopt;
+  }
   const former_move Former = formerMove(Row);
   claimed_move Move;
   Move.Resumed = Former.Unfinished;
@@ -161,8 +161,7 @@
   Claim.Primary = Primary;
   Claim.Moving = true;
   Claim.Orderer = State.Settings.Name;
-  Claim.Token =
-      tokenIn(Orderer.Value) + (isOwnText(State, Orderer.Value) ? 0 : 1);
+  Claim.Token = *Token + (isOwnText(State, Orderer.Value) ? 0 : 1);
   Claim.Term = Known == nullptr ? 0 : Known->Claim.Term;
   Claim.Target = Former.Target;
   storage::commit_request Request;
--- a/packages/session/include/redwinggw/session/primary_claims.hpp
+++ b/packages/session/include/redwinggw/session/primary_claims.hpp
@@ -82,6 +82,10 @@
 /// move assumes that the move is reported too.
 std::vector<wire::group_report> reportsOf(const primary_claims &Claims);
 
+/// The fencing token at the end of the orderer's row \p Text, 0 if there is no
+/// row. Nothing for a row that cannot be decoded. Thread safe.
+std::optional<std::uint64_t> readOrdererToken(std::string_view Text);
+
 /// The row's key, its value as JSON, and the decoding of both; the key calls a
 /// service a group. Nothing for a row that cannot be decoded. Thread safe.
 constexpr std::string_view ClaimPrefix = "group/";
--- a/packages/session/src/primary_claims.cpp
+++ b/packages/session/src/primary_claims.cpp
@@ -5,6 +5,8 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <charconv>
+#include <limits>
 
 namespace redwinggw::session {
 
@@ -49,6 +51,21 @@
   return Reports;
 }
 
+std::optional<std::uint64_t> readOrdererToken(std::string_view Text) {
+  if (Text.empty())
+    return 0;
+  const std::size_t Space = Text.rfind(' ');
+  if (Space == std::string_view::npos)
+    return std::nullopt;
+  std::uint64_t Token = 0;
+  const auto [End, Code] =
+      std::from_chars(Text.begin() + Space + 1, Text.end(), Token);
+  // The next one has to be higher.
+  const bool Readable = Code == std::errc() && End == Text.end() &&
+                        Token != std::numeric_limits<std::uint64_t>::max();
+  return Readable ? std::optional(Token) : std::nullopt;
+}
+
 std::string claimKey(std::string_view Service) {
   return std::string(ClaimPrefix).append(Service);
 }
--- a/tests/session/primary_claims_test.cpp
+++ b/tests/session/primary_claims_test.cpp
@@ -32,6 +32,17 @@
   }
 }
 
+// A row that cannot be read ended the move of the service for good, or let the
+// tokens begin again from 1.
+Test(primary_claims, read_no_token_from_a_damaged_row) {
+  cr_assert(readOrdererToken("") == 0U);
+  cr_assert(readOrdererToken("i1 3 17") == 17U);
+  for (const char *Text :
+       {"a", "a ", "a 1 z", "a 1 -1", "a 1 12x", "a 1 1.5",
+        "a 1 18446744073709551615", "a 1 99999999999999999999"})
+    cr_assert(!readOrdererToken(Text), "%s", Text);
+}
+
 Test(primary_claims, keep_the_latest_of_a_service) {
   primary_claims Claims;
   cr_assert(applyClaim(Claims, claim("s", 5, true), {}));
