--- a/tests/platform/line_codec_test.cpp
+++ b/tests/platform/line_codec_test.cpp
@@ -42,7 +42,7 @@
        {"QUERY", "QUERY 1", "QUERY 1 ", "QUERY 1 READ", "QUERY 1 WRITE x",
         "QUERY 1 SET a", "QUERY 1 PREPARE s1 DROP x", "QUERY 1 PREPARE s1",
         "QUERY 1 COMMIT now", "QUERY 1 AFTER 3.1 READ x", "QUERY 1 begin",
-        "QUERY 1 STATUS", "QUERY 1 RESET"})
+        "QUERY 1 STATUS", "QUERY 1 RESET", "QUERY - READ x", "QUERY  READ x"})
     cr_assert(read(Line).Kind == statement_kind::Malformed, "%s", Line);
   cr_assert(readMessage("HELLO there").Kind == message_kind::Malformed);
   cr_assert(readMessage("").Kind == message_kind::Malformed);
