Escape and cut the texts of others in log lines

Control characters vanished from structured lines, bytes that are no text made a line that no reader parses, and an id of a megabyte displaced the lines of all others from the buffer.

--- a/packages/base/src/log.cpp
+++ b/packages/base/src/log.cpp
@@ -2,6 +2,7 @@
 
 #include "redwinggw/base/bounded_output.hpp"
 #include "redwinggw/base/enum_table.hpp"
+#include "redwinggw/base/log_text.hpp"
 #include "redwinggw/base/time.hpp"
 
 #include <boost/log/attributes/mutable_constant.hpp>
@@ -63,17 +64,6 @@
   return State;
 }
 
-std::string jsonEscaped(std::string_view Text) {
-  std::string Out;
-  for (const char Character : Text) {
-    if (Character == '"' || Character == '\\')
-      Out.push_back('\\');
-    if (static_cast<unsigned char>(Character) >= ' ')
-      Out.push_back(Character);
-  }
-  return Out;
-}
-
 /// Log sink that writes lines to the bounded output.
 struct output_backend : boost::log::sinks::basic_formatted_sink_backend<
                             char, boost::log::sinks::synchronized_feeding> {
@@ -88,7 +78,7 @@
   const log_state &State = state();
   return R"({"ms":)" + std::to_string(wallMilliseconds()) + R"(,"level":")" +
          std::string(nameOf(LevelNames, Level)) + R"(","instance":")" +
-         jsonEscaped(State.Instance) + R"(","part":")" +
+         logText(State.Instance) + R"(","part":")" +
          std::string(nameOf(PartNames, Part)) + "\"";
 }
 
@@ -101,7 +91,7 @@
   if (State.Format == log_format::Text)
     return Time + " " + LevelName + " " + State.Instance + " [" + PartName +
            "] " + std::string(Sentence);
-  return prefixOf(Level, Part) + R"(,"text":")" + jsonEscaped(Sentence) + "\"}";
+  return prefixOf(Level, Part) + R"(,"text":")" + logText(Sentence) + "\"}";
 }
 
 } // namespace
@@ -144,7 +134,7 @@
     Line.append(",\"")
         .append(Field.Name)
         .append(R"(":")")
-        .append(jsonEscaped(Field.Value))
+        .append(logText(Field.Value))
         .append("\"");
   Line.append("}");
   BOOST_LOG_SEV(state().Logger, Level) << Line;
