--- a/packages/http/include/redwinggw/http/client.hpp
+++ b/packages/http/include/redwinggw/http/client.hpp
@@ -49,6 +49,10 @@
 
   bool isOpen() const;
 
+  /// Whether it is open and the server has neither closed it nor sent anything
+  /// that belongs to no request.
+  bool isQuiet();
+
 private:
   struct state;
   std::unique_ptr<state> State;
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -2,6 +2,8 @@
 
 #include "fields.hpp"
 
+#include "redwinggw/base/socket_options.hpp"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -132,6 +134,11 @@
 
 bool client::isOpen() const { return State->Open; }
 
+bool client::isQuiet() {
+  return State->Open && State->Buffer.size() == 0 &&
+         base::isQuiet(State->Stream.socket().native_handle());
+}
+
 base::task<base::result<response>>
 exchangeOnce(asio::any_io_executor Executor, address Address, request Request,
              base::instant Deadline,
--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -77,8 +77,45 @@
   return Answer;
 }
 
+base::task<void> sendTwice(asio::ip::tcp::socket Socket) {
+  const std::string Answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na";
+  const std::string Twice = Answer + Answer;
+  co_await asio::async_write(Socket, asio::buffer(Twice), Token);
+  asio::steady_timer Timer(Socket.get_executor(), Long);
+  co_await Timer.async_wait(Token);
+}
+
+base::task<void> askOnce(asio::io_context &Context, http::address Address,
+                         bool &Quiet) {
+  http::client Client(Context.get_executor());
+  const auto Connected = co_await Client.connect(Address, base::now() + Long);
+  cr_assert(Connected.has_value() && Client.isQuiet());
+  const http::request Request;
+  const auto Answer = co_await Client.exchange(Request, base::now() + Long);
+  cr_assert(Answer.has_value());
+  Quiet = Client.isQuiet();
+  Context.stop();
+}
+
 } // namespace
 
+// A response that came twice answered the next request on the connection.
+Test(client, tells_a_connection_with_an_answer_to_nothing) {
+  asio::io_context Context;
+  asio::ip::tcp::acceptor Acceptor(Context);
+  const auto Address = http::listenAt(Acceptor, {"127.0.0.1", 0});
+  const auto Take = [&](asio::ip::tcp::socket Socket) {
+    asio::co_spawn(Context, sendTwice(std::move(Socket)), asio::detached);
+  };
+  asio::co_spawn(Context, http::acceptConnections(Acceptor, Take),
+                 asio::detached);
+  bool Quiet = true;
+  asio::co_spawn(Context, askOnce(Context, Address.value(), Quiet),
+                 asio::detached);
+  Context.run();
+  cr_assert(!Quiet);
+}
+
 // Guards against aborting a slow response while its data still arrives.
 Test(client, waits_for_an_answer_while_it_arrives) {
   constexpr milliseconds StallTimeout{2000};
