Send around an owner what is too long for it

Session values, each up to 1 MiB, go with each forwarded statement; four of them exceed a message between instances. The owner ended the connection, and was taken for lost: nobody used it for a second. Rows of an answer likewise. Such a statement is run on a connection of the caller's instance. forwarding_test.

--- a/packages/session/src/forwarding_server.cpp
+++ b/packages/session/src/forwarding_server.cpp
@@ -24,6 +24,12 @@
 /// An instance that does not accept a chunk within this time is frozen or gone.
 constexpr base::milliseconds ChunkSendTimeout{2000};
 
+forwarding_reply refusedAsTooLong() {
+  forwarding_reply Reply;
+  Reply.Failure = forwarding_failure::Refused;
+  return Reply;
+}
+
 } // namespace
 
 struct forwarding_server::state : std::enable_shared_from_this<state> {
@@ -115,7 +121,10 @@
   if (auto Request = decodeRequest(Secret, Bytes)) {
     const forwarding_reply Reply =
         co_await serveForwarded(Core, Connection.Pinned, std::move(*Request));
-    const std::string Answer = encodeReply(Secret, Reply);
+    std::string Answer = encodeReply(Secret, Reply);
+    // Rows only make it so long: what ran was a read, and is run again.
+    if (Answer.size() > LongestFrame)
+      Answer = encodeReply(Secret, refusedAsTooLong());
     co_return co_await Connection.Stream.send(Answer);
   }
   if (const auto Request = decodeTransferRequest(Secret, Bytes))
--- a/packages/session/src/frame_stream.cpp
+++ b/packages/session/src/frame_stream.cpp
@@ -19,8 +19,6 @@
 constexpr auto Token = asio::as_tuple(asio::use_awaitable);
 /// Most messages are far shorter; one read then takes in a whole one.
 constexpr std::size_t ReadSize = 2048;
-/// A caller's message of 1 MiB with all its other fields.
-constexpr std::uint32_t LongestFrame = std::uint32_t{3} << 20U;
 
 std::array<char, sizeof(std::uint32_t)> lengthBytes(std::size_t Length) {
   return std::bit_cast<std::array<char, sizeof(std::uint32_t)>>(
--- a/tests/session/forwarding_test.cpp
+++ b/tests/session/forwarding_test.cpp
@@ -150,6 +150,29 @@
                           "PREPARE p1 READ q", "EXECUTE p1 1"}));
 }
 
+// One session's values, or rows, that exceed a message between instances took
+// the owner away from all others.
+Test(forwarding, goes_around_the_owner_with_what_is_too_long) {
+  forwarding_fleet Fleet;
+  core_fixture &Instance = Fleet.first();
+  const std::string Megabyte(1'000'000, 'x');
+  caller_session Large = Instance.open("strict");
+  for (const char *Name : {"a", "b", "c", "d"})
+    Instance.run(Large, statement_kind::Set, "SET", Name, Megabyte);
+  cr_assert(!Instance.read(Large).Error);
+  cr_assert(Fleet.Links.front()->isUsable("owner", base::now()));
+  caller_session Other = Instance.open("strict");
+  Fleet.Group.Script = [&](const received_statement &Statement) {
+    exchange Rows = succeeded(Fleet.Group, transaction_state::Idle);
+    Rows.Answer.Signature = "proof of " + std::to_string(Statement.Connection);
+    Rows.Answer.Rows.assign(4, Megabyte);
+    return std::optional(Rows);
+  };
+  const answer Read = Instance.read(Other);
+  cr_assert(!Read.Error && Read.Rows.size() == 4);
+  cr_assert(Fleet.Links.front()->isUsable("owner", base::now()));
+}
+
 Test(forwarding, keeps_a_transaction_on_one_connection) {
   forwarding_fleet Fleet(2);
   core_fixture &Instance = Fleet.first();
