Names of the field for what answers match; postmortem

answer_match: own, earlier, uncertain, foreign -> matched, duplicate, ambiguous, mismatched; answer_fault: unreadable, foreign -> malformed, mismatched; proof -> signature; noteAnswer -> rememberAnswer; logLate -> logUnmatched. A lag that comes again is believed only of a statement that could lag.

--- a/packages/session/include/redwinggw/session/endpoint_link.hpp
+++ b/packages/session/include/redwinggw/session/endpoint_link.hpp
@@ -28,17 +28,17 @@
   TimedOut,
 };
 
-/// Why an answer is none.
+/// Why no valid answer was read.
 enum class answer_fault {
   None,
   /// The connection ended before the end of the answer.
   Incomplete,
   /// A line that is no part of an answer.
-  Unreadable,
+  Malformed,
   /// Parts of an answer that do not follow each other, or come twice.
   OutOfOrder,
   /// The answer to another statement.
-  Foreign,
+  Mismatched,
 };
 
 struct exchange {
--- a/packages/session/include/redwinggw/session/session.hpp
+++ b/packages/session/include/redwinggw/session/session.hpp
@@ -23,8 +23,8 @@
   counted_operation Counted;
   /// A statement that writes was sent to the endpoint.
   bool Wrote = false;
-  /// The endpoint has proven a statement inside of it: it has certainly begun.
-  bool Proven = false;
+  /// The endpoint has signed a statement inside of it: it has certainly begun.
+  bool Confirmed = false;
   /// A write of it may have taken effect by itself: its end promises nothing.
   bool InDoubt = false;
   /// It failed; only Commit and Rollback are accepted, and both roll it back.
--- a/packages/session/src/answer_match.cpp
+++ b/packages/session/src/answer_match.cpp
@@ -43,32 +43,32 @@
                          const answer &Answer) {
   const bool Given = wasGiven(History, Answer);
   if (Answer.Error)
-    return Given || History.Doubtful ? answer_match::Uncertain
-                                     : answer_match::Own;
-  const bool Proven = !Answer.Signature.empty();
+    return Given || History.Doubtful ? answer_match::Ambiguous
+                                     : answer_match::Matched;
+  const bool IsSigned = !Answer.Signature.empty();
   const bool Fits = Answer.State == Expected.State &&
-                    Proven == Expected.Signed &&
-                    (Proven || Answer.Rows.empty());
-  // A proof is given once.
-  if (Fits && !(Proven && Given))
-    return answer_match::Own;
+                    IsSigned == Expected.Signed &&
+                    (IsSigned || Answer.Rows.empty());
+  // A signature is given once.
+  if (Fits && !(IsSigned && Given))
+    return answer_match::Matched;
   // What a statement was due whose place a repeated answer took.
-  const bool Overdue = History.Doubtful && !Proven;
-  return Given || Overdue ? answer_match::Earlier : answer_match::Foreign;
+  const bool Overdue = History.Doubtful && !IsSigned;
+  return Given || Overdue ? answer_match::Duplicate : answer_match::Mismatched;
 }
 
-void noteAnswer(answer_history &History, const answer &Answer,
-                answer_match Match) {
-  if (Match != answer_match::Own)
+void rememberAnswer(answer_history &History, const answer &Answer,
+                    answer_match Match) {
+  if (Match != answer_match::Matched)
     History.Suspect = true;
-  if (Match == answer_match::Own && !Answer.Signature.empty())
+  if (Match == answer_match::Matched && !Answer.Signature.empty())
     History.Doubtful = false;
   if (Answer.Error && Answer.Error->Code != answer_code::Lagging)
     History.Refused = true;
   const std::uint64_t Digest = digestOf(Answer);
   const auto Given = std::ranges::find(History.Digests, Digest);
   if (Given != History.Digests.end()) {
-    History.Doubtful = History.Doubtful || Match == answer_match::Own;
+    History.Doubtful = History.Doubtful || Match == answer_match::Matched;
     // It stays among the newest.
     *Given = 0;
   }
--- a/packages/session/src/endpoint_link.cpp
+++ b/packages/session/src/endpoint_link.cpp
@@ -18,9 +18,9 @@
 constexpr std::array FaultNames = std::to_array<base::enum_name<answer_fault>>({
     {answer_fault::None, "none"},
     {answer_fault::Incomplete, "incomplete"},
-    {answer_fault::Unreadable, "unreadable"},
+    {answer_fault::Malformed, "malformed"},
     {answer_fault::OutOfOrder, "out_of_order"},
-    {answer_fault::Foreign, "foreign"},
+    {answer_fault::Mismatched, "mismatched"},
 });
 
 } // namespace
--- a/packages/session/src/link_setup.cpp
+++ b/packages/session/src/link_setup.cpp
@@ -71,10 +71,10 @@
 }
 
 constexpr std::array MatchNames = std::to_array<base::enum_name<answer_match>>({
-    {answer_match::Own, "own"},
-    {answer_match::Earlier, "earlier"},
-    {answer_match::Uncertain, "uncertain"},
-    {answer_match::Foreign, "foreign"},
+    {answer_match::Matched, "matched"},
+    {answer_match::Duplicate, "duplicate"},
+    {answer_match::Ambiguous, "ambiguous"},
+    {answer_match::Mismatched, "mismatched"},
 });
 
 /// What the endpoint is to be sent, as its answer depends on it.
@@ -87,8 +87,8 @@
 
 /// Logs an answer that is not the statement's own. The connection is not used
 /// again, so that its set-up limits the lines.
-void logLate(const pooled_link &Link, const outgoing &Sent, answer_match Match,
-             const answer &Answer) {
+void logUnmatched(const pooled_link &Link, const outgoing &Sent,
+                  answer_match Match, const answer &Answer) {
   const auto &Error = Answer.Error;
   base::logEvent(
       base::log_level::Warning, base::log_part::Endpoints, "answer_not_own",
@@ -121,22 +121,23 @@
   while (Done.Outcome == exchange_outcome::Answered) {
     const answer_match Match =
         matchAnswer(Link.Answers, Sent.Expected, Done.Answer);
-    noteAnswer(Link.Answers, Done.Answer, Match);
-    if (Match != answer_match::Own)
-      logLate(Link, Sent, Match, Done.Answer);
-    if (Match == answer_match::Own)
+    rememberAnswer(Link.Answers, Done.Answer, Match);
+    if (Match == answer_match::Matched)
       Link.State = Done.Answer.State;
-    // A replica's lag is no promise about a write, and is retried anyway.
-    if (Match == answer_match::Uncertain && !isLag(Done.Answer))
+    else
+      logUnmatched(Link, Sent, Match, Done.Answer);
+    // The lag of a replica is retried, whichever statement it was for.
+    const bool Retried = Sent.After && isLag(Done.Answer);
+    if (Match == answer_match::Ambiguous && !Retried)
       Done.Answer = inDoubt();
     // An earlier answer's position is older than the statement.
-    if (Match == answer_match::Own && Link.Answers.Doubtful)
+    if (Match == answer_match::Matched && Link.Answers.Doubtful)
       Done.Answer.Point.reset();
-    if (Match == answer_match::Foreign) {
+    if (Match == answer_match::Mismatched) {
       Done.Outcome = exchange_outcome::Broken;
-      Done.Fault = answer_fault::Foreign;
+      Done.Fault = answer_fault::Mismatched;
     }
-    if (Match != answer_match::Earlier)
+    if (Match != answer_match::Duplicate)
       break;
     Done = co_await Link.Link->readOn(Deadline);
   }
--- a/packages/session/src/transaction.cpp
+++ b/packages/session/src/transaction.cpp
@@ -137,16 +137,16 @@
           !isHome(Core.Regions, Request.Homes, Forwarding->zone()));
 }
 
-/// What a transaction that a statement has ended may promise. Without a proof
-/// from inside of it, the answer to its begin may have been an earlier one's; a
-/// write then ran by itself.
+/// What a transaction that a statement has ended may promise. Without a
+/// signature from inside of it, the answer to its begin may have been an
+/// earlier one's; a write then ran by itself.
 answer_code codeOfFailure(const open_transaction &Transaction,
                           const request &Request, const exchange &Done) {
   const auto &Error = Done.Answer.Error;
   const bool Refused = Done.Outcome == exchange_outcome::Answered && Error &&
                        Error->Code != answer_code::InDoubt;
   const bool MayHaveRun = Done.Outcome != exchange_outcome::NotSent && !Refused;
-  return MayHaveRun && Request.Writes && !Transaction.Proven
+  return MayHaveRun && Request.Writes && !Transaction.Confirmed
              ? answer_code::InDoubt
              : answer_code::Aborted;
 }
@@ -196,7 +196,7 @@
   const bool Answered = Done.Outcome == exchange_outcome::Answered;
   settle(Core, Session, Request, Placement, Done, Answered);
   const auto &Error = Done.Answer.Error;
-  Transaction.Proven = Transaction.Proven || (Answered && !Error);
+  Transaction.Confirmed = Transaction.Confirmed || (Answered && !Error);
   const answer_code Code = codeOfFailure(Transaction, Request, Done);
   if (!Answered)
     co_return failTransaction(Session, Code,
--- a/tests/platform/answer_reader_test.cpp
+++ b/tests/platform/answer_reader_test.cpp
@@ -60,24 +60,23 @@
 // The line of a cut answer went on with the line of a late one, and both made a
 // proof that had never been given.
 Test(answer_reader, refuses_a_line_of_two_answers) {
-  cr_assert(faultOf({"DONE siDONE -"}) == answer_fault::Unreadable);
-  cr_assert(faultOf({"DONE DONE 7.1f"}) == answer_fault::Unreadable);
-  cr_assert(faultOf({"DONE siROW a"}) == answer_fault::Unreadable);
-  cr_assert(faultOf({"DONE 7.1f\rDONE"}) == answer_fault::Unreadable);
+  cr_assert(faultOf({"DONE siDONE -"}) == answer_fault::Malformed);
+  cr_assert(faultOf({"DONE DONE 7.1f"}) == answer_fault::Malformed);
+  cr_assert(faultOf({"DONE siROW a"}) == answer_fault::Malformed);
+  cr_assert(faultOf({"DONE 7.1f\rDONE"}) == answer_fault::Malformed);
   cr_assert(faultOf({"ROW aDONE -", "READY I 3.1"}) ==
             answer_fault::OutOfOrder);
-  cr_assert(faultOf({"DONE a", "READY I 3.DONE -"}) ==
-            answer_fault::Unreadable);
+  cr_assert(faultOf({"DONE a", "READY I 3.DONE -"}) == answer_fault::Malformed);
 }
 
 Test(answer_reader, refuses_what_is_no_part_of_an_answer) {
-  cr_assert(faultOf({"ROWS a"}) == answer_fault::Unreadable);
-  cr_assert(faultOf({"QUERY 1 READ a"}) == answer_fault::Unreadable);
-  cr_assert(faultOf({""}) == answer_fault::Unreadable);
-  cr_assert(faultOf({"DONE"}) == answer_fault::Unreadable);
-  cr_assert(faultOf({"DONE a", "READY X 3.1"}) == answer_fault::Unreadable);
-  cr_assert(faultOf({"DONE a", "READY I 3"}) == answer_fault::Unreadable);
-  cr_assert(faultOf({"DONE a", "READY I"}) == answer_fault::Unreadable);
+  cr_assert(faultOf({"ROWS a"}) == answer_fault::Malformed);
+  cr_assert(faultOf({"QUERY 1 READ a"}) == answer_fault::Malformed);
+  cr_assert(faultOf({""}) == answer_fault::Malformed);
+  cr_assert(faultOf({"DONE"}) == answer_fault::Malformed);
+  cr_assert(faultOf({"DONE a", "READY X 3.1"}) == answer_fault::Malformed);
+  cr_assert(faultOf({"DONE a", "READY I 3"}) == answer_fault::Malformed);
+  cr_assert(faultOf({"DONE a", "READY I"}) == answer_fault::Malformed);
 }
 
 // The answer to Start came again, and was taken for a statement's.
--- a/tests/standins/native/database_server.cpp
+++ b/tests/standins/native/database_server.cpp
@@ -139,7 +139,7 @@
     --self().Connections;
 }
 
-/// Sends an answer as the group's faults have it. False when the connection
+/// Sends an answer subject to the group's faults. False when the connection
 /// ends with it.
 base::task<bool>
 database_server::state::sendAnswer(std::shared_ptr<connection> Client,
