Close only the primary's connections after a refusal

Under load databases refuse as busy, and each refusal cost a set-up, 12 ms of a slot. A refusal that comes again at a replica leaves nothing in doubt: reads are retried, and the connection is closed then.

--- a/packages/session/include/redwinggw/session/answer_match.hpp
+++ b/packages/session/include/redwinggw/session/answer_match.hpp
@@ -39,9 +39,6 @@
   bool Doubtful = false;
   /// An answer was not certainly the statement's own. More may come late.
   bool Suspect = false;
-  /// A statement was refused, other than by a replica that lags. A second
-  /// refusal could not be told from the first one that comes again.
-  bool Refused = false;
 };
 
 /// How many answers are remembered: one that comes again after more than these
--- a/packages/session/include/redwinggw/session/endpoint_pool.hpp
+++ b/packages/session/include/redwinggw/session/endpoint_pool.hpp
@@ -41,6 +41,9 @@
   /// Statements prepared on it, by their operand.
   prepared_names Prepared;
   answer_history Answers;
+  /// It refused a statement as the primary. A second refusal could not be told
+  /// from the first one that comes again, and would leave a write in doubt.
+  bool Refused = false;
   /// The transaction state on it.
   transaction_state State = transaction_state::Idle;
   base::instant UsedAt;
--- a/packages/session/src/answer_match.cpp
+++ b/packages/session/src/answer_match.cpp
@@ -63,8 +63,6 @@
     History.Suspect = true;
   if (Match == answer_match::Matched && !Answer.Signature.empty())
     History.Doubtful = false;
-  if (Answer.Error && Answer.Error->Code != answer_code::Lagging)
-    History.Refused = true;
   const std::uint64_t Digest = digestOf(Answer);
   const auto Given = std::ranges::find(History.Digests, Digest);
   if (Given != History.Digests.end()) {
--- a/packages/session/src/endpoint_pool.cpp
+++ b/packages/session/src/endpoint_pool.cpp
@@ -339,7 +339,7 @@
     --Forwarded;
     return;
   }
-  if (Link->Answers.Suspect || Link->Answers.Refused)
+  if (Link->Answers.Suspect || Link->Refused)
     return discard(std::move(Link));
   Link->UsedAt = base::now();
   customer_use &Use = useOf(Link->Customer);
--- a/packages/session/src/link_setup.cpp
+++ b/packages/session/src/link_setup.cpp
@@ -265,6 +265,8 @@
   const outgoing Sent{Statement.Id, Text, Statement.After,
                       expectedAnswer(Link, Statement)};
   exchange Done = co_await exchangeOn(Link, Sent, Deadline);
+  Link.Refused =
+      Link.Refused || (Statement.PrimaryLease && Done.Answer.Error.has_value());
   co_return noteBroken(Link, std::move(Done));
 }
 
