--- a/packages/session/src/forwarding_server.cpp
+++ b/packages/session/src/forwarding_server.cpp
@@ -122,7 +122,7 @@
     const forwarding_reply Reply =
         co_await serveForwarded(Core, Connection.Pinned, std::move(*Request));
     std::string Answer = encodeReply(Secret, Reply);
-    // Rows only make it so long: what ran was a read, and is run again.
+    // Only rows make it so long: what ran was a read, and is run again.
     if (Answer.size() > LongestFrame)
       Answer = encodeReply(Secret, refusedAsTooLong());
     co_return co_await Connection.Stream.send(Answer);
--- a/tests/platform/decoding_test.cpp
+++ b/tests/platform/decoding_test.cpp
@@ -58,7 +58,7 @@
               "%s", Slots);
   for (const char *Port : {"0", "65536", "99999", "-1", "", "80 ", "8080x"})
     cr_assert(!readEntry("x", replaced(Entry, "8080", Port)), "%s", Port);
-  for (const char *Cold : {"1e300", "1e10"})
+  for (const char *Cold : {"1e300", "1e10", R"("0")", "[]"})
     cr_assert(
         !readEntry("x", replaced(Entry, R"(remaining_ms":0)",
                                  std::string(R"(remaining_ms":)") + Cold)));
