--- a/tests/session/late_answers_test.cpp
+++ b/tests/session/late_answers_test.cpp
@@ -1,5 +1,7 @@
 #include "fake_endpoint.hpp"
 
+#include <utility>
+
 #include "criterion_test.hpp"
 
 using namespace redwinggw;
@@ -27,15 +29,12 @@
   Own.Answer.Signature = "own proof";
   Own.Answer.Rows.emplace_back("own row");
   Fixture.Group.LateAnswers.push_back(Own);
-  Fixture.Group.Script = [&Fixture,
-                          Repeated](const received_statement &Statement) {
-    if (Statement.Id.empty())
-      return std::optional<exchange>();
-    const exchange First = Repeated;
-    // Ends the captures of this function.
-    Fixture.Group.Script = {};
-    return std::optional(First);
-  };
+  Fixture.Group.Script =
+      [Repeated, Given = false](const received_statement &Statement) mutable {
+        if (Statement.Id.empty() || std::exchange(Given, true))
+          return std::optional<exchange>();
+        return std::optional(Repeated);
+      };
 }
 
 exchange answerOf(const answer &Answer) {
