--- a/tests/native/odd_entries_test.cpp
+++ b/tests/native/odd_entries_test.cpp
@@ -47,7 +47,7 @@
   for (std::size_t Index = 0; Index < Fields.size(); ++Index)
     World.Store.put("servers", "!odd" + std::to_string(Index),
                     entryWith(Fields[Index], Role));
-  World.Store.put("servers", "!odd-bytes", "\xff\xfe{\0");
+  World.Store.put("servers", "!odd-bytes", "\xff\xfe{");
   for (const char *Key : {"a b", "a\r\nQUERY 1 READ a", "%00&limit=0", "é"})
     World.Store.put("servers", Key, entryWith({}, Role));
 }
--- a/tests/native/statement_faults.hpp
+++ b/tests/native/statement_faults.hpp
@@ -3,8 +3,13 @@
 #include "native_fleet.hpp"
 #include "statement_records.hpp"
 
+#include <algorithm>
+#include <iterator>
 #include <mutex>
+#include <ranges>
+#include <string>
 #include <thread>
+#include <vector>
 
 /// Callers against databases that misbehave when they answer.
 namespace redwinggw::fleet {
@@ -27,6 +32,7 @@
   std::mutex Mutex;
   std::vector<statement_record> Records;
   std::vector<std::thread> Threads;
+  Threads.reserve(Load.Callers);
   for (std::size_t Index = 0; Index < Load.Callers; ++Index)
     Threads.emplace_back([&, Index] {
       caller_plan Plan;
