--- a/tests/session/fake_endpoint.hpp
+++ b/tests/session/fake_endpoint.hpp
@@ -73,6 +73,10 @@
   return Exchange;
 }
 
+inline bool failedWith(const answer &Answer, answer_code Code) {
+  return Answer.Error && Answer.Error->Code == Code;
+}
+
 inline exchange ended(exchange_outcome Outcome) {
   exchange Exchange;
   Exchange.Outcome = Outcome;
--- a/tests/session/late_answers_test.cpp
+++ b/tests/session/late_answers_test.cpp
@@ -10,10 +10,6 @@
 
 namespace {
 
-bool failedWith(const answer &Answer, answer_code Code) {
-  return Answer.Error && Answer.Error->Code == Code;
-}
-
 answer begin(core_fixture &Fixture, caller_session &Session) {
   return Fixture.run(Session, statement_kind::Begin, "BEGIN");
 }
--- a/tests/session/session_core_test.cpp
+++ b/tests/session/session_core_test.cpp
@@ -9,14 +9,6 @@
 using namespace redwinggw::session;
 using namespace redwinggw::session::testing;
 
-namespace {
-
-bool failedWith(const answer &Answer, answer_code Code) {
-  return Answer.Error && Answer.Error->Code == Code;
-}
-
-} // namespace
-
 // The regular path: a write, then reads at the three consistency levels.
 Test(session_core, serves_writes_at_the_primary_and_reads_at_replicas) {
   core_fixture Fixture;
--- a/tests/session/standby_owner_test.cpp
+++ b/tests/session/standby_owner_test.cpp
@@ -104,10 +104,6 @@
   asio::steady_timer Timer{Context};
 };
 
-bool failedWith(const answer &Answer, answer_code Code) {
-  return Answer.Error && Answer.Error->Code == Code;
-}
-
 } // namespace
 
 // Guards against a standby that takes the connections which a living owner
