Read a status row beside the answers, and test it; wording

Comments that had to be read twice are rewritten; bounded -> clamped; the reply to what is too long stands once.

--- a/packages/redwinggw/src/platform_endpoints.cpp
+++ b/packages/redwinggw/src/platform_endpoints.cpp
@@ -39,7 +39,7 @@
 /// long before that.
 constexpr milliseconds FullListInterval{5000};
 
-/// Logs what names no endpoint, once for each version of a row.
+/// Logs a row that is no valid entry, once for each of its versions.
 void logRefused(platform_instance_state &State, const platform::table_row &Row,
                 const base::failure &Why) {
   constexpr std::size_t MaxRemembered = 1000;
--- a/packages/session/include/redwinggw/session/endpoint_pool.hpp
+++ b/packages/session/include/redwinggw/session/endpoint_pool.hpp
@@ -41,8 +41,8 @@
   /// Statements prepared on it, by their operand.
   prepared_names Prepared;
   answer_history Answers;
-  /// It refused a statement as the primary. A second refusal could not be told
-  /// from the first one that comes again, and would leave a write in doubt.
+  /// It refused a statement as the primary. A later refusal could be this one
+  /// repeated, and would leave a write in doubt.
   bool Refused = false;
   /// The transaction state on it.
   transaction_state State = transaction_state::Idle;
--- a/packages/session/include/redwinggw/session/statement_forwarding.hpp
+++ b/packages/session/include/redwinggw/session/statement_forwarding.hpp
@@ -115,4 +115,12 @@
 std::string_view forwardingFailureName(forwarding_failure Failure);
 std::string_view ownerLackName(owner_lack Lack);
 
+/// The reply to a statement that, or whose answer, exceeds a message between
+/// instances. The owner is up; the statement is run without it. Thread safe.
+inline forwarding_reply refusedAsTooLong() {
+  forwarding_reply Reply;
+  Reply.Failure = forwarding_failure::Refused;
+  return Reply;
+}
+
 } // namespace redwinggw::session
--- a/packages/session/src/answer_match.cpp
+++ b/packages/session/src/answer_match.cpp
@@ -52,7 +52,7 @@
   // A signature is given once.
   if (Fits && !(IsSigned && Given))
     return answer_match::Matched;
-  // What a statement was due whose place a repeated answer took.
+  // The answer to a statement that was given a repeated one instead.
   const bool Overdue = History.Doubtful && !IsSigned;
   return Given || Overdue ? answer_match::Duplicate : answer_match::Mismatched;
 }
--- a/packages/session/src/forwarding_client.cpp
+++ b/packages/session/src/forwarding_client.cpp
@@ -36,14 +36,6 @@
 /// A chunk of a configuration arrives by then, or the instance is lost.
 constexpr milliseconds ChunkTimeout{1000};
 
-/// The reply to a statement that no owner can be sent: the owner is up, and the
-/// statement is run without it.
-forwarding_reply tooLong() {
-  forwarding_reply Reply;
-  Reply.Failure = forwarding_failure::Refused;
-  return Reply;
-}
-
 milliseconds spanTo(instant Until) {
   const auto Left = std::chrono::floor<milliseconds>(Until - base::now());
   return std::max(Left, milliseconds(0));
@@ -234,7 +226,7 @@
                              [this] { Stream->close(); });
   std::string Bytes = requestFor(Statement, WaitUntil, Deadline);
   if (Bytes.size() > LongestFrame)
-    co_return tooLong();
+    co_return refusedAsTooLong();
   forwarding_reply Reply = co_await sendAndReceive(std::move(Bytes));
   if (Reply.Failure == forwarding_failure::OwnerLost) {
     Stream.reset();
--- a/packages/session/src/forwarding_server.cpp
+++ b/packages/session/src/forwarding_server.cpp
@@ -24,12 +24,6 @@
 /// An instance that does not accept a chunk within this time is frozen or gone.
 constexpr base::milliseconds ChunkSendTimeout{2000};
 
-forwarding_reply refusedAsTooLong() {
-  forwarding_reply Reply;
-  Reply.Failure = forwarding_failure::Refused;
-  return Reply;
-}
-
 } // namespace
 
 struct forwarding_server::state : std::enable_shared_from_this<state> {
--- a/tests/platform/answer_reader_test.cpp
+++ b/tests/platform/answer_reader_test.cpp
@@ -79,6 +79,19 @@
   cr_assert(faultOf({"DONE a", "READY I"}) == answer_fault::Malformed);
 }
 
+// A status whose position cannot be read counted as one of an empty log, and
+// let a replica that lacks commits be promoted.
+Test(answer_reader, reads_no_status_from_a_damaged_row) {
+  const auto Status = readStatus("primary 3 3.1209 0 12 2 17");
+  cr_assert(Status && Status->Received == session::log_point({3, 1209}));
+  cr_assert(Status && Status->Connections == 17);
+  cr_assert(readStatus("replica 3 - 4 0 2 17").has_value());
+  for (const char *Row : {"primary 3 3.x 0 12 2 17", "primary 3 3 0 12 2 17",
+                          "primary 3  0 12 2 17", "boss 3 3.1 0 12 2 17",
+                          "primary x 3.1 0 12 2 17", "primary 3 3.1", ""})
+    cr_assert(!readStatus(Row), "%s", Row);
+}
+
 // The answer to Start came again, and was taken for a statement's.
 Test(answer_reader, skips_the_state_that_comes_again_before_an_answer) {
   const auto Read = readAll({"READY I 3.1", "DONE a", "READY I 3.2"});
