--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -1,91 +1,124 @@
 #include "fleet.hpp"
 
+#include "redwinggw/base/time.hpp"
+
 #include <boost/json.hpp>
 
 #include <thread>
 
-/// A new version of the configuration moves a key from one tenant to another
-/// while a session with that key is inside a transaction. Does a database run
-/// the session's later statements for the tenant that does not hold the key any
-/// more?
+/// Configurations in quick succession move a read_your_writes route to another
+/// service and back, while replicas receive nothing. A session writes at both
+/// services. Does it then read its own write?
 namespace {
 
 using namespace review;
+namespace json = boost::json;
+using clock_type = std::chrono::steady_clock;
+
+/// Between two changes of the configuration; config_storm names 0.33 s.
+constexpr milliseconds ChangeGap{340};
 
-/// The configuration of the stand-in with the key "key" held by "beta" instead
-/// of "acme", as its next version.
-void moveKey(simulated_platform &World) {
-  namespace json = boost::json;
-  json::object Body =
-      json::parse(World.Store.value("op", "config")).as_object();
-  json::object Acme = Body.at("tenants").as_array().at(0).as_object();
-  json::object Beta = Acme;
-  Acme["api_keys"] = json::array{"another"};
-  Beta["name"] = "beta";
-  Body["tenants"] = json::array{Acme, Beta};
-  Body["version"] = Body.at("version").to_number<std::uint64_t>() + 1;
-  World.Store.put("op", "config", json::serialize(Body));
+/// Publishes the configuration with the route "own" at \p Service.
+void moveRoute(small_fleet &Fleet, const std::string &Service) {
+  Fleet.World.runOnThread([&](simulated_platform &World) {
+    json::object Body =
+        json::parse(World.Store.value("op", "config")).as_object();
+    for (json::value &Route : Body.at("routes").as_array())
+      if (Route.at("host").as_string() == "own")
+        Route.as_object()["service"] = Service;
+    Body["version"] = Body.at("version").to_number<std::uint64_t>() + 3;
+    World.Store.put("op", "config", json::serialize(Body));
+  });
 }
 
-bool connectedAs(small_fleet &Fleet, const std::string &Tenant) {
-  bool Known = false;
+void setDeaf(small_fleet &Fleet, bool Deaf) {
   Fleet.World.runOnThread([&](simulated_platform &World) {
-    Known = World.Group.Customers.contains(Tenant);
+    replicate(World.Group, redwinggw::base::now());
+    World.database("d2").Deaf = World.database("d3").Deaf = Deaf;
   });
-  return Known;
 }
 
-std::size_t runsOf(small_fleet &Fleet, const std::string &Id) {
-  std::size_t Runs = 0;
+/// Whether a database of the service number \p Index (from 0) ran \p Id.
+bool ranAt(small_fleet &Fleet, std::size_t Index, const std::string &Id) {
+  bool Ran = false;
   Fleet.World.runOnThread([&](simulated_platform &World) {
-    const auto Found = World.Group.Runs.find(Id);
-    Runs = Found == World.Group.Runs.end() ? 0 : Found->second;
+    Ran = World.Groups.at(Index).Runs.contains(Id);
   });
-  return Runs;
+  return Ran;
 }
 
-int run(record &Log) {
-  // configuration_apply_ms, and a margin for the clocks of the script.
-  constexpr milliseconds ApplyTime{3000 + 500};
-  constexpr milliseconds Pause{500};
-  // With the first read at most 12 in a transaction.
-  constexpr int Statements = 11;
-  small_fleet Fleet(3);
-  line_client Session(Fleet.Instances[0].Callers, "strict", "key");
+/// Repeats \p Text on \p Session until the service \p Index runs it.
+std::optional<line_answer> runAt(small_fleet &Fleet, line_client &Session,
+                                 std::size_t Index, const std::string &Text,
+                                 record &Log) {
+  constexpr milliseconds Patience{2500};
+  const auto Until = clock_type::now() + Patience;
+  while (clock_type::now() < Until) {
+    const line_answer Answer = Session.run(Text);
+    if (ranAt(Fleet, Index, Session.statementId())) {
+      Log.note(Session.statementId() + " " + Text + " -> " + describe(Answer) +
+               ", at service " + (Index == 0 ? "s" : "s2"));
+      return Answer;
+    }
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  return std::nullopt;
+}
+
+/// One round. \p Number makes its values unique.
+int round(small_fleet &Fleet, int Number, record &Log) {
+  const std::string Value = "v" + std::to_string(Number);
+  const std::string Item = "a" + std::to_string(Number);
+  line_client Session(Fleet.Instances[0].Callers, "own", "key");
   if (!Session.failed().empty())
     return CouldNotRun;
-  const auto Send = [&](const std::string &Text) {
-    const line_answer Answer = Session.run(Text);
-    Log.note(Session.statementId() + " " + Text + " -> " + describe(Answer) +
-             ", " + std::to_string(runsOf(Fleet, Session.statementId())) +
-             " runs at databases");
-    return Answer;
-  };
-  Send("BEGIN");
-  if (!Send("READ a").Error.empty())
+  // Other callers of the service s.
+  if (!Fleet.runEventually(1, "strict", "READ other", &Log))
+    return CouldNotRun;
+  if (withTrouble())
+    setDeaf(Fleet, true);
+  Log.note(withTrouble() ? "d2 and d3 receive nothing"
+                         : "d2 and d3 receive as ever");
+  std::this_thread::sleep_for(milliseconds(100));
+  Fleet.runOnce(0, "strict", "READ other", &Log);
+  const line_answer Written = Session.run("WRITE " + Item + " " + Value);
+  Log.note(Session.statementId() + " WRITE " + Item + " " + Value + " -> " +
+           describe(Written) + ", at service s");
+  if (!Written.Error.empty())
     return CouldNotRun;
-  if (withTrouble()) {
-    Fleet.World.runOnThread([](simulated_platform &World) { moveKey(World); });
-    Log.note("the store acknowledges a version in which beta holds the key");
+  int Code = Held;
+  moveRoute(Fleet, "s2");
+  Log.note("configuration: the route is at s2");
+  const auto MovedAt = clock_type::now();
+  const auto There = runAt(Fleet, Session, 1, "WRITE b " + Value, Log);
+  std::this_thread::sleep_until(MovedAt + ChangeGap);
+  moveRoute(Fleet, "s");
+  Log.note("configuration: the route is at s again");
+  // The read that is judged is the first one that runs at s.
+  const auto Back = runAt(Fleet, Session, 0, "READ " + Item, Log);
+  const bool Served =
+      There && There->Error.empty() && Back && Back->Error.empty();
+  if (Served && Back->Rows != std::vector<std::string>{Value}) {
+    Log.note("the session does not read its own acknowledged write");
+    Code = Broken;
   }
-  const auto ChangedAt = std::chrono::steady_clock::now();
-  std::size_t Late = 0;
-  for (int Statement = 0; Statement < Statements; ++Statement) {
-    std::this_thread::sleep_for(Pause);
-    const bool After = std::chrono::steady_clock::now() - ChangedAt > ApplyTime;
-    const bool Last = Statement + 1 == Statements;
-    Send(Last ? "COMMIT" : Statement % 2 == 0 ? "WRITE a 1" : "READ a");
-    if (After && runsOf(Fleet, Session.statementId()) != 0)
-      ++Late;
+  setDeaf(Fleet, false);
+  return Served ? Code : CouldNotRun;
+}
+
+int run(record &Log) {
+  constexpr int Rounds = 8;
+  small_fleet Fleet(3, 2);
+  int Ran = 0;
+  for (int Number = 1; Number <= Rounds; ++Number) {
+    std::this_thread::sleep_for(milliseconds(600));
+    const int Code = round(Fleet, Number, Log);
+    if (Code == Broken)
+      return Broken;
+    Ran += Code == Held ? 1 : 0;
+    std::this_thread::sleep_for(milliseconds(3000));
   }
-  const bool Beta = connectedAs(Fleet, "beta");
-  Log.note(std::to_string(Late) +
-           " statements ran that were sent later than configuration_apply_ms "
-           "after the version; a connection for beta " +
-           (Beta ? "was" : "was not") + " made");
-  if (Late == 0)
-    return withTrouble() ? Held : CouldNotRun;
-  return withTrouble() && !Beta ? Broken : Held;
+  return Ran == 0 ? CouldNotRun : Held;
 }
 
 } // namespace
