--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,133 +1,120 @@
 #include "fleet.hpp"
 
-#include "redwinggw/base/time.hpp"
+#include <boost/json.hpp>
 
-#include <algorithm>
 #include <thread>
+#include <vector>
 
-/// A replica that still receives commits is cut off from the platform's store,
-/// so that its entry expires. Then the other replica falls behind and the
-/// primary crashes. Is an acknowledged commit in the log of the database that
-/// is promoted?
+/// The primary of a service is lost for good, and right after it all processes
+/// of the program are. When they are back, the primary's entry expires. Is the
+/// service served again?
 namespace {
 
 using namespace review;
 
-/// Of the cut: the last heartbeat before it was accepted 1.1 s before it began,
-/// the next one is due every 1.2 s. So the entry expires three intervals after
-/// that heartbeat, and is back with the first one after the end of the cut.
-constexpr milliseconds CutFor{5000};
-constexpr milliseconds ExpiresAfter{2500};
-constexpr milliseconds BackAfter{6100};
-/// replica_lag: how long a replica receives nothing.
-constexpr milliseconds DeafFor{6500};
+/// Of the primary's last heartbeat before it was lost; the entry expires three
+/// heartbeat intervals of 1.2 s after it.
+constexpr milliseconds EntryExpiresAfter{2500};
+constexpr milliseconds ProcessesLostAfter{500};
+/// down_s of the final fault.
+constexpr milliseconds ProcessesDownFor{1100};
+/// recovery_s.
+constexpr milliseconds RecoveryTime{12000};
+constexpr milliseconds JudgedFor{8000};
 
-bool isRecorded(small_fleet &Fleet, const std::string &Name) {
-  bool Recorded = false;
+/// The requests that were sent and those that were served.
+struct tally {
+  std::size_t Sent = 0;
+  std::size_t Served = 0;
+};
+
+/// Reads and writes through each instance at the same time until \p Until.
+tally callUntil(small_fleet &Fleet,
+                std::chrono::steady_clock::time_point Until) {
+  std::vector<tally> Tallies(Fleet.Instances.size());
+  std::vector<std::thread> Callers;
+  for (std::size_t Index = 0; Index < Tallies.size(); ++Index)
+    Callers.emplace_back([&Fleet, &Tally = Tallies[Index], Index, Until] {
+      while (std::chrono::steady_clock::now() < Until) {
+        const bool Writes = Tally.Sent % 2 == 0;
+        const line_answer Answer =
+            Fleet.runOnce(Index, Writes ? "strict" : "bounded",
+                          Writes ? "WRITE a 1" : "READ a");
+        ++Tally.Sent;
+        Tally.Served += Answer.Error.empty() ? 1 : 0;
+        std::this_thread::sleep_for(milliseconds(30));
+      }
+    });
+  for (std::thread &Caller : Callers)
+    Caller.join();
+  tally Sum;
+  for (const tally &Tally : Tallies)
+    Sum = {Sum.Sent + Tally.Sent, Sum.Served + Tally.Served};
+  return Sum;
+}
+
+std::string textOf(const tally &Tally) {
+  return std::to_string(Tally.Served) + " of " + std::to_string(Tally.Sent) +
+         " requests served";
+}
+
+/// Lists d1 at the address of a proxy, which can make it silent.
+redwinggw::standin::fault_proxy &putBehindProxy(small_fleet &Fleet) {
+  boost::json::object Entry;
+  Fleet.World.runOnThread([&](simulated_platform &World) {
+    Entry = boost::json::parse(World.Store.value("servers", "d1")).as_object();
+  });
+  auto &Proxy = Fleet.World.addProxy(
+      redwinggw::http::parseAddress(Entry.at("address").as_string()).value());
   Fleet.World.runOnThread([&](simulated_platform &World) {
-    Recorded =
-        World.Store.value("redwinggw", "holders/s").find('"' + Name + '"') !=
-        std::string::npos;
+    Entry["address"] = redwinggw::http::toText(Proxy.address());
+    World.Store.put("servers", "d1", boost::json::serialize(Entry));
   });
-  return Recorded;
+  return Proxy;
 }
 
-/// The log of the first database that was promoted, at the order.
-struct promoted_log {
-  bool Any = false;
-  std::string Name;
-  bool HoldsWrite = false;
-};
-
 int run(record &Log) {
+  constexpr std::size_t Least = 4; // A quarter.
   small_fleet Fleet(3);
-  Fleet.World.replicateSynchronously();
-  Log.note("service s: d1 primary, d2 and d3 replicas, sync_replicas 1");
-  if (!eventually(
-          [&] { return isRecorded(Fleet, "d2") && isRecorded(Fleet, "d3"); }) ||
-      !Fleet.runEventually(0, "strict", "WRITE a 0", &Log))
+  auto &Proxy = putBehindProxy(Fleet);
+  std::this_thread::sleep_for(milliseconds(2000));
+  using clock_type = std::chrono::steady_clock;
+  const tally Before = callUntil(Fleet, clock_type::now() + milliseconds(2000));
+  Log.note("before: " + textOf(Before));
+  if (Before.Served * Least < Before.Sent)
     return CouldNotRun;
-  std::this_thread::sleep_for(milliseconds(300));
-
-  promoted_log Promoted;
-  Fleet.World.runOnThread([&](simulated_platform &World) {
-    World.PromotionTime = milliseconds(300);
-    World.OnPromotion = [&](const redwinggw::standin::promotion &Order) {
-      if (Promoted.Any)
-        return;
-      const simulated_database &Target = World.database(Order.Database);
-      Promoted = {true, Order.Database,
-                  std::ranges::any_of(Target.Log, [](const auto &Entry) {
-                    return Entry.Item == "a" && Entry.Data == "1";
-                  })};
-    };
-  });
-
-  const auto CutAt = std::chrono::steady_clock::now();
-  const auto sleepUntil = [&](milliseconds Time) {
-    std::this_thread::sleep_until(CutAt + Time);
-  };
+  const auto LostAt = clock_type::now();
   if (withTrouble()) {
-    Log.note("d2 is cut off from the store; it runs, and d1 reaches it");
-    sleepUntil(ExpiresAfter);
-    Fleet.World.runOnThread(
-        [](simulated_platform &World) { World.Store.remove("servers", "d2"); });
-    Log.note("the entry of d2 expires");
-    while (isRecorded(Fleet, "d2") &&
-           std::chrono::steady_clock::now() < CutAt + BackAfter)
-      std::this_thread::sleep_for(milliseconds(5));
-    Log.note(isRecorded(Fleet, "d2") ? "holders/s names d2 still"
-                                     : "holders/s does not name d2 any more");
-    Fleet.World.runOnThread([](simulated_platform &World) {
-      replicate(World.Group, redwinggw::base::now());
-      World.database("d3").Deaf = true;
+    Fleet.World.runOnThread([&](simulated_platform &World) {
+      Proxy.hold(redwinggw::standin::direction::ToServer);
+      Proxy.hold(redwinggw::standin::direction::ToClient);
+      World.database("d1").Down = true;
     });
-    Log.note("d3 receives nothing from now on");
-  }
-  const auto DeafAt = std::chrono::steady_clock::now();
-  const line_answer Written = Fleet.runOnce(0, "strict", "WRITE a 1", &Log);
-  if (!Written.Error.empty())
-    return CouldNotRun;
-  if (!withTrouble()) {
-    const line_answer Read = Fleet.runOnce(1, "strict", "READ a", &Log);
-    return Read.Rows == std::vector<std::string>{"1"} ? Held : Broken;
+    Log.note("d1, the primary, is lost for good and silent");
   }
-  Fleet.World.crash("d1");
-  Log.note("d1 crashes");
-  bool Back = false;
-  bool Heard = false;
-  // Callers go on using the service.
-  while (std::chrono::steady_clock::now() < CutAt + milliseconds(20000)) {
-    for (std::size_t Index = 0; Index < Fleet.Instances.size(); ++Index)
-      Fleet.runOnce(Index, "strict", "READ a");
-    const auto Now = std::chrono::steady_clock::now();
-    if (!Back && Now >= CutAt + BackAfter) {
-      Back = true;
-      Fleet.World.restart("d2");
-      Log.note("the cut has ended: d2 has its entry again");
-    }
-    if (!Heard && Now >= DeafAt + DeafFor) {
-      Heard = true;
-      Fleet.World.runOnThread(
-          [](simulated_platform &World) { World.database("d3").Deaf = false; });
-      Log.note("d3 receives again");
-    }
-    bool Any = false;
-    Fleet.World.runOnThread([&](simulated_platform &) { Any = Promoted.Any; });
-    if (Any)
-      break;
-    std::this_thread::sleep_for(milliseconds(20));
-  }
-  if (!Promoted.Any) {
-    Log.note("nothing was promoted");
-    return Held;
+  std::thread Callers([&] { callUntil(Fleet, LostAt + EntryExpiresAfter); });
+  std::this_thread::sleep_until(LostAt + ProcessesLostAfter);
+  Fleet.killAll();
+  Log.note("all processes are lost");
+  std::this_thread::sleep_for(ProcessesDownFor);
+  Fleet.startAll();
+  const auto BackAt = clock_type::now();
+  Log.note("all processes are started again");
+  std::this_thread::sleep_until(LostAt + EntryExpiresAfter);
+  if (withTrouble()) {
+    Fleet.World.runOnThread(
+        [](simulated_platform &World) { World.Store.remove("servers", "d1"); });
+    Log.note("the entry of d1 expires; d2 and d3 are listed and run");
   }
-  Log.note("promoted: " + Promoted.Name + ", its log " +
-           (Promoted.HoldsWrite ? "has" : "lacks") +
-           " the acknowledged WRITE a 1");
-  std::this_thread::sleep_for(milliseconds(500));
-  Fleet.runEventually(0, "strict", "READ a", &Log);
-  return Promoted.HoldsWrite ? Held : Broken;
+  Callers.join();
+  callUntil(Fleet, BackAt + RecoveryTime);
+  const tally After = callUntil(Fleet, clock_type::now() + JudgedFor);
+  Log.note("later than 12 s after the processes were back: " + textOf(After));
+  Fleet.World.runOnThread([&](simulated_platform &World) {
+    Log.note(std::to_string(World.Promotions.size()) +
+             " promotions were ordered");
+  });
+  return After.Served * Least < After.Sent ? Broken : Held;
 }
 
 } // namespace
--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -2,104 +2,132 @@
 
 #include "redwinggw/base/time.hpp"
 
-#include <boost/json.hpp>
-
-#include <atomic>
+#include <algorithm>
 #include <thread>
-#include <utility>
-#include <vector>
 
-/// All databases of a service crash at once. The replicas start again under the
-/// identifiers that they had, and hold nothing of before; the primary comes
-/// back with its log a few seconds later. Is an acknowledged commit in the log
-/// of the database that is promoted?
+/// A replica that still receives commits is cut off from the platform's store,
+/// so that its entry expires. Then the other replica falls behind and the
+/// primary crashes. Is an acknowledged commit in the log of the database that
+/// is promoted?
 namespace {
 
 using namespace review;
 
-/// srv_crash: how long the databases are down.
-constexpr milliseconds ReplicaDownFor{1000};
-constexpr milliseconds PrimaryDownFor{7000};
-/// After the crash.
-constexpr milliseconds JudgedAfter{15000};
+/// Of the cut: the last heartbeat before it was accepted 1.1 s before it began,
+/// the next one is due every 1.2 s. So the entry expires three intervals after
+/// that heartbeat, and is back with the first one after the end of the cut.
+constexpr milliseconds CutFor{5000};
+constexpr milliseconds ExpiresAfter{2500};
+constexpr milliseconds BackAfter{6100};
+/// replica_lag: how long a replica receives nothing.
+constexpr milliseconds DeafFor{6500};
 
-/// Starts \p Name again under its identifier with an empty log, and a new
-/// "born" in its entry.
-void restartEmpty(small_fleet &Fleet, const std::string &Name) {
-  Fleet.World.runOnThread(
-      [&](simulated_platform &World) { World.database(Name).Log.clear(); });
-  Fleet.World.restart(Name);
+bool isRecorded(small_fleet &Fleet, const std::string &Name) {
+  bool Recorded = false;
   Fleet.World.runOnThread([&](simulated_platform &World) {
-    boost::json::object Entry =
-        boost::json::parse(World.Store.value("servers", Name)).as_object();
-    Entry["born"] = redwinggw::base::wallMilliseconds();
-    World.Store.put("servers", Name, boost::json::serialize(Entry));
+    Recorded =
+        World.Store.value("redwinggw", "holders/s").find('"' + Name + '"') !=
+        std::string::npos;
   });
+  return Recorded;
 }
 
+/// The log of the first database that was promoted, at the order.
+struct promoted_log {
+  bool Any = false;
+  std::string Name;
+  bool HoldsWrite = false;
+};
+
 int run(record &Log) {
   small_fleet Fleet(3);
   Fleet.World.replicateSynchronously();
   Log.note("service s: d1 primary, d2 and d3 replicas, sync_replicas 1");
-  std::this_thread::sleep_for(milliseconds(1500));
-  for (int Number = 1; Number <= 10; ++Number)
-    if (!Fleet.runEventually(0, "strict", "WRITE a " + std::to_string(Number),
-                             &Log))
-      return CouldNotRun;
-  std::this_thread::sleep_for(milliseconds(500));
+  if (!eventually(
+          [&] { return isRecorded(Fleet, "d2") && isRecorded(Fleet, "d3"); }) ||
+      !Fleet.runEventually(0, "strict", "WRITE a 0", &Log))
+    return CouldNotRun;
+  std::this_thread::sleep_for(milliseconds(300));
 
-  bool Any = false;
-  std::string Name;
-  std::size_t Entries = 0;
+  promoted_log Promoted;
   Fleet.World.runOnThread([&](simulated_platform &World) {
     World.PromotionTime = milliseconds(300);
     World.OnPromotion = [&](const redwinggw::standin::promotion &Order) {
-      if (std::exchange(Any, true))
+      if (Promoted.Any)
         return;
-      Name = Order.Database;
-      Entries = World.database(Order.Database).Log.size();
+      const simulated_database &Target = World.database(Order.Database);
+      Promoted = {true, Order.Database,
+                  std::ranges::any_of(Target.Log, [](const auto &Entry) {
+                    return Entry.Item == "a" && Entry.Data == "1";
+                  })};
     };
   });
-  const auto CrashedAt = std::chrono::steady_clock::now();
-  // Callers go on using the service.
-  std::atomic<bool> Stopped = false;
-  std::vector<std::thread> Callers;
-  for (std::size_t Index = 0; Index < Fleet.Instances.size(); ++Index)
-    Callers.emplace_back([&Fleet, &Stopped, Index] {
-      while (!Stopped) {
-        Fleet.runOnce(Index, "strict", "READ a");
-        std::this_thread::sleep_for(milliseconds(20));
-      }
-    });
+
+  const auto CutAt = std::chrono::steady_clock::now();
+  const auto sleepUntil = [&](milliseconds Time) {
+    std::this_thread::sleep_until(CutAt + Time);
+  };
   if (withTrouble()) {
-    for (const char *Database : {"d1", "d2", "d3"})
-      Fleet.World.crash(Database);
-    Log.note("d1, d2 and d3 crash");
+    Log.note("d2 is cut off from the store; it runs, and d1 reaches it");
+    sleepUntil(ExpiresAfter);
+    Fleet.World.runOnThread(
+        [](simulated_platform &World) { World.Store.remove("servers", "d2"); });
+    Log.note("the entry of d2 expires");
+    while (isRecorded(Fleet, "d2") &&
+           std::chrono::steady_clock::now() < CutAt + BackAfter)
+      std::this_thread::sleep_for(milliseconds(5));
+    Log.note(isRecorded(Fleet, "d2") ? "holders/s names d2 still"
+                                     : "holders/s does not name d2 any more");
+    Fleet.World.runOnThread([](simulated_platform &World) {
+      replicate(World.Group, redwinggw::base::now());
+      World.database("d3").Deaf = true;
+    });
+    Log.note("d3 receives nothing from now on");
   }
-  if (withTrouble()) {
-    std::this_thread::sleep_until(CrashedAt + ReplicaDownFor);
-    restartEmpty(Fleet, "d2");
-    restartEmpty(Fleet, "d3");
-    Log.note("d2 and d3 start again under their identifiers, empty");
-    std::this_thread::sleep_until(CrashedAt + PrimaryDownFor);
-    Fleet.World.restart("d1");
-    Log.note("d1 comes back with its log");
+  const auto DeafAt = std::chrono::steady_clock::now();
+  const line_answer Written = Fleet.runOnce(0, "strict", "WRITE a 1", &Log);
+  if (!Written.Error.empty())
+    return CouldNotRun;
+  if (!withTrouble()) {
+    const line_answer Read = Fleet.runOnce(1, "strict", "READ a", &Log);
+    return Read.Rows == std::vector<std::string>{"1"} ? Held : Broken;
   }
-  std::this_thread::sleep_until(CrashedAt + JudgedAfter);
-  Stopped = true;
-  for (std::thread &Caller : Callers)
-    Caller.join();
-  bool Ordered = false;
-  Fleet.World.runOnThread([&](simulated_platform &) { Ordered = Any; });
-  const bool Reads = Fleet.runEventually(0, "strict", "READ a", &Log);
-  if (!Ordered) {
+  Fleet.World.crash("d1");
+  Log.note("d1 crashes");
+  bool Back = false;
+  bool Heard = false;
+  // Callers go on using the service.
+  while (std::chrono::steady_clock::now() < CutAt + milliseconds(20000)) {
+    for (std::size_t Index = 0; Index < Fleet.Instances.size(); ++Index)
+      Fleet.runOnce(Index, "strict", "READ a");
+    const auto Now = std::chrono::steady_clock::now();
+    if (!Back && Now >= CutAt + BackAfter) {
+      Back = true;
+      Fleet.World.restart("d2");
+      Log.note("the cut has ended: d2 has its entry again");
+    }
+    if (!Heard && Now >= DeafAt + DeafFor) {
+      Heard = true;
+      Fleet.World.runOnThread(
+          [](simulated_platform &World) { World.database("d3").Deaf = false; });
+      Log.note("d3 receives again");
+    }
+    bool Any = false;
+    Fleet.World.runOnThread([&](simulated_platform &) { Any = Promoted.Any; });
+    if (Any)
+      break;
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+  if (!Promoted.Any) {
     Log.note("nothing was promoted");
-    return Reads ? Held : CouldNotRun;
+    return Held;
   }
-  constexpr std::size_t Acknowledged = 10;
-  Log.note("promoted: " + Name + ", with " + std::to_string(Entries) + " of " +
-           std::to_string(Acknowledged) + " acknowledged commits in its log");
-  return Entries < Acknowledged ? Broken : Held;
+  Log.note("promoted: " + Promoted.Name + ", its log " +
+           (Promoted.HoldsWrite ? "has" : "lacks") +
+           " the acknowledged WRITE a 1");
+  std::this_thread::sleep_for(milliseconds(500));
+  Fleet.runEventually(0, "strict", "READ a", &Log);
+  return Promoted.HoldsWrite ? Held : Broken;
 }
 
 } // namespace
--- a/review/cases-2/fleet.cpp
+++ b/review/cases-2/fleet.cpp
@@ -3,6 +3,7 @@
 #include "ask.hpp"
 #include "free_port.hpp"
 
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <iostream>
@@ -80,20 +81,32 @@
     Instance.Name = "i" + std::to_string(Index + 1);
     Instance.Callers = redwinggw::fleet::freeAddress();
     Instance.Readiness = redwinggw::fleet::freeAddress();
-    const std::string File = Directory + "/" + Instance.Name + ".ini";
-    std::ofstream(File) << settingsOf(Instance, redwinggw::fleet::freeAddress(),
-                                      World);
-    Instance.Process = std::make_unique<child_process>(
-        redwinggw::fleet::command_line{fs::absolute(Program).string(),
-                                       {"--config", File}},
-        Directory + "/" + Instance.Name + ".log");
+    Instance.SettingsFile = Directory + "/" + Instance.Name + ".ini";
+    std::ofstream(Instance.SettingsFile)
+        << settingsOf(Instance, redwinggw::fleet::freeAddress(), World);
   }
+  startAll();
   for (const instance &Instance : Instances)
     if (!eventually([&] { return isReady(Instance); }))
       throw std::runtime_error(
           Instance.Name + " does not get ready: " + Instance.Process->output());
 }
 
+void small_fleet::startAll() {
+  for (instance &Instance : Instances)
+    Instance.Process = std::make_unique<child_process>(
+        redwinggw::fleet::command_line{fs::absolute(Program).string(),
+                                       {"--config", Instance.SettingsFile}},
+        Directory + "/" + Instance.Name + ".log");
+}
+
+void small_fleet::killAll() {
+  for (const instance &Instance : Instances)
+    Instance.Process->signal(SIGKILL);
+  for (const instance &Instance : Instances)
+    Instance.Process->wait(std::chrono::seconds(10));
+}
+
 small_fleet::~small_fleet() {
   if (std::getenv("REVIEW_LOGS") != nullptr)
     for (const instance &Instance : Instances)
--- a/review/cases-2/fleet.hpp
+++ b/review/cases-2/fleet.hpp
@@ -47,6 +47,7 @@
   std::string Name;
   redwinggw::http::address Callers;
   redwinggw::http::address Readiness;
+  std::string SettingsFile;
   std::unique_ptr<child_process> Process;
 };
 
@@ -67,6 +68,12 @@
   bool runEventually(std::size_t Instance, const std::string &Database,
                      const std::string &Text, record *Log = nullptr);
 
+  /// Ends all processes at once, as a loss of power does, and starts them.
+  /// @{
+  void killAll();
+  void startAll();
+  /// @}
+
   simulated_platform World;
   std::vector<instance> Instances;
 
