--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,5 +3,5 @@
 # that they start. To be run after the build of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-cmake -S review/cases-2 -B target/review-2 -G Ninja -DCMAKE_BUILD_TYPE=
+cmake --fresh -S review/4 -B target/review-2 -G Ninja -DCMAKE_BUILD_TYPE=
 cmake --build target/review-2 -j"$(nproc)"
